--- /dev/null
+++ b/domain/fleet/src/fleet-error.ts
@@ -0,0 +1,41 @@
+/** Stable codes of the errors that operators and other processes see. */
+export type FleetErrorCode =
+    | "invalid-settings"
+    | "invalid-table"
+    | "invalid-edit"
+    | "edit-conflict"
+    | "not-found"
+    | "platform-unavailable"
+    | "unknown-outcome"
+    | "lease-lost"
+    | "unauthorized"
+    | "bad-message";
+
+export interface FleetErrorOptions {
+    /** What went wrong, naming the file, row, key or value at fault. */
+    message: string;
+    /** What the reader can do about it. */
+    hint: string;
+    /** Further findings of the same check, one line each. */
+    details?: readonly string[];
+    cause?: unknown;
+}
+
+/** An error with a stable code and a hint; printed without a stack. */
+export class FleetError extends Error {
+    readonly code: FleetErrorCode;
+    readonly hint: string;
+    readonly details: readonly string[];
+
+    constructor(code: FleetErrorCode, options: FleetErrorOptions) {
+        super(options.message, options.cause === undefined ? undefined : { cause: options.cause });
+        this.name = "FleetError";
+        this.code = code;
+        this.hint = options.hint;
+        this.details = options.details ?? [];
+    }
+}
+
+/** True for a FleetError with the given code. */
+export const hasCode = (error: unknown, code: FleetErrorCode): error is FleetError =>
+    error instanceof FleetError && error.code === code;
--- /dev/null
+++ b/domain/fleet/src/pool.ts
@@ -0,0 +1,43 @@
+import { z } from "zod";
+import type { PoolName, TeamName, VmId } from "./ids.js";
+import { nameSchema } from "./name-schema.js";
+
+const MAX_SLOTS = 1024;
+const MAX_CONNECTIONS = 4096;
+const DEFAULT_SLOTS = 8;
+const DEFAULT_CONNECTIONS = 64;
+const MAX_PROGRESS_INTERVAL_MS = 60 * 60 * 1000;
+const SHARE_TOLERANCE = 1e-9;
+
+const shareSchema = z.number().min(0).max(1);
+
+const sharesSchema = z
+    .strictObject({ urgent: shareSchema, normal: shareSchema, deferrable: shareSchema })
+    .refine(shares => shares.urgent + shares.normal + shares.deferrable <= 1 + SHARE_TOLERANCE, {
+        message: "must add up to at most 1",
+    });
+
+/** Schema of a row of the pools table. */
+export const poolSchema = z.strictObject({
+    name: nameSchema<PoolName>(),
+    vms: z.array(nameSchema<VmId>()),
+    /** Requests that each VM runs at once. */
+    slotsPerVm: z.int().min(1).max(MAX_SLOTS).default(DEFAULT_SLOTS),
+    /** Connections that each VM takes from all entries together. */
+    connectionsPerVm: z.int().min(1).max(MAX_CONNECTIONS).default(DEFAULT_CONNECTIONS),
+    /** Availability budget: VMs that must be serving at any time. */
+    minAvailable: z.int().min(0),
+    /** A spare pool lends its VMs to other pools. */
+    spare: z.boolean().default(false),
+    /** VMs that this pool may borrow from spare pools at most. */
+    maxBorrowed: z.int().min(0).default(0),
+    /** Guaranteed least share of the slots for each class of urgency. */
+    shares: sharesSchema.default({ urgent: 0.5, normal: 0.3, deferrable: 0.2 }),
+    /** Slots that a team may use at once; a team without a row has no cap. */
+    quotas: z.array(z.strictObject({ team: nameSchema<TeamName>(), slots: z.int().min(0).max(MAX_SLOTS) })).default([]),
+    /** Interval at which endpoints of this pool send 102 while a request runs; absent if they send none. */
+    progressIntervalMs: z.int().min(100).max(MAX_PROGRESS_INTERVAL_MS).optional(),
+});
+
+/** A row of the pools table: which VMs serve, and within which limits. */
+export type Pool = z.infer<typeof poolSchema>;
--- /dev/null
+++ b/domain/fleet/src/route-index.ts
@@ -0,0 +1,41 @@
+import type { EntityTable } from "./entity-table.js";
+import type { RouteName } from "./ids.js";
+import type { Route } from "./route.js";
+
+/** The parts of a request that routes are chosen by. */
+export interface RouteQuery {
+    /** Host in lower case without a port. */
+    readonly host: string;
+    /** Path without the query. */
+    readonly path: string;
+    readonly method: string;
+}
+
+/** Finds the route of a request in one revision of the routes table. */
+export interface RouteIndex {
+    find: (query: RouteQuery) => Route | undefined;
+}
+
+// A prefix matches whole path segments only: /plots matches /plots/7 and not /plots-archive.
+const matchesPath = (prefix: string, path: string): boolean =>
+    path === prefix || (path.startsWith(prefix) && (prefix.endsWith("/") || path[prefix.length] === "/"));
+
+const matchesMethod = (route: Route, method: string): boolean =>
+    route.methods.length === 0 || route.methods.includes(method);
+
+/** Builds the index: a route with a host goes before one without, then the longest prefix wins. */
+export const routeIndex = (routes: EntityTable<RouteName, Route>): RouteIndex => {
+    const longestFirst = [...routes.rows].sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+    const anyHost = longestFirst.filter(route => route.host === undefined);
+    const byHost = new Map<string, readonly Route[]>(
+        longestFirst.flatMap(route => (route.host === undefined ? [] : [[route.host, []]])),
+    );
+    longestFirst.forEach(route => {
+        if (route.host !== undefined) {
+            byHost.set(route.host, [...(byHost.get(route.host) ?? []), route]);
+        }
+    });
+    const findIn = (candidates: readonly Route[], query: RouteQuery): Route | undefined =>
+        candidates.find(route => matchesPath(route.pathPrefix, query.path) && matchesMethod(route, query.method));
+    return { find: query => findIn(byHost.get(query.host) ?? [], query) ?? findIn(anyHost, query) };
+};
--- /dev/null
+++ b/domain/fleet/test/edit.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { applyEdit, type Change, type Edit } from "../src/edit.js";
+import { hasCode } from "../src/fleet-error.js";
+import { emptyFleetState, formatSnapshot, parseSnapshot } from "../src/fleet-state.js";
+import { type EditId, toId } from "../src/ids.js";
+import { diffTables, parseTableFile } from "../src/table-file.js";
+
+const tables = (overrides: { minAvailable?: number; routePool?: string; secondPoolVms?: string[] } = {}) =>
+    JSON.stringify({
+        routes: [{ name: "letters", pathPrefix: "/letters", pool: overrides.routePool ?? "letters", team: "notaries" }],
+        pools: [
+            { name: "letters", vms: ["vm-1", "vm-2"], minAvailable: overrides.minAvailable ?? 1 },
+            { name: "spare", vms: overrides.secondPoolVms ?? ["vm-3"], minAvailable: 0, spare: true },
+        ],
+    });
+
+const editOf = (changes: readonly Change[], id = "edit-1"): Edit => ({
+    editId: toId<EditId>(id),
+    author: { kind: "operator", name: "anna" },
+    at: "2026-12-04T09:00:00Z",
+    reason: "test",
+    changes: [...changes],
+});
+
+const applyTables = (text: string, state = emptyFleetState) =>
+    applyEdit(state, editOf(diffTables(state, parseTableFile("tables.json", text))));
+
+test("an edit raises the revision and a snapshot keeps the state", () => {
+    const state = applyTables(tables());
+    assert.equal(state.revision, 1);
+    assert.equal(formatSnapshot(parseSnapshot(formatSnapshot(state))), formatSnapshot(state));
+    assert.deepEqual(diffTables(state, parseTableFile("tables.json", tables())), []);
+});
+
+test("refuses a route to an unknown pool, naming route and pool", () => {
+    assert.throws(
+        () => applyTables(tables({ routePool: "nowhere" })),
+        error => hasCode(error, "invalid-edit") && error.details.some(line => /letters.*nowhere/.test(line)),
+    );
+});
+
+test("refuses a VM in two pools", () => {
+    assert.throws(
+        () => applyTables(tables({ secondPoolVms: ["vm-1"] })),
+        error => hasCode(error, "invalid-edit") && error.details.some(line => line.includes("vm-1")),
+    );
+});
+
+test("refuses an availability budget that leaves no VM for maintenance", () => {
+    assert.throws(
+        () => applyTables(tables({ minAvailable: 2 })),
+        error => hasCode(error, "invalid-edit"),
+    );
+});
+
+test("of two edits of one row prepared on the same state the second conflicts and sees the difference", () => {
+    const state = applyTables(tables());
+    const first = editOf(diffTables(state, parseTableFile("a.json", tables({ minAvailable: 0 }))), "edit-a");
+    const second = editOf(
+        diffTables(
+            state,
+            parseTableFile("b.json", tables().replace('"minAvailable":1', '"minAvailable":1,"slotsPerVm":4')),
+        ),
+        "edit-b",
+    );
+    const accepted = applyEdit(state, first);
+    assert.throws(
+        () => applyEdit(accepted, second),
+        error => hasCode(error, "edit-conflict") && error.details.some(line => line.includes("pools letters")),
+    );
+});
+
+test("an operator cannot write assignments", () => {
+    const change: Change = {
+        table: "assignments",
+        key: toId("vm-1"),
+        after: { vm: toId("vm-1"), pool: toId("letters"), phase: { kind: "serving" } },
+    };
+    assert.throws(
+        () => applyEdit(emptyFleetState, editOf([change])),
+        error => hasCode(error, "invalid-edit"),
+    );
+});
