Add the peer protocol: server, clients, membership

Cause: entries must exchange revisions and demand without a second coordination service. Change: connect-es service over HTTP/2 with a shared secret and a protocol version; a membership table in which only a direct response proves that a peer is live. @bufbuild/protobuf is pinned to the version that the code generator installs, since two copies of its types do not match.

--- /dev/null
+++ b/peers/peer/src/peer-server.ts
@@ -0,0 +1,68 @@
+import { createServer, type ServerHttp2Session } from "node:http2";
+import type { AddressInfo } from "node:net";
+import { Code, ConnectError, type ServiceImpl } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import type { Listen } from "@almondusher/settings/listen-schema";
+import { PeerService } from "./gen/almondusher/peer/v1/peer_pb.js";
+import { type AccessFailure, checkCalls } from "./peer-access.js";
+
+// A snapshot of the target fleet is about 200 KB; ten times that bounds the memory of one call.
+const MAX_MESSAGE_BYTES = 2 * 1024 ** 2;
+
+/** The calls that a process answers on its peer port. */
+export type PeerHandlers = ServiceImpl<typeof PeerService>;
+
+export interface PeerServerOptions {
+    readonly listen: Listen;
+    readonly secret: string;
+    readonly handlers: Partial<PeerHandlers>;
+    readonly onAccessFailure: (failure: AccessFailure) => void;
+    /** A message that no handler could read. */
+    readonly onBadMessage: () => void;
+}
+
+export interface PeerServer {
+    readonly port: number;
+    close: () => Promise<void>;
+}
+
+/** Serves the peer protocol over HTTP/2 without TLS; rejects if the address cannot be bound. */
+export const startPeerServer = async (options: PeerServerOptions): Promise<PeerServer> => {
+    const sessions = new Set<ServerHttp2Session>();
+    const server = createServer(
+        connectNodeAdapter({
+            routes: router => router.service(PeerService, options.handlers),
+            interceptors: [
+                checkCalls({ secret: options.secret, onFailure: options.onAccessFailure }),
+                next => request => next(request).catch(error => rethrow(error, options.onBadMessage)),
+            ],
+            readMaxBytes: MAX_MESSAGE_BYTES,
+        }),
+    );
+    server.on("session", session => {
+        sessions.add(session);
+        session.on("close", () => sessions.delete(session));
+        session.on("error", () => session.destroy());
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.listen.port, options.listen.ip, resolve);
+    });
+    return {
+        port: (server.address() as AddressInfo).port,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                sessions.forEach(session => session.destroy());
+            }),
+    };
+};
+
+const rethrow = (error: unknown, onBadMessage: () => void): never => {
+    if (error instanceof FleetError && error.code === "bad-message") {
+        onBadMessage();
+        throw new ConnectError(error.message, Code.InvalidArgument);
+    }
+    throw error;
+};
