--- a/peers/peer/src/membership.ts
+++ b/peers/peer/src/membership.ts
@@ -10,6 +10,8 @@
     readonly revision: number;
     /** False until the process has written its registration to the platform. */
     readonly registered: boolean;
+    /** Age of the peer's copy of the platform's VM list when it answered, in milliseconds. */
+    readonly vmListAgeMs: number;
 }
 
 /** A peer and when it was last heard from directly, in milliseconds of the monotonic clock. */
--- a/peers/peer/src/peer-schema.ts
+++ b/peers/peer/src/peer-schema.ts
@@ -26,6 +26,7 @@
         dataCentre: toId<DataCentreName>(member.dataCentre),
         revision: Number(member.revision),
         registered: member.registered,
+        vmListAgeMs: member.vmListAgeMs,
     };
 };
 
@@ -40,4 +41,5 @@
     dataCentre: peer.dataCentre,
     revision: BigInt(peer.revision),
     registered: peer.registered,
+    vmListAgeMs: peer.vmListAgeMs,
 });
--- a/peers/peer/test/membership.test.ts
+++ b/peers/peer/test/membership.test.ts
@@ -13,6 +13,7 @@
     dataCentre: toId<DataCentreName>("vannes"),
     revision: 1,
     registered: true,
+    vmListAgeMs: 0,
 });
 
 test("a peer joins, restarts under the same VM id, and leaves after silence", () => {
--- a/peers/peer/test/peer-server.test.ts
+++ b/peers/peer/test/peer-server.test.ts
@@ -19,6 +19,7 @@
     dataCentre: toId<DataCentreName>("quimper"),
     revision: 7,
     registered: true,
+    vmListAgeMs: 0,
 };
 
 const startServer = async () => {
