Add the entry program, not yet complete

Cause: the complete path needs the process between callers and endpoints. Change: caller server, admission, claims, attempts, retries, relay of responses, polling of the platform, exchange with peers, readiness, and graceful stop. Conclusion: to be tested end to end.

--- /dev/null
+++ b/programs/entry/src/accept-request.ts
@@ -0,0 +1,161 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { offer } from "@almondusher/admission/offer";
+import { type RequestId, toId } from "@almondusher/fleet/ids";
+import type { Cause } from "@almondusher/fleet/verdict";
+import { count } from "@almondusher/telemetry/counters";
+import { type CallerRequest, readCallerRequest } from "./caller-request.js";
+import { type EntryContext, monotonicMs } from "./entry-context.js";
+import { capacityOf, type PoolRuntime } from "./pool-runtime.js";
+import { type Rejection, sendRejection } from "./rejection.js";
+import { createReplayBody } from "./replay-body.js";
+import type { RequestFlow } from "./request-flow.js";
+import { abandonRequest, rejectFlow, startFlow } from "./serve-request.js";
+
+/** Path that tells the balancer whether this entry takes requests. */
+export const READINESS_PATH = "/.almondusher/ready";
+
+const RETRY_WITHOUT_VM_MS = 5000;
+const RETRY_WHEN_NOT_READY_MS = 1000;
+
+export interface ArrivingRequest {
+    readonly incoming: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly expectsContinue: boolean;
+}
+
+/** Takes one request of a caller; every path ends in an answer, a rejection or a destroyed connection. */
+export const acceptRequest = (entry: EntryContext, arriving: ArrivingRequest): void => {
+    const { incoming, response } = arriving;
+    const id = nextRequestId(entry);
+    if (incoming.url === READINESS_PATH) {
+        answerReadiness(entry, response);
+        return;
+    }
+    if (!entry.tables.ready && entry.tables.phase !== "draining") {
+        rejectUnread(entry, { ...arriving, id }, notReady);
+        return;
+    }
+    const reading = readCallerRequest(incoming, { id, routes: entry.tables.view.routes, nowMs: monotonicMs() });
+    switch (reading.kind) {
+        case "rejected":
+            rejectUnread(entry, { ...arriving, id }, reading.rejection);
+            return;
+        case "request":
+            admitRequest(entry, arriving, reading.request);
+            return;
+    }
+};
+
+const notReady: Rejection = {
+    status: 503,
+    cause: "not-ready",
+    verdict: "not-run",
+    message: "this entry is not ready",
+    retryAfterMs: RETRY_WHEN_NOT_READY_MS,
+};
+
+const nextRequestId = (entry: EntryContext): RequestId => {
+    entry.tables.nextRequestNumber += 1;
+    return toId<RequestId>(`${entry.processId}.${entry.tables.nextRequestNumber.toString(36)}`);
+};
+
+const answerReadiness = (entry: EntryContext, response: ServerResponse): void => {
+    const { ready, phase } = entry.tables;
+    response.writeHead(ready ? 200 : 503, { "content-type": "application/json" });
+    response.end(JSON.stringify({ ready, phase }));
+};
+
+interface UnreadRequest extends ArrivingRequest {
+    readonly id: RequestId;
+}
+
+const rejectUnread = (entry: EntryContext, { incoming, response, id }: UnreadRequest, rejection: Rejection): void => {
+    const revision = entry.tables.view.state.revision;
+    count(entry.counters, { name: "rejections", cause: rejection.cause, verdict: rejection.verdict, revision });
+    const hasBody = incoming.headers["content-length"] !== undefined || "transfer-encoding" in incoming.headers;
+    sendRejection(response, rejection, { requestId: id, revision, closeConnection: hasBody });
+};
+
+const admitRequest = (entry: EntryContext, arriving: ArrivingRequest, request: CallerRequest): void => {
+    const pool = entry.tables.pools.get(request.route.pool);
+    if (pool === undefined || pool.view.vms.length === 0) {
+        rejectUnread(entry, { ...arriving, id: request.id }, noVm(request));
+        return;
+    }
+    const flow = createFlow(entry, arriving, request, pool);
+    entry.tables.requests.set(request.id, flow);
+    arriving.response.once("close", () => abandonRequest(entry, flow));
+    const decision = offer(pool.admission, admissionOf(request), capacityOf(pool));
+    switch (decision.kind) {
+        case "start":
+            startFlow(entry, flow);
+            return;
+        case "queued":
+            return;
+        case "rejected":
+            rejectFlow(entry, flow, busy(decision.cause, request, decision.retryAfterMs));
+            return;
+    }
+};
+
+const noVm = (request: CallerRequest): Rejection => ({
+    status: 503,
+    cause: "no-vm",
+    verdict: "not-run",
+    message: `pool ${request.route.pool} has no serving VM`,
+    retryAfterMs: RETRY_WITHOUT_VM_MS,
+});
+
+const busy = (cause: Cause, request: CallerRequest, retryAfterMs: number): Rejection => ({
+    status: cause === "quota" ? 429 : 503,
+    cause,
+    verdict: "not-run",
+    message: `pool ${request.route.pool} cannot take the request of team ${request.team}: ${cause}`,
+    retryAfterMs,
+});
+
+const admissionOf = (request: CallerRequest) => ({
+    id: request.id,
+    urgency: request.urgency,
+    team: request.team,
+    arrivedAt: request.arrivedAtMs,
+    deadlineAt: request.deadlineAtMs,
+});
+
+const createFlow = (
+    entry: EntryContext,
+    { incoming, response, expectsContinue }: ArrivingRequest,
+    request: CallerRequest,
+    pool: PoolRuntime,
+): RequestFlow => {
+    const flow: RequestFlow = {
+        request,
+        incoming,
+        response,
+        pool,
+        revision: entry.tables.view.state.revision,
+        body: request.hasBody
+            ? createReplayBody({
+                  source: incoming,
+                  replayBytes: entry.settings.limits.replayBytes,
+                  maxBytes: request.route.maxBodyBytes,
+                  onTooLarge: () => rejectFlow(entry, flow, tooLarge(request)),
+              })
+            : undefined,
+        phase: "queued",
+        expectsContinue,
+        claim: undefined,
+        running: [],
+        ended: [],
+        hedged: false,
+        startedAtMs: request.arrivedAtMs,
+    };
+    return flow;
+};
+
+const tooLarge = (request: CallerRequest): Rejection => ({
+    status: 413,
+    cause: "too-large",
+    verdict: "not-run",
+    message: `route ${request.route.name} takes bodies of at most ${request.route.maxBodyBytes} bytes`,
+});
--- /dev/null
+++ b/programs/entry/src/adopt-state.ts
@@ -0,0 +1,95 @@
+import { entityTable } from "@almondusher/fleet/entity-table";
+import type { FleetState } from "@almondusher/fleet/fleet-state";
+import type { ProcessId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
+import { setFallback } from "@almondusher/slots/slot-ledger";
+import { logEvent } from "@almondusher/telemetry/logger";
+import { type EntryContext, monotonicMs } from "./entry-context.js";
+import { fleetView } from "./fleet-view.js";
+import { createPoolRuntime, type PoolRuntime, updatePoolRuntime } from "./pool-runtime.js";
+import { rejectFlow, startWaiting } from "./serve-request.js";
+
+/** Takes over a state with a higher revision; a lower one is dropped, so that a process never goes backward. */
+export const adoptState = (entry: EntryContext, state: FleetState, from: "platform" | "peer"): void => {
+    const { tables } = entry;
+    if (tables.hasState && state.revision <= tables.view.state.revision) {
+        return;
+    }
+    tables.hasState = true;
+    rebuildView(entry, state);
+    logEvent(entry.logger, { kind: "revision-adopted", revision: state.revision, from });
+};
+
+export interface ListedVms {
+    readonly vms: readonly Vm[];
+    readonly etag?: string;
+    /** Monotonic time at which the platform gave the list, in milliseconds. */
+    readonly listedAtMs: number;
+}
+
+/** Takes over a newer VM list. */
+export const adoptVms = (entry: EntryContext, listed: ListedVms): void => {
+    const { tables } = entry;
+    const vms = entityTable(listed.vms, vm => vm.id);
+    tables.listing = {
+        vms,
+        knownVms: entityTable([...tables.listing.knownVms.rows, ...listed.vms], vm => vm.id),
+        listedAtMs: listed.listedAtMs,
+        ...(listed.etag === undefined ? {} : { etag: listed.etag }),
+    };
+    rebuildView(entry, tables.view.state);
+};
+
+const rebuildView = (entry: EntryContext, state: FleetState): void => {
+    const { tables } = entry;
+    const { vms, knownVms } = tables.listing;
+    tables.view = fleetView({ state, vms, knownVms });
+    tables.view.pools.rows.forEach(view => {
+        const runtime = tables.pools.get(view.pool.name);
+        if (runtime === undefined) {
+            tables.pools.set(view.pool.name, createPoolRuntime(view, entry.settings));
+        } else {
+            updatePoolRuntime(runtime, view, entry.settings);
+        }
+    });
+    removeDeletedPools(entry);
+    refreshSlots(entry);
+};
+
+const removeDeletedPools = (entry: EntryContext): void => {
+    const { tables } = entry;
+    [...tables.pools.keys()].filter(name => !tables.view.pools.has(name)).forEach(name => tables.pools.delete(name));
+    [...tables.requests.values()]
+        .filter(flow => flow.phase === "queued" && !tables.view.pools.has(flow.request.route.pool))
+        .forEach(flow =>
+            rejectFlow(entry, flow, {
+                status: 404,
+                cause: "no-route",
+                verdict: "not-run",
+                message: `pool ${flow.request.route.pool} was deleted`,
+            }),
+        );
+};
+
+/** Live entry processes, this one included. */
+export const memberIds = (entry: EntryContext): readonly ProcessId[] => [
+    entry.processId,
+    ...entry.tables.membership.peers.rows.map(peer => peer.processId),
+];
+
+/** Recomputes the partition of the slots; call it when the members, the pools or the VMs have changed. */
+export const refreshSlots = (entry: EntryContext): void => {
+    const members = memberIds(entry);
+    entry.tables.pools.forEach(pool => refreshPool(entry, pool, members));
+};
+
+const refreshPool = (entry: EntryContext, pool: PoolRuntime, members: readonly ProcessId[]): void => {
+    const fallback = entry.rendezvous.partitionSlots({
+        vms: pool.view.vms.map(vm => vm.id),
+        slotsPerVm: pool.view.pool.slotsPerVm,
+        members,
+        self: entry.processId,
+    });
+    setFallback(pool.ledger, fallback, monotonicMs());
+    startWaiting(entry, pool);
+};
--- /dev/null
+++ b/programs/entry/src/answer-relay.ts
@@ -0,0 +1,84 @@
+import type { ExchangeFailure, ExchangeHandler } from "@almondusher/exchange/exchange";
+import { forwardHeaders } from "@almondusher/exchange/forward-headers";
+import { VIA_NAME } from "./endpoint-headers.js";
+import type { EntryContext } from "./entry-context.js";
+import type { Attempt, RequestFlow } from "./request-flow.js";
+
+const PROCESSING = 102;
+const EARLY_HINTS = 103;
+const SERVER_ERROR = 500;
+
+export interface AnswerEvents {
+    readonly onEnd: () => void;
+    readonly onFailure: (failure: ExchangeFailure) => void;
+    /** An attempt that another one has overtaken; it was cancelled. */
+    readonly onLoser: (attempt: Attempt) => void;
+}
+
+/** Passes the answer of one attempt on to the caller; the first attempt with a head wins. */
+export const createAnswerRelay = (
+    entry: EntryContext,
+    flow: RequestFlow,
+    attempt: Attempt,
+    events: AnswerEvents,
+): ExchangeHandler => {
+    const { response } = flow;
+    return {
+        onInformation: statusCode => passInformation(flow, statusCode),
+        onHead: head => {
+            if (head.statusCode >= SERVER_ERROR && canTryElsewhere(entry, flow)) {
+                attempt.exchange?.cancel();
+                return;
+            }
+            flow.phase = "answering";
+            flow.running
+                .filter(other => other !== attempt)
+                .forEach(loser => {
+                    events.onLoser(loser);
+                    loser.exchange?.cancel();
+                });
+            response.sendDate = false;
+            const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME });
+            response.writeHead(head.statusCode, head.statusMessage, [
+                ...headers,
+                "almondusher-request-id",
+                flow.request.id,
+            ]);
+            response.on("drain", () => attempt.exchange?.resume());
+        },
+        onData: chunk => response.write(chunk),
+        onEnd: trailers => {
+            if (trailers.length > 0) {
+                response.addTrailers(pairs(trailers));
+            }
+            response.end();
+            events.onEnd();
+        },
+        onFailure: events.onFailure,
+    };
+};
+
+const passInformation = (flow: RequestFlow, statusCode: number): void => {
+    if (flow.phase !== "sending") {
+        return;
+    }
+    if (statusCode === PROCESSING) {
+        flow.response.writeProcessing();
+    } else if (statusCode === EARLY_HINTS) {
+        // Links of early hints are optional; a caller that needs them finds them in the final answer.
+        return;
+    }
+};
+
+// An idempotent request may run again on another VM; a VM that fails everything then costs time only.
+const canTryElsewhere = (entry: EntryContext, flow: RequestFlow): boolean =>
+    flow.request.idempotent &&
+    flow.phase === "sending" &&
+    flow.ended.length + 1 < entry.settings.limits.maxAttempts &&
+    flow.pool.view.vms.length > 1 &&
+    (flow.body?.canReplay() ?? true);
+
+const pairs = (rawHeaders: readonly string[]): Record<string, string> =>
+    Object.fromEntries(
+        rawHeaders.flatMap((name, index) => (index % 2 === 0 ? [[name, rawHeaders[index + 1] ?? ""]] : [])),
+    ) as Record<string, string>;
--- /dev/null
+++ b/programs/entry/src/caller-server.ts
@@ -0,0 +1,90 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import type { RequestId } from "@almondusher/fleet/ids";
+import { toId } from "@almondusher/fleet/ids";
+import { count } from "@almondusher/telemetry/counters";
+import { acceptRequest } from "./accept-request.js";
+import type { EntryContext } from "./entry-context.js";
+import { formatRejection, type Rejection } from "./rejection.js";
+
+const KEEP_ALIVE_MS = 60_000;
+const HEADERS_TIMEOUT_MS = 20_000;
+const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
+
+/** The HTTP server for callers. */
+export interface CallerServer {
+    readonly port: number;
+    /** Refuses new connections and resolves once the open ones have ended. */
+    close: () => Promise<void>;
+}
+
+/** Starts the server for callers; rejects with `invalid-settings` if it cannot listen. */
+export const startCallerServer = async (entry: EntryContext): Promise<CallerServer> => {
+    const server = createServer({
+        maxHeaderSize: entry.settings.limits.maxHeaderBytes,
+        keepAliveTimeout: KEEP_ALIVE_MS,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        // Uploads and long work take as long as they need.
+        requestTimeout: 0,
+        // A clash of Content-Length and Transfer-Encoding would let two parsers disagree on where a request ends.
+        insecureHTTPParser: false,
+        noDelay: true,
+    });
+    const accept = (expectsContinue: boolean) => (incoming: IncomingMessage, response: ServerResponse) =>
+        acceptRequest(entry, { incoming, response, expectsContinue });
+    server.on("request", accept(false));
+    server.on("checkContinue", accept(true));
+    server.on("connect", (unusedRequest, socket: Socket) => answerRaw(entry, socket, unsupportedMethod));
+    server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) =>
+        answerRaw(entry, socket, malformedRequest(error)),
+    );
+    await listen(server, entry);
+    return { port: (server.address() as AddressInfo).port, close: () => closeServer(server) };
+};
+
+const unsupportedMethod: Rejection = {
+    status: 501,
+    cause: "upgrade",
+    verdict: "not-run",
+    message: "CONNECT is not served",
+};
+
+const malformedRequest = (error: NodeJS.ErrnoException): Rejection =>
+    error.code === HEADER_OVERFLOW
+        ? { status: 431, cause: "too-large", verdict: "not-run", message: "the request headers are too long" }
+        : { status: 400, cause: "bad-request", verdict: "not-run", message: `the request is malformed: ${error.message}` };
+
+// The parser has given up on the connection, so that the answer is written to the socket itself.
+const answerRaw = (entry: EntryContext, socket: Socket, rejection: Rejection): void => {
+    const revision = entry.tables.view.state.revision;
+    count(entry.counters, { name: "rejections", cause: rejection.cause, verdict: rejection.verdict, revision });
+    if (!socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const requestId = toId<RequestId>(`${entry.processId}.raw`);
+    const { headers, body } = formatRejection(rejection, { requestId, revision, closeConnection: true });
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+    socket.end([`HTTP/1.1 ${rejection.status} Rejected`, ...lines, "", body].join("\r\n"));
+};
+
+const listen = (server: Server, { settings: { listen: address } }: EntryContext): Promise<void> =>
+    new Promise((resolve, reject) => {
+        server.once("error", error =>
+            reject(
+                new FleetError("invalid-settings", {
+                    message: `cannot listen for callers on ${address.ip} port ${address.port}: ${error.message}`,
+                    hint: "choose an address of this VM and a free port",
+                    cause: error,
+                }),
+            ),
+        );
+        server.listen(address.port, address.ip, resolve);
+    });
+
+const closeServer = (server: Server): Promise<void> =>
+    new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
--- /dev/null
+++ b/programs/entry/src/pool-runtime.ts
@@ -0,0 +1,59 @@
+import { createAdmission, type Admission } from "@almondusher/admission/admission-state";
+import type { AdmissionLimits, PoolCapacity } from "@almondusher/admission/admission-options";
+import { changeLimits } from "@almondusher/admission/limits";
+import type { RequestId, VmId } from "@almondusher/fleet/ids";
+import type { Pool } from "@almondusher/fleet/pool";
+import type { Vm } from "@almondusher/fleet/vm";
+import { createSlotLedger, freeSlots, grantedSlots, type SlotLedger } from "@almondusher/slots/slot-ledger";
+import type { EntrySettings } from "./entry-settings.js";
+import type { PoolView } from "./fleet-view.js";
+
+/** The tables of one pool on this entry. */
+export interface PoolRuntime {
+    view: PoolView;
+    readonly admission: Admission;
+    readonly ledger: SlotLedger;
+    /** Admitted requests that wait for a slot on another VM after an attempt failed. */
+    readonly waitingForSlot: Set<RequestId>;
+}
+
+const limitsOf = (pool: Pool, settings: EntrySettings): AdmissionLimits => {
+    const { maxQueued, borrowRunTimeMs } = settings.limits;
+    return {
+        shares: pool.shares,
+        maxQueued: { urgent: maxQueued, normal: maxQueued, deferrable: maxQueued },
+        quotas: pool.quotas.map(quota => ({
+            team: quota.team,
+            poolSlots: quota.slots,
+            entrySlots: quota.slots,
+        })),
+        borrowRunTimeMs,
+    };
+};
+
+/** Creates the tables of a pool that appears in the fleet state. */
+export const createPoolRuntime = (view: PoolView, settings: EntrySettings): PoolRuntime => ({
+    view,
+    admission: createAdmission(limitsOf(view.pool, settings)),
+    ledger: createSlotLedger(),
+    waitingForSlot: new Set(),
+});
+
+/** Takes over a changed row of the pool or a changed set of VMs. */
+export const updatePoolRuntime = (runtime: PoolRuntime, view: PoolView, settings: EntrySettings): void => {
+    if (runtime.view.pool !== view.pool) {
+        changeLimits(runtime.admission, limitsOf(view.pool, settings));
+    }
+    runtime.view = view;
+};
+
+/** VMs of the pool on which this entry may start a request now. */
+export const usableVms = (runtime: PoolRuntime, excluded: readonly VmId[] = []): readonly Vm[] =>
+    runtime.view.vms.filter(vm => freeSlots(runtime.ledger, vm.id) > 0 && !excluded.includes(vm.id));
+
+/** Slots of the pool as this entry sees them now. */
+export const capacityOf = (runtime: PoolRuntime): PoolCapacity => ({
+    free: runtime.view.vms.reduce((sum, vm) => sum + freeSlots(runtime.ledger, vm.id), 0) - runtime.waitingForSlot.size,
+    granted: grantedSlots(runtime.ledger),
+    pool: runtime.view.vms.length * runtime.view.pool.slotsPerVm,
+});
--- /dev/null
+++ b/programs/entry/src/serve-request.ts
@@ -0,0 +1,290 @@
+import { cancel } from "@almondusher/admission/finish";
+import { finish } from "@almondusher/admission/finish";
+import { takeNext } from "@almondusher/admission/take-next";
+import type { RequestId, VmId } from "@almondusher/fleet/ids";
+import { type Cause, combineVerdicts, type Verdict } from "@almondusher/fleet/verdict";
+import type { ExchangeFailure } from "@almondusher/exchange/exchange";
+import { runExchange } from "@almondusher/exchange/run-exchange";
+import { connectionShare, releaseSlot, reserveSlot } from "@almondusher/slots/slot-ledger";
+import { count } from "@almondusher/telemetry/counters";
+import { type LatencyOutcome, recordLatency } from "@almondusher/telemetry/latencies";
+import { createAnswerRelay } from "./answer-relay.js";
+import { requestHeaders } from "./endpoint-headers.js";
+import { type EntryContext, monotonicMs } from "./entry-context.js";
+import { capacityOf, type PoolRuntime, usableVms } from "./pool-runtime.js";
+import { type Rejection, sendRejection } from "./rejection.js";
+import { claimFlow, settleFlowClaim } from "./request-claim.js";
+import type { Attempt, RequestFlow } from "./request-flow.js";
+
+const RETRY_AFTER_FAILURE_MS = 1000;
+const MICROSECONDS_PER_MS = 1000;
+
+/** Starts a request that admission has let in: claims it if it needs a claim, then sends it. */
+export const startFlow = (entry: EntryContext, flow: RequestFlow): void => {
+    const { request } = flow;
+    if (request.idempotent || request.key === undefined) {
+        sendAttempt(entry, flow);
+        return;
+    }
+    flow.phase = "claiming";
+    flow.pool.waitingForSlot.add(request.id);
+    void claimFlow(entry, flow, request.key).then(claimed => {
+        flow.pool.waitingForSlot.delete(request.id);
+        continueAfterClaim(entry, flow, claimed);
+    });
+};
+
+const continueAfterClaim = (entry: EntryContext, flow: RequestFlow, rejection: Rejection | undefined): void => {
+    if (flow.phase === "done") {
+        // The caller left while the claim was written and nothing was sent.
+        settleFlowClaim(entry, flow, "released");
+    } else if (rejection === undefined) {
+        sendAttempt(entry, flow);
+    } else {
+        rejectFlow(entry, flow, rejection);
+    }
+};
+
+/** Sends a request to a VM with a free slot, or lets it wait for one. */
+export const sendAttempt = (entry: EntryContext, flow: RequestFlow): void => {
+    const vm = chooseVm(flow);
+    if (vm === undefined || !reserveSlot(flow.pool.ledger, vm.id)) {
+        flow.phase = "waiting-for-slot";
+        flow.pool.waitingForSlot.add(flow.request.id);
+        return;
+    }
+    flow.pool.waitingForSlot.delete(flow.request.id);
+    flow.phase = "sending";
+    if (flow.expectsContinue) {
+        flow.expectsContinue = false;
+        flow.response.writeContinue();
+    }
+    const attempt: Attempt = { vm, startedAtMs: monotonicMs() };
+    flow.running = [...flow.running, attempt];
+    attempt.exchange = runAttempt(entry, flow, attempt);
+};
+
+const runAttempt = (entry: EntryContext, flow: RequestFlow, attempt: Attempt) => {
+    const { request, pool } = flow;
+    const { slotsPerVm, connectionsPerVm } = pool.view.pool;
+    return runExchange(entry.connections, {
+        address: attempt.vm.address,
+        method: request.method,
+        path: request.target,
+        headers: requestHeaders(entry, flow),
+        body: flow.body?.open(),
+        fresh: !request.idempotent,
+        requestId: request.id,
+        handler: createAnswerRelay(entry, flow, attempt, {
+            onEnd: () => completeFlow(entry, flow, attempt),
+            onFailure: failure => failAttempt(entry, flow, attempt, failure),
+            onLoser: loser => endAttempt(entry, flow, loser),
+        }),
+        limits: {
+            connections: connectionShare(pool.ledger, { vm: attempt.vm.id, slotsPerVm, connectionsPerVm }),
+        },
+    });
+};
+
+const triedVms = (flow: RequestFlow): readonly VmId[] => [
+    ...flow.ended.map(ended => ended.vm),
+    ...flow.running.map(attempt => attempt.vm.id),
+];
+
+const chooseVm = (flow: RequestFlow) => {
+    const untried = usableVms(flow.pool, triedVms(flow));
+    const candidates = untried.length > 0 ? untried : usableVms(flow.pool);
+    return candidates[Math.floor(Math.random() * candidates.length)];
+};
+
+const endAttempt = (entry: EntryContext, flow: RequestFlow, attempt: Attempt): void => {
+    if (!flow.running.includes(attempt)) {
+        return;
+    }
+    flow.running = flow.running.filter(other => other !== attempt);
+    releaseSlot(flow.pool.ledger, attempt.vm.id);
+};
+
+const failAttempt = (
+    entry: EntryContext,
+    flow: RequestFlow,
+    attempt: Attempt,
+    { verdict, cause, message }: ExchangeFailure,
+): void => {
+    endAttempt(entry, flow, attempt);
+    flow.ended = [...flow.ended, { vm: attempt.vm.id, verdict, cause }];
+    const { route } = flow.request;
+    count(entry.counters, {
+        name: "failed-attempts",
+        route: route.name,
+        pool: route.pool,
+        vm: attempt.vm.id,
+        cause,
+        verdict,
+        revision: flow.revision,
+    });
+    if (flow.phase === "done") {
+        return;
+    }
+    if (flow.phase === "answering") {
+        breakAnswer(entry, flow, cause);
+    } else if (flow.running.length === 0) {
+        retryOrReject(entry, flow, { verdict, cause, message });
+    }
+    startWaiting(entry, flow.pool);
+};
+
+const mayRetry = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): boolean =>
+    flow.ended.length < entry.settings.limits.maxAttempts &&
+    monotonicMs() < flow.request.deadlineAtMs &&
+    (flow.body?.canReplay() ?? true) &&
+    (failure.verdict === "not-run" || flow.request.idempotent);
+
+const retryOrReject = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): void => {
+    flow.body?.detach();
+    if (mayRetry(entry, flow, failure)) {
+        const { route } = flow.request;
+        count(entry.counters, { name: "retries", route: route.name, pool: route.pool, cause: failure.cause });
+        sendAttempt(entry, flow);
+        return;
+    }
+    rejectFlow(entry, flow, {
+        status: failure.cause === "endpoint-refused" || failure.cause === "no-capacity" ? 503 : 502,
+        cause: failure.cause,
+        verdict: flowVerdict(flow),
+        message: failure.message,
+        retryAfterMs: RETRY_AFTER_FAILURE_MS,
+    });
+};
+
+// The answer has begun, so that only a broken connection tells the caller that it is not whole.
+const breakAnswer = (entry: EntryContext, flow: RequestFlow, cause: Cause): void => {
+    countFailure(entry, flow, cause, "may-have-run");
+    flow.response.destroy();
+    closeFlow(entry, flow, "failed");
+};
+
+const completeFlow = (entry: EntryContext, flow: RequestFlow, attempt: Attempt): void => {
+    endAttempt(entry, flow, attempt);
+    if (flow.phase === "done") {
+        return;
+    }
+    const { route } = flow.request;
+    count(entry.counters, {
+        name: "answers",
+        route: route.name,
+        pool: route.pool,
+        vm: attempt.vm.id,
+        revision: flow.revision,
+    });
+    settleFlowClaim(entry, flow, "ran");
+    closeFlow(entry, flow, "completed");
+};
+
+/** What is known of a request: attempts that ended, and those that are still running. */
+export const flowVerdict = (flow: RequestFlow): Verdict =>
+    combineVerdicts([
+        ...flow.ended.map(ended => ended.verdict),
+        ...flow.running.map((attempt): Verdict => (attempt.exchange?.headSent === true ? "may-have-run" : "not-run")),
+    ]);
+
+const countFailure = (entry: EntryContext, flow: RequestFlow, cause: Cause, verdict: Verdict): void => {
+    const { route } = flow.request;
+    count(entry.counters, {
+        name: "rejections",
+        route: route.name,
+        pool: route.pool,
+        cause,
+        verdict,
+        revision: flow.revision,
+    });
+};
+
+/** Ends a request with a rejection; the verdict of the rejection is raised to what the attempts show. */
+export const rejectFlow = (entry: EntryContext, flow: RequestFlow, rejection: Rejection): void => {
+    if (flow.phase === "done") {
+        return;
+    }
+    const verdict = combineVerdicts([rejection.verdict, flowVerdict(flow)]);
+    countFailure(entry, flow, rejection.cause, verdict);
+    if (flow.phase === "answering") {
+        flow.response.destroy();
+    } else {
+        sendRejection(
+            flow.response,
+            { ...rejection, verdict },
+            {
+                requestId: flow.request.id,
+                revision: flow.revision,
+                closeConnection: flow.request.hasBody && !flow.incoming.complete,
+            },
+        );
+    }
+    if (verdict === "not-run") {
+        settleFlowClaim(entry, flow, "released");
+    }
+    closeFlow(entry, flow, "rejected");
+};
+
+/** Ends a request whose caller has gone. */
+export const abandonRequest = (entry: EntryContext, flow: RequestFlow): void => {
+    if (flow.phase === "done") {
+        return;
+    }
+    countFailure(entry, flow, "cancelled", flowVerdict(flow));
+    if (flowVerdict(flow) === "not-run" && flow.phase !== "claiming") {
+        settleFlowClaim(entry, flow, "released");
+    }
+    closeFlow(entry, flow, "cancelled");
+};
+
+const closeFlow = (entry: EntryContext, flow: RequestFlow, outcome: LatencyOutcome): void => {
+    const { request, pool } = flow;
+    flow.phase = "done";
+    flow.body?.detach();
+    flow.running.forEach(attempt => attempt.exchange?.cancel());
+    flow.running.forEach(attempt => endAttempt(entry, flow, attempt));
+    pool.waitingForSlot.delete(request.id);
+    entry.tables.requests.delete(request.id);
+    if (outcome === "completed") {
+        finish(pool.admission, request.id, monotonicMs());
+    } else {
+        cancel(pool.admission, request.id);
+    }
+    const labels = { route: request.route.name, pool: request.route.pool, urgency: request.urgency, outcome };
+    recordLatency(entry.latencies, labels, (monotonicMs() - request.arrivedAtMs) * MICROSECONDS_PER_MS);
+    startWaiting(entry, pool);
+};
+
+/** Uses free slots: first for requests that were already let in, then for those in the queue. */
+export const startWaiting = (entry: EntryContext, pool: PoolRuntime): void => {
+    [...pool.waitingForSlot]
+        .map(id => entry.tables.requests.get(id))
+        .filter(flow => flow?.phase === "waiting-for-slot")
+        .forEach(flow => {
+            if (flow !== undefined && usableVms(pool).length > 0) {
+                sendAttempt(entry, flow);
+            }
+        });
+    const taken = takeNext(pool.admission, capacityOf(pool), monotonicMs());
+    taken.expired.forEach(id => expireRequest(entry, id));
+    taken.started.forEach(id => {
+        const flow = entry.tables.requests.get(id);
+        if (flow !== undefined) {
+            startFlow(entry, flow);
+        }
+    });
+};
+
+const expireRequest = (entry: EntryContext, id: RequestId): void => {
+    const flow = entry.tables.requests.get(id);
+    if (flow !== undefined) {
+        rejectFlow(entry, flow, {
+            status: 503,
+            cause: "deadline",
+            verdict: "not-run",
+            message: `no slot of pool ${flow.request.route.pool} became free before the deadline`,
+            retryAfterMs: RETRY_AFTER_FAILURE_MS,
+        });
+    }
+};
