--- /dev/null
+++ b/stand-ins/platform/bin/platform-stand-in.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import "../dist/main.js";
--- /dev/null
+++ b/stand-ins/platform/src/service.ts
@@ -0,0 +1,139 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Listen } from "@almondusher/settings/listen-schema";
+import { type Fault, isSelected, noFault } from "./fault.js";
+
+/** A request with its whole body. */
+export interface ServiceRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: string;
+}
+
+export interface ServiceReply {
+    readonly status: number;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+}
+
+export interface ServiceOptions {
+    readonly listen: Listen;
+    /** Name of the operation, for the counters. */
+    readonly operationOf: (request: ServiceRequest) => string;
+    readonly isWrite: (request: ServiceRequest) => boolean;
+    readonly answer: (request: ServiceRequest, fault: Fault) => ServiceReply | Promise<ServiceReply>;
+}
+
+/** Requests of one operation since the start. */
+export interface OperationCount {
+    readonly operation: string;
+    readonly requests: number;
+}
+
+/** A listener of the stand-in with its faults. */
+export interface Service {
+    readonly url: string;
+    setFault: (fault: Fault) => Promise<void>;
+    counts: () => readonly OperationCount[];
+    close: () => Promise<void>;
+}
+
+interface ServiceState {
+    readonly options: ServiceOptions;
+    readonly server: Server;
+    readonly requests: Map<string, number>;
+    fault: Fault;
+    writes: number;
+}
+
+const readBody = async (message: IncomingMessage): Promise<string> => {
+    const chunks = await message.toArray();
+    return Buffer.concat(chunks as readonly Buffer[]).toString("utf8");
+};
+
+const send = (response: ServerResponse, reply: ServiceReply): void => {
+    const body = reply.body ?? "";
+    response.writeHead(reply.status, { ...reply.headers, "content-length": Buffer.byteLength(body) });
+    response.end(body);
+};
+
+const takePosition = (state: ServiceState): number => {
+    const position = state.writes;
+    state.writes += 1;
+    return position;
+};
+
+const serve = async (state: ServiceState, message: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readBody(message);
+    const request = { method: message.method ?? "", path: message.url ?? "", headers: message.headers, body };
+    const operation = state.options.operationOf(request);
+    state.requests.set(operation, (state.requests.get(operation) ?? 0) + 1);
+    const { fault } = state;
+    if (fault.down !== "no") {
+        return;
+    }
+    const write = state.options.isWrite(request);
+    const position = write ? takePosition(state) : undefined;
+    const isHit = (selection: Fault["loseAnswers"]) => position !== undefined && isSelected(selection, position);
+    if (isHit(fault.loseRequests)) {
+        message.socket.destroy();
+        return;
+    }
+    const delayMs = fault.delayMs + (write ? fault.delayWritesMs : 0);
+    if (delayMs > 0) {
+        await sleep(delayMs);
+    }
+    const reply = await state.options.answer(request, fault);
+    if (isHit(fault.loseAnswers)) {
+        message.socket.destroy();
+        return;
+    }
+    send(response, reply);
+};
+
+const listenOn = (server: Server, listen: Listen): Promise<void> =>
+    new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen({ host: listen.ip, port: listen.port }, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+
+const closeServer = (server: Server): Promise<void> =>
+    new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+    });
+
+/** Starts a listener that answers whole requests, subject to the faults set. */
+export const startService = async (options: ServiceOptions): Promise<Service> => {
+    const server = createServer((message, response) => {
+        serve(state, message, response).catch(() => message.socket.destroy());
+    });
+    const state: ServiceState = { options, server, requests: new Map(), fault: noFault, writes: 0 };
+    await listenOn(server, options.listen);
+    const { address, port, family } = server.address() as AddressInfo;
+    const setFault = async (fault: Fault): Promise<void> => {
+        const previous = state.fault;
+        state.fault = fault;
+        state.writes = 0;
+        if (fault.down === "refuse" && server.listening) {
+            await closeServer(server);
+        }
+        if (fault.down !== "refuse" && !server.listening) {
+            await listenOn(server, { ip: address, port });
+        }
+        if (previous.down === "hang" && fault.down !== "hang") {
+            server.closeAllConnections();
+        }
+    };
+    return {
+        url: `http://${family === "IPv6" ? `[${address}]` : address}:${port}`,
+        setFault,
+        counts: () => [...state.requests].map(([operation, requests]) => ({ operation, requests })),
+        close: () => closeServer(server),
+    };
+};
--- /dev/null
+++ b/stand-ins/platform/src/vm-service.ts
@@ -0,0 +1,52 @@
+import { randomUUID } from "node:crypto";
+import { toId, type VmId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
+import type { Listen } from "@almondusher/settings/listen-schema";
+import { type Service, type ServiceReply, type ServiceRequest, startService } from "./service.js";
+import { changeVm, currentVms, visibleVersion, type VmList } from "./vm-list.js";
+
+const REBOOT_PATH = /^\/vms\/([^/]+)\/reboot$/;
+const jsonHeaders = { "content-type": "application/json" };
+
+const readList = (list: VmList, request: ServiceRequest): ServiceReply => {
+    const { number, vms } = visibleVersion(list, performance.now());
+    const etag = `"${number}"`;
+    if (request.headers["if-none-match"] === etag) {
+        return { status: 304, headers: { etag } };
+    }
+    return { status: 200, headers: { ...jsonHeaders, etag }, body: JSON.stringify({ vms }) };
+};
+
+/** Takes the VM through leaving and absent to live with a new boot id; a VM that is leaving is left alone. */
+const reboot = (list: VmList, vm: Vm): void => {
+    if (vm.state === "leaving") {
+        return;
+    }
+    const phaseMs = list.rebootMs / 2;
+    changeVm(list, vm.id, { ...vm, state: "leaving" }, performance.now());
+    setTimeout(() => changeVm(list, vm.id, undefined, performance.now()), phaseMs).unref();
+    const back: Vm = { ...vm, state: "live", bootId: randomUUID() };
+    setTimeout(() => changeVm(list, vm.id, back, performance.now()), phaseMs + list.rebootMs).unref();
+};
+
+const answer = (list: VmList, request: ServiceRequest): ServiceReply => {
+    if (request.method === "GET" && request.path === "/vms") {
+        return readList(list, request);
+    }
+    const id = request.method === "POST" ? REBOOT_PATH.exec(request.path)?.[1] : undefined;
+    const vm = currentVms(list).find(each => each.id === toId<VmId>(id ?? ""));
+    if (vm === undefined) {
+        return { status: 404, headers: jsonHeaders, body: JSON.stringify({ message: `no ${request.path}` }) };
+    }
+    reboot(list, vm);
+    return { status: 202 };
+};
+
+/** Starts the VM list: `GET /vms` with ETag and lag, `POST /vms/<id>/reboot`. */
+export const startVmService = (listen: Listen, list: VmList): Promise<Service> =>
+    startService({
+        listen,
+        operationOf: request => (request.method === "GET" ? "GET vms" : "POST reboot"),
+        isWrite: request => request.method === "POST",
+        answer: request => answer(list, request),
+    });
