--- /dev/null
+++ b/observe/telemetry/test/counters.test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { PoolName, RouteName } from "@almondusher/fleet/ids";
+import { toId } from "@almondusher/fleet/ids";
+import { count, counterHandle, createCounters, listCounters } from "../src/counters.js";
+
+const valuesOf = (counters: ReturnType<typeof createCounters>) =>
+    listCounters(counters).map(({ revision, value }) => ({ revision, value }));
+
+test("an increment through a handle is not lost when its revision is folded", () => {
+    const counters = createCounters({ maxRevisions: 2 });
+    const handle = counterHandle(counters, { name: "requests", revision: 1 });
+    handle.value += 3;
+    [2, 3].forEach(revision => count(counters, { name: "requests", revision }));
+    handle.value += 1;
+    count(counters, { name: "requests", revision: 1 }, 2);
+    assert.deepEqual(valuesOf(counters), [
+        { revision: 2, value: 1 },
+        { revision: 3, value: 1 },
+        { revision: "older", value: 6 },
+    ]);
+});
+
+test("labels beyond the bound are counted by name and cause, and the total stays right", () => {
+    const counters = createCounters({ maxRows: 10 });
+    Array.from({ length: 1000 }, (unusedItem, index) => toId<RouteName>(`r${index}`)).forEach(route =>
+        count(counters, { name: "failures", route, cause: "deadline" }),
+    );
+    const rows = listCounters(counters);
+    assert.equal(rows.length, 11);
+    assert.equal(
+        rows.reduce((sum, row) => sum + row.value, 0),
+        1000,
+    );
+});
+
+test("counters with different labels are kept apart", () => {
+    const counters = createCounters();
+    count(counters, { name: "failures", pool: toId<PoolName>("a") });
+    count(counters, { name: "failures", route: toId<RouteName>("a") });
+    assert.equal(listCounters(counters).length, 2);
+});
