Add admission and slot shares, first version

Cause: the entry program needs admission decisions and a division of the endpoint slots among the entries. Change: admission tables with guaranteed shares by class, borrowing by short requests only, round-robin between teams, earliest deadline first within a team, bounded queues and rejection by expected wait; rendezvous partition, grants by demand and the slot ledger of an entry.

--- /dev/null
+++ b/admission/queue/src/guarantees.ts
@@ -0,0 +1,22 @@
+import { type ByUrgency, type Urgency, urgencies } from "@almondusher/fleet/urgency";
+
+/** Divides slots among the classes by their shares in whole numbers; the largest remainders are rounded up. */
+export const guaranteesOf = (shares: ByUrgency<number>, slots: number): ByUrgency<number> => {
+    const exact = urgencies.map(urgency => ({ urgency, slots: shares[urgency] * slots }));
+    const wholeSlots = exact.reduce((sum, part) => sum + Math.floor(part.slots + ROUNDING), 0);
+    const spare = Math.floor(exact.reduce((sum, part) => sum + part.slots, ROUNDING)) - wholeSlots;
+    const roundedUp = new Set<Urgency>(
+        exact
+            .toSorted((left, right) => fractionOf(right.slots) - fractionOf(left.slots))
+            .slice(0, Math.max(0, spare))
+            .map(part => part.urgency),
+    );
+    const wholeOf = (urgency: Urgency): number =>
+        Math.floor(shares[urgency] * slots + ROUNDING) + (roundedUp.has(urgency) ? 1 : 0);
+    return { urgent: wholeOf("urgent"), normal: wholeOf("normal"), deferrable: wholeOf("deferrable") };
+};
+
+// Sums of shares such as 0.5 + 0.3 + 0.2 miss whole numbers by less than this.
+const ROUNDING = 1e-9;
+
+const fractionOf = (slots: number): number => slots - Math.floor(slots + ROUNDING);
--- /dev/null
+++ b/admission/queue/test/admission.test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type RequestId, type TeamName, toId } from "@almondusher/fleet/ids";
+import type { Urgency } from "@almondusher/fleet/urgency";
+import type { AdmissionLimits, AdmissionRequest, PoolCapacity } from "../src/admission-options.js";
+import { type Admission, createAdmission } from "../src/admission-state.js";
+import { dumpAdmission } from "../src/demand.js";
+import { cancel, finish } from "../src/finish.js";
+import { changeLimits } from "../src/limits.js";
+import { offer } from "../src/offer.js";
+import { takeNext } from "../src/take-next.js";
+
+const limits: AdmissionLimits = {
+    shares: { urgent: 0.5, normal: 0.3, deferrable: 0.2 },
+    maxQueued: { urgent: 100, normal: 100, deferrable: 100 },
+    quotas: [],
+    borrowRunTimeMs: 500,
+};
+
+const SHORT_MS = 20;
+const LONG_MS = 60_000;
+const HOUR_MS = 3_600_000;
+
+const requestOf = (
+    id: string,
+    overrides: Partial<Omit<AdmissionRequest, "id" | "team">> & { team?: string } = {},
+): AdmissionRequest => ({
+    urgency: "normal",
+    arrivedAt: 0,
+    deadlineAt: HOUR_MS,
+    expectedRunMs: SHORT_MS,
+    ...overrides,
+    id: toId<RequestId>(id),
+    team: toId<TeamName>(overrides.team ?? "notaries"),
+});
+
+const capacityOf = (admission: Admission, granted: number): PoolCapacity => ({
+    free: granted - admission.running.size,
+    granted,
+    pool: granted,
+});
+
+const flood = (admission: Admission, count: number, urgency: Urgency, expectedRunMs: number) =>
+    Array.from({ length: count }, (unused, index) =>
+        offer(
+            admission,
+            requestOf(`${urgency}-${expectedRunMs}-${index}`, { urgency, expectedRunMs }),
+            capacityOf(admission, 10),
+        ),
+    );
+
+const runningOf = (admission: Admission, urgency: Urgency): number =>
+    [...admission.running.values()].filter(({ request }) => request.urgency === urgency).length;
+
+test("long requests of one class leave the guaranteed shares of the others free", () => {
+    const admission = createAdmission(limits);
+    flood(admission, 20, "deferrable", LONG_MS);
+    flood(admission, 20, "urgent", LONG_MS);
+    assert.equal(runningOf(admission, "deferrable"), 2);
+    assert.equal(runningOf(admission, "urgent"), 5);
+});
+
+test("short requests borrow unused shares and return them when their owners arrive", () => {
+    const admission = createAdmission(limits);
+    flood(admission, 20, "deferrable", SHORT_MS);
+    assert.equal(runningOf(admission, "deferrable"), 10);
+    const urgent = offer(admission, requestOf("urgent", { urgency: "urgent" }), capacityOf(admission, 10));
+    assert.equal(urgent.kind, "queued");
+    finish(admission, toId<RequestId>("deferrable-20-0"), SHORT_MS);
+    const taken = takeNext(admission, capacityOf(admission, 10), SHORT_MS);
+    assert.deepEqual(taken, { started: ["urgent"], expired: [] });
+});
+
+test("borrowers that run far longer than was learned stop further borrowing until they end", () => {
+    const admission = createAdmission(limits);
+    flood(admission, 8, "deferrable", SHORT_MS);
+    takeNext(admission, capacityOf(admission, 10), 10 * limits.borrowRunTimeMs);
+    assert.ok(dumpAdmission(admission).overdueLoans > 0);
+    assert.equal(flood(admission, 1, "deferrable", SHORT_MS + 1)[0]?.kind, "queued");
+    Array.from({ length: 8 }, (unused, index) => finish(admission, toId<RequestId>(`deferrable-20-${index}`), 6_000));
+    assert.equal(takeNext(admission, capacityOf(admission, 10), 6_000).started.length, 1);
+});
+
+test("teams of a class take turns, and the earliest deadline of a team goes first", () => {
+    const admission = createAdmission(limits);
+    const full = { free: 0, granted: 10, pool: 10 };
+    offer(admission, requestOf("a-late", { team: "a", deadlineAt: 50_000 }), full);
+    offer(admission, requestOf("a-early", { team: "a", deadlineAt: 40_000 }), full);
+    offer(admission, requestOf("a-last", { team: "a", deadlineAt: 60_000 }), full);
+    offer(admission, requestOf("b", { team: "b", deadlineAt: 90_000 }), full);
+    assert.deepEqual(takeNext(admission, { ...full, free: 3 }, 1).started, ["a-early", "b", "a-late"]);
+});
+
+test("a team at its quota waits without holding up the others and continues when the quota rises", () => {
+    const quotas = [{ team: toId<TeamName>("notaries"), poolSlots: 4, entrySlots: 1 }];
+    const admission = createAdmission({ ...limits, quotas });
+    flood(admission, 3, "normal", SHORT_MS);
+    assert.equal(admission.running.size, 1);
+    assert.equal(offer(admission, requestOf("other", { team: "other" }), capacityOf(admission, 10)).kind, "start");
+    changeLimits(admission, limits);
+    assert.equal(takeNext(admission, capacityOf(admission, 10), 1).started.length, 2);
+});
+
+test("one team cannot fill the queue of its class", () => {
+    const admission = createAdmission(limits);
+    const full = { free: 0, granted: 10, pool: 10 };
+    const offers = Array.from({ length: 200 }, (unused, index) => offer(admission, requestOf(`a-${index}`), full));
+    assert.ok(offers.some(({ kind }) => kind === "rejected"));
+    assert.equal(offer(admission, requestOf("b", { team: "b" }), full).kind, "queued");
+});
+
+test("a request that would start too late is refused at once, and one that waited too long expires", () => {
+    const admission = createAdmission(limits);
+    const full = { free: 0, granted: 10, pool: 10 };
+    assert.equal(offer(admission, requestOf("waits", { deadlineAt: 2_000 }), full).kind, "queued");
+    flood(admission, 40, "normal", LONG_MS);
+    const late = { arrivedAt: HOUR_MS - 100_000, deadlineAt: HOUR_MS + 1, expectedRunMs: LONG_MS };
+    const refused = offer(admission, requestOf("late", late), full);
+    assert.equal(refused.kind === "rejected" && refused.cause, "deadline");
+    assert.deepEqual(takeNext(admission, full, 2_001).expired, ["waits"]);
+});
+
+test("cancellation frees the slot or the place in the queue, and idle teams are forgotten", () => {
+    const admission = createAdmission(limits);
+    const one = { free: 1, granted: 1, pool: 8 };
+    offer(admission, requestOf("runs"), one);
+    offer(admission, requestOf("waits"), { ...one, free: 0 });
+    assert.equal(cancel(admission, toId<RequestId>("waits")), "queued");
+    assert.equal(cancel(admission, toId<RequestId>("runs")), "running");
+    assert.equal(cancel(admission, toId<RequestId>("runs")), "unknown");
+    assert.equal(admission.teams.size, 0);
+});
--- /dev/null
+++ b/admission/slots/test/slots.test.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type PoolName, type ProcessId, toId, type VmId } from "@almondusher/fleet/ids";
+import fc from "fast-check";
+import { grantSlots } from "../src/grant-slots.js";
+import { createRendezvous } from "../src/rendezvous.js";
+import {
+    applyGrant,
+    createSlotLedger,
+    freeSlotsOfPool,
+    refreshAllowed,
+    releaseSlot,
+    reserveSlot,
+    setFallback,
+} from "../src/slot-ledger.js";
+import { sumSlots } from "../src/vm-slots.js";
+
+const SEED = 20261204;
+const SLOTS_PER_VM = 8;
+const shares = { urgent: 0.5, normal: 0.3, deferrable: 0.2 };
+const vmsOf = (count: number) => Array.from({ length: count }, (unused, index) => toId<VmId>(`vm-${index}`));
+const membersOf = (count: number) =>
+    Array.from({ length: count }, (unused, index) => toId<ProcessId>(`entry-${index}`));
+
+test("the partition gives every slot to exactly one member and moves only the slots of a member that left", async () => {
+    const { partitionSlots, grantorOf } = await createRendezvous();
+    const vms = vmsOf(5);
+    const members = membersOf(7);
+    const ownSlots = (self: ProcessId, live: readonly ProcessId[]) =>
+        sumSlots(partitionSlots({ vms, slotsPerVm: SLOTS_PER_VM, members: live, self }));
+    assert.equal(sumSlots(members.map(self => ({ slots: ownSlots(self, members) }))), 5 * SLOTS_PER_VM);
+    members.slice(1).forEach(self => assert.ok(ownSlots(self, members.slice(1)) >= ownSlots(self, members)));
+    assert.equal(
+        grantorOf(toId<PoolName>("letters"), members),
+        grantorOf(toId<PoolName>("letters"), members.toReversed()),
+    );
+});
+
+const sorted = (rows: ReturnType<typeof grantSlots>) =>
+    rows.toSorted((left, right) => left.member.localeCompare(right.member) || left.vm.localeCompare(right.vm));
+
+test("grants never exceed the slots of a VM, use all slots, and stay when the demand stays", () => {
+    const demandOf = fc.record({ urgent: fc.nat(100), normal: fc.nat(100), deferrable: fc.nat(1000) });
+    const rounds = fc.tuple(
+        fc.integer({ min: 1, max: 12 }),
+        fc.array(demandOf, { minLength: 1, maxLength: 9 }),
+        fc.nat(),
+    );
+    fc.assert(
+        fc.property(rounds, ([vmCount, demands, rotation]) => {
+            const members = membersOf(demands.length);
+            const grant = (shift: number, previous: ReturnType<typeof grantSlots>) =>
+                grantSlots({
+                    vms: vmsOf(vmCount),
+                    slotsPerVm: SLOTS_PER_VM,
+                    shares,
+                    reservePerMember: 1,
+                    previous,
+                    demands: members.map((member, index) => ({
+                        member,
+                        demand: demands[(index + shift) % demands.length] ?? { urgent: 0, normal: 0, deferrable: 0 },
+                    })),
+                });
+            const first = grant(0, []);
+            const second = grant(rotation, first);
+            [first, second].forEach(rows => {
+                assert.equal(sumSlots(rows), vmCount * SLOTS_PER_VM);
+                vmsOf(vmCount).forEach(vm =>
+                    assert.ok(sumSlots(rows.filter(row => row.vm === vm)) <= SLOTS_PER_VM, `${vm} is oversubscribed`),
+                );
+            });
+            assert.deepEqual(sorted(grant(rotation, second)), sorted(second));
+        }),
+        { seed: SEED },
+    );
+});
+
+test("an entry falls back to the partition when its grant expires, and counts work in flight against either", () => {
+    const ledger = createSlotLedger();
+    const [first, second] = vmsOf(2);
+    assert.ok(first !== undefined && second !== undefined);
+    setFallback(ledger, [{ vm: first, slots: 1 }], 0);
+    assert.ok(reserveSlot(ledger, first));
+    assert.ok(!reserveSlot(ledger, first));
+    applyGrant(ledger, { version: 1, rows: [{ vm: second, slots: 2 }], quotas: [], expiresAt: 100 }, 0);
+    assert.equal(freeSlotsOfPool(ledger), 2);
+    refreshAllowed(ledger, 100);
+    assert.equal(freeSlotsOfPool(ledger), 0);
+    releaseSlot(ledger, first);
+    assert.equal(freeSlotsOfPool(ledger), 1);
+});
