Plan assignments, moves, removals and the way back from maintenance

The manager program needs decisions about the assignments table. planFleet runs small systems over a plan in progress: new VMs are assigned, VMs that the pools table places elsewhere are drained within the budget of their pool, and a drain ends when all required entries have confirmed it twice. The second confirmation covers processes that were replaced in place after the first.

The assignment row gains two optional fields: loanedTo tells a loan from an operator's move, maintainedAtMs keeps the time of the last maintenance. applyEdit refuses a drain that does not name the revision of its own edit: an edit repeated on a newer revision could otherwise be confirmed by an entry that does not know of the drain.

--- a/domain/fleet/src/assignment.ts
+++ b/domain/fleet/src/assignment.ts
@@ -28,6 +28,10 @@
     vm: nameSchema<VmId>(),
     pool: nameSchema<PoolName>(),
     phase: phaseSchema,
+    /** Pool that the VM is lent to, or on its way to; absent for a VM that belongs where the pools table names it. */
+    loanedTo: nameSchema<PoolName>().optional(),
+    /** Time of the last maintenance in milliseconds since 1970; a new VM has one that spreads the first waves. */
+    maintainedAtMs: z.int().optional(),
 });
 
 /** What a drain is for. */
--- a/domain/fleet/src/edit.ts
+++ b/domain/fleet/src/edit.ts
@@ -119,6 +119,33 @@
     }
 };
 
+const findMisdatedDrains = (revision: number, changes: readonly Change[]): readonly string[] =>
+    changes.flatMap(change => {
+        if (change.table !== "assignments" || change.after?.phase.kind !== "draining") {
+            return [];
+        }
+        const { sinceRevision } = change.after.phase;
+        const before = change.before?.phase;
+        const continued = before?.kind === "draining" && before.sinceRevision === sinceRevision;
+        return continued || sinceRevision === revision
+            ? []
+            : [
+                  `assignments ${change.key}: the drain names revision ${sinceRevision}, the edit makes revision ${revision}`,
+              ];
+    });
+
+// A drain dated before its own edit could be confirmed by an entry that does not know of it.
+const checkDrains = (revision: number, changes: readonly Change[]): void => {
+    const details = findMisdatedDrains(revision, changes);
+    if (details.length > 0) {
+        throw new FleetError("invalid-edit", {
+            message: `${details.length} drain(s) do not name the revision that starts them`,
+            hint: "plan again on the current state",
+            details,
+        });
+    }
+};
+
 const rowKey = (change: Change): string | undefined =>
     change.table === "assignments" ? change.after?.vm : change.after?.name;
 
@@ -137,6 +164,7 @@
             details: conflicts,
         });
     }
+    checkDrains(state.revision + 1, edit.changes);
     const next = fleetState(state.revision + 1, {
         routes: replaceRows(
             state.routes,
--- /dev/null
+++ b/pools/planner/src/budget.ts
@@ -0,0 +1,25 @@
+import type { Assignment } from "@almondusher/fleet/assignment";
+import type { PoolName } from "@almondusher/fleet/ids";
+import type { Pool } from "@almondusher/fleet/pool";
+import type { Plan } from "./plan.js";
+
+/** True if the platform lists the VM as live and the entries reach it. */
+export const isUp = (plan: Plan, row: Assignment): boolean =>
+    plan.listed.get(row.vm)?.state === "live" && !plan.unresponsive.has(row.vm);
+
+/** True if the VM takes requests of its pool now. */
+export const isAvailable = (plan: Plan, row: Assignment): boolean => row.phase.kind === "serving" && isUp(plan, row);
+
+/** VMs of a pool that take requests now. */
+export const availableVms = (plan: Plan, pool: PoolName): number =>
+    plan.assignments.rows.filter(row => row.pool === pool && isAvailable(plan, row)).length;
+
+/** VMs that the measured load of a pool needs at the given share of busy slots. */
+export const neededByLoad = (plan: Plan, pool: Pool, utilisation: number): number => {
+    const demand = plan.input.loads.find(load => load.pool === pool.name)?.demandSlots ?? 0;
+    return Math.ceil(demand / (pool.slotsPerVm * utilisation));
+};
+
+/** VMs that must stay available in a pool: its budget or what its load needs, whichever is more. */
+export const requiredVms = (plan: Plan, pool: Pool): number =>
+    Math.max(pool.minAvailable, neededByLoad(plan, pool, plan.input.settings.borrowUtilisation));
--- /dev/null
+++ b/pools/planner/src/drains.ts
@@ -0,0 +1,155 @@
+import type { Assignment, DrainPurpose } from "@almondusher/fleet/assignment";
+import type { VmId } from "@almondusher/fleet/ids";
+import { availableVms, isAvailable } from "./budget.js";
+import { completedRow, type DrainProgress, drainProgress } from "./complete-drains.js";
+import type { Waiting } from "./decision.js";
+import {
+    addDecisions,
+    changePlannerState,
+    changeRows,
+    isLoanValid,
+    nextRevision,
+    type Plan,
+    targetPool,
+} from "./plan.js";
+import { type RequiredEntry, requiredProcesses } from "./required-processes.js";
+
+const withoutLoan = (row: Assignment): Assignment => {
+    const owned = { ...row };
+    delete owned.loanedTo;
+    return owned;
+};
+
+/** Drops loans whose pools an operator has changed, so that the VM goes where the pools table names it. */
+export const dropInvalidLoans = (plan: Plan): Plan => {
+    const invalid = plan.assignments.rows.filter(row => row.loanedTo !== undefined && !isLoanValid(plan, row));
+    return changeRows(plan, {
+        written: invalid.map(withoutLoan),
+        reasons: invalid.map(row => `end the loan of ${row.vm}`),
+    });
+};
+
+const wantedPurpose = (plan: Plan, row: Assignment): DrainPurpose | undefined => {
+    const target = targetPool(plan, row);
+    if (target === undefined) {
+        return { kind: "removal" };
+    }
+    return target === row.pool ? undefined : { kind: "move", pool: target };
+};
+
+const describePurpose = (purpose: DrainPurpose): string =>
+    purpose.kind === "move" ? `move to ${purpose.pool}` : purpose.kind;
+
+/** The row as its target demands, for rows that no longer serve: redirects or cancels what is under way. */
+const redirectRow = (plan: Plan, row: Assignment): Assignment | undefined => {
+    const purpose = wantedPurpose(plan, row);
+    switch (row.phase.kind) {
+        case "serving":
+            return row;
+        case "draining":
+            if (purpose !== undefined) {
+                return { ...row, phase: { ...row.phase, purpose } };
+            }
+            return row.phase.purpose.kind === "maintenance" ? row : { ...row, phase: { kind: "serving" } };
+        case "maintenance":
+            // Nobody sends to a VM in maintenance, so it changes its pool without a further drain.
+            if (purpose?.kind === "removal") {
+                return undefined;
+            }
+            return purpose?.kind === "move" ? { ...row, pool: purpose.pool } : row;
+    }
+};
+
+/** Adapts drains and maintenance under way to what the pools table says now. */
+export const redirectDrains = (plan: Plan): Plan => {
+    const results = plan.assignments.rows.map(row => ({ row, next: redirectRow(plan, row) }));
+    const changed = results.filter(({ row, next }) => JSON.stringify(row) !== JSON.stringify(next));
+    return changeRows(plan, {
+        written: changed.flatMap(({ next }) => (next === undefined ? [] : [next])),
+        removed: changed.filter(({ next }) => next === undefined).map(({ row }) => row.vm),
+        reasons: changed.map(({ row }) => `redirect ${row.vm}`),
+    });
+};
+
+/** The row with a drain that the edit of this plan starts. */
+export const drainingRow = (plan: Plan, row: Assignment, purpose: DrainPurpose): Assignment => ({
+    ...row,
+    phase: { kind: "draining", purpose, sinceRevision: nextRevision(plan) },
+});
+
+/** Starts a drain for every VM that the pools table or a loan places elsewhere, as far as `minAvailable` permits. */
+export const startDrains = (plan: Plan): Plan =>
+    plan.assignments.rows
+        .filter(row => row.phase.kind === "serving" && wantedPurpose(plan, row) !== undefined)
+        .reduce(startDrain, plan);
+
+const startDrain = (plan: Plan, row: Assignment): Plan => {
+    const purpose = wantedPurpose(plan, row);
+    const pool = plan.input.state.pools.get(row.pool);
+    if (purpose === undefined) {
+        return plan;
+    }
+    if (pool !== undefined && isAvailable(plan, row) && availableVms(plan, pool.name) <= pool.minAvailable) {
+        return addDecisions(plan, [{ kind: "waiting", subject: row.vm, on: "budget", names: [pool.name] }]);
+    }
+    return changeRows(plan, {
+        written: [drainingRow(plan, row, purpose)],
+        reasons: [`drain ${row.vm} from ${row.pool}: ${describePurpose(purpose)}`],
+    });
+};
+
+const progressOf = (plan: Plan, row: Assignment, required: readonly RequiredEntry[]): DrainProgress =>
+    row.phase.kind === "draining"
+        ? drainProgress({
+              vm: row.vm,
+              sinceRevision: row.phase.sinceRevision,
+              required,
+              confirmations: plan.input.confirmations,
+              earlier: plan.plannerState.confirmedDrains.find(drain => drain.vm === row.vm),
+              round: plan.input.round,
+          })
+        : { kind: "blocked", entries: [], requests: [] };
+
+const waitingFor = (vm: VmId, progress: DrainProgress): readonly Waiting[] => {
+    switch (progress.kind) {
+        case "complete":
+            return [];
+        case "confirmed":
+            return [{ kind: "waiting", subject: vm, on: "entries", names: progress.drain.processes }];
+        case "blocked":
+            return [
+                { kind: "waiting" as const, subject: vm, on: "entries" as const, names: progress.entries },
+                { kind: "waiting" as const, subject: vm, on: "requests" as const, names: progress.requests },
+            ].filter(waiting => waiting.names.length > 0);
+    }
+};
+
+const completeRow = (plan: Plan, row: Assignment): Plan => {
+    const next = completedRow({ row, bootId: plan.listed.get(row.vm)?.bootId });
+    if (next === row) {
+        return addDecisions(plan, [{ kind: "waiting", subject: row.vm, on: "platform-list", names: [row.vm] }]);
+    }
+    return changeRows(plan, {
+        written: next === undefined ? [] : [next],
+        removed: next === undefined ? [row.vm] : [],
+        reasons: [`drained ${row.vm}`],
+    });
+};
+
+/** Ends the drains that every required entry has confirmed, and names what the others wait for. */
+export const completeDrains = (plan: Plan): Plan => {
+    const listedEntries = plan.input.vms.filter(vm => vm.role === "entry").map(vm => vm.id);
+    const seenEntryVms = [...new Set([...plan.plannerState.seenEntryVms, ...listedEntries])];
+    const required = requiredProcesses({ ...plan.input, seenEntryVms });
+    const progress = plan.assignments.rows
+        .filter(row => row.phase.kind === "draining")
+        .map(row => ({ row, progress: progressOf(plan, row, required) }));
+    const confirmedDrains = progress.flatMap(item => (item.progress.kind === "confirmed" ? [item.progress.drain] : []));
+    const waiting = progress.flatMap(item => waitingFor(item.row.vm, item.progress));
+    return progress
+        .filter(item => item.progress.kind === "complete")
+        .reduce(
+            (next, item) => completeRow(next, item.row),
+            addDecisions(changePlannerState(plan, { seenEntryVms, confirmedDrains }), waiting),
+        );
+};
--- /dev/null
+++ b/pools/planner/test/fleet-fixture.ts
@@ -0,0 +1,101 @@
+import { applyEdit, type Edit } from "@almondusher/fleet/edit";
+import { emptyFleetState, type FleetState } from "@almondusher/fleet/fleet-state";
+import { toId, type VmId } from "@almondusher/fleet/ids";
+import { diffTables, parseTableFile } from "@almondusher/fleet/table-file";
+import type { Vm } from "@almondusher/fleet/vm";
+import type { Decision } from "../src/decision.js";
+import type { Confirmation, EntryProcess, PlanInput } from "../src/plan-input.js";
+import { defaultPlannerSettings } from "../src/planner-settings.js";
+import { initialPlannerState } from "../src/planner-state.js";
+import { planFleet } from "../src/plan-fleet.js";
+
+/** A VM on the platform's list. */
+export const vmOf = (id: string, parts: Partial<Vm> = {}): Vm => ({
+    id: toId<VmId>(id),
+    role: id.startsWith("entry") ? "entry" : "endpoint",
+    state: "live",
+    bootId: `${id}-boot-1`,
+    address: "10.0.0.1:8080",
+    rack: toId("rack-1"),
+    dataCentre: toId("north"),
+    ...parts,
+});
+
+/** The entry process on a VM. */
+export const entryOf = (vm: string, run = 1): EntryProcess => ({ processId: toId(`${vm}-run-${run}`), vm: toId(vm) });
+
+/** An answer of an entry process. */
+export const confirmationOf = (entry: EntryProcess, parts: Partial<Confirmation> = {}): Confirmation => ({
+    ...entry,
+    revision: 0,
+    round: 0,
+    inFlightVms: [],
+    passedTo: [],
+    goneEntryVms: [],
+    ...parts,
+});
+
+/** The state after an operator writes the given pools. */
+export const editPools = (state: FleetState, pools: readonly object[]): FleetState =>
+    applyEdit(state, {
+        editId: toId(`operator-${state.revision}`),
+        author: { kind: "operator", name: "anna" },
+        at: "2026-12-04T09:00:00Z",
+        reason: "test",
+        changes: [...diffTables(state, parseTableFile("tables.json", JSON.stringify({ routes: [], pools })))],
+    });
+
+/** An input with two entries and nothing else. */
+export const inputOf = (pools: readonly object[], vms: readonly Vm[]): PlanInput => ({
+    state: editPools(emptyFleetState, pools),
+    vms: [vmOf("entry-1"), vmOf("entry-2"), ...vms],
+    registrations: [entryOf("entry-1"), entryOf("entry-2")],
+    confirmations: [],
+    loads: [],
+    unresponsiveVms: [],
+    plannerState: initialPlannerState,
+    round: 0,
+    nowMs: Date.UTC(2026, 11, 4),
+    settings: defaultPlannerSettings,
+});
+
+export interface Turn {
+    readonly input: PlanInput;
+    readonly decisions: readonly Decision[];
+}
+
+/** Plans once and applies the edit; the input of the next turn has one more question answered at the old revision. */
+export const takeTurn = (input: PlanInput): Turn => {
+    const { decisions, plannerState } = planFleet(input);
+    const state = decisions.reduce((next, decision) => applyDecision(next, decision), input.state);
+    return { input: { ...input, state, plannerState }, decisions };
+};
+
+const applyDecision = (state: FleetState, decision: Decision): FleetState => {
+    if (decision.kind !== "edit") {
+        return state;
+    }
+    const edit: Edit = {
+        editId: toId(`manager-${state.revision}`),
+        author: { kind: "manager", name: "test" },
+        at: "2026-12-04T09:00:00Z",
+        reason: decision.reason,
+        changes: [...decision.changes],
+    };
+    return applyEdit(state, edit);
+};
+
+/** The input after all registered entries have answered a further question at the current revision. */
+export const answerAll = (input: PlanInput, parts: Partial<Confirmation> = {}): PlanInput => ({
+    ...input,
+    round: input.round + 1,
+    confirmations: input.registrations.map(entry =>
+        confirmationOf(entry, { revision: input.state.revision, round: input.round + 1, ...parts }),
+    ),
+});
+
+/** Turns with prompt entries until nothing changes, at most the given number. */
+export const settle = (input: PlanInput, turns = 20): PlanInput => {
+    const next = takeTurn(answerAll(input)).input;
+    return turns === 0 ? next : settle(next, turns - 1);
+};
--- /dev/null
+++ b/pools/planner/test/moves.test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toId, type VmId } from "@almondusher/fleet/ids";
+import type { PlanInput } from "../src/plan-input.js";
+import { answerAll, confirmationOf, editPools, entryOf, inputOf, settle, takeTurn, vmOf } from "./fleet-fixture.js";
+
+const vms = [vmOf("vm-1"), vmOf("vm-2"), vmOf("vm-3")];
+const pools = (letters: string[], deeds: string[], minAvailable = 0) => [
+    { name: "letters", vms: letters, minAvailable },
+    { name: "deeds", vms: deeds, minAvailable: 0 },
+];
+
+const assigned = (): PlanInput => takeTurn(inputOf(pools(["vm-1", "vm-2"], ["vm-3"]), vms)).input;
+const edited = (input: PlanInput, next: readonly object[]): PlanInput => ({
+    ...input,
+    state: editPools(input.state, next),
+});
+const rowOf = (input: PlanInput, vm: string) => input.state.assignments.get(toId(vm));
+/** vm-2 on its way from letters to deeds. */
+const moving = (): PlanInput => takeTurn(edited(assigned(), pools(["vm-1"], ["vm-2", "vm-3"]))).input;
+
+test("a new VM serves in the pool that names it, once the platform lists it", () => {
+    const { input, decisions } = takeTurn(inputOf(pools(["vm-1", "vm-9"], []), vms));
+    assert.deepEqual(rowOf(input, "vm-1")?.phase, { kind: "serving" });
+    assert.equal(rowOf(input, "vm-9"), undefined);
+    assert.ok(decisions.some(decision => decision.kind === "waiting" && decision.subject === "vm-9"));
+});
+
+test("a move ends only after every entry has confirmed the drain twice", () => {
+    const start = moving();
+    assert.equal(rowOf(start, "vm-2")?.phase.kind, "draining");
+    const once = takeTurn(answerAll(start)).input;
+    assert.equal(rowOf(once, "vm-2")?.phase.kind, "draining");
+    const twice = takeTurn(answerAll(once)).input;
+    assert.deepEqual(rowOf(twice, "vm-2")?.phase, { kind: "serving" });
+    assert.equal(rowOf(twice, "vm-2")?.pool, "deeds");
+});
+
+test("a stale or busy entry holds a move and is named", () => {
+    const start = moving();
+    const revision = start.state.revision;
+    const held = takeTurn({
+        ...start,
+        round: 1,
+        confirmations: [
+            confirmationOf(entryOf("entry-1"), { revision: revision - 1, round: 1 }),
+            confirmationOf(entryOf("entry-2"), { revision, round: 1, inFlightVms: [toId("vm-2")] }),
+        ],
+    });
+    const waiting = held.decisions.filter(decision => decision.kind === "waiting");
+    assert.deepEqual(
+        waiting.map(decision => [decision.subject, decision.on, decision.names]),
+        [
+            ["vm-2", "entries", ["entry-1-run-1"]],
+            ["vm-2", "requests", ["entry-2-run-1"]],
+        ],
+    );
+});
+
+test("a process replaced between the two confirmations starts the count again", () => {
+    const once = takeTurn(answerAll(moving())).input;
+    const replaced = { ...once, registrations: [entryOf("entry-1", 2), entryOf("entry-2")] };
+    assert.equal(rowOf(takeTurn(answerAll(replaced)).input, "vm-2")?.phase.kind, "draining");
+    assert.equal(rowOf(settle(replaced, 2), "vm-2")?.pool, "deeds");
+});
+
+test("a registered entry on a VM that the list does not show yet must confirm; one that has gone need not", () => {
+    const start = moving();
+    const registrations = [...start.registrations, entryOf("entry-3")];
+    const answered = answerAll(start).confirmations;
+    const unlisted: PlanInput = { ...start, registrations, confirmations: answered };
+    const held = takeTurn(unlisted);
+    assert.ok(held.decisions.some(decision => decision.kind === "waiting" && decision.names.includes("entry-3-run-1")));
+    const seen = takeTurn({ ...unlisted, vms: [...start.vms, vmOf("entry-3")] }).input;
+    const gone = { ...seen, vms: start.vms };
+    const first = takeTurn({ ...gone, ...answersOf(gone, start) }).input;
+    assert.equal(rowOf(takeTurn({ ...first, ...answersOf(first, start) }).input, "vm-2")?.pool, "deeds");
+});
+
+const answersOf = (input: PlanInput, start: PlanInput) => {
+    const answered = answerAll({ ...input, registrations: start.registrations });
+    return { round: answered.round, confirmations: answered.confirmations };
+};
+
+test("an unregistered process that an entry names must confirm", () => {
+    const start = answerAll(moving(), { passedTo: [entryOf("entry-9")] });
+    const held = takeTurn(start);
+    assert.ok(held.decisions.some(decision => decision.kind === "waiting" && decision.names.includes("entry-9-run-1")));
+});
+
+test("a move that the operator takes back returns to service without confirmations", () => {
+    const back = takeTurn(edited(moving(), pools(["vm-1", "vm-2"], ["vm-3"]))).input;
+    assert.deepEqual(rowOf(back, "vm-2")?.phase, { kind: "serving" });
+    assert.equal(rowOf(back, "vm-2")?.pool, "letters");
+});
+
+test("a VM taken out of the tables is drained and then removed", () => {
+    const start = takeTurn(edited(assigned(), pools(["vm-1"], ["vm-3"]))).input;
+    assert.equal(rowOf(start, "vm-2")?.phase.kind, "draining");
+    assert.equal(rowOf(settle(start, 2), "vm-2"), undefined);
+});
+
+test("a move waits when its pool would fall below its budget", () => {
+    const input = {
+        ...edited(assigned(), pools(["vm-2", "vm-3"], ["vm-1"], 1)),
+        unresponsiveVms: [toId<VmId>("vm-2")],
+    };
+    const { input: next, decisions } = takeTurn(input);
+    assert.equal(rowOf(next, "vm-1")?.phase.kind, "serving");
+    assert.ok(decisions.some(decision => decision.kind === "waiting" && decision.on === "budget"));
+    assert.equal(rowOf(settle({ ...next, unresponsiveVms: [] }, 4), "vm-1")?.pool, "deeds");
+});
