Add the exchange with endpoint VMs and an endpoint stand-in

Cause: the entry needs one HTTP exchange with an endpoint whose outcome is a verdict, and tests need endpoint VMs with slots and faults.

Change: @almondusher/exchange keeps one undici client per connection, reuses the most recently used one and reports each exchange as an answer or as a failure with verdict and cause. @almondusher/endpoint-stand-in simulates endpoint VMs with slots, a control API and faults, and a TCP relay.

Streaming limits, faults of the answer and throughput are not measured yet.

--- /dev/null
+++ b/routing/exchange/src/running-exchange.ts
@@ -0,0 +1,28 @@
+import type { Dispatcher } from "undici";
+import type { Connection } from "./connection.js";
+import type { Connections } from "./connection-pool.js";
+import type { ExchangeOptions } from "./exchange.js";
+import type { DetachableBody } from "./request-body.js";
+
+/** State of an exchange between its dispatch and its end. */
+export interface RunningExchange {
+    readonly connections: Connections;
+    readonly options: ExchangeOptions;
+    /** `refused` means that the failure was reported and the rest of the answer is discarded. */
+    phase: "waiting" | "body" | "refused" | "done";
+    body: DetachableBody | undefined;
+    connection: Connection | undefined;
+    reused: boolean;
+    bytesWrittenBefore: number;
+    /** Bytes sent, valid once the connection was given back. */
+    bytesSent: number;
+    lastProgressAt: number;
+    paused: boolean;
+    discardedBytes: number;
+    resumeAnswer: (() => void) | undefined;
+}
+
+/** Handler of the client for all exchanges of one connection. */
+export interface Carrier extends Dispatcher.DispatchHandler {
+    current: RunningExchange | undefined;
+}
--- /dev/null
+++ b/routing/exchange/test/run-exchange.test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { type EndpointStandIn, startEndpointStandIn } from "@almondusher/endpoint-stand-in/start-endpoint-stand-in";
+import { type VmId, toId } from "@almondusher/fleet/ids";
+import { closeConnections, createConnections, dumpConnections } from "../src/connection-pool.js";
+import { runRecorded } from "./exchange-run.js";
+
+const VM = toId<VmId>("vm-1");
+
+const startOne = async (context: TestContext): Promise<{ standIn: EndpointStandIn; address: string }> => {
+    const standIn = await startEndpointStandIn({ vms: [{ vm: VM, port: 0 }] });
+    context.after(() => standIn.close());
+    return { standIn, address: standIn.vm(VM).address };
+};
+
+test("a request gets its answer and the connection is reused", async context => {
+    const { address } = await startOne(context);
+    const connections = createConnections();
+    const first = await runRecorded(connections, { address, headers: ["almondusher-request-id", "a"] });
+    const second = await runRecorded(connections, { address, headers: ["almondusher-request-id", "b"] });
+    assert.equal(first.failure, undefined);
+    assert.deepEqual([first.statusCode, second.statusCode, first.ends, second.ends], [200, 200, 1, 1]);
+    assert.match(second.body, /"requestId":"b"/);
+    assert.deepEqual([dumpConnections(connections).opened, dumpConnections(connections).reused], [1, 1]);
+    await closeConnections(connections);
+});
+
+test("a refused connection is not-run", async context => {
+    const { standIn, address } = await startOne(context);
+    await standIn.vm(VM).setFaults({ down: true });
+    const record = await runRecorded(createConnections(), { address, method: "POST" });
+    assert.deepEqual([record.failure?.verdict, record.failure?.cause], ["not-run", "connect-failed"]);
+});
+
+test("a refusal by the endpoint with the agreed header is not-run", async context => {
+    const { standIn, address } = await startOne(context);
+    await standIn.vm(VM).setFaults({ refuse: true });
+    const record = await runRecorded(createConnections(), { address, method: "POST" });
+    assert.deepEqual([record.failure?.verdict, record.failure?.cause], ["not-run", "endpoint-refused"]);
+    assert.deepEqual(standIn.runsByRequest(), []);
+});
+
+test("a connection that closes without an answer is may-have-run", async context => {
+    const { standIn, address } = await startOne(context);
+    await standIn.vm(VM).setFaults({ closeWithoutAnswer: true });
+    const record = await runRecorded(createConnections(), { address, method: "POST" });
+    assert.deepEqual([record.failure?.verdict, record.failure?.cause], ["may-have-run", "connection-lost"]);
+});
--- /dev/null
+++ b/stand-ins/endpoint/bin/endpoint-stand-in.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from "../dist/main.js";
+
+await main();
--- /dev/null
+++ b/stand-ins/endpoint/src/main.ts
@@ -0,0 +1,44 @@
+import { parseArgs } from "node:util";
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import { loadSettings } from "@almondusher/settings/load-settings";
+import { standInSettingsSchema } from "./stand-in-settings.js";
+import { startEndpointStandIn } from "./start-endpoint-stand-in.js";
+
+/** Runs the program; the exit code is set on failure. */
+export const main = async (): Promise<void> => {
+    try {
+        const { values } = parseArgs({ options: { settings: { type: "string" } } });
+        if (values.settings === undefined) {
+            throw new FleetError("invalid-settings", {
+                message: "--settings is missing",
+                hint: "name a JSON settings file: endpoint-stand-in --settings file.json",
+            });
+        }
+        await run(values.settings);
+    } catch (error) {
+        process.stderr.write(describe(error));
+        process.exitCode = 1;
+    }
+};
+
+const run = async (file: string): Promise<void> => {
+    const standIn = await startEndpointStandIn(loadSettings({ file, schema: standInSettingsSchema }));
+    const ready = {
+        ready: true,
+        control: standIn.controlAddress,
+        vms: standIn.vms.map(({ vm, address }) => ({ vm, address })),
+    };
+    process.stdout.write(`${JSON.stringify(ready)}\n`);
+    const stop = (): void => {
+        void standIn.close();
+    };
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+};
+
+const describe = (error: unknown): string => {
+    if (error instanceof FleetError) {
+        return [error.message, ...error.details, error.hint].map(line => `${line}\n`).join("");
+    }
+    return `${error instanceof Error ? error.message : String(error)}\n`;
+};
--- /dev/null
+++ b/stand-ins/endpoint/src/tcp-relay.ts
@@ -0,0 +1,77 @@
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+
+export interface TcpRelayOptions {
+    /** IP address and port to forward to. */
+    readonly target: string;
+    /** Port to listen on; a free one if absent. */
+    readonly port?: number;
+}
+
+/** A relay between callers and one endpoint VM. */
+export interface TcpRelay {
+    /** IP address and port. */
+    readonly address: string;
+    readonly connections: () => number;
+    /** Forwards nothing more on the existing connections, which stay open; new ones work. */
+    stall: () => void;
+    /** Destroys the existing connections. */
+    reset: () => void;
+    close: () => Promise<void>;
+}
+
+interface RelayedPair {
+    readonly caller: Socket;
+    readonly endpoint: Socket;
+    stalled: boolean;
+}
+
+const LOOPBACK = "127.0.0.1";
+
+/** Starts a TCP relay on the loopback interface. */
+export const startTcpRelay = async ({ target, port = 0 }: TcpRelayOptions): Promise<TcpRelay> => {
+    const url = new URL(`http://${target}`);
+    const pairs = new Set<RelayedPair>();
+    const server = createServer({ noDelay: true }, caller => {
+        const endpoint = connect({ host: url.hostname.replace(/^\[|\]$/g, ""), port: Number(url.port), noDelay: true });
+        const pair = { caller, endpoint, stalled: false };
+        pairs.add(pair);
+        forward(pair, caller, endpoint);
+        forward(pair, endpoint, caller);
+        endpoint.once("close", () => pairs.delete(pair));
+    });
+    server.listen(port, LOOPBACK);
+    await once(server, "listening");
+    const destroyAll = (): void =>
+        pairs.forEach(({ caller, endpoint }) => {
+            caller.destroy();
+            endpoint.destroy();
+        });
+    return {
+        address: `${LOOPBACK}:${(server.address() as AddressInfo).port}`,
+        connections: () => pairs.size,
+        stall: () => pairs.forEach(stall),
+        reset: destroyAll,
+        close: async () => {
+            server.close();
+            destroyAll();
+            await once(server, "close");
+        },
+    };
+};
+
+const stall = (pair: RelayedPair): void => {
+    pair.stalled = true;
+    pair.caller.unpipe(pair.endpoint).pause();
+    pair.endpoint.unpipe(pair.caller).pause();
+};
+
+const forward = (pair: RelayedPair, from: Socket, to: Socket): void => {
+    from.pipe(to);
+    from.on("error", () => from.destroy());
+    from.once("close", hadError => {
+        if (hadError && !pair.stalled) {
+            to.destroy();
+        }
+    });
+};
