Serve the complete path as separate processes

Cause: nothing yet connected callers, entries, managers, the platform and endpoints. Change: the manager program (lease, status of entries, planning, edits under the epoch), a launcher for whole deployments, and a demo that runs both sample fleets with 7 entries and 2 managers each. Conclusion: the path is complete in thin form; grants, placement and hedging are not wired yet.

--- /dev/null
+++ b/bench/system/bin/demo.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { runDemo } from "../dist/demo.js";
+
+await runDemo();
--- /dev/null
+++ b/bench/system/src/sample-fleet.ts
@@ -0,0 +1,45 @@
+/** One service of a sample fleet: a pool with its VMs and the route to it. */
+export interface SampleService {
+    readonly name: string;
+    readonly vms: number;
+    readonly spare?: boolean;
+}
+
+/** A fleet as one of the two users runs it today. */
+export interface SampleFleet {
+    readonly name: string;
+    readonly dataCentres: readonly string[];
+    readonly services: readonly SampleService[];
+    readonly vmsPerRack: number;
+    readonly entries: number;
+}
+
+/** Union des Experts en Tapis Tissés de Bretagne: three data centres, five services, 35 executors. */
+export const unionFleet: SampleFleet = {
+    name: "union",
+    dataCentres: ["quimper", "vannes", "morlaix"],
+    services: [
+        { name: "conditions", vms: 7 },
+        { name: "provenance", vms: 7 },
+        { name: "letters", vms: 6 },
+        { name: "studies", vms: 9 },
+        { name: "secretariat", vms: 6, spare: true },
+    ],
+    vmsPerRack: 4,
+    entries: 7,
+};
+
+/** Lapidaria Software: four data centres, five services of 8 executors. */
+export const lapidariaFleet: SampleFleet = {
+    name: "lapidaria",
+    dataCentres: ["torino", "milano", "verona", "trieste"],
+    services: [
+        { name: "plot-sheets", vms: 8 },
+        { name: "section-redraws", vms: 8 },
+        { name: "reprints", vms: 8 },
+        { name: "archive", vms: 8 },
+        { name: "servizi-vari", vms: 8, spare: true },
+    ],
+    vmsPerRack: 4,
+    entries: 7,
+};
--- a/observe/telemetry/src/log-event.ts
+++ b/observe/telemetry/src/log-event.ts
@@ -17,7 +17,12 @@
     | { readonly kind: "lease-lost"; readonly epoch: number; readonly reason: string }
     | { readonly kind: "drain-started"; readonly drainedVm: VmId; readonly pool: PoolName; readonly purpose: string }
     | { readonly kind: "drain-completed"; readonly drainedVm: VmId; readonly pool: PoolName; readonly tookMs: number }
-    | { readonly kind: "drain-waiting"; readonly drainedVm: VmId; readonly waitingFor: readonly string[] }
+    | {
+          readonly kind: "planner-waiting";
+          readonly subject: string;
+          readonly on: string;
+          readonly names: readonly string[];
+      }
     | { readonly kind: "maintenance-started"; readonly maintainedVm: VmId; readonly pool: PoolName }
     | { readonly kind: "maintenance-completed"; readonly maintainedVm: VmId; readonly pool: PoolName }
     | { readonly kind: "vm-ejected"; readonly ejectedVm: VmId; readonly pool: PoolName; readonly reason: string }
@@ -43,7 +48,7 @@
     "lease-lost": "warn",
     "drain-started": "info",
     "drain-completed": "info",
-    "drain-waiting": "warn",
+    "planner-waiting": "warn",
     "maintenance-started": "info",
     "maintenance-completed": "info",
     "vm-ejected": "warn",
--- a/programs/entry/src/answer-relay.ts
+++ b/programs/entry/src/answer-relay.ts
@@ -78,7 +78,7 @@
     flow.pool.view.vms.length > 1 &&
     (flow.body?.canReplay() ?? true);
 
-const pairs = (rawHeaders: readonly string[]): Record<string, string> =>
-    Object.fromEntries(
-        rawHeaders.flatMap((name, index) => (index % 2 === 0 ? [[name, rawHeaders[index + 1] ?? ""]] : [])),
-    ) as Record<string, string>;
+const pairs = (rawHeaders: readonly string[]): Record<string, string> => {
+    const names = rawHeaders.filter((unusedName, index) => index % 2 === 0);
+    return Object.fromEntries(names.map((name, index) => [name, rawHeaders[2 * index + 1] ?? ""]));
+};
--- a/programs/entry/src/caller-request.ts
+++ b/programs/entry/src/caller-request.ts
@@ -84,7 +84,8 @@
         team: team === undefined ? route.team : toId<TeamName>(team),
         idempotent: isIdempotent(route, method),
         ...(key === undefined ? {} : { key }),
-        hasBody: incoming.headers["content-length"] !== undefined || incoming.headers["transfer-encoding"] !== undefined,
+        hasBody:
+            incoming.headers["content-length"] !== undefined || incoming.headers["transfer-encoding"] !== undefined,
         arrivedAtMs: options.nowMs,
         deadlineAtMs: options.nowMs + Math.min(timeoutMs, route.timeoutMs),
     };
@@ -102,7 +103,10 @@
         return `Idempotency-Key must be one value of 1 to ${KEY_MAX_CHARACTERS} visible ASCII characters without a comma`;
     }
     const timeout = headerOf(incoming, "almondusher-timeout-ms");
-    if (timeout !== undefined && !(/^\d{1,8}$/.test(timeout) && Number(timeout) > 0 && Number(timeout) <= MAX_TIMEOUT_MS)) {
+    if (
+        timeout !== undefined &&
+        !(/^\d{1,8}$/.test(timeout) && Number(timeout) > 0 && Number(timeout) <= MAX_TIMEOUT_MS)
+    ) {
         return `almondusher-timeout-ms must be a number from 1 to ${MAX_TIMEOUT_MS}`;
     }
     const team = headerOf(incoming, "almondusher-team");
@@ -114,8 +118,7 @@
 
 const pathOf = (target: string): string => target.split("?", 1).join();
 
-const hostOf = (incoming: IncomingMessage): string =>
-    (incoming.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
+const hostOf = (incoming: IncomingMessage): string => (incoming.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
 
 // RFC 9218 asks servers to ignore a Priority header that they cannot parse.
 const urgencyOf = (incoming: IncomingMessage, route: Route): Urgency => {
@@ -125,4 +128,6 @@
 
 /** Identifies what a keyed request asks for, so that a key reused for something else is noticed. */
 export const fingerprintOf = (request: CallerRequest, contentLength: string | undefined): string =>
-    createHash("sha256").update(`${request.method} ${request.target} ${contentLength ?? ""}`).digest("base64url");
+    createHash("sha256")
+        .update(`${request.method} ${request.target} ${contentLength ?? ""}`)
+        .digest("base64url");
--- a/programs/entry/src/caller-server.ts
+++ b/programs/entry/src/caller-server.ts
@@ -53,7 +53,12 @@
 const malformedRequest = (error: NodeJS.ErrnoException): Rejection =>
     error.code === HEADER_OVERFLOW
         ? { status: 431, cause: "too-large", verdict: "not-run", message: "the request headers are too long" }
-        : { status: 400, cause: "bad-request", verdict: "not-run", message: `the request is malformed: ${error.message}` };
+        : {
+              status: 400,
+              cause: "bad-request",
+              verdict: "not-run",
+              message: `the request is malformed: ${error.message}`,
+          };
 
 // The parser has given up on the connection, so that the answer is written to the socket itself.
 const answerRaw = (entry: EntryContext, socket: Socket, rejection: Rejection): void => {
--- a/programs/entry/src/entry-command.ts
+++ b/programs/entry/src/entry-command.ts
@@ -9,7 +9,8 @@
 
 /** The command almondusher-entry: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures. */
 export class EntryCommand extends Command {
-    static override description = "Serves callers: routes, limits, retries, and takes part in the exchange between entries.";
+    static override description =
+        "Serves callers: routes, limits, retries, and takes part in the exchange between entries.";
     static override flags = {
         settings: Flags.string({ required: true, description: "JSON settings file; see docs/settings.md" }),
     };
--- a/programs/entry/src/entry-process.ts
+++ b/programs/entry/src/entry-process.ts
@@ -4,7 +4,8 @@
 import { closeConnections, createConnections, dumpConnections } from "@almondusher/exchange/connection-pool";
 import { entityTable } from "@almondusher/fleet/entity-table";
 import { emptyFleetState } from "@almondusher/fleet/fleet-state";
-import { type ProcessId, toId } from "@almondusher/fleet/ids";
+import { type ProcessId, toId, type VmId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
 import { initialMembership } from "@almondusher/peer/membership";
 import { createPeerClients } from "@almondusher/peer/peer-clients";
 import { startPeerServer } from "@almondusher/peer/peer-server";
@@ -117,7 +118,7 @@
 };
 
 const createTables = (settings: EntrySettings): EntryTables => {
-    const vms = entityTable([], (vm: never) => vm);
+    const vms = entityTable<VmId, Vm>([], vm => vm.id);
     return {
         phase: "starting",
         view: fleetView({ state: emptyFleetState, vms, knownVms: vms }),
@@ -246,7 +247,7 @@
                 }
             },
             error: reject,
-            complete: resolve,
+            complete: () => resolve(),
         });
     });
 };
--- a/programs/entry/src/entry-settings.ts
+++ b/programs/entry/src/entry-settings.ts
@@ -34,7 +34,10 @@
     /** Non-idempotent requests reuse a connection only if it was used within this time. */
     nonIdempotentIdleMs: durationSchema(1000),
     /** How long the claim of a non-idempotent request is kept. */
-    claimRetentionMs: z.int().min(60_000).default(7 * 24 * 3_600_000),
+    claimRetentionMs: z
+        .int()
+        .min(60_000)
+        .default(7 * 24 * 3_600_000),
 });
 
 const limitsSchema = z.strictObject({
--- a/programs/entry/src/exchange-peers.ts
+++ b/programs/entry/src/exchange-peers.ts
@@ -68,10 +68,7 @@
 /** Removes peers that have not answered for too long. */
 export const expireMembers = (entry: EntryContext): void => {
     const { peerTimeoutMs, contactRetentionMs } = entry.settings.timing;
-    applyStep(
-        entry,
-        expirePeers(entry.tables.membership, { nowMs: monotonicMs(), peerTimeoutMs, contactRetentionMs }),
-    );
+    applyStep(entry, expirePeers(entry.tables.membership, { nowMs: monotonicMs(), peerTimeoutMs, contactRetentionMs }));
 };
 
 /** Exchanges with every known peer URL once; calls that are still running are not repeated. */
@@ -141,9 +138,7 @@
 };
 
 /** Peers that took their state from this process and are not known to be registered or gone. */
-export const unregisteredPeers = (entry: EntryContext): readonly Peer[] => [
-    ...entry.tables.unregisteredPeers.values(),
-];
+export const unregisteredPeers = (entry: EntryContext): readonly Peer[] => [...entry.tables.unregisteredPeers.values()];
 
 /** Remembers a process that takes its state from this one before it is registered. */
 export const rememberUnregistered = (entry: EntryContext, peer: Peer): void => {
--- a/programs/entry/src/peer-handlers.ts
+++ b/programs/entry/src/peer-handlers.ts
@@ -29,6 +29,9 @@
 export const inFlightOn = (entry: EntryContext, vmId: string): number =>
     [...entry.tables.requests.values()].flatMap(flow => flow.running).filter(attempt => attempt.vm.id === vmId).length;
 
+const goneEntryVms = ({ tables: { listing } }: EntryContext): string[] =>
+    listing.knownVms.rows.filter(vm => vm.role === "entry" && !listing.vms.has(vm.id)).map(vm => vm.id);
+
 /** The calls that this entry answers. */
 export const peerHandlers = (entry: EntryContext): Partial<PeerHandlers> => ({
     exchange: request => {
@@ -53,5 +56,6 @@
         drains: request.vmIds.map(vmId => ({ vmId, inFlight: inFlightOn(entry, vmId) })),
         unregistered: unregisteredPeers(entry).map(memberFields),
         demands: [...entry.tables.pools.values()].map(demandFields),
+        goneEntryVmIds: goneEntryVms(entry),
     }),
 });
--- a/programs/entry/src/poll-platform.ts
+++ b/programs/entry/src/poll-platform.ts
@@ -1,4 +1,3 @@
-import { FleetError } from "@almondusher/fleet/fleet-error";
 import { readHead, readState } from "@almondusher/platform/read-state";
 import { readRegistrations, registerEntry } from "@almondusher/platform/registrations";
 import { readVms } from "@almondusher/platform/vm-list";
@@ -17,7 +16,7 @@
         tables.platformContactAtMs = monotonicMs();
     } else if (tables.platformUp) {
         tables.platformUp = false;
-        const reason = error instanceof FleetError ? error.message : String(error);
+        const reason = error instanceof Error ? error.message : "unknown error";
         logEvent(entry.logger, { kind: "platform-down", operation, reason });
     }
 };
--- /dev/null
+++ b/programs/manager/src/manager-command.ts
@@ -0,0 +1,37 @@
+import { Command, Flags } from "@oclif/core";
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import { loadSettings } from "@almondusher/settings/load-settings";
+import { runManager } from "./manager-process.js";
+import { managerSettingsSchema } from "./manager-settings.js";
+
+const EXIT_INVALID_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+/** The command almondusher-manager: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures. */
+export class ManagerCommand extends Command {
+    static override description = "Plans moves, maintenance and spare capacity; one of the running managers is active.";
+    static override flags = {
+        settings: Flags.string({ required: true, description: "JSON settings file; see docs/settings.md" }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(ManagerCommand);
+        try {
+            const settings = loadSettings({ file: flags.settings, schema: managerSettingsSchema });
+            await runManager({ settings, settingsFile: flags.settings });
+        } catch (error) {
+            this.fail(error);
+        }
+    }
+
+    private fail(error: unknown): never {
+        if (error instanceof FleetError) {
+            const text = [error.message, ...error.details.map(line => `  ${line}`), `hint: ${error.hint}`].join("\n");
+            this.logToStderr(`${error.code}: ${text}`);
+            this.exit(error.code === "invalid-settings" ? EXIT_INVALID_SETTINGS : EXIT_FAILED);
+        }
+        throw error;
+    }
+}
+
+export default ManagerCommand;
--- /dev/null
+++ b/programs/manager/src/manager-process.ts
@@ -0,0 +1,204 @@
+import { randomBytes } from "node:crypto";
+import { mergeArray, type Stream } from "most";
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import { emptyFleetState } from "@almondusher/fleet/fleet-state";
+import { type ProcessId, toId } from "@almondusher/fleet/ids";
+import { createPeerClients } from "@almondusher/peer/peer-clients";
+import { initialPlannerState } from "@almondusher/planner/planner-state";
+import { closePlatform, createPlatform } from "@almondusher/platform/create-platform";
+import { releaseLease } from "@almondusher/platform/manager-lease";
+import { readHead, readState } from "@almondusher/platform/read-state";
+import { readRegistrations } from "@almondusher/platform/registrations";
+import { readVms } from "@almondusher/platform/vm-list";
+import { loadSecret } from "@almondusher/settings/load-settings";
+import { createCounters, listCounters } from "@almondusher/telemetry/counters";
+import { signalStream, tickStream } from "@almondusher/telemetry/event-stream";
+import { createLogger, logEvent } from "@almondusher/telemetry/logger";
+import { startOperatorServer } from "@almondusher/telemetry/operator-server";
+import { startStateDumper } from "@almondusher/telemetry/state-dump";
+import { askEntries } from "./ask-entries.js";
+import { noDemand } from "./demand-average.js";
+import { holdLease } from "./hold-lease.js";
+import type { ManagerContext } from "./manager-context.js";
+import type { ManagerSettings } from "./manager-settings.js";
+import { runPlan } from "./run-plan.js";
+import { VERSION } from "./version.js";
+
+const PROCESS_ID_BYTES = 6;
+
+/** What drives the manager. */
+type ManagerEvent = { readonly kind: "tick" } | { readonly kind: "signal"; readonly signal: NodeJS.Signals };
+
+export interface ManagerOptions {
+    readonly settings: ManagerSettings;
+    readonly settingsFile: string;
+}
+
+/** Runs a manager until a signal stops it. */
+export const runManager = async ({ settings, settingsFile }: ManagerOptions): Promise<void> => {
+    const manager = createManager({ settings, settingsFile });
+    const dumper = startDumper(manager);
+    const operatorServer = await startOperatorServer({
+        listen: settings.operatorListen,
+        secret: loadSecret(settingsFile, settings.operatorSecretFile),
+        counters: manager.counters,
+        health: () => ({ ready: !manager.tables.stopping }),
+        dump: () => dumper.dump(),
+        metrics: () => ({ counters: listCounters(manager.counters), latencies: [], gauges: [] }),
+    });
+    logEvent(manager.logger, { kind: "started", version: VERSION, settingsFile });
+    await runEvents(manager);
+    await handOver(manager);
+    await operatorServer.close();
+    dumper.stop();
+    manager.peerClients.close();
+    await closePlatform(manager.platform);
+    logEvent(manager.logger, { kind: "stopped", exitCode: 0 });
+};
+
+const createManager = ({ settings, settingsFile }: ManagerOptions): ManagerContext => {
+    const processId = toId<ProcessId>(randomBytes(PROCESS_ID_BYTES).toString("hex"));
+    const secret = loadSecret(settingsFile, settings.peerSecretFile);
+    return {
+        settings,
+        processId,
+        platform: createPlatform({ settings: settings.platform, settingsFile }),
+        peerClients: createPeerClients({ secret, timeoutMs: settings.timing.callTimeoutMs }),
+        counters: createCounters(),
+        logger: createLogger({
+            program: "almondusher-manager",
+            processId,
+            vm: settings.vmId,
+            level: settings.logLevel,
+            secrets: [secret],
+        }),
+        tables: {
+            role: { kind: "standby", observation: undefined },
+            state: emptyFleetState,
+            vms: [],
+            vmListEtag: undefined,
+            registrations: [],
+            confirmations: new Map(),
+            unregistered: [],
+            unresponsive: [],
+            demand: noDemand,
+            plannerState: initialPlannerState,
+            round: 0,
+            lastDecisions: [],
+            lastTickAtMs: undefined,
+            platformUp: true,
+            stopping: false,
+        },
+    };
+};
+
+const startDumper = (manager: ManagerContext) =>
+    startStateDumper({
+        program: "almondusher-manager",
+        version: VERSION,
+        processId: manager.processId,
+        vm: manager.settings.vmId,
+        revision: () => manager.tables.state.revision,
+        sections: [
+            { name: "role", read: () => manager.tables.role },
+            { name: "decisions", read: () => manager.tables.lastDecisions },
+            { name: "lastTickAtMs", read: () => manager.tables.lastTickAtMs },
+            {
+                name: "drains",
+                read: () => manager.tables.state.assignments.rows.filter(row => row.phase.kind !== "serving"),
+            },
+            { name: "registrations", read: () => manager.tables.registrations },
+            { name: "confirmations", read: () => [...manager.tables.confirmations.values()] },
+            { name: "demand", read: () => manager.tables.demand.loads },
+            { name: "planner", read: () => manager.tables.plannerState },
+            { name: "platform", read: () => manager.platform.counts },
+            { name: "counters", read: () => listCounters(manager.counters) },
+        ],
+    });
+
+const eventStream = (settings: ManagerSettings): Stream<ManagerEvent> =>
+    mergeArray([
+        signalStream(["SIGTERM", "SIGINT"]).map((signal): ManagerEvent => ({ kind: "signal", signal })),
+        tickStream(settings.timing.tickMs).map((): ManagerEvent => ({ kind: "tick" })),
+    ]);
+
+const runEvents = (manager: ManagerContext): Promise<void> =>
+    new Promise((resolve, reject) => {
+        let ticking: Promise<void> | undefined;
+        const subscription = eventStream(manager.settings).subscribe({
+            next: event => {
+                switch (event.kind) {
+                    case "tick":
+                        ticking ??= tick(manager).finally(() => (ticking = undefined));
+                        return;
+                    case "signal":
+                        manager.tables.stopping = true;
+                        logEvent(manager.logger, { kind: "stopping", signal: event.signal });
+                        subscription.unsubscribe();
+                        void (ticking ?? Promise.resolve()).then(resolve);
+                        return;
+                }
+            },
+            error: reject,
+            complete: () => resolve(),
+        });
+    });
+
+/** One round: lease, state, entries, plan. A failure ends the round; the next one starts from the tables as they are. */
+const tick = async (manager: ManagerContext): Promise<void> => {
+    try {
+        const lease = await holdLease(manager);
+        if (lease !== undefined) {
+            await refreshTables(manager);
+            await askEntries(manager);
+            await runPlan(manager, lease);
+            manager.tables.lastTickAtMs = Date.now();
+        }
+        reportPlatform(manager, undefined);
+    } catch (error) {
+        reportPlatform(manager, error);
+    }
+};
+
+const refreshTables = async ({ platform, tables }: ManagerContext): Promise<void> => {
+    const [head, listing, registrations] = await Promise.all([
+        readHead(platform),
+        readVms(platform, { etag: tables.vmListEtag }),
+        readRegistrations(platform),
+    ]);
+    if (head !== undefined && head.revision !== tables.state.revision) {
+        tables.state = await readState(platform, head);
+    }
+    if (listing.kind === "list") {
+        tables.vms = listing.vms;
+        tables.vmListEtag = listing.etag;
+    }
+    tables.registrations = registrations;
+};
+
+const reportPlatform = (manager: ManagerContext, error: unknown): void => {
+    const { tables } = manager;
+    if (error === undefined) {
+        if (!tables.platformUp) {
+            logEvent(manager.logger, { kind: "platform-up", downMs: Date.now() - (tables.lastTickAtMs ?? Date.now()) });
+        }
+        tables.platformUp = true;
+    } else if (!(error instanceof FleetError)) {
+        logEvent(manager.logger, {
+            kind: "internal-error",
+            message: error instanceof Error ? error.message : "unknown error",
+            stack: error instanceof Error ? error.stack : undefined,
+        });
+    } else if (tables.platformUp) {
+        tables.platformUp = false;
+        logEvent(manager.logger, { kind: "platform-down", operation: "tick", reason: error.message });
+    }
+};
+
+// A released lease is taken by a standby at once; otherwise it expires.
+const handOver = async (manager: ManagerContext): Promise<void> => {
+    const { role } = manager.tables;
+    if (role.kind === "active") {
+        await releaseLease(manager.platform, { lease: role.lease }).catch(() => undefined);
+    }
+};
--- /dev/null
+++ b/programs/manager/src/manager-settings.ts
@@ -0,0 +1,53 @@
+import type { DataCentreName, VmId } from "@almondusher/fleet/ids";
+import { nameSchema } from "@almondusher/fleet/name-schema";
+import { defaultPlannerSettings } from "@almondusher/planner/planner-settings";
+import { platformSettingsSchema } from "@almondusher/platform/platform-settings";
+import { listenSchema } from "@almondusher/settings/listen-schema";
+import { z } from "zod";
+
+const DAY_MS = 24 * 60 * 60 * 1000;
+const MAX_PERIOD_MS = 366 * DAY_MS;
+
+const durationSchema = (defaultMs: number, minimumMs = 10) =>
+    z.int().min(minimumMs).max(MAX_PERIOD_MS).default(defaultMs);
+
+const timingSchema = z.strictObject({
+    /** Period of planning and of the renewal of the lease. */
+    tickMs: durationSchema(1000),
+    /** A lease whose beat has not changed for this long may be taken over. */
+    leaseDurationMs: durationSchema(5000),
+    /** Longest time of a call to an entry. */
+    callTimeoutMs: durationSchema(1000),
+});
+
+const plannerSchema = z.strictObject({
+    maintenancePeriodMs: durationSchema(defaultPlannerSettings.maintenancePeriodMs),
+    maintenanceLeadMs: durationSchema(defaultPlannerSettings.maintenanceLeadMs, 0),
+    /** Time in milliseconds since 1970; every VM last maintained before it is maintained now. */
+    waveRequestedAtMs: z.int().min(0).optional(),
+    rebootTimeoutMs: durationSchema(defaultPlannerSettings.rebootTimeoutMs),
+    rebootRepeatMs: durationSchema(defaultPlannerSettings.rebootRepeatMs),
+    slowDrainMs: durationSchema(defaultPlannerSettings.slowDrainMs),
+    maxPoolsInMaintenance: z.int().min(0).max(1000).default(defaultPlannerSettings.maxPoolsInMaintenance),
+    moveDurationMs: durationSchema(defaultPlannerSettings.moveDurationMs),
+    returnAfterMs: durationSchema(defaultPlannerSettings.returnAfterMs),
+    borrowUtilisation: z.number().min(0).max(1).default(defaultPlannerSettings.borrowUtilisation),
+    returnUtilisation: z.number().min(0).max(1).default(defaultPlannerSettings.returnUtilisation),
+});
+
+/** Schema of the settings file of almondusher-manager. */
+export const managerSettingsSchema = z.strictObject({
+    /** The entry VM that this process runs on. */
+    vmId: nameSchema<VmId>(),
+    dataCentre: nameSchema<DataCentreName>(),
+    operatorListen: listenSchema,
+    peerSecretFile: z.string(),
+    operatorSecretFile: z.string(),
+    platform: platformSettingsSchema,
+    logLevel: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info"),
+    timing: timingSchema.prefault({}),
+    planner: plannerSchema.prefault({}),
+});
+
+/** Settings of almondusher-manager. */
+export type ManagerSettings = z.infer<typeof managerSettingsSchema>;
--- /dev/null
+++ b/programs/manager/src/run-plan.ts
@@ -0,0 +1,134 @@
+import { randomUUID } from "node:crypto";
+import type { Change, Edit } from "@almondusher/fleet/edit";
+import { hasCode } from "@almondusher/fleet/fleet-error";
+import { type EditId, toId } from "@almondusher/fleet/ids";
+import type { Decision } from "@almondusher/planner/decision";
+import { planFleet } from "@almondusher/planner/plan-fleet";
+import { commitEdit } from "@almondusher/platform/commit-edit";
+import type { HeldLease } from "@almondusher/platform/manager-lease";
+import { rebootVm } from "@almondusher/platform/vm-list";
+import { count } from "@almondusher/telemetry/counters";
+import { logEvent } from "@almondusher/telemetry/logger";
+import { loseLease } from "./hold-lease.js";
+import type { ManagerContext } from "./manager-context.js";
+
+const COMMIT_ATTEMPTS = 3;
+
+/** Plans on the tables and carries the decisions out under the lease. */
+export const runPlan = async (manager: ManagerContext, lease: HeldLease): Promise<void> => {
+    const { tables, settings } = manager;
+    const { waveRequestedAtMs, ...planner } = settings.planner;
+    const plan = planFleet({
+        state: tables.state,
+        vms: tables.vms,
+        registrations: tables.registrations.map(({ processId, vmId }) => ({ processId, vm: vmId })),
+        confirmations: [...tables.confirmations.values()],
+        loads: tables.demand.loads,
+        unresponsiveVms: tables.unresponsive,
+        plannerState: tables.plannerState,
+        round: tables.round,
+        nowMs: Date.now(),
+        settings: { ...planner, ...(waveRequestedAtMs === undefined ? {} : { waveRequestedAtMs }) },
+    });
+    tables.plannerState = plan.plannerState;
+    logWaiting(manager, plan.decisions);
+    tables.lastDecisions = plan.decisions;
+    await Promise.all(plan.decisions.map(decision => carryOut(manager, lease, decision)));
+};
+
+const carryOut = async (manager: ManagerContext, lease: HeldLease, decision: Decision): Promise<void> => {
+    switch (decision.kind) {
+        case "edit":
+            return submit(manager, lease, decision);
+        case "reboot":
+            return reboot(manager, decision);
+        case "waiting":
+            return undefined;
+    }
+};
+
+const submit = async (
+    manager: ManagerContext,
+    lease: HeldLease,
+    { changes, reason }: Extract<Decision, { kind: "edit" }>,
+): Promise<void> => {
+    const edit: Edit = {
+        editId: toId<EditId>(randomUUID()),
+        author: { kind: "manager", name: manager.processId },
+        at: new Date().toISOString(),
+        reason,
+        changes: [...changes],
+    };
+    try {
+        const committed = await commitEdit(manager.platform, {
+            edit,
+            leaseEpoch: lease.epoch,
+            maxAttempts: COMMIT_ATTEMPTS,
+        });
+        manager.tables.state = committed.state;
+        count(manager.counters, { name: "edits" });
+        changes.forEach(change => logChange(manager, change));
+    } catch (error) {
+        handleRefusal(manager, lease, error);
+    }
+};
+
+// Another edit was accepted first: the next tick plans again on the new state.
+const handleRefusal = (manager: ManagerContext, lease: HeldLease, error: unknown): void => {
+    if (hasCode(error, "lease-lost")) {
+        loseLease(manager, lease, error);
+    } else if (hasCode(error, "edit-conflict") || hasCode(error, "invalid-edit")) {
+        count(manager.counters, { name: "superseded-plans" });
+    } else {
+        throw error;
+    }
+};
+
+const logChange = (manager: ManagerContext, change: Change): void => {
+    if (change.table !== "assignments") {
+        return;
+    }
+    const before = change.before?.phase.kind;
+    const after = change.after;
+    if (after?.phase.kind === "draining" && before !== "draining") {
+        logEvent(manager.logger, {
+            kind: "drain-started",
+            drainedVm: after.vm,
+            pool: after.pool,
+            purpose: after.phase.purpose.kind,
+        });
+    }
+    if (after?.phase.kind === "maintenance") {
+        logEvent(manager.logger, { kind: "maintenance-started", maintainedVm: after.vm, pool: after.pool });
+    }
+    if (before === "maintenance" && after !== undefined) {
+        logEvent(manager.logger, { kind: "maintenance-completed", maintainedVm: after.vm, pool: after.pool });
+    }
+};
+
+const reboot = async (manager: ManagerContext, { vm }: Extract<Decision, { kind: "reboot" }>): Promise<void> => {
+    try {
+        await rebootVm(manager.platform, vm);
+        count(manager.counters, { name: "reboots", vm });
+    } catch {
+        // The planner asks again if the list shows no new boot.
+        count(manager.counters, { name: "failed-reboots", vm });
+    }
+};
+
+const waitingKey = (decision: Decision): string | undefined =>
+    decision.kind === "waiting" ? `${decision.subject} ${decision.on} ${decision.names.join()}` : undefined;
+
+const logWaiting = (manager: ManagerContext, decisions: readonly Decision[]): void => {
+    const known = new Set(manager.tables.lastDecisions.map(waitingKey));
+    decisions.forEach(decision => {
+        if (decision.kind === "waiting" && !known.has(waitingKey(decision))) {
+            logEvent(manager.logger, {
+                kind: "planner-waiting",
+                subject: decision.subject,
+                on: decision.on,
+                names: decision.names,
+            });
+        }
+    });
+};
