Attribute failures to an edit or to the system

Cause: after an incident it must be shown whether an edit or the system caused it. Change: a log of failures and arrivals by minute, the table of adopted revisions, and explain, which derives the fault and its evidence from them and from the history; the reports that the command line reads and the client of the operator port. Counter handles use accessors on a prototype. Conclusion: the programs can record what explain needs.

--- a/observe/telemetry/src/counters.ts
+++ b/observe/telemetry/src/counters.ts
@@ -34,7 +34,6 @@
 
 interface Cell {
     readonly labels: CounterLabels;
-    readonly handle: CounterHandle;
     total: number;
     /** The counter that took over the total of this one. */
     successor: Cell | undefined;
@@ -68,7 +67,7 @@
 
 /** The counter with these labels; callers on the hot path keep the handle and increment `value`. */
 export const counterHandle = (counters: Counters, labels: CounterLabels): CounterHandle =>
-    findCell(counters, labels).handle;
+    new CellHandle(findCell(counters, labels));
 
 /** All counters with their values, sorted by labels. */
 export const listCounters = (counters: Counters): readonly CounterRow[] =>
@@ -82,22 +81,22 @@
 const findCell = (counters: Counters, labels: CounterLabels): Cell =>
     counters.cells.get(keyOf(labels)) ?? addCell(counters, labels);
 
-const createCell = (labels: CounterLabels): Cell => {
-    const cell: Cell = {
-        labels,
-        total: 0,
-        successor: undefined,
-        handle: {
-            get value() {
-                return (cell.successor ?? cell).total;
-            },
-            set value(value: number) {
-                (cell.successor ?? cell).total = value;
-            },
-        },
-    };
-    return cell;
-};
+// A class, since accessors on a prototype are several times faster than accessors of each object.
+class CellHandle implements CounterHandle {
+    private readonly cell: Cell;
+
+    constructor(cell: Cell) {
+        this.cell = cell;
+    }
+
+    get value(): number {
+        return (this.cell.successor ?? this.cell).total;
+    }
+
+    set value(value: number) {
+        (this.cell.successor ?? this.cell).total = value;
+    }
+}
 
 const addCell = (counters: Counters, wanted: CounterLabels): Cell => {
     const labels = boundRevision(counters, wanted);
@@ -107,7 +106,7 @@
     if (existing !== undefined) {
         return existing;
     }
-    const cell = createCell(bounded);
+    const cell: Cell = { labels: bounded, total: 0, successor: undefined };
     counters.cells.set(key, cell);
     return cell;
 };
--- /dev/null
+++ b/observe/telemetry/src/edit-rule.ts
@@ -0,0 +1,212 @@
+import type { EditRecord } from "@almondusher/fleet/edit";
+import type { VmId } from "@almondusher/fleet/ids";
+import type { Cause } from "@almondusher/fleet/verdict";
+import { capacityCauses, describeChange, type Effect, effectsOf, endpointCauses } from "./edit-effects.js";
+import {
+    countRows,
+    type ExplainInput,
+    formatRate,
+    formatTime,
+    LOOKBACK_MS,
+    MS_PER_MINUTE,
+    type RuleInput,
+} from "./explain-input.js";
+import type { FailureRow } from "./failure-log.js";
+import type { Attribution, Fault } from "./fault.js";
+import { adoptionTime } from "./revision-use.js";
+import { touchesSubject } from "./subject-scope.js";
+
+/** What the edits have to do with a group of failures. */
+export interface EditJudgement {
+    readonly attribution: Attribution | undefined;
+    /** True if the edit at fault changed which requests reach the subject, so that arrivals rise because of it. */
+    readonly movesWork: boolean;
+    /** Why the other edits that could have caused the failures did not. */
+    readonly acquittals: readonly string[];
+}
+
+interface Candidate {
+    readonly edit: EditRecord;
+    readonly usedFromMs: number;
+    readonly effects: readonly Effect[];
+    /** The edit adds a row that the subject depends on, so there is no time before it to compare with. */
+    readonly addsRow: boolean;
+    /** Failures of the group that the edit is able to cause, at its revision or later. */
+    readonly after: readonly FailureRow[];
+    readonly before: readonly FailureRow[];
+}
+
+interface Judged {
+    readonly candidate: Candidate;
+    readonly guilty: boolean;
+    readonly reason: string;
+}
+
+// Stated target: a configuration is in force everywhere within 10 s.
+const PROPAGATION_MS = 10_000;
+// Queues are bounded and fill within a minute at any load that exceeds the capacity.
+const QUEUE_FILL_MS = 60_000;
+// An earlier incident that was over by then says nothing about the edit.
+const ACQUITTING_MS = 5 * MS_PER_MINUTE;
+// Failures at half their later rate or more before the edit show that they do not depend on it.
+const ACQUITTING_SHARE = 0.5;
+// A single failure right after an edit does not explain a far larger number that starts later.
+const EARLY_SHARE = 1 / 3;
+
+/** Finds the edit that explains a group of failures; see `explain` for the rules. */
+export const judgeEdits = (rule: RuleInput): EditJudgement => {
+    const judged = findCandidates(rule).map(candidate => judge(candidate, rule));
+    const guilty = pickGuilty(judged.filter(item => item.guilty));
+    const fault = guilty === undefined ? undefined : faultOf(guilty.candidate, rule);
+    return {
+        attribution:
+            guilty === undefined || fault === undefined
+                ? undefined
+                : { fault, evidence: describeGuilty(guilty, rule.input) },
+        movesWork: guilty?.candidate.edit.changes.some(change => change.table === "routes") ?? false,
+        acquittals: judged.filter(item => !item.guilty).map(item => item.reason),
+    };
+};
+
+const findCandidates = ({ group, scope, input }: RuleInput): readonly Candidate[] =>
+    input.history
+        .map(edit => ({ edit, usedFromMs: adoptionTime(edit, input.uses) }))
+        .filter(({ usedFromMs }) => usedFromMs <= group.lastAtMs && usedFromMs >= input.fromMs - LOOKBACK_MS)
+        .map(({ edit, usedFromMs }) => {
+            const changes = edit.changes.filter(change => touchesSubject(change, scope));
+            const effects = changes
+                .flatMap(change => effectsOf(change, scope))
+                .filter(effect => effect.cause === group.cause);
+            const rows = group.allRows.filter(row => effects.some(effect => covers(effect, row)));
+            return {
+                edit,
+                usedFromMs,
+                effects,
+                addsRow: changes.some(change => change.before === undefined),
+                after: rows.filter(row => row.revision >= edit.revision),
+                before: rows.filter(row => row.revision < edit.revision && row.lastAtMs >= usedFromMs - ACQUITTING_MS),
+            };
+        })
+        .filter(candidate => candidate.after.length > 0);
+
+const covers = (effect: Effect, row: FailureRow): boolean =>
+    effect.vms === undefined || (row.vm !== undefined && effect.vms.includes(row.vm));
+
+const judge = (candidate: Candidate, { group, input }: RuleInput): Judged => {
+    const { edit, usedFromMs, after, before } = candidate;
+    const name = `edit ${edit.revision}`;
+    const observedMs = observedBefore(usedFromMs, input);
+    const onsetMs = Math.min(...after.map(row => row.firstAtMs));
+    const limitMs = onsetLimit(candidate, group.cause, input);
+    const beforeStartMs = before.reduce((left, row) => Math.min(left, row.firstAtMs), usedFromMs);
+    const beforeRate = ratePerMinute(before, beforeStartMs, usedFromMs);
+    const afterRate = ratePerMinute(after, usedFromMs, group.lastAtMs);
+    if (observedMs <= 0 && !candidate.addsRow) {
+        return { candidate, guilty: false, reason: `${name} cannot be judged: no process recorded the time before it` };
+    }
+    if (countRows(before) > 0 && beforeRate >= afterRate * ACQUITTING_SHARE) {
+        const reason = `${name} is not the reason: ${group.cause} already occurred ${formatRate(beforeRate)} before it, ${formatRate(afterRate)} since`;
+        return { candidate, guilty: false, reason };
+    }
+    if (onsetMs > limitMs || !startsInForce(after, usedFromMs, limitMs)) {
+        const reason = `${name} is not the reason: it was in use from ${formatTime(usedFromMs)}, the failures did not start by ${formatTime(limitMs)}`;
+        return { candidate, guilty: false, reason };
+    }
+    const comparison = `${group.cause} occurred ${formatRate(beforeRate)} before ${name} and ${formatRate(afterRate)} since`;
+    const onset = `the first came ${((onsetMs - usedFromMs) / 1000).toFixed(1)} s after the first process used it`;
+    return { candidate, guilty: true, reason: `${comparison}; ${onset}` };
+};
+
+const ratePerMinute = (rows: readonly FailureRow[], fromMs: number, toMs: number): number =>
+    countRows(rows) / Math.max((toMs - fromMs) / MS_PER_MINUTE, 1);
+
+/** Length of the time before a moment that some process recorded. */
+const observedBefore = (momentMs: number, { traffic, uses }: ExplainInput): number => {
+    const starts = [
+        ...traffic.arrivals.map(row => row.minuteMs),
+        ...traffic.failures.map(row => row.firstAtMs),
+        ...uses.map(use => use.sinceMs),
+    ];
+    const earliest = starts.reduce((left, right) => Math.min(left, right), momentMs);
+    return Math.min(momentMs - earliest, LOOKBACK_MS);
+};
+
+// Without requests there are no failures, so the time starts with the first arrivals after the edit.
+const onsetLimit = (candidate: Candidate, cause: Cause, input: ExplainInput): number => {
+    const delayMs = PROPAGATION_MS + (capacityCauses.includes(cause) ? QUEUE_FILL_MS : 0);
+    const minutes = input.traffic.arrivals
+        .map(row => row.minuteMs)
+        .filter(minuteMs => minuteMs + MS_PER_MINUTE > candidate.usedFromMs);
+    const firstMinuteMs = minutes.reduce((left, right) => Math.min(left, right), Number.POSITIVE_INFINITY);
+    const isQuiet = Number.isFinite(firstMinuteMs) && firstMinuteMs > candidate.usedFromMs;
+    return (isQuiet ? firstMinuteMs + MS_PER_MINUTE : candidate.usedFromMs) + delayMs;
+};
+
+const startsInForce = (after: readonly FailureRow[], usedFromMs: number, limitMs: number): boolean => {
+    const early = after.filter(row => row.firstAtMs <= limitMs && row.lastAtMs >= usedFromMs);
+    return perFailingMinute(early) >= perFailingMinute(after) * EARLY_SHARE;
+};
+
+const perFailingMinute = (rows: readonly FailureRow[]): number =>
+    countRows(rows) / Math.max(new Set(rows.map(row => row.minuteMs)).size, 1);
+
+// Of several edits in quick succession the last one at or before the lowest failing revision is at fault.
+const pickGuilty = (guilty: readonly Judged[]): Judged | undefined => {
+    const [first] = guilty;
+    const lowest = first?.candidate.after.reduce((left, row) => Math.min(left, row.revision), Infinity) ?? 0;
+    return guilty.findLast(item => item.candidate.edit.revision <= lowest) ?? first;
+};
+
+// The manager moves VMs because an operator changed the pools table, or by its own decision.
+const faultOf = ({ edit, effects }: Candidate, { group, input }: RuleInput): Fault | undefined => {
+    if (edit.author.kind === "operator") {
+        return { kind: "edit", revision: edit.revision, author: edit.author };
+    }
+    const vms = edit.changes.filter(change => change.table === "assignments").map(change => change.key);
+    const origin = findOrigin(
+        edit,
+        effects.flatMap(effect => effect.vms ?? vms),
+        input.history,
+    );
+    if (origin !== undefined) {
+        return { kind: "edit", revision: origin.revision, author: origin.author };
+    }
+    // A VM that fails after the manager returned it to service is judged by the rule for endpoints.
+    return endpointCauses.includes(group.cause) ? undefined : { kind: "system" };
+};
+
+const findOrigin = (edit: EditRecord, vms: readonly VmId[], history: readonly EditRecord[]): EditRecord | undefined => {
+    const isPlanned = edit.changes.some(
+        change =>
+            change.table === "assignments" &&
+            (change.after?.phase.kind === "maintenance" ||
+                (change.after?.phase.kind === "draining" && change.after.phase.purpose.kind === "maintenance")),
+    );
+    return isPlanned
+        ? undefined
+        : history.findLast(
+              item =>
+                  item.revision < edit.revision &&
+                  item.author.kind === "operator" &&
+                  item.changes.some(change => change.table === "pools" && vms.some(vm => movesVm(change, vm))),
+          );
+};
+
+const movesVm = (
+    { before, after }: { before?: { vms: readonly VmId[] } | undefined; after?: { vms: readonly VmId[] } | undefined },
+    vm: VmId,
+): boolean => (before?.vms.includes(vm) ?? false) !== (after?.vms.includes(vm) ?? false);
+
+const describeGuilty = ({ candidate, reason }: Judged, { history, traffic }: ExplainInput): readonly string[] => {
+    const { edit } = candidate;
+    const next = history.find(item => item.revision > edit.revision && item.author.kind === "operator");
+    const isOver =
+        next !== undefined &&
+        candidate.after.every(row => row.revision < next.revision) &&
+        traffic.arrivals.some(row => row.minuteMs > Date.parse(next.at));
+    return [
+        ...edit.changes.flatMap(describeChange).map(line => `edit ${edit.revision}: ${line}`),
+        reason,
+        ...(isOver ? [`the failures ended with edit ${next.revision} by ${next.author.name}`] : []),
+    ];
+};
--- /dev/null
+++ b/observe/telemetry/src/status-report.ts
@@ -0,0 +1,55 @@
+import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
+import { nameSchema } from "@almondusher/fleet/name-schema";
+import { z } from "zod";
+import type { OperatorRoute } from "./operator-server.js";
+
+const countSchema = z.int().min(0);
+
+/** Schema of the answer of /status. */
+export const statusReportSchema = z.object({
+    program: z.string(),
+    processId: nameSchema<ProcessId>(),
+    vm: nameSchema<VmId>(),
+    /** Revision that the process uses. */
+    revision: countSchema,
+    ready: z.boolean(),
+    /** Why it is not ready. */
+    reason: z.string().optional(),
+    /** Managers only: true for the one that holds the lease. */
+    leading: z.boolean().optional(),
+    /** A manager tells what each drain waits for, an entry what it has in flight. */
+    drains: z.array(
+        z.object({
+            vm: nameSchema<VmId>(),
+            pool: nameSchema<PoolName>(),
+            /** Requests of this process in flight on the VM. */
+            inFlight: countSchema.optional(),
+            /** Processes whose confirmation is missing, with the reason. */
+            waitingFor: z.array(z.string()).default([]),
+        }),
+    ),
+    /** Maintenance waves in progress. */
+    waves: z
+        .array(
+            z.object({
+                pool: nameSchema<PoolName>(),
+                done: countSchema,
+                total: countSchema,
+                /** VMs in maintenance or being drained for it. */
+                underWay: z.array(nameSchema<VmId>()),
+                /** Why the next VM has to wait. */
+                waitingFor: z.string().optional(),
+            }),
+        )
+        .default([]),
+});
+
+/** Drains and waves as one process sees them. */
+export type StatusReport = z.infer<typeof statusReportSchema>;
+
+/** The operator route GET /status. */
+export const statusRoute = (read: () => StatusReport): OperatorRoute => ({
+    method: "GET",
+    path: "/status",
+    handle: () => ({ status: 200, body: read() }),
+});
--- /dev/null
+++ b/observe/telemetry/test/failure-log.test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toId, type PoolName, type ProcessId, type RouteName } from "@almondusher/fleet/ids";
+import { createFailureLog, listTraffic, recordArrival, recordFailure } from "../src/failure-log.js";
+import { createRevisionUse, firstUses, listRevisionUse, noteRevisionUse } from "../src/revision-use.js";
+
+const process = toId<ProcessId>("entry-1");
+const pool = toId<PoolName>("letters");
+const MINUTE_MS = 60_000;
+
+test("the log stays within its bounds and loses no failure of the minutes that it keeps", () => {
+    const log = createFailureLog({ process, maxMinutes: 3, maxRowsPerMinute: 10 });
+    Array.from({ length: 5 }, (unusedItem, minute) => minute * MINUTE_MS).forEach(atMs =>
+        Array.from({ length: 100 }, (unusedItem, index) => toId<RouteName>(`r${index}`)).forEach(route => {
+            recordFailure(log, { cause: "deadline", route, pool, revision: 1 }, atMs);
+            recordArrival(log, { route, pool }, atMs);
+        }),
+    );
+    const { failures, arrivals } = listTraffic(log, 0, 10 * MINUTE_MS);
+    assert.equal(failures.length, 3 * 11);
+    assert.equal(
+        failures.reduce((sum, row) => sum + row.count, 0),
+        300,
+    );
+    assert.equal(
+        arrivals.reduce((sum, row) => sum + row.count, 0),
+        300,
+    );
+});
+
+test("a burst of one second shows in the peak of its minute", () => {
+    const log = createFailureLog({ process });
+    const route = toId<RouteName>("r");
+    Array.from({ length: 60 }, (unusedItem, second) => second * 1000).forEach(atMs =>
+        recordArrival(log, { route, pool }, atMs),
+    );
+    Array.from({ length: 40 }, () => recordArrival(log, { route, pool }, 59_500));
+    assert.deepEqual(listTraffic(log, 0, MINUTE_MS).arrivals, [
+        { route, pool, process, minuteMs: 0, count: 100, peakPerSecond: 41 },
+    ]);
+});
+
+test("a clock that is set back loses nothing and does not reorder the minutes", () => {
+    const log = createFailureLog({ process });
+    [5 * MINUTE_MS, MINUTE_MS].forEach(atMs => recordFailure(log, { cause: "internal", revision: 1 }, atMs));
+    const { failures } = listTraffic(log, 0, 10 * MINUTE_MS);
+    assert.deepEqual(
+        failures.map(row => [row.minuteMs, row.count, row.firstAtMs]),
+        [[5 * MINUTE_MS, 2, 5 * MINUTE_MS]],
+    );
+});
+
+test("a process that skips a revision counts as using it, and the table is bounded", () => {
+    const use = createRevisionUse(3);
+    [1, 4, 3, 4, 6].forEach((revision, index) => noteRevisionUse(use, { process, revision, sinceMs: index }));
+    assert.deepEqual(
+        listRevisionUse(use).map(row => row.revision),
+        [1, 4, 6],
+    );
+    assert.equal(firstUses(use.rows, 2)[0]?.sinceMs, 1);
+    noteRevisionUse(use, { process, revision: 7, sinceMs: 9 });
+    assert.equal(listRevisionUse(use).length, 3);
+});
