Watch attempts, keep failures for explain, report drains and waves

Cause: an entry had no answer to connections that go silent, and operators could not ask a process what failed under which revision. Change: lost connections end an attempt, idempotent requests are hedged after a probe, a caller's own deadline is kept; rejections and failed attempts go into the failure log; /traffic and /status on the operator ports; the entry is split into modules. Conclusion: hedges are not yet limited by the retry budget.

--- a/programs/entry/src/accept-request.ts
+++ b/programs/entry/src/accept-request.ts
@@ -2,10 +2,12 @@
 import { offer } from "@almondusher/admission/offer";
 import { type RequestId, toId } from "@almondusher/fleet/ids";
 import type { Cause } from "@almondusher/fleet/verdict";
-import { count } from "@almondusher/telemetry/counters";
+import { recordArrival } from "@almondusher/telemetry/failure-log";
 import { type CallerRequest, readCallerRequest } from "./caller-request.js";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { capacityOf, type PoolRuntime } from "./pool-runtime.js";
+import { currentReadiness } from "./readiness.js";
+import { recordRejection } from "./record-outcome.js";
 import { type Rejection, sendRejection } from "./rejection.js";
 import { createReplayBody } from "./replay-body.js";
 import type { RequestFlow } from "./request-flow.js";
@@ -31,8 +33,9 @@
         answerReadiness(entry, response);
         return;
     }
-    if (!entry.tables.ready && entry.tables.phase !== "draining") {
-        rejectUnread(entry, { ...arriving, id }, notReady);
+    const readiness = currentReadiness(entry);
+    if (!readiness.ready && entry.tables.phase !== "draining") {
+        rejectUnread(entry, { ...arriving, id }, notReady(readiness.reason));
         return;
     }
     const reading = readCallerRequest(incoming, { id, routes: entry.tables.view.routes, nowMs: monotonicMs() });
@@ -46,13 +49,13 @@
     }
 };
 
-const notReady: Rejection = {
+const notReady = (reason: string): Rejection => ({
     status: 503,
     cause: "not-ready",
     verdict: "not-run",
-    message: "this entry is not ready",
+    message: `this entry is not ready: ${reason}`,
     retryAfterMs: RETRY_WHEN_NOT_READY_MS,
-};
+});
 
 const nextRequestId = (entry: EntryContext): RequestId => {
     entry.tables.nextRequestNumber += 1;
@@ -60,9 +63,9 @@
 };
 
 const answerReadiness = (entry: EntryContext, response: ServerResponse): void => {
-    const { ready, phase } = entry.tables;
-    response.writeHead(ready ? 200 : 503, { "content-type": "application/json" });
-    response.end(JSON.stringify({ ready, phase }));
+    const readiness = currentReadiness(entry);
+    response.writeHead(readiness.ready ? 200 : 503, { "content-type": "application/json" });
+    response.end(JSON.stringify(readiness));
 };
 
 interface UnreadRequest extends ArrivingRequest {
@@ -71,13 +74,15 @@
 
 const rejectUnread = (entry: EntryContext, { incoming, response, id }: UnreadRequest, rejection: Rejection): void => {
     const revision = entry.tables.view.state.revision;
-    count(entry.counters, { name: "rejections", cause: rejection.cause, verdict: rejection.verdict, revision });
+    recordRejection(entry, { cause: rejection.cause, verdict: rejection.verdict, revision });
     const hasBody = incoming.headers["content-length"] !== undefined || "transfer-encoding" in incoming.headers;
     sendRejection(response, rejection, { requestId: id, revision, closeConnection: hasBody });
 };
 
 const admitRequest = (entry: EntryContext, arriving: ArrivingRequest, request: CallerRequest): void => {
-    const pool = entry.tables.pools.get(request.route.pool);
+    const { name, pool: poolName } = request.route;
+    recordArrival(entry.failureLog, { route: name, pool: poolName }, Date.now());
+    const pool = entry.tables.pools.get(poolName);
     if (pool === undefined || pool.view.vms.length === 0) {
         rejectUnread(entry, { ...arriving, id: request.id }, noVm(request));
         return;
--- a/programs/entry/src/adopt-state.ts
+++ b/programs/entry/src/adopt-state.ts
@@ -3,6 +3,7 @@
 import type { ProcessId } from "@almondusher/fleet/ids";
 import type { Vm } from "@almondusher/fleet/vm";
 import { setFallback } from "@almondusher/slots/slot-ledger";
+import { noteRevisionUse } from "@almondusher/telemetry/revision-use";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { fleetView } from "./fleet-view.js";
@@ -17,6 +18,11 @@
     }
     tables.hasState = true;
     rebuildView(entry, state);
+    noteRevisionUse(entry.revisionUse, {
+        process: entry.processId,
+        revision: state.revision,
+        sinceMs: Date.now(),
+    });
     logEvent(entry.logger, { kind: "revision-adopted", revision: state.revision, from });
 };
 
--- a/programs/entry/src/answer-relay.ts
+++ b/programs/entry/src/answer-relay.ts
@@ -11,8 +11,10 @@
 export interface AnswerEvents {
     readonly onEnd: () => void;
     readonly onFailure: (failure: ExchangeFailure) => void;
-    /** An attempt that another one has overtaken; it was cancelled. */
-    readonly onLoser: (attempt: Attempt) => void;
+    /** Another attempt answered first; this one is to be cancelled. */
+    readonly onOvertaken: (attempt: Attempt) => void;
+    /** The answer is a server error that another VM may not give. */
+    readonly onServerError: (statusCode: number) => void;
 }
 
 /** Passes the answer of one attempt on to the caller; the first attempt with a head wins. */
@@ -27,16 +29,11 @@
         onInformation: statusCode => passInformation(flow, statusCode),
         onHead: head => {
             if (head.statusCode >= SERVER_ERROR && canTryElsewhere(entry, flow)) {
-                attempt.exchange?.cancel();
+                events.onServerError(head.statusCode);
                 return;
             }
             flow.phase = "answering";
-            flow.running
-                .filter(other => other !== attempt)
-                .forEach(loser => {
-                    events.onLoser(loser);
-                    loser.exchange?.cancel();
-                });
+            flow.running.filter(other => other !== attempt).forEach(events.onOvertaken);
             response.sendDate = false;
             const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME });
             response.writeHead(head.statusCode, head.statusMessage, [
--- a/programs/entry/src/caller-request.ts
+++ b/programs/entry/src/caller-request.ts
@@ -20,8 +20,10 @@
     readonly hasBody: boolean;
     /** Monotonic time of arrival, in milliseconds. */
     readonly arrivedAtMs: number;
-    /** Monotonic time by which the answer must have begun, in milliseconds. */
+    /** Monotonic time by which the request must have been sent to an endpoint, in milliseconds. */
     readonly deadlineAtMs: number;
+    /** Monotonic time by which the caller wants the answer to begin, in milliseconds; absent if it did not say. */
+    readonly answerByMs?: number;
 }
 
 /** A request that can be served, or why it cannot. */
@@ -73,7 +75,8 @@
 const buildRequest = (incoming: IncomingMessage, route: Route, options: RequestReadingOptions): CallerRequest => {
     const method = incoming.method ?? "GET";
     const key = headerOf(incoming, "idempotency-key");
-    const timeoutMs = Number(headerOf(incoming, "almondusher-timeout-ms") ?? route.timeoutMs);
+    const timeout = headerOf(incoming, "almondusher-timeout-ms");
+    const timeoutMs = Math.min(Number(timeout ?? route.timeoutMs), route.timeoutMs);
     const team = headerOf(incoming, "almondusher-team");
     return {
         id: options.id,
@@ -87,7 +90,8 @@
         hasBody:
             incoming.headers["content-length"] !== undefined || incoming.headers["transfer-encoding"] !== undefined,
         arrivedAtMs: options.nowMs,
-        deadlineAtMs: options.nowMs + Math.min(timeoutMs, route.timeoutMs),
+        deadlineAtMs: options.nowMs + timeoutMs,
+        ...(timeout === undefined ? {} : { answerByMs: options.nowMs + timeoutMs }),
     };
 };
 
--- a/programs/entry/src/caller-server.ts
+++ b/programs/entry/src/caller-server.ts
@@ -3,9 +3,9 @@
 import { FleetError } from "@almondusher/fleet/fleet-error";
 import type { RequestId } from "@almondusher/fleet/ids";
 import { toId } from "@almondusher/fleet/ids";
-import { count } from "@almondusher/telemetry/counters";
 import { acceptRequest } from "./accept-request.js";
 import type { EntryContext } from "./entry-context.js";
+import { recordRejection } from "./record-outcome.js";
 import { formatRejection, type Rejection } from "./rejection.js";
 
 const KEEP_ALIVE_MS = 60_000;
@@ -63,7 +63,7 @@
 // The parser has given up on the connection, so that the answer is written to the socket itself.
 const answerRaw = (entry: EntryContext, socket: Socket, rejection: Rejection): void => {
     const revision = entry.tables.view.state.revision;
-    count(entry.counters, { name: "rejections", cause: rejection.cause, verdict: rejection.verdict, revision });
+    recordRejection(entry, { cause: rejection.cause, verdict: rejection.verdict, revision });
     if (!socket.writable) {
         socket.destroy();
         return;
--- /dev/null
+++ b/programs/entry/src/create-entry.ts
@@ -0,0 +1,80 @@
+import { randomBytes } from "node:crypto";
+import { createConnections } from "@almondusher/exchange/connection-pool";
+import { entityTable } from "@almondusher/fleet/entity-table";
+import { emptyFleetState } from "@almondusher/fleet/fleet-state";
+import { type ProcessId, toId, type VmId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
+import { initialMembership } from "@almondusher/peer/membership";
+import { createPeerClients } from "@almondusher/peer/peer-clients";
+import { createPlatform } from "@almondusher/platform/create-platform";
+import { loadSecret } from "@almondusher/settings/load-settings";
+import { createRendezvous } from "@almondusher/slots/rendezvous";
+import { createCounters } from "@almondusher/telemetry/counters";
+import { createFailureLog } from "@almondusher/telemetry/failure-log";
+import { createLatencies } from "@almondusher/telemetry/latencies";
+import { createLogger } from "@almondusher/telemetry/logger";
+import { createRevisionUse } from "@almondusher/telemetry/revision-use";
+import { type EntryContext, type EntryTables, monotonicMs } from "./entry-context.js";
+import type { EntrySettings } from "./entry-settings.js";
+import { fleetView } from "./fleet-view.js";
+
+const PROCESS_ID_BYTES = 6;
+
+export interface EntryOptions {
+    readonly settings: EntrySettings;
+    readonly settingsFile: string;
+}
+
+/** Creates the tables and clients of an entry; nothing is connected yet. */
+export const createEntry = async ({ settings, settingsFile }: EntryOptions): Promise<EntryContext> => {
+    const processId = toId<ProcessId>(randomBytes(PROCESS_ID_BYTES).toString("hex"));
+    const { timing } = settings;
+    const peerSecret = loadSecret(settingsFile, settings.peerSecretFile);
+    return {
+        settings,
+        peerSecret,
+        processId,
+        peerUrl: "",
+        platform: createPlatform({ settings: settings.platform, settingsFile }),
+        connections: createConnections({
+            idleMs: timing.connectionIdleMs,
+            maxAgeMs: timing.connectionAgeMs,
+            nonIdempotentIdleMs: timing.nonIdempotentIdleMs,
+            connectTimeoutMs: timing.connectTimeoutMs,
+        }),
+        peerClients: createPeerClients({ secret: peerSecret, timeoutMs: timing.peerTimeoutMs }),
+        rendezvous: await createRendezvous(),
+        counters: createCounters(),
+        latencies: createLatencies(),
+        failureLog: createFailureLog({ process: processId }),
+        revisionUse: createRevisionUse(),
+        logger: createLogger({
+            program: "almondusher-entry",
+            processId,
+            vm: settings.vmId,
+            level: settings.logLevel,
+            secrets: [peerSecret],
+        }),
+        tables: createTables(settings),
+    };
+};
+
+const createTables = (settings: EntrySettings): EntryTables => {
+    const vms = entityTable<VmId, Vm>([], vm => vm.id);
+    return {
+        phase: "starting",
+        view: fleetView({ state: emptyFleetState, vms, knownVms: vms }),
+        hasState: false,
+        listing: { vms, knownVms: vms },
+        membership: initialMembership(settings.peers),
+        unregisteredPeers: new Map(),
+        registered: false,
+        platformUp: true,
+        platformContactAtMs: monotonicMs(),
+        peerContactAtMs: monotonicMs(),
+        ready: false,
+        pools: new Map(),
+        requests: new Map(),
+        nextRequestNumber: 0,
+    };
+};
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -7,8 +7,10 @@
 import type { Platform } from "@almondusher/platform/create-platform";
 import type { Rendezvous } from "@almondusher/slots/rendezvous";
 import type { Counters } from "@almondusher/telemetry/counters";
+import type { FailureLog } from "@almondusher/telemetry/failure-log";
 import type { Latencies } from "@almondusher/telemetry/latencies";
 import type { Logger } from "@almondusher/telemetry/logger";
+import type { RevisionUse } from "@almondusher/telemetry/revision-use";
 import type { EntrySettings } from "./entry-settings.js";
 import type { FleetView } from "./fleet-view.js";
 import type { PoolRuntime } from "./pool-runtime.js";
@@ -61,6 +63,8 @@
     readonly rendezvous: Rendezvous;
     readonly counters: Counters;
     readonly latencies: Latencies;
+    readonly failureLog: FailureLog;
+    readonly revisionUse: RevisionUse;
     readonly logger: Logger;
     readonly tables: EntryTables;
 }
--- a/programs/entry/src/entry-settings.ts
+++ b/programs/entry/src/entry-settings.ts
@@ -51,6 +51,10 @@
     maxAttempts: z.int().min(1).max(10).default(3),
     /** Learned run time up to which a request may borrow an unused share of slots. */
     borrowRunTimeMs: durationSchema(500),
+    /** Shortest silence after which an idempotent request gets a second attempt. */
+    hedgeMinMs: durationSchema(1000),
+    /** Multiple of the learned high run time of the route after which it gets one. */
+    hedgeFactor: z.number().min(1).max(100).default(3),
     /** Largest share of a pool's VMs that may be ejected at once. */
     maxEjectedShare: z.number().min(0).max(1).default(0.5),
 });
--- a/programs/entry/src/readiness.ts
+++ b/programs/entry/src/readiness.ts
@@ -1,4 +1,4 @@
-import type { EntryPhase } from "./entry-context.js";
+import { type EntryContext, type EntryPhase, monotonicMs } from "./entry-context.js";
 
 export interface ReadinessOptions {
     readonly phase: EntryPhase;
@@ -30,3 +30,16 @@
     }
     return { ready: true };
 };
+
+/** Whether this entry takes requests now; computed at each request, as a process may have been paused since its last tick. */
+export const currentReadiness = (entry: EntryContext) => {
+    const { tables, settings } = entry;
+    return readinessOf({
+        phase: tables.phase,
+        hasState: tables.hasState,
+        hasVmList: tables.listing.listedAtMs !== undefined,
+        nowMs: monotonicMs(),
+        lastContactMs: Math.max(tables.platformContactAtMs, tables.peerContactAtMs),
+        isolationTimeoutMs: settings.timing.isolationTimeoutMs,
+    });
+};
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -12,6 +12,7 @@
 import { requestHeaders } from "./endpoint-headers.js";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { capacityOf, type PoolRuntime, usableVms } from "./pool-runtime.js";
+import { recordFailedAttempt, recordRejection } from "./record-outcome.js";
 import { type Rejection, sendRejection } from "./rejection.js";
 import { claimFlow, settleFlowClaim } from "./request-claim.js";
 import type { Attempt, RequestFlow } from "./request-flow.js";
@@ -23,7 +24,7 @@
 export const startFlow = (entry: EntryContext, flow: RequestFlow): void => {
     const { request } = flow;
     if (request.idempotent || request.key === undefined) {
-        sendAttempt(entry, flow);
+        sendAttempt(entry, flow, "first");
         return;
     }
     flow.phase = "claiming";
@@ -39,18 +40,20 @@
         // The caller left while the claim was written and nothing was sent.
         settleFlowClaim(entry, flow, "released");
     } else if (rejection === undefined) {
-        sendAttempt(entry, flow);
+        sendAttempt(entry, flow, "first");
     } else {
         rejectFlow(entry, flow, rejection);
     }
 };
 
-/** Sends a request to a VM with a free slot, or lets it wait for one. */
-export const sendAttempt = (entry: EntryContext, flow: RequestFlow): void => {
+/** Sends a request to a VM with a free slot, or lets it wait for one; a hedge does not wait. */
+export const sendAttempt = (entry: EntryContext, flow: RequestFlow, kind: "first" | "retry" | "hedge"): void => {
     const vm = chooseVm(flow);
     if (vm === undefined || !reserveSlot(flow.pool.ledger, vm.id)) {
-        flow.phase = "waiting-for-slot";
-        flow.pool.waitingForSlot.add(flow.request.id);
+        if (kind !== "hedge") {
+            flow.phase = "waiting-for-slot";
+            flow.pool.waitingForSlot.add(flow.request.id);
+        }
         return;
     }
     flow.pool.waitingForSlot.delete(flow.request.id);
@@ -77,8 +80,14 @@
         requestId: request.id,
         handler: createAnswerRelay(entry, flow, attempt, {
             onEnd: () => completeFlow(entry, flow, attempt),
-            onFailure: failure => failAttempt(entry, flow, attempt, failure),
-            onLoser: loser => endAttempt(entry, flow, loser),
+            onFailure: failure => {
+                // An attempt that was ended here before has been dealt with.
+                if (flow.running.includes(attempt)) {
+                    failAttempt(entry, flow, attempt, failure);
+                }
+            },
+            onOvertaken: loser => dropAttempt(flow, loser),
+            onServerError: statusCode => failServerError(entry, flow, attempt, statusCode),
         }),
         limits: {
             connections: connectionShare(pool.ledger, { vm: attempt.vm.id, slotsPerVm, connectionsPerVm }),
@@ -97,7 +106,7 @@
     return candidates[Math.floor(Math.random() * candidates.length)];
 };
 
-const endAttempt = (entry: EntryContext, flow: RequestFlow, attempt: Attempt): void => {
+const endAttempt = (flow: RequestFlow, attempt: Attempt): void => {
     if (!flow.running.includes(attempt)) {
         return;
     }
@@ -111,18 +120,10 @@
     attempt: Attempt,
     { verdict, cause, message }: ExchangeFailure,
 ): void => {
-    endAttempt(entry, flow, attempt);
-    flow.ended = [...flow.ended, { vm: attempt.vm.id, verdict, cause }];
-    const { route } = flow.request;
-    count(entry.counters, {
-        name: "failed-attempts",
-        route: route.name,
-        pool: route.pool,
-        vm: attempt.vm.id,
-        cause,
-        verdict,
-        revision: flow.revision,
-    });
+    endAttempt(flow, attempt);
+    const ended = { vm: attempt.vm.id, verdict, cause };
+    flow.ended = [...flow.ended, ended];
+    recordFailedAttempt(entry, flow, ended);
     if (flow.phase === "done") {
         return;
     }
@@ -134,6 +135,31 @@
     startWaiting(entry, flow.pool);
 };
 
+const dropAttempt = (flow: RequestFlow, attempt: Attempt): void => {
+    endAttempt(flow, attempt);
+    attempt.exchange?.cancel();
+};
+
+const failServerError = (entry: EntryContext, flow: RequestFlow, attempt: Attempt, statusCode: number): void => {
+    dropAttempt(flow, attempt);
+    failAttempt(entry, flow, attempt, {
+        verdict: "may-have-run",
+        cause: "bad-answer",
+        message: `${attempt.vm.address} answered with status ${statusCode}`,
+    });
+};
+
+/** Ends an attempt whose connection has gone silent for good. */
+export const failLostAttempt = (entry: EntryContext, flow: RequestFlow, attempt: Attempt): void => {
+    const sent = attempt.exchange?.headSent === true;
+    dropAttempt(flow, attempt);
+    failAttempt(entry, flow, attempt, {
+        verdict: sent ? "may-have-run" : "not-run",
+        cause: "connection-lost",
+        message: `the connection to ${attempt.vm.address} went silent`,
+    });
+};
+
 const mayRetry = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): boolean =>
     flow.ended.length < entry.settings.limits.maxAttempts &&
     monotonicMs() < flow.request.deadlineAtMs &&
@@ -145,7 +171,7 @@
     if (mayRetry(entry, flow, failure)) {
         const { route } = flow.request;
         count(entry.counters, { name: "retries", route: route.name, pool: route.pool, cause: failure.cause });
-        sendAttempt(entry, flow);
+        sendAttempt(entry, flow, "retry");
         return;
     }
     rejectFlow(entry, flow, {
@@ -159,13 +185,13 @@
 
 // The answer has begun, so that only a broken connection tells the caller that it is not whole.
 const breakAnswer = (entry: EntryContext, flow: RequestFlow, cause: Cause): void => {
-    countFailure(entry, flow, cause, "may-have-run");
+    recordRejection(entry, { cause, verdict: "may-have-run", revision: flow.revision, flow });
     flow.response.destroy();
     closeFlow(entry, flow, "failed");
 };
 
 const completeFlow = (entry: EntryContext, flow: RequestFlow, attempt: Attempt): void => {
-    endAttempt(entry, flow, attempt);
+    endAttempt(flow, attempt);
     if (flow.phase === "done") {
         return;
     }
@@ -188,25 +214,13 @@
         ...flow.running.map((attempt): Verdict => (attempt.exchange?.headSent === true ? "may-have-run" : "not-run")),
     ]);
 
-const countFailure = (entry: EntryContext, flow: RequestFlow, cause: Cause, verdict: Verdict): void => {
-    const { route } = flow.request;
-    count(entry.counters, {
-        name: "rejections",
-        route: route.name,
-        pool: route.pool,
-        cause,
-        verdict,
-        revision: flow.revision,
-    });
-};
-
 /** Ends a request with a rejection; the verdict of the rejection is raised to what the attempts show. */
 export const rejectFlow = (entry: EntryContext, flow: RequestFlow, rejection: Rejection): void => {
     if (flow.phase === "done") {
         return;
     }
     const verdict = combineVerdicts([rejection.verdict, flowVerdict(flow)]);
-    countFailure(entry, flow, rejection.cause, verdict);
+    recordRejection(entry, { cause: rejection.cause, verdict, revision: flow.revision, flow });
     if (flow.phase === "answering") {
         flow.response.destroy();
     } else {
@@ -231,7 +245,7 @@
     if (flow.phase === "done") {
         return;
     }
-    countFailure(entry, flow, "cancelled", flowVerdict(flow));
+    recordRejection(entry, { cause: "cancelled", verdict: flowVerdict(flow), revision: flow.revision, flow });
     if (flowVerdict(flow) === "not-run" && flow.phase !== "claiming") {
         settleFlowClaim(entry, flow, "released");
     }
@@ -242,8 +256,9 @@
     const { request, pool } = flow;
     flow.phase = "done";
     flow.body?.detach();
-    flow.running.forEach(attempt => attempt.exchange?.cancel());
-    flow.running.forEach(attempt => endAttempt(entry, flow, attempt));
+    const { running } = flow;
+    running.forEach(attempt => endAttempt(flow, attempt));
+    running.forEach(attempt => attempt.exchange?.cancel());
     pool.waitingForSlot.delete(request.id);
     entry.tables.requests.delete(request.id);
     if (outcome === "completed") {
@@ -263,7 +278,7 @@
         .filter(flow => flow?.phase === "waiting-for-slot")
         .forEach(flow => {
             if (flow !== undefined && usableVms(pool).length > 0) {
-                sendAttempt(entry, flow);
+                sendAttempt(entry, flow, "retry");
             }
         });
     const taken = takeNext(pool.admission, capacityOf(pool), monotonicMs());
--- /dev/null
+++ b/programs/entry/src/watch-attempts.ts
@@ -0,0 +1,97 @@
+import { probeEndpoint } from "@almondusher/exchange/probe-endpoint";
+import { watchProgress } from "@almondusher/exchange/progress-watch";
+import { count } from "@almondusher/telemetry/counters";
+import { type EntryContext, monotonicMs } from "./entry-context.js";
+import { failLostAttempt, rejectFlow, sendAttempt } from "./serve-request.js";
+import type { Attempt, RequestFlow } from "./request-flow.js";
+
+/** Finds attempts whose connection is lost, hedges idempotent requests that hear nothing, and ends those out of time. */
+export const watchAttempts = (entry: EntryContext): void => {
+    const nowMs = monotonicMs();
+    entry.tables.requests.forEach(flow => {
+        if (flow.phase === "sending" || flow.phase === "answering") {
+            watchFlow(entry, flow, nowMs);
+        }
+    });
+};
+
+const watchFlow = (entry: EntryContext, flow: RequestFlow, nowMs: number): void => {
+    const { answerByMs } = flow.request;
+    if (answerByMs !== undefined && nowMs > answerByMs && flow.phase === "sending") {
+        rejectFlow(entry, flow, {
+            status: 504,
+            cause: "deadline",
+            verdict: "not-run",
+            message: "the endpoint did not answer within almondusher-timeout-ms",
+        });
+        return;
+    }
+    flow.running
+        .filter(attempt => isLost(flow, attempt, nowMs))
+        .forEach(attempt => failLostAttempt(entry, flow, attempt));
+    if (flow.phase === "sending" && needsHedge(entry, flow, nowMs)) {
+        hedge(entry, flow);
+    }
+};
+
+const silenceOf = (attempt: Attempt, nowMs: number): number =>
+    nowMs - (attempt.exchange?.lastProgressAt ?? attempt.startedAtMs);
+
+const waitsForCaller = (flow: RequestFlow, attempt: Attempt): boolean =>
+    attempt.exchange?.paused === true || (flow.request.hasBody && !flow.incoming.complete);
+
+const isLost = (flow: RequestFlow, attempt: Attempt, nowMs: number): boolean => {
+    const { exchange } = attempt;
+    if (exchange === undefined || waitsForCaller(flow, attempt)) {
+        return false;
+    }
+    const verdict = watchProgress({
+        now: nowMs,
+        lastProgressAt: exchange.lastProgressAt,
+        progressIntervalMs: flow.pool.view.pool.progressIntervalMs,
+        headSeen: flow.phase === "answering",
+        waitsForCaller: false,
+    });
+    return verdict === "lost" || silenceOf(attempt, nowMs) > flow.request.route.timeoutMs;
+};
+
+// An endpoint that announces progress is watched by its interval instead.
+const needsHedge = (entry: EntryContext, flow: RequestFlow, nowMs: number): boolean =>
+    flow.request.idempotent &&
+    !flow.hedged &&
+    flow.pool.view.pool.progressIntervalMs === undefined &&
+    (flow.body?.canReplay() ?? true) &&
+    flow.running.length === 1 &&
+    flow.running.every(
+        attempt => !waitsForCaller(flow, attempt) && silenceOf(attempt, nowMs) > entry.settings.limits.hedgeMinMs,
+    );
+
+const hedge = (entry: EntryContext, flow: RequestFlow): void => {
+    flow.hedged = true;
+    const [silent] = flow.running;
+    if (silent === undefined) {
+        return;
+    }
+    const { route } = flow.request;
+    count(entry.counters, { name: "probes", route: route.name, pool: route.pool, vm: silent.vm.id });
+    void probeEndpoint(entry.connections, silent.vm.address, entry.settings.timing.connectTimeoutMs).then(result => {
+        if (flow.phase !== "sending" || !flow.running.includes(silent)) {
+            return;
+        }
+        switch (result.kind) {
+            case "unreachable":
+                failLostAttempt(entry, flow, silent);
+                return;
+            case "alive":
+            case "silent":
+                startHedge(entry, flow);
+                return;
+        }
+    });
+};
+
+const startHedge = (entry: EntryContext, flow: RequestFlow): void => {
+    const { route } = flow.request;
+    count(entry.counters, { name: "hedges", route: route.name, pool: route.pool });
+    sendAttempt(entry, flow, "hedge");
+};
--- a/programs/manager/src/manager-process.ts
+++ b/programs/manager/src/manager-process.ts
@@ -15,12 +15,14 @@
 import { signalStream, tickStream } from "@almondusher/telemetry/event-stream";
 import { createLogger, logEvent } from "@almondusher/telemetry/logger";
 import { startOperatorServer } from "@almondusher/telemetry/operator-server";
+import { statusRoute } from "@almondusher/telemetry/status-report";
 import { startStateDumper } from "@almondusher/telemetry/state-dump";
 import { askEntries } from "./ask-entries.js";
 import { noDemand } from "./demand-average.js";
 import { holdLease } from "./hold-lease.js";
 import type { ManagerContext } from "./manager-context.js";
 import type { ManagerSettings } from "./manager-settings.js";
+import { managerStatus } from "./manager-status.js";
 import { runPlan } from "./run-plan.js";
 import { VERSION } from "./version.js";
 
@@ -45,6 +47,7 @@
         health: () => ({ ready: !manager.tables.stopping }),
         dump: () => dumper.dump(),
         metrics: () => ({ counters: listCounters(manager.counters), latencies: [], gauges: [] }),
+        routes: [statusRoute(() => managerStatus(manager))],
     });
     logEvent(manager.logger, { kind: "started", version: VERSION, settingsFile });
     await runEvents(manager);
