Prove the exchange against malformed answers, pauses and lost connections

They found that the client rejects a 304 with a Content-Length, which is now complete with its head; that a request body whose exchange ended early must be left paused for its owner, not drained; and that a stalled pair of the TCP relay leaked its caller's socket. Causes of a failure are told apart by who closed the connection and whether an answer had begun.

Conclusion: each exchange ends exactly once in all cases tested. A second answer that arrives after the next request was written is only recognised if the endpoint repeats almondusher-request-id.

--- a/routing/exchange/src/connection-pool.ts
+++ b/routing/exchange/src/connection-pool.ts
@@ -83,7 +83,7 @@
         return undefined;
     }
     const now = performance.now();
-    const entry = addressEntry(connections, options.address);
+    const entry = connections.byAddress.get(options.address) ?? { open: new Set(), idle: [] };
     const idleLimit = options.fresh ? connections.settings.nonIdempotentIdleMs : connections.settings.idleMs;
     const reusable = takeReusable(connections, entry, now, idleLimit);
     if (reusable !== undefined) {
@@ -185,16 +185,6 @@
 const allConnections = (connections: Connections): Connection[] =>
     [...connections.byAddress.values()].flatMap(entry => [...entry.open]);
 
-const addressEntry = (connections: Connections, address: string): AddressConnections => {
-    const known = connections.byAddress.get(address);
-    if (known !== undefined) {
-        return known;
-    }
-    const entry: AddressConnections = { open: new Set(), idle: [] };
-    connections.byAddress.set(address, entry);
-    return entry;
-};
-
 const takeReusable = (
     connections: Connections,
     entry: AddressConnections,
@@ -223,8 +213,8 @@
 
 const staleReason = (connections: Connections, connection: Connection, now: number): CloseReason | undefined => {
     const socket = connection.socket;
-    if (socket === undefined || socket.destroyed || socket.readableEnded || !socket.writable) {
-        return "closed-by-endpoint";
+    if (socket === undefined || socket.destroyed || !socket.writable || connection.closedByEndpoint) {
+        return idleCloseReason(connection);
     }
     if (socket.bytesRead !== connection.bytesReadWhenIdle) {
         return "unsolicited-bytes";
@@ -267,9 +257,18 @@
 // A busy connection is closed by its exchange, which also has the reason.
 const onSocketClose = (connections: Connections, connection: Connection): void => {
     if (connection.phase === "idle" || connection.phase === "settling") {
-        const unsolicited = connection.socket?.bytesRead !== connection.bytesReadWhenIdle;
-        closeConnection(connections, connection, unsolicited ? "unsolicited-bytes" : "closed-by-endpoint");
+        closeConnection(connections, connection, idleCloseReason(connection));
+    }
+};
+
+const idleCloseReason = (connection: Connection): CloseReason => {
+    if (connection.socket?.bytesRead !== connection.bytesReadWhenIdle) {
+        return "unsolicited-bytes";
+    }
+    if (connection.closedByEndpoint) {
+        return "closed-by-endpoint";
     }
+    return connection.phase === "settling" ? "not-kept-alive" : "idle-limit";
 };
 
 const settle = (connections: Connections): void => {
--- a/routing/exchange/src/connection.ts
+++ b/routing/exchange/src/connection.ts
@@ -10,6 +10,7 @@
     "replaced",
     "unsolicited-bytes",
     "closed-by-endpoint",
+    "not-kept-alive",
     "exchange-failed",
     "cancelled",
     "pool-closed",
@@ -31,6 +32,8 @@
     socket: Socket | undefined;
     /** Set when the connection could not be established. */
     connectFailed: boolean;
+    /** Set when the endpoint closed or reset the connection. */
+    closedByEndpoint: boolean;
     /** Monotonic time in milliseconds of the end of the last exchange. */
     idleSince: number;
     /** Bytes received until the end of the last exchange; a higher count while idle means unsolicited bytes. */
@@ -51,6 +54,8 @@
     readonly onClose: (connection: Connection) => void;
 }
 
+const CLIENT_IDLE_MARGIN_MS = 5_000;
+
 /** Creates a connection that is established with the first exchange dispatched on it. */
 export const openConnection = (options: OpenConnectionOptions): Connection => {
     const connect = buildConnector({
@@ -71,6 +76,9 @@
                 connection.connectFailed = true;
             } else if (socket instanceof Socket) {
                 connection.socket = socket;
+                socket.once("end", () => {
+                    connection.closedByEndpoint = true;
+                });
                 socket.once("close", () => options.onClose(connection));
             }
             callback(...result);
@@ -84,8 +92,9 @@
             // Long work is never cut by a fixed timeout; the exchange and the entry decide.
             headersTimeout: 0,
             bodyTimeout: 0,
-            keepAliveTimeout: options.idleMs,
-            keepAliveMaxTimeout: options.idleMs,
+            // The pool enforces the idle limit; the client only shortens it when the endpoint asks for that.
+            keepAliveTimeout: options.idleMs + CLIENT_IDLE_MARGIN_MS,
+            keepAliveMaxTimeout: options.idleMs + CLIENT_IDLE_MARGIN_MS,
             maxHeaderSize: options.maxHeadBytes,
             connect: connectOnce,
         }),
@@ -93,6 +102,7 @@
         phase: "busy",
         socket: undefined,
         connectFailed: false,
+        closedByEndpoint: false,
         idleSince: options.now,
         bytesReadWhenIdle: 0,
         carrier: undefined,
--- a/routing/exchange/src/exchange.ts
+++ b/routing/exchange/src/exchange.ts
@@ -40,7 +40,10 @@
     readonly path: string;
     /** Raw list of names and values without hop-by-hop headers. */
     readonly headers: string[];
-    /** A stream is read only once the connection is established; a buffer can serve further attempts. */
+    /**
+     * A buffer can serve further attempts. A stream is read only once the connection is established and is never
+     * destroyed: if the exchange ends before the stream, it is left paused and its owner discards or closes the rest.
+     */
     readonly body: Readable | Buffer | undefined;
     /** Demands a connection that is new or was used within `nonIdempotentIdleMs`. */
     readonly fresh: boolean;
@@ -64,6 +67,8 @@
     readonly bodyTaken: boolean;
     /** Monotonic time in milliseconds of the last sign of progress: start, body sent, or bytes of the answer. */
     readonly lastProgressAt: number;
-    /** True between onData returning false and `resume`. */
-    readonly paused: boolean;
+    /** True once the head of the final answer has arrived. */
+    readonly headReceived: boolean;
+    /** True while the answer is paused or the body waits for its source, so that silence says nothing about the endpoint. */
+    readonly waitsForCaller: boolean;
 }
--- a/routing/exchange/src/failure-cause.ts
+++ b/routing/exchange/src/failure-cause.ts
@@ -5,8 +5,12 @@
     readonly error: Error;
     /** The connection could not be established. */
     readonly connectFailed: boolean;
-    /** Bytes of the request were handed to the socket. */
-    readonly bytesSent: number;
+    /** The caller's body ended with an error. */
+    readonly bodyFailed: boolean;
+    /** The endpoint closed the connection. */
+    readonly closedByEndpoint: boolean;
+    /** Bytes of an answer were received. */
+    readonly answered: boolean;
 }
 
 const badAnswerCodes = new Set([
@@ -20,21 +24,28 @@
     "UND_ERR_REQ_CONTENT_LENGTH_MISMATCH",
 ]);
 
-/** Cause of a failed exchange, from the error of the client and what was sent. */
+/** Cause of a failed exchange, from the error of the client and what was seen on the connection. */
 export const failureCause = (evidence: FailureEvidence): Cause => {
     const code = errorCode(evidence.error);
+    if (evidence.bodyFailed) {
+        return "cancelled";
+    }
     if (evidence.connectFailed) {
         return "connect-failed";
     }
     if (badRequestCodes.has(code)) {
         return "bad-request";
     }
-    if (badAnswerCodes.has(code) || code.startsWith("HPE_") || evidence.error.name === "HTTPParserError") {
+    if (badAnswerCodes.has(code) || code.startsWith("HPE_")) {
         return "bad-answer";
     }
-    return "connection-lost";
+    // The client itself closes a connection on an answer that it does not accept.
+    const rejectedByClient = evidence.answered && !evidence.closedByEndpoint && !isSystemError(code);
+    return rejectedByClient ? "bad-answer" : "connection-lost";
 };
 
+const isSystemError = (code: string): boolean => /^E[A-Z]+$/.test(code);
+
 const errorCode = (error: Error): string => {
     const code = "code" in error ? error.code : undefined;
     return typeof code === "string" ? code : "";
--- a/routing/exchange/src/forward-headers.ts
+++ b/routing/exchange/src/forward-headers.ts
@@ -23,26 +23,32 @@
     "upgrade",
 ]);
 
+// A caller must not have these removed by listing them in Connection.
+const neverDropped = new Set(["host", "content-length"]);
+
 /** Copies the end-to-end headers of a message in their order and adds this hop to Via. */
 export const forwardHeaders = (options: ForwardHeadersOptions): string[] => {
-    const { headers } = options;
+    const { headers, drop = nothing } = options;
     const listed = connectionOptions(headers);
     const forwarded: string[] = [];
-    let via = `1.1 ${options.via}`;
+    let via = "";
     for (let index = 0; index + 1 < headers.length; index += 2) {
         const name = headers[index] ?? "";
         const value = headers[index + 1] ?? "";
         const lowerName = name.toLowerCase();
         if (lowerName === "via") {
-            via = `${value}, ${via}`;
-        } else if (!hopByHop.has(lowerName) && !listed.includes(lowerName) && !options.drop?.includes(lowerName)) {
+            via += `${value}, `;
+        } else if (!hopByHop.has(lowerName) && !isListed(listed, lowerName) && !drop.includes(lowerName)) {
             forwarded.push(name, value);
         }
     }
-    forwarded.push("via", via);
+    forwarded.push("via", `${via}1.1 ${options.via}`);
     return forwarded;
 };
 
+const isListed = (listed: readonly string[], lowerName: string): boolean =>
+    listed.length > 0 && listed.includes(lowerName) && !neverDropped.has(lowerName);
+
 const nothing: readonly string[] = [];
 
 // The options that a Connection header may list besides names of headers.
--- a/routing/exchange/src/request-body.ts
+++ b/routing/exchange/src/request-body.ts
@@ -5,16 +5,23 @@
     readonly stream: Readable;
     /** True once a byte was read from the source, which can then not serve another attempt. */
     readonly taken: boolean;
+    /** True if the source ended with an error or closed early. */
+    readonly failed: boolean;
+    /** True while everything that the source has given was passed on and more is to come. */
+    readonly waitsForSource: boolean;
     /** Starts reading the source. */
     attach: () => void;
-    /** Stops reading; the rest of a source that was taken is discarded. */
+    /** Stops reading and leaves the source paused; its owner discards or closes the rest. */
     detach: () => void;
 }
 
 /** Puts a stream between the source and the client, because the client destroys the body of a failed exchange. */
 export const detachableBody = (source: Readable): DetachableBody => {
     const stream = new PassThrough();
+    // The client no longer listens once the exchange has ended.
+    stream.on("error", () => undefined);
     let taken = false;
+    let failed = false;
     let attached = false;
     const onData = (chunk: Buffer): void => {
         taken = true;
@@ -29,6 +36,7 @@
         stream.end();
     };
     const onError = (error: Error): void => {
+        failed = true;
         stream.destroy(error);
     };
     const onClose = (): void => {
@@ -50,19 +58,25 @@
         }
     };
     const detach = (): void => {
-        source.off("data", onData).off("end", onEnd).off("error", onError).off("close", onClose);
-        stream.destroy();
-        if (taken) {
-            source.resume();
-        } else {
-            source.pause();
+        if (!attached) {
+            stream.destroy();
+            return;
         }
+        source.off("data", onData).off("end", onEnd).off("error", onError).off("close", onClose);
+        stream.off("drain", onDrain).destroy();
+        source.pause();
     };
     return {
         stream,
         get taken() {
             return taken;
         },
+        get failed() {
+            return failed;
+        },
+        get waitsForSource() {
+            return !source.readableEnded && stream.readableLength + stream.writableLength === 0;
+        },
         attach,
         detach,
     };
--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -13,6 +13,8 @@
 const VERDICT_HEADER = "almondusher-verdict";
 const REQUEST_ID_HEADER = "almondusher-request-id";
 const SERVICE_UNAVAILABLE = 503;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
 const FIRST_FINAL_STATUS = 200;
 // The client takes an empty text for no body.
 const EMPTY_BODY = "";
@@ -27,9 +29,11 @@
         connection: undefined,
         reused: false,
         bytesWrittenBefore: 0,
+        bytesReadBefore: 0,
         bytesSent: 0,
         lastProgressAt: performance.now(),
         paused: false,
+        headReceived: false,
         discardedBytes: 0,
         resumeAnswer: undefined,
     };
@@ -49,8 +53,11 @@
         get lastProgressAt() {
             return running.lastProgressAt;
         },
-        get paused() {
-            return running.paused;
+        get headReceived() {
+            return running.headReceived;
+        },
+        get waitsForCaller() {
+            return running.paused || (running.body?.waitsForSource ?? false);
         },
     };
 };
@@ -70,7 +77,7 @@
     carrier.current = running;
     running.connection = connection;
     running.reused = connection.socket !== undefined;
-    running.bytesWrittenBefore = connection.socket?.bytesWritten ?? 0;
+    markStart(running, connection);
     running.body = requestBody(options);
     connection.client.dispatch(
         {
@@ -118,7 +125,7 @@
         },
         onComplete: trailers => {
             if (carrier.current !== undefined) {
-                complete(carrier.current, rawHeaderText(trailers ?? []));
+                finish(carrier.current, rawHeaderText(trailers ?? []), undefined);
             }
         },
         onError: error => {
@@ -134,11 +141,16 @@
 
 const start = (running: RunningExchange | undefined): void => {
     if (running?.connection !== undefined) {
-        running.bytesWrittenBefore = running.connection.socket?.bytesWritten ?? 0;
+        markStart(running, running.connection);
         running.body?.attach();
     }
 };
 
+const markStart = (running: RunningExchange, { socket }: Connection): void => {
+    running.bytesWrittenBefore = socket?.bytesWritten ?? 0;
+    running.bytesReadBefore = socket?.bytesRead ?? 0;
+};
+
 const receiveHead = (running: RunningExchange, statusCode: number, statusMessage: string, headers: string[]): void => {
     running.lastProgressAt = performance.now();
     if (bytesSent(running) === 0) {
@@ -150,11 +162,15 @@
     } else if (statusCode === SERVICE_UNAVAILABLE && headerValue(headers, VERDICT_HEADER) === "not-run") {
         refuse(running);
     } else {
-        running.phase = "body";
+        running.phase = isBodyless(running.options.method, statusCode) ? "bodyless" : "body";
+        running.headReceived = true;
         running.options.handler.onHead({ statusCode, statusMessage, headers });
     }
 };
 
+const isBodyless = (method: string, statusCode: number): boolean =>
+    method === "HEAD" || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
+
 const namesOtherRequest = (running: RunningExchange, headers: readonly string[]): boolean => {
     const expected = running.options.requestId;
     return expected !== undefined && (headerValue(headers, REQUEST_ID_HEADER) ?? expected) !== expected;
@@ -181,9 +197,9 @@
     }
 };
 
-const complete = (running: RunningExchange, trailers: string[]): void => {
+const finish = (running: RunningExchange, trailers: string[], reason: CloseReason | undefined): void => {
     const reported = running.phase === "refused";
-    giveBack(running, undefined);
+    giveBack(running, reason);
     running.phase = "done";
     if (!reported) {
         running.options.handler.onEnd(trailers);
@@ -204,7 +220,19 @@
     if (running.connection !== connection) {
         return;
     }
-    const cause = failureCause({ error, connectFailed: connection.connectFailed, bytesSent: bytesSent(running) });
+    // The client rejects a 304 with a Content-Length, which HTTP allows: such an answer ends with its head.
+    if (running.phase === "bodyless") {
+        finish(running, [], "not-kept-alive");
+        return;
+    }
+    const { connectFailed, closedByEndpoint } = connection;
+    const cause = failureCause({
+        error,
+        connectFailed,
+        bodyFailed: running.body?.failed ?? false,
+        closedByEndpoint,
+        answered: (connection.socket?.bytesRead ?? 0) > running.bytesReadBefore,
+    });
     if (cause === "connection-lost" && isUnsentOnReused(running)) {
         giveBack(running, "closed-by-endpoint");
         dispatch(running, true);
@@ -214,7 +242,7 @@
         running,
         cause,
         `${running.options.address}: ${error.message}`,
-        connection.connectFailed ? "connect-failed" : "exchange-failed",
+        connectFailed ? "connect-failed" : "exchange-failed",
     );
 };
 
--- a/routing/exchange/src/running-exchange.ts
+++ b/routing/exchange/src/running-exchange.ts
@@ -8,16 +8,21 @@
 export interface RunningExchange {
     readonly connections: Connections;
     readonly options: ExchangeOptions;
-    /** `refused` means that the failure was reported and the rest of the answer is discarded. */
-    phase: "waiting" | "body" | "refused" | "done";
+    /**
+     * `bodyless` means that the answer ended with its head; `refused` that the failure was reported and the rest of the
+     * answer is discarded.
+     */
+    phase: "waiting" | "body" | "bodyless" | "refused" | "done";
     body: DetachableBody | undefined;
     connection: Connection | undefined;
     reused: boolean;
     bytesWrittenBefore: number;
+    bytesReadBefore: number;
     /** Bytes sent, valid once the connection was given back. */
     bytesSent: number;
     lastProgressAt: number;
     paused: boolean;
+    headReceived: boolean;
     discardedBytes: number;
     resumeAnswer: (() => void) | undefined;
 }
--- /dev/null
+++ b/routing/exchange/test/answer-integrity.test.ts
@@ -0,0 +1,187 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { createConnections, dumpConnections } from "../src/connection-pool.js";
+import type { ExchangeOptions } from "../src/exchange.js";
+import { runExchange } from "../src/run-exchange.js";
+import { exchangeDefaults, type ExchangeRecord, ignoreAll, runRecorded } from "./exchange-run.js";
+import { startRawEndpoint } from "./raw-endpoint.js";
+
+interface AnswerCase {
+    readonly name: string;
+    readonly bytes: string;
+    readonly close?: "fin" | "reset";
+    readonly request?: Partial<ExchangeOptions>;
+    /** Cause of the failure, or the body of a complete answer. */
+    readonly expected: { readonly cause: string } | { readonly body: string };
+}
+
+const send = (socket: Socket, { bytes, close }: AnswerCase): void => {
+    socket.write(bytes, () => {
+        if (close === "fin") {
+            socket.end();
+        } else if (close === "reset") {
+            socket.resetAndDestroy();
+        }
+    });
+};
+
+const cases: readonly AnswerCase[] = [
+    {
+        name: "a body shorter than its Content-Length",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc",
+        close: "fin",
+        expected: { cause: "connection-lost" },
+    },
+    {
+        name: "a chunked body without its last chunk",
+        bytes: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+        close: "fin",
+        expected: { cause: "connection-lost" },
+    },
+    {
+        name: "a reset in the middle of the body",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nabc",
+        close: "reset",
+        expected: { cause: "connection-lost" },
+    },
+    {
+        name: "a connection that closes in the middle of the head",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-len",
+        close: "fin",
+        expected: { cause: "connection-lost" },
+    },
+    {
+        name: "a connection that closes without a byte",
+        bytes: "",
+        close: "fin",
+        expected: { cause: "connection-lost" },
+    },
+    { name: "bytes that are not HTTP", bytes: "SSH-2.0-x\r\n", expected: { cause: "bad-answer" } },
+    {
+        name: "Content-Length together with Transfer-Encoding",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        expected: { cause: "bad-answer" },
+    },
+    {
+        name: "two different Content-Length headers",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
+        expected: { cause: "bad-answer" },
+    },
+    {
+        name: "an upgrade that was not asked for",
+        bytes: "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n",
+        expected: { cause: "bad-answer" },
+    },
+    {
+        name: "a head that exceeds the limit",
+        bytes: `HTTP/1.1 200 OK\r\nx: ${"y".repeat(100_000)}\r\n\r\n`,
+        expected: { cause: "bad-answer" },
+    },
+    {
+        name: "an answer that names another request",
+        bytes: "HTTP/1.1 200 OK\r\nalmondusher-request-id: other\r\ncontent-length: 3\r\n\r\nabc",
+        request: { requestId: "mine" },
+        expected: { cause: "bad-answer" },
+    },
+    {
+        name: "a complete answer",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+        expected: { body: "abc" },
+    },
+    {
+        name: "a complete chunked answer",
+        bytes: "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+        expected: { body: "abc" },
+    },
+    {
+        name: "a body that ends with the connection",
+        bytes: "HTTP/1.1 200 OK\r\n\r\nabc",
+        close: "fin",
+        expected: { body: "abc" },
+    },
+    { name: "a 204", bytes: "HTTP/1.1 204 No Content\r\n\r\n", expected: { body: "" } },
+    {
+        name: "a 304 with a length",
+        bytes: "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n",
+        expected: { body: "" },
+    },
+    {
+        name: "an answer to HEAD with a length",
+        bytes: "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n",
+        request: { method: "HEAD" },
+        expected: { body: "" },
+    },
+];
+
+cases.forEach(answer => {
+    test(`${answer.name} ends the exchange once and with the right verdict`, async context => {
+        const endpoint = await startRawEndpoint(context, socket => send(socket, answer));
+        const record = await runRecorded(createConnections(), { address: endpoint.address, ...answer.request });
+        assert.equal(record.ends, 1);
+        if ("cause" in answer.expected) {
+            assert.deepEqual([record.failure?.verdict, record.failure?.cause], ["may-have-run", answer.expected.cause]);
+        } else {
+            assert.equal(record.failure, undefined);
+            assert.equal(record.body, answer.expected.body);
+        }
+    });
+});
+
+test("informational answers are passed on and the final one follows", async context => {
+    const endpoint = await startRawEndpoint(context, socket =>
+        socket.write(
+            "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n",
+        ),
+    );
+    const record = await runRecorded(createConnections(), { address: endpoint.address });
+    assert.deepEqual([record.information, record.statusCode, record.failure], [[102, 103], 200, undefined]);
+});
+
+test("trailers of the answer are passed on", async context => {
+    const endpoint = await startRawEndpoint(context, socket =>
+        socket.write("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nx-sum: 7\r\n\r\n"),
+    );
+    const record = await runRecorded(createConnections(), { address: endpoint.address });
+    assert.deepEqual(record.trailers, ["x-sum", "7"]);
+});
+
+const ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n";
+
+test("a second answer in the same segment never reaches the next request", async context => {
+    const endpoint = await startRawEndpoint(context, (socket, request) => {
+        const answer = `${ANSWER}ans-${request}`;
+        socket.write(request === 1 ? `${answer}${ANSWER}wrong` : answer);
+    });
+    const connections = createConnections();
+    const next = await new Promise<ExchangeRecord>(resolve => {
+        runExchange(connections, {
+            ...exchangeDefaults,
+            address: endpoint.address,
+            handler: {
+                ...ignoreAll,
+                // The next request starts before the rest of the segment is parsed.
+                onEnd: () => void runRecorded(connections, { address: endpoint.address }).then(resolve),
+            },
+        });
+    });
+    assert.equal(next.body, "ans-2");
+    assert.equal(dumpConnections(connections).opened, 2);
+});
+
+test("bytes on an idle connection close it and are counted", async context => {
+    const endpoint = await startRawEndpoint(context, (socket, request) => {
+        socket.write(`${ANSWER}ans-${request}`);
+        if (request === 1) {
+            setTimeout(() => socket.write(`${ANSWER}wrong`), 50);
+        }
+    });
+    const connections = createConnections();
+    await runRecorded(connections, { address: endpoint.address });
+    await delay(150);
+    const second = await runRecorded(connections, { address: endpoint.address });
+    assert.equal(second.body, "ans-2");
+    assert.equal(dumpConnections(connections).closed["unsolicited-bytes"], 1);
+    assert.equal(endpoint.sockets.length, 2);
+});
--- a/routing/exchange/test/exchange-run.ts
+++ b/routing/exchange/test/exchange-run.ts
@@ -1,4 +1,4 @@
-import type { Exchange, ExchangeFailure, ExchangeOptions } from "../src/exchange.js";
+import type { Exchange, ExchangeFailure, ExchangeHandler, ExchangeOptions } from "../src/exchange.js";
 import type { Connections } from "../src/connection-pool.js";
 import { runExchange } from "../src/run-exchange.js";
 
@@ -14,16 +14,33 @@
     readonly bytesSent: number;
 }
 
+/** Options that differ from the defaults. */
+export type RecordedOptions = Partial<Omit<ExchangeOptions, "handler">> & { address: string };
+
 export interface RecordedExchange {
     readonly exchange: Exchange;
     readonly result: Promise<ExchangeRecord>;
 }
 
+export const exchangeDefaults: Omit<ExchangeOptions, "address" | "handler"> = {
+    method: "GET",
+    path: "/",
+    headers: ["host", "service.example"],
+    body: undefined,
+    fresh: false,
+    limits: { connections: 9 },
+};
+
+export const ignoreAll: ExchangeHandler = {
+    onInformation: () => undefined,
+    onHead: () => undefined,
+    onData: () => true,
+    onEnd: () => undefined,
+    onFailure: () => undefined,
+};
+
 /** Starts an exchange and collects its events until it ended and the connection was given back. */
-export const startRecorded = (
-    connections: Connections,
-    options: Partial<ExchangeOptions> & { address: string },
-): RecordedExchange => {
+export const startRecorded = (connections: Connections, options: RecordedOptions): RecordedExchange => {
     const information: number[] = [];
     const chunks: Buffer[] = [];
     let head: { statusCode: number; headers: string[] } | undefined;
@@ -49,12 +66,7 @@
         }, 20);
     };
     const exchange = runExchange(connections, {
-        method: "GET",
-        path: "/",
-        headers: ["host", "service.example"],
-        body: undefined,
-        fresh: false,
-        limits: { connections: 9 },
+        ...exchangeDefaults,
         ...options,
         handler: {
             onInformation: statusCode => information.push(statusCode),
@@ -67,14 +79,11 @@
             },
             onEnd: trailers => end(trailers, undefined),
             onFailure: failure => end([], failure),
-            ...options.handler,
         },
     });
     return { exchange, result };
 };
 
 /** Runs one exchange to its end. */
-export const runRecorded = (
-    connections: Connections,
-    options: Partial<ExchangeOptions> & { address: string },
-): Promise<ExchangeRecord> => startRecorded(connections, options).result;
+export const runRecorded = (connections: Connections, options: RecordedOptions): Promise<ExchangeRecord> =>
+    startRecorded(connections, options).result;
--- a/stand-ins/endpoint/src/tcp-relay.ts
+++ b/stand-ins/endpoint/src/tcp-relay.ts
@@ -38,7 +38,13 @@
         pairs.add(pair);
         forward(pair, caller, endpoint);
         forward(pair, endpoint, caller);
-        endpoint.once("close", () => pairs.delete(pair));
+        [caller, endpoint].forEach(socket =>
+            socket.once("close", () => {
+                if (caller.destroyed && endpoint.destroyed) {
+                    pairs.delete(pair);
+                }
+            }),
+        );
     });
     server.listen(port, LOOPBACK);
     await once(server, "listening");
