--- a/observe/telemetry/src/explain.ts
+++ b/observe/telemetry/src/explain.ts
@@ -10,7 +10,7 @@
 import { concernsSubject, type Subject, subjectScope, type SubjectScope, touchesSubject } from "./subject-scope.js";
 
 /** An edit that touches the subject. */
-export interface EditSummary {
+interface EditSummary {
     readonly revision: number;
     readonly author: Author;
     /** Time in the record, by the author's clock. */
--- a/observe/telemetry/src/subject-scope.ts
+++ b/observe/telemetry/src/subject-scope.ts
@@ -63,7 +63,7 @@
 };
 
 /** The versions of the row that a change names. */
-export const rowsOf = <Row>({ before, after }: { before?: Row | undefined; after?: Row | undefined }): readonly Row[] =>
+const rowsOf = <Row>({ before, after }: { before?: Row | undefined; after?: Row | undefined }): readonly Row[] =>
     [before, after].filter(row => row !== undefined);
 
 const versionsOfRoute = (name: RouteName, state: FleetState, changes: readonly Change[]): readonly Route[] => [
--- a/observe/telemetry/src/traffic-report.ts
+++ b/observe/telemetry/src/traffic-report.ts
@@ -39,9 +39,6 @@
     uses: z.array(z.object({ process: nameSchema<ProcessId>(), revision: countSchema, sinceMs: timeSchema })),
 });
 
-/** What one process contributes to an explanation. */
-export type TrafficReport = z.infer<typeof trafficReportSchema>;
-
 /** The operator route GET /traffic?from=MS&to=MS. */
 export const trafficRoute = (log: FailureLog, use: RevisionUse): OperatorRoute => ({
     method: "GET",
--- /dev/null
+++ b/programs/cli/src/commands.ts
@@ -0,0 +1,20 @@
+import { ApplyCommand } from "./commands/apply.js";
+import { DiffCommand } from "./commands/diff.js";
+import { DumpCommand } from "./commands/dump.js";
+import { ExplainCommand } from "./commands/explain.js";
+import { HistoryCommand } from "./commands/history.js";
+import { ShowCommand } from "./commands/show.js";
+import { StatusCommand } from "./commands/status.js";
+import { ValidateCommand } from "./commands/validate.js";
+
+/** The commands of the binary, by name; oclif loads them. @public */
+export const commands = {
+    apply: ApplyCommand,
+    diff: DiffCommand,
+    dump: DumpCommand,
+    explain: ExplainCommand,
+    history: HistoryCommand,
+    show: ShowCommand,
+    status: StatusCommand,
+    validate: ValidateCommand,
+};
--- /dev/null
+++ b/programs/cli/src/format-table.ts
@@ -0,0 +1,24 @@
+/** A column of a printed table. */
+export interface Column<Row> {
+    readonly title: string;
+    readonly text: (row: Row) => string;
+}
+
+const SEPARATOR = "  ";
+
+/** Lines of a table with aligned columns; a single line if there are no rows. */
+export const formatTable = <Row>(rows: readonly Row[], columns: readonly Column<Row>[]): string => {
+    if (rows.length === 0) {
+        return "(none)";
+    }
+    const cells = [columns.map(column => column.title), ...rows.map(row => columns.map(column => column.text(row)))];
+    const widths = columns.map((unusedColumn, index) => Math.max(...cells.map(line => line[index]?.length ?? 0)));
+    return cells
+        .map(line =>
+            line
+                .map((cell, index) => cell.padEnd(widths[index] ?? 0))
+                .join(SEPARATOR)
+                .trimEnd(),
+        )
+        .join("\n");
+};
