--- a/pools/planner/src/complete-drains.ts
+++ b/pools/planner/src/complete-drains.ts
@@ -9,6 +9,8 @@
     | { readonly kind: "complete" }
     /** Every required entry has confirmed; the same processes are asked once more. */
     | { readonly kind: "confirmed"; readonly drain: ConfirmedDrain }
+    /** Confirmed twice, but the list may be too old to show a newcomer that one of these processes' predecessors fed. */
+    | { readonly kind: "list-lags"; readonly drain: ConfirmedDrain; readonly processes: readonly ProcessId[] }
     /** Entries that have not confirmed the revision, and processes that still have requests on the VM. */
     | { readonly kind: "blocked"; readonly entries: readonly string[]; readonly requests: readonly ProcessId[] };
 
@@ -21,6 +23,8 @@
     readonly earlier: ConfirmedDrain | undefined;
     /** Number of the manager's latest question. */
     readonly round: number;
+    /** Processes that registered so recently that the list as read may not show every VM of that time. */
+    readonly recentProcesses: readonly ProcessId[];
 }
 
 const findConfirmation = (entry: RequiredEntry, confirmations: readonly Confirmation[]): Confirmation | undefined => {
@@ -41,6 +45,8 @@
  * Decides whether nobody can send to a draining VM any more.
  * All required entries must confirm, and then the same processes once more: a process that confirmed and was replaced
  * in place cannot confirm again, so its successor, which may have an older state from a peer, is not overlooked.
+ * A replaced process also takes with it the names of those it passed its state to, so the list must be recent enough to
+ * show them.
  */
 export const drainProgress = (options: DrainProgressOptions): DrainProgress => {
     const answers = options.required.map(entry => ({
@@ -57,9 +63,12 @@
             requests: busy.map(confirmation => confirmation.processId),
         };
     }
-    return isConfirmedAgain(options, confirmations)
-        ? { kind: "complete" }
-        : { kind: "confirmed", drain: keepOrStart(options, confirmations) };
+    const drain = keepOrStart(options, confirmations);
+    if (!isConfirmedAgain(options, confirmations)) {
+        return { kind: "confirmed", drain };
+    }
+    const recent = drain.processes.filter(process => options.recentProcesses.includes(process));
+    return recent.length === 0 ? { kind: "complete" } : { kind: "list-lags", drain, processes: recent };
 };
 
 const processesOf = (confirmations: readonly Confirmation[]): readonly ProcessId[] =>
--- a/pools/planner/src/drains.ts
+++ b/pools/planner/src/drains.ts
@@ -1,5 +1,5 @@
 import type { Assignment, DrainPurpose } from "@almondusher/fleet/assignment";
-import type { VmId } from "@almondusher/fleet/ids";
+import type { ProcessId, VmId } from "@almondusher/fleet/ids";
 import { availableVms, isAvailable } from "./budget.js";
 import { completedRow, type DrainProgress, drainProgress } from "./complete-drains.js";
 import type { Waiting } from "./decision.js";
@@ -12,6 +12,7 @@
     type Plan,
     targetPool,
 } from "./plan.js";
+import { keepSince } from "./planner-state.js";
 import { type RequiredEntry, requiredProcesses } from "./required-processes.js";
 
 const withoutLoan = (row: Assignment): Assignment => {
@@ -52,8 +53,9 @@
             }
             return row.phase.purpose.kind === "maintenance" ? row : { ...row, phase: { kind: "serving" } };
         case "maintenance":
-            // Nobody sends to a VM in maintenance, so it changes its pool without a further drain.
-            if (purpose?.kind === "removal") {
+            // Nobody sends to a VM in maintenance, so it changes its pool without a further drain. It is removed only
+            // when it has gone: a reboot that is still on its way must not meet the VM in service again.
+            if (purpose?.kind === "removal" && !plan.listed.has(row.vm)) {
                 return undefined;
             }
             return purpose?.kind === "move" ? { ...row, pool: purpose.pool } : row;
@@ -98,6 +100,13 @@
     });
 };
 
+const recentProcesses = (plan: Plan): readonly ProcessId[] => {
+    const { listReadAtMs, settings } = plan.input;
+    return plan.plannerState.registeredSince
+        .filter(process => listReadAtMs - process.sinceMs < settings.listLagMs)
+        .map(process => process.id);
+};
+
 const progressOf = (plan: Plan, row: Assignment, required: readonly RequiredEntry[]): DrainProgress =>
     row.phase.kind === "draining"
         ? drainProgress({
@@ -107,6 +116,7 @@
               confirmations: plan.input.confirmations,
               earlier: plan.plannerState.confirmedDrains.find(drain => drain.vm === row.vm),
               round: plan.input.round,
+              recentProcesses: recentProcesses(plan),
           })
         : { kind: "blocked", entries: [], requests: [] };
 
@@ -116,6 +126,8 @@
             return [];
         case "confirmed":
             return [{ kind: "waiting", subject: vm, on: "entries", names: progress.drain.processes }];
+        case "list-lags":
+            return [{ kind: "waiting", subject: vm, on: "platform-list", names: progress.processes }];
         case "blocked":
             return [
                 { kind: "waiting" as const, subject: vm, on: "entries" as const, names: progress.entries },
@@ -136,20 +148,35 @@
     });
 };
 
+/** Keeps which entries this manager has seen on the list, and since when it knows the registered processes. */
+const observeEntries = (plan: Plan): Plan => {
+    const { vms, registrations, nowMs } = plan.input;
+    const listed = vms.filter(vm => vm.role === "entry").map(vm => vm.id);
+    const registeredVms = new Set(registrations.map(entry => entry.vm));
+    const seen = plan.plannerState.seenEntryVms.filter(vm => registeredVms.has(vm));
+    return changePlannerState(plan, {
+        seenEntryVms: [...new Set([...seen, ...listed])],
+        registeredSince: keepSince(
+            plan.plannerState.registeredSince,
+            registrations.map(entry => entry.processId),
+            nowMs,
+        ),
+    });
+};
+
 /** Ends the drains that every required entry has confirmed, and names what the others wait for. */
-export const completeDrains = (plan: Plan): Plan => {
-    const listedEntries = plan.input.vms.filter(vm => vm.role === "entry").map(vm => vm.id);
-    const seenEntryVms = [...new Set([...plan.plannerState.seenEntryVms, ...listedEntries])];
-    const required = requiredProcesses({ ...plan.input, seenEntryVms });
+export const completeDrains = (earlier: Plan): Plan => {
+    const plan = observeEntries(earlier);
+    const required = requiredProcesses({ ...plan.input, seenEntryVms: plan.plannerState.seenEntryVms });
     const progress = plan.assignments.rows
         .filter(row => row.phase.kind === "draining")
         .map(row => ({ row, progress: progressOf(plan, row, required) }));
-    const confirmedDrains = progress.flatMap(item => (item.progress.kind === "confirmed" ? [item.progress.drain] : []));
+    const confirmedDrains = progress.flatMap(item => ("drain" in item.progress ? [item.progress.drain] : []));
     const waiting = progress.flatMap(item => waitingFor(item.row.vm, item.progress));
     return progress
         .filter(item => item.progress.kind === "complete")
         .reduce(
             (next, item) => completeRow(next, item.row),
-            addDecisions(changePlannerState(plan, { seenEntryVms, confirmedDrains }), waiting),
+            addDecisions(changePlannerState(plan, { confirmedDrains }), waiting),
         );
 };
--- a/pools/planner/src/plan-input.ts
+++ b/pools/planner/src/plan-input.ts
@@ -36,7 +36,9 @@
     readonly state: FleetState;
     /** The platform's list as this manager last read it. */
     readonly vms: readonly Vm[];
-    /** Entry processes registered in the table service. */
+    /** When that read began, on the clock of `nowMs`. */
+    readonly listReadAtMs: number;
+    /** Entry processes registered in the table service, read after the state. */
     readonly registrations: readonly EntryProcess[];
     readonly confirmations: readonly Confirmation[];
     readonly loads: readonly PoolLoad[];
@@ -45,6 +47,7 @@
     readonly plannerState: PlannerState;
     /** Number of the manager's latest question to the entries. */
     readonly round: number;
+    /** Milliseconds since 1970; between two plans it must advance like a monotonic clock. */
     readonly nowMs: number;
     readonly settings: PlannerSettings;
 }
--- a/pools/planner/src/planner-settings.ts
+++ b/pools/planner/src/planner-settings.ts
@@ -9,6 +9,8 @@
     readonly maintenanceLeadMs: number;
     /** A wave requested at this time covers every VM last maintained before it; absent without a request. */
     readonly waveRequestedAtMs?: number;
+    /** Longest time by which the platform's list lags behind; drains wait this long after an entry process registered. */
+    readonly listLagMs: number;
     /** A reboot that takes longer counts the VM as down. */
     readonly rebootTimeoutMs: number;
     /** A reboot that shows no effect on the list is repeated after this time. */
@@ -31,6 +33,7 @@
 export const defaultPlannerSettings: PlannerSettings = {
     maintenancePeriodMs: 8 * WEEK_MS,
     maintenanceLeadMs: WEEK_MS / 7,
+    listLagMs: 30_000,
     rebootTimeoutMs: 15 * MINUTE_MS,
     rebootRepeatMs: 2 * MINUTE_MS,
     slowDrainMs: 30 * MINUTE_MS,
--- a/pools/planner/src/planner-state.ts
+++ b/pools/planner/src/planner-state.ts
@@ -19,6 +19,8 @@
 export interface PlannerState {
     /** Entry VMs that this manager has seen on the platform's list. */
     readonly seenEntryVms: readonly VmId[];
+    /** Since when this manager has known the registered processes. */
+    readonly registeredSince: readonly Since<ProcessId>[];
     readonly confirmedDrains: readonly ConfirmedDrain[];
     /** Phases other than serving, by VM. */
     readonly unavailableSince: readonly Since<VmId>[];
@@ -30,6 +32,7 @@
 /** The state of a planner that has just started. */
 export const initialPlannerState: PlannerState = {
     seenEntryVms: [],
+    registeredSince: [],
     confirmedDrains: [],
     unavailableSince: [],
     rebootedAt: [],
--- a/pools/planner/test/fleet-fixture.ts
+++ b/pools/planner/test/fleet-fixture.ts
@@ -56,7 +56,8 @@
     plannerState: initialPlannerState,
     round: 0,
     nowMs: Date.UTC(2026, 11, 4),
-    settings: defaultPlannerSettings,
+    listReadAtMs: Date.UTC(2026, 11, 4),
+    settings: { ...defaultPlannerSettings, listLagMs: 0 },
 });
 
 export interface Turn {
--- a/pools/planner/test/moves.test.ts
+++ b/pools/planner/test/moves.test.ts
@@ -110,3 +110,13 @@
     assert.ok(decisions.some(decision => decision.kind === "waiting" && decision.on === "budget"));
     assert.equal(rowOf(settle({ ...next, unresponsiveVms: [] }, 4), "vm-1")?.pool, "deeds");
 });
+
+test("a drain waits until the list must show what was there when the entries registered", () => {
+    const lagging = (input: PlanInput): PlanInput => ({ ...input, settings: { ...input.settings, listLagMs: 30_000 } });
+    const replaced = (input: PlanInput): PlanInput =>
+        lagging({ ...input, registrations: [entryOf("entry-1", 2), entryOf("entry-2")] });
+    const late = (input: PlanInput): PlanInput => ({ ...input, listReadAtMs: input.nowMs + 30_000 });
+    const start = settle(replaced(moving()), 4);
+    assert.equal(rowOf(start, "vm-2")?.phase.kind, "draining");
+    assert.equal(rowOf(settle(late(start), 1), "vm-2")?.pool, "deeds");
+});
