--- a/stand-ins/platform/src/control-service.ts
+++ b/stand-ins/platform/src/control-service.ts
@@ -6,7 +6,7 @@
 import { replaceVms, type VmList } from "./vm-list.js";
 
 /** Schema of a control request; a key left out leaves that part as it is. */
-export const controlSchema = z.strictObject({
+const controlSchema = z.strictObject({
     table: faultSchema.optional(),
     objects: faultSchema.optional(),
     vmList: faultSchema.optional(),
@@ -14,6 +14,8 @@
     rebootMs: z.int().min(0).optional(),
     /** The whole list of VMs. */
     vms: z.array(vmSchema).optional(),
+    /** Rows that the list returns in addition, to test readers with malformed ones. */
+    extraRows: z.array(z.unknown()).optional(),
 });
 
 /** A control request as written. */
@@ -47,6 +49,7 @@
     const { list } = controlled;
     list.lagMs = control.listLagMs ?? list.lagMs;
     list.rebootMs = control.rebootMs ?? list.rebootMs;
+    list.extraRows = control.extraRows ?? list.extraRows;
     if (control.vms !== undefined) {
         replaceVms(list, control.vms, performance.now());
     }
@@ -88,4 +91,5 @@
         operationOf: request => request.method,
         isWrite: () => false,
         answer: request => answer(controlled, request),
+        busyReply: { status: 503 },
     });
--- a/stand-ins/platform/src/fault.ts
+++ b/stand-ins/platform/src/fault.ts
@@ -23,6 +23,10 @@
     loseAnswers: selectionSchema.default({ kind: "none" }),
     /** Writes that are lost before they take effect. */
     loseRequests: selectionSchema.default({ kind: "none" }),
+    /** Writes that are refused because the service is busy. */
+    refuseBusy: selectionSchema.default({ kind: "none" }),
+    /** Connections that are open when the fault is set become unresponsive; new ones work. */
+    freezeConnections: z.boolean().default(false),
     /** Keys that one BatchGetItem answers at most; the others come back as unprocessed. */
     batchKeys: z.int().min(1).optional(),
 });
@@ -30,7 +34,7 @@
 /** The faults of one service. */
 export type Fault = z.output<typeof faultSchema>;
 /** Which writes a fault hits. */
-export type Selection = z.output<typeof selectionSchema>;
+type Selection = z.output<typeof selectionSchema>;
 
 /** A service without faults. */
 export const noFault: Fault = faultSchema.parse({});
--- a/stand-ins/platform/src/object-service.ts
+++ b/stand-ins/platform/src/object-service.ts
@@ -32,5 +32,6 @@
         operationOf: request => `${request.method} object`,
         isWrite: request => request.method === "PUT",
         answer: request => answer(objects, request),
+        busyReply: failure(503, "SlowDown"),
     });
 };
--- a/stand-ins/platform/src/service.ts
+++ b/stand-ins/platform/src/service.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Listen } from "@almondusher/settings/listen-schema";
 import { type Fault, isSelected, noFault } from "./fault.js";
@@ -24,6 +24,8 @@
     readonly operationOf: (request: ServiceRequest) => string;
     readonly isWrite: (request: ServiceRequest) => boolean;
     readonly answer: (request: ServiceRequest, fault: Fault) => ServiceReply | Promise<ServiceReply>;
+    /** The answer of a service that is too busy to carry out a write. */
+    readonly busyReply: ServiceReply;
 }
 
 /** Requests of one operation since the start. */
@@ -44,6 +46,8 @@
     readonly options: ServiceOptions;
     readonly server: Server;
     readonly requests: Map<string, number>;
+    readonly connections: Set<Socket>;
+    frozen: ReadonlySet<Socket>;
     fault: Fault;
     writes: number;
 }
@@ -71,7 +75,7 @@
     const operation = state.options.operationOf(request);
     state.requests.set(operation, (state.requests.get(operation) ?? 0) + 1);
     const { fault } = state;
-    if (fault.down !== "no") {
+    if (fault.down !== "no" || state.frozen.has(message.socket)) {
         return;
     }
     const write = state.options.isWrite(request);
@@ -81,6 +85,10 @@
         message.socket.destroy();
         return;
     }
+    if (isHit(fault.refuseBusy)) {
+        send(response, state.options.busyReply);
+        return;
+    }
     const delayMs = fault.delayMs + (write ? fault.delayWritesMs : 0);
     if (delayMs > 0) {
         await sleep(delayMs);
@@ -113,13 +121,26 @@
     const server = createServer((message, response) => {
         serve(state, message, response).catch(() => message.socket.destroy());
     });
-    const state: ServiceState = { options, server, requests: new Map(), fault: noFault, writes: 0 };
+    const state: ServiceState = {
+        options,
+        server,
+        requests: new Map(),
+        connections: new Set(),
+        frozen: new Set(),
+        fault: noFault,
+        writes: 0,
+    };
+    server.on("connection", socket => {
+        state.connections.add(socket);
+        socket.once("close", () => state.connections.delete(socket));
+    });
     await listenOn(server, options.listen);
     const { address, port, family } = server.address() as AddressInfo;
     const setFault = async (fault: Fault): Promise<void> => {
         const previous = state.fault;
         state.fault = fault;
         state.writes = 0;
+        state.frozen = new Set(fault.freezeConnections ? state.connections : []);
         if (fault.down === "refuse" && server.listening) {
             await closeServer(server);
         }
--- a/stand-ins/platform/src/stand-in-settings.ts
+++ b/stand-ins/platform/src/stand-in-settings.ts
@@ -13,13 +13,11 @@
     control: listenSchema.default(anyPort),
     /** VMs on the list at the start. */
     vms: z.array(vmSchema).default([]),
-    /** Time that a VM is off the list while it reboots. */
+    /** Time that a VM is off the list while it reboots; before, it is leaving for half of that time. */
     rebootMs: z.int().min(0).default(DEFAULT_REBOOT_MS),
     /** Age of the list that `GET /vms` returns. */
     listLagMs: z.int().min(0).default(0),
 });
 
-/** Settings of the stand-in. */
-export type StandInSettings = z.output<typeof standInSettingsSchema>;
 /** Settings of the stand-in as written, with every key optional. */
 export type StandInOptions = z.input<typeof standInSettingsSchema>;
--- a/stand-ins/platform/src/table-service.ts
+++ b/stand-ins/platform/src/table-service.ts
@@ -55,17 +55,18 @@
 
 const headers = { "content-type": "application/x-amz-json-1.0" };
 
+const failureReply = ({ type, message, fields }: ServiceFailure): ServiceReply => ({
+    status: 400,
+    headers,
+    body: JSON.stringify({ __type: `com.amazonaws.dynamodb.v20120810#${type}`, message, ...fields }),
+});
+
 const answer = (store: TableStore, request: ServiceRequest, fault: Fault): ServiceReply => {
     try {
         return { status: 200, headers, body: JSON.stringify(run(store, request, fault)) };
     } catch (error) {
         const failure = error instanceof ServiceFailure ? error : validationFailure(String(error));
-        const body = {
-            __type: `com.amazonaws.dynamodb.v20120810#${failure.type}`,
-            message: failure.message,
-            ...failure.fields,
-        };
-        return { status: 400, headers, body: JSON.stringify(body) };
+        return failureReply(failure);
     }
 };
 
@@ -77,5 +78,6 @@
         operationOf,
         isWrite: request => !READS.includes(operationOf(request)),
         answer: (request, fault) => answer(store, request, fault),
+        busyReply: failureReply(new ServiceFailure("ProvisionedThroughputExceededException", "Too many requests")),
     });
 };
--- a/stand-ins/platform/src/vm-list.ts
+++ b/stand-ins/platform/src/vm-list.ts
@@ -13,6 +13,8 @@
     versions: readonly ListVersion[];
     lagMs: number;
     rebootMs: number;
+    /** Further rows of any form, returned with every version. */
+    extraRows: readonly unknown[];
 }
 
 /** Creates a list that holds from the start. */
@@ -20,6 +22,7 @@
     versions: [{ sinceMs: -Infinity, number: 1, vms }],
     lagMs,
     rebootMs,
+    extraRows: [],
 });
 
 const latest = (list: VmList): ListVersion => list.versions.at(-1) ?? { sinceMs: -Infinity, number: 0, vms: [] };
--- a/stand-ins/platform/src/vm-service.ts
+++ b/stand-ins/platform/src/vm-service.ts
@@ -9,8 +9,9 @@
 const jsonHeaders = { "content-type": "application/json" };
 
 const readList = (list: VmList, request: ServiceRequest): ServiceReply => {
-    const { number, vms } = visibleVersion(list, performance.now());
-    const etag = `"${number}"`;
+    const version = visibleVersion(list, performance.now());
+    const vms = [...version.vms, ...list.extraRows];
+    const etag = `"${version.number}-${list.extraRows.length}"`;
     if (request.headers["if-none-match"] === etag) {
         return { status: 304, headers: { etag } };
     }
@@ -49,4 +50,5 @@
         operationOf: request => (request.method === "GET" ? "GET vms" : "POST reboot"),
         isWrite: request => request.method === "POST",
         answer: request => answer(list, request),
+        busyReply: { status: 503 },
     });
