Read registrations after the state, and keep the planner's clock from stepping back

Cause: the checker of the move protocol shows that an entry may be overlooked if the registrations are older than the state. Change: the manager reads head, state, registrations and VM list in this order and tells the planner when the list was read; listLagMs is a setting.

--- a/bench/system/src/demo.ts
+++ b/bench/system/src/demo.ts
@@ -128,7 +128,7 @@
     print(
         `${fleet.name}: ${placeVms(fleet).length} endpoint VMs, ${fleet.entries} entries, 2 managers; logs in ${folder}`,
     );
-    const deployment = await startDeployment({ fleet, folder });
+    const deployment = await startDeployment({ fleet, folder, managerSettings: { planner: { listLagMs: 0 } } });
     try {
         const tables = sampleTables(fleet);
         const startedAt = performance.now();
--- a/programs/entry/src/watch-attempts.ts
+++ b/programs/entry/src/watch-attempts.ts
@@ -37,19 +37,16 @@
 const silenceOf = (attempt: Attempt, nowMs: number): number =>
     nowMs - (attempt.exchange?.lastProgressAt ?? attempt.startedAtMs);
 
-const waitsForCaller = (flow: RequestFlow, attempt: Attempt): boolean =>
-    attempt.exchange?.paused === true || (flow.request.hasBody && !flow.incoming.complete);
-
 const isLost = (flow: RequestFlow, attempt: Attempt, nowMs: number): boolean => {
     const { exchange } = attempt;
-    if (exchange === undefined || waitsForCaller(flow, attempt)) {
+    if (exchange === undefined || exchange.waitsForCaller) {
         return false;
     }
     const verdict = watchProgress({
         now: nowMs,
         lastProgressAt: exchange.lastProgressAt,
         progressIntervalMs: flow.pool.view.pool.progressIntervalMs,
-        headSeen: flow.phase === "answering",
+        headSeen: exchange.headReceived,
         waitsForCaller: false,
     });
     return verdict === "lost" || silenceOf(attempt, nowMs) > flow.request.route.timeoutMs;
@@ -63,7 +60,8 @@
     (flow.body?.canReplay() ?? true) &&
     flow.running.length === 1 &&
     flow.running.every(
-        attempt => !waitsForCaller(flow, attempt) && silenceOf(attempt, nowMs) > entry.settings.limits.hedgeMinMs,
+        attempt =>
+            attempt.exchange?.waitsForCaller !== true && silenceOf(attempt, nowMs) > entry.settings.limits.hedgeMinMs,
     );
 
 const hedge = (entry: EntryContext, flow: RequestFlow): void => {
--- a/programs/manager/src/manager-context.ts
+++ b/programs/manager/src/manager-context.ts
@@ -32,6 +32,8 @@
     state: FleetState;
     vms: readonly Vm[];
     vmListEtag: string | undefined;
+    /** When the last read of the VM list began, on the clock of `wallClockMs`. */
+    listReadAtMs: number;
     registrations: readonly Registration[];
     /** Last answer of each entry process, by process. */
     readonly confirmations: Map<ProcessId, Confirmation>;
@@ -60,3 +62,6 @@
     readonly logger: Logger;
     readonly tables: ManagerTables;
 }
+
+/** Milliseconds since 1970 that never step back while the process runs. */
+export const wallClockMs = (): number => performance.timeOrigin + performance.now();
--- a/programs/manager/src/manager-process.ts
+++ b/programs/manager/src/manager-process.ts
@@ -20,7 +20,7 @@
 import { askEntries } from "./ask-entries.js";
 import { noDemand } from "./demand-average.js";
 import { holdLease } from "./hold-lease.js";
-import type { ManagerContext } from "./manager-context.js";
+import { type ManagerContext, wallClockMs } from "./manager-context.js";
 import type { ManagerSettings } from "./manager-settings.js";
 import { managerStatus } from "./manager-status.js";
 import { runPlan } from "./run-plan.js";
@@ -80,6 +80,7 @@
             state: emptyFleetState,
             vms: [],
             vmListEtag: undefined,
+            listReadAtMs: 0,
             registrations: [],
             confirmations: new Map(),
             unregistered: [],
@@ -164,19 +165,24 @@
 };
 
 const refreshTables = async ({ platform, tables }: ManagerContext): Promise<void> => {
-    const [head, listing, registrations] = await Promise.all([
-        readHead(platform),
-        readVms(platform, { etag: tables.vmListEtag }),
-        readRegistrations(platform),
-    ]);
+    const head = await readHead(platform);
     if (head !== undefined && head.revision !== tables.state.revision) {
         tables.state = await readState(platform, head);
     }
+    // An entry registers before it reads the state: one that is not among registrations read after the state is no
+    // older than the drains of that state.
+    tables.registrations = await readRegistrations(platform);
+    await refreshVms({ platform, tables });
+};
+
+const refreshVms = async ({ platform, tables }: Pick<ManagerContext, "platform" | "tables">): Promise<void> => {
+    const startedAtMs = wallClockMs();
+    const listing = await readVms(platform, { etag: tables.vmListEtag });
+    tables.listReadAtMs = startedAtMs;
     if (listing.kind === "list") {
         tables.vms = listing.vms;
         tables.vmListEtag = listing.etag;
     }
-    tables.registrations = registrations;
 };
 
 const reportPlatform = (manager: ManagerContext, error: unknown): void => {
--- a/programs/manager/src/manager-settings.ts
+++ b/programs/manager/src/manager-settings.ts
@@ -25,6 +25,8 @@
     maintenanceLeadMs: durationSchema(defaultPlannerSettings.maintenanceLeadMs, 0),
     /** Time in milliseconds since 1970; every VM last maintained before it is maintained now. */
     waveRequestedAtMs: z.int().min(0).optional(),
+    /** Longest time by which the platform's VM list lags; drains wait this long after an entry process registered. */
+    listLagMs: durationSchema(defaultPlannerSettings.listLagMs, 0),
     rebootTimeoutMs: durationSchema(defaultPlannerSettings.rebootTimeoutMs),
     rebootRepeatMs: durationSchema(defaultPlannerSettings.rebootRepeatMs),
     slowDrainMs: durationSchema(defaultPlannerSettings.slowDrainMs),
--- a/programs/manager/src/run-plan.ts
+++ b/programs/manager/src/run-plan.ts
@@ -10,7 +10,7 @@
 import { count } from "@almondusher/telemetry/counters";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { loseLease } from "./hold-lease.js";
-import type { ManagerContext } from "./manager-context.js";
+import { type ManagerContext, wallClockMs } from "./manager-context.js";
 
 const COMMIT_ATTEMPTS = 3;
 
@@ -21,13 +21,14 @@
     const plan = planFleet({
         state: tables.state,
         vms: tables.vms,
+        listReadAtMs: tables.listReadAtMs,
         registrations: tables.registrations.map(({ processId, vmId }) => ({ processId, vm: vmId })),
         confirmations: [...tables.confirmations.values()],
         loads: tables.demand.loads,
         unresponsiveVms: tables.unresponsive,
         plannerState: tables.plannerState,
         round: tables.round,
-        nowMs: Date.now(),
+        nowMs: wallClockMs(),
         settings: { ...planner, ...(waveRequestedAtMs === undefined ? {} : { waveRequestedAtMs }) },
     });
     tables.plannerState = plan.plannerState;
