--- a/bench/system/bin/throughput.js
+++ b/bench/system/bin/throughput.js
@@ -8,6 +8,7 @@
         rounds: { type: "string", default: "5" },
         seconds: { type: "string", default: "4" },
         concurrency: { type: "string", default: "32" },
+        workload: { type: "string", multiple: true, default: ["small", "streams"] },
     },
 });
 await runThroughput({
@@ -15,4 +16,5 @@
     rounds: Number(values.rounds),
     durationMs: Number(values.seconds) * 1000,
     concurrency: Number(values.concurrency),
+    workloads: values.workload,
 });
--- a/bench/system/src/throughput.ts
+++ b/bench/system/src/throughput.ts
@@ -13,6 +13,7 @@
 const WARM_UP_MS = 1_500;
 const POOL = "letters";
 const MEGABYTE = 1024 * 1024;
+const STREAM_CONCURRENCY = 8;
 const STREAM_BYTES = 10 * MEGABYTE;
 
 export interface ThroughputOptions {
@@ -20,6 +21,8 @@
     readonly rounds: number;
     readonly durationMs: number;
     readonly concurrency: number;
+    /** Sizes of answers to measure. */
+    readonly workloads: readonly ("small" | "streams")[];
 }
 
 interface Variant {
@@ -93,6 +96,19 @@
     return variants.map(variant => toRow(workload, variant, results.get(variant.name) ?? []));
 };
 
+const workloadOf = (kind: ThroughputOptions["workloads"][number], options: ThroughputOptions): Workload => {
+    switch (kind) {
+        case "small":
+            return { name: "small answers", headers: {}, concurrency: options.concurrency };
+        case "streams":
+            return {
+                name: "10 MB streams",
+                headers: { "x-answer-bytes": String(STREAM_BYTES) },
+                concurrency: STREAM_CONCURRENCY,
+            };
+    }
+};
+
 const printRows = (rows: readonly Row[]): void => {
     console.log("| workload | variant | requests/s | MB/s | p50 us | p99 us | failures | of proxy: throughput | p50 |");
     console.log("|---|---|---|---|---|---|---|---|---|");
@@ -158,13 +174,10 @@
                 urls: deployment.entries.map(entry => entry.callerUrl),
             },
         ];
-        const small: Workload = { name: "small answers", headers: {}, concurrency: options.concurrency };
-        const streams: Workload = {
-            name: "10 MB streams",
-            headers: { "x-answer-bytes": String(STREAM_BYTES) },
-            concurrency: 8,
-        };
-        const rows = [...(await measure(small, variants, options)), ...(await measure(streams, variants, options))];
+        const rows: Row[] = [];
+        for (const workload of options.workloads) {
+            rows.push(...(await measure(workloadOf(workload, options), variants, options)));
+        }
         printRows(rows);
     } finally {
         proxy.child.process.kill("SIGTERM");
