Pass on Expect and request trailers, and test verdicts under faults

Cause: the pooled client supports neither Expect: 100-continue nor trailers of requests, and the truth of "not-run" had been tested one fault at a time.

Change: such requests run with Node's own client on a connection that is not reused, within the same limit and with the same evidence.

--- a/routing/exchange/src/connection-pool.ts
+++ b/routing/exchange/src/connection-pool.ts
@@ -1,4 +1,12 @@
-import { type CloseReason, closeReasons, type Connection, openConnection } from "./connection.js";
+import {
+    type CloseReason,
+    closeReasons,
+    type Connection,
+    openConnection,
+    type OpenConnectionOptions,
+    openOneShot,
+    type PooledConnection,
+} from "./connection.js";
 
 export interface ConnectionsOptions {
     /** Idle time after which a connection is closed. */
@@ -27,7 +35,7 @@
 interface AddressConnections {
     readonly open: Set<Connection>;
     /** Most recently used last. */
-    readonly idle: Connection[];
+    readonly idle: PooledConnection[];
 }
 
 /** All connections of one entry process to endpoint VMs, by address. */
@@ -38,7 +46,7 @@
     opened: number;
     reused: number;
     probes: number;
-    settling: Connection[];
+    settling: PooledConnection[];
     stopping: boolean;
     /** Called when the last connection of a stopping pool has closed. */
     onDrained: (() => void) | undefined;
@@ -77,8 +85,11 @@
     readonly limit: number;
 }
 
+/** Address and limit of a connection that is not reused. */
+export type OneShotOptions = Omit<AcquireOptions, "fresh">;
+
 /** Takes a connection for one exchange; undefined if the limit is reached or the pool is stopping. */
-export const acquireConnection = (connections: Connections, options: AcquireOptions): Connection | undefined => {
+export const acquireConnection = (connections: Connections, options: AcquireOptions): PooledConnection | undefined => {
     if (connections.stopping) {
         return undefined;
     }
@@ -96,8 +107,23 @@
     return open(connections, entry, options.address, now);
 };
 
+/** Opens a connection for a single exchange; undefined if the limit is reached or the pool is stopping. */
+export const acquireOneShot = (
+    connections: Connections,
+    { address, limit }: OneShotOptions,
+): Connection | undefined => {
+    const entry = connections.byAddress.get(address) ?? { open: new Set(), idle: [] };
+    if (connections.stopping || (entry.open.size >= limit && !closeOldestIdle(connections, entry))) {
+        return undefined;
+    }
+    const connection = openOneShot(openOptions(connections, address, performance.now()));
+    entry.open.add(connection);
+    connections.byAddress.set(address, entry);
+    return connection;
+};
+
 /** Returns a connection after a complete exchange; it is reused once no further bytes were seen in this turn. */
-export const releaseConnection = (connections: Connections, connection: Connection): void => {
+export const releaseConnection = (connections: Connections, connection: PooledConnection): void => {
     if (connection.phase === "closed") {
         return;
     }
@@ -120,7 +146,7 @@
     connections.closed[reason] += 1;
     const entry = connections.byAddress.get(connection.address);
     entry?.open.delete(connection);
-    connection.client.destroy(ignore);
+    connection.close();
     if (entry?.open.size === 0) {
         connections.byAddress.delete(connection.address);
     }
@@ -180,8 +206,6 @@
     }),
 });
 
-const ignore = (): void => undefined;
-
 const allConnections = (connections: Connections): Connection[] =>
     [...connections.byAddress.values()].flatMap(entry => [...entry.open]);
 
@@ -190,7 +214,7 @@
     entry: AddressConnections,
     now: number,
     idleLimitMs: number,
-): Connection | undefined => {
+): PooledConnection | undefined => {
     const connection = entry.idle.at(-1);
     if (connection === undefined || now - connection.idleSince > idleLimitMs) {
         return undefined;
@@ -237,9 +261,16 @@
     return true;
 };
 
-const open = (connections: Connections, entry: AddressConnections, address: string, now: number): Connection => {
+const open = (connections: Connections, entry: AddressConnections, address: string, now: number): PooledConnection => {
+    const connection = openConnection(openOptions(connections, address, now));
+    entry.open.add(connection);
+    connections.byAddress.set(address, entry);
+    return connection;
+};
+
+const openOptions = (connections: Connections, address: string, now: number): OpenConnectionOptions => {
     connections.opened += 1;
-    const connection = openConnection({
+    return {
         id: connections.opened,
         address,
         now,
@@ -248,10 +279,7 @@
         idleMs: connections.settings.idleMs,
         maxHeadBytes: connections.settings.maxHeadBytes,
         onClose: closed => onSocketClose(connections, closed),
-    });
-    entry.open.add(connection);
-    connections.byAddress.set(address, entry);
-    return connection;
+    };
 };
 
 // A busy connection is closed by its exchange, which also has the reason.
--- a/routing/exchange/src/connection.ts
+++ b/routing/exchange/src/connection.ts
@@ -1,5 +1,6 @@
-import { Socket } from "node:net";
+import { connect as connectSocket, Socket } from "node:net";
 import { buildConnector, Client } from "undici";
+import { parseAddress } from "./endpoint-address.js";
 import type { Carrier } from "./running-exchange.js";
 
 /** Why a connection was closed; counted by the pool. */
@@ -24,7 +25,7 @@
     readonly id: number;
     /** IP address and port. */
     readonly address: string;
-    readonly client: Client;
+    close: () => void;
     /** Monotonic time in milliseconds. */
     readonly openedAt: number;
     phase: "busy" | "settling" | "idle" | "closed";
@@ -38,6 +39,11 @@
     idleSince: number;
     /** Bytes received until the end of the last exchange; a higher count while idle means unsolicited bytes. */
     bytesReadWhenIdle: number;
+}
+
+/** A connection that is reused, as one client. */
+export interface PooledConnection extends Connection {
+    readonly client: Client;
     /** Handles the exchanges of this connection; created with the first one, so that later ones allocate none. */
     carrier: Carrier | undefined;
 }
@@ -51,13 +57,13 @@
     readonly keepAliveInitialDelayMs: number;
     readonly idleMs: number;
     readonly maxHeadBytes: number;
-    readonly onClose: (connection: Connection) => void;
+    readonly onClose: (connection: PooledConnection) => void;
 }
 
 const CLIENT_IDLE_MARGIN_MS = 5_000;
 
 /** Creates a connection that is established with the first exchange dispatched on it. */
-export const openConnection = (options: OpenConnectionOptions): Connection => {
+export const openConnection = (options: OpenConnectionOptions): PooledConnection => {
     const connect = buildConnector({
         timeout: options.connectTimeoutMs,
         keepAlive: true,
@@ -84,28 +90,59 @@
             callback(...result);
         });
     };
-    const connection: Connection = {
-        id: options.id,
-        address: options.address,
-        client: new Client(`http://${options.address}`, {
-            pipelining: 1,
-            // Long work is never cut by a fixed timeout; the exchange and the entry decide.
-            headersTimeout: 0,
-            bodyTimeout: 0,
-            // The pool enforces the idle limit; the client only shortens it when the endpoint asks for that.
-            keepAliveTimeout: options.idleMs + CLIENT_IDLE_MARGIN_MS,
-            keepAliveMaxTimeout: options.idleMs + CLIENT_IDLE_MARGIN_MS,
-            maxHeaderSize: options.maxHeadBytes,
-            connect: connectOnce,
-        }),
-        openedAt: options.now,
-        phase: "busy",
-        socket: undefined,
-        connectFailed: false,
-        closedByEndpoint: false,
-        idleSince: options.now,
-        bytesReadWhenIdle: 0,
+    const client = new Client(`http://${options.address}`, {
+        pipelining: 1,
+        // Long work is never cut by a fixed timeout; the exchange and the entry decide.
+        headersTimeout: 0,
+        bodyTimeout: 0,
+        // The pool enforces the idle limit; the client only shortens it when the endpoint asks for that.
+        keepAliveTimeout: options.idleMs + CLIENT_IDLE_MARGIN_MS,
+        keepAliveMaxTimeout: options.idleMs + CLIENT_IDLE_MARGIN_MS,
+        maxHeaderSize: options.maxHeadBytes,
+        connect: connectOnce,
+    });
+    const connection: PooledConnection = {
+        ...newConnection(options),
+        close: () => client.destroy(ignore),
+        client,
         carrier: undefined,
     };
     return connection;
 };
+
+/** Connects a socket for a single exchange outside of any client. */
+export const openOneShot = (options: OpenConnectionOptions): Connection => {
+    const socket = connectSocket({
+        ...parseAddress(options.address),
+        noDelay: true,
+        keepAlive: true,
+        keepAliveInitialDelay: options.keepAliveInitialDelayMs,
+    });
+    const connection: Connection = { ...newConnection(options), socket, close: () => socket.destroy() };
+    const timer = setTimeout(() => socket.destroy(new Error("connect timeout")), options.connectTimeoutMs);
+    connection.connectFailed = true;
+    socket.once("connect", () => {
+        connection.connectFailed = false;
+        clearTimeout(timer);
+    });
+    socket.once("close", () => clearTimeout(timer));
+    socket.once("end", () => {
+        connection.closedByEndpoint = true;
+    });
+    return connection;
+};
+
+const ignore = (): void => undefined;
+
+const newConnection = ({ id, address, now }: OpenConnectionOptions): Connection => ({
+    id,
+    address,
+    close: ignore,
+    openedAt: now,
+    phase: "busy",
+    socket: undefined,
+    connectFailed: false,
+    closedByEndpoint: false,
+    idleSince: now,
+    bytesReadWhenIdle: 0,
+});
--- /dev/null
+++ b/routing/exchange/src/exchange-state.ts
@@ -0,0 +1,170 @@
+import type { Cause, Verdict } from "@almondusher/fleet/verdict";
+import type { CloseReason, Connection, PooledConnection } from "./connection.js";
+import { closeConnection, releaseConnection } from "./connection-pool.js";
+import type { FailureEvidence } from "./failure-cause.js";
+import { headerValue } from "./raw-headers.js";
+import type { RunningExchange } from "./running-exchange.js";
+
+// The body of a refusal is read to keep the connection, but not at any length or for any time.
+const MAX_REFUSAL_BYTES = 64 * 1024;
+const MAX_REFUSAL_MS = 1_000;
+const VERDICT_HEADER = "almondusher-verdict";
+const REQUEST_ID_HEADER = "almondusher-request-id";
+const SERVICE_UNAVAILABLE = 503;
+const NO_CONTENT = 204;
+const NOT_MODIFIED = 304;
+const FIRST_FINAL_STATUS = 200;
+
+/** Head of an answer as the client received it. */
+export interface ReceivedHead {
+    readonly statusCode: number;
+    readonly statusMessage: string;
+    readonly headers: string[];
+}
+
+/** Remembers the byte counts of the connection before the request. */
+export const markStart = (running: RunningExchange, { socket }: Connection): void => {
+    running.bytesWrittenBefore = socket?.bytesWritten ?? 0;
+    running.bytesReadBefore = socket?.bytesRead ?? 0;
+};
+
+/** Handles the head of an informational or final answer. */
+export const receiveHead = (running: RunningExchange, head: ReceivedHead): void => {
+    const { statusCode, headers } = head;
+    running.lastProgressAt = performance.now();
+    if (bytesSent(running) === 0) {
+        fail(running, "bad-answer", "the endpoint answered before the request was sent", "unsolicited-bytes");
+    } else if (statusCode < FIRST_FINAL_STATUS) {
+        running.options.handler.onInformation(statusCode, headers);
+    } else if (namesOtherRequest(running, headers)) {
+        fail(running, "bad-answer", "the answer names another request", "unsolicited-bytes");
+    } else if (statusCode === SERVICE_UNAVAILABLE && headerValue(headers, VERDICT_HEADER) === "not-run") {
+        refuse(running);
+    } else {
+        running.phase = isBodyless(running.options.method, statusCode) ? "bodyless" : "body";
+        running.headReceived = true;
+        running.options.handler.onHead(head);
+    }
+};
+
+const isBodyless = (method: string, statusCode: number): boolean =>
+    method === "HEAD" || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
+
+const namesOtherRequest = (running: RunningExchange, headers: readonly string[]): boolean => {
+    const expected = running.options.requestId;
+    return expected !== undefined && (headerValue(headers, REQUEST_ID_HEADER) ?? expected) !== expected;
+};
+
+/** Handles a part of the body; false pauses the client. */
+export const receiveData = (running: RunningExchange, chunk: Buffer): boolean => {
+    running.lastProgressAt = performance.now();
+    if (running.phase === "refused") {
+        running.discardedBytes += chunk.length;
+        if (running.discardedBytes > MAX_REFUSAL_BYTES) {
+            giveBack(running, "exchange-failed");
+        }
+        return true;
+    }
+    running.paused = !running.options.handler.onData(chunk);
+    return !running.paused;
+};
+
+/** Continues a paused answer. */
+export const resume = (running: RunningExchange): void => {
+    if (running.paused && running.phase === "body") {
+        running.paused = false;
+        running.lastProgressAt = performance.now();
+        running.resumeAnswer?.();
+    }
+};
+
+/** Ends the exchange with a complete answer; without a reason the connection is kept. */
+export const finish = (running: RunningExchange, trailers: string[], reason: CloseReason | undefined): void => {
+    const reported = running.phase === "refused";
+    giveBack(running, reason);
+    running.phase = "done";
+    if (!reported) {
+        running.options.handler.onEnd(trailers);
+    }
+};
+
+const refuse = (running: RunningExchange): void => {
+    running.phase = "refused";
+    setTimeout(() => giveBack(running, "exchange-failed"), MAX_REFUSAL_MS).unref();
+    running.options.handler.onFailure({
+        verdict: "not-run",
+        cause: "endpoint-refused",
+        message: `${running.options.address} refused the request`,
+    });
+};
+
+/** Ends the exchange with a failure, unless it has ended. */
+export const fail = (running: RunningExchange, cause: Cause, message: string, reason: CloseReason): void => {
+    if (running.phase === "done") {
+        return;
+    }
+    const reported = running.phase === "refused";
+    giveBack(running, reason);
+    running.phase = "done";
+    if (!reported) {
+        const verdict: Verdict = running.bytesSent === 0 ? "not-run" : "may-have-run";
+        running.options.handler.onFailure({ verdict, cause, message });
+    }
+};
+
+/** Ends the use of the connection; without a reason it is kept for reuse. */
+export const giveBack = (running: RunningExchange, reason: CloseReason | undefined): void => {
+    const connection = running.connection;
+    if (connection === undefined) {
+        return;
+    }
+    running.bytesSent = bytesSent(running);
+    running.connection = undefined;
+    if (running.carrier?.current === running) {
+        running.carrier.current = undefined;
+    }
+    if (reason === undefined && isPooled(connection)) {
+        releaseConnection(running.connections, connection);
+    } else {
+        closeConnection(running.connections, connection, reason ?? "not-kept-alive");
+    }
+    running.body?.detach();
+};
+
+const isPooled = (connection: Connection): connection is PooledConnection => "client" in connection;
+
+/** Bytes of the request that were handed to the socket. */
+export const bytesSent = (running: RunningExchange): number => {
+    const socket = running.connection?.socket;
+    return socket === undefined ? running.bytesSent : socket.bytesWritten - running.bytesWrittenBefore;
+};
+
+/** What is known of a failure on a connection. */
+export const failureEvidence = (running: RunningExchange, connection: Connection, error: Error): FailureEvidence => ({
+    error,
+    connectFailed: connection.connectFailed,
+    bodyFailed: running.body?.failed ?? false,
+    closedByEndpoint: connection.closedByEndpoint,
+    answered: (connection.socket?.bytesRead ?? 0) > running.bytesReadBefore,
+});
+
+/** Ends the exchange with a failure of its connection. */
+export const failOnConnection = (
+    running: RunningExchange,
+    connection: Connection,
+    cause: Cause,
+    error: Error,
+): void => {
+    const reason = connection.connectFailed ? "connect-failed" : "exchange-failed";
+    fail(running, cause, `${running.options.address}: ${error.message}`, reason);
+};
+
+/** Ends an exchange that found no connection; called after `runExchange` has returned. */
+export const failWithoutConnection = (running: RunningExchange): void => {
+    const { address, limits } = running.options;
+    if (running.connections.stopping) {
+        fail(running, "stopping", "the process is stopping", "pool-closed");
+    } else {
+        fail(running, "no-capacity", `all ${limits.connections} connections to ${address} are in use`, "replaced");
+    }
+};
--- a/routing/exchange/src/exchange.ts
+++ b/routing/exchange/src/exchange.ts
@@ -45,6 +45,8 @@
      * destroyed: if the exchange ends before the stream, it is left paused and its owner discards or closes the rest.
      */
     readonly body: Readable | Buffer | undefined;
+    /** Trailers of a streamed body, read once it has ended; a raw list of names and values. */
+    readonly trailers?: () => readonly string[];
     /** Demands a connection that is new or was used within `nonIdempotentIdleMs`. */
     readonly fresh: boolean;
     /** Value of the request's almondusher-request-id header; an answer that names another one is rejected. */
--- a/routing/exchange/src/probe-endpoint.ts
+++ b/routing/exchange/src/probe-endpoint.ts
@@ -1,5 +1,6 @@
 import { request } from "node:http";
 import type { Connections } from "./connection-pool.js";
+import { parseAddress } from "./endpoint-address.js";
 
 /** What a probe on a new connection found. */
 export type ProbeResult =
@@ -21,10 +22,8 @@
     new Promise(resolve => {
         connections.probes += 1;
         let connected = false;
-        const url = new URL(`http://${address}`);
         const probe = request({
-            host: url.hostname.replace(/^\[|\]$/g, ""),
-            port: url.port,
+            ...parseAddress(address),
             method: "OPTIONS",
             path: "*",
             agent: false,
--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -1,21 +1,26 @@
-import type { Cause, Verdict } from "@almondusher/fleet/verdict";
-import type { CloseReason, Connection } from "./connection.js";
-import { acquireConnection, closeConnection, type Connections, releaseConnection } from "./connection-pool.js";
+import type { Readable } from "node:stream";
+import type { PooledConnection } from "./connection.js";
+import { acquireConnection, type Connections } from "./connection-pool.js";
 import type { Exchange, ExchangeOptions } from "./exchange.js";
+import {
+    bytesSent,
+    fail,
+    failOnConnection,
+    failureEvidence,
+    failWithoutConnection,
+    finish,
+    giveBack,
+    markStart,
+    receiveData,
+    receiveHead,
+    resume,
+} from "./exchange-state.js";
 import { failureCause } from "./failure-cause.js";
 import { headerValue, rawHeaderText } from "./raw-headers.js";
 import { detachableBody } from "./request-body.js";
+import { runOneShot } from "./run-one-shot.js";
 import type { Carrier, RunningExchange } from "./running-exchange.js";
 
-// The body of a refusal is read to keep the connection, but not at any length or for any time.
-const MAX_REFUSAL_BYTES = 64 * 1024;
-const MAX_REFUSAL_MS = 1_000;
-const VERDICT_HEADER = "almondusher-verdict";
-const REQUEST_ID_HEADER = "almondusher-request-id";
-const SERVICE_UNAVAILABLE = 503;
-const NO_CONTENT = 204;
-const NOT_MODIFIED = 304;
-const FIRST_FINAL_STATUS = 200;
 // The client takes an empty text for no body.
 const EMPTY_BODY = "";
 
@@ -27,6 +32,7 @@
         phase: "waiting",
         body: undefined,
         connection: undefined,
+        carrier: undefined,
         reused: false,
         bytesWrittenBefore: 0,
         bytesReadBefore: 0,
@@ -37,7 +43,11 @@
         discardedBytes: 0,
         resumeAnswer: undefined,
     };
-    dispatch(running, options.fresh);
+    if (needsOneShot(options)) {
+        runOneShot(running);
+    } else {
+        dispatch(running, options.fresh);
+    }
     return {
         resume: () => resume(running),
         cancel: () => fail(running, "cancelled", "the request was cancelled", "cancelled"),
@@ -62,6 +72,12 @@
     };
 };
 
+// The client supports neither Expect nor trailers of requests.
+const needsOneShot = ({ body, headers, trailers }: ExchangeOptions): boolean =>
+    isStream(body) && (trailers !== undefined || headerValue(headers, "expect") !== undefined);
+
+const isStream = (body: ExchangeOptions["body"]): body is Readable => body !== undefined && !Buffer.isBuffer(body);
+
 const dispatch = (running: RunningExchange, fresh: boolean): void => {
     const { connections, options } = running;
     const connection = acquireConnection(connections, {
@@ -75,37 +91,23 @@
     }
     const carrier = (connection.carrier ??= createCarrier(connection));
     carrier.current = running;
+    running.carrier = carrier;
     running.connection = connection;
     running.reused = connection.socket !== undefined;
     markStart(running, connection);
-    running.body = requestBody(options);
+    running.body = isStream(options.body) ? detachableBody(options.body) : undefined;
     connection.client.dispatch(
         {
             method: options.method,
             path: options.path,
             headers: options.headers,
-            body: running.body?.stream ?? bufferBody(options) ?? EMPTY_BODY,
+            body: running.body?.stream ?? (Buffer.isBuffer(options.body) ? options.body : EMPTY_BODY),
         },
         carrier,
     );
 };
 
-const requestBody = (options: ExchangeOptions) =>
-    options.body === undefined || Buffer.isBuffer(options.body) ? undefined : detachableBody(options.body);
-
-const bufferBody = (options: ExchangeOptions): Buffer | undefined =>
-    Buffer.isBuffer(options.body) ? options.body : undefined;
-
-const failWithoutConnection = (running: RunningExchange): void => {
-    const { address, limits } = running.options;
-    if (running.connections.stopping) {
-        fail(running, "stopping", "the process is stopping", "pool-closed");
-    } else {
-        fail(running, "no-capacity", `all ${limits.connections} connections to ${address} are in use`, "replaced");
-    }
-};
-
-const createCarrier = (connection: Connection): Carrier => {
+const createCarrier = (connection: PooledConnection): Carrier => {
     const carrier: Carrier = {
         current: undefined,
         onConnect: () => start(carrier.current),
@@ -113,7 +115,7 @@
             const running = carrier.current;
             if (running !== undefined) {
                 running.resumeAnswer = resumeAnswer;
-                receiveHead(running, statusCode, statusText, rawHeaderText(headers));
+                receiveHead(running, { statusCode, statusMessage: statusText, headers: rawHeaderText(headers) });
             }
             return true;
         },
@@ -146,77 +148,7 @@
     }
 };
 
-const markStart = (running: RunningExchange, { socket }: Connection): void => {
-    running.bytesWrittenBefore = socket?.bytesWritten ?? 0;
-    running.bytesReadBefore = socket?.bytesRead ?? 0;
-};
-
-const receiveHead = (running: RunningExchange, statusCode: number, statusMessage: string, headers: string[]): void => {
-    running.lastProgressAt = performance.now();
-    if (bytesSent(running) === 0) {
-        fail(running, "bad-answer", "the endpoint answered before the request was sent", "unsolicited-bytes");
-    } else if (statusCode < FIRST_FINAL_STATUS) {
-        running.options.handler.onInformation(statusCode, headers);
-    } else if (namesOtherRequest(running, headers)) {
-        fail(running, "bad-answer", "the answer names another request", "unsolicited-bytes");
-    } else if (statusCode === SERVICE_UNAVAILABLE && headerValue(headers, VERDICT_HEADER) === "not-run") {
-        refuse(running);
-    } else {
-        running.phase = isBodyless(running.options.method, statusCode) ? "bodyless" : "body";
-        running.headReceived = true;
-        running.options.handler.onHead({ statusCode, statusMessage, headers });
-    }
-};
-
-const isBodyless = (method: string, statusCode: number): boolean =>
-    method === "HEAD" || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
-
-const namesOtherRequest = (running: RunningExchange, headers: readonly string[]): boolean => {
-    const expected = running.options.requestId;
-    return expected !== undefined && (headerValue(headers, REQUEST_ID_HEADER) ?? expected) !== expected;
-};
-
-const receiveData = (running: RunningExchange, chunk: Buffer): boolean => {
-    running.lastProgressAt = performance.now();
-    if (running.phase === "refused") {
-        running.discardedBytes += chunk.length;
-        if (running.discardedBytes > MAX_REFUSAL_BYTES) {
-            giveBack(running, "exchange-failed");
-        }
-        return true;
-    }
-    running.paused = !running.options.handler.onData(chunk);
-    return !running.paused;
-};
-
-const resume = (running: RunningExchange): void => {
-    if (running.paused && running.phase === "body") {
-        running.paused = false;
-        running.lastProgressAt = performance.now();
-        running.resumeAnswer?.();
-    }
-};
-
-const finish = (running: RunningExchange, trailers: string[], reason: CloseReason | undefined): void => {
-    const reported = running.phase === "refused";
-    giveBack(running, reason);
-    running.phase = "done";
-    if (!reported) {
-        running.options.handler.onEnd(trailers);
-    }
-};
-
-const refuse = (running: RunningExchange): void => {
-    running.phase = "refused";
-    setTimeout(() => giveBack(running, "exchange-failed"), MAX_REFUSAL_MS).unref();
-    running.options.handler.onFailure({
-        verdict: "not-run",
-        cause: "endpoint-refused",
-        message: `${running.options.address} refused the request`,
-    });
-};
-
-const receiveError = (running: RunningExchange, connection: Connection, error: Error): void => {
+const receiveError = (running: RunningExchange, connection: PooledConnection, error: Error): void => {
     if (running.connection !== connection) {
         return;
     }
@@ -225,64 +157,15 @@
         finish(running, [], "not-kept-alive");
         return;
     }
-    const { connectFailed, closedByEndpoint } = connection;
-    const cause = failureCause({
-        error,
-        connectFailed,
-        bodyFailed: running.body?.failed ?? false,
-        closedByEndpoint,
-        answered: (connection.socket?.bytesRead ?? 0) > running.bytesReadBefore,
-    });
+    const cause = failureCause(failureEvidence(running, connection, error));
     if (cause === "connection-lost" && isUnsentOnReused(running)) {
         giveBack(running, "closed-by-endpoint");
         dispatch(running, true);
         return;
     }
-    fail(
-        running,
-        cause,
-        `${running.options.address}: ${error.message}`,
-        connectFailed ? "connect-failed" : "exchange-failed",
-    );
+    failOnConnection(running, connection, cause, error);
 };
 
 // The endpoint closed an idle connection just before its reuse: nothing was sent, so another connection may be used.
 const isUnsentOnReused = (running: RunningExchange): boolean =>
     running.reused && running.phase === "waiting" && bytesSent(running) === 0 && running.body?.taken !== true;
-
-const fail = (running: RunningExchange, cause: Cause, message: string, reason: CloseReason): void => {
-    if (running.phase === "done") {
-        return;
-    }
-    const reported = running.phase === "refused";
-    giveBack(running, reason);
-    running.phase = "done";
-    if (!reported) {
-        const verdict: Verdict = running.bytesSent === 0 ? "not-run" : "may-have-run";
-        running.options.handler.onFailure({ verdict, cause, message });
-    }
-};
-
-// Ends the use of the connection: without a reason it is kept for reuse.
-const giveBack = (running: RunningExchange, reason: CloseReason | undefined): void => {
-    const connection = running.connection;
-    if (connection === undefined) {
-        return;
-    }
-    running.bytesSent = bytesSent(running);
-    running.connection = undefined;
-    if (connection.carrier?.current === running) {
-        connection.carrier.current = undefined;
-    }
-    if (reason === undefined) {
-        releaseConnection(running.connections, connection);
-    } else {
-        closeConnection(running.connections, connection, reason);
-    }
-    running.body?.detach();
-};
-
-const bytesSent = (running: RunningExchange): number => {
-    const socket = running.connection?.socket;
-    return socket === undefined ? running.bytesSent : socket.bytesWritten - running.bytesWrittenBefore;
-};
--- a/routing/exchange/src/running-exchange.ts
+++ b/routing/exchange/src/running-exchange.ts
@@ -15,6 +15,8 @@
     phase: "waiting" | "body" | "bodyless" | "refused" | "done";
     body: DetachableBody | undefined;
     connection: Connection | undefined;
+    /** Absent for an exchange outside of the client. */
+    carrier: Carrier | undefined;
     reused: boolean;
     bytesWrittenBefore: number;
     bytesReadBefore: number;
--- /dev/null
+++ b/routing/exchange/test/one-shot.test.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { PassThrough, Readable } from "node:stream";
+import { test, type TestContext } from "node:test";
+import { startEndpointStandIn } from "@almondusher/endpoint-stand-in/start-endpoint-stand-in";
+import { type VmId, toId } from "@almondusher/fleet/ids";
+import { createConnections, dumpConnections } from "../src/connection-pool.js";
+import { runExchange } from "../src/run-exchange.js";
+import { exchangeDefaults, ignoreAll, runRecorded, startRecorded } from "./exchange-run.js";
+import { startRawEndpoint } from "./raw-endpoint.js";
+
+const VM = toId<VmId>("vm-1");
+const expecting = { method: "POST", headers: ["host", "a", "content-length", "4", "expect", "100-continue"] };
+
+const startVm = async (context: TestContext) => {
+    const standIn = await startEndpointStandIn({ vms: [{ vm: VM, port: 0 }] });
+    context.after(() => standIn.close());
+    return standIn.vm(VM);
+};
+
+test("the endpoint's 100 reaches the caller before the body is sent", async context => {
+    const vm = await startVm(context);
+    const source = new PassThrough();
+    const information: number[] = [];
+    const body = await new Promise<string>((resolve, reject) => {
+        let received = "";
+        runExchange(createConnections(), {
+            ...exchangeDefaults,
+            ...expecting,
+            address: vm.address,
+            body: source,
+            handler: {
+                ...ignoreAll,
+                onInformation: statusCode => {
+                    information.push(statusCode);
+                    source.end("body");
+                },
+                onData: chunk => {
+                    received += chunk.toString();
+                    return true;
+                },
+                onEnd: () => resolve(received),
+                onFailure: failure => reject(new Error(failure.message)),
+            },
+        });
+    });
+    assert.deepEqual(information, [100]);
+    assert.match(body, /"receivedBytes":4/);
+});
+
+test("a final answer instead of the 100 ends the exchange and the body stays unread", async context => {
+    const endpoint = await startRawEndpoint(context, socket =>
+        socket.write("HTTP/1.1 417 Expectation Failed\r\ncontent-length: 0\r\n\r\n"),
+    );
+    const connections = createConnections();
+    const { exchange, result } = startRecorded(connections, {
+        ...expecting,
+        address: endpoint.address,
+        body: new PassThrough(),
+    });
+    const record = await result;
+    assert.deepEqual([record.statusCode, record.failure, record.ends], [417, undefined, 1]);
+    assert.equal(exchange.bodyTaken, false);
+    assert.equal(dumpConnections(connections).addresses.length, 0);
+});
+
+test("verdicts of requests with an expectation follow the same evidence", async context => {
+    const vm = await startVm(context);
+    const verdict = async (): Promise<unknown[]> => {
+        const body = Readable.from([Buffer.from("body")], { objectMode: false });
+        const record = await runRecorded(createConnections(), { ...expecting, address: vm.address, body });
+        return [record.failure?.verdict, record.failure?.cause, record.ends];
+    };
+    await vm.setFaults({ refuse: true });
+    assert.deepEqual(await verdict(), ["not-run", "endpoint-refused", 1]);
+    await vm.setFaults({ closeWithoutAnswer: true });
+    assert.deepEqual(await verdict(), ["may-have-run", "connection-lost", 1]);
+    await vm.setFaults({ cutBody: true });
+    assert.deepEqual(await verdict(), ["may-have-run", "connection-lost", 1]);
+    await vm.setFaults({ down: true });
+    assert.deepEqual(await verdict(), ["not-run", "connect-failed", 1]);
+});
+
+test("trailers of the request reach the endpoint", async context => {
+    const server = createServer((request, response) => {
+        request.resume().once("end", () => response.end(JSON.stringify(request.trailers)));
+    }).listen(0, "127.0.0.1");
+    context.after(() => server.close());
+    await once(server, "listening");
+    const record = await runRecorded(createConnections(), {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        method: "POST",
+        body: Readable.from([Buffer.from("body")], { objectMode: false }),
+        trailers: () => ["x-sum", "7"],
+    });
+    assert.equal(record.body, '{"x-sum":"7"}');
+});
