Judge edits by the requests that failed before their adoption

Cause: requests that arrived before an edit and failed after it acquitted the edit; a VM that failed after its maintenance pointed to the operator who once added it; rejections of an entry that is not ready appeared nowhere. Change: failures after the adoption do not count as earlier ones; a manager's edit counts as an operator's only if that operator asked for the same move within the hour; not-ready, stopping and internal rejections without a route are listed for every route and pool. Conclusion: explain follows how the entry records its failures.

--- a/observe/telemetry/src/edit-rule.ts
+++ b/observe/telemetry/src/edit-rule.ts
@@ -1,5 +1,5 @@
-import type { EditRecord } from "@almondusher/fleet/edit";
-import type { VmId } from "@almondusher/fleet/ids";
+import type { Change, EditRecord } from "@almondusher/fleet/edit";
+import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { Cause } from "@almondusher/fleet/verdict";
 import { capacityCauses, describeChange, type Effect, effectsOf, endpointCauses } from "./edit-effects.js";
 import {
@@ -25,6 +25,9 @@
     readonly acquittals: readonly string[];
 }
 
+type AssignmentChange = Extract<Change, { table: "assignments" }>;
+type PoolChange = Extract<Change, { table: "pools" }>;
+
 interface Candidate {
     readonly edit: EditRecord;
     readonly usedFromMs: number;
@@ -48,6 +51,8 @@
 const QUEUE_FILL_MS = 60_000;
 // An earlier incident that was over by then says nothing about the edit.
 const ACQUITTING_MS = 5 * MS_PER_MINUTE;
+// A drain that follows an operator's edit starts within a planning period; requested moves wait at most for a wave.
+const ORIGIN_MS = 60 * MS_PER_MINUTE;
 // Failures at half their later rate or more before the edit show that they do not depend on it.
 const ACQUITTING_SHARE = 0.5;
 // A single failure right after an edit does not explain a far larger number that starts later.
@@ -84,11 +89,22 @@
                 effects,
                 addsRow: changes.some(change => change.before === undefined),
                 after: rows.filter(row => row.revision >= edit.revision),
-                before: rows.filter(row => row.revision < edit.revision && row.lastAtMs >= usedFromMs - ACQUITTING_MS),
+                before: rows
+                    .filter(row => row.revision < edit.revision)
+                    .filter(row => row.firstAtMs < usedFromMs && row.lastAtMs >= usedFromMs - ACQUITTING_MS)
+                    .map(row => cutAt(row, usedFromMs)),
             };
         })
         .filter(candidate => candidate.after.length > 0);
 
+// A request that arrived before the edit may fail after it; the part of a minute after the edit is left out.
+const cutAt = (row: FailureRow, momentMs: number): FailureRow => {
+    const lengthMs = row.lastAtMs - row.firstAtMs;
+    return row.lastAtMs <= momentMs || lengthMs === 0
+        ? row
+        : { ...row, lastAtMs: momentMs, count: (row.count * (momentMs - row.firstAtMs)) / lengthMs };
+};
+
 const covers = (effect: Effect, row: FailureRow): boolean =>
     effect.vms === undefined || (row.vm !== undefined && effect.vms.includes(row.vm));
 
@@ -176,26 +192,48 @@
 };
 
 const findOrigin = (edit: EditRecord, vms: readonly VmId[], history: readonly EditRecord[]): EditRecord | undefined => {
-    const isPlanned = edit.changes.some(
-        change =>
-            change.table === "assignments" &&
-            (change.after?.phase.kind === "maintenance" ||
-                (change.after?.phase.kind === "draining" && change.after.phase.purpose.kind === "maintenance")),
+    const moves = edit.changes
+        .filter(change => change.table === "assignments")
+        .filter(change => vms.includes(change.key))
+        .flatMap(change => requestedMove(change));
+    return history.findLast(
+        item =>
+            item.revision < edit.revision &&
+            item.author.kind === "operator" &&
+            Date.parse(edit.at) - Date.parse(item.at) <= ORIGIN_MS &&
+            item.changes.some(change => change.table === "pools" && moves.some(move => asksFor(change, move))),
     );
-    return isPlanned
-        ? undefined
-        : history.findLast(
-              item =>
-                  item.revision < edit.revision &&
-                  item.author.kind === "operator" &&
-                  item.changes.some(change => change.table === "pools" && vms.some(vm => movesVm(change, vm))),
-          );
 };
 
-const movesVm = (
-    { before, after }: { before?: { vms: readonly VmId[] } | undefined; after?: { vms: readonly VmId[] } | undefined },
-    vm: VmId,
-): boolean => (before?.vms.includes(vm) ?? false) !== (after?.vms.includes(vm) ?? false);
+interface RequestedMove {
+    readonly vm: VmId;
+    /** Absent for a removal from all pools. */
+    readonly to: PoolName | undefined;
+}
+
+// Maintenance and the return from it follow no edit of an operator.
+const requestedMove = ({ key, before, after }: AssignmentChange): readonly RequestedMove[] => {
+    if (after?.phase.kind === "serving") {
+        return before?.pool === after.pool ? [] : [{ vm: key, to: after.pool }];
+    }
+    if (after?.phase.kind !== "draining") {
+        return [];
+    }
+    switch (after.phase.purpose.kind) {
+        case "move":
+            return [{ vm: key, to: after.phase.purpose.pool }];
+        case "removal":
+            return [{ vm: key, to: undefined }];
+        case "maintenance":
+            return [];
+    }
+};
+
+const asksFor = ({ key, before, after }: PoolChange, { vm, to }: RequestedMove): boolean => {
+    const had = before?.vms.includes(vm) ?? false;
+    const has = after?.vms.includes(vm) ?? false;
+    return to === undefined ? had && !has : key === to && has && !had;
+};
 
 const describeGuilty = ({ candidate, reason }: Judged, { history, traffic }: ExplainInput): readonly string[] => {
     const { edit } = candidate;
--- a/observe/telemetry/src/subject-scope.ts
+++ b/observe/telemetry/src/subject-scope.ts
@@ -2,6 +2,7 @@
 import type { FleetState } from "@almondusher/fleet/fleet-state";
 import type { PoolName, RouteName, VmId } from "@almondusher/fleet/ids";
 import type { Route } from "@almondusher/fleet/route";
+import type { Cause } from "@almondusher/fleet/verdict";
 import type { FailureRow } from "./failure-log.js";
 
 /** What an explanation is about. */
@@ -49,12 +50,18 @@
     }
 };
 
+// Decided before the route of a request is known, so that they may concern every route and pool.
+// For `no-route` the edits decide whether it does.
+const unplacedCauses: readonly Cause[] = ["no-route", "not-ready", "stopping", "internal"];
+
 /** True if the failure happened to the subject itself. */
 export const concernsSubject = (row: FailureRow, { subject }: SubjectScope): boolean => {
+    if (row.route === undefined && row.pool === undefined && row.vm === undefined) {
+        return subject.kind !== "vm" && unplacedCauses.includes(row.cause);
+    }
     switch (subject.kind) {
         case "route":
-            // A request that no route takes has no route label; whether it belongs here is decided by the edits.
-            return row.route === subject.name || (row.cause === "no-route" && row.route === undefined);
+            return row.route === subject.name;
         case "pool":
             return row.pool === subject.name;
         case "vm":
--- a/observe/telemetry/test/explain.test.ts
+++ b/observe/telemetry/test/explain.test.ts
@@ -54,6 +54,8 @@
     readonly vm?: VmId;
     readonly process?: string;
     readonly withoutRoute?: boolean;
+    /** Revision at the arrival, if it is not the one in use. */
+    readonly revision?: number;
 }
 
 const every = (stepMs: number, fromMs: number, toMs: number, event: Omit<Event, "atMs"> = {}): Event[] =>
@@ -73,14 +75,14 @@
     const logs = processes.map(process => createFailureLog({ process }));
     [...events]
         .sort((left, right) => left.atMs - right.atMs)
-        .forEach(({ atMs, cause, vm, process, withoutRoute }) => {
+        .forEach(({ atMs, cause, vm, process, withoutRoute, revision }) => {
             const log = logs.find(item => item.process === process) ?? logs[Math.floor(atMs / 20) % logs.length];
             assert.ok(log);
             const labels = withoutRoute === true ? {} : { route, pool };
             if (cause === undefined) {
                 recordArrival(log, { route, pool }, atMs);
             } else {
-                recordFailure(log, { cause, vm, revision: atMs < EDIT_AT ? 6 : 7, ...labels }, atMs);
+                recordFailure(log, { cause, vm, revision: revision ?? (atMs < EDIT_AT ? 6 : 7), ...labels }, atMs);
             }
         });
     const traffic = logs.map(log => listTraffic(log, START, END));
@@ -223,6 +225,36 @@
     );
 });
 
+test("failures of requests that arrived before the edit do not acquit it", () => {
+    const before: Event = { atMs: EDIT_AT - 10 * SECOND, cause: "deadline" };
+    const queued = every(20, EDIT_AT + SECOND, EDIT_AT + 10 * SECOND, { cause: "deadline", revision: 6 });
+    const later = every(500, EDIT_AT + 5 * SECOND, END, { cause: "deadline" });
+    assert.equal(explainEvents([...steady, before, ...queued, ...later], [slotsEdit]).fault?.kind, "edit");
+});
+
+test("a VM that fails after its maintenance does not point to the operator who added it", () => {
+    const [vm] = vms;
+    assert.ok(vm);
+    const added = edit([{ table: "pools", key: pool, before: poolRow({ vms: vms.slice(1) }), after: poolRow() }], {
+        revision: 5,
+        at: new Date(START).toISOString(),
+    });
+    const back = edit(
+        [
+            {
+                table: "assignments",
+                key: vm,
+                before: { vm, pool, phase: { kind: "maintenance", bootId: "boot-1" } },
+                after: { vm, pool, phase: { kind: "serving" } },
+            },
+        ],
+        { author: { kind: "manager", name: "manager-1" } },
+    );
+    const failed = every(700, EDIT_AT + SECOND, END, { cause: "connect-failed", vm });
+    const result = explainEvents([...steady, ...failed], [added, back]);
+    assert.deepEqual(result.fault, { kind: "endpoint", vms: [vm] });
+});
+
 test("nothing that failed gives no fault, and the edits are still listed", () => {
     const result = explainEvents(steady, [slotsEdit]);
     assert.equal(result.fault, undefined);
