--- /dev/null
+++ b/model/specification/src/checks.ts
@@ -0,0 +1,113 @@
+import { type ClaimGuard, claimGuards, claimProtocol } from "./claims.js";
+import { type EditGuard, editGuards, editProtocol } from "./edits.js";
+import { type Exploration, explore } from "./explore.js";
+import { type MaintenanceGuard, maintenanceGuards, maintenanceProtocol } from "./maintenance.js";
+import { type MoveGuard, moveGuards, type MoveOptions, moveProtocol } from "./moves.js";
+import type { Protocol, ProtocolStep, Trace } from "./protocol.js";
+import { replay } from "./replay.js";
+
+/** The complete protocol within some bounds on faults. */
+export interface CompleteCheck {
+    readonly name: string;
+    readonly run: () => Exploration<ProtocolStep>;
+}
+
+/** The protocol without one guard, which must break an invariant. */
+export interface GuardCheck {
+    readonly protocol: string;
+    readonly guard: string;
+    readonly run: () => Exploration<ProtocolStep>;
+    /** Broken invariants when the complete protocol meets the same steps. */
+    readonly survive: (trace: Trace<ProtocolStep>) => readonly string[];
+}
+
+const completeCheck = <State, Step extends ProtocolStep>(
+    bounds: string,
+    protocol: Protocol<State, Step>,
+): CompleteCheck => ({ name: `${protocol.name}, ${bounds}`, run: () => explore(protocol) });
+
+interface GuardCheckOptions<State, Step extends ProtocolStep> {
+    readonly guard: string;
+    readonly mutant: Protocol<State, Step>;
+    readonly complete: Protocol<State, Step>;
+}
+
+const guardCheck = <State, Step extends ProtocolStep>(options: GuardCheckOptions<State, Step>): GuardCheck => ({
+    protocol: options.mutant.name,
+    guard: options.guard,
+    run: () => explore(options.mutant),
+    survive: trace => replay(options.complete, trace.steps as readonly Step[]),
+});
+
+// The fewest faults that show what each guard is for keep the search short and the trace readable.
+const moveBounds = (guard: MoveGuard): MoveOptions => {
+    switch (guard) {
+        case "in-flight-from-check":
+        case "confirmed-revision":
+        case "all-registered":
+            return { maxFaults: 0 };
+        case "compare-and-set":
+            return { maxFaults: 0, maxCancels: 1 };
+        case "confirmed-twice":
+            return { maxFaults: 1, faults: ["restart-cut"] };
+        case "listed-without-registration":
+        case "named-by-giver":
+            return { maxFaults: 2, faults: ["boot-cut", "kill"] };
+        case "seen-before-gone":
+            return { maxFaults: 2, faults: ["boot", "restart-cut"] };
+        case "register-before-load":
+            return { maxFaults: 2, faults: ["boot", "kill"] };
+        case "list-covers-newcomer":
+            return { maxFaults: 2, faults: ["boot-cut", "restart"] };
+    }
+};
+
+const moveCheck = (guard: MoveGuard): GuardCheck =>
+    guardCheck({
+        guard,
+        mutant: moveProtocol({ ...moveBounds(guard), without: guard }),
+        complete: moveProtocol(moveBounds(guard)),
+    });
+
+const editBounds = { maxFaults: 2, entries: 2 };
+const editCheck = (guard: EditGuard): GuardCheck =>
+    guardCheck({
+        guard,
+        mutant: editProtocol({ ...editBounds, without: guard }),
+        complete: editProtocol(editBounds),
+    });
+
+const claimBounds = { maxFaults: 2, entries: 2 };
+const claimCheck = (guard: ClaimGuard): GuardCheck =>
+    guardCheck({
+        guard,
+        mutant: claimProtocol({ ...claimBounds, without: guard }),
+        complete: claimProtocol(claimBounds),
+    });
+
+const maintenanceBounds = { maxFaults: 2, maxEdits: 3 };
+const maintenanceCheck = (guard: MaintenanceGuard): GuardCheck =>
+    guardCheck({
+        guard,
+        mutant: maintenanceProtocol({ ...maintenanceBounds, without: guard }),
+        complete: maintenanceProtocol(maintenanceBounds),
+    });
+
+/** Explorations that must find nothing. */
+export const completeChecks: readonly CompleteCheck[] = [
+    completeCheck("3 entries, 2 faults", editProtocol({ maxFaults: 2, entries: 3 })),
+    completeCheck("2 faults", moveProtocol({ maxFaults: 2 })),
+    completeCheck("1 fault, 1 cancelled drain", moveProtocol({ maxFaults: 1, maxCancels: 1 })),
+    completeCheck("2 faults, 2 edits", maintenanceProtocol({ maxFaults: 2, maxEdits: 2 })),
+    completeCheck("1 fault, 3 edits", maintenanceProtocol({ maxFaults: 1, maxEdits: 3 })),
+    completeCheck("3 entries, 1 fault", claimProtocol({ maxFaults: 1, entries: 3 })),
+    completeCheck("2 entries, 3 faults", claimProtocol({ maxFaults: 3, entries: 2 })),
+];
+
+/** One exploration for each guard, which must find a violation. */
+export const guardChecks: readonly GuardCheck[] = [
+    ...editGuards.map(editCheck),
+    ...moveGuards.map(moveCheck),
+    ...maintenanceGuards.map(maintenanceCheck),
+    ...claimGuards.map(claimCheck),
+];
--- /dev/null
+++ b/model/specification/src/replay.ts
@@ -0,0 +1,18 @@
+import { isDeepStrictEqual } from "node:util";
+import type { Protocol, ProtocolStep } from "./protocol.js";
+
+/** Takes the steps that the protocol permits, in order, and returns the invariants that break on the way. */
+export const replay = <State, Step extends ProtocolStep>(
+    protocol: Protocol<State, Step>,
+    steps: readonly Step[],
+): readonly string[] => {
+    const states = steps.reduce<readonly State[]>(
+        (visited, step) => {
+            const state = visited.at(-1) as State;
+            const isPermitted = protocol.steps(state).some(other => isDeepStrictEqual(other, step));
+            return isPermitted ? [...visited, protocol.apply(state, step)] : visited;
+        },
+        [protocol.initial],
+    );
+    return states.flatMap(state => protocol.violations(state));
+};
--- /dev/null
+++ b/model/specification/test/specification.test.ts
@@ -0,0 +1,43 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { ActorLogic, ActorSystem, Snapshot } from "xstate";
+import { getAdjacencyMap } from "xstate/graph";
+import { completeChecks, guardChecks } from "../src/checks.js";
+import { explore } from "../src/explore.js";
+import { type MoveState, type MoveStep, moveProtocol } from "../src/moves.js";
+import { loadTrace } from "../src/traces.js";
+
+completeChecks.forEach(check => {
+    test(`no reachable state breaks an invariant or cannot recover: ${check.name}`, context => {
+        const { states, seconds, longestRecovery, violation, stuck } = check.run();
+        context.diagnostic(`${states} states, ${seconds.toFixed(1)} s, recovery within ${longestRecovery} steps`);
+        assert.deepEqual({ violation, stuck }, { violation: undefined, stuck: undefined });
+    });
+});
+
+guardChecks.forEach(check => {
+    test(`${check.protocol} without ${check.guard} break an invariant; with it they survive the same steps`, () => {
+        const { violation } = check.run();
+        const { steps, violations } = loadTrace(check);
+        assert.deepEqual(violation?.steps, steps);
+        assert.deepEqual(violation.violations, violations);
+        assert.deepEqual(check.survive(loadTrace(check)), []);
+    });
+});
+
+type Node = Snapshot<undefined> & { readonly value: MoveState };
+
+test("the explorer visits the states that xstate/graph visits", () => {
+    const protocol = moveProtocol({ maxFaults: 0, maxCancels: 1 });
+    const nodeOf = (value: MoveState): Node => ({ status: "active", output: undefined, error: undefined, value });
+    const logic: ActorLogic<Node, MoveStep, undefined, ActorSystem<never>> = {
+        transition: (node, step) => nodeOf(protocol.apply(node.value, step)),
+        getInitialSnapshot: () => nodeOf(protocol.initial),
+        getPersistedSnapshot: node => node,
+    };
+    const graph = getAdjacencyMap(logic, {
+        serializeState: node => (protocol.keyOf?.(node.value) ?? "") as never,
+        events: node => protocol.steps(node.value),
+    });
+    assert.equal(explore(protocol).states, Object.keys(graph).length);
+});
--- a/pools/planner/src/maintenance.ts
+++ b/pools/planner/src/maintenance.ts
@@ -1,15 +1,36 @@
 import type { Assignment } from "@almondusher/fleet/assignment";
 import type { Decision } from "./decision.js";
 import { addDecisions, changePlannerState, changeRows, type Plan } from "./plan.js";
-import { keepSince, lasted } from "./planner-state.js";
+import { keepSince, lasted, maintenanceId } from "./planner-state.js";
+
+const maintenanceIds = (plan: Plan): readonly string[] =>
+    plan.input.state.assignments.rows.flatMap(row =>
+        row.phase.kind === "maintenance" ? [maintenanceId(row.vm, row.phase.bootId)] : [],
+    );
+
+// A list that may be older than the maintenance could show an earlier boot, and boots have no order.
+const isListRecent = (plan: Plan, id: string): boolean => {
+    const { listReadAtMs, settings } = plan.input;
+    const since = plan.plannerState.maintenanceSince.find(entry => entry.id === id);
+    return since !== undefined && listReadAtMs - since.sinceMs >= settings.listLagMs;
+};
 
 const isBack = (plan: Plan, row: Assignment): boolean => {
     const vm = plan.listed.get(row.vm);
-    return row.phase.kind === "maintenance" && vm?.state === "live" && vm.bootId !== row.phase.bootId;
+    return (
+        row.phase.kind === "maintenance" &&
+        vm?.state === "live" &&
+        vm.bootId !== row.phase.bootId &&
+        isListRecent(plan, maintenanceId(row.vm, row.phase.bootId))
+    );
 };
 
 /** Returns VMs to service that the platform lists as live with another boot than before. */
-export const returnFromMaintenance = (plan: Plan): Plan => {
+export const returnFromMaintenance = (earlier: Plan): Plan => {
+    const { maintenanceSince } = earlier.plannerState;
+    const plan = changePlannerState(earlier, {
+        maintenanceSince: keepSince(maintenanceSince, maintenanceIds(earlier), earlier.input.nowMs),
+    });
     const back = plan.assignments.rows.filter(row => isBack(plan, row));
     return changeRows(plan, {
         written: back.map(row => ({ ...row, phase: { kind: "serving" }, maintainedAtMs: plan.input.nowMs })),
--- a/pools/planner/src/planner-state.ts
+++ b/pools/planner/src/planner-state.ts
@@ -24,6 +24,8 @@
     readonly confirmedDrains: readonly ConfirmedDrain[];
     /** Phases other than serving, by VM. */
     readonly unavailableSince: readonly Since<VmId>[];
+    /** Since when this manager has known that a boot of a VM is in maintenance; ids as `maintenanceId` forms them. */
+    readonly maintenanceSince: readonly Since<string>[];
     readonly rebootedAt: readonly Since<VmId>[];
     readonly shortSince: readonly Since<PoolName>[];
     readonly surplusSince: readonly Since<PoolName>[];
@@ -35,11 +37,15 @@
     registeredSince: [],
     confirmedDrains: [],
     unavailableSince: [],
+    maintenanceSince: [],
     rebootedAt: [],
     shortSince: [],
     surplusSince: [],
 };
 
+/** Id of the maintenance of one boot of a VM. */
+export const maintenanceId = (vm: VmId, bootId: string): string => `${vm}/${bootId}`;
+
 /** The times of the given ids: kept where known, otherwise now. */
 export const keepSince = <Id extends string>(
     earlier: readonly Since<Id>[],
