Plan maintenance waves and loans from spare pools

Waves maintain due VMs in one data centre at a time and in each pool one rack at a time, as many as budget and load permit. Spare pools lend VMs for shortages that outlast a move and stand in where a budget leaves no VM for maintenance. Half of a rack or data centre failing stops drains in its pools.

--- a/pools/planner/src/budget.ts
+++ b/pools/planner/src/budget.ts
@@ -19,7 +19,3 @@
     const demand = plan.input.loads.find(load => load.pool === pool.name)?.demandSlots ?? 0;
     return Math.ceil(demand / (pool.slotsPerVm * utilisation));
 };
-
-/** VMs that must stay available in a pool: its budget or what its load needs, whichever is more. */
-export const requiredVms = (plan: Plan, pool: Pool): number =>
-    Math.max(pool.minAvailable, neededByLoad(plan, pool, plan.input.settings.borrowUtilisation));
--- a/pools/planner/src/drains.ts
+++ b/pools/planner/src/drains.ts
@@ -1,6 +1,7 @@
 import type { Assignment, DrainPurpose } from "@almondusher/fleet/assignment";
 import type { ProcessId, VmId } from "@almondusher/fleet/ids";
 import { availableVms, isAvailable } from "./budget.js";
+import { poolsWithLoss } from "./fleet-view.js";
 import { completedRow, type DrainProgress, drainProgress } from "./complete-drains.js";
 import type { Waiting } from "./decision.js";
 import {
@@ -15,7 +16,8 @@
 import { keepSince } from "./planner-state.js";
 import { type RequiredEntry, requiredProcesses } from "./required-processes.js";
 
-const withoutLoan = (row: Assignment): Assignment => {
+/** The row as it is without its loan. */
+export const withoutLoan = (row: Assignment): Assignment => {
     const owned = { ...row };
     delete owned.loanedTo;
     return owned;
@@ -64,7 +66,8 @@
 
 /** Adapts drains and maintenance under way to what the pools table says now. */
 export const redirectDrains = (plan: Plan): Plan => {
-    const results = plan.assignments.rows.map(row => ({ row, next: redirectRow(plan, row) }));
+    const underWay = plan.assignments.rows.filter(row => row.phase.kind !== "serving");
+    const results = underWay.map(row => ({ row, next: redirectRow(plan, row) }));
     const changed = results.filter(({ row, next }) => JSON.stringify(row) !== JSON.stringify(next));
     return changeRows(plan, {
         written: changed.flatMap(({ next }) => (next === undefined ? [] : [next])),
@@ -80,10 +83,19 @@
 });
 
 /** Starts a drain for every VM that the pools table or a loan places elsewhere, as far as `minAvailable` permits. */
-export const startDrains = (plan: Plan): Plan =>
-    plan.assignments.rows
-        .filter(row => row.phase.kind === "serving" && wantedPurpose(plan, row) !== undefined)
-        .reduce(startDrain, plan);
+export const startDrains = (plan: Plan): Plan => {
+    const misplaced = plan.assignments.rows.filter(
+        row => row.phase.kind === "serving" && wantedPurpose(plan, row) !== undefined,
+    );
+    const lossPools = misplaced.length === 0 ? [] : poolsWithLoss(plan);
+    return misplaced.reduce(
+        (next, row) =>
+            lossPools.includes(row.pool) && isAvailable(plan, row)
+                ? addDecisions(next, [{ kind: "waiting", subject: row.vm, on: "correlated-loss", names: [row.pool] }])
+                : startDrain(next, row),
+        plan,
+    );
+};
 
 const startDrain = (plan: Plan, row: Assignment): Plan => {
     const purpose = wantedPurpose(plan, row);
--- a/pools/planner/src/maintenance.ts
+++ b/pools/planner/src/maintenance.ts
@@ -1,4 +1,5 @@
 import type { Assignment } from "@almondusher/fleet/assignment";
+import { isUp } from "./budget.js";
 import type { Decision } from "./decision.js";
 import { addDecisions, changePlannerState, changeRows, type Plan } from "./plan.js";
 import { keepSince, lasted, maintenanceId } from "./planner-state.js";
@@ -65,7 +66,7 @@
     return addDecisions(changePlannerState(plan, { rebootedAt: [...kept, ...now] }), reboots);
 };
 
-/** Keeps since when VMs have been draining or in maintenance, and names those that do not come back. */
+/** Keeps since when VMs have been down, draining or in maintenance, and names those that do not come back. */
 export const watchUnavailable = (plan: Plan): Plan => {
     const { nowMs, settings } = plan.input;
     const absent = plan.assignments.rows.filter(row => row.phase.kind !== "serving");
@@ -77,8 +78,15 @@
     const late = absent.filter(
         row => row.phase.kind === "maintenance" && lasted(unavailableSince, row.vm, nowMs) > settings.rebootTimeoutMs,
     );
+    const down = plan.assignments.rows.filter(row => row.phase.kind === "serving" && !isUp(plan, row));
+    const downSince = keepSince(
+        plan.plannerState.downSince,
+        down.map(row => row.vm),
+        nowMs,
+    );
+    const locations = plan.assignments.rows.flatMap(({ vm }) => plan.locations.get(vm) ?? []);
     return addDecisions(
-        changePlannerState(plan, { unavailableSince }),
+        changePlannerState(plan, { unavailableSince, downSince, locations }),
         late.map(row => ({ kind: "waiting", subject: row.vm, on: "return", names: [row.vm] })),
     );
 };
--- a/pools/planner/src/plan-fleet.ts
+++ b/pools/planner/src/plan-fleet.ts
@@ -1,10 +1,12 @@
 import { assignVms } from "./assign-vms.js";
 import type { Decision } from "./decision.js";
 import { completeDrains, dropInvalidLoans, redirectDrains, startDrains } from "./drains.js";
+import { returnLoans, startLoans, watchShortages } from "./loans.js";
 import { rebootVms, returnFromMaintenance, watchUnavailable } from "./maintenance.js";
 import { type Plan, planChanges, startPlan } from "./plan.js";
 import type { PlanInput } from "./plan-input.js";
 import type { PlannerState } from "./planner-state.js";
+import { cancelMaintenance, startWave } from "./waves.js";
 
 export interface FleetPlan {
     /** At most one edit, then reboots and what waits for what. */
@@ -20,9 +22,14 @@
     redirectDrains,
     completeDrains,
     assignVms,
+    watchUnavailable,
+    cancelMaintenance,
+    watchShortages,
+    returnLoans,
     startDrains,
+    startLoans,
+    startWave,
     rebootVms,
-    watchUnavailable,
 ];
 
 const joinReasons = (reasons: readonly string[]): string => {
--- a/pools/planner/src/plan.ts
+++ b/pools/planner/src/plan.ts
@@ -9,13 +9,24 @@
 import type { PlanInput } from "./plan-input.js";
 import type { PlannerState } from "./planner-state.js";
 
+/** Where a VM is, as the platform last listed it. */
+export type VmLocation = Pick<Vm, "id" | "rack" | "dataCentre">;
+
+/** The pool whose row in the pools table names a VM. */
+export interface WantedPool {
+    readonly vm: VmId;
+    readonly pool: Pool;
+}
+
 /** A plan in progress; each system of the planner takes one and returns the next. */
 export interface Plan {
     readonly input: PlanInput;
     /** Listed VMs by id. */
     readonly listed: EntityTable<VmId, Vm>;
+    /** Where each VM is, as the platform last listed it. */
+    readonly locations: EntityTable<VmId, VmLocation>;
     /** Pool whose row names the VM, by VM. */
-    readonly wantedPools: ReadonlyMap<VmId, Pool>;
+    readonly wantedPools: EntityTable<VmId, WantedPool>;
     readonly unresponsive: ReadonlySet<VmId>;
     /** Assignments with the changes planned so far. */
     readonly assignments: EntityTable<VmId, Assignment>;
@@ -28,7 +39,11 @@
 export const startPlan = (input: PlanInput): Plan => ({
     input,
     listed: entityTable(input.vms, vm => vm.id),
-    wantedPools: new Map(input.state.pools.rows.flatMap(pool => pool.vms.map(vm => [vm, pool] as const))),
+    locations: entityTable([...input.plannerState.locations, ...input.vms], vm => vm.id),
+    wantedPools: entityTable(
+        input.state.pools.rows.flatMap(pool => pool.vms.map(vm => ({ vm, pool }))),
+        wanted => wanted.vm,
+    ),
     unresponsive: new Set(input.unresponsiveVms),
     assignments: input.state.assignments,
     plannerState: input.plannerState,
@@ -72,13 +87,13 @@
 
 /** Pool that the VM should be in: the one that it is lent to, otherwise the one whose row names it. */
 export const targetPool = (plan: Plan, row: Assignment): PoolName | undefined => {
-    const wanted = plan.wantedPools.get(row.vm);
+    const wanted = plan.wantedPools.get(row.vm)?.pool;
     return isLoanValid(plan, row) ? row.loanedTo : wanted?.name;
 };
 
 /** False if the operator has since given the VM to a pool that lends none, or removed the borrower. */
 export const isLoanValid = (plan: Plan, row: Assignment): boolean => {
-    const wanted = plan.wantedPools.get(row.vm);
+    const wanted = plan.wantedPools.get(row.vm)?.pool;
     return (
         row.loanedTo !== undefined &&
         wanted !== undefined &&
--- a/pools/planner/src/planner-settings.ts
+++ b/pools/planner/src/planner-settings.ts
@@ -17,6 +17,8 @@
     readonly rebootRepeatMs: number;
     /** A drain that lasts longer no longer holds up maintenance elsewhere. */
     readonly slowDrainMs: number;
+    /** A rack or data centre that lost half its VMs stops drains in its pools for this time after the last loss. */
+    readonly lossHoldMs: number;
     /** Pools that have VMs in maintenance at the same time. */
     readonly maxPoolsInMaintenance: number;
     /** Time that a move usually takes; a shorter shortage is not answered with a loan. */
@@ -37,6 +39,7 @@
     rebootTimeoutMs: 15 * MINUTE_MS,
     rebootRepeatMs: 2 * MINUTE_MS,
     slowDrainMs: 30 * MINUTE_MS,
+    lossHoldMs: 60 * MINUTE_MS,
     maxPoolsInMaintenance: 12,
     moveDurationMs: 2 * MINUTE_MS,
     returnAfterMs: 10 * MINUTE_MS,
--- a/pools/planner/src/planner-state.ts
+++ b/pools/planner/src/planner-state.ts
@@ -1,4 +1,5 @@
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
 
 /** A set of processes that confirmed a drain, to be confirmed once more. */
 export interface ConfirmedDrain {
@@ -26,6 +27,10 @@
     readonly unavailableSince: readonly Since<VmId>[];
     /** Since when this manager has known that a boot of a VM is in maintenance; ids as `maintenanceId` forms them. */
     readonly maintenanceSince: readonly Since<string>[];
+    /** Serving VMs that are not up. */
+    readonly downSince: readonly Since<VmId>[];
+    /** Last known place of the assigned VMs, for those that the platform stops listing. */
+    readonly locations: readonly Pick<Vm, "id" | "rack" | "dataCentre">[];
     readonly rebootedAt: readonly Since<VmId>[];
     readonly shortSince: readonly Since<PoolName>[];
     readonly surplusSince: readonly Since<PoolName>[];
@@ -38,6 +43,8 @@
     confirmedDrains: [],
     unavailableSince: [],
     maintenanceSince: [],
+    downSince: [],
+    locations: [],
     rebootedAt: [],
     shortSince: [],
     surplusSince: [],
--- /dev/null
+++ b/pools/planner/src/simulate-fleet.ts
@@ -0,0 +1,289 @@
+import type { Change } from "@almondusher/fleet/edit";
+import { applyEdit } from "@almondusher/fleet/edit";
+import type { FleetState } from "@almondusher/fleet/fleet-state";
+import { type ProcessId, toId, type VmId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
+import type { Confirmation } from "./plan-input.js";
+import { planFleet } from "./plan-fleet.js";
+import type { PlannerSettings } from "./planner-settings.js";
+import { initialPlannerState, type PlannerState } from "./planner-state.js";
+import {
+    drainMs,
+    type FleetShape,
+    type Outage,
+    rebootMs,
+    simulatedDemand,
+    simulatedOutages,
+    simulatedState,
+    simulatedVms,
+} from "./simulated-fleet.js";
+
+/** One way to plan, to be compared with others on the same events. */
+export interface Variant {
+    readonly name: string;
+    readonly settings: PlannerSettings;
+    /** Maintain a single VM of the whole fleet at a time. */
+    readonly oneVmAtATime?: boolean;
+}
+
+export interface SimulationOptions {
+    readonly shape: FleetShape;
+    readonly variant: Variant;
+    readonly seed: number;
+    readonly days: number;
+    /** End when every VM has been maintained since the start. */
+    readonly untilMaintained: boolean;
+}
+
+/** What a simulated fleet went through. */
+export interface SimulationResult {
+    readonly hours: number;
+    /** VMs maintained since the start. */
+    readonly maintained: number;
+    /** Moves of VMs between pools. */
+    readonly moves: number;
+    /** VM hours on loan or on the way. */
+    readonly loanHours: number;
+    /** VM hours of draining and maintenance. */
+    readonly maintenanceHours: number;
+    /** Least of available VMs minus budget over all service pools, and the same without VMs that failed by themselves. */
+    readonly worstMargin: number;
+    readonly worstPlannedMargin: number;
+    /** Pool minutes in which the available slots were fewer than the demand. */
+    readonly overloadMinutes: number;
+    readonly millisecondsPerPlan: number;
+}
+
+const TICK_MS = 15_000;
+const HOUR_MS = 3_600_000;
+const MINUTE_MS = 60_000;
+const START_MS = Date.UTC(2026, 11, 1);
+const ENTRIES = ["entry-1", "entry-2", "entry-3"];
+
+interface Run {
+    readonly timeMs: number;
+    readonly state: FleetState;
+    readonly plannerState: PlannerState;
+    readonly round: number;
+    readonly boots: ReadonlyMap<VmId, number>;
+    readonly rebooting: ReadonlyMap<VmId, number>;
+    readonly drainingSince: ReadonlyMap<VmId, number>;
+    readonly result: Omit<SimulationResult, "hours" | "maintained" | "millisecondsPerPlan">;
+}
+
+interface Scene {
+    readonly options: SimulationOptions;
+    readonly vms: readonly Vm[];
+    readonly outagesByVm: ReadonlyMap<VmId, readonly Outage[]>;
+}
+
+const entryVms = ENTRIES.map((id): Vm => ({
+    id: toId(id),
+    role: "entry",
+    state: "live",
+    bootId: "0",
+    address: "10.0.0.1:1",
+    rack: toId("rack-entry"),
+    dataCentre: toId("dc-0"),
+}));
+
+const registrations = ENTRIES.map(id => ({ processId: toId<ProcessId>(`${id}/1`), vm: toId<VmId>(id) }));
+
+const isOut = (scene: Scene, vm: VmId, timeMs: number): boolean =>
+    (scene.outagesByVm.get(vm) ?? []).some(outage => outage.startMs <= timeMs && timeMs < outage.endMs);
+
+const outagesBefore = (scene: Scene, vm: VmId, timeMs: number): number =>
+    (scene.outagesByVm.get(vm) ?? []).filter(outage => outage.startMs <= timeMs).length;
+
+const listVms = (scene: Scene, run: Run): readonly Vm[] => [
+    ...entryVms,
+    ...scene.vms
+        .filter(vm => !isOut(scene, vm.id, run.timeMs) && (run.rebooting.get(vm.id) ?? 0) <= run.timeMs)
+        .map(vm => ({
+            ...vm,
+            bootId: `${run.boots.get(vm.id) ?? 0}/${outagesBefore(scene, vm.id, run.timeMs)}`,
+        })),
+];
+
+const confirm = (scene: Scene, run: Run): readonly Confirmation[] => {
+    const { seed } = scene.options;
+    const inFlightVms = [...run.drainingSince]
+        .filter(([vm, sinceMs]) => run.timeMs - sinceMs < drainMs(seed, vm))
+        .map(([vm]) => vm);
+    return registrations.map(entry => ({
+        ...entry,
+        revision: run.state.revision,
+        round: run.round,
+        inFlightVms,
+        passedTo: [],
+        goneEntryVms: [],
+    }));
+};
+
+const isMaintenanceDrain = (change: Change): boolean =>
+    change.table === "assignments" &&
+    change.after?.phase.kind === "draining" &&
+    change.after.phase.purpose.kind === "maintenance" &&
+    change.before?.phase.kind === "serving";
+
+/** Of the drains for maintenance only the first one, and none while a VM is in maintenance. */
+const limitToOne = (state: FleetState, changes: readonly Change[]): readonly Change[] => {
+    const isBusy = state.assignments.rows.some(
+        ({ phase }) =>
+            phase.kind === "maintenance" || (phase.kind === "draining" && phase.purpose.kind === "maintenance"),
+    );
+    const first = isBusy ? undefined : changes.find(isMaintenanceDrain);
+    return changes.filter(change => !isMaintenanceDrain(change) || change === first);
+};
+
+const commit = (scene: Scene, state: FleetState, changes: readonly Change[]): FleetState => {
+    const permitted = scene.options.variant.oneVmAtATime === true ? limitToOne(state, changes) : changes;
+    return permitted.length === 0
+        ? state
+        : applyEdit(state, {
+              editId: toId(`edit-${state.revision}`),
+              author: { kind: "manager", name: "simulation" },
+              at: "",
+              reason: "",
+              changes: [...permitted],
+          });
+};
+
+const drainTimes = (run: Run, state: FleetState): ReadonlyMap<VmId, number> =>
+    new Map(
+        state.assignments.rows
+            .filter(row => row.phase.kind === "draining")
+            .map(row => [row.vm, run.drainingSince.get(row.vm) ?? run.timeMs]),
+    );
+
+const countMoves = (before: FleetState, after: FleetState): number =>
+    after.assignments.rows.filter(row => {
+        const previous = before.assignments.get(row.vm);
+        return previous !== undefined && previous.pool !== row.pool;
+    }).length;
+
+interface PoolCount {
+    readonly margin: number;
+    readonly plannedMargin: number;
+    readonly isOverloaded: boolean;
+}
+
+const countPool = (scene: Scene, run: Run, listed: ReadonlySet<VmId>, name: string): PoolCount => {
+    const pool = run.state.pools.get(toId(name));
+    const serving = run.state.assignments.rows.filter(row => row.pool === name && row.phase.kind === "serving");
+    const available = serving.filter(row => listed.has(row.vm)).length;
+    const budget = pool?.minAvailable ?? 0;
+    const demand = pool === undefined ? 0 : simulatedDemand({ pool, seed: scene.options.seed, timeMs: run.timeMs });
+    return {
+        margin: available - budget,
+        plannedMargin: serving.length - budget,
+        isOverloaded: demand > available * (pool?.slotsPerVm ?? 0),
+    };
+};
+
+const measure = (scene: Scene, run: Run, listed: ReadonlySet<VmId>): Run["result"] => {
+    const pools = run.state.pools.rows.filter(pool => !pool.spare);
+    const counts = pools.map(pool => countPool(scene, run, listed, pool.name));
+    const rows = run.state.assignments.rows;
+    const loans = rows.filter(row => row.loanedTo !== undefined).length;
+    const away = rows.filter(
+        ({ phase }) =>
+            phase.kind === "maintenance" || (phase.kind === "draining" && phase.purpose.kind === "maintenance"),
+    ).length;
+    const { result } = run;
+    return {
+        moves: result.moves,
+        loanHours: result.loanHours + (loans * TICK_MS) / HOUR_MS,
+        maintenanceHours: result.maintenanceHours + (away * TICK_MS) / HOUR_MS,
+        worstMargin: Math.min(result.worstMargin, ...counts.map(({ margin }) => margin)),
+        worstPlannedMargin: Math.min(result.worstPlannedMargin, ...counts.map(({ plannedMargin }) => plannedMargin)),
+        overloadMinutes:
+            result.overloadMinutes + (counts.filter(({ isOverloaded }) => isOverloaded).length * TICK_MS) / MINUTE_MS,
+    };
+};
+
+const reboot = (scene: Scene, run: Run, vms: readonly VmId[]): Run => {
+    const { seed } = scene.options;
+    const boots = vms.map(vm => [vm, (run.boots.get(vm) ?? 0) + 1] as const);
+    const rebooting = vms.map(vm => [vm, run.timeMs + rebootMs(seed, vm)] as const);
+    return {
+        ...run,
+        boots: new Map([...run.boots, ...boots]),
+        rebooting: new Map([...run.rebooting, ...rebooting]),
+    };
+};
+
+const takeTick = (scene: Scene, run: Run): Run => {
+    const { options } = scene;
+    const vms = listVms(scene, run);
+    const nowMs = START_MS + run.timeMs;
+    const { decisions, plannerState } = planFleet({
+        state: run.state,
+        vms,
+        listReadAtMs: nowMs,
+        registrations,
+        confirmations: confirm(scene, run),
+        loads: run.state.pools.rows.map(pool => ({
+            pool: pool.name,
+            demandSlots: simulatedDemand({ pool, seed: options.seed, timeMs: run.timeMs }),
+        })),
+        unresponsiveVms: [],
+        plannerState: run.plannerState,
+        round: run.round,
+        nowMs,
+        settings: options.variant.settings,
+    });
+    const changes = decisions.flatMap(decision => (decision.kind === "edit" ? decision.changes : []));
+    const state = commit(scene, run.state, changes);
+    const rebooted = decisions.flatMap(decision => (decision.kind === "reboot" ? [decision.vm] : []));
+    const moves = countMoves(run.state, state);
+    const next = reboot(scene, { ...run, state, plannerState, drainingSince: drainTimes(run, state) }, rebooted);
+    const listed = new Set(vms.map(vm => vm.id));
+    const result = measure(scene, { ...next, result: { ...run.result, moves: run.result.moves + moves } }, listed);
+    return { ...next, result, round: run.round + 1, timeMs: run.timeMs + TICK_MS };
+};
+
+const countMaintained = (state: FleetState): number =>
+    state.assignments.rows.filter(row => (row.maintainedAtMs ?? 0) >= START_MS).length;
+
+/** Runs the planner on a simulated fleet, one plan every 15 seconds. */
+export const simulateFleet = (options: SimulationOptions): SimulationResult => {
+    const vms = simulatedVms(options.shape);
+    const outages = simulatedOutages({ vms, seed: options.seed, days: options.days });
+    const outagesByVm = new Map(vms.map(vm => [vm.id, outages.filter(outage => outage.vm === vm.id)]));
+    const scene: Scene = { options, vms, outagesByVm };
+    const startedMs = performance.now();
+    const lastTick = (options.days * 24 * HOUR_MS) / TICK_MS;
+    let run: Run = {
+        timeMs: 0,
+        state: simulatedState(options.shape),
+        plannerState: initialPlannerState,
+        round: 1,
+        boots: new Map(),
+        rebooting: new Map(),
+        drainingSince: new Map(),
+        result: {
+            moves: 0,
+            loanHours: 0,
+            maintenanceHours: 0,
+            worstMargin: Infinity,
+            worstPlannedMargin: Infinity,
+            overloadMinutes: 0,
+        },
+    };
+    for (let tick = 0; tick < lastTick; tick += 1) {
+        run = takeTick(scene, run);
+        if (options.untilMaintained && countMaintained(run.state) === vms.length) {
+            break;
+        }
+    }
+    return {
+        ...run.result,
+        hours: run.timeMs / HOUR_MS,
+        maintained: countMaintained(run.state),
+        millisecondsPerPlan: (performance.now() - startedMs) / (run.timeMs / TICK_MS),
+    };
+};
+
+/** Time at which simulations start, in milliseconds since 1970. */
+export const simulationStartMs = START_MS;
