--- a/pools/planner/src/planner-state.ts
+++ b/pools/planner/src/planner-state.ts
@@ -1,4 +1,5 @@
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
+import type { Vm } from "@almondusher/fleet/vm";
 
 /** A set of processes that confirmed a drain, to be confirmed once more. */
 export interface ConfirmedDrain {
@@ -24,6 +25,12 @@
     readonly confirmedDrains: readonly ConfirmedDrain[];
     /** Phases other than serving, by VM. */
     readonly unavailableSince: readonly Since<VmId>[];
+    /** Since when this manager has known that a boot of a VM is in maintenance; ids as `maintenanceId` forms them. */
+    readonly maintenanceSince: readonly Since<string>[];
+    /** Serving VMs that are not up. */
+    readonly downSince: readonly Since<VmId>[];
+    /** Last known place of the assigned VMs, for those that the platform stops listing. */
+    readonly locations: readonly Pick<Vm, "id" | "rack" | "dataCentre">[];
     readonly rebootedAt: readonly Since<VmId>[];
     readonly shortSince: readonly Since<PoolName>[];
     readonly surplusSince: readonly Since<PoolName>[];
@@ -35,11 +42,17 @@
     registeredSince: [],
     confirmedDrains: [],
     unavailableSince: [],
+    maintenanceSince: [],
+    downSince: [],
+    locations: [],
     rebootedAt: [],
     shortSince: [],
     surplusSince: [],
 };
 
+/** Id of the maintenance of one boot of a VM. */
+export const maintenanceId = (vm: VmId, bootId: string): string => `${vm}/${bootId}`;
+
 /** The times of the given ids: kept where known, otherwise now. */
 export const keepSince = <Id extends string>(
     earlier: readonly Since<Id>[],
