Place requests by health, limit retries, and tell the truth about keys

Cause: a VM that fails everything at once drew in work; retries and hedges had no budget; the checker of claims shows that a keyed request rejected as not-run may have been sent by an earlier attempt, and that a late reboot can end a boot that is in service again.

--- a/programs/entry/src/accept-request.ts
+++ b/programs/entry/src/accept-request.ts
@@ -2,10 +2,12 @@
 import { offer } from "@almondusher/admission/offer";
 import { type RequestId, toId } from "@almondusher/fleet/ids";
 import type { Cause } from "@almondusher/fleet/verdict";
+import { runTimeOf } from "@almondusher/placement/run-times";
 import { recordArrival } from "@almondusher/telemetry/failure-log";
 import { type CallerRequest, readCallerRequest } from "./caller-request.js";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { capacityOf, type PoolRuntime } from "./pool-runtime.js";
+import { verdictOfKey } from "./request-claim.js";
 import { currentReadiness } from "./readiness.js";
 import { recordRejection } from "./record-outcome.js";
 import { type Rejection, sendRejection } from "./rejection.js";
@@ -35,7 +37,7 @@
     }
     const readiness = currentReadiness(entry);
     if (!readiness.ready && entry.tables.phase !== "draining") {
-        rejectUnread(entry, { ...arriving, id }, notReady(readiness.reason));
+        rejectUnread(entry, { ...arriving, id }, notReady(incoming, readiness.reason));
         return;
     }
     const reading = readCallerRequest(incoming, { id, routes: entry.tables.view.routes, nowMs: monotonicMs() });
@@ -49,10 +51,11 @@
     }
 };
 
-const notReady = (reason: string): Rejection => ({
+const notReady = (incoming: IncomingMessage, reason: string): Rejection => ({
     status: 503,
     cause: "not-ready",
-    verdict: "not-run",
+    // An earlier request with the same key may have run, and this entry cannot tell.
+    verdict: "idempotency-key" in incoming.headers ? "may-have-run" : "not-run",
     message: `this entry is not ready: ${reason}`,
     retryAfterMs: RETRY_WHEN_NOT_READY_MS,
 });
@@ -84,13 +87,15 @@
     recordArrival(entry.failureLog, { route: name, pool: poolName }, Date.now());
     const pool = entry.tables.pools.get(poolName);
     if (pool === undefined || pool.view.vms.length === 0) {
-        rejectUnread(entry, { ...arriving, id: request.id }, noVm(request));
+        void verdictOfKey(entry, request).then(verdict =>
+            rejectUnread(entry, { ...arriving, id: request.id }, { ...noVm(request), verdict }),
+        );
         return;
     }
     const flow = createFlow(entry, arriving, request, pool);
     entry.tables.requests.set(request.id, flow);
     arriving.response.once("close", () => abandonRequest(entry, flow));
-    const decision = offer(pool.admission, admissionOf(request), capacityOf(pool));
+    const decision = offer(pool.admission, admissionOf(entry, request), capacityOf(pool));
     switch (decision.kind) {
         case "start":
             startFlow(entry, flow);
@@ -119,14 +124,20 @@
     retryAfterMs,
 });
 
-const admissionOf = (request: CallerRequest) => ({
+const admissionOf = (entry: EntryContext, request: CallerRequest) => ({
     id: request.id,
     urgency: request.urgency,
     team: request.team,
     arrivedAt: request.arrivedAtMs,
     deadlineAt: request.deadlineAtMs,
+    ...expectedRun(entry, request),
 });
 
+const expectedRun = (entry: EntryContext, request: CallerRequest) => {
+    const runTime = runTimeOf(entry.runTimes, request.route.name);
+    return runTime === undefined ? {} : { expectedRunMs: runTime.high };
+};
+
 const createFlow = (
     entry: EntryContext,
     { incoming, response, expectsContinue }: ArrivingRequest,
@@ -150,9 +161,11 @@
         phase: "queued",
         expectsContinue,
         claim: undefined,
+        claimed: false,
         running: [],
         ended: [],
         hedged: false,
+        serverError: false,
         startedAtMs: request.arrivedAtMs,
     };
     return flow;
--- a/programs/entry/src/answer-relay.ts
+++ b/programs/entry/src/answer-relay.ts
@@ -33,6 +33,7 @@
                 return;
             }
             flow.phase = "answering";
+            flow.serverError = head.statusCode >= SERVER_ERROR;
             flow.running.filter(other => other !== attempt).forEach(events.onOvertaken);
             response.sendDate = false;
             const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME });
@@ -73,6 +74,7 @@
     flow.phase === "sending" &&
     flow.ended.length + 1 < entry.settings.limits.maxAttempts &&
     flow.pool.view.vms.length > 1 &&
+    flow.pool.retries.tokens >= 1 &&
     (flow.body?.canReplay() ?? true);
 
 const pairs = (rawHeaders: readonly string[]): Record<string, string> => {
--- a/programs/entry/src/create-entry.ts
+++ b/programs/entry/src/create-entry.ts
@@ -6,6 +6,9 @@
 import type { Vm } from "@almondusher/fleet/vm";
 import { initialMembership } from "@almondusher/peer/membership";
 import { createPeerClients } from "@almondusher/peer/peer-clients";
+import { createRunTimes } from "@almondusher/placement/run-times";
+import { createVmHealth } from "@almondusher/placement/vm-health";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { createPlatform } from "@almondusher/platform/create-platform";
 import { loadSecret } from "@almondusher/settings/load-settings";
 import { createRendezvous } from "@almondusher/slots/rendezvous";
@@ -19,6 +22,7 @@
 import { fleetView } from "./fleet-view.js";
 
 const PROCESS_ID_BYTES = 6;
+const SEED_BYTES = 4;
 
 export interface EntryOptions {
     readonly settings: EntrySettings;
@@ -46,6 +50,9 @@
         rendezvous: await createRendezvous(),
         counters: createCounters(),
         latencies: createLatencies(),
+        health: createVmHealth(),
+        runTimes: createRunTimes(),
+        random: xoroshiro128plus(randomBytes(SEED_BYTES).readInt32LE()),
         failureLog: createFailureLog({ process: processId }),
         revisionUse: createRevisionUse(),
         logger: createLogger({
@@ -76,5 +83,6 @@
         pools: new Map(),
         requests: new Map(),
         nextRequestNumber: 0,
+        lookups: 0,
     };
 };
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -5,6 +5,9 @@
 import type { Membership, Peer } from "@almondusher/peer/membership";
 import type { PeerClients } from "@almondusher/peer/peer-clients";
 import type { Platform } from "@almondusher/platform/create-platform";
+import type { RunTimes } from "@almondusher/placement/run-times";
+import type { VmHealth } from "@almondusher/placement/vm-health";
+import type { RandomGenerator } from "pure-rand/types/RandomGenerator";
 import type { Rendezvous } from "@almondusher/slots/rendezvous";
 import type { Counters } from "@almondusher/telemetry/counters";
 import type { FailureLog } from "@almondusher/telemetry/failure-log";
@@ -48,6 +51,8 @@
     readonly pools: Map<PoolName, PoolRuntime>;
     readonly requests: Map<RequestId, RequestFlow>;
     nextRequestNumber: number;
+    /** Lookups of claims that wait for the platform. */
+    lookups: number;
 }
 
 /** Everything that the functions of the entry work on. */
@@ -63,6 +68,9 @@
     readonly rendezvous: Rendezvous;
     readonly counters: Counters;
     readonly latencies: Latencies;
+    readonly health: VmHealth;
+    readonly runTimes: RunTimes;
+    readonly random: RandomGenerator;
     readonly failureLog: FailureLog;
     readonly revisionUse: RevisionUse;
     readonly logger: Logger;
--- a/programs/entry/src/entry-events.ts
+++ b/programs/entry/src/entry-events.ts
@@ -8,6 +8,7 @@
 import type { EntryContext } from "./entry-context.js";
 import type { EntrySettings } from "./entry-settings.js";
 import { exchangeWithPeers, expireMembers } from "./exchange-peers.js";
+import { refreshStandings } from "./place-request.js";
 import { pollContacts, pollHead, pollVms } from "./poll-platform.js";
 import { currentReadiness } from "./readiness.js";
 import { startWaiting } from "./serve-request.js";
@@ -95,7 +96,10 @@
 const runTick = (entry: EntryContext): void => {
     expireMembers(entry);
     watchAttempts(entry);
-    entry.tables.pools.forEach(pool => startWaiting(entry, pool));
+    entry.tables.pools.forEach(pool => {
+        refreshStandings(entry, pool);
+        startWaiting(entry, pool);
+    });
     updateReadiness(entry);
 };
 
--- a/programs/entry/src/pool-runtime.ts
+++ b/programs/entry/src/pool-runtime.ts
@@ -5,6 +5,9 @@
 import type { Pool } from "@almondusher/fleet/pool";
 import type { Vm } from "@almondusher/fleet/vm";
 import { createSlotLedger, freeSlots, grantedSlots, type SlotLedger } from "@almondusher/slots/slot-ledger";
+import { createRetryBudget, type RetryBudget, takeRetry } from "@almondusher/placement/retry-budget";
+import type { Ejections } from "@almondusher/placement/ejection";
+import type { VmStanding } from "./place-request.js";
 import type { EntrySettings } from "./entry-settings.js";
 import type { PoolView } from "./fleet-view.js";
 
@@ -15,6 +18,9 @@
     readonly ledger: SlotLedger;
     /** Admitted requests that wait for a slot on another VM after an attempt failed. */
     readonly waitingForSlot: Set<RequestId>;
+    retries: RetryBudget;
+    ejections: Ejections;
+    standings: ReadonlyMap<VmId, VmStanding>;
 }
 
 const limitsOf = (pool: Pool, settings: EntrySettings): AdmissionLimits => {
@@ -37,6 +43,9 @@
     admission: createAdmission(limitsOf(view.pool, settings)),
     ledger: createSlotLedger(),
     waitingForSlot: new Set(),
+    retries: createRetryBudget(performance.now()),
+    ejections: new Map(),
+    standings: new Map(),
 });
 
 /** Takes over a changed row of the pool or a changed set of VMs. */
@@ -47,13 +56,22 @@
     runtime.view = view;
 };
 
-/** VMs of the pool on which this entry may start a request now. */
-export const usableVms = (runtime: PoolRuntime, excluded: readonly VmId[] = []): readonly Vm[] =>
-    runtime.view.vms.filter(vm => freeSlots(runtime.ledger, vm.id) > 0 && !excluded.includes(vm.id));
+/** Takes one retry from the budget of the pool; false if it is used up. */
+export const spendRetry = (runtime: PoolRuntime, nowMs: number): boolean => {
+    const { granted, budget } = takeRetry(runtime.retries, nowMs);
+    runtime.retries = budget;
+    return granted;
+};
+
+const isUsable = (runtime: PoolRuntime, vm: Vm): boolean => runtime.ejections.get(vm.id)?.phase !== "ejected";
+
+/** Free slots of this entry on VMs that are not ejected. */
+export const usableSlots = (runtime: PoolRuntime): number =>
+    runtime.view.vms.reduce((sum, vm) => sum + (isUsable(runtime, vm) ? freeSlots(runtime.ledger, vm.id) : 0), 0);
 
 /** Slots of the pool as this entry sees them now. */
 export const capacityOf = (runtime: PoolRuntime): PoolCapacity => ({
-    free: runtime.view.vms.reduce((sum, vm) => sum + freeSlots(runtime.ledger, vm.id), 0) - runtime.waitingForSlot.size,
+    free: usableSlots(runtime) - runtime.waitingForSlot.size,
     granted: grantedSlots(runtime.ledger),
     pool: runtime.view.vms.length * runtime.view.pool.slotsPerVm,
 });
--- a/programs/entry/src/request-claim.ts
+++ b/programs/entry/src/request-claim.ts
@@ -1,9 +1,10 @@
 import { randomUUID } from "node:crypto";
 import { FleetError } from "@almondusher/fleet/fleet-error";
 import { type ClaimId, toId } from "@almondusher/fleet/ids";
-import { type ClaimResult, claimRequest, settleClaim } from "@almondusher/platform/claims";
+import { type ClaimResult, claimRequest, lookUpClaim, settleClaim } from "@almondusher/platform/claims";
+import type { Verdict } from "@almondusher/fleet/verdict";
 import { count } from "@almondusher/telemetry/counters";
-import { fingerprintOf } from "./caller-request.js";
+import { type CallerRequest, fingerprintOf } from "./caller-request.js";
 import type { EntryContext } from "./entry-context.js";
 import type { Rejection } from "./rejection.js";
 import type { RequestFlow } from "./request-flow.js";
@@ -38,6 +39,7 @@
     switch (result.kind) {
         case "claimed":
             flow.claim = result.claim;
+            flow.claimed = true;
             return undefined;
         case "held":
             return {
@@ -67,7 +69,8 @@
 const unavailable = (error: unknown): Rejection => ({
     status: 503,
     cause: "platform-unavailable",
-    verdict: "not-run",
+    // An earlier request with this key may have been sent by another entry.
+    verdict: "may-have-run",
     message: `the claim of this request could not be decided: ${error instanceof FleetError ? error.message : String(error)}`,
     retryAfterMs: RETRY_WHILE_HELD_MS,
 });
@@ -83,3 +86,28 @@
         count(entry.counters, { name: "unsettled-claims", route: request.route.name, pool: request.route.pool });
     });
 };
+
+// Each lookup is one read of the platform, which serves about two thousand a second for all entries.
+const MAX_LOOKUPS = 50;
+
+/**
+ * The verdict on a request that is rejected before it was claimed: an earlier request with its key may have run.
+ * Without an answer of the platform only "may-have-run" is certain to be true.
+ */
+export const verdictOfKey = async (entry: EntryContext, request: CallerRequest): Promise<Verdict> => {
+    const { key, route, team } = request;
+    if (key === undefined || request.idempotent) {
+        return "not-run";
+    }
+    if (entry.tables.lookups >= MAX_LOOKUPS) {
+        return "may-have-run";
+    }
+    entry.tables.lookups += 1;
+    try {
+        return await lookUpClaim(entry.platform, { route: route.name, team, key });
+    } catch {
+        return "may-have-run";
+    } finally {
+        entry.tables.lookups -= 1;
+    }
+};
--- a/programs/entry/src/request-flow.ts
+++ b/programs/entry/src/request-flow.ts
@@ -39,10 +39,14 @@
     /** True while the caller waits for 100 Continue. */
     expectsContinue: boolean;
     claim: Claim | undefined;
+    /** True once this entry has held the claim; the attempts then tell whether the request ran. */
+    claimed: boolean;
     /** Attempts that run; a second one only while a hedge runs. */
     running: Attempt[];
     ended: EndedAttempt[];
     hedged: boolean;
+    /** True if the answer that is passed on is a server error. */
+    serverError: boolean;
     /** Monotonic time at which the current phase of sending began, in milliseconds. */
     startedAtMs: number;
 }
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -1,20 +1,23 @@
 import { cancel } from "@almondusher/admission/finish";
 import { finish } from "@almondusher/admission/finish";
 import { takeNext } from "@almondusher/admission/take-next";
-import type { RequestId, VmId } from "@almondusher/fleet/ids";
+import type { RequestId } from "@almondusher/fleet/ids";
 import { type Cause, combineVerdicts, type Verdict } from "@almondusher/fleet/verdict";
 import type { ExchangeFailure } from "@almondusher/exchange/exchange";
 import { runExchange } from "@almondusher/exchange/run-exchange";
+import { earnRetry } from "@almondusher/placement/retry-budget";
+import { learnRunTime } from "@almondusher/placement/run-times";
 import { connectionShare, releaseSlot, reserveSlot } from "@almondusher/slots/slot-ledger";
 import { count } from "@almondusher/telemetry/counters";
 import { type LatencyOutcome, recordLatency } from "@almondusher/telemetry/latencies";
 import { createAnswerRelay } from "./answer-relay.js";
 import { requestHeaders } from "./endpoint-headers.js";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
-import { capacityOf, type PoolRuntime, usableVms } from "./pool-runtime.js";
+import { noteOutcome, placeRequest } from "./place-request.js";
+import { capacityOf, type PoolRuntime, spendRetry, usableSlots } from "./pool-runtime.js";
 import { recordFailedAttempt, recordRejection } from "./record-outcome.js";
 import { type Rejection, sendRejection } from "./rejection.js";
-import { claimFlow, settleFlowClaim } from "./request-claim.js";
+import { claimFlow, settleFlowClaim, verdictOfKey } from "./request-claim.js";
 import type { Attempt, RequestFlow } from "./request-flow.js";
 
 const RETRY_AFTER_FAILURE_MS = 1000;
@@ -48,7 +51,7 @@
 
 /** Sends a request to a VM with a free slot, or lets it wait for one; a hedge does not wait. */
 export const sendAttempt = (entry: EntryContext, flow: RequestFlow, kind: "first" | "retry" | "hedge"): void => {
-    const vm = chooseVm(flow);
+    const vm = placeRequest(entry, flow);
     if (vm === undefined || !reserveSlot(flow.pool.ledger, vm.id)) {
         if (kind !== "hedge") {
             flow.phase = "waiting-for-slot";
@@ -95,17 +98,6 @@
     });
 };
 
-const triedVms = (flow: RequestFlow): readonly VmId[] => [
-    ...flow.ended.map(ended => ended.vm),
-    ...flow.running.map(attempt => attempt.vm.id),
-];
-
-const chooseVm = (flow: RequestFlow) => {
-    const untried = usableVms(flow.pool, triedVms(flow));
-    const candidates = untried.length > 0 ? untried : usableVms(flow.pool);
-    return candidates[Math.floor(Math.random() * candidates.length)];
-};
-
 const endAttempt = (flow: RequestFlow, attempt: Attempt): void => {
     if (!flow.running.includes(attempt)) {
         return;
@@ -124,6 +116,7 @@
     const ended = { vm: attempt.vm.id, verdict, cause };
     flow.ended = [...flow.ended, ended];
     recordFailedAttempt(entry, flow, ended);
+    noteOutcome(entry, flow, attempt, cause);
     if (flow.phase === "done") {
         return;
     }
@@ -168,7 +161,7 @@
 
 const retryOrReject = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): void => {
     flow.body?.detach();
-    if (mayRetry(entry, flow, failure)) {
+    if (mayRetry(entry, flow, failure) && spendRetry(flow.pool, monotonicMs())) {
         const { route } = flow.request;
         count(entry.counters, { name: "retries", route: route.name, pool: route.pool, cause: failure.cause });
         sendAttempt(entry, flow, "retry");
@@ -203,6 +196,10 @@
         vm: attempt.vm.id,
         revision: flow.revision,
     });
+    const elapsedMs = monotonicMs() - attempt.startedAtMs;
+    learnRunTime(entry.runTimes, route.name, elapsedMs);
+    flow.pool.retries = earnRetry(flow.pool.retries);
+    noteOutcome(entry, flow, attempt, flow.serverError ? "bad-answer" : undefined);
     settleFlowClaim(entry, flow, "ran");
     closeFlow(entry, flow, "completed");
 };
@@ -214,30 +211,40 @@
         ...flow.running.map((attempt): Verdict => (attempt.exchange?.headSent === true ? "may-have-run" : "not-run")),
     ]);
 
-/** Ends a request with a rejection; the verdict of the rejection is raised to what the attempts show. */
+/** Ends a request with a rejection; the verdict of the rejection is raised to what is known of the request. */
 export const rejectFlow = (entry: EntryContext, flow: RequestFlow, rejection: Rejection): void => {
     if (flow.phase === "done") {
         return;
     }
+    const wasAnswering = flow.phase === "answering";
     const verdict = combineVerdicts([rejection.verdict, flowVerdict(flow)]);
-    recordRejection(entry, { cause: rejection.cause, verdict, revision: flow.revision, flow });
-    if (flow.phase === "answering") {
-        flow.response.destroy();
-    } else {
-        sendRejection(
-            flow.response,
-            { ...rejection, verdict },
-            {
-                requestId: flow.request.id,
-                revision: flow.revision,
-                closeConnection: flow.request.hasBody && !flow.incoming.complete,
-            },
-        );
-    }
     if (verdict === "not-run") {
         settleFlowClaim(entry, flow, "released");
     }
     closeFlow(entry, flow, "rejected");
+    if (wasAnswering) {
+        recordRejection(entry, { cause: rejection.cause, verdict, revision: flow.revision, flow });
+        flow.response.destroy();
+    } else if (verdict === "not-run" && needsLookup(flow, rejection.cause)) {
+        void verdictOfKey(entry, flow.request).then(known =>
+            answerRejected(entry, flow, { ...rejection, verdict: known }),
+        );
+    } else {
+        answerRejected(entry, flow, { ...rejection, verdict });
+    }
+};
+
+const needsLookup = ({ claimed, request }: RequestFlow, cause: Cause): boolean =>
+    !claimed && request.key !== undefined && !request.idempotent && cause !== "claim-mismatch";
+
+const answerRejected = (entry: EntryContext, flow: RequestFlow, rejection: Rejection): void => {
+    const { revision } = flow;
+    recordRejection(entry, { cause: rejection.cause, verdict: rejection.verdict, revision, flow });
+    sendRejection(flow.response, rejection, {
+        requestId: flow.request.id,
+        revision,
+        closeConnection: flow.request.hasBody && !flow.incoming.complete,
+    });
 };
 
 /** Ends a request whose caller has gone. */
@@ -273,11 +280,14 @@
 
 /** Uses free slots: first for requests that were already let in, then for those in the queue. */
 export const startWaiting = (entry: EntryContext, pool: PoolRuntime): void => {
+    if (pool.waitingForSlot.size === 0 && pool.admission.waiting.size === 0) {
+        return;
+    }
     [...pool.waitingForSlot]
         .map(id => entry.tables.requests.get(id))
         .filter(flow => flow?.phase === "waiting-for-slot")
         .forEach(flow => {
-            if (flow !== undefined && usableVms(pool).length > 0) {
+            if (flow !== undefined && usableSlots(pool) > 0) {
                 sendAttempt(entry, flow, "retry");
             }
         });
--- a/programs/entry/src/watch-attempts.ts
+++ b/programs/entry/src/watch-attempts.ts
@@ -1,7 +1,9 @@
 import { probeEndpoint } from "@almondusher/exchange/probe-endpoint";
 import { watchProgress } from "@almondusher/exchange/progress-watch";
+import { runTimeOf } from "@almondusher/placement/run-times";
 import { count } from "@almondusher/telemetry/counters";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
+import { spendRetry } from "./pool-runtime.js";
 import { failLostAttempt, rejectFlow, sendAttempt } from "./serve-request.js";
 import type { Attempt, RequestFlow } from "./request-flow.js";
 
@@ -60,10 +62,16 @@
     (flow.body?.canReplay() ?? true) &&
     flow.running.length === 1 &&
     flow.running.every(
-        attempt =>
-            attempt.exchange?.waitsForCaller !== true && silenceOf(attempt, nowMs) > entry.settings.limits.hedgeMinMs,
+        attempt => attempt.exchange?.waitsForCaller !== true && silenceOf(attempt, nowMs) > hedgeAfterMs(entry, flow),
     );
 
+/** Silence after which an idempotent request gets a second attempt. */
+const hedgeAfterMs = (entry: EntryContext, flow: RequestFlow): number => {
+    const { hedgeMinMs, hedgeFactor } = entry.settings.limits;
+    const learned = runTimeOf(entry.runTimes, flow.request.route.name);
+    return Math.max(hedgeMinMs, hedgeFactor * (learned?.high ?? 0));
+};
+
 const hedge = (entry: EntryContext, flow: RequestFlow): void => {
     flow.hedged = true;
     const [silent] = flow.running;
@@ -90,6 +98,8 @@
 
 const startHedge = (entry: EntryContext, flow: RequestFlow): void => {
     const { route } = flow.request;
-    count(entry.counters, { name: "hedges", route: route.name, pool: route.pool });
-    sendAttempt(entry, flow, "hedge");
+    if (spendRetry(flow.pool, monotonicMs())) {
+        count(entry.counters, { name: "hedges", route: route.name, pool: route.pool });
+        sendAttempt(entry, flow, "hedge");
+    }
 };
--- a/programs/manager/src/manager-settings.ts
+++ b/programs/manager/src/manager-settings.ts
@@ -30,6 +30,7 @@
     rebootTimeoutMs: durationSchema(defaultPlannerSettings.rebootTimeoutMs),
     rebootRepeatMs: durationSchema(defaultPlannerSettings.rebootRepeatMs),
     slowDrainMs: durationSchema(defaultPlannerSettings.slowDrainMs),
+    lossHoldMs: durationSchema(defaultPlannerSettings.lossHoldMs, 0),
     maxPoolsInMaintenance: z.int().min(0).max(1000).default(defaultPlannerSettings.maxPoolsInMaintenance),
     moveDurationMs: durationSchema(defaultPlannerSettings.moveDurationMs),
     returnAfterMs: durationSchema(defaultPlannerSettings.returnAfterMs),
--- a/programs/manager/src/run-plan.ts
+++ b/programs/manager/src/run-plan.ts
@@ -107,9 +107,12 @@
     }
 };
 
-const reboot = async (manager: ManagerContext, { vm }: Extract<Decision, { kind: "reboot" }>): Promise<void> => {
+const reboot = async (
+    manager: ManagerContext,
+    { vm, bootId }: Extract<Decision, { kind: "reboot" }>,
+): Promise<void> => {
     try {
-        await rebootVm(manager.platform, vm);
+        await rebootVm(manager.platform, { vmId: vm, bootId });
         count(manager.counters, { name: "reboots", vm });
     } catch {
         // The planner asks again if the list shows no new boot.
--- a/stand-ins/platform/src/vm-service.ts
+++ b/stand-ins/platform/src/vm-service.ts
@@ -39,6 +39,10 @@
     if (vm === undefined) {
         return { status: 404, headers: jsonHeaders, body: JSON.stringify({ message: `no ${request.path}` }) };
     }
+    const expected = request.headers["if-match"];
+    if (expected !== undefined && expected !== `"${vm.bootId}"`) {
+        return { status: 412, headers: jsonHeaders, body: JSON.stringify({ message: `${vm.id} runs ${vm.bootId}` }) };
+    }
     reboot(list, vm);
     return { status: 202 };
 };
