Share the slots of endpoints through a grantor for each pool

Cause: the rendezvous partition gives each entry a fixed part of the slots, whatever it needs. Change: an entry reports what it uses and needs to the grantor of the pool, at once when a request has to wait; the grantor divides slots, guarantees and quotas and pushes changed grants; freed slots are passed on only after an acknowledgement.

--- a/admission/queue/src/admission-state.ts
+++ b/admission/queue/src/admission-state.ts
@@ -5,6 +5,9 @@
 import { createRing, type Ring } from "./ring.js";
 import { createRunTimes, type RunTimes } from "./run-times.js";
 
+/** Which slot a request may take: one of its class's share, one that it borrows, or none. */
+export type Entitlement = "own" | "borrowed" | "none";
+
 /** Admission of one pool on one entry; changed only by the functions of this package. */
 export interface Admission {
     limits: AdmissionLimits;
@@ -14,8 +17,8 @@
     readonly running: Map<RequestId, Running>;
     /** All waiting requests by deadline, whatever their class and team. */
     readonly expiry: DeadlineQueue;
-    /** Borrowed slots in the order in which they were taken. */
-    readonly loans: Loans;
+    /** Requests that borrowed a slot, in the order in which they did; some may have ended. */
+    readonly loans: RequestId[];
     /** Virtual time of the class that started last. */
     virtualNow: number;
     nextSequence: number;
@@ -25,7 +28,12 @@
 export interface ClassState {
     readonly urgency: Urgency;
     running: number;
+    /** Requests that run within the guaranteed share of the class. */
+    runningOwn: number;
+    /** Those of them that are short. */
+    runningOwnShort: number;
     queued: number;
+    queuedShort: number;
     /** Slot time that the class used, divided by its share; the class that is furthest behind starts first. */
     virtualTime: number;
     /** Rejected callers were told to retry up to this time. */
@@ -42,6 +50,8 @@
     readonly team: TeamState;
     readonly urgency: Urgency;
     running: number;
+    /** Borrowers that run for much longer than short requests do; the team does not borrow in this class meanwhile. */
+    overdue: number;
     readonly short: DeadlineQueue;
     readonly long: DeadlineQueue;
 }
@@ -67,20 +77,19 @@
     readonly startedAt: number;
     /** Run time that was charged to the class at the start, in milliseconds. */
     readonly chargedMs: number;
+    entitlement: Entitlement;
+    isShort: boolean;
+    /** True for a borrower that ran for much longer than a short request does. */
     isOverdue: boolean;
 }
 
-/** Slots that short requests borrowed from other classes. */
-export interface Loans {
-    readonly order: RequestId[];
-    /** Borrowers that run for much longer than was expected. */
-    overdue: number;
-}
-
 const createClass = (urgency: Urgency): ClassState => ({
     urgency,
     running: 0,
+    runningOwn: 0,
+    runningOwnShort: 0,
     queued: 0,
+    queuedShort: 0,
     virtualTime: 0,
     retryAt: 0,
     teamsWaiting: createRing(),
@@ -100,7 +109,7 @@
     waiting: new Map(),
     running: new Map(),
     expiry: createDeadlineQueue(),
-    loans: { order: [], overdue: 0 },
+    loans: [],
     virtualNow: 0,
     nextSequence: 0,
 });
@@ -131,7 +140,14 @@
     const queues: Partial<Record<Urgency, TeamQueues>> = {};
     const team = { name, quota, running: 0, queued: 0, queues: queues as ByUrgency<TeamQueues> };
     urgencies.forEach(urgency => {
-        queues[urgency] = { team, urgency, running: 0, short: createDeadlineQueue(), long: createDeadlineQueue() };
+        queues[urgency] = {
+            team,
+            urgency,
+            running: 0,
+            overdue: 0,
+            short: createDeadlineQueue(),
+            long: createDeadlineQueue(),
+        };
     });
     return team;
 };
--- a/admission/queue/src/guarantees.ts
+++ b/admission/queue/src/guarantees.ts
@@ -16,6 +16,17 @@
     return { urgent: wholeOf("urgent"), normal: wholeOf("normal"), deferrable: wholeOf("deferrable") };
 };
 
+/** Guaranteed slots of each class in a whole pool; the rest is for short requests of any class. */
+export const poolGuarantees = ({ shares, quickShare, slots }: PoolShares): ByUrgency<number> =>
+    guaranteesOf(shares, slots - Math.floor(quickShare * slots));
+
+/** Shares of the slots of a pool. */
+export interface PoolShares {
+    readonly shares: ByUrgency<number>;
+    readonly quickShare: number;
+    readonly slots: number;
+}
+
 // Sums of shares such as 0.5 + 0.3 + 0.2 miss whole numbers by less than this.
 const ROUNDING = 1e-9;
 
--- a/admission/queue/src/queue-moves.ts
+++ b/admission/queue/src/queue-moves.ts
@@ -1,8 +1,15 @@
 import type { AdmissionRequest } from "./admission-options.js";
-import { type Admission, type TeamQueues, teamOf, type TeamState, type Waiting } from "./admission-state.js";
+import {
+    type Admission,
+    type ClassState,
+    type Entitlement,
+    type Running,
+    type TeamQueues,
+    teamOf,
+    type TeamState,
+    type Waiting,
+} from "./admission-state.js";
 import { backlogOf, pushRequest, removeRequest, type WaitingRequest } from "./deadline-queue.js";
-import type { Entitlement } from "./eligibility.js";
-import { addLoan } from "./loans.js";
 import { addMember, removeMember } from "./ring.js";
 import { urgencies } from "@almondusher/fleet/urgency";
 
@@ -35,6 +42,7 @@
         state.virtualTime = Math.max(state.virtualTime, admission.virtualNow);
     }
     state.queued += 1;
+    state.queuedShort += Number(place.isShort);
     queues.team.queued += 1;
     pushRequest(place.isShort ? queues.short : queues.long, place);
     pushRequest(admission.expiry, place);
@@ -46,6 +54,7 @@
 export const dequeue = (admission: Admission, { request, place }: Waiting): void => {
     const queues = teamOf(admission, request.team).queues[request.urgency];
     admission.classes[request.urgency].queued -= 1;
+    admission.classes[request.urgency].queuedShort -= Number(place.isShort);
     queues.team.queued -= 1;
     removeRequest(place.isShort ? queues.short : queues.long, place);
     removeRequest(admission.expiry, place);
@@ -65,15 +74,29 @@
     admission.virtualNow = Math.max(admission.virtualNow, state.virtualTime);
     chargeClass(admission, request, chargedMs);
     state.running += 1;
+    const isShort = isShortRequest(admission, request);
+    countOwn(state, { entitlement, isShort }, 1);
     team.running += 1;
     team.queues[request.urgency].running += 1;
-    admission.running.set(request.id, { request, startedAt: now, chargedMs, isOverdue: false });
-    if (entitlement === "borrowed" && isShortRequest(admission, request)) {
-        addLoan(admission, request.id);
+    admission.running.set(request.id, { request, startedAt: now, chargedMs, entitlement, isShort, isOverdue: false });
+    if (entitlement === "borrowed") {
+        admission.loans.push(request.id);
     }
     updateTeamTurns(admission, team);
 };
 
+/** Counts a request that runs within the share of its class. */
+export const countOwn = (
+    state: ClassState,
+    { entitlement, isShort }: Pick<Running, "entitlement" | "isShort">,
+    change: 1 | -1,
+): void => {
+    if (entitlement === "own") {
+        state.runningOwn += change;
+        state.runningOwnShort += isShort ? change : 0;
+    }
+};
+
 /** Adds slot time to the virtual time of a class. */
 export const chargeClass = (admission: Admission, request: AdmissionRequest, runMs: number): void => {
     const share = Math.max(MIN_WEIGHT, admission.limits.shares[request.urgency]);
@@ -95,7 +118,7 @@
     const hasShort = backlogOf(queues.short).count > 0;
     const hasLong = backlogOf(queues.long).count > 0;
     const mayStart = !isAtQuota(queues.team);
-    const changeShort = mayStart && hasShort ? addMember : removeMember;
+    const changeShort = mayStart && hasShort && queues.overdue === 0 ? addMember : removeMember;
     const changeAny = mayStart && (hasShort || hasLong) ? addMember : removeMember;
     changeShort(state.teamsWithShort, queues);
     changeAny(state.teamsWaiting, queues);
--- a/admission/queue/src/take-next.ts
+++ b/admission/queue/src/take-next.ts
@@ -1,16 +1,23 @@
 import type { RequestId } from "@almondusher/fleet/ids";
 import { type Urgency, urgencies } from "@almondusher/fleet/urgency";
 import type { PoolCapacity, Taken } from "./admission-options.js";
-import { type Admission, forgetIdleTeam, type TeamQueues, teamOf, type Waiting } from "./admission-state.js";
+import {
+    type Admission,
+    type Entitlement,
+    forgetIdleTeam,
+    type TeamQueues,
+    teamOf,
+    type Waiting,
+} from "./admission-state.js";
 import { firstRequest, type WaitingRequest } from "./deadline-queue.js";
-import { type Entitlement, entitlementOf } from "./eligibility.js";
+import { entitlementOf } from "./eligibility.js";
 import { findOverdueLoans } from "./loans.js";
 import { dequeue, start } from "./queue-moves.js";
 import { currentMember, type Ring, rotateRing } from "./ring.js";
 
 /** Starts requests that wait while slots are free, and drops those whose deadline has passed. */
 export const takeNext = (admission: Admission, capacity: PoolCapacity, now: number): Taken => {
-    findOverdueLoans(admission, now);
+    const overdue = findOverdueLoans(admission, now);
     const expired = dropExpired(admission, now);
     const started: RequestId[] = [];
     let free = capacity.free;
@@ -22,7 +29,7 @@
         free -= 1;
         next = pickNext(admission, { ...capacity, free });
     }
-    return { started, expired };
+    return { started, expired, overdue };
 };
 
 interface Candidate {
@@ -66,11 +73,11 @@
 
 const candidatesOf = (admission: Admission, urgency: Urgency, capacity: PoolCapacity): readonly Candidate[] => {
     const { teamsWaiting, teamsWithShort } = admission.classes[urgency];
-    const any = { urgency, entitlement: entitlementOf(admission, { urgency, isShort: false }, capacity) };
+    const any = { urgency, entitlement: entitlementOf(admission, { urgency, mayBorrow: false }, capacity) };
     if (any.entitlement !== "none" && currentMember(teamsWaiting) !== undefined) {
         return [{ ...any, turns: teamsWaiting }];
     }
-    const short = { urgency, entitlement: entitlementOf(admission, { urgency, isShort: true }, capacity) };
+    const short = { urgency, entitlement: entitlementOf(admission, { urgency, mayBorrow: true }, capacity) };
     return short.entitlement !== "none" && currentMember(teamsWithShort) !== undefined
         ? [{ ...short, turns: teamsWithShort }]
         : [];
--- a/programs/entry/src/accept-request.ts
+++ b/programs/entry/src/accept-request.ts
@@ -13,6 +13,7 @@
 import { type Rejection, sendRejection } from "./rejection.js";
 import { createReplayBody } from "./replay-body.js";
 import type { RequestFlow } from "./request-flow.js";
+import { reportWaiting } from "./share-slots.js";
 import { abandonRequest, rejectFlow, startFlow } from "./serve-request.js";
 
 /** Path that tells the balancer whether this entry takes requests. */
@@ -101,6 +102,7 @@
             startFlow(entry, flow);
             return;
         case "queued":
+            reportWaiting(entry, pool);
             return;
         case "rejected":
             rejectFlow(entry, flow, busy(decision.cause, request, decision.retryAfterMs));
--- a/programs/entry/src/create-entry.ts
+++ b/programs/entry/src/create-entry.ts
@@ -81,6 +81,7 @@
         peerContactAtMs: monotonicMs(),
         ready: false,
         pools: new Map(),
+        grantors: new Map(),
         requests: new Map(),
         nextRequestNumber: 0,
         lookups: 0,
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -14,6 +14,7 @@
 import type { Latencies } from "@almondusher/telemetry/latencies";
 import type { Logger } from "@almondusher/telemetry/logger";
 import type { RevisionUse } from "@almondusher/telemetry/revision-use";
+import type { Grantor } from "./divide-slots.js";
 import type { EntrySettings } from "./entry-settings.js";
 import type { FleetView } from "./fleet-view.js";
 import type { PoolRuntime } from "./pool-runtime.js";
@@ -49,6 +50,8 @@
     peerContactAtMs: number;
     ready: boolean;
     readonly pools: Map<PoolName, PoolRuntime>;
+    /** Pools whose slots this process divides. */
+    readonly grantors: Map<PoolName, Grantor>;
     readonly requests: Map<RequestId, RequestFlow>;
     nextRequestNumber: number;
     /** Lookups of claims that wait for the platform. */
--- a/programs/entry/src/entry-events.ts
+++ b/programs/entry/src/entry-events.ts
@@ -11,6 +11,7 @@
 import { refreshStandings } from "./place-request.js";
 import { pollContacts, pollHead, pollVms } from "./poll-platform.js";
 import { currentReadiness } from "./readiness.js";
+import { expireGrants, reportDuePools } from "./share-slots.js";
 import { startWaiting } from "./serve-request.js";
 import { watchAttempts } from "./watch-attempts.js";
 
@@ -96,6 +97,8 @@
 const runTick = (entry: EntryContext): void => {
     expireMembers(entry);
     watchAttempts(entry);
+    expireGrants(entry);
+    reportDuePools(entry);
     entry.tables.pools.forEach(pool => {
         refreshStandings(entry, pool);
         startWaiting(entry, pool);
--- a/programs/entry/src/entry-settings.ts
+++ b/programs/entry/src/entry-settings.ts
@@ -26,7 +26,7 @@
     /** Time from the planned stop until new connections are refused, so that the balancer moves away first. */
     stopGraceMs: durationSchema(5000),
     /** Lifetime of a grant of slots. */
-    grantTtlMs: durationSchema(2000),
+    grantTtlMs: durationSchema(5000),
     /** An idle connection to an endpoint is closed after this time. */
     connectionIdleMs: durationSchema(30_000),
     /** A connection to an endpoint is not reused after this time. */
--- a/programs/entry/src/peer-handlers.ts
+++ b/programs/entry/src/peer-handlers.ts
@@ -6,6 +6,8 @@
 import { memberFields, readMember } from "@almondusher/peer/peer-schema";
 import type { EntryContext } from "./entry-context.js";
 import { noteCaller, rememberUnregistered, selfPeer, unregisteredPeers, vmListAgeMs } from "./exchange-peers.js";
+import type { AddressedGrant } from "./divide-slots.js";
+import { applyGrants, deliver, takeReports } from "./share-slots.js";
 import type { PoolRuntime } from "./pool-runtime.js";
 
 const sumOf = (demands: readonly TeamDemand[], read: (demand: TeamDemand) => number): number =>
@@ -41,6 +43,17 @@
             members: entry.tables.membership.peers.rows.map(memberFields),
         };
     },
+    reportSlots: request => {
+        const sender = readMember(request.sender);
+        const grants = takeReports(entry, sender.processId, request.reports);
+        const isOwn = (grant: AddressedGrant): boolean => grant.member === sender.processId;
+        deliver(
+            entry,
+            grants.filter(grant => !isOwn(grant)),
+        );
+        return { grants: grants.filter(isOwn).map(({ grant }) => grant) };
+    },
+    applyGrants: request => ({ reports: [...applyGrants(entry, request.grants)] }),
     getSnapshot: request => {
         rememberUnregistered(entry, readMember(request.sender));
         const { tables } = entry;
--- a/programs/entry/src/pool-runtime.ts
+++ b/programs/entry/src/pool-runtime.ts
@@ -1,10 +1,18 @@
+import { isDeepStrictEqual } from "node:util";
 import { createAdmission, type Admission } from "@almondusher/admission/admission-state";
 import type { AdmissionLimits, PoolCapacity } from "@almondusher/admission/admission-options";
 import { changeLimits } from "@almondusher/admission/limits";
 import type { RequestId, VmId } from "@almondusher/fleet/ids";
 import type { Pool } from "@almondusher/fleet/pool";
 import type { Vm } from "@almondusher/fleet/vm";
-import { createSlotLedger, freeSlots, grantedSlots, type SlotLedger } from "@almondusher/slots/slot-ledger";
+import {
+    createSlotLedger,
+    freeSlots,
+    grantedSlots,
+    guaranteedSlots,
+    type SlotLedger,
+    type TeamSlots,
+} from "@almondusher/slots/slot-ledger";
 import { createRetryBudget, type RetryBudget, takeRetry } from "@almondusher/placement/retry-budget";
 import type { Ejections } from "@almondusher/placement/ejection";
 import type { VmStanding } from "./place-request.js";
@@ -21,37 +29,55 @@
     retries: RetryBudget;
     ejections: Ejections;
     standings: ReadonlyMap<VmId, VmStanding>;
+    /** Parts of the quotas that the grantor gave to this entry; empty for an even division. */
+    quotaParts: readonly TeamSlots[];
+    /** Monotonic time of the last report to the grantor, in milliseconds. */
+    reportedAtMs: number;
 }
 
-const limitsOf = (pool: Pool, settings: EntrySettings): AdmissionLimits => {
+/** Share of the slots of each pool that only short requests may use; docs/decisions/admission.md has the figures. */
+export const QUICK_SHARE = 0.1;
+
+const limitsOf = (pool: Pool, quotaParts: readonly TeamSlots[], settings: EntrySettings): AdmissionLimits => {
     const { maxQueued, borrowRunTimeMs } = settings.limits;
     return {
         shares: pool.shares,
+        quickShare: QUICK_SHARE,
         maxQueued: { urgent: maxQueued, normal: maxQueued, deferrable: maxQueued },
-        quotas: pool.quotas.map(quota => ({
-            team: quota.team,
-            poolSlots: quota.slots,
-            entrySlots: quota.slots,
+        quotas: pool.quotas.map(({ team, slots }) => ({
+            team,
+            poolSlots: slots,
+            entrySlots: quotaParts.find(part => part.team === team)?.slots ?? slots,
         })),
         borrowRunTimeMs,
     };
 };
 
+/** Takes over the parts of the quotas that a grant gives to this entry. */
+export const applyQuotas = (runtime: PoolRuntime, parts: readonly TeamSlots[], settings: EntrySettings): void => {
+    if (!isDeepStrictEqual(runtime.quotaParts, parts)) {
+        runtime.quotaParts = parts;
+        changeLimits(runtime.admission, limitsOf(runtime.view.pool, parts, settings));
+    }
+};
+
 /** Creates the tables of a pool that appears in the fleet state. */
 export const createPoolRuntime = (view: PoolView, settings: EntrySettings): PoolRuntime => ({
     view,
-    admission: createAdmission(limitsOf(view.pool, settings)),
+    admission: createAdmission(limitsOf(view.pool, [], settings)),
     ledger: createSlotLedger(),
     waitingForSlot: new Set(),
     retries: createRetryBudget(performance.now()),
     ejections: new Map(),
     standings: new Map(),
+    quotaParts: [],
+    reportedAtMs: 0,
 });
 
 /** Takes over a changed row of the pool or a changed set of VMs. */
 export const updatePoolRuntime = (runtime: PoolRuntime, view: PoolView, settings: EntrySettings): void => {
     if (runtime.view.pool !== view.pool) {
-        changeLimits(runtime.admission, limitsOf(view.pool, settings));
+        changeLimits(runtime.admission, limitsOf(view.pool, runtime.quotaParts, settings));
     }
     runtime.view = view;
 };
@@ -70,8 +96,12 @@
     runtime.view.vms.reduce((sum, vm) => sum + (isUsable(runtime, vm) ? freeSlots(runtime.ledger, vm.id) : 0), 0);
 
 /** Slots of the pool as this entry sees them now. */
-export const capacityOf = (runtime: PoolRuntime): PoolCapacity => ({
-    free: usableSlots(runtime) - runtime.waitingForSlot.size,
-    granted: grantedSlots(runtime.ledger),
-    pool: runtime.view.vms.length * runtime.view.pool.slotsPerVm,
-});
+export const capacityOf = (runtime: PoolRuntime): PoolCapacity => {
+    const guarantees = guaranteedSlots(runtime.ledger, performance.now());
+    return {
+        free: usableSlots(runtime) - runtime.waitingForSlot.size,
+        granted: grantedSlots(runtime.ledger),
+        pool: runtime.view.vms.length * runtime.view.pool.slotsPerVm,
+        ...(guarantees === undefined ? {} : { guarantees }),
+    };
+};
