--- /dev/null
+++ b/bench/system/src/linear-fit.ts
@@ -0,0 +1,27 @@
+/** A measured point. */
+export interface Point {
+    readonly x: number;
+    readonly y: number;
+}
+
+/** A line through points by least squares. */
+export interface LinearFit {
+    readonly intercept: number;
+    readonly slope: number;
+    /** Largest distance of a point from the line, as a share of the largest value. */
+    readonly maxError: number;
+}
+
+const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
+
+/** Fits a line; with one x value the slope is 0. */
+export const fitLine = (points: readonly Point[]): LinearFit => {
+    const meanX = mean(points.map(point => point.x));
+    const meanY = mean(points.map(point => point.y));
+    const spread = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0);
+    const slope = spread === 0 ? 0 : points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0) / spread;
+    const intercept = meanY - slope * meanX;
+    const largest = Math.max(...points.map(({ y }) => Math.abs(y)), Number.MIN_VALUE);
+    const maxError = Math.max(...points.map(({ x, y }) => Math.abs(y - intercept - slope * x))) / largest;
+    return { intercept, slope, maxError };
+};
