Create the handle of an exchange without accessors in a literal

Cause: an object literal with accessors takes 1.4 microseconds to create on this machine, a class instance with the same accessors 0.05, and one is created for each request.

Change: the handle is an instance of a small class; the request body has plain fields.

--- a/routing/exchange/src/request-body.ts
+++ b/routing/exchange/src/request-body.ts
@@ -4,11 +4,11 @@
 export interface DetachableBody {
     readonly stream: Readable;
     /** True once a byte was read from the source, which can then not serve another attempt. */
-    readonly taken: boolean;
+    taken: boolean;
     /** True if the source ended with an error or closed early. */
-    readonly failed: boolean;
+    failed: boolean;
     /** True while everything that the source has given was passed on and more is to come. */
-    readonly waitsForSource: boolean;
+    waitsForSource: () => boolean;
     /** Starts reading the source. */
     attach: () => void;
     /** Stops reading and leaves the source paused; its owner discards or closes the rest. */
@@ -20,11 +20,9 @@
     const stream = new PassThrough();
     // The client no longer listens once the exchange has ended.
     stream.on("error", () => undefined);
-    let taken = false;
-    let failed = false;
     let attached = false;
     const onData = (chunk: Buffer): void => {
-        taken = true;
+        body.taken = true;
         if (!stream.write(chunk)) {
             source.pause();
         }
@@ -36,7 +34,7 @@
         stream.end();
     };
     const onError = (error: Error): void => {
-        failed = true;
+        body.failed = true;
         stream.destroy(error);
     };
     const onClose = (): void => {
@@ -66,18 +64,13 @@
         stream.off("drain", onDrain).destroy();
         source.pause();
     };
-    return {
+    const body: DetachableBody = {
         stream,
-        get taken() {
-            return taken;
-        },
-        get failed() {
-            return failed;
-        },
-        get waitsForSource() {
-            return !source.readableEnded && stream.readableLength + stream.writableLength === 0;
-        },
+        taken: false,
+        failed: false,
+        waitsForSource: () => !source.readableEnded && stream.readableLength + stream.writableLength === 0,
         attach,
         detach,
     };
+    return body;
 };
--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -48,30 +48,46 @@
     } else {
         dispatch(running, options.fresh);
     }
-    return {
-        resume: () => resume(running),
-        cancel: () => fail(running, "cancelled", "the request was cancelled", "cancelled"),
-        get bytesSent() {
-            return bytesSent(running);
-        },
-        get headSent() {
-            return bytesSent(running) > 0;
-        },
-        get bodyTaken() {
-            return running.body?.taken ?? false;
-        },
-        get lastProgressAt() {
-            return running.lastProgressAt;
-        },
-        get headReceived() {
-            return running.headReceived;
-        },
-        get waitsForCaller() {
-            return running.paused || (running.body?.waitsForSource ?? false);
-        },
-    };
+    return new ExchangeHandle(running);
 };
 
+// A class, because an object literal with accessors takes over a microsecond to create, for each request.
+class ExchangeHandle implements Exchange {
+    readonly resume: () => void;
+    readonly cancel: () => void;
+    private readonly running: RunningExchange;
+
+    constructor(running: RunningExchange) {
+        this.running = running;
+        this.resume = () => resume(running);
+        this.cancel = () => fail(running, "cancelled", "the request was cancelled", "cancelled");
+    }
+
+    get bytesSent(): number {
+        return bytesSent(this.running);
+    }
+
+    get headSent(): boolean {
+        return bytesSent(this.running) > 0;
+    }
+
+    get bodyTaken(): boolean {
+        return this.running.body?.taken ?? false;
+    }
+
+    get lastProgressAt(): number {
+        return this.running.lastProgressAt;
+    }
+
+    get headReceived(): boolean {
+        return this.running.headReceived;
+    }
+
+    get waitsForCaller(): boolean {
+        return this.running.paused || (this.running.body?.waitsForSource() ?? false);
+    }
+}
+
 // The client supports neither Expect nor trailers of requests.
 const needsOneShot = ({ body, headers, trailers }: ExchangeOptions): boolean =>
     isStream(body) && (trailers !== undefined || headerValue(headers, "expect") !== undefined);
