Let a request wait one turn for a connection whose answer has just ended

Cause: at the limit of an address, a request that started while another one ended failed with no-capacity, because the connection becomes reusable only later in the same turn of the event loop.

Change: such a request is dispatched after that point and fails only if there is still no connection. A test with a limit of one connection guards it.

--- a/routing/exchange/src/connection-pool.ts
+++ b/routing/exchange/src/connection-pool.ts
@@ -137,6 +137,10 @@
     }
 };
 
+/** True if a connection to the address becomes reusable in this turn of the event loop. */
+export const isSettling = (connections: Connections, address: string): boolean =>
+    !connections.stopping && connections.settling.some(connection => connection.address === address);
+
 /** Closes a connection at once and counts the reason. */
 export const closeConnection = (connections: Connections, connection: Connection, reason: CloseReason): void => {
     if (connection.phase === "closed") {
--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -1,6 +1,6 @@
 import type { Readable } from "node:stream";
 import type { PooledConnection } from "./connection.js";
-import { acquireConnection, type Connections } from "./connection-pool.js";
+import { acquireConnection, type Connections, isSettling } from "./connection-pool.js";
 import type { Exchange, ExchangeOptions } from "./exchange.js";
 import {
     bytesSent,
@@ -102,7 +102,7 @@
         limit: options.limits.connections,
     });
     if (connection === undefined) {
-        queueMicrotask(() => failWithoutConnection(running));
+        waitOrFail(running, fresh);
         return;
     }
     const carrier = (connection.carrier ??= createCarrier(connection));
@@ -123,6 +123,19 @@
     );
 };
 
+// A connection whose answer has just ended becomes reusable later in this turn of the event loop.
+const waitOrFail = (running: RunningExchange, fresh: boolean): void => {
+    if (!isSettling(running.connections, running.options.address)) {
+        queueMicrotask(() => failWithoutConnection(running));
+        return;
+    }
+    setImmediate(() => {
+        if (running.phase === "waiting") {
+            dispatch(running, fresh);
+        }
+    });
+};
+
 const createCarrier = (connection: PooledConnection): Carrier => {
     const carrier: Carrier = {
         current: undefined,
--- a/routing/exchange/test/connection-pool.test.ts
+++ b/routing/exchange/test/connection-pool.test.ts
@@ -6,7 +6,8 @@
 import { type VmId, toId } from "@almondusher/fleet/ids";
 import { closeConnections, type Connections, createConnections, dumpConnections } from "../src/connection-pool.js";
 import { probeEndpoint } from "../src/probe-endpoint.js";
-import { runRecorded, startRecorded } from "./exchange-run.js";
+import { runExchange } from "../src/run-exchange.js";
+import { exchangeDefaults, type ExchangeRecord, ignoreAll, runRecorded, startRecorded } from "./exchange-run.js";
 import { startRawEndpoint } from "./raw-endpoint.js";
 
 const VM = toId<VmId>("vm-1");
@@ -36,6 +37,25 @@
     assert.equal(records[2]?.failure?.verdict, "not-run");
 });
 
+test("a request that starts as another ends waits for its connection when the limit is reached", async context => {
+    const { address } = await startVm(context);
+    const connections = createConnections();
+    const limits = { connections: 1 };
+    const next = await new Promise<ExchangeRecord>((resolve, reject) => {
+        runExchange(connections, {
+            ...exchangeDefaults,
+            address,
+            limits,
+            handler: {
+                ...ignoreAll,
+                onEnd: () => void runRecorded(connections, { address, limits }).then(resolve, reject),
+            },
+        });
+    });
+    assert.equal(next.failure, undefined);
+    assert.equal(dumpConnections(connections).opened, 1);
+});
+
 test("the most recently used connection is reused first, so that the others reach their idle limit", async context => {
     const { address } = await startVm(context);
     const connections = createConnections({ idleMs: 300 });
