Do not blame the edit that added a pool for its failures

Cause: in a trial with two entries, failures that lasted since a pool was added pointed to the edit that added it, managers appeared as ports that do not answer, and a burst on top of single failures was not recognised. Change: an edit that adds the subject is judged only for causes that follow from the tables alone; minutes with at most 1% failures count as served; only entries are asked for their failures.

--- a/observe/telemetry/src/edit-effects.ts
+++ b/observe/telemetry/src/edit-effects.ts
@@ -95,6 +95,7 @@
     return [
         ...endpointCauses.filter(() => added.length > 0).map(cause => ({ cause, vms: added })),
         ...toEffects(removed.length > 0, [...loadCauses, "no-vm"]),
+        ...toEffects(before === undefined && after?.vms.length === 0, ["no-vm"]),
         ...toEffects(falls(before?.slotsPerVm, after?.slotsPerVm), loadCauses),
         ...toEffects(falls(after?.slotsPerVm, before?.slotsPerVm), ["endpoint-refused", "retry-budget"]),
         ...toEffects(falls(before?.connectionsPerVm, after?.connectionsPerVm), loadCauses),
--- a/observe/telemetry/src/edit-rule.ts
+++ b/observe/telemetry/src/edit-rule.ts
@@ -32,13 +32,16 @@
     readonly edit: EditRecord;
     readonly usedFromMs: number;
     readonly effects: readonly Effect[];
-    /** The edit adds a row that the subject depends on, so there is no time before it to compare with. */
+    /** The edit adds the subject's own row, so that there is no time before it to compare with. */
     readonly addsRow: boolean;
     /** Failures of the group that the edit is able to cause, at its revision or later. */
     readonly after: readonly FailureRow[];
     readonly before: readonly FailureRow[];
 }
 
+// Follow from the tables alone, so that a new row needs no comparison with the time before it.
+const directCauses: readonly Cause[] = ["no-route", "no-vm", "too-large", "quota"];
+
 interface Judged {
     readonly candidate: Candidate;
     readonly guilty: boolean;
@@ -87,7 +90,7 @@
                 edit,
                 usedFromMs,
                 effects,
-                addsRow: changes.some(change => change.before === undefined),
+                addsRow: changes.some(change => change.before === undefined && change.key === scope.subject.name),
                 after: rows.filter(row => row.revision >= edit.revision),
                 before: rows
                     .filter(row => row.revision < edit.revision)
@@ -117,8 +120,8 @@
     const beforeStartMs = before.reduce((left, row) => Math.min(left, row.firstAtMs), usedFromMs);
     const beforeRate = ratePerMinute(before, beforeStartMs, usedFromMs);
     const afterRate = ratePerMinute(after, usedFromMs, group.lastAtMs);
-    if (observedMs <= 0 && !candidate.addsRow) {
-        return { candidate, guilty: false, reason: `${name} cannot be judged: no process recorded the time before it` };
+    if (candidate.addsRow ? !directCauses.includes(group.cause) : observedMs <= 0) {
+        return { candidate, guilty: false, reason: `${name} cannot be judged: there is no time before it to compare` };
     }
     if (countRows(before) > 0 && beforeRate >= afterRate * ACQUITTING_SHARE) {
         const reason = `${name} is not the reason: ${group.cause} already occurred ${formatRate(beforeRate)} before it, ${formatRate(afterRate)} since`;
--- a/observe/telemetry/src/overload-rule.ts
+++ b/observe/telemetry/src/overload-rule.ts
@@ -1,5 +1,5 @@
-import { formatTime, LOOKBACK_MS, MS_PER_MINUTE, type RuleInput } from "./explain-input.js";
-import type { ArrivalRow } from "./failure-log.js";
+import { formatTime, LOOKBACK_MS, type RuleInput } from "./explain-input.js";
+import type { ArrivalRow, FailureRow } from "./failure-log.js";
 import type { Attribution } from "./fault.js";
 
 /** Whether arrivals rose when failures for lack of capacity began. */
@@ -11,12 +11,14 @@
 
 // Peaks of random arrivals differ by less than this at the rates of a busy queue.
 const RISE = 1.25;
+// A minute with a single failure among many responses still shows what could be served.
+const SERVED_FAILURE_SHARE = 0.01;
 
 /** Compares the busiest second of the failing minutes with the busiest second that was served before them. */
 export const judgeLoad = ({ group, scope, input }: RuleInput): LoadJudgement => {
     const arrivals = input.traffic.arrivals.filter(row => row.pool !== undefined && scope.pools.has(row.pool));
-    const failing = new Set(group.allRows.map(row => row.minuteMs));
-    const onsetMinuteMs = Math.min(...group.rows.map(row => row.minuteMs));
+    const failing = failingMinutes(group.allRows, arrivals);
+    const onsetMinuteMs = Math.min(...group.rows.map(row => row.minuteMs).filter(minuteMs => failing.has(minuteMs)));
     const peaks = peakByMinute(arrivals);
     const served = peaks.filter(
         ({ minuteMs }) => !failing.has(minuteMs) && minuteMs < onsetMinuteMs && minuteMs >= onsetMinuteMs - LOOKBACK_MS,
@@ -35,6 +37,24 @@
         : { attribution: undefined, evidence };
 };
 
+const failingMinutes = (failures: readonly FailureRow[], arrivals: readonly ArrivalRow[]): ReadonlySet<number> => {
+    const arrived = countByMinute(arrivals);
+    const failed = [...countByMinute(failures)];
+    return new Set(
+        failed
+            .filter(([minuteMs, count]) => count > (arrived.get(minuteMs) ?? 0) * SERVED_FAILURE_SHARE)
+            .map(([minuteMs]) => minuteMs),
+    );
+};
+
+const countByMinute = (
+    rows: readonly { readonly minuteMs: number; readonly count: number }[],
+): ReadonlyMap<number, number> => {
+    const counts = new Map<number, number>();
+    rows.forEach(({ minuteMs, count }) => counts.set(minuteMs, (counts.get(minuteMs) ?? 0) + count));
+    return counts;
+};
+
 interface MinutePeak {
     readonly minuteMs: number;
     readonly peakPerSecond: number;
@@ -44,8 +64,7 @@
 const peakByMinute = (rows: readonly ArrivalRow[]): readonly MinutePeak[] => {
     const peaks = new Map<number, number>();
     rows.forEach(row => {
-        const minuteMs = Math.floor(row.minuteMs / MS_PER_MINUTE) * MS_PER_MINUTE;
-        peaks.set(minuteMs, (peaks.get(minuteMs) ?? 0) + row.peakPerSecond);
+        peaks.set(row.minuteMs, (peaks.get(row.minuteMs) ?? 0) + row.peakPerSecond);
     });
     return [...peaks].map(([minuteMs, peakPerSecond]) => ({ minuteMs, peakPerSecond }));
 };
--- a/observe/telemetry/test/explain.test.ts
+++ b/observe/telemetry/test/explain.test.ts
@@ -255,6 +255,27 @@
     assert.deepEqual(result.fault, { kind: "endpoint", vms: [vm] });
 });
 
+test("failures since the subject was added do not point to the edit that added it", () => {
+    const adding = edit([{ table: "pools", key: pool, after: poolRow() }]);
+    const events = [
+        ...every(100, EDIT_AT + SECOND, END),
+        ...every(300, EDIT_AT + 2 * SECOND, END, { cause: "deadline" }),
+    ];
+    assert.equal(explainEvents(events, [adding]).fault?.kind, "undetermined");
+    const emptyPool = edit([{ table: "pools", key: pool, after: poolRow({ vms: [], minAvailable: 0 }) }]);
+    const withoutVm = every(300, EDIT_AT + 2 * SECOND, END, { cause: "no-vm" });
+    assert.equal(explainEvents([...events, ...withoutVm], [emptyPool]).findings[1]?.fault.kind, "edit");
+});
+
+test("a burst is recognised although single failures occurred in every minute before", () => {
+    const background = every(MINUTE, START + SECOND, END, { cause: "queue-full" });
+    const burst = every(20, EDIT_AT + 5 * MINUTE, EDIT_AT + 5 * MINUTE + 10 * SECOND);
+    const refused = every(50, EDIT_AT + 5 * MINUTE + SECOND, EDIT_AT + 5 * MINUTE + 10 * SECOND, {
+        cause: "queue-full",
+    });
+    assert.equal(explainEvents([...steady, ...background, ...burst, ...refused], []).fault?.kind, "overload");
+});
+
 test("nothing that failed gives no fault, and the edits are still listed", () => {
     const result = explainEvents(steady, [slotsEdit]);
     assert.equal(result.fault, undefined);
--- a/programs/cli/src/commands/explain.ts
+++ b/programs/cli/src/commands/explain.ts
@@ -7,11 +7,12 @@
 import { explain, type Explanation } from "@almondusher/telemetry/explain";
 import { LOOKBACK_MS } from "@almondusher/telemetry/explain-input";
 import { describeFault } from "@almondusher/telemetry/fault";
+import { type StatusReport, statusReportSchema } from "@almondusher/telemetry/status-report";
 import type { Subject } from "@almondusher/telemetry/subject-scope";
 import { trafficReportSchema } from "@almondusher/telemetry/traffic-report";
 import { BaseCommand, settingsFlag } from "../base-command.js";
 import { type CliSettings, loadCliSettings } from "../cli-settings.js";
-import { askOperators, failuresOf, findOperatorUrls, reportsOf } from "../operator-ports.js";
+import { askOperators, failuresOf, findOperatorUrls, type PortAnswer, reportsOf } from "../operator-ports.js";
 import { readLastEdits, readStateAt, withPlatform } from "../platform-access.js";
 import { readVmListOrWarn } from "../read-vm-list.js";
 import { parseSince } from "../since.js";
@@ -82,7 +83,11 @@
         readVmListOrWarn(platform, text => listWarnings.push(text)),
     ]);
     checkSubject(subject, state, history);
-    const answers = await askOperators(settings, findOperatorUrls(settings, vms), {
+    const statuses = await askOperators(settings, findOperatorUrls(settings, vms), {
+        path: "/status",
+        schema: statusReportSchema,
+    });
+    const answers = await askOperators(settings, entryUrls(statuses), {
         path: `/traffic?from=${fromMs - LOOKBACK_MS}&to=${toMs}`,
         schema: trafficReportSchema,
     });
@@ -101,9 +106,18 @@
         uses: reports.flatMap(report => report.uses),
     });
     const coverage = reports.length === 0 ? ["no entry reported its failures; only the edits are shown"] : [];
-    return { ...explanation, warnings: [...listWarnings, ...failuresOf(answers), ...coverage] };
+    return {
+        ...explanation,
+        warnings: [...listWarnings, ...failuresOf(statuses), ...failuresOf(answers), ...coverage],
+    };
 };
 
+// Only entries record failures.
+const entryUrls = (statuses: readonly PortAnswer<StatusReport>[]): readonly string[] =>
+    statuses.flatMap(answer =>
+        answer.kind === "answered" && answer.report.program === "almondusher-entry" ? [answer.url] : [],
+    );
+
 const checkSubject = (subject: Subject, state: FleetState, history: readonly EditRecord[]): void => {
     if (!isKnown(subject, state, history)) {
         throw new FleetError("not-found", {
