End the blame of an edit when it is taken back

Cause: in a trial, a burst 25 s after a reverted edit still listed that edit as coincident. Change: failures after an edit that restores the former rows do not count for the earlier edit; types that nothing else uses are no longer exported.

--- a/observe/telemetry/src/edit-rule.ts
+++ b/observe/telemetry/src/edit-rule.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import type { Change, EditRecord } from "@almondusher/fleet/edit";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { Cause } from "@almondusher/fleet/verdict";
@@ -34,6 +35,8 @@
     readonly effects: readonly Effect[];
     /** The edit adds the subject's own row, so that there is no time before it to compare with. */
     readonly addsRow: boolean;
+    /** The edit that took its changes back; later failures are not its own. */
+    readonly revert: EditRecord | undefined;
     /** Failures of the group that the edit is able to cause, at its revision or later. */
     readonly after: readonly FailureRow[];
     readonly before: readonly FailureRow[];
@@ -82,6 +85,7 @@
         .filter(({ usedFromMs }) => usedFromMs <= group.lastAtMs && usedFromMs >= input.fromMs - LOOKBACK_MS)
         .map(({ edit, usedFromMs }) => {
             const changes = edit.changes.filter(change => touchesSubject(change, scope));
+            const revert = findRevert(edit, changes, input.history);
             const effects = changes
                 .flatMap(change => effectsOf(change, scope))
                 .filter(effect => effect.cause === group.cause);
@@ -91,14 +95,17 @@
                 usedFromMs,
                 effects,
                 addsRow: changes.some(change => change.before === undefined && change.key === scope.subject.name),
-                after: rows.filter(row => row.revision >= edit.revision),
+                revert,
+                after: rows.filter(
+                    row => row.revision >= edit.revision && row.revision < (revert?.revision ?? Infinity),
+                ),
                 before: rows
                     .filter(row => row.revision < edit.revision)
                     .filter(row => row.firstAtMs < usedFromMs && row.lastAtMs >= usedFromMs - ACQUITTING_MS)
                     .map(row => cutAt(row, usedFromMs)),
             };
         })
-        .filter(candidate => candidate.after.length > 0);
+        .filter(candidate => candidate.after.some(row => row.lastAtMs >= input.fromMs));
 
 // A request that arrived before the edit may fail after it; the part of a minute after the edit is left out.
 const cutAt = (row: FailureRow, momentMs: number): FailureRow => {
@@ -108,6 +115,24 @@
         : { ...row, lastAtMs: momentMs, count: (row.count * (momentMs - row.firstAtMs)) / lengthMs };
 };
 
+const findRevert = (
+    edit: EditRecord,
+    changes: readonly Change[],
+    history: readonly EditRecord[],
+): EditRecord | undefined =>
+    history.find(
+        later =>
+            later.revision > edit.revision &&
+            changes.every(change =>
+                later.changes.some(
+                    other =>
+                        other.table === change.table &&
+                        other.key === change.key &&
+                        isDeepStrictEqual(other.after, change.before),
+                ),
+            ),
+    );
+
 const covers = (effect: Effect, row: FailureRow): boolean =>
     effect.vms === undefined || (row.vm !== undefined && effect.vms.includes(row.vm));
 
@@ -119,7 +144,7 @@
     const limitMs = onsetLimit(candidate, group.cause, input);
     const beforeStartMs = before.reduce((left, row) => Math.min(left, row.firstAtMs), usedFromMs);
     const beforeRate = ratePerMinute(before, beforeStartMs, usedFromMs);
-    const afterRate = ratePerMinute(after, usedFromMs, group.lastAtMs);
+    const afterRate = ratePerMinute(after, usedFromMs, Math.max(...after.map(row => row.lastAtMs)));
     if (candidate.addsRow ? !directCauses.includes(group.cause) : observedMs <= 0) {
         return { candidate, guilty: false, reason: `${name} cannot be judged: there is no time before it to compare` };
     }
@@ -238,16 +263,16 @@
     return to === undefined ? had && !has : key === to && has && !had;
 };
 
-const describeGuilty = ({ candidate, reason }: Judged, { history, traffic }: ExplainInput): readonly string[] => {
-    const { edit } = candidate;
-    const next = history.find(item => item.revision > edit.revision && item.author.kind === "operator");
-    const isOver =
-        next !== undefined &&
-        candidate.after.every(row => row.revision < next.revision) &&
-        traffic.arrivals.some(row => row.minuteMs > Date.parse(next.at));
+const describeGuilty = ({ candidate, reason }: Judged, { traffic, toMs }: ExplainInput): readonly string[] => {
+    const { edit, revert } = candidate;
+    const hasLaterTraffic = (momentMs: number): boolean =>
+        toMs > momentMs && traffic.arrivals.some(row => row.minuteMs + MS_PER_MINUTE > momentMs);
+    const isOver = revert !== undefined && hasLaterTraffic(Date.parse(revert.at) + PROPAGATION_MS);
     return [
         ...edit.changes.flatMap(describeChange).map(line => `edit ${edit.revision}: ${line}`),
         reason,
-        ...(isOver ? [`the failures ended with edit ${next.revision} by ${next.author.name}`] : []),
+        ...(isOver
+            ? [`edit ${revert.revision} by ${revert.author.name} took it back; see whether failures remain`]
+            : []),
     ];
 };
--- a/observe/telemetry/src/explain.ts
+++ b/observe/telemetry/src/explain.ts
@@ -43,7 +43,7 @@
  * 3. An edit is at fault if it touches the subject, alters a field that is able to produce the cause, the failures
  *    started within 10 s of its first use (70 s for capacity, since queues must fill first; with the first arrivals
  *    if there were none), and failures in the 5 minutes before it were fewer than half as frequent. The same cause at
- *    half the rate or more before the edit acquits it. An edit that adds the subject is judged only for causes that
+ *    half the rate or more before the edit acquits it. Failures after the edit was taken back are not its own. An edit that adds the subject is judged only for causes that
  *    follow from the tables alone, since there is no time before it to compare with. Edits of the manager count as the operator's edit that moved the VM, otherwise
  *    as the system.
  * 4. `platform-unavailable` points to the platform.
--- a/observe/telemetry/src/operator-server.ts
+++ b/observe/telemetry/src/operator-server.ts
@@ -8,20 +8,20 @@
 import { formatPrometheus, PROMETHEUS_CONTENT_TYPE } from "./prometheus-text.js";
 
 /** Whether the process accepts requests, and why not. */
-export interface Health {
+interface Health {
     readonly ready: boolean;
     readonly reason?: string | undefined;
 }
 
 /** A request to an operator route of a program. */
-export interface OperatorRequest {
+interface OperatorRequest {
     readonly query: URLSearchParams;
     /** Parsed JSON body of a POST, otherwise undefined; the route checks it. */
     readonly body: unknown;
 }
 
 /** Answer of an operator route, sent as JSON. */
-export interface OperatorAnswer {
+interface OperatorAnswer {
     readonly status: number;
     readonly body: unknown;
 }
--- a/observe/telemetry/src/state-dump.ts
+++ b/observe/telemetry/src/state-dump.ts
@@ -2,7 +2,7 @@
 import type { ProcessId, VmId } from "@almondusher/fleet/ids";
 
 /** A part of the dump that the program supplies; called for each dump. */
-export interface DumpSection {
+interface DumpSection {
     readonly name: string;
     readonly read: () => unknown;
 }
@@ -18,7 +18,7 @@
 }
 
 /** State of a process at one moment. */
-export interface StateDump {
+interface StateDump {
     readonly program: string;
     readonly version: string;
     readonly processId: ProcessId;
--- a/observe/telemetry/test/explain.test.ts
+++ b/observe/telemetry/test/explain.test.ts
@@ -276,6 +276,21 @@
     assert.equal(explainEvents([...steady, ...background, ...burst, ...refused], []).fault?.kind, "overload");
 });
 
+test("an edit that was taken back is not blamed for a later incident", () => {
+    const earlier = edit([{ table: "pools", key: pool, before: poolRow(), after: poolRow({ slotsPerVm: 2 }) }], {
+        revision: 6,
+        at: new Date(EDIT_AT - 2 * MINUTE).toISOString(),
+    });
+    const revert = edit([{ table: "pools", key: pool, before: poolRow({ slotsPerVm: 2 }), after: poolRow() }]);
+    const first = every(500, EDIT_AT - 119 * SECOND, EDIT_AT, { cause: "queue-full" });
+    const later = every(500, EDIT_AT + 5 * MINUTE, END, { cause: "queue-full" });
+    const events = [...steady, ...first, ...later];
+    const whole = explainEvents(events, [earlier, revert]);
+    assert.deepEqual(whole.fault, { kind: "edit", revision: 6, author: earlier.author });
+    assert.match(whole.findings[0]?.evidence.join("\n") ?? "", /edit 7 by anna took it back/);
+    assert.equal(explainEvents(events, [earlier, revert], subject, EDIT_AT + 4 * MINUTE).fault?.kind, "undetermined");
+});
+
 test("nothing that failed gives no fault, and the edits are still listed", () => {
     const result = explainEvents(steady, [slotsEdit]);
     assert.equal(result.fault, undefined);
