--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -1,6 +1,6 @@
 import type { Readable } from "node:stream";
 import type { PooledConnection } from "./connection.js";
-import { acquireConnection, type Connections } from "./connection-pool.js";
+import { acquireConnection, type Connections, isSettling } from "./connection-pool.js";
 import type { Exchange, ExchangeOptions } from "./exchange.js";
 import {
     bytesSent,
@@ -48,30 +48,46 @@
     } else {
         dispatch(running, options.fresh);
     }
-    return {
-        resume: () => resume(running),
-        cancel: () => fail(running, "cancelled", "the request was cancelled", "cancelled"),
-        get bytesSent() {
-            return bytesSent(running);
-        },
-        get headSent() {
-            return bytesSent(running) > 0;
-        },
-        get bodyTaken() {
-            return running.body?.taken ?? false;
-        },
-        get lastProgressAt() {
-            return running.lastProgressAt;
-        },
-        get headReceived() {
-            return running.headReceived;
-        },
-        get waitsForCaller() {
-            return running.paused || (running.body?.waitsForSource ?? false);
-        },
-    };
+    return new ExchangeHandle(running);
 };
 
+// A class, because an object literal with accessors takes over a microsecond to create, for each request.
+class ExchangeHandle implements Exchange {
+    readonly resume: () => void;
+    readonly cancel: () => void;
+    private readonly running: RunningExchange;
+
+    constructor(running: RunningExchange) {
+        this.running = running;
+        this.resume = () => resume(running);
+        this.cancel = () => fail(running, "cancelled", "the request was cancelled", "cancelled");
+    }
+
+    get bytesSent(): number {
+        return bytesSent(this.running);
+    }
+
+    get headSent(): boolean {
+        return bytesSent(this.running) > 0;
+    }
+
+    get bodyTaken(): boolean {
+        return this.running.body?.taken ?? false;
+    }
+
+    get lastProgressAt(): number {
+        return this.running.lastProgressAt;
+    }
+
+    get headReceived(): boolean {
+        return this.running.headReceived;
+    }
+
+    get waitsForCaller(): boolean {
+        return this.running.paused || (this.running.body?.waitsForSource() ?? false);
+    }
+}
+
 // The client supports neither Expect nor trailers of requests.
 const needsOneShot = ({ body, headers, trailers }: ExchangeOptions): boolean =>
     isStream(body) && (trailers !== undefined || headerValue(headers, "expect") !== undefined);
@@ -86,7 +102,7 @@
         limit: options.limits.connections,
     });
     if (connection === undefined) {
-        queueMicrotask(() => failWithoutConnection(running));
+        waitOrFail(running, fresh);
         return;
     }
     const carrier = (connection.carrier ??= createCarrier(connection));
@@ -107,6 +123,19 @@
     );
 };
 
+// A connection whose answer has just ended becomes reusable later in this turn of the event loop.
+const waitOrFail = (running: RunningExchange, fresh: boolean): void => {
+    if (!isSettling(running.connections, running.options.address)) {
+        queueMicrotask(() => failWithoutConnection(running));
+        return;
+    }
+    setImmediate(() => {
+        if (running.phase === "waiting") {
+            dispatch(running, fresh);
+        }
+    });
+};
+
 const createCarrier = (connection: PooledConnection): Carrier => {
     const carrier: Carrier = {
         current: undefined,
