--- a/pools/planner/src/budget.ts
+++ b/pools/planner/src/budget.ts
@@ -5,7 +5,7 @@
 
 /** True if the platform lists the VM as live and the entries reach it. */
 export const isUp = (plan: Plan, row: Assignment): boolean =>
-    plan.listed.get(row.vm)?.state === "live" && !plan.unresponsive.has(row.vm);
+    plan.listed.get(row.vm)?.state === "live" && !plan.input.unresponsiveVms.includes(row.vm);
 
 /** True if the VM takes requests of its pool now. */
 export const isAvailable = (plan: Plan, row: Assignment): boolean => row.phase.kind === "serving" && isUp(plan, row);
--- a/pools/planner/src/loans.ts
+++ b/pools/planner/src/loans.ts
@@ -1,6 +1,6 @@
 import type { Assignment } from "@almondusher/fleet/assignment";
 import type { PoolName } from "@almondusher/fleet/ids";
-import { neededByLoad } from "./budget.js";
+import { isAvailable, neededByLoad } from "./budget.js";
 import type { Waiting } from "./decision.js";
 import { drainingRow, withoutLoan } from "./drains.js";
 import { type PoolStatus, poolStatuses, poolsWithLoss } from "./fleet-view.js";
@@ -98,11 +98,9 @@
             const own = plan.assignments.rows.filter(
                 row =>
                     row.pool === status.pool.name &&
-                    row.phase.kind === "serving" &&
+                    isAvailable(plan, row) &&
                     row.loanedTo === undefined &&
                     plan.wantedPools.get(row.vm)?.pool.name === status.pool.name &&
-                    plan.listed.get(row.vm)?.state === "live" &&
-                    !plan.unresponsive.has(row.vm) &&
                     !isDue(plan, row),
             );
             // The VM maintained last stays usable for longest.
--- a/pools/planner/src/main.ts
+++ b/pools/planner/src/main.ts
@@ -3,8 +3,6 @@
 import { simulateFleet, simulationStartMs, type SimulationResult, type Variant } from "./simulate-fleet.js";
 import { fleetShapes } from "./simulated-fleet.js";
 
-const waveSettings: PlannerSettings = { ...defaultPlannerSettings, waveRequestedAtMs: simulationStartMs };
-
 const withoutHysteresis = (settings: PlannerSettings): PlannerSettings => ({
     ...settings,
     moveDurationMs: 0,
@@ -17,15 +15,21 @@
     moveDurationMs: Number.MAX_SAFE_INTEGER,
 });
 
-// On an ordinary day the limit is not reached.
-const moreParallel = "24 pools at once";
-
-const variants: readonly Variant[] = [
+const waveVariants: readonly Variant[] = [
     { name: "planner", settings: defaultPlannerSettings },
     { name: "one VM at a time", settings: defaultPlannerSettings, oneVmAtATime: true },
     { name: "no hysteresis", settings: withoutHysteresis(defaultPlannerSettings) },
     { name: "no loans for load", settings: withoutLoans(defaultPlannerSettings) },
-    { name: moreParallel, settings: { ...defaultPlannerSettings, maxPoolsInMaintenance: 24 } },
+    { name: "12 pools at once", settings: { ...defaultPlannerSettings, maxPoolsInMaintenance: 12 } },
+    { name: "48 pools at once", settings: { ...defaultPlannerSettings, maxPoolsInMaintenance: 48 } },
+];
+
+const dayVariants: readonly Variant[] = [
+    { name: "planner", settings: defaultPlannerSettings },
+    { name: "no hysteresis", settings: withoutHysteresis(defaultPlannerSettings) },
+    { name: "no loans for load", settings: withoutLoans(defaultPlannerSettings) },
+    { name: "return after 10 minutes", settings: { ...defaultPlannerSettings, returnAfterMs: 600_000 } },
+    { name: "return after 30 minutes", settings: { ...defaultPlannerSettings, returnAfterMs: 1_800_000 } },
 ];
 
 const format = (value: number): string => (Number.isInteger(value) ? String(value) : value.toFixed(1));
@@ -63,18 +67,13 @@
 );
 console.log(`|${" --- |".repeat(12)}`);
 shapes.forEach(shape => {
-    variants.forEach(variant => {
-        const wave = {
-            ...variant,
-            settings: { ...variant.settings, waveRequestedAtMs: waveSettings.waveRequestedAtMs ?? 0 },
-        };
+    waveVariants.forEach(variant => {
+        const wave = { ...variant, settings: { ...variant.settings, waveRequestedAtMs: simulationStartMs } };
         const result = simulateFleet({ shape, variant: wave, seed, days: Number(values.days), untilMaintained: true });
         printRow("full wave", shape.name, variant.name, result);
     });
-    variants
-        .filter(variant => variant.oneVmAtATime !== true && variant.name !== moreParallel)
-        .forEach(variant => {
-            const result = simulateFleet({ shape, variant, seed, days: 1, untilMaintained: false });
-            printRow("ordinary day", shape.name, variant.name, result);
-        });
+    dayVariants.forEach(variant => {
+        const result = simulateFleet({ shape, variant, seed, days: 1, untilMaintained: false });
+        printRow("ordinary day", shape.name, variant.name, result);
+    });
 });
--- a/pools/planner/src/plan.ts
+++ b/pools/planner/src/plan.ts
@@ -13,7 +13,7 @@
 export type VmLocation = Pick<Vm, "id" | "rack" | "dataCentre">;
 
 /** The pool whose row in the pools table names a VM. */
-export interface WantedPool {
+interface WantedPool {
     readonly vm: VmId;
     readonly pool: Pool;
 }
@@ -27,7 +27,6 @@
     readonly locations: EntityTable<VmId, VmLocation>;
     /** Pool whose row names the VM, by VM. */
     readonly wantedPools: EntityTable<VmId, WantedPool>;
-    readonly unresponsive: ReadonlySet<VmId>;
     /** Assignments with the changes planned so far. */
     readonly assignments: EntityTable<VmId, Assignment>;
     readonly plannerState: PlannerState;
@@ -44,7 +43,6 @@
         input.state.pools.rows.flatMap(pool => pool.vms.map(vm => ({ vm, pool }))),
         wanted => wanted.vm,
     ),
-    unresponsive: new Set(input.unresponsiveVms),
     assignments: input.state.assignments,
     plannerState: input.plannerState,
     reasons: [],
--- a/pools/planner/src/planner-settings.ts
+++ b/pools/planner/src/planner-settings.ts
@@ -40,9 +40,9 @@
     rebootRepeatMs: 2 * MINUTE_MS,
     slowDrainMs: 30 * MINUTE_MS,
     lossHoldMs: 60 * MINUTE_MS,
-    maxPoolsInMaintenance: 12,
+    maxPoolsInMaintenance: 24,
     moveDurationMs: 2 * MINUTE_MS,
-    returnAfterMs: 10 * MINUTE_MS,
+    returnAfterMs: 3 * MINUTE_MS,
     borrowUtilisation: 0.85,
     returnUtilisation: 0.6,
 };
--- a/pools/planner/src/simulate-fleet.ts
+++ b/pools/planner/src/simulate-fleet.ts
@@ -1,5 +1,6 @@
 import type { Change } from "@almondusher/fleet/edit";
 import { applyEdit } from "@almondusher/fleet/edit";
+import { type EntityTable, entityTable } from "@almondusher/fleet/entity-table";
 import type { FleetState } from "@almondusher/fleet/fleet-state";
 import { type PoolName, type ProcessId, toId, type VmId } from "@almondusher/fleet/ids";
 import type { Vm } from "@almondusher/fleet/vm";
@@ -60,23 +61,25 @@
 const START_MS = Date.UTC(2026, 11, 1);
 const ENTRIES = ["entry-1", "entry-2", "entry-3"];
 
+/** What a VM is up to; times from the start of the simulation. */
+interface Condition {
+    readonly vm: Vm;
+    readonly outages: readonly Outage[];
+    readonly reboots: number;
+    readonly awayUntilMs: number;
+    /** Absent if it does not drain. */
+    readonly drainingSinceMs?: number;
+}
+
 interface Run {
     readonly timeMs: number;
     readonly state: FleetState;
     readonly plannerState: PlannerState;
     readonly round: number;
-    readonly boots: ReadonlyMap<VmId, number>;
-    readonly rebooting: ReadonlyMap<VmId, number>;
-    readonly drainingSince: ReadonlyMap<VmId, number>;
+    readonly conditions: EntityTable<VmId, Condition>;
     readonly result: Omit<SimulationResult, "hours" | "maintained" | "millisecondsPerPlan">;
 }
 
-interface Scene {
-    readonly options: SimulationOptions;
-    readonly vms: readonly Vm[];
-    readonly outagesByVm: ReadonlyMap<VmId, readonly Outage[]>;
-}
-
 const entryVms = ENTRIES.map((id): Vm => ({
     id: toId(id),
     role: "entry",
@@ -89,27 +92,26 @@
 
 const registrations = ENTRIES.map(id => ({ processId: toId<ProcessId>(`${id}/1`), vm: toId<VmId>(id) }));
 
-const isOut = (scene: Scene, vm: VmId, timeMs: number): boolean =>
-    (scene.outagesByVm.get(vm) ?? []).some(outage => outage.startMs <= timeMs && timeMs < outage.endMs);
+const isListed = ({ outages, awayUntilMs }: Condition, timeMs: number): boolean =>
+    awayUntilMs <= timeMs && !outages.some(outage => outage.startMs <= timeMs && timeMs < outage.endMs);
 
-const outagesBefore = (scene: Scene, vm: VmId, timeMs: number): number =>
-    (scene.outagesByVm.get(vm) ?? []).filter(outage => outage.startMs <= timeMs).length;
-
-const listVms = (scene: Scene, run: Run): readonly Vm[] => [
+const listVms = (run: Run): readonly Vm[] => [
     ...entryVms,
-    ...scene.vms
-        .filter(vm => !isOut(scene, vm.id, run.timeMs) && (run.rebooting.get(vm.id) ?? 0) <= run.timeMs)
-        .map(vm => ({
+    ...run.conditions.rows
+        .filter(condition => isListed(condition, run.timeMs))
+        .map(({ vm, outages, reboots }) => ({
             ...vm,
-            bootId: `${run.boots.get(vm.id) ?? 0}/${outagesBefore(scene, vm.id, run.timeMs)}`,
+            bootId: `${reboots}/${outages.filter(outage => outage.startMs <= run.timeMs).length}`,
         })),
 ];
 
-const confirm = (scene: Scene, run: Run): readonly Confirmation[] => {
-    const { seed } = scene.options;
-    const inFlightVms = [...run.drainingSince]
-        .filter(([vm, sinceMs]) => run.timeMs - sinceMs < drainMs(seed, vm))
-        .map(([vm]) => vm);
+const confirm = (run: Run, seed: number): readonly Confirmation[] => {
+    const inFlightVms = run.conditions.rows
+        .filter(
+            ({ vm, drainingSinceMs }) =>
+                drainingSinceMs !== undefined && run.timeMs - drainingSinceMs < drainMs(seed, vm.id),
+        )
+        .map(({ vm }) => vm.id);
     return registrations.map(entry => ({
         ...entry,
         revision: run.state.revision,
@@ -136,8 +138,8 @@
     return changes.filter(change => !isMaintenanceDrain(change) || change === first);
 };
 
-const commit = (scene: Scene, state: FleetState, changes: readonly Change[]): FleetState => {
-    const permitted = scene.options.variant.oneVmAtATime === true ? limitToOne(state, changes) : changes;
+const commit = (variant: Variant, state: FleetState, changes: readonly Change[]): FleetState => {
+    const permitted = variant.oneVmAtATime === true ? limitToOne(state, changes) : changes;
     return permitted.length === 0
         ? state
         : applyEdit(state, {
@@ -149,12 +151,32 @@
           });
 };
 
-const drainTimes = (run: Run, state: FleetState): ReadonlyMap<VmId, number> =>
-    new Map(
-        state.assignments.rows
-            .filter(row => row.phase.kind === "draining")
-            .map(row => [row.vm, run.drainingSince.get(row.vm) ?? run.timeMs]),
-    );
+const drainCondition = (condition: Condition, run: Run): Condition => {
+    const isDraining = run.state.assignments.get(condition.vm.id)?.phase.kind === "draining";
+    if (isDraining === (condition.drainingSinceMs !== undefined)) {
+        return condition;
+    }
+    const { vm, outages, reboots, awayUntilMs } = condition;
+    const idle = { vm, outages, reboots, awayUntilMs };
+    return isDraining ? { ...idle, drainingSinceMs: run.timeMs } : idle;
+};
+
+const rebootCondition = (condition: Condition, run: Run, seed: number): Condition => ({
+    ...condition,
+    reboots: condition.reboots + 1,
+    awayUntilMs: run.timeMs + rebootMs(seed, condition.vm.id),
+});
+
+const changeConditions = (run: Run, rebooted: readonly VmId[], seed: number): Run => ({
+    ...run,
+    conditions: conditionTable(
+        run.conditions.rows
+            .map(condition => drainCondition(condition, run))
+            .map(condition => (rebooted.includes(condition.vm.id) ? rebootCondition(condition, run, seed) : condition)),
+    ),
+});
+
+const conditionTable = (rows: readonly Condition[]): Run["conditions"] => entityTable(rows, ({ vm }) => vm.id);
 
 const countMoves = (before: FleetState, after: FleetState): number =>
     after.assignments.rows.filter(row => {
@@ -207,20 +229,8 @@
     };
 };
 
-const reboot = (scene: Scene, run: Run, vms: readonly VmId[]): Run => {
-    const { seed } = scene.options;
-    const boots = vms.map(vm => [vm, (run.boots.get(vm) ?? 0) + 1] as const);
-    const rebooting = vms.map(vm => [vm, run.timeMs + rebootMs(seed, vm)] as const);
-    return {
-        ...run,
-        boots: new Map([...run.boots, ...boots]),
-        rebooting: new Map([...run.rebooting, ...rebooting]),
-    };
-};
-
-const takeTick = (scene: Scene, run: Run): Run => {
-    const { options } = scene;
-    const vms = listVms(scene, run);
+const takeTick = (options: SimulationOptions, run: Run): Run => {
+    const vms = listVms(run);
     const nowMs = START_MS + run.timeMs;
     const loads = run.state.pools.rows.map(pool => ({
         pool: pool.name,
@@ -231,7 +241,7 @@
         vms,
         listReadAtMs: nowMs,
         registrations,
-        confirmations: confirm(scene, run),
+        confirmations: confirm(run, options.seed),
         loads,
         unresponsiveVms: [],
         plannerState: run.plannerState,
@@ -240,10 +250,10 @@
         settings: options.variant.settings,
     });
     const changes = decisions.flatMap(decision => (decision.kind === "edit" ? decision.changes : []));
-    const state = commit(scene, run.state, changes);
+    const state = commit(options.variant, run.state, changes);
     const rebooted = decisions.flatMap(decision => (decision.kind === "reboot" ? [decision.vm] : []));
     const moves = countMoves(run.state, state);
-    const next = reboot(scene, { ...run, state, plannerState, drainingSince: drainTimes(run, state) }, rebooted);
+    const next = changeConditions({ ...run, state, plannerState }, rebooted, options.seed);
     const listed = new Set(vms.map(vm => vm.id));
     const counted = { ...next, result: { ...run.result, moves: run.result.moves + moves } };
     const result = measure(counted, { listed, loads });
@@ -257,8 +267,12 @@
 export const simulateFleet = (options: SimulationOptions): SimulationResult => {
     const vms = simulatedVms(options.shape);
     const outages = simulatedOutages({ vms, seed: options.seed, days: options.days });
-    const outagesByVm = new Map(vms.map(vm => [vm.id, outages.filter(outage => outage.vm === vm.id)]));
-    const scene: Scene = { options, vms, outagesByVm };
+    const conditions = vms.map((vm): Condition => ({
+        vm,
+        outages: outages.filter(outage => outage.vm === vm.id),
+        reboots: 0,
+        awayUntilMs: 0,
+    }));
     const startedMs = performance.now();
     const lastTick = (options.days * 24 * HOUR_MS) / TICK_MS;
     let run: Run = {
@@ -266,9 +280,7 @@
         state: simulatedState(options.shape),
         plannerState: initialPlannerState,
         round: 1,
-        boots: new Map(),
-        rebooting: new Map(),
-        drainingSince: new Map(),
+        conditions: conditionTable(conditions),
         result: {
             moves: 0,
             loanHours: 0,
@@ -279,7 +291,7 @@
         },
     };
     for (let tick = 0; tick < lastTick; tick += 1) {
-        run = takeTick(scene, run);
+        run = takeTick(options, run);
         if (options.untilMaintained && countMaintained(run.state) === vms.length) {
             break;
         }
--- a/pools/planner/src/simulated-fleet.ts
+++ b/pools/planner/src/simulated-fleet.ts
@@ -10,8 +10,8 @@
 const DAY_MS = 24 * 60 * MINUTE_MS;
 const VMS_PER_RACK = 4;
 
-/** A number from 0 to 1 that depends only on the seed and the label, so that all variants meet the same events. */
-export const drawNumber = (seed: number, label: string): number =>
+// A number from 0 to 1 that depends only on the seed and the label, so that all variants meet the same events.
+const drawNumber = (seed: number, label: string): number =>
     createHash("sha256").update(`${seed}/${label}`).digest().readUIntBE(0, HASH_BYTES) / HASH_RANGE;
 
 /** Size and shape of a fleet. */
