Name entries of unregistered processes as seen, and test the date of a drain

A VM that left the list counts as gone only if it was seen there; this is now also kept for VMs of unregistered processes that an entry names. A drain without any known entry says so. A manager that has just started waits with new maintenance while it cannot tell where the VMs under way are.

--- a/domain/fleet/test/edit.test.ts
+++ b/domain/fleet/test/edit.test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { Assignment } from "../src/assignment.js";
 import { applyEdit, type Change, type Edit } from "../src/edit.js";
 import { hasCode } from "../src/fleet-error.js";
 import { emptyFleetState, formatSnapshot, parseSnapshot } from "../src/fleet-state.js";
-import { type EditId, toId } from "../src/ids.js";
+import { type EditId, type PoolName, toId, type VmId } from "../src/ids.js";
 import { diffTables, parseTableFile } from "../src/table-file.js";
 
 const tables = (overrides: { minAvailable?: number; routePool?: string; secondPoolVms?: string[] } = {}) =>
@@ -82,3 +83,30 @@
         error => hasCode(error, "invalid-edit"),
     );
 });
+
+test("refuses a drain that names another revision than its own, which entries could confirm without knowing it", () => {
+    const vm = toId<VmId>("vm-1");
+    const serving: Assignment = { vm, pool: toId("letters"), phase: { kind: "serving" } };
+    const drain = (sinceRevision: number): Assignment => ({
+        ...serving,
+        phase: { kind: "draining", purpose: { kind: "maintenance" }, sinceRevision },
+    });
+    const manager = (changes: readonly Change[]): Edit => ({
+        ...editOf(changes),
+        author: { kind: "manager", name: "m" },
+    });
+    const change = (before: Assignment, after: Assignment): Change => ({
+        table: "assignments",
+        key: vm,
+        before,
+        after,
+    });
+    const state = applyEdit(emptyFleetState, manager([{ table: "assignments", key: vm, after: serving }]));
+    assert.throws(
+        () => applyEdit(state, manager([change(serving, drain(1))])),
+        error => hasCode(error, "invalid-edit") && error.details.some(line => line.includes("vm-1")),
+    );
+    const draining = applyEdit(state, manager([change(serving, drain(2))]));
+    const redirected = { ...drain(2), loanedTo: toId<PoolName>("spare") };
+    assert.equal(applyEdit(draining, manager([change(drain(2), redirected)])).revision, 3);
+});
--- a/pools/planner/src/decision.ts
+++ b/pools/planner/src/decision.ts
@@ -7,7 +7,7 @@
     /** VM or pool that waits. */
     readonly subject: string;
     readonly on: "entries" | "requests" | "platform-list" | "return" | "budget" | "correlated-loss" | "spare-vms";
-    /** Processes, VMs, pools or failure domains waited for. */
+    /** Processes, VMs or pools waited for; empty if no entry process is known at all. */
     readonly names: readonly string[];
 }
 
--- a/pools/planner/src/drains.ts
+++ b/pools/planner/src/drains.ts
@@ -144,7 +144,7 @@
             return [
                 { kind: "waiting" as const, subject: vm, on: "entries" as const, names: progress.entries },
                 { kind: "waiting" as const, subject: vm, on: "requests" as const, names: progress.requests },
-            ].filter(waiting => waiting.names.length > 0);
+            ].filter(({ on, names }) => names.length > 0 || (on === "entries" && progress.requests.length === 0));
     }
 };
 
@@ -162,10 +162,11 @@
 
 /** Keeps which entries this manager has seen on the list, and since when it knows the registered processes. */
 const observeEntries = (plan: Plan): Plan => {
-    const { vms, registrations, nowMs } = plan.input;
+    const { vms, registrations, confirmations, nowMs } = plan.input;
     const listed = vms.filter(vm => vm.role === "entry").map(vm => vm.id);
-    const registeredVms = new Set(registrations.map(entry => entry.vm));
-    const seen = plan.plannerState.seenEntryVms.filter(vm => registeredVms.has(vm));
+    const known = [...registrations, ...confirmations.flatMap(confirmation => confirmation.passedTo)];
+    const knownVms = new Set(known.map(entry => entry.vm));
+    const seen = plan.plannerState.seenEntryVms.filter(vm => knownVms.has(vm));
     return changePlannerState(plan, {
         seenEntryVms: [...new Set([...seen, ...listed])],
         registeredSince: keepSince(
--- a/pools/planner/src/waves.ts
+++ b/pools/planner/src/waves.ts
@@ -115,6 +115,10 @@
     if (statuses.every(status => status.due.length === 0)) {
         return plan;
     }
+    if (plan.assignments.rows.some(row => isInMaintenance(row) && !isSlow(plan, row) && !plan.locations.has(row.vm))) {
+        // A manager that has just started waits for the reboots under way, since it cannot tell where they are.
+        return plan;
+    }
     const lossPools = poolsWithLoss(plan);
     const wave = surveyWave(plan, statuses, lossPools);
     const dataCentre = (wave.busy[0] ?? firstCandidate(wave.pools)?.location)?.dataCentre;
