--- a/model/specification/src/checks.ts
+++ b/model/specification/src/checks.ts
@@ -2,7 +2,8 @@
 import { type EditGuard, editGuards, editProtocol } from "./edits.js";
 import { type Exploration, explore } from "./explore.js";
 import { type MaintenanceGuard, maintenanceGuards, maintenanceProtocol } from "./maintenance.js";
-import { type MoveGuard, moveGuards, type MoveOptions, moveProtocol } from "./moves.js";
+import { type MoveGuard, moveGuards, type MoveOptions } from "./move-state.js";
+import { moveProtocol } from "./moves.js";
 import type { Protocol, ProtocolStep, Trace } from "./protocol.js";
 import { replay } from "./replay.js";
 
--- a/model/specification/test/specification.test.ts
+++ b/model/specification/test/specification.test.ts
@@ -4,7 +4,8 @@
 import { getAdjacencyMap } from "xstate/graph";
 import { completeChecks, guardChecks } from "../src/checks.js";
 import { explore } from "../src/explore.js";
-import { type MoveState, type MoveStep, moveProtocol } from "../src/moves.js";
+import type { MoveState, MoveStep } from "../src/move-state.js";
+import { moveProtocol } from "../src/moves.js";
 import { loadTrace } from "../src/traces.js";
 
 completeChecks.forEach(check => {
