--- a/pools/planner/src/loans.ts
+++ b/pools/planner/src/loans.ts
@@ -1,6 +1,6 @@
 import type { Assignment } from "@almondusher/fleet/assignment";
 import type { PoolName } from "@almondusher/fleet/ids";
-import { neededByLoad } from "./budget.js";
+import { isAvailable, neededByLoad } from "./budget.js";
 import type { Waiting } from "./decision.js";
 import { drainingRow, withoutLoan } from "./drains.js";
 import { type PoolStatus, poolStatuses, poolsWithLoss } from "./fleet-view.js";
@@ -11,7 +11,7 @@
 const isShort = (status: PoolStatus): boolean => status.available < status.required;
 
 // Maintenance still to come needs one more VM than the pool must keep.
-const reserveOf = (status: PoolStatus): number => (status.due.length > 0 || status.inMaintenance > 0 ? 1 : 0);
+const reserveOf = (status: PoolStatus): number => (status.dueNow > 0 || status.inMaintenance > 0 ? 1 : 0);
 
 const canReturnOne = (plan: Plan, status: PoolStatus): boolean => {
     const { pool } = status;
@@ -84,12 +84,10 @@
     const { shortSince } = plan.plannerState;
     const isLasting = lasted(shortSince, pool.name, plan.input.nowMs) > plan.input.settings.moveDurationMs;
     const missing = isLasting ? required - available - arriving : 0;
-    // VMs in maintenance return by themselves; a stand-in is needed only where none can be started.
-    const standIns =
-        status.due.length > 0 && status.inMaintenance === 0 && available <= required
-            ? required + 1 - available - arriving
-            : 0;
-    return { status, vms: Math.min(Math.max(missing, Math.min(standIns, 1)), pool.maxBorrowed - borrowed) };
+    // A stand-in is for a budget that leaves no VM for maintenance; where only the load forbids it, maintenance waits.
+    const isBlocked = status.dueNow > 0 && status.inMaintenance === 0 && available + arriving <= pool.minAvailable;
+    const standIns = isBlocked ? 1 : 0;
+    return { status, vms: Math.min(Math.max(missing, standIns), pool.maxBorrowed - borrowed) };
 };
 
 const lendableVms = (plan: Plan, statuses: readonly PoolStatus[]): readonly Assignment[] => {
@@ -100,11 +98,9 @@
             const own = plan.assignments.rows.filter(
                 row =>
                     row.pool === status.pool.name &&
-                    row.phase.kind === "serving" &&
+                    isAvailable(plan, row) &&
                     row.loanedTo === undefined &&
                     plan.wantedPools.get(row.vm)?.pool.name === status.pool.name &&
-                    plan.listed.get(row.vm)?.state === "live" &&
-                    !plan.unresponsive.has(row.vm) &&
                     !isDue(plan, row),
             );
             // The VM maintained last stays usable for longest.
