--- a/admission/queue/src/admission-options.ts
+++ b/admission/queue/src/admission-options.ts
@@ -14,6 +14,8 @@
 export interface AdmissionLimits {
     /** Guaranteed least share of the granted slots for each class, 0 to 1. */
     readonly shares: ByUrgency<number>;
+    /** Largest share of the slots that is kept for short requests of any class, 0 to 1. */
+    readonly quickShare: number;
     /** Requests of each class that may wait. */
     readonly maxQueued: ByUrgency<number>;
     /** Teams without a row have no quota. */
@@ -41,6 +43,8 @@
     readonly granted: number;
     /** Slots of all serving VMs of the pool, whoever may use them. */
     readonly pool: number;
+    /** Guaranteed slots of each class on this entry as the grantor divides them; absent to use the shares. */
+    readonly guarantees?: ByUrgency<number>;
 }
 
 /** Causes for which admission refuses a request. */
@@ -52,11 +56,13 @@
     | { readonly kind: "queued" }
     | { readonly kind: "rejected"; readonly cause: AdmissionCause; readonly retryAfterMs: number };
 
-/** Requests that left the queue. */
+/** What a round of scheduling did. */
 export interface Taken {
     readonly started: readonly RequestId[];
     /** Requests whose deadline passed while they waited; they did not run. */
     readonly expired: readonly RequestId[];
+    /** Requests that borrowed as short ones and still run; their learned run time is too low. */
+    readonly overdue: readonly RequestId[];
 }
 
 /** Slots in use and requests waiting of one class and team. */
--- a/admission/queue/src/admission-state.ts
+++ b/admission/queue/src/admission-state.ts
@@ -5,6 +5,12 @@
 import { createRing, type Ring } from "./ring.js";
 import { createRunTimes, type RunTimes } from "./run-times.js";
 
+/** Which slot a request may take: one of its class's share, one that it borrows, or none. */
+export type Entitlement = SlotKind | "none";
+
+/** A slot of the share of the request's own class, or one borrowed from another. */
+export type SlotKind = keyof VirtualTimes;
+
 /** Admission of one pool on one entry; changed only by the functions of this package. */
 export interface Admission {
     limits: AdmissionLimits;
@@ -14,20 +20,34 @@
     readonly running: Map<RequestId, Running>;
     /** All waiting requests by deadline, whatever their class and team. */
     readonly expiry: DeadlineQueue;
-    /** Borrowed slots in the order in which they were taken. */
-    readonly loans: Loans;
-    /** Virtual time of the class that started last. */
-    virtualNow: number;
+    /** Requests that borrowed a slot, in the order in which they did; some may have ended. */
+    readonly loans: RequestId[];
+    /** Virtual times of the classes that started last. */
+    readonly virtualNow: VirtualTimes;
     nextSequence: number;
 }
 
+/** Virtual times in own and in borrowed slots. */
+export interface VirtualTimes {
+    own: number;
+    borrowed: number;
+}
+
 /** One class of urgency. */
 export interface ClassState {
     readonly urgency: Urgency;
     running: number;
+    /** Requests that run within the guaranteed share of the class. */
+    runningOwn: number;
+    /** Those of them that are short. */
+    runningOwnShort: number;
     queued: number;
-    /** Slot time that the class used, divided by its share; the class that is furthest behind starts first. */
-    virtualTime: number;
+    queuedShort: number;
+    /**
+     * Slot time that the class used, divided by its share; the class that is furthest behind starts first. Slots of
+     * the own share are counted apart, or long requests there would push back the short ones that borrow.
+     */
+    readonly virtualTime: VirtualTimes;
     /** Rejected callers were told to retry up to this time. */
     retryAt: number;
     /** Teams below their quota with a request that waits. */
@@ -42,6 +62,8 @@
     readonly team: TeamState;
     readonly urgency: Urgency;
     running: number;
+    /** Borrowers that run for much longer than short requests do; the team does not borrow in this class meanwhile. */
+    overdue: number;
     readonly short: DeadlineQueue;
     readonly long: DeadlineQueue;
 }
@@ -67,21 +89,20 @@
     readonly startedAt: number;
     /** Run time that was charged to the class at the start, in milliseconds. */
     readonly chargedMs: number;
+    slotKind: SlotKind;
+    isShort: boolean;
+    /** True for a borrower that ran for much longer than a short request does. */
     isOverdue: boolean;
 }
 
-/** Slots that short requests borrowed from other classes. */
-export interface Loans {
-    readonly order: RequestId[];
-    /** Borrowers that run for much longer than was expected. */
-    overdue: number;
-}
-
 const createClass = (urgency: Urgency): ClassState => ({
     urgency,
     running: 0,
+    runningOwn: 0,
+    runningOwnShort: 0,
     queued: 0,
-    virtualTime: 0,
+    queuedShort: 0,
+    virtualTime: { own: 0, borrowed: 0 },
     retryAt: 0,
     teamsWaiting: createRing(),
     teamsWithShort: createRing(),
@@ -100,8 +121,8 @@
     waiting: new Map(),
     running: new Map(),
     expiry: createDeadlineQueue(),
-    loans: { order: [], overdue: 0 },
-    virtualNow: 0,
+    loans: [],
+    virtualNow: { own: 0, borrowed: 0 },
     nextSequence: 0,
 });
 
@@ -131,7 +152,14 @@
     const queues: Partial<Record<Urgency, TeamQueues>> = {};
     const team = { name, quota, running: 0, queued: 0, queues: queues as ByUrgency<TeamQueues> };
     urgencies.forEach(urgency => {
-        queues[urgency] = { team, urgency, running: 0, short: createDeadlineQueue(), long: createDeadlineQueue() };
+        queues[urgency] = {
+            team,
+            urgency,
+            running: 0,
+            overdue: 0,
+            short: createDeadlineQueue(),
+            long: createDeadlineQueue(),
+        };
     });
     return team;
 };
--- a/admission/queue/src/demand.ts
+++ b/admission/queue/src/demand.ts
@@ -1,6 +1,7 @@
-import { urgencies } from "@almondusher/fleet/urgency";
+import { type ByUrgency, type Urgency, urgencies } from "@almondusher/fleet/urgency";
 import type { AdmissionLimits, TeamDemand } from "./admission-options.js";
-import type { Admission } from "./admission-state.js";
+import type { Admission, ClassState } from "./admission-state.js";
+import { backlogOf } from "./deadline-queue.js";
 import { queuedOf } from "./expected-wait.js";
 
 /** Slots in use and requests waiting, one row for each class and team that has any. */
@@ -16,13 +17,65 @@
             .filter(row => row.running > 0 || row.queued > 0),
     );
 
+/** What the grantor of the pool needs to know. */
+export interface SlotDemand {
+    /** Short requests that run within the guaranteed share of their class. */
+    readonly ownShort: ByUrgency<number>;
+    /** Long requests, which always run within the guaranteed share of their class. */
+    readonly ownLong: ByUrgency<number>;
+    /** Requests that run in slots borrowed from other classes. */
+    readonly borrowed: number;
+    /** Requests that wait, may borrow, and are not held back by a quota. */
+    readonly queuedShort: ByUrgency<number>;
+    /** Requests that wait, may not borrow, and are not held back by a quota. */
+    readonly queuedLong: ByUrgency<number>;
+}
+
+/** The demand to report to the grantor. */
+export const slotDemandOf = (admission: Admission): SlotDemand => {
+    const { classes } = admission;
+    const queued = byUrgency(urgency => queuedWithinQuotas(classes[urgency]));
+    return {
+        ownShort: byUrgency(urgency => classes[urgency].runningOwnShort),
+        ownLong: byUrgency(urgency => classes[urgency].runningOwn - classes[urgency].runningOwnShort),
+        borrowed: sumOf(urgency => classes[urgency].running - classes[urgency].runningOwn),
+        queuedShort: byUrgency(urgency => queued[urgency].short),
+        queuedLong: byUrgency(urgency => queued[urgency].long),
+    };
+};
+
+const byUrgency = <Value>(valueOf: (urgency: Urgency) => Value): ByUrgency<Value> => ({
+    urgent: valueOf("urgent"),
+    normal: valueOf("normal"),
+    deferrable: valueOf("deferrable"),
+});
+
+const sumOf = (countOf: (urgency: Urgency) => number): number =>
+    urgencies.reduce((sum, urgency) => sum + countOf(urgency), 0);
+
+interface QueuedCount {
+    readonly short: number;
+    readonly long: number;
+}
+
+const queuedWithinQuotas = (state: ClassState): QueuedCount =>
+    [...state.teamsWaiting.links.keys()].reduce<QueuedCount>(
+        (sum, { team, short, long }) => {
+            const room = (team.quota?.poolSlots ?? Infinity) - team.running;
+            const shortCount = Math.min(room, backlogOf(short).count);
+            const longCount = Math.min(room - shortCount, backlogOf(long).count);
+            return { short: sum.short + shortCount, long: sum.long + longCount };
+        },
+        { short: 0, long: 0 },
+    );
+
 /** What a state dump shows of one admission table. */
 export interface AdmissionDump {
     readonly limits: AdmissionLimits;
     readonly demand: readonly TeamDemand[];
     /** Mean run time of each class in milliseconds. */
     readonly runTimesMs: Readonly<Record<string, number>>;
-    /** Requests that borrowed a slot as short ones and run for much longer; borrowing is suspended meanwhile. */
+    /** Requests that borrowed a slot as short ones and run for much longer; their teams do not borrow meanwhile. */
     readonly overdueLoans: number;
 }
 
@@ -33,5 +86,5 @@
     runTimesMs: Object.fromEntries(
         urgencies.map(urgency => [urgency, Math.round(admission.classes[urgency].runTimes.actualMs)]),
     ),
-    overdueLoans: admission.loans.overdue,
+    overdueLoans: [...admission.running.values()].filter(running => running.isOverdue).length,
 });
--- a/admission/queue/src/expected-wait.ts
+++ b/admission/queue/src/expected-wait.ts
@@ -1,7 +1,7 @@
 import type { PoolCapacity } from "./admission-options.js";
 import type { Admission, TeamQueues } from "./admission-state.js";
 import { backlogBefore, backlogOf } from "./deadline-queue.js";
-import { guaranteesOf } from "./guarantees.js";
+import { guaranteedSlots } from "./eligibility.js";
 import { correctionOf } from "./run-times.js";
 
 /** Time until a request with the given deadline would start, in milliseconds. */
@@ -36,6 +36,6 @@
 
 // A class with requests that wait holds its guaranteed slots and those it could borrow.
 const slotsOf = (admission: Admission, queues: TeamQueues, capacity: PoolCapacity): number => {
-    const guaranteed = guaranteesOf(admission.limits.shares, capacity.granted)[queues.urgency];
+    const guaranteed = guaranteedSlots(admission.limits, capacity)[queues.urgency];
     return Math.max(1, guaranteed, admission.classes[queues.urgency].running);
 };
--- a/admission/queue/src/finish.ts
+++ b/admission/queue/src/finish.ts
@@ -1,7 +1,6 @@
 import type { RequestId } from "@almondusher/fleet/ids";
 import { type Admission, forgetIdleTeam, type Running, teamOf } from "./admission-state.js";
-import { endLoan } from "./loans.js";
-import { chargeClass, dequeue, updateTeamTurns } from "./queue-moves.js";
+import { chargeClass, countOwn, dequeue, enqueue, updateTeamTurns } from "./queue-moves.js";
 import { learnRunTime } from "./run-times.js";
 
 /** Releases the slot of a request that ended at `now` (milliseconds) and learns its run time; unknown ids are ignored. */
@@ -11,7 +10,7 @@
         return;
     }
     const actualMs = Math.max(0, now - running.startedAt);
-    chargeClass(admission, running.request, actualMs - running.chargedMs);
+    chargeClass(admission, running, actualMs - running.chargedMs);
     learnRunTime(admission.classes[running.request.urgency].runTimes, actualMs, running.chargedMs);
     release(admission, running);
 };
@@ -32,14 +31,25 @@
     return "queued";
 };
 
+/** Returns a request that an endpoint refused to its queue; its slot is free again and its deadline unchanged. */
+export const putBack = (admission: Admission, id: RequestId): void => {
+    const running = admission.running.get(id);
+    if (running !== undefined) {
+        chargeClass(admission, running, -running.chargedMs);
+        release(admission, running);
+        enqueue(admission, running.request);
+    }
+};
+
 const release = (admission: Admission, running: Running): void => {
     const { request } = running;
     const team = teamOf(admission, request.team);
     admission.running.delete(request.id);
     admission.classes[request.urgency].running -= 1;
+    countOwn(admission.classes[request.urgency], running, -1);
     team.running -= 1;
     team.queues[request.urgency].running -= 1;
-    endLoan(admission, running);
+    team.queues[request.urgency].overdue -= Number(running.isOverdue);
     updateTeamTurns(admission, team);
     forgetIdleTeam(admission, team);
 };
--- a/admission/queue/src/guarantees.ts
+++ b/admission/queue/src/guarantees.ts
@@ -16,6 +16,18 @@
     return { urgent: wholeOf("urgent"), normal: wholeOf("normal"), deferrable: wholeOf("deferrable") };
 };
 
+/** Guaranteed slots of each class in a whole pool; the rest is for short requests of any class. */
+export const poolGuarantees = ({ shares, quickSlots, slots }: PoolShares): ByUrgency<number> =>
+    guaranteesOf(shares, slots - quickSlots);
+
+/** Shares of the slots of a pool. */
+export interface PoolShares {
+    readonly shares: ByUrgency<number>;
+    /** Slots kept for short requests of any class. */
+    readonly quickSlots: number;
+    readonly slots: number;
+}
+
 // Sums of shares such as 0.5 + 0.3 + 0.2 miss whole numbers by less than this.
 const ROUNDING = 1e-9;
 
--- a/admission/queue/src/loans.ts
+++ b/admission/queue/src/loans.ts
@@ -1,36 +1,36 @@
 import type { RequestId } from "@almondusher/fleet/ids";
-import type { Admission, Running } from "./admission-state.js";
+import { type Admission, type Running, teamOf } from "./admission-state.js";
+import { countOwn, updateTeamTurns } from "./queue-moves.js";
 
 // A borrower that runs this many times longer than the limit for borrowing was misjudged.
 const OVERDUE_FACTOR = 4;
 
-/** Notes that a request borrowed the slot in which it starts. */
-export const addLoan = (admission: Admission, id: RequestId): void => {
-    admission.loans.order.push(id);
-};
-
-/** Counts the borrowers that hold their slot for too long; borrowing stops while there are any. */
-export const findOverdueLoans = (admission: Admission, now: number): void => {
-    const { loans } = admission;
+/**
+ * Finds borrowers that hold their slot for too long and charges them to the share of their own class like long
+ * requests; their team does not borrow until they end. Returns the new ones.
+ */
+export const findOverdueLoans = (admission: Admission, now: number): readonly RequestId[] => {
     const latestStart = now - OVERDUE_FACTOR * admission.limits.borrowRunTimeMs;
-    const stillCurrent = loans.order.findIndex(id => {
+    const firstRecent = admission.loans.findIndex(
+        id => (admission.running.get(id)?.startedAt ?? -Infinity) > latestStart,
+    );
+    const old = admission.loans.splice(0, firstRecent === -1 ? admission.loans.length : firstRecent);
+    return old.filter(id => {
         const running = admission.running.get(id);
-        if (running === undefined) {
-            return false;
-        }
-        if (running.startedAt > latestStart) {
-            return true;
+        if (running !== undefined) {
+            markOverdue(admission, running);
         }
-        running.isOverdue = true;
-        loans.overdue += 1;
-        return false;
+        return running !== undefined;
     });
-    loans.order.splice(0, stillCurrent === -1 ? loans.order.length : stillCurrent);
 };
 
-/** Ends the loan of a request that gives its slot back. */
-export const endLoan = (admission: Admission, running: Running): void => {
-    if (running.isOverdue) {
-        admission.loans.overdue -= 1;
-    }
+const markOverdue = (admission: Admission, running: Running): void => {
+    const { urgency, team } = running.request;
+    const state = teamOf(admission, team);
+    running.isOverdue = true;
+    running.isShort = false;
+    running.slotKind = "own";
+    countOwn(admission.classes[urgency], running, 1);
+    state.queues[urgency].overdue += 1;
+    updateTeamTurns(admission, state);
 };
--- a/admission/queue/src/offer.ts
+++ b/admission/queue/src/offer.ts
@@ -48,14 +48,14 @@
 };
 
 const startNow = (admission: Admission, request: AdmissionRequest, { queues, capacity }: Situation): boolean => {
-    const isShort = isShortRequest(admission, request);
+    const mayBorrow = isShortRequest(admission, request) && queues.overdue === 0;
     const state = admission.classes[request.urgency];
-    const entitlement = entitlementOf(admission, { urgency: request.urgency, isShort }, capacity);
-    const turns = entitlement === "own" || !isShort ? state.teamsWaiting : state.teamsWithShort;
+    const entitlement = entitlementOf(admission, { urgency: request.urgency, mayBorrow }, capacity);
+    const turns = entitlement === "own" ? state.teamsWaiting : state.teamsWithShort;
     if (entitlement === "none" || isAtQuota(queues.team) || turns.links.size > 0) {
         return false;
     }
-    start(admission, request, { now: request.arrivedAt, entitlement });
+    start(admission, request, { now: request.arrivedAt, slotKind: entitlement });
     return true;
 };
 
--- a/admission/queue/src/queue-moves.ts
+++ b/admission/queue/src/queue-moves.ts
@@ -1,8 +1,15 @@
 import type { AdmissionRequest } from "./admission-options.js";
-import { type Admission, type TeamQueues, teamOf, type TeamState, type Waiting } from "./admission-state.js";
+import {
+    type Admission,
+    type ClassState,
+    type SlotKind,
+    type Running,
+    type TeamQueues,
+    teamOf,
+    type TeamState,
+    type Waiting,
+} from "./admission-state.js";
 import { backlogOf, pushRequest, removeRequest, type WaitingRequest } from "./deadline-queue.js";
-import type { Entitlement } from "./eligibility.js";
-import { addLoan } from "./loans.js";
 import { addMember, removeMember } from "./ring.js";
 import { urgencies } from "@almondusher/fleet/urgency";
 
@@ -30,11 +37,13 @@
     };
     admission.nextSequence += 1;
     const state = admission.classes[request.urgency];
-    if (state.queued === 0 && state.running === 0) {
-        // An idle class earns no credit, or it would hold all slots for as long as it was idle.
-        state.virtualTime = Math.max(state.virtualTime, admission.virtualNow);
+    if (state.queued === 0) {
+        // A class without waiting requests earns no credit, or it would start alone for as long as it was idle.
+        state.virtualTime.own = Math.max(state.virtualTime.own, admission.virtualNow.own);
+        state.virtualTime.borrowed = Math.max(state.virtualTime.borrowed, admission.virtualNow.borrowed);
     }
     state.queued += 1;
+    state.queuedShort += Number(place.isShort);
     queues.team.queued += 1;
     pushRequest(place.isShort ? queues.short : queues.long, place);
     pushRequest(admission.expiry, place);
@@ -46,6 +55,7 @@
 export const dequeue = (admission: Admission, { request, place }: Waiting): void => {
     const queues = teamOf(admission, request.team).queues[request.urgency];
     admission.classes[request.urgency].queued -= 1;
+    admission.classes[request.urgency].queuedShort -= Number(place.isShort);
     queues.team.queued -= 1;
     removeRequest(place.isShort ? queues.short : queues.long, place);
     removeRequest(admission.expiry, place);
@@ -57,27 +67,46 @@
 export const start = (
     admission: Admission,
     request: AdmissionRequest,
-    { now, entitlement }: { readonly now: number; readonly entitlement: Entitlement },
+    { now, slotKind }: { readonly now: number; readonly slotKind: SlotKind },
 ): void => {
     const state = admission.classes[request.urgency];
     const team = teamOf(admission, request.team);
     const chargedMs = expectedRunMsOf(admission, request);
-    admission.virtualNow = Math.max(admission.virtualNow, state.virtualTime);
-    chargeClass(admission, request, chargedMs);
+    const virtualNow = Math.max(admission.virtualNow[slotKind], state.virtualTime[slotKind]);
+    admission.virtualNow[slotKind] = virtualNow;
+    chargeClass(admission, { request, slotKind }, chargedMs);
     state.running += 1;
+    const isShort = isShortRequest(admission, request);
+    countOwn(state, { slotKind, isShort }, 1);
     team.running += 1;
     team.queues[request.urgency].running += 1;
-    admission.running.set(request.id, { request, startedAt: now, chargedMs, isOverdue: false });
-    if (entitlement === "borrowed" && isShortRequest(admission, request)) {
-        addLoan(admission, request.id);
+    admission.running.set(request.id, { request, startedAt: now, chargedMs, slotKind, isShort, isOverdue: false });
+    if (slotKind === "borrowed") {
+        admission.loans.push(request.id);
     }
     updateTeamTurns(admission, team);
 };
 
+/** Counts a request that runs within the share of its class. */
+export const countOwn = (
+    state: ClassState,
+    { slotKind, isShort }: Pick<Running, "slotKind" | "isShort">,
+    change: 1 | -1,
+): void => {
+    if (slotKind === "own") {
+        state.runningOwn += change;
+        state.runningOwnShort += isShort ? change : 0;
+    }
+};
+
 /** Adds slot time to the virtual time of a class. */
-export const chargeClass = (admission: Admission, request: AdmissionRequest, runMs: number): void => {
+export const chargeClass = (
+    admission: Admission,
+    { request, slotKind }: Pick<Running, "request" | "slotKind">,
+    runMs: number,
+): void => {
     const share = Math.max(MIN_WEIGHT, admission.limits.shares[request.urgency]);
-    admission.classes[request.urgency].virtualTime += runMs / share;
+    admission.classes[request.urgency].virtualTime[slotKind] += runMs / share;
 };
 
 /** Gives the team a turn in each class in which it waits, unless it is at its quota. */
@@ -95,7 +124,7 @@
     const hasShort = backlogOf(queues.short).count > 0;
     const hasLong = backlogOf(queues.long).count > 0;
     const mayStart = !isAtQuota(queues.team);
-    const changeShort = mayStart && hasShort ? addMember : removeMember;
+    const changeShort = mayStart && hasShort && queues.overdue === 0 ? addMember : removeMember;
     const changeAny = mayStart && (hasShort || hasLong) ? addMember : removeMember;
     changeShort(state.teamsWithShort, queues);
     changeAny(state.teamsWaiting, queues);
--- a/admission/queue/test/admission.test.ts
+++ b/admission/queue/test/admission.test.ts
@@ -12,6 +12,7 @@
 
 const limits: AdmissionLimits = {
     shares: { urgent: 0.5, normal: 0.3, deferrable: 0.2 },
+    quickShare: 0,
     maxQueued: { urgent: 100, normal: 100, deferrable: 100 },
     quotas: [],
     borrowRunTimeMs: 500,
@@ -68,15 +69,18 @@
     assert.equal(urgent.kind, "queued");
     finish(admission, toId<RequestId>("deferrable-20-0"), SHORT_MS);
     const taken = takeNext(admission, capacityOf(admission, 10), SHORT_MS);
-    assert.deepEqual(taken, { started: ["urgent"], expired: [] });
+    assert.deepEqual(taken, { started: ["urgent"], expired: [], overdue: [] });
 });
 
-test("borrowers that run far longer than was learned stop further borrowing until they end", () => {
+test("borrowers that run far longer than was learned are reported, and only their team stops borrowing until they end", () => {
     const admission = createAdmission(limits);
     flood(admission, 8, "deferrable", SHORT_MS);
-    takeNext(admission, capacityOf(admission, 10), 10 * limits.borrowRunTimeMs);
-    assert.ok(dumpAdmission(admission).overdueLoans > 0);
+    const { overdue } = takeNext(admission, capacityOf(admission, 10), 10 * limits.borrowRunTimeMs);
+    assert.equal(overdue.length, 6);
+    assert.equal(dumpAdmission(admission).overdueLoans, 6);
     assert.equal(flood(admission, 1, "deferrable", SHORT_MS + 1)[0]?.kind, "queued");
+    const other = requestOf("other", { urgency: "deferrable", team: "other" });
+    assert.equal(offer(admission, other, capacityOf(admission, 10)).kind, "start");
     Array.from({ length: 8 }, (unused, index) => finish(admission, toId<RequestId>(`deferrable-20-${index}`), 6_000));
     assert.equal(takeNext(admission, capacityOf(admission, 10), 6_000).started.length, 1);
 });
--- /dev/null
+++ b/admission/slots/src/grant-book.ts
@@ -0,0 +1,188 @@
+import { isDeepStrictEqual } from "node:util";
+import type { ProcessId, VmId } from "@almondusher/fleet/ids";
+import type { ByUrgency } from "@almondusher/fleet/urgency";
+import type { Division } from "./grant-slots.js";
+import type { VmSlots } from "./vm-slots.js";
+
+/** What the grantor of one pool knows about the slots that each entry may still be using. */
+export interface GrantBook {
+    readonly createdAt: number;
+    readonly grantTtlMs: number;
+    readonly members: Map<ProcessId, MemberRecord>;
+}
+
+/** A report of an entry to the grantor of a pool. */
+export interface SlotReport {
+    readonly member: ProcessId;
+    /** Time at which the entry sent the report, on its own clock. */
+    readonly sentAt: number;
+    /** Version of the grant from this grantor that the entry applied last; 0 for none. */
+    readonly version: number;
+    /** Slots that the entry may use or is using. */
+    readonly held: readonly VmSlots[];
+    /** True if requests wait at the entry; it then gets a changed grant before its next report. */
+    readonly isWaiting: boolean;
+}
+
+/** A grant on its way to an entry. */
+export interface IssuedGrant {
+    readonly member: ProcessId;
+    readonly version: number;
+    readonly rows: readonly VmSlots[];
+    /** Part of the guaranteed slots of each class that this entry may use. */
+    readonly guarantees: ByUrgency<number>;
+    /** `sentAt` of the report that the grant answers; the entry counts the validity from it. */
+    readonly reportSentAt: number;
+}
+
+/** What a round of grants depends on. */
+export interface IssueOptions {
+    /** Result of `grantSlots`. */
+    readonly division: Division;
+    readonly members: readonly ProcessId[];
+    readonly slotsPerVm: number;
+}
+
+interface MemberRecord {
+    version: number;
+    report: SlotReport;
+    /** True once the newest report has been answered. */
+    isAnswered: boolean;
+    /** Time on the clock of the grantor at which everything issued so far has expired. */
+    expiresAt: number;
+    newest: IssuedGrant | undefined;
+    /** Grants that the entry has not acknowledged, oldest first. */
+    sent: IssuedGrant[];
+}
+
+/** A book for a process that becomes grantor now; entries may still hold grants of an earlier grantor. */
+export const createGrantBook = (now: number, grantTtlMs: number): GrantBook => ({
+    createdAt: now,
+    grantTtlMs,
+    members: new Map(),
+});
+
+/** Notes what an entry holds; an acknowledged grant ends those before it. */
+export const recordReport = (book: GrantBook, report: SlotReport, now: number): void => {
+    const record = book.members.get(report.member);
+    const expiresAt = now + book.grantTtlMs;
+    if (record === undefined) {
+        const version = report.version;
+        book.members.set(report.member, {
+            version,
+            report,
+            isAnswered: false,
+            expiresAt,
+            newest: undefined,
+            sent: [],
+        });
+    } else if (report.sentAt >= record.report.sentAt) {
+        record.report = report;
+        record.isAnswered = false;
+        record.expiresAt = expiresAt;
+        record.sent = record.sent.filter(grant => grant.version > report.version);
+    }
+};
+
+/**
+ * The grants to send now: to entries whose grant changes or that have reported since their last grant. A smaller grant is issued at once; the slots it frees go to others only after the
+ * entry has acknowledged it or everything issued to the entry has expired.
+ */
+export const issueGrants = (book: GrantBook, options: IssueOptions, now: number): readonly IssuedGrant[] => {
+    forgetExpired(book, options.members, now);
+    const isKnown = options.members.every(member => book.members.has(member));
+    if (!isKnown && now < book.createdAt + book.grantTtlMs) {
+        return [];
+    }
+    const outstanding = outstandingTable(book);
+    return options.members.flatMap(member => {
+        const record = book.members.get(member);
+        const grant = record === undefined ? undefined : issueTo(book, options, { record, outstanding });
+        return grant === undefined ? [] : [grant];
+    });
+};
+
+/** Slots that an entry may be using, whichever of the grants issued to it is in force there. */
+export const outstandingSlots = (book: GrantBook, member: ProcessId): readonly VmSlots[] => {
+    const record = book.members.get(member);
+    const most = new Map<VmId, number>();
+    [record?.report.held ?? [], ...(record?.sent ?? []).map(grant => grant.rows)]
+        .flat()
+        .forEach(({ vm, slots }) => most.set(vm, Math.max(slots, most.get(vm) ?? 0)));
+    return [...most].map(([vm, slots]) => ({ vm, slots }));
+};
+
+// Outstanding slots of all members together on each VM, kept up to date while grants are issued.
+type OutstandingTable = Map<VmId, number>;
+
+const outstandingTable = (book: GrantBook): OutstandingTable => {
+    const table: OutstandingTable = new Map();
+    [...book.members.keys()].forEach(member => changeOutstanding(table, outstandingSlots(book, member), 1));
+    return table;
+};
+
+const changeOutstanding = (table: OutstandingTable, rows: readonly VmSlots[], sign: 1 | -1): void =>
+    rows.forEach(({ vm, slots }) => table.set(vm, (table.get(vm) ?? 0) + sign * slots));
+
+// An entry that has left may still dispatch until its last grant expires.
+const forgetExpired = (book: GrantBook, members: readonly ProcessId[], now: number): void => {
+    const live = new Set(members);
+    [...book.members.entries()]
+        .filter(([member, record]) => !live.has(member) && now >= record.expiresAt)
+        .forEach(([member]) => book.members.delete(member));
+};
+
+const NO_GUARANTEES: ByUrgency<number> = { urgent: 0, normal: 0, deferrable: 0 };
+
+// Bounds the memory for a member that no longer reports.
+const MAX_UNACKNOWLEDGED = 16;
+
+interface Issue {
+    readonly record: MemberRecord;
+    readonly outstanding: OutstandingTable;
+}
+
+// A grant is sent when its slots differ from the newest one, when its guarantees do and requests wait for them, and
+// to renew the newest one after a report.
+const issueTo = (book: GrantBook, options: IssueOptions, { record, outstanding }: Issue): IssuedGrant | undefined => {
+    const { member } = record.report;
+    const before = outstandingSlots(book, member);
+    changeOutstanding(outstanding, before, -1);
+    const next = nextGrant(options, { record, outstanding });
+    const grant = isDue(record, next) ? send(record, next) : undefined;
+    changeOutstanding(outstanding, outstandingSlots(book, member), 1);
+    return grant;
+};
+
+const isDue = (record: MemberRecord, next: IssuedGrant): boolean => {
+    if (!record.isAnswered) {
+        return true;
+    }
+    const isChanged =
+        !isDeepStrictEqual(record.newest?.rows, next.rows) ||
+        (record.report.isWaiting && !isDeepStrictEqual(record.newest?.guarantees, next.guarantees));
+    return isChanged && record.sent.length < MAX_UNACKNOWLEDGED;
+};
+
+const send = (record: MemberRecord, next: IssuedGrant): IssuedGrant => {
+    record.isAnswered = true;
+    if (record.newest === undefined || !isSameGrant(record.newest, next)) {
+        record.version += 1;
+        record.newest = { ...next, version: record.version };
+        record.sent.push(record.newest);
+    }
+    return { ...next, version: record.version };
+};
+
+const nextGrant = ({ division, slotsPerVm }: IssueOptions, { record, outstanding }: Issue): IssuedGrant => {
+    const { member, sentAt } = record.report;
+    const rows = division.rows
+        .filter(row => row.member === member)
+        .map(({ vm, slots }) => ({ vm, slots: Math.min(slots, slotsPerVm - (outstanding.get(vm) ?? 0)) }))
+        .filter(row => row.slots > 0);
+    const guarantees = division.targets.find(target => target.member === member)?.guarantees ?? NO_GUARANTEES;
+    return { member, version: record.version, rows, guarantees, reportSentAt: sentAt };
+};
+
+const isSameGrant = (left: IssuedGrant, right: IssuedGrant): boolean =>
+    isDeepStrictEqual(left.rows, right.rows) && isDeepStrictEqual(left.guarantees, right.guarantees);
--- a/admission/slots/src/grant-slots.ts
+++ b/admission/slots/src/grant-slots.ts
@@ -1,98 +1,104 @@
-import type { ProcessId, VmId } from "@almondusher/fleet/ids";
+import type { VmId } from "@almondusher/fleet/ids";
 import type { ByUrgency } from "@almondusher/fleet/urgency";
 import { type MemberDemand, type SlotTarget, slotTargets } from "./slot-targets.js";
 import { type MemberSlots, sumSlots } from "./vm-slots.js";
 
-/** What the grants of a pool depend on. */
+/** What the division of a pool's slots depends on. */
 export interface GrantOptions {
     readonly vms: readonly VmId[];
     readonly slotsPerVm: number;
     readonly demands: readonly MemberDemand[];
-    readonly shares: ByUrgency<number>;
+    /** Slots with a request in flight; they stay with their member. */
+    readonly inUse: readonly MemberSlots[];
+    /** Guaranteed slots of each class in the whole pool. */
+    readonly guarantees: ByUrgency<number>;
     /** Slots that each member gets whatever its demand. */
     readonly reservePerMember: number;
-    /** Grants of the last round, of which as many as possible stay. */
+    /** Slots that may move in one round although nobody waits for them. */
+    readonly maxSpareMoves: number;
+    /** Result of the last round, of which as much as possible stays. */
     readonly previous: readonly MemberSlots[];
 }
 
-/** Divides the slots of every VM among the members; never more than `slotsPerVm` on one VM. */
-export const grantSlots = (options: GrantOptions): readonly MemberSlots[] => {
-    const total = options.vms.length * options.slotsPerVm;
-    const targets = slotTargets({ ...options, total });
-    const kept = keepGrants(options, targets);
-    return fillUp(options, targets, kept);
-};
+/** A division of the slots of a pool. */
+export interface Division {
+    readonly rows: readonly MemberSlots[];
+    readonly targets: readonly SlotTarget[];
+}
 
-// A member that must give slots back gives those on the VM where it has the fewest, which may free a connection.
-const keepGrants = (options: GrantOptions, targets: readonly SlotTarget[]): readonly MemberSlots[] => {
-    const vms = new Set(options.vms);
-    return targets.flatMap(({ member, slots }) => {
-        const rows = options.previous.filter(row => row.member === member && vms.has(row.vm));
-        return takeUpTo(
-            rows.toSorted((left, right) => right.slots - left.slots),
-            slots,
-        );
-    });
+/** Divides the slots of every VM among the members; never more than `slotsPerVm` on one VM. */
+export const grantSlots = (options: GrantOptions): Division => {
+    const previous = options.demands.map(({ member }) =>
+        sumSlots(options.previous.filter(row => row.member === member)),
+    );
+    const targets = slotTargets({ ...options, total: options.vms.length * options.slotsPerVm, previous });
+    const free: FreeSlots = new Map(options.vms.map(vm => [vm, options.slotsPerVm]));
+    const kept = targets.map(target => keepCells(options, target, free));
+    kept.forEach(({ cells, target }) => fillCells(cells, target, free));
+    return { rows: kept.flatMap(({ cells }) => [...cells.values()]), targets };
 };
 
-const takeUpTo = (rows: readonly MemberSlots[], slots: number): readonly MemberSlots[] => {
-    const budget = { left: slots };
-    return rows.flatMap(row => {
-        const kept = Math.min(row.slots, budget.left);
-        budget.left -= kept;
-        return kept > 0 ? [{ ...row, slots: kept }] : [];
-    });
-};
+type FreeSlots = Map<VmId, number>;
 
-interface Cell {
-    readonly member: ProcessId;
-    readonly vm: VmId;
+interface Cell extends MemberSlots {
     slots: number;
 }
 
-const fillUp = (
-    options: GrantOptions,
-    targets: readonly SlotTarget[],
-    kept: readonly MemberSlots[],
-): readonly MemberSlots[] => {
-    const free = new Map(options.vms.map(vm => [vm, options.slotsPerVm]));
-    kept.forEach(row => free.set(row.vm, (free.get(row.vm) ?? 0) - row.slots));
-    const granted = targets.flatMap(({ member, slots }) => {
-        const cells: Cell[] = kept.filter(row => row.member === member).map(row => ({ ...row }));
-        fillMember(cells, { member, missing: slots - sumSlots(cells), free });
-        return cells;
+interface MemberCells {
+    readonly target: SlotTarget;
+    readonly cells: Map<VmId, Cell>;
+}
+
+// A member keeps first what it uses, then what it has where it has the most: giving up the smallest parts lets it
+// close connections.
+const keepCells = (options: GrantOptions, target: SlotTarget, free: FreeSlots): MemberCells => {
+    const cells = new Map<VmId, Cell>();
+    const isOwn = (row: MemberSlots): boolean => row.member === target.member;
+    const inUse = options.inUse.filter(isOwn);
+    const rest = options.previous.filter(isOwn).map(row => ({
+        ...row,
+        slots: row.slots - sumSlots(inUse.filter(({ vm }) => vm === row.vm)),
+    }));
+    [inUse, rest]
+        .flatMap(rows => rows.toSorted((left, right) => right.slots - left.slots))
+        .forEach(row => takeSlots(cells, { ...row, slots: Math.min(row.slots, missingOf(cells, target)) }, free));
+    return { target, cells };
+};
+
+// First no VM gets more than half of the slots of a member, so that a failed VM leaves it some; then any does.
+const fillCells = (cells: Map<VmId, Cell>, target: SlotTarget, free: FreeSlots): void => {
+    const half = Math.ceil(target.slots / 2);
+    [half, target.slots].forEach(limit => {
+        vmsToFill(cells, free).forEach(vm => {
+            const room = limit - (cells.get(vm)?.slots ?? 0);
+            takeSlots(cells, { member: target.member, vm, slots: Math.min(room, missingOf(cells, target)) }, free);
+        });
     });
-    return granted.filter(cell => cell.slots > 0);
 };
 
-interface Missing {
-    readonly member: ProcessId;
-    readonly missing: number;
-    readonly free: Map<VmId, number>;
-}
+const missingOf = (cells: Map<VmId, Cell>, target: SlotTarget): number => target.slots - sumSlots([...cells.values()]);
 
-// Slots on VMs that the member already uses come first; then the VMs with the most free slots, to use few of them.
-const fillMember = (cells: Cell[], { member, missing, free }: Missing): void => {
-    const known = new Map(cells.map(cell => [cell.vm, cell]));
-    const vms = [...free.keys()].toSorted(
-        (left, right) =>
-            Number(known.has(right)) - Number(known.has(left)) || (free.get(right) ?? 0) - (free.get(left) ?? 0),
-    );
-    vms.reduce((left, vm) => {
-        const count = Math.min(left, Math.max(0, free.get(vm) ?? 0));
-        if (count > 0) {
-            free.set(vm, (free.get(vm) ?? 0) - count);
-            addToCell(cells, { member, vm, slots: count });
-        }
-        return left - count;
-    }, missing);
-};
+// VMs that the member already uses come first, then those with the most free slots, to use few of them.
+const vmsToFill = (cells: Map<VmId, Cell>, free: FreeSlots): readonly VmId[] =>
+    [...free]
+        .filter(([, slots]) => slots > 0)
+        .toSorted(
+            ([leftVm, left], [rightVm, right]) =>
+                Number(cells.has(rightVm)) - Number(cells.has(leftVm)) || right - left,
+        )
+        .map(([vm]) => vm);
 
-const addToCell = (cells: Cell[], added: Cell): void => {
-    const cell = cells.find(candidate => candidate.vm === added.vm);
+const takeSlots = (cells: Map<VmId, Cell>, wanted: MemberSlots, free: FreeSlots): void => {
+    const left = free.get(wanted.vm) ?? 0;
+    const slots = Math.min(wanted.slots, left);
+    if (slots <= 0) {
+        return;
+    }
+    free.set(wanted.vm, left - slots);
+    const cell = cells.get(wanted.vm);
     if (cell === undefined) {
-        cells.push(added);
+        cells.set(wanted.vm, { ...wanted, slots });
     } else {
-        cell.slots += added.slots;
+        cell.slots += slots;
     }
 };
--- a/admission/slots/src/slot-ledger.ts
+++ b/admission/slots/src/slot-ledger.ts
@@ -1,11 +1,15 @@
-import type { TeamName, VmId } from "@almondusher/fleet/ids";
+import type { ProcessId, TeamName, VmId } from "@almondusher/fleet/ids";
+import type { ByUrgency } from "@almondusher/fleet/urgency";
 import { sumSlots, type VmSlots } from "./vm-slots.js";
 
 /** What a grantor gave to one entry. */
 export interface Grant {
-    /** Rises with every grant of the same grantor to the same entry; sent back as the acknowledgement. */
+    readonly grantor: ProcessId;
+    /** Rises with every changed grant of the same grantor; sent back as the acknowledgement. */
     readonly version: number;
     readonly rows: readonly VmSlots[];
+    /** Part of the guaranteed slots of each class that this entry may use. */
+    readonly guarantees: ByUrgency<number>;
     /** Part of the quota of each team that this entry may use. */
     readonly quotas: readonly TeamSlots[];
     /** Time until which the grant is valid on the clock of the entry, in milliseconds. */
@@ -35,14 +39,31 @@
     inFlight: new Map(),
 });
 
-/** Takes a grant over at once; an older version is ignored. */
+/** Puts a grant into force at once; an older one of the same grantor is ignored. */
 export const applyGrant = (ledger: SlotLedger, grant: Grant, now: number): void => {
-    if (ledger.grant === undefined || !isValid(ledger.grant, now) || grant.version >= ledger.grant.version) {
+    const current = ledger.grant;
+    const isOlder = current?.grantor === grant.grantor && grant.version < current.version;
+    if (!isOlder) {
         ledger.grant = grant;
         refreshAllowed(ledger, now);
     }
 };
 
+/** Slots that the entry may use or is using, for its report to the grantor. */
+export const heldSlots = (ledger: SlotLedger): readonly VmSlots[] =>
+    [...new Set([...ledger.allowed.keys(), ...ledger.inFlight.keys()])].map(vm => ({
+        vm,
+        slots: Math.max(ledger.allowed.get(vm) ?? 0, ledger.inFlight.get(vm) ?? 0),
+    }));
+
+/** Slots with a request in flight, for the report to the grantor. */
+export const usedSlots = (ledger: SlotLedger): readonly VmSlots[] =>
+    [...ledger.inFlight].map(([vm, slots]) => ({ vm, slots }));
+
+/** Version of the grant in force from the given grantor, which acknowledges it; 0 for none. */
+export const acknowledgedVersion = (ledger: SlotLedger, grantor: ProcessId): number =>
+    ledger.grant?.grantor === grantor ? ledger.grant.version : 0;
+
 /** Sets the rendezvous partition, which changes with the members and the VMs of the pool. */
 export const setFallback = (ledger: SlotLedger, fallback: readonly VmSlots[], now: number): void => {
     ledger.fallback = fallback;
@@ -55,6 +76,10 @@
     ledger.allowed = new Map(rows.map(row => [row.vm, row.slots]));
 };
 
+/** Guaranteed slots of each class under the grant in force; undefined while the partition is used. */
+export const guaranteedSlots = (ledger: SlotLedger, now: number): ByUrgency<number> | undefined =>
+    ledger.grant !== undefined && isValid(ledger.grant, now) ? ledger.grant.guarantees : undefined;
+
 /** Slots that the entry may use, free or not. */
 export const grantedSlots = (ledger: SlotLedger): number =>
     sumSlots([...ledger.allowed.values()].map(slots => ({ slots })));
--- a/admission/slots/src/slot-targets.ts
+++ b/admission/slots/src/slot-targets.ts
@@ -1,82 +1,168 @@
 import type { ProcessId } from "@almondusher/fleet/ids";
-import { type ByUrgency, urgencies } from "@almondusher/fleet/urgency";
+import { type ByUrgency, type Urgency, urgencies } from "@almondusher/fleet/urgency";
+import { divideFairly } from "./divide-fairly.js";
 
-/** Requests of one member that run or wait, by class. */
+/** Requests of one member in one pool. */
 export interface MemberDemand {
     readonly member: ProcessId;
-    readonly demand: ByUrgency<number>;
+    /** Short requests that run within the guaranteed share of their class. */
+    readonly ownShort: ByUrgency<number>;
+    /** Long requests that run within the guaranteed share of their class. */
+    readonly ownLong: ByUrgency<number>;
+    /** Requests that run in slots borrowed from other classes. */
+    readonly borrowed: number;
+    /** Requests that wait and may borrow. */
+    readonly queuedShort: ByUrgency<number>;
+    /** Requests that wait and may only use the share of their class. */
+    readonly queuedLong: ByUrgency<number>;
+}
+
+/** Slots of one member, and how many of them are guaranteed to each class. */
+export interface SlotTarget {
+    readonly member: ProcessId;
+    readonly slots: number;
+    readonly guarantees: ByUrgency<number>;
 }
 
 /** What the number of slots of each member depends on. */
 export interface TargetOptions {
+    /** Slots of the pool. */
     readonly total: number;
     readonly demands: readonly MemberDemand[];
-    readonly shares: ByUrgency<number>;
-    /** Slots that each member gets whatever its demand, as far as there are enough. */
+    /** Guaranteed slots of each class in the whole pool; slots beyond them are for short requests of any class. */
+    readonly guarantees: ByUrgency<number>;
+    /** Slots that each member gets whatever its demand, so that its first requests start at once. */
     readonly reservePerMember: number;
-}
-
-/** Slots of one member. */
-export interface SlotTarget {
-    readonly member: ProcessId;
-    readonly slots: number;
+    /** Slots that each member has now, in the order of `demands`. */
+    readonly previous: readonly number[];
+    /** Slots that may move in one round although nobody waits for them. */
+    readonly maxSpareMoves: number;
 }
 
 /**
- * Divides the slots of a pool among the members: a reserve for each, then the guaranteed share of each class by its
- * demand, then the rest by the remaining demand, and what nobody asked for evenly.
+ * Divides the slots of a pool among its members. Each class's guaranteed slots follow the demand of that class. What a
+ * class leaves goes first to the reserves and then to short requests of any class.
+ * Slots that nobody asks for stay where they are and drift to an even division.
  */
-export const slotTargets = ({ total, demands, shares, reservePerMember }: TargetOptions): readonly SlotTarget[] => {
-    const reserve = Math.min(reservePerMember, Math.floor(total / Math.max(1, demands.length)));
-    const targets = demands.map(() => reserve);
-    const unmet = demands.map(({ demand }) => ({ ...demand }));
-    const slots = { left: total - reserve * demands.length };
-    unmet.forEach(demand => coverByReserve(demand, reserve));
-    urgencies.forEach(urgency => {
-        const wanted = unmet.map(demand => demand[urgency]);
-        const given = divideFairly(wanted, Math.min(slots.left, Math.floor(shares[urgency] * total)));
-        given.forEach((count, index) => {
-            targets[index] = (targets[index] ?? 0) + count;
-            slots.left -= count;
-            const demand = unmet[index];
-            if (demand !== undefined) {
-                demand[urgency] -= count;
-            }
-        });
+export const slotTargets = (options: TargetOptions): readonly SlotTarget[] => {
+    const claims = urgencies.map(urgency => claimsOf(options, urgency));
+    const claimed = claims.reduce((slots, claim) => add(slots, claim), zeros(options.demands.length));
+    const left = Math.max(0, options.total - sum(claimed));
+    const extra = divideLeftover(options, { claims, claimed, left });
+    const leftovers = urgencies.map((urgency, index) =>
+        Math.max(0, options.guarantees[urgency] - sum(claims[index] ?? [])),
+    );
+    const labels = dealLeftovers(extra, leftovers);
+    return options.demands.map(({ member }, position) => {
+        const guaranteeOf = (index: number): number =>
+            (claims[index]?.[position] ?? 0) + (labels[index]?.[position] ?? 0);
+        return {
+            member,
+            slots: (claimed[position] ?? 0) + (extra[position] ?? 0),
+            guarantees: { urgent: guaranteeOf(0), normal: guaranteeOf(1), deferrable: guaranteeOf(2) },
+        };
     });
-    const rest = divideFairly(
-        unmet.map(demand => urgencies.reduce((sum, urgency) => sum + demand[urgency], 0)),
-        slots.left,
+};
+
+type Counts = readonly number[];
+
+const sum = (counts: Counts): number => counts.reduce((total, count) => total + count, 0);
+
+const add = (left: Counts, right: Counts): Counts => left.map((count, index) => count + (right[index] ?? 0));
+
+const zeros = (count: number): Counts => Array.from({ length: count }, () => 0);
+
+// Slots of the class's guarantee that the requests of each member use. Only long requests keep their slots: if short
+// ones did, members that are full of short work would keep the whole guarantee for as long as their queues last.
+const claimsOf = ({ demands, guarantees }: TargetOptions, urgency: Urgency): Counts => {
+    const limit = guarantees[urgency];
+    const long = divideFairly(
+        demands.map(({ ownLong }) => ownLong[urgency]),
+        limit,
+    );
+    const others = divideFairly(
+        demands.map(
+            ({ ownShort, queuedShort, queuedLong }) => ownShort[urgency] + queuedShort[urgency] + queuedLong[urgency],
+        ),
+        limit - sum(long),
+    );
+    return add(long, others);
+};
+
+interface Leftover {
+    readonly claims: readonly Counts[];
+    readonly claimed: Counts;
+    readonly left: number;
+}
+
+const divideLeftover = (options: TargetOptions, { claims, claimed, left }: Leftover): Counts => {
+    const { demands, reservePerMember, previous } = options;
+    const longExcess = demands.map(({ ownLong }, index) =>
+        Math.max(0, sum(urgencies.map(urgency => ownLong[urgency])) - (claimed[index] ?? 0)),
     );
-    const spare = slots.left - rest.reduce((sum, count) => sum + count, 0);
-    const even = divideFairly(
-        demands.map(() => Math.ceil(spare / Math.max(1, demands.length))),
-        spare,
+    const wanted = [
+        longExcess,
+        claimed.map(count => Math.max(0, reservePerMember - count)),
+        demands.map((demand, index) => shortBeyondClaims(demand, { claims, index })),
+    ];
+    const needed = wanted.reduce<Counts>(
+        (given, want) => add(given, divideFairly(want, left - sum(given))),
+        zeros(demands.length),
     );
-    return demands.map(({ member }, index) => ({
-        member,
-        slots: (targets[index] ?? 0) + (rest[index] ?? 0) + (even[index] ?? 0),
-    }));
+    const surplus = needed.map((count, index) => Math.max(0, (previous[index] ?? 0) - (claimed[index] ?? 0) - count));
+    const kept = add(needed, divideFairly(surplus, left - sum(needed)));
+    return spreadSpare(options, { claimed, needed, kept, left });
 };
 
-// The reserve serves the most urgent requests of the member first.
-const coverByReserve = (demand: Record<keyof ByUrgency<number>, number>, reserve: number): void => {
-    urgencies.reduce((left, urgency) => {
-        const covered = Math.min(left, demand[urgency]);
-        demand[urgency] -= covered;
-        return left - covered;
-    }, reserve);
+// Short requests that run or wait beyond what the guaranteed share of their class covers. Those that run have no
+// precedence: a member full of short work would otherwise keep its slots from one whose requests wait.
+const shortBeyondClaims = (
+    demand: MemberDemand,
+    { claims, index }: { readonly claims: readonly Counts[]; readonly index: number },
+): number =>
+    urgencies.reduce((total, urgency, position) => {
+        const covered = Math.max(0, (claims[position]?.[index] ?? 0) - demand.ownLong[urgency]);
+        return total + Math.max(0, demand.ownShort[urgency] + demand.queuedShort[urgency] - covered);
+    }, demand.borrowed);
+
+interface Spare {
+    readonly claimed: Counts;
+    readonly needed: Counts;
+    readonly kept: Counts;
+    readonly left: number;
+}
+
+const spreadSpare = ({ maxSpareMoves }: TargetOptions, { claimed, needed, kept, left }: Spare): Counts => {
+    // An even division gives each member the same number of slots beyond its needs.
+    const even = add(
+        needed,
+        divideFairly(
+            claimed.map(() => left),
+            left - sum(needed),
+        ),
+    );
+    const missing = (slots: Counts): Counts => slots.map((count, index) => Math.max(0, (even[index] ?? 0) - count));
+    const filled = add(kept, divideFairly(missing(kept), left - sum(kept)));
+    const above = filled.map((count, index) => Math.max(0, count - (even[index] ?? 0)));
+    const moved = Math.min(maxSpareMoves, sum(above));
+    const taken = divideFairly(above, moved);
+    const given = divideFairly(missing(filled), moved);
+    return filled.map((count, index) => count - (taken[index] ?? 0) + (given[index] ?? 0));
 };
 
-/** Divides slots so that nobody gets more than it wants and the least served get the most; in whole numbers. */
-export const divideFairly = (wanted: readonly number[], slots: number): readonly number[] => {
-    const order = wanted.map((want, index) => ({ want, index })).toSorted((left, right) => left.want - right.want);
-    const given = wanted.map(() => 0);
-    order.reduce((left, { want, index }, position) => {
-        const fair = Math.floor(left / (order.length - position));
-        const count = Math.min(want, fair);
-        given[index] = count;
-        return left - count;
-    }, slots);
-    return given;
+// Deals the unclaimed guaranteed slots of each class over the members in proportion to their extra slots.
+const dealLeftovers = (extra: Counts, leftovers: Counts): readonly Counts[] => {
+    const room = [...extra];
+    return leftovers.map((slots, index) => {
+        const stillToDeal = sum(leftovers.slice(index));
+        const share = slots / Math.max(1, Math.max(stillToDeal, sum(room)));
+        const whole = room.map(count => Math.floor(count * share));
+        const rest = divideFairly(
+            room.map((count, position) => count - (whole[position] ?? 0)),
+            Math.min(slots, sum(room)) - sum(whole),
+        );
+        const dealt = add(whole, rest);
+        dealt.forEach((count, position) => (room[position] = (room[position] ?? 0) - count));
+        return dealt;
+    });
 };
--- a/admission/slots/test/slots.test.ts
+++ b/admission/slots/test/slots.test.ts
@@ -13,11 +13,16 @@
     reserveSlot,
     setFallback,
 } from "../src/slot-ledger.js";
-import { sumSlots } from "../src/vm-slots.js";
+import { type MemberSlots, sumSlots } from "../src/vm-slots.js";
 
 const SEED = 20261204;
 const SLOTS_PER_VM = 8;
-const shares = { urgent: 0.5, normal: 0.3, deferrable: 0.2 };
+const NONE = { urgent: 0, normal: 0, deferrable: 0 };
+const guaranteesOf = (slots: number) => ({
+    urgent: Math.floor(slots / 2),
+    normal: Math.floor(slots / 4),
+    deferrable: Math.floor(slots / 8),
+});
 const vmsOf = (count: number) => Array.from({ length: count }, (unused, index) => toId<VmId>(`vm-${index}`));
 const membersOf = (count: number) =>
     Array.from({ length: count }, (unused, index) => toId<ProcessId>(`entry-${index}`));
@@ -36,7 +41,7 @@
     );
 });
 
-const sorted = (rows: ReturnType<typeof grantSlots>) =>
+const sorted = (rows: readonly MemberSlots[]) =>
     rows.toSorted((left, right) => left.member.localeCompare(right.member) || left.vm.localeCompare(right.vm));
 
 test("grants never exceed the slots of a VM, use all slots, and stay when the demand stays", () => {
@@ -49,18 +54,24 @@
     fc.assert(
         fc.property(rounds, ([vmCount, demands, rotation]) => {
             const members = membersOf(demands.length);
-            const grant = (shift: number, previous: ReturnType<typeof grantSlots>) =>
+            const grant = (shift: number, previous: readonly MemberSlots[]) =>
                 grantSlots({
                     vms: vmsOf(vmCount),
                     slotsPerVm: SLOTS_PER_VM,
-                    shares,
+                    guarantees: guaranteesOf(vmCount * SLOTS_PER_VM),
                     reservePerMember: 1,
+                    maxSpareMoves: 4,
+                    inUse: [],
                     previous,
                     demands: members.map((member, index) => ({
                         member,
-                        demand: demands[(index + shift) % demands.length] ?? { urgent: 0, normal: 0, deferrable: 0 },
+                        ownShort: NONE,
+                        ownLong: NONE,
+                        borrowed: 0,
+                        queuedLong: NONE,
+                        queuedShort: demands[(index + shift) % demands.length] ?? NONE,
                     })),
-                });
+                }).rows;
             const first = grant(0, []);
             const second = grant(rotation, first);
             [first, second].forEach(rows => {
@@ -77,12 +88,17 @@
 
 test("an entry falls back to the partition when its grant expires, and counts work in flight against either", () => {
     const ledger = createSlotLedger();
+    const grantor = toId<ProcessId>("entry-0");
     const [first, second] = vmsOf(2);
     assert.ok(first !== undefined && second !== undefined);
     setFallback(ledger, [{ vm: first, slots: 1 }], 0);
     assert.ok(reserveSlot(ledger, first));
     assert.ok(!reserveSlot(ledger, first));
-    applyGrant(ledger, { version: 1, rows: [{ vm: second, slots: 2 }], quotas: [], expiresAt: 100 }, 0);
+    applyGrant(
+        ledger,
+        { grantor, version: 1, rows: [{ vm: second, slots: 2 }], guarantees: NONE, quotas: [], expiresAt: 100 },
+        0,
+    );
     assert.equal(freeSlotsOfPool(ledger), 2);
     refreshAllowed(ledger, 100);
     assert.equal(freeSlotsOfPool(ledger), 0);
--- /dev/null
+++ b/bench/policies/src/event-queue.ts
@@ -0,0 +1,77 @@
+/** Events of a simulation in the order of their times; events at the same time run in the order they were added. */
+export interface EventQueue {
+    now: number;
+    sequence: number;
+    readonly heap: Event[];
+}
+
+interface Event {
+    readonly at: number;
+    readonly sequence: number;
+    readonly run: () => void;
+}
+
+/** A queue at time 0. */
+export const createEventQueue = (): EventQueue => ({ now: 0, sequence: 0, heap: [] });
+
+/** Runs an action after a delay in milliseconds of simulated time. */
+export const schedule = (queue: EventQueue, delayMs: number, run: () => void): void => {
+    const event = { at: queue.now + delayMs, sequence: queue.sequence, run };
+    queue.sequence += 1;
+    let index = queue.heap.length;
+    queue.heap.push(event);
+    while (index > 0) {
+        const parent = (index - 1) >> 1;
+        const above = queue.heap[parent];
+        if (above === undefined || !isEarlier(event, above)) {
+            break;
+        }
+        queue.heap[index] = above;
+        index = parent;
+    }
+    queue.heap[index] = event;
+};
+
+/** Runs events until none is left or `isDone` is true. */
+export const runEvents = (queue: EventQueue, isDone: () => boolean): void => {
+    let event = takeFirst(queue.heap);
+    while (event !== undefined && !isDone()) {
+        queue.now = event.at;
+        event.run();
+        event = takeFirst(queue.heap);
+    }
+};
+
+const isEarlier = (left: Event, right: Event): boolean =>
+    left.at < right.at || (left.at === right.at && left.sequence < right.sequence);
+
+const takeFirst = (heap: Event[]): Event | undefined => {
+    const first = heap[0];
+    const last = heap.pop();
+    if (last !== undefined && heap.length > 0) {
+        sinkFromTop(heap, last);
+    }
+    return first;
+};
+
+const sinkFromTop = (heap: Event[], event: Event): void => {
+    let index = 0;
+    let child = smallerChild(heap, index);
+    while (child !== undefined && isEarlier(child.event, event)) {
+        heap[index] = child.event;
+        index = child.index;
+        child = smallerChild(heap, index);
+    }
+    heap[index] = event;
+};
+
+const smallerChild = (heap: readonly Event[], index: number): { event: Event; index: number } | undefined => {
+    const left = heap[2 * index + 1];
+    const right = heap[2 * index + 2];
+    if (left === undefined) {
+        return undefined;
+    }
+    return right !== undefined && isEarlier(right, left)
+        ? { event: right, index: 2 * index + 2 }
+        : { event: left, index: 2 * index + 1 };
+};
--- /dev/null
+++ b/bench/policies/src/main.ts
@@ -0,0 +1,88 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { resolve } from "node:path";
+import { parseArgs } from "node:util";
+import { isMainThread, parentPort, Worker, workerData } from "node:worker_threads";
+import { createRendezvous } from "@almondusher/slots/rendezvous";
+import { plotRatios } from "./plot.js";
+import { formatReport, type Table } from "./report.js";
+import { compareVariants } from "./scenario.js";
+import { type Summary, summarize } from "./summary.js";
+import { comparisons } from "./variants.js";
+
+/** What a worker is asked to run. */
+interface Job {
+    readonly index: number;
+    readonly seed: number;
+}
+
+const DEFAULT_SEED = 1;
+const MAX_WORKERS = 4;
+const COMMAND = "npm run bench -w @almondusher/policy-bench";
+
+const runJob = async ({ index, seed }: Job): Promise<readonly Summary[]> => {
+    const comparison = comparisons[index];
+    if (comparison === undefined) {
+        return [];
+    }
+    const { installation, profile, variants } = comparison;
+    const rendezvous = await createRendezvous();
+    return compareVariants(installation, { variants, profile, seed, rendezvous }).map(summarize);
+};
+
+const runInWorker = (job: Job): Promise<readonly Summary[]> =>
+    new Promise((succeed, fail) => {
+        const worker = new Worker(new URL(import.meta.url), { workerData: job });
+        worker.once("message", succeed);
+        worker.once("error", fail);
+    });
+
+// Takes the largest comparisons first, which are the last of the list, so that no worker is left alone with one.
+const runAll = async (seed: number, filter: string): Promise<readonly Table[]> => {
+    const jobs = comparisons.map((comparison, index) => ({ comparison, index }));
+    const wanted = jobs.filter(({ comparison }) => nameOf(comparison).includes(filter)).toReversed();
+    const tables = new Map<number, Table>();
+    const work = async (): Promise<void> => {
+        const job = wanted.shift();
+        if (job !== undefined) {
+            const { installation, profile, topic } = job.comparison;
+            const rows = await runInWorker({ index: job.index, seed });
+            tables.set(job.index, { installation: installation.name, profile, topic, rows });
+            console.log(`finished ${nameOf(job.comparison)}`);
+            await work();
+        }
+    };
+    await Promise.all(Array.from({ length: MAX_WORKERS }, work));
+    return [...tables].toSorted(([left], [right]) => left - right).map(([, table]) => table);
+};
+
+const nameOf = ({ installation, profile, topic }: (typeof comparisons)[number]): string =>
+    `${installation.name}, ${profile}: ${topic}`;
+
+const runMain = async (): Promise<void> => {
+    const { values } = parseArgs({
+        options: {
+            folder: { type: "string", default: ".run" },
+            seed: { type: "string", default: String(DEFAULT_SEED) },
+            only: { type: "string", default: "" },
+        },
+    });
+    const seed = Number(values.seed);
+    if (!Number.isSafeInteger(seed)) {
+        throw new Error(`--seed ${values.seed} is not a whole number`);
+    }
+    const tables = await runAll(seed, values.only);
+    // npm runs the script in the folder of the package; the caller's folder is meant.
+    const folder = resolve(process.env["INIT_CWD"] ?? ".", values.folder);
+    mkdirSync(folder, { recursive: true });
+    const date = new Date().toISOString().slice(0, "yyyy-mm-dd".length);
+    const command = seed === DEFAULT_SEED ? COMMAND : `${COMMAND} -- --seed ${seed}`;
+    writeFileSync(resolve(folder, "policies.md"), formatReport(tables, { command, seed, date }));
+    writeFileSync(resolve(folder, "policies.svg"), plotRatios(tables));
+    console.log(`wrote ${resolve(folder, "policies.md")} and policies.svg`);
+};
+
+if (isMainThread) {
+    await runMain();
+} else {
+    parentPort?.postMessage(await runJob(workerData as Job));
+}
--- /dev/null
+++ b/bench/policies/src/summary.ts
@@ -0,0 +1,56 @@
+import { type VariantResult, worstQueue } from "./scenario.js";
+import { p99Ms, type Score } from "./score.js";
+
+/** Figures of one variant as the report shows them. */
+export interface Summary {
+    readonly variant: string;
+    /** Shares from 0 to 1. */
+    readonly withinTarget: number;
+    readonly withinTargetQuiet: number;
+    readonly worstRatio: number;
+    readonly worstQueue: string;
+    readonly neighboursWithinTarget: number;
+    readonly floodAnswered: number;
+    readonly slotsUsed: number;
+    readonly urgentInTime: number;
+    readonly urgentP99Ms: number;
+    readonly urgentMaxMs: number;
+    readonly rejectedOthers: string;
+    readonly rejectedFlood: string;
+    readonly refusals: number;
+    /** For one pool, averaged over the time in which requests arrive. */
+    readonly messagesPerSecond: number;
+    readonly movedPerSecond: number;
+}
+
+const MS_PER_SECOND = 1_000;
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Reduces the results of a variant to the figures of the report. */
+export const summarize = (result: VariantResult): Summary => {
+    const { variant, flooded, quiet } = result;
+    const worst = worstQueue(result);
+    return {
+        variant: variant.name,
+        withinTarget: flooded.othersWithinTarget / flooded.others,
+        withinTargetQuiet: quiet.othersWithinTarget / quiet.others,
+        worstRatio: worst.ratio,
+        worstQueue: worst.name,
+        neighboursWithinTarget: flooded.neighboursWithinTarget / flooded.neighbours,
+        floodAnswered: flooded.floodingAnswered / flooded.flooding,
+        slotsUsed: flooded.usedSlotMs / flooded.availableSlotMs,
+        urgentInTime: flooded.urgentInTime / flooded.urgent,
+        urgentP99Ms: p99Ms(flooded.urgentWait),
+        urgentMaxMs: flooded.urgentWait.maxValue / MICROSECONDS_PER_MS,
+        rejectedOthers: describeCauses(flooded.othersRejected),
+        rejectedFlood: describeCauses(flooded.floodingRejected),
+        refusals: flooded.refusals,
+        messagesPerSecond: perSecond(flooded, flooded.messages),
+        movedPerSecond: perSecond(flooded, flooded.movedSlots),
+    };
+};
+
+const perSecond = (score: Score, count: number): number => (count * MS_PER_SECOND) / score.simulatedMs;
+
+const describeCauses = (counts: ReadonlyMap<string, number>): string =>
+    counts.size === 0 ? "none" : [...counts].map(([cause, count]) => `${cause} ${count}`).join(", ");
