--- /dev/null
+++ b/admission/slots/test/targets.test.ts
@@ -0,0 +1,100 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type ProcessId, type TeamName, toId } from "@almondusher/fleet/ids";
+import fc from "fast-check";
+import { divideQuotas } from "../src/divide-quotas.js";
+import { createQuickReserve, learnShortUse, quickSlots } from "../src/quick-reserve.js";
+import { type MemberDemand, slotTargets } from "../src/slot-targets.js";
+
+const SEED = 20261206;
+const TOTAL = 56;
+const NONE = { urgent: 0, normal: 0, deferrable: 0 };
+const guarantees = { urgent: 14, normal: 8, deferrable: 6 };
+const members = Array.from({ length: 7 }, (unused, index) => toId<ProcessId>(`entry-${index}`));
+
+const targetsOf = (demands: readonly Partial<MemberDemand>[], maxSpareMoves = 0, previous: readonly number[] = []) =>
+    slotTargets({
+        total: TOTAL,
+        guarantees,
+        reservePerMember: 1,
+        maxSpareMoves,
+        previous,
+        demands: members.map((member, index) => ({
+            member,
+            ownShort: NONE,
+            ownLong: NONE,
+            borrowed: 0,
+            queuedShort: NONE,
+            queuedLong: NONE,
+            ...demands[index],
+        })),
+    });
+
+test("all slots and all guaranteed slots are divided whatever the demand", () => {
+    const counts = fc.record({ urgent: fc.nat(30), normal: fc.nat(30), deferrable: fc.nat(300) });
+    const demand = fc.record({ queuedShort: counts, queuedLong: counts, ownShort: counts, borrowed: fc.nat(20) });
+    fc.assert(
+        fc.property(fc.array(demand, { maxLength: members.length }), demands => {
+            const targets = targetsOf(demands);
+            const sumOf = (valueOf: (target: (typeof targets)[number]) => number) =>
+                targets.reduce((sum, target) => sum + valueOf(target), 0);
+            assert.equal(
+                sumOf(target => target.slots),
+                TOTAL,
+            );
+            assert.equal(
+                sumOf(target => target.guarantees.urgent),
+                guarantees.urgent,
+            );
+            assert.equal(
+                sumOf(target => target.guarantees.normal),
+                guarantees.normal,
+            );
+            assert.equal(
+                sumOf(target => target.guarantees.deferrable),
+                guarantees.deferrable,
+            );
+        }),
+        { seed: SEED },
+    );
+});
+
+// Guards against entries that are full of short work keeping the whole guarantee of its class.
+test("a long request that waits gets a guaranteed slot while other entries use them for short work", () => {
+    const flooded = { ownShort: { ...NONE, urgent: 7 }, queuedShort: { ...NONE, urgent: 200 } };
+    const waiting = { queuedLong: { ...NONE, urgent: 1 } };
+    const targets = targetsOf([flooded, flooded, waiting]);
+    assert.ok((targets[2]?.guarantees.urgent ?? 0) >= 1);
+});
+
+test("long requests keep their slots and a flood elsewhere leaves every member its reserve", () => {
+    const targets = targetsOf([{ ownLong: { ...NONE, urgent: 9 } }, { queuedShort: { ...NONE, deferrable: 500 } }]);
+    assert.ok((targets[0]?.slots ?? 0) >= 9);
+    assert.ok(targets.every(target => target.slots >= 1));
+});
+
+test("slots that nobody asks for stay and drift to an even division by the given number in a round", () => {
+    const previous = [20, 6, 6, 6, 6, 6, 6];
+    assert.equal(targetsOf([], 0, previous)[0]?.slots, 20);
+    assert.equal(targetsOf([], 2, previous)[0]?.slots, 18);
+});
+
+test("the parts of a team's quota add up to the quota and follow the demand", () => {
+    const team = toId<TeamName>("notaries");
+    const wants = [
+        { member: toId<ProcessId>("entry-0"), team, requests: 50 },
+        { member: toId<ProcessId>("entry-1"), team, requests: 1 },
+    ];
+    const parts = divideQuotas({ quotas: [{ team, slots: 5 }], members, wants });
+    assert.deepEqual(
+        parts.map(part => part.slots),
+        [4, 1, 0, 0, 0, 0, 0],
+    );
+});
+
+test("a pool without short work ends up with no reserve for it, and one with short work keeps headroom", () => {
+    const start = createQuickReserve({ maxSlots: 28, now: 0 });
+    assert.equal(quickSlots(start, 28), 28);
+    assert.equal(quickSlots(learnShortUse(start, 0, 3_600_000), 28), 0);
+    assert.equal(quickSlots(learnShortUse(start, 10, 3_600_000), 28), 15);
+});
