--- a/admission/queue/src/admission-options.ts
+++ b/admission/queue/src/admission-options.ts
@@ -14,7 +14,7 @@
 export interface AdmissionLimits {
     /** Guaranteed least share of the granted slots for each class, 0 to 1. */
     readonly shares: ByUrgency<number>;
-    /** Share of the granted slots that only short requests may use, of whichever class, 0 to 1. */
+    /** Largest share of the slots that is kept for short requests of any class, 0 to 1. */
     readonly quickShare: number;
     /** Requests of each class that may wait. */
     readonly maxQueued: ByUrgency<number>;
--- a/admission/queue/src/loans.ts
+++ b/admission/queue/src/loans.ts
@@ -29,7 +29,7 @@
     const state = teamOf(admission, team);
     running.isOverdue = true;
     running.isShort = false;
-    running.entitlement = "own";
+    running.slotKind = "own";
     countOwn(admission.classes[urgency], running, 1);
     state.queues[urgency].overdue += 1;
     updateTeamTurns(admission, state);
--- a/admission/queue/src/offer.ts
+++ b/admission/queue/src/offer.ts
@@ -55,7 +55,7 @@
     if (entitlement === "none" || isAtQuota(queues.team) || turns.links.size > 0) {
         return false;
     }
-    start(admission, request, { now: request.arrivedAt, entitlement });
+    start(admission, request, { now: request.arrivedAt, slotKind: entitlement });
     return true;
 };
 
