--- a/programs/entry/src/divide-slots.ts
+++ b/programs/entry/src/divide-slots.ts
@@ -1,11 +1,12 @@
 import { isDeepStrictEqual } from "node:util";
 import { poolGuarantees } from "@almondusher/admission/guarantees";
 import type { PoolName, ProcessId } from "@almondusher/fleet/ids";
-import type { ByUrgency } from "@almondusher/fleet/urgency";
+import { type ByUrgency, urgencies } from "@almondusher/fleet/urgency";
 import { memberIds } from "./adopt-state.js";
 import { divideQuotas, type QuotaPart } from "@almondusher/slots/divide-quotas";
 import { createGrantBook, type GrantBook, issueGrants, recordReport } from "@almondusher/slots/grant-book";
 import { type Division, grantSlots } from "@almondusher/slots/grant-slots";
+import { createQuickReserve, learnShortUse, type QuickReserve, quickSlots } from "@almondusher/slots/quick-reserve";
 import type { MemberDemand } from "@almondusher/slots/slot-targets";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import type { PoolView } from "./fleet-view.js";
@@ -17,6 +18,7 @@
     readonly book: GrantBook;
     readonly reports: Map<ProcessId, ReadReport>;
     division: Division;
+    quickReserve: QuickReserve | undefined;
     /** What the division was made for. */
     view: PoolView | undefined;
     members: readonly ProcessId[];
@@ -60,6 +62,7 @@
         book: createGrantBook(monotonicMs(), entry.settings.timing.grantTtlMs),
         reports: new Map(),
         division: { rows: [], targets: [] },
+        quickReserve: undefined,
         view: undefined,
         members: [],
         nextSpareMoveAt: 0,
@@ -101,6 +104,24 @@
     isDeepStrictEqual(left.used, right.used) &&
     isDeepStrictEqual(left.teams, right.teams);
 
+interface PoolSlots {
+    readonly shares: ByUrgency<number>;
+    readonly slots: number;
+    /** Monotonic time in milliseconds. */
+    readonly now: number;
+}
+
+const shortInUse = ({ demand }: ReadReport): number =>
+    urgencies.reduce((sum, urgency) => sum + demand.ownShort[urgency], demand.borrowed);
+
+// The reserve for short requests follows what short requests used in the last minutes.
+const learnGuarantees = (grantor: Grantor, { shares, slots, now }: PoolSlots): ByUrgency<number> => {
+    const maxSlots = Math.floor(QUICK_SHARE * slots);
+    const inUse = [...grantor.reports.values()].reduce((sum, report) => sum + shortInUse(report), 0);
+    grantor.quickReserve = learnShortUse(grantor.quickReserve ?? createQuickReserve({ maxSlots, now }), inUse, now);
+    return poolGuarantees({ shares, quickSlots: quickSlots(grantor.quickReserve, maxSlots), slots });
+};
+
 const redivide = (grantor: Grantor, members: readonly ProcessId[], { view }: PoolRuntime): void => {
     const now = monotonicMs();
     [...grantor.reports.keys()].filter(id => !members.includes(id)).forEach(id => grantor.reports.delete(id));
@@ -114,7 +135,7 @@
         inUse: [...grantor.reports.values()].flatMap(({ report, used }) =>
             used.map(row => ({ ...row, member: report.member })),
         ),
-        guarantees: poolGuarantees({ shares, quickShare: QUICK_SHARE, slots: vms.length * slotsPerVm }),
+        guarantees: learnGuarantees(grantor, { shares, slots: vms.length * slotsPerVm, now }),
         reservePerMember: RESERVE_PER_MEMBER,
         maxSpareMoves: mayMoveSpare ? MAX_SPARE_MOVES : 0,
         previous: grantor.division.rows,
--- a/programs/entry/src/pool-runtime.ts
+++ b/programs/entry/src/pool-runtime.ts
@@ -37,8 +37,8 @@
     reportedAtMs: number;
 }
 
-/** Share of the slots of each pool that only short requests may use; docs/decisions/admission.md has the figures. */
-export const QUICK_SHARE = 0.1;
+/** Largest share of the slots of a pool kept for short requests; docs/decisions/admission.md has the figures. */
+export const QUICK_SHARE = 0.5;
 
 const limitsOf = (pool: Pool, quotaParts: readonly TeamSlots[], settings: EntrySettings): AdmissionLimits => {
     const { maxQueued, borrowRunTimeMs } = settings.limits;
