--- a/programs/entry/src/answer-relay.ts
+++ b/programs/entry/src/answer-relay.ts
@@ -8,6 +8,9 @@
 const EARLY_HINTS = 103;
 const SERVER_ERROR = 500;
 
+// Set by almondusher itself: an endpoint's copy would double the id or pass off its verdict as ours.
+const ownHeaders = ["almondusher-request-id", "almondusher-verdict"];
+
 export interface AnswerEvents {
     readonly onEnd: () => void;
     readonly onFailure: (failure: ExchangeFailure) => void;
@@ -36,7 +39,7 @@
             flow.serverError = head.statusCode >= SERVER_ERROR;
             flow.running.filter(other => other !== attempt).forEach(events.onOvertaken);
             response.sendDate = false;
-            const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME });
+            const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME, drop: ownHeaders });
             response.writeHead(head.statusCode, head.statusMessage, [
                 ...headers,
                 "almondusher-request-id",
