--- a/programs/entry/src/answer-relay.ts
+++ b/programs/entry/src/answer-relay.ts
@@ -10,6 +10,9 @@
 // Pausing at the much lower limit of the stream itself would stop the endpoint for answers of a few chunks.
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
+// Set by almondusher itself: an endpoint's copy would double the id or pass off its verdict as ours.
+const ownHeaders = ["almondusher-request-id", "almondusher-verdict"];
+
 export interface AnswerEvents {
     readonly onEnd: () => void;
     readonly onFailure: (failure: ExchangeFailure) => void;
@@ -38,7 +41,7 @@
             flow.serverError = head.statusCode >= SERVER_ERROR;
             flow.running.filter(other => other !== attempt).forEach(events.onOvertaken);
             response.sendDate = false;
-            const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME });
+            const headers = forwardHeaders({ headers: head.headers, via: VIA_NAME, drop: ownHeaders });
             response.writeHead(head.statusCode, head.statusMessage, [
                 ...headers,
                 "almondusher-request-id",
