--- /dev/null
+++ b/bench/system/src/read-operator.ts
@@ -0,0 +1,55 @@
+import { request } from "undici";
+import type { Deployment } from "./deployment.js";
+import type { EntryDump } from "./operator-client.js";
+
+// A frozen process accepts connections and never answers; the reader must not wait for it.
+const READ_TIMEOUT_MS = 1000;
+
+/** Parts of the answer of /status that the tests read. */
+export interface ProcessStatus {
+    readonly processId: string;
+    readonly revision: number;
+    readonly ready: boolean;
+    readonly reason?: string;
+    readonly leading?: boolean;
+    readonly drains: readonly {
+        readonly vm: string;
+        readonly pool: string;
+        readonly waitingFor: readonly string[];
+    }[];
+}
+
+/** Reads a route of an operator port; undefined if the process does not answer. */
+export const readOperator = async <Body>(
+    deployment: Deployment,
+    operatorUrl: string,
+    path: "/dump" | "/status",
+): Promise<Body | undefined> => {
+    try {
+        const response = await request(`${operatorUrl}${path}`, {
+            headers: { authorization: `Bearer ${deployment.operatorSecret}` },
+            signal: AbortSignal.timeout(READ_TIMEOUT_MS),
+        });
+        return (await response.body.json()) as Body;
+    } catch {
+        return undefined;
+    }
+};
+
+/** State dumps of the entries that answer. */
+export const readEntryDumps = async (deployment: Deployment): Promise<readonly EntryDump[]> => {
+    const dumps = await Promise.all(
+        deployment.entries.map(entry => readOperator<EntryDump>(deployment, entry.operatorUrl, "/dump")),
+    );
+    return dumps.filter(dump => dump !== undefined);
+};
+
+/** Status of each manager that answers, with its place in the deployment. */
+export const readManagers = async (
+    deployment: Deployment,
+): Promise<readonly { readonly index: number; readonly status: ProcessStatus }[]> => {
+    const statuses = await Promise.all(
+        deployment.managers.map(manager => readOperator<ProcessStatus>(deployment, manager.operatorUrl, "/status")),
+    );
+    return statuses.flatMap((status, index) => (status === undefined ? [] : [{ index, status }]));
+};
