Count contact from the time of the question, after the entry has caught up

Cause: an entry took the arrival of an answer as its last contact. An answer that was on its way before a freeze made the entry ready after it, on a revision that may have been replaced meanwhile; so did a VM list, and an exchange with a peer before its newer state was adopted. Ruled out: a late timer. Change: the contact is the time at which the head or a peer was asked, noted once the state is adopted. Tests of the platform's outage: ordinary requests, keyed ones, replacement of every entry, isolated and frozen entries. Conclusion: readiness after a freeze no longer depends on the timeouts.

--- /dev/null
+++ b/bench/system/test/control-platform-down.test.ts
@@ -0,0 +1,163 @@
+import { strict as assert } from "node:assert";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { request } from "undici";
+import { type BalancedLoad, callEntry, lostRequests, startBalancedLoad } from "../src/balanced-load.js";
+import { type Child } from "../src/child-process.js";
+import { type ControlFleet, startControlFleet } from "../src/control-fleet.js";
+import { launchEntry } from "../src/deployment.js";
+import { freePorts } from "../src/free-ports.js";
+import { pollUntil } from "../src/operator-client.js";
+import { bringPlatformUp, takePlatformDown, writeIsolatedSettings } from "../src/platform-faults.js";
+import { endProcess, freeze, replaceEntry, resume, waitForReady } from "../src/process-faults.js";
+import { readOperator, type ProcessStatus } from "../src/read-operator.js";
+
+const ISOLATION_TIMEOUT_MS = 4000;
+const START_LIMIT_MS = 15_000;
+
+let control: ControlFleet;
+let load: BalancedLoad;
+
+const entryAt = (index: number) => {
+    const entry = control.deployment.entries[index];
+    assert.ok(entry);
+    return entry;
+};
+
+const readKeyRuns = async (key: string): Promise<number> => {
+    const response = await request(`${control.deployment.endpointControlUrl}/counts`);
+    const { keys } = (await response.body.json()) as { keys: readonly { id: string; runs: number }[] };
+    return keys.find(row => row.id === key)?.runs ?? 0;
+};
+
+before(async () => {
+    control = await startControlFleet({
+        name: "platform-down",
+        entries: 3,
+        services: [{ name: "letters", vms: 3 }],
+        entryTiming: { isolationTimeoutMs: ISOLATION_TIMEOUT_MS },
+    });
+    await takePlatformDown(control.deployment);
+    load = startBalancedLoad({
+        entries: control.deployment.entries,
+        paths: ["/letters/1"],
+        workers: 6,
+        workMs: 20,
+        pauseMs: 10,
+    });
+});
+
+after(async () => {
+    await load.stop();
+    await control.stop();
+});
+
+test("a keyed non-idempotent request that runs without a decided claim could run twice", async () => {
+    const answer = await callEntry({
+        entry: entryAt(0),
+        path: "/letters/order",
+        method: "POST",
+        headers: { "idempotency-key": "order-without-platform" },
+    });
+    assert.equal(answer.status, 503);
+    assert.equal(answer.cause, "platform-unavailable");
+    // Section 2.6: "not-run" would be a claim about earlier requests with the key that nobody can check now.
+    assert.equal(answer.verdict, "may-have-run");
+    assert.equal(await readKeyRuns("order-without-platform"), 0);
+});
+
+test("a non-idempotent request without a key needs no claim and must not be refused", async () => {
+    const answer = await callEntry({ entry: entryAt(1), path: "/letters/order", method: "POST" });
+    assert.equal(answer.status, 200);
+});
+
+test("replacing every entry during an outage must not stop the fleet or lose a request", async () => {
+    for (const entry of control.deployment.entries) {
+        await replaceEntry(control.deployment, entry, "SIGTERM");
+        assert.equal((await callEntry({ entry, path: "/letters/1" })).status, 200);
+    }
+    assert.deepEqual(lostRequests(load.records), []);
+    assert.ok(load.records.length > 0);
+});
+
+test("an entry without platform and peers that takes requests would serve without a configuration", async () => {
+    const ports = await freePorts(3);
+    const file = writeIsolatedSettings(control.deployment, entryAt(0), ports);
+    const child: Child = launchEntry("entry-isolated", file, control.deployment.folder);
+    try {
+        const status = await pollUntil({
+            what: "status of the isolated entry",
+            timeoutMs: START_LIMIT_MS,
+            read: () => readOperator<ProcessStatus>(control.deployment, `http://127.0.0.1:${ports[2] ?? 0}`, "/status"),
+        });
+        assert.equal(status.ready, false);
+        assert.match(status.reason ?? "", /no fleet state/);
+        const refused = await callEntry({
+            entry: { ...entryAt(0), callerUrl: `http://127.0.0.1:${ports[0] ?? 0}` },
+            path: "/letters/1",
+        });
+        assert.equal(refused.status, 503);
+        assert.equal(refused.verdict, "not-run");
+        assert.equal(refused.cause, "not-ready");
+    } finally {
+        await endProcess(child, "SIGTERM");
+    }
+});
+
+test("an entry frozen for longer than the isolation timeout must not answer before it had contact again", async () => {
+    const entry = entryAt(2);
+    const peers = [entryAt(0), entryAt(1)];
+    await load.stop();
+    freeze(entry.child);
+    await sleep(ISOLATION_TIMEOUT_MS + 1000);
+    // Without the platform and with frozen peers no contact is possible, so the answer does not depend on timing.
+    peers.forEach(peer => freeze(peer.child));
+    resume(entry.child);
+    try {
+        const answer = await callEntry({ entry, path: "/letters/1" });
+        assert.equal(answer.status, 503);
+        assert.equal(answer.cause, "not-ready");
+        assert.equal(answer.verdict, "not-run");
+        await sleep(1000);
+        const status = await readOperator<ProcessStatus>(control.deployment, entry.operatorUrl, "/status");
+        assert.equal(status?.ready, false);
+        assert.match(status?.reason ?? "", /no answer of the platform or a peer/);
+    } finally {
+        peers.forEach(peer => resume(peer.child));
+    }
+    await Promise.all(control.deployment.entries.map(each => waitForReady(control.deployment, each)));
+    assert.equal((await callEntry({ entry, path: "/letters/1" })).status, 200);
+});
+
+test("after the outage keyed requests run again, once for each key", async () => {
+    await bringPlatformUp(control.deployment);
+    const key = "order-after-outage";
+    const call = (index: number) =>
+        callEntry({
+            entry: entryAt(index),
+            path: "/letters/order",
+            method: "POST",
+            headers: { "idempotency-key": key },
+        });
+    const first = await pollUntil({
+        what: "a keyed request is answered",
+        timeoutMs: START_LIMIT_MS,
+        read: async () => {
+            const answer = await call(0);
+            return answer.status === 503 ? undefined : answer;
+        },
+    });
+    assert.equal(first.status, 200);
+    // The claim is settled after the answer; until then a repeat is refused as one that may have run.
+    const repeated = await pollUntil({
+        what: "the claim is settled",
+        timeoutMs: START_LIMIT_MS,
+        read: async () => {
+            const answer = await call(1);
+            assert.equal(answer.status, 409);
+            return answer.verdict === "may-have-run" ? undefined : answer;
+        },
+    });
+    assert.equal(repeated.verdict, "ran");
+    assert.equal(await readKeyRuns(key), 1);
+});
--- a/programs/entry/src/exchange-peers.ts
+++ b/programs/entry/src/exchange-peers.ts
@@ -84,6 +84,7 @@
 
 const exchangeWith = async (entry: EntryContext, url: string): Promise<void> => {
     const client = entry.peerClients.clientFor(url);
+    const askedAtMs = monotonicMs();
     try {
         const answer = await client.calls.exchange({ sender: memberFields(selfPeer(entry)) });
         const peer = readMember(answer.responder);
@@ -94,6 +95,10 @@
             learned.filter(other => other !== entry.peerUrl),
         );
         await catchUp(entry, url, peer);
+        if (peer.processId !== entry.processId) {
+            // The time of the question counts: after a freeze the answer to an earlier one may be waiting.
+            entry.tables.peerContactAtMs = Math.max(entry.tables.peerContactAtMs, askedAtMs);
+        }
     } catch {
         entry.tables.membership = missPeer(entry.tables.membership, url, monotonicMs());
         // A connection may be silent for good while new ones work.
@@ -106,7 +111,6 @@
     if (peer.processId === entry.processId) {
         return;
     }
-    entry.tables.peerContactAtMs = monotonicMs();
     applyStep(entry, hearPeer(entry.tables.membership, url, peer, monotonicMs()));
     if (peer.registered && entry.tables.unregisteredPeers.get(peer.vmId)?.processId === peer.processId) {
         entry.tables.unregisteredPeers.delete(peer.vmId);
--- a/programs/entry/src/poll-platform.ts
+++ b/programs/entry/src/poll-platform.ts
@@ -13,7 +13,6 @@
             logEvent(entry.logger, { kind: "platform-up", downMs: monotonicMs() - tables.platformContactAtMs });
         }
         tables.platformUp = true;
-        tables.platformContactAtMs = monotonicMs();
     } else if (tables.platformUp) {
         tables.platformUp = false;
         const reason = error instanceof Error ? error.message : "unknown error";
@@ -48,6 +47,7 @@
 /** Learns the latest revision from the platform. */
 export const pollHead = (entry: EntryContext): Promise<void> =>
     callPlatform(entry, "read-head", async () => {
+        const askedAtMs = monotonicMs();
         // The registration goes first: an entry that reads the state before would miss a drain that skips it.
         await registerSelf(entry);
         const head = await readHead(entry.platform);
@@ -56,6 +56,8 @@
         } else if (head.revision > entry.tables.view.state.revision || !entry.tables.hasState) {
             adoptState(entry, await readState(entry.platform, head), "platform");
         }
+        // The time of the question counts: after a freeze the answer to an earlier one may be waiting.
+        entry.tables.platformContactAtMs = askedAtMs;
     });
 
 /** Learns the VM list from the platform. */
