--- a/bench/system/src/demo.ts
+++ b/bench/system/src/demo.ts
@@ -2,7 +2,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
-import { applyTables } from "./apply-tables.js";
+import { writeFileSync } from "node:fs";
+import { runCli } from "./run-cli.js";
 import { type Deployment, startDeployment } from "./deployment.js";
 import { placeVms, sampleTables } from "./fleet-layout.js";
 import { pollUntil, readDump } from "./operator-client.js";
@@ -15,6 +16,11 @@
 
 const print = (text: string): void => console.log(text);
 
+const applyByCli = async (deployment: Deployment, tables: object, reason: string): Promise<{ revision: number }> => {
+    writeFileSync(deployment.tablesFile, JSON.stringify(tables, undefined, 4));
+    return runCli(deployment, ["apply", deployment.tablesFile, "--reason", reason, "--author", "demo", "--yes"]);
+};
+
 const revisionEverywhere = (deployment: Deployment, revision: number) =>
     pollUntil({
         what: `revision ${revision} in force in every entry`,
@@ -89,9 +95,9 @@
         })),
     };
     const startedAt = performance.now();
-    const edit = await applyTables(deployment, moved);
-    await revisionEverywhere(deployment, edit.state.revision);
-    print(`ok    revision ${edit.state.revision} in force everywhere after ${elapsed(startedAt)}`);
+    const edit = await applyByCli(deployment, moved, "move a spare VM");
+    await revisionEverywhere(deployment, edit.revision);
+    print(`ok    revision ${edit.revision} in force everywhere after ${elapsed(startedAt)}`);
     await pollUntil({
         what: `${vm} serving in ${pool?.name ?? ""}`,
         timeoutMs: DRAIN_LIMIT_MS,
@@ -106,6 +112,18 @@
 
 const elapsed = (startedAt: number): string => `${((performance.now() - startedAt) / 1000).toFixed(1)} s`;
 
+interface HistoryRow {
+    readonly revision: number;
+    readonly author: { readonly kind: string; readonly name: string };
+    readonly reason: string;
+}
+
+const showHistory = async (deployment: Deployment): Promise<void> => {
+    const history = await runCli<{ edits?: readonly HistoryRow[] } | readonly HistoryRow[]>(deployment, ["history"]);
+    const rows = "length" in history ? history : (history.edits ?? []);
+    rows.forEach(row => print(`edit ${row.revision} by ${row.author.kind} ${row.author.name}: ${row.reason}`));
+};
+
 const summarize = async (deployment: Deployment): Promise<void> => {
     const dumps = await Promise.all(deployment.entries.map(entry => readDump(deployment, entry.operatorUrl)));
     print("entry      revision  answers  rejections  memory MB  CPU of one core");
@@ -132,8 +150,8 @@
     try {
         const tables = sampleTables(fleet);
         const startedAt = performance.now();
-        const edit = await applyTables(deployment, tables);
-        await revisionEverywhere(deployment, edit.state.revision);
+        const edit = await applyByCli(deployment, tables, "first tables");
+        await revisionEverywhere(deployment, edit.revision);
         await allServing(deployment, placeVms(fleet).length);
         print(`ok    first tables in force and all VMs assigned after ${elapsed(startedAt)}`);
         const path = tables.routes[0]?.pathPrefix ?? "/";
@@ -149,6 +167,7 @@
             (await traffic).every(status => status === 200),
             "requests during the edit were answered",
         );
+        await showHistory(deployment);
         await summarize(deployment);
     } finally {
         await deployment.stop();
