--- a/programs/entry/src/entry-settings.ts
+++ b/programs/entry/src/entry-settings.ts
@@ -56,7 +56,7 @@
     /** Multiple of the learned high run time of the route after which it gets one. */
     hedgeFactor: z.number().min(1).max(100).default(3),
     /** Largest share of a pool's VMs that may be ejected at once. */
-    maxEjectedShare: z.number().min(0).max(1).default(0.5),
+    maxEjectedShare: z.number().min(0).max(1).default(0.25),
 });
 
 /** Schema of the settings file of almondusher-entry. */
--- a/programs/entry/src/peer-handlers.ts
+++ b/programs/entry/src/peer-handlers.ts
@@ -31,6 +31,9 @@
 export const inFlightOn = (entry: EntryContext, vmId: string): number =>
     [...entry.tables.requests.values()].flatMap(flow => flow.running).filter(attempt => attempt.vm.id === vmId).length;
 
+const ejectedVms = ({ tables }: EntryContext): string[] =>
+    [...tables.pools.values()].flatMap(pool => [...pool.ejections.keys()]);
+
 const goneEntryVms = ({ tables: { listing } }: EntryContext): string[] =>
     listing.knownVms.rows.filter(vm => vm.role === "entry" && !listing.vms.has(vm.id)).map(vm => vm.id);
 
@@ -70,5 +73,6 @@
         unregistered: unregisteredPeers(entry).map(memberFields),
         demands: [...entry.tables.pools.values()].map(demandFields),
         goneEntryVmIds: goneEntryVms(entry),
+        unresponsiveVmIds: ejectedVms(entry),
     }),
 });
--- a/programs/entry/src/place-request.ts
+++ b/programs/entry/src/place-request.ts
@@ -1,7 +1,7 @@
 import type { Vm } from "@almondusher/fleet/vm";
 import type { Cause } from "@almondusher/fleet/verdict";
 import { chooseVm, type VmCandidate } from "@almondusher/placement/choose-vm";
-import { recordProbe, updateEjections } from "@almondusher/placement/ejection";
+import { defaultEjectionSettings, recordProbe, updateEjections } from "@almondusher/placement/ejection";
 import {
     forgetVm,
     recordOutcome,
@@ -105,6 +105,7 @@
             failures: vmFailures(health, vm.id, now),
         })),
         now,
+        settings: { ...defaultEjectionSettings, maxEjectedShare: entry.settings.limits.maxEjectedShare },
     });
     [...pool.ejections.keys()]
         .filter(vm => !before.has(vm))
