--- a/admission/queue/src/admission-state.ts
+++ b/admission/queue/src/admission-state.ts
@@ -27,8 +27,8 @@
     nextSequence: number;
 }
 
-/** Virtual times in own and in borrowed slots. */
-export interface VirtualTimes {
+// Virtual times in own and in borrowed slots.
+interface VirtualTimes {
     own: number;
     borrowed: number;
 }
--- a/admission/slots/src/grant-book.ts
+++ b/admission/slots/src/grant-book.ts
@@ -102,8 +102,8 @@
     });
 };
 
-/** Slots that an entry may be using, whichever of the grants issued to it is in force there. */
-export const outstandingSlots = (book: GrantBook, member: ProcessId): readonly VmSlots[] => {
+// Slots that an entry may be using, whichever of the grants issued to it is in force there.
+const outstandingSlots = (book: GrantBook, member: ProcessId): readonly VmSlots[] => {
     const record = book.members.get(member);
     const most = new Map<VmId, number>();
     [record?.report.held ?? [], ...(record?.sent ?? []).map(grant => grant.rows)]
--- a/admission/slots/src/rendezvous.ts
+++ b/admission/slots/src/rendezvous.ts
@@ -12,8 +12,8 @@
     readonly partitionSlots: (partition: Partition) => readonly VmSlots[];
 }
 
-/** What the rendezvous partition of a pool depends on. */
-export interface Partition {
+// What the rendezvous partition of a pool depends on.
+interface Partition {
     readonly vms: readonly VmId[];
     readonly slotsPerVm: number;
     readonly members: readonly ProcessId[];
--- a/admission/slots/src/slot-ledger.ts
+++ b/admission/slots/src/slot-ledger.ts
@@ -16,8 +16,8 @@
     readonly expiresAt: number;
 }
 
-/** Slots of one team. */
-export interface TeamSlots {
+// Slots of one team.
+interface TeamSlots {
     readonly team: TeamName;
     readonly slots: number;
 }
@@ -117,8 +117,8 @@
     return allowed === 0 ? 0 : Math.max(allowed, Math.floor((connectionsPerVm * allowed) / slotsPerVm));
 };
 
-/** Limits of one VM that all entries share. */
-export interface ConnectionLimits {
+// Limits of one VM that all entries share.
+interface ConnectionLimits {
     readonly vm: VmId;
     readonly slotsPerVm: number;
     readonly connectionsPerVm: number;
--- a/admission/slots/test/slots.test.ts
+++ b/admission/slots/test/slots.test.ts
@@ -6,6 +6,7 @@
 import { createRendezvous } from "../src/rendezvous.js";
 import {
     applyGrant,
+    connectionShare,
     createSlotLedger,
     freeSlotsOfPool,
     refreshAllowed,
@@ -105,3 +106,15 @@
     releaseSlot(ledger, first);
     assert.equal(freeSlotsOfPool(ledger), 1);
 });
+
+test("the connections of all entries to a VM stay within its limit, and each slot has one", () => {
+    const [vm] = vmsOf(1);
+    assert.ok(vm !== undefined);
+    const shareOf = (slots: number): number => {
+        const ledger = createSlotLedger();
+        setFallback(ledger, [{ vm, slots }], 0);
+        return connectionShare(ledger, { vm, slotsPerVm: SLOTS_PER_VM, connectionsPerVm: 64 });
+    };
+    assert.deepEqual([5, 3, 0].map(shareOf), [40, 24, 0]);
+    assert.equal(connectionShare(createSlotLedger(), { vm, slotsPerVm: SLOTS_PER_VM, connectionsPerVm: 64 }), 0);
+});
--- a/bench/policies/src/simulation.ts
+++ b/bench/policies/src/simulation.ts
@@ -6,8 +6,8 @@
 import { type Outcomes, recordArrival, recordRejection, recordStart } from "./outcomes.js";
 import type { PoolSize, SlotView } from "./slot-view.js";
 
-/** One-way delays and bounds of the simulated system. */
-export interface SystemTimes {
+// One-way delays and the tick of the simulated system.
+interface SystemTimes {
     readonly endpointDelayMs: number;
     readonly peerDelayMs: number;
     readonly tickMs: number;
