Count an overdue borrower once after it was put back

Cause: a request that an endpoint refused and that borrowed again was listed twice among the loans; when it ran too long its team was blocked for good and the own slots of its class were counted one too high. Change: only a request that runs in a borrowed slot becomes overdue.

--- a/admission/queue/src/loans.ts
+++ b/admission/queue/src/loans.ts
@@ -17,10 +17,12 @@
     const old = admission.loans.splice(0, firstRecent === -1 ? admission.loans.length : firstRecent);
     return old.filter(id => {
         const running = admission.running.get(id);
-        if (running !== undefined) {
+        // A request that was put back may be listed twice, and may since have started in a slot of its own class.
+        const isOverdue = running?.slotKind === "borrowed";
+        if (isOverdue) {
             markOverdue(admission, running);
         }
-        return running !== undefined;
+        return isOverdue;
     });
 };
 
--- a/admission/queue/test/admission.test.ts
+++ b/admission/queue/test/admission.test.ts
@@ -5,7 +5,7 @@
 import type { AdmissionLimits, AdmissionRequest, PoolCapacity } from "../src/admission-options.js";
 import { type Admission, createAdmission } from "../src/admission-state.js";
 import { dumpAdmission } from "../src/demand.js";
-import { cancel, finish } from "../src/finish.js";
+import { cancel, finish, putBack } from "../src/finish.js";
 import { changeLimits } from "../src/limits.js";
 import { offer } from "../src/offer.js";
 import { takeNext } from "../src/take-next.js";
@@ -134,3 +134,17 @@
     assert.equal(cancel(admission, toId<RequestId>("runs")), "unknown");
     assert.equal(admission.teams.size, 0);
 });
+
+// Guards against counting a borrower twice after an endpoint refused it and it started again.
+test("a borrower that was put back and started again is overdue once", () => {
+    const admission = createAdmission(limits);
+    flood(admission, 4, "deferrable", SHORT_MS);
+    const [first, second] = ["deferrable-20-2", "deferrable-20-3"].map(id => toId<RequestId>(id));
+    assert.ok(first !== undefined && second !== undefined);
+    putBack(admission, second);
+    assert.deepEqual(takeNext(admission, capacityOf(admission, 10), 1).started, [second]);
+    assert.deepEqual(takeNext(admission, capacityOf(admission, 10), 10_000).overdue, [first, second]);
+    [first, second].forEach(id => finish(admission, id, 10_000));
+    assert.equal(dumpAdmission(admission).overdueLoans, 0);
+    assert.equal(flood(admission, 3, "deferrable", SHORT_MS + 1).filter(({ kind }) => kind === "start").length, 3);
+});
