Report busy pools to their grantor every 500 ms

Change: pools with requests in flight report every 500 ms, quiet ones three times in the lifetime of a grant. Conclusion: no control traffic for quiet pools beyond the renewals.

--- a/admission/slots/src/slot-ledger.ts
+++ b/admission/slots/src/slot-ledger.ts
@@ -17,7 +17,7 @@
 }
 
 // Slots of one team.
-interface TeamSlots {
+export interface TeamSlots {
     readonly team: TeamName;
     readonly slots: number;
 }
--- a/programs/entry/src/share-slots.ts
+++ b/programs/entry/src/share-slots.ts
@@ -13,6 +13,8 @@
 
 // A request that waits is reported at once, but not more often than this for each pool.
 const DEMAND_REPORT_MS = 50;
+// The grantor must know which slots are in use before it gives them to others.
+const BUSY_REPORT_MS = 500;
 // A quiet pool is reported this often within the lifetime of its grant, so that one lost report does not end it.
 const REPORTS_PER_LIFETIME = 3;
 
@@ -40,10 +42,14 @@
     byGrantor.forEach((pools, grantor) => report(entry, grantor, pools));
 };
 
-const isDue = (entry: EntryContext, pool: PoolRuntime, now: number): boolean => {
-    const waits = pool.admission.waiting.size > 0;
-    const period = waits ? DEMAND_REPORT_MS : entry.settings.timing.grantTtlMs / REPORTS_PER_LIFETIME;
-    return now - pool.reportedAtMs >= period;
+const isDue = (entry: EntryContext, pool: PoolRuntime, now: number): boolean =>
+    now - pool.reportedAtMs >= reportPeriodMs(entry, pool);
+
+const reportPeriodMs = (entry: EntryContext, pool: PoolRuntime): number => {
+    if (pool.admission.waiting.size > 0) {
+        return DEMAND_REPORT_MS;
+    }
+    return pool.ledger.inFlight.size > 0 ? BUSY_REPORT_MS : entry.settings.timing.grantTtlMs / REPORTS_PER_LIFETIME;
 };
 
 /** Reports a pool in which a request has begun to wait. */
