--- a/bench/system/src/deployment.ts
+++ b/bench/system/src/deployment.ts
@@ -34,7 +34,7 @@
 }
 
 /** A manager process. */
-export interface DeployedManager {
+interface DeployedManager {
     readonly vmId: string;
     child: Child;
     readonly operatorUrl: string;
--- a/domain/fleet/src/route-index.ts
+++ b/domain/fleet/src/route-index.ts
@@ -3,7 +3,7 @@
 import type { Route } from "./route.js";
 
 /** The parts of a request that routes are chosen by. */
-export interface RouteQuery {
+interface RouteQuery {
     /** Host in lower case without a port. */
     readonly host: string;
     /** Path without the query. */
--- a/domain/fleet/src/route.ts
+++ b/domain/fleet/src/route.ts
@@ -9,7 +9,7 @@
 const DEFAULT_BODY_BYTES = 64 * 1024 ** 2;
 
 /** Methods that RFC 9110 defines as idempotent. */
-export const idempotentMethods: readonly string[] = ["GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"];
+const idempotentMethods: readonly string[] = ["GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"];
 
 /** Schema of a row of the routes table. */
 export const routeSchema = z.strictObject({
--- a/programs/entry/src/accept-request.ts
+++ b/programs/entry/src/accept-request.ts
@@ -18,7 +18,7 @@
 import { abandonRequest, rejectFlow, startFlow } from "./serve-request.js";
 
 /** Path that tells the balancer whether this entry takes requests. */
-export const READINESS_PATH = "/.almondusher/ready";
+const READINESS_PATH = "/.almondusher/ready";
 
 const RETRY_WITHOUT_VM_MS = 5000;
 const RETRY_WHEN_NOT_READY_MS = 1000;
--- a/programs/entry/src/divide-slots.ts
+++ b/programs/entry/src/divide-slots.ts
@@ -50,7 +50,7 @@
 });
 
 /** True if this process divides the slots of the pool, by its own view of the members. */
-export const isGrantor = (entry: EntryContext, pool: PoolName): boolean =>
+const isGrantor = (entry: EntryContext, pool: PoolName): boolean =>
     entry.rendezvous.grantorOf(pool, memberIds(entry)) === entry.processId;
 
 const grantorFor = (entry: EntryContext, pool: PoolName): Grantor => {
--- a/programs/entry/src/entry-command.ts
+++ b/programs/entry/src/entry-command.ts
@@ -7,8 +7,11 @@
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_FAILED = 1;
 
-/** The command almondusher-entry: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures. */
-export class EntryCommand extends Command {
+/**
+ * The command almondusher-entry: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures.
+ * @public loaded by oclif
+ */
+export default class EntryCommand extends Command {
     static override description =
         "Serves callers: routes, limits, retries, and takes part in the exchange between entries.";
     static override flags = {
@@ -34,5 +37,3 @@
         throw error;
     }
 }
-
-export default EntryCommand;
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -21,7 +21,7 @@
 import type { RequestFlow } from "./request-flow.js";
 
 /** The platform's VM list as this process last learned it. */
-export interface VmListing {
+interface VmListing {
     readonly vms: EntityTable<VmId, Vm>;
     /** The last row of every VM that was ever listed. */
     readonly knownVms: EntityTable<VmId, Vm>;
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -205,7 +205,7 @@
 };
 
 /** What is known of a request: attempts that ended, and those that are still running. */
-export const flowVerdict = (flow: RequestFlow): Verdict =>
+const flowVerdict = (flow: RequestFlow): Verdict =>
     combineVerdicts([
         ...flow.ended.map(ended => ended.verdict),
         ...flow.running.map((attempt): Verdict => (attempt.exchange?.headSent === true ? "may-have-run" : "not-run")),
--- /dev/null
+++ b/programs/entry/test/caller-request.test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import type { IncomingMessage } from "node:http";
+import { test } from "node:test";
+import fc from "fast-check";
+import { entityTable } from "@almondusher/fleet/entity-table";
+import { type RequestId, toId } from "@almondusher/fleet/ids";
+import { routeSchema } from "@almondusher/fleet/route";
+import { routeIndex } from "@almondusher/fleet/route-index";
+import { readCallerRequest } from "../src/caller-request.js";
+
+const SEED = 20_261_204;
+
+const route = routeSchema.parse({
+    name: "letters",
+    pathPrefix: "/letters",
+    pool: "letters",
+    team: "notaries",
+    urgency: "normal",
+    timeoutMs: 5000,
+});
+const routes = routeIndex(entityTable([route], row => row.name));
+
+const read = (headers: Record<string, string>, method = "POST", url = "/letters/1") =>
+    readCallerRequest({ method, url, headers } as unknown as IncomingMessage, {
+        id: toId<RequestId>("r.1"),
+        routes,
+        nowMs: 1000,
+    });
+
+const requestOf = (headers: Record<string, string>, method?: string) => {
+    const reading = read(headers, method);
+    assert.equal(reading.kind, "request");
+    return reading.request;
+};
+
+test("a caller may lower the urgency of the route and not raise it", () => {
+    assert.equal(requestOf({ priority: "u=7" }).urgency, "deferrable");
+    assert.equal(requestOf({ priority: "u=0" }).urgency, "normal");
+    assert.equal(requestOf({ priority: "nonsense" }).urgency, "normal");
+});
+
+test("a caller may shorten the deadline of the route and not extend it", () => {
+    assert.equal(requestOf({ "almondusher-timeout-ms": "200" }).deadlineAtMs, 1200);
+    assert.equal(requestOf({ "almondusher-timeout-ms": "999999" }).deadlineAtMs, 6000);
+});
+
+test("POST is not idempotent by method and GET is", () => {
+    assert.equal(requestOf({}).idempotent, false);
+    assert.equal(requestOf({}, "GET").idempotent, true);
+});
+
+test("a repeated Idempotency-Key, a body over the limit and an unknown path are rejected as not run", () => {
+    const rejections = [
+        read({ "idempotency-key": "a, b" }),
+        read({ "content-length": String(route.maxBodyBytes + 1) }),
+        read({}, "GET", "/nowhere"),
+        read({ upgrade: "websocket" }),
+    ];
+    assert.deepEqual(
+        rejections.map(reading => (reading.kind === "rejected" ? reading.rejection.status : 200)),
+        [400, 413, 404, 501],
+    );
+    assert.ok(rejections.every(reading => reading.kind === "rejected" && reading.rejection.verdict === "not-run"));
+});
+
+test("any header text gives a request or a rejection and never an exception", () => {
+    fc.assert(
+        fc.property(fc.string(), fc.string(), fc.string(), fc.string(), (key, timeout, team, priority) => {
+            const reading = read({
+                "idempotency-key": key,
+                "almondusher-timeout-ms": timeout,
+                "almondusher-team": team,
+                priority,
+            });
+            assert.ok(reading.kind === "request" || reading.rejection.status === 400);
+        }),
+        { seed: SEED, numRuns: 500 },
+    );
+});
--- a/programs/manager/src/manager-command.ts
+++ b/programs/manager/src/manager-command.ts
@@ -7,8 +7,11 @@
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_FAILED = 1;
 
-/** The command almondusher-manager: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures. */
-export class ManagerCommand extends Command {
+/**
+ * The command almondusher-manager: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures.
+ * @public loaded by oclif
+ */
+export default class ManagerCommand extends Command {
     static override description = "Plans moves, maintenance and spare capacity; one of the running managers is active.";
     static override flags = {
         settings: Flags.string({ required: true, description: "JSON settings file; see docs/settings.md" }),
@@ -33,5 +36,3 @@
         throw error;
     }
 }
-
-export default ManagerCommand;
--- a/programs/manager/src/manager-context.ts
+++ b/programs/manager/src/manager-context.ts
@@ -15,7 +15,7 @@
 import type { ManagerSettings } from "./manager-settings.js";
 
 /** Whether this process acts or stands by. */
-export type ManagerRole =
+type ManagerRole =
     | { readonly kind: "standby"; readonly observation: LeaseObservation | undefined }
     | { readonly kind: "active"; readonly lease: HeldLease };
 
@@ -27,7 +27,7 @@
 }
 
 /** The tables of the manager. */
-export interface ManagerTables {
+interface ManagerTables {
     role: ManagerRole;
     state: FleetState;
     vms: readonly Vm[];
--- a/routing/exchange/src/connection-pool.ts
+++ b/routing/exchange/src/connection-pool.ts
@@ -174,7 +174,7 @@
 };
 
 /** One address in the state dump. */
-export interface ConnectionsDumpRow {
+interface ConnectionsDumpRow {
     readonly address: string;
     readonly busy: number;
     readonly idle: number;
--- a/routing/exchange/src/exchange.ts
+++ b/routing/exchange/src/exchange.ts
@@ -2,7 +2,7 @@
 import type { Cause, Verdict } from "@almondusher/fleet/verdict";
 
 /** Head of the final answer; headers are a raw list of names and values. */
-export interface AnswerHead {
+interface AnswerHead {
     readonly statusCode: number;
     readonly statusMessage: string;
     readonly headers: string[];
@@ -27,7 +27,7 @@
 }
 
 /** Limits of one exchange. */
-export interface ExchangeLimits {
+interface ExchangeLimits {
     /** Connections that this process may hold to the address. */
     readonly connections: number;
 }
--- a/routing/exchange/src/forward-headers.ts
+++ b/routing/exchange/src/forward-headers.ts
@@ -1,5 +1,5 @@
 /** A raw header list as Node has it: name, value, name, value. */
-export type RawHeaders = readonly string[];
+type RawHeaders = readonly string[];
 
 export interface ForwardHeadersOptions {
     readonly headers: RawHeaders;
--- a/routing/placement/src/ejection.ts
+++ b/routing/placement/src/ejection.ts
@@ -12,7 +12,7 @@
 }
 
 /** An ejected VM; it gets no work until the back-off has passed and then single probes. */
-export interface EjectionRow {
+interface EjectionRow {
     readonly vm: VmId;
     /** Time in milliseconds at which probing starts. */
     readonly until: number;
--- a/routing/placement/src/retry-budget.ts
+++ b/routing/placement/src/retry-budget.ts
@@ -25,7 +25,7 @@
 }
 
 /** Defaults: a tenth of the successes, at least one retry in two seconds. */
-export const defaultRetrySettings: RetrySettings = { earnedShare: 0.1, minimumPerSecond: 0.5, maxTokens: 100 };
+const defaultRetrySettings: RetrySettings = { earnedShare: 0.1, minimumPerSecond: 0.5, maxTokens: 100 };
 
 // Tokens that a quiet pool starts with and is refilled up to.
 const MINIMUM_TOKENS = 3;
--- a/routing/placement/src/run-times.ts
+++ b/routing/placement/src/run-times.ts
@@ -35,7 +35,7 @@
 export const runTimeOf = (runTimes: RunTimes, key: string): RunTime | undefined => runTimes.rows.get(key);
 
 /** The row after one more sample. */
-export const nextRunTime = (row: RunTime | undefined, elapsedMs: number): RunTime => {
+const nextRunTime = (row: RunTime | undefined, elapsedMs: number): RunTime => {
     if (row === undefined) {
         return { mean: elapsedMs, high: Math.max(MIN_HIGH_MS, elapsedMs), samples: 1 };
     }
--- a/routing/placement/src/vm-health.ts
+++ b/routing/placement/src/vm-health.ts
@@ -14,7 +14,7 @@
 }
 
 /** Recent outcomes of one VM. */
-export interface VmHealthRow {
+interface VmHealthRow {
     readonly successes: DecayedCount | undefined;
     /** Failures by job; the oldest are dropped beyond a limit. */
     readonly failures: ReadonlyMap<string, DecayedCount>;
@@ -28,7 +28,7 @@
 }
 
 /** Recent outcomes of a job that has failed, by VM. */
-export interface JobRow {
+interface JobRow {
     readonly vms: ReadonlyMap<VmId, JobOnVm>;
 }
 
@@ -100,7 +100,7 @@
 };
 
 /** Share of the VMs other than the given one on which the job fails, and how many of them have tried it. */
-export const jobFailureElsewhere = (health: VmHealth, job: string, vm: VmId, now: number): JobElsewhere => {
+const jobFailureElsewhere = (health: VmHealth, job: string, vm: VmId, now: number): JobElsewhere => {
     const shares = [...(health.jobs.get(job)?.vms ?? [])]
         .filter(([other]) => other !== vm)
         .map(([, counts]) => failureShare(counts, now))
@@ -112,7 +112,7 @@
 };
 
 /** How a job fares on other VMs. */
-export interface JobElsewhere {
+interface JobElsewhere {
     readonly vms: number;
     readonly share: number;
 }
--- a/stand-ins/endpoint/src/endpoint-vm.ts
+++ b/stand-ins/endpoint/src/endpoint-vm.ts
@@ -7,7 +7,7 @@
 import type { StandInSettings } from "./stand-in-settings.js";
 
 /** Counts of one VM. */
-export interface EndpointVmCounts {
+interface EndpointVmCounts {
     readonly vm: VmId;
     readonly address: string;
     readonly connections: number;
