Give every idempotent request on a silent connection its second attempt

Cause: a request was hedged once. When the retry budget or the slots did not allow that, or when the second attempt took an idle connection that had gone silent as well, the request waited for the route's timeout, one hour by default. Ruled out: the probe, which answered, and the choice of VM, which was the other one. Change: a second attempt uses a connection that carried no request, and one that cannot be sent is tried again after hedgeMinMs. Conclusion: lost connections no longer hold up idempotent requests.

--- a/programs/entry/src/accept-request.ts
+++ b/programs/entry/src/accept-request.ts
@@ -167,6 +167,7 @@
         running: [],
         ended: [],
         hedged: false,
+        hedgeAgainAtMs: 0,
         serverError: false,
         startedAtMs: request.arrivedAtMs,
     };
--- a/programs/entry/src/request-flow.ts
+++ b/programs/entry/src/request-flow.ts
@@ -44,7 +44,10 @@
     /** Attempts that run; a second one only while a hedge runs. */
     running: Attempt[];
     ended: EndedAttempt[];
+    /** True from the probe for a second attempt on. */
     hedged: boolean;
+    /** Monotonic time of the next try for a second attempt that could not be sent, in milliseconds. */
+    hedgeAgainAtMs: number;
     /** True if the answer that is passed on is a server error. */
     serverError: boolean;
     /** Monotonic time at which the current phase of sending began, in milliseconds. */
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -49,8 +49,10 @@
     }
 };
 
+type AttemptKind = "first" | "retry" | "hedge";
+
 /** Sends a request to a VM with a free slot, or lets it wait for one; a hedge does not wait. */
-export const sendAttempt = (entry: EntryContext, flow: RequestFlow, kind: "first" | "retry" | "hedge"): void => {
+export const sendAttempt = (entry: EntryContext, flow: RequestFlow, kind: AttemptKind): void => {
     const vm = placeRequest(entry, flow);
     if (vm === undefined || !reserveSlot(flow.pool.ledger, vm.id)) {
         if (kind !== "hedge") {
@@ -67,10 +69,10 @@
     }
     const attempt: Attempt = { vm, startedAtMs: monotonicMs() };
     flow.running = [...flow.running, attempt];
-    attempt.exchange = runAttempt(entry, flow, attempt);
+    attempt.exchange = runAttempt(entry, flow, attempt, kind);
 };
 
-const runAttempt = (entry: EntryContext, flow: RequestFlow, attempt: Attempt) => {
+const runAttempt = (entry: EntryContext, flow: RequestFlow, attempt: Attempt, kind: AttemptKind) => {
     const { request, pool } = flow;
     const { slotsPerVm, connectionsPerVm } = pool.view.pool;
     return runExchange(entry.connections, {
@@ -80,6 +82,8 @@
         headers: requestHeaders(entry, flow),
         body: flow.body?.open(),
         fresh: !request.idempotent,
+        // What silenced the first attempt may have silenced every idle connection, also those to other VMs.
+        unused: kind === "hedge",
         requestId: request.id,
         handler: createAnswerRelay(entry, flow, attempt, {
             onEnd: () => completeFlow(entry, flow, attempt),
--- a/programs/entry/src/watch-attempts.ts
+++ b/programs/entry/src/watch-attempts.ts
@@ -58,6 +58,7 @@
 const needsHedge = (entry: EntryContext, flow: RequestFlow, nowMs: number): boolean =>
     flow.request.idempotent &&
     !flow.hedged &&
+    nowMs >= flow.hedgeAgainAtMs &&
     flow.pool.view.pool.progressIntervalMs === undefined &&
     (flow.body?.canReplay() ?? true) &&
     flow.running.length === 1 &&
@@ -102,4 +103,9 @@
         count(entry.counters, { name: "hedges", route: route.name, pool: route.pool });
         sendAttempt(entry, flow, "hedge");
     }
+    if (flow.running.length < 2) {
+        // Without a token or a free slot now, the request must not be left to a connection that may be lost.
+        flow.hedged = false;
+        flow.hedgeAgainAtMs = monotonicMs() + entry.settings.limits.hedgeMinMs;
+    }
 };
--- a/routing/exchange/src/connection-pool.ts
+++ b/routing/exchange/src/connection-pool.ts
@@ -81,12 +81,14 @@
     readonly address: string;
     /** Demands a connection that is new or was used within `nonIdempotentIdleMs`. */
     readonly fresh: boolean;
+    /** Demands a connection that has carried no request. */
+    readonly unused?: boolean;
     /** Connections that this process may hold to the address. */
     readonly limit: number;
 }
 
 /** Address and limit of a connection that is not reused. */
-export type OneShotOptions = Omit<AcquireOptions, "fresh">;
+export type OneShotOptions = Omit<AcquireOptions, "fresh" | "unused">;
 
 /** Takes a connection for one exchange; undefined if the limit is reached or the pool is stopping. */
 export const acquireConnection = (connections: Connections, options: AcquireOptions): PooledConnection | undefined => {
@@ -96,7 +98,7 @@
     const now = performance.now();
     const entry = connections.byAddress.get(options.address) ?? { open: new Set(), idle: [] };
     const idleLimit = options.fresh ? connections.settings.nonIdempotentIdleMs : connections.settings.idleMs;
-    const reusable = takeReusable(connections, entry, now, idleLimit);
+    const reusable = options.unused === true ? undefined : takeReusable(connections, entry, now, idleLimit);
     if (reusable !== undefined) {
         connections.reused += 1;
         return reusable;
--- a/routing/exchange/src/exchange.ts
+++ b/routing/exchange/src/exchange.ts
@@ -49,6 +49,8 @@
     readonly trailers?: () => readonly string[];
     /** Demands a connection that is new or was used within `nonIdempotentIdleMs`. */
     readonly fresh: boolean;
+    /** Demands a connection that has carried no request. */
+    readonly unused?: boolean;
     /** Value of the request's almondusher-request-id header; an answer that names another one is rejected. */
     readonly requestId?: string;
     readonly handler: ExchangeHandler;
--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -99,6 +99,7 @@
     const connection = acquireConnection(connections, {
         address: options.address,
         fresh,
+        unused: options.unused ?? false,
         limit: options.limits.connections,
     });
     if (connection === undefined) {
