--- a/admission/queue/src/admission-state.ts
+++ b/admission/queue/src/admission-state.ts
@@ -6,7 +6,10 @@
 import { createRunTimes, type RunTimes } from "./run-times.js";
 
 /** Which slot a request may take: one of its class's share, one that it borrows, or none. */
-export type Entitlement = "own" | "borrowed" | "none";
+export type Entitlement = SlotKind | "none";
+
+/** A slot of the share of the request's own class, or one borrowed from another. */
+export type SlotKind = keyof VirtualTimes;
 
 /** Admission of one pool on one entry; changed only by the functions of this package. */
 export interface Admission {
@@ -19,11 +22,17 @@
     readonly expiry: DeadlineQueue;
     /** Requests that borrowed a slot, in the order in which they did; some may have ended. */
     readonly loans: RequestId[];
-    /** Virtual time of the class that started last. */
-    virtualNow: number;
+    /** Virtual times of the classes that started last. */
+    readonly virtualNow: VirtualTimes;
     nextSequence: number;
 }
 
+// Virtual times in own and in borrowed slots.
+interface VirtualTimes {
+    own: number;
+    borrowed: number;
+}
+
 /** One class of urgency. */
 export interface ClassState {
     readonly urgency: Urgency;
@@ -34,8 +43,11 @@
     runningOwnShort: number;
     queued: number;
     queuedShort: number;
-    /** Slot time that the class used, divided by its share; the class that is furthest behind starts first. */
-    virtualTime: number;
+    /**
+     * Slot time that the class used, divided by its share; the class that is furthest behind starts first. Slots of
+     * the own share are counted apart, or long requests there would push back the short ones that borrow.
+     */
+    readonly virtualTime: VirtualTimes;
     /** Rejected callers were told to retry up to this time. */
     retryAt: number;
     /** Teams below their quota with a request that waits. */
@@ -77,7 +89,7 @@
     readonly startedAt: number;
     /** Run time that was charged to the class at the start, in milliseconds. */
     readonly chargedMs: number;
-    entitlement: Entitlement;
+    slotKind: SlotKind;
     isShort: boolean;
     /** True for a borrower that ran for much longer than a short request does. */
     isOverdue: boolean;
@@ -90,7 +102,7 @@
     runningOwnShort: 0,
     queued: 0,
     queuedShort: 0,
-    virtualTime: 0,
+    virtualTime: { own: 0, borrowed: 0 },
     retryAt: 0,
     teamsWaiting: createRing(),
     teamsWithShort: createRing(),
@@ -110,7 +122,7 @@
     running: new Map(),
     expiry: createDeadlineQueue(),
     loans: [],
-    virtualNow: 0,
+    virtualNow: { own: 0, borrowed: 0 },
     nextSequence: 0,
 });
 
--- a/admission/queue/src/finish.ts
+++ b/admission/queue/src/finish.ts
@@ -10,7 +10,7 @@
         return;
     }
     const actualMs = Math.max(0, now - running.startedAt);
-    chargeClass(admission, running.request, actualMs - running.chargedMs);
+    chargeClass(admission, running, actualMs - running.chargedMs);
     learnRunTime(admission.classes[running.request.urgency].runTimes, actualMs, running.chargedMs);
     release(admission, running);
 };
@@ -35,7 +35,7 @@
 export const putBack = (admission: Admission, id: RequestId): void => {
     const running = admission.running.get(id);
     if (running !== undefined) {
-        chargeClass(admission, running.request, -running.chargedMs);
+        chargeClass(admission, running, -running.chargedMs);
         release(admission, running);
         enqueue(admission, running.request);
     }
--- a/admission/queue/src/guarantees.ts
+++ b/admission/queue/src/guarantees.ts
@@ -17,13 +17,14 @@
 };
 
 /** Guaranteed slots of each class in a whole pool; the rest is for short requests of any class. */
-export const poolGuarantees = ({ shares, quickShare, slots }: PoolShares): ByUrgency<number> =>
-    guaranteesOf(shares, slots - Math.floor(quickShare * slots));
+export const poolGuarantees = ({ shares, quickSlots, slots }: PoolShares): ByUrgency<number> =>
+    guaranteesOf(shares, slots - quickSlots);
 
 /** Shares of the slots of a pool. */
 export interface PoolShares {
     readonly shares: ByUrgency<number>;
-    readonly quickShare: number;
+    /** Slots kept for short requests of any class. */
+    readonly quickSlots: number;
     readonly slots: number;
 }
 
--- a/programs/entry/src/place-request.ts
+++ b/programs/entry/src/place-request.ts
@@ -1,7 +1,7 @@
 import type { Vm } from "@almondusher/fleet/vm";
 import type { Cause } from "@almondusher/fleet/verdict";
 import { chooseVm, type VmCandidate } from "@almondusher/placement/choose-vm";
-import { recordProbe, updateEjections } from "@almondusher/placement/ejection";
+import { defaultEjectionSettings, recordProbe, updateEjections } from "@almondusher/placement/ejection";
 import {
     forgetVm,
     recordOutcome,
@@ -70,6 +70,7 @@
     const vm = attempt.vm.id;
     const now = monotonicMs();
     const isBlameless = cause !== undefined && blamelessCauses.has(cause);
+    pool.hasNewOutcomes = true;
     const result = isBlameless ? "cancelled" : cause === undefined ? "success" : "failure";
     recordOutcome(entry.health, { vm, job: jobOf(flow), at: now, result, latencyMs: now - attempt.startedAtMs });
     if (isBlameless || pool.ejections.get(vm)?.phase !== "probing") {
@@ -84,6 +85,10 @@
 
 /** Refreshes what placement knows of the VMs of a pool, and ejects those that fail. */
 export const refreshStandings = (entry: EntryContext, pool: PoolRuntime): void => {
+    if (!pool.hasNewOutcomes && pool.ejections.size === 0) {
+        return;
+    }
+    pool.hasNewOutcomes = false;
     const now = monotonicMs();
     const { health } = entry;
     pool.standings = new Map(
@@ -100,6 +105,7 @@
             failures: vmFailures(health, vm.id, now),
         })),
         now,
+        settings: { ...defaultEjectionSettings, maxEjectedShare: entry.settings.limits.maxEjectedShare },
     });
     [...pool.ejections.keys()]
         .filter(vm => !before.has(vm))
--- a/programs/entry/src/pool-runtime.ts
+++ b/programs/entry/src/pool-runtime.ts
@@ -29,14 +29,16 @@
     retries: RetryBudget;
     ejections: Ejections;
     standings: ReadonlyMap<VmId, VmStanding>;
+    /** True if attempts have ended since the standings were refreshed. */
+    hasNewOutcomes: boolean;
     /** Parts of the quotas that the grantor gave to this entry; empty for an even division. */
     quotaParts: readonly TeamSlots[];
     /** Monotonic time of the last report to the grantor, in milliseconds. */
     reportedAtMs: number;
 }
 
-/** Share of the slots of each pool that only short requests may use; docs/decisions/admission.md has the figures. */
-export const QUICK_SHARE = 0.1;
+/** Largest share of the slots of a pool kept for short requests; docs/decisions/admission.md has the figures. */
+export const QUICK_SHARE = 0.5;
 
 const limitsOf = (pool: Pool, quotaParts: readonly TeamSlots[], settings: EntrySettings): AdmissionLimits => {
     const { maxQueued, borrowRunTimeMs } = settings.limits;
@@ -70,6 +72,7 @@
     retries: createRetryBudget(performance.now()),
     ejections: new Map(),
     standings: new Map(),
+    hasNewOutcomes: false,
     quotaParts: [],
     reportedAtMs: 0,
 });
