Divide the slots of a pool at most every 50 ms, and learn from overdue borrowers

Cause: a division takes about 0.4 ms for 7 entries and 7 VMs, and every report of a busy pool started one; a request that borrowed a slot as a short one and runs on left the learned run time of its route too low. Change: reports that arrive within 50 ms of a division share the next one; overdue borrowers raise the learned run time.

--- a/programs/entry/src/divide-slots.ts
+++ b/programs/entry/src/divide-slots.ts
@@ -19,6 +19,9 @@
     readonly reports: Map<ProcessId, ReadReport>;
     division: Division;
     quickReserve: QuickReserve | undefined;
+    /** Monotonic time of the last division, in milliseconds. */
+    dividedAtMs: number;
+    isDivisionPending: boolean;
     /** What the division was made for. */
     view: PoolView | undefined;
     members: readonly ProcessId[];
@@ -37,6 +40,8 @@
 // Slots that nobody asks for move slowly, as each move costs a connection.
 const MAX_SPARE_MOVES = 2;
 const SPARE_MOVE_PERIOD_MS = 500;
+// Dividing every 20 ms needs a quarter more messages for the same result; docs/decisions/slots.md.
+const DIVISION_PERIOD_MS = 50;
 
 const NO_REQUESTS: ByUrgency<number> = { urgent: 0, normal: 0, deferrable: 0 };
 
@@ -63,6 +68,8 @@
         reports: new Map(),
         division: { rows: [], targets: [] },
         quickReserve: undefined,
+        dividedAtMs: -DIVISION_PERIOD_MS,
+        isDivisionPending: false,
         view: undefined,
         members: [],
         nextSpareMoveAt: 0,
@@ -78,8 +85,14 @@
         .forEach(pool => entry.tables.grantors.delete(pool));
 };
 
-/** Notes a report and divides the pool's slots anew; returns the grants that are due. */
-export const takeReport = (entry: EntryContext, read: ReadReport): readonly AddressedGrant[] => {
+export interface ReportTaking {
+    readonly read: ReadReport;
+    /** Gets the grants of a division that had to wait for its turn. */
+    readonly onLateGrants: (grants: readonly AddressedGrant[]) => void;
+}
+
+/** Notes a report and divides the pool's slots anew if it asks for something else; returns the grants that are due. */
+export const takeReport = (entry: EntryContext, { read, onLateGrants }: ReportTaking): readonly AddressedGrant[] => {
     const runtime = entry.tables.pools.get(read.pool);
     if (runtime === undefined || !isGrantor(entry, read.pool)) {
         return [];
@@ -89,12 +102,42 @@
     grantor.reports.set(read.report.member, read);
     recordReport(grantor.book, read.report, monotonicMs());
     const members = memberIds(entry);
-    if (!isSettled(grantor, members, runtime) || known === undefined || !asksForTheSame(known, read)) {
+    if (!isSettled(grantor, members, runtime)) {
         redivide(grantor, members, runtime);
+    } else if (known === undefined || !asksForTheSame(known, read)) {
+        redivideInTurn(entry, read.pool, grantor, onLateGrants);
     }
     return issue(entry, { pool: read.pool, grantor, members, runtime });
 };
 
+// Entries that report one after the other are served by one division.
+const redivideInTurn = (
+    entry: EntryContext,
+    pool: PoolName,
+    grantor: Grantor,
+    onLateGrants: ReportTaking["onLateGrants"],
+): void => {
+    const runtime = entry.tables.pools.get(pool);
+    const waitMs = grantor.dividedAtMs + DIVISION_PERIOD_MS - monotonicMs();
+    if (runtime === undefined || grantor.isDivisionPending) {
+        return;
+    }
+    if (waitMs <= 0) {
+        redivide(grantor, memberIds(entry), runtime);
+        return;
+    }
+    grantor.isDivisionPending = true;
+    setTimeout(() => {
+        grantor.isDivisionPending = false;
+        const current = entry.tables.pools.get(pool);
+        if (current !== undefined && entry.tables.grantors.get(pool) === grantor) {
+            const members = memberIds(entry);
+            redivide(grantor, members, current);
+            onLateGrants(issue(entry, { pool, grantor, members, runtime: current }));
+        }
+    }, waitMs).unref();
+};
+
 // A quiet pool only renews its grants; dividing again would find the same.
 const isSettled = (grantor: Grantor, members: readonly ProcessId[], { view }: PoolRuntime): boolean =>
     grantor.view === view && isDeepStrictEqual(grantor.members, members);
@@ -141,6 +184,7 @@
         previous: grantor.division.rows,
     });
     grantor.nextSpareMoveAt = mayMoveSpare ? now + SPARE_MOVE_PERIOD_MS : grantor.nextSpareMoveAt;
+    grantor.dividedAtMs = now;
     grantor.view = view;
     grantor.members = members;
 };
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -297,6 +297,7 @@
         });
     const taken = takeNext(pool.admission, capacityOf(pool), monotonicMs());
     taken.expired.forEach(id => expireRequest(entry, id));
+    taken.overdue.forEach(id => learnOverdue(entry, id));
     taken.started.forEach(id => {
         const flow = entry.tables.requests.get(id);
         if (flow !== undefined) {
@@ -305,6 +306,14 @@
     });
 };
 
+// The request borrowed a slot as a short one; its route is no longer short.
+const learnOverdue = (entry: EntryContext, id: RequestId): void => {
+    const flow = entry.tables.requests.get(id);
+    if (flow !== undefined) {
+        learnRunTime(entry.runTimes, flow.request.route.name, monotonicMs() - flow.startedAtMs);
+    }
+};
+
 const expireRequest = (entry: EntryContext, id: RequestId): void => {
     const flow = entry.tables.requests.get(id);
     if (flow !== undefined) {
--- a/programs/entry/src/share-slots.ts
+++ b/programs/entry/src/share-slots.ts
@@ -94,7 +94,13 @@
     entry: EntryContext,
     member: ProcessId,
     reports: readonly ReportFields[],
-): readonly AddressedGrant[] => reports.flatMap(fields => takeReport(entry, readReport(member, fields)));
+): readonly AddressedGrant[] =>
+    reports.flatMap(fields =>
+        takeReport(entry, {
+            read: readReport(member, fields),
+            onLateGrants: grants => deliver(entry, grants),
+        }),
+    );
 
 /** Sends grants to their members; those of this process are applied at once. */
 export const deliver = (entry: EntryContext, grants: readonly AddressedGrant[]): void => {
