--- /dev/null
+++ b/bench/system/test/graceful-stop.test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
+import { type CallResult, callEntry, wholeAnswer } from "../src/call-entry.js";
+import type { DeployedEntry, Deployment } from "../src/deployment.js";
+import { readCounts, runsOfKey } from "../src/endpoint-control.js";
+import { restartEntry, startFailureFleet } from "../src/failure-fleet.js";
+import { pollUntil } from "../src/operator-client.js";
+
+const READINESS_PATH = "/.almondusher/ready";
+const STOP_GRACE_MS = 1_000;
+const LONG_WORK_MS = 4_000;
+const CALLERS = 8;
+const LOAD_MS = 3_000;
+const LIMIT_MS = 10_000;
+const VMS = 2;
+
+let deployment: Deployment;
+let stopped: DeployedEntry;
+let other: DeployedEntry;
+
+before(async () => {
+    deployment = await startFailureFleet({
+        services: ["work"],
+        vmsPerService: VMS,
+        entries: 2,
+        timing: { stopGraceMs: STOP_GRACE_MS },
+    });
+    [stopped, other] = deployment.entries as [DeployedEntry, DeployedEntry];
+});
+after(() => (deployment as Deployment | undefined)?.stop());
+
+const isReady = async (entry: DeployedEntry): Promise<boolean> => {
+    const result = await callEntry(entry, { path: READINESS_PATH });
+    return result.kind === "answer" && result.status === 200;
+};
+
+test("a planned stop under load loses no request, long work ends, and a new process takes over", async () => {
+    const longWork = callEntry(stopped, {
+        method: "POST",
+        path: "/work",
+        headers: { "idempotency-key": "long", "x-work-ms": String(LONG_WORK_MS) },
+    });
+    await pollUntil({
+        what: "long work running",
+        timeoutMs: LIMIT_MS,
+        read: async () => ((await runsOfKey(deployment, "long")) > 0 ? true : undefined),
+    });
+    const startedAt = performance.now();
+    const results: CallResult[] = [];
+    // As behind a balancer, a caller chooses an entry that is ready and sends at once.
+    const caller = async (index: number): Promise<void> => {
+        while (performance.now() - startedAt < LOAD_MS) {
+            const entry = index % 2 === 0 && (await isReady(stopped)) ? stopped : other;
+            results.push(await callEntry(entry, { path: "/work", method: "POST", headers: { "x-work-ms": "20" } }));
+        }
+    };
+    const load = Promise.all(Array.from({ length: CALLERS }, (unused, index) => caller(index)));
+    await pause(LOAD_MS / 4);
+    stopped.child.process.kill("SIGTERM");
+    await load;
+    assert.ok(results.length > CALLERS);
+    assert.deepEqual(
+        results.filter(result => result.kind === "broken" || result.status !== 200),
+        [],
+    );
+    assert.equal(wholeAnswer(await longWork).status, 200);
+    assert.equal(await stopped.child.exited, 0);
+    await restartEntry(deployment, stopped, VMS);
+    assert.equal(wholeAnswer(await callEntry(stopped, { path: "/work" })).status, 200);
+});
+
+test("a caller that cancels frees its slot at once, and no VM is ejected for it", async () => {
+    const calls = Array.from({ length: CALLERS }, () => {
+        const controller = new AbortController();
+        const headers = { "x-work-ms": "30000" };
+        return {
+            controller,
+            result: callEntry(other, { path: "/work", method: "POST", headers, signal: controller.signal }),
+        };
+    });
+    const slotsInUse = async (): Promise<number> =>
+        (await readCounts(deployment)).vms.reduce((sum, vm) => sum + vm.slotsInUse, 0);
+    await pollUntil({
+        what: "the work running",
+        timeoutMs: LIMIT_MS,
+        read: async () => ((await slotsInUse()) > 0 ? true : undefined),
+    });
+    calls.forEach(call => call.controller.abort());
+    const results = await Promise.all(calls.map(call => call.result));
+    results.forEach(result => assert.equal(result.kind, "broken"));
+    await pollUntil({
+        what: "all slots free",
+        timeoutMs: 2_000,
+        read: async () => ((await slotsInUse()) === 0 ? true : undefined),
+    });
+    const later = await Promise.all(
+        Array.from({ length: CALLERS }, () => callEntry(other, { path: "/work", method: "POST" })),
+    );
+    later.map(wholeAnswer).forEach(answer => assert.equal(answer.status, 200));
+    assert.doesNotMatch(readFileSync(join(deployment.folder, `${other.vmId}.log`), "utf8"), /vm-ejected/);
+});
