Return VMs from maintenance: write whole milliseconds, and report refused plans

Cause: a wave stopped after its first reboots. The manager's clock gave fractions of a millisecond, the schema of maintainedAtMs wants whole ones, and every edit that returned a VM to service was refused as invalid. The refusal was only counted, as if another edit had come first. Ruled out: the reboot call and the stand-in's list, which work alone. Change: whole milliseconds; a refused plan is logged once and stands in the dump.

--- a/observe/telemetry/src/log-event.ts
+++ b/observe/telemetry/src/log-event.ts
@@ -23,6 +23,7 @@
           readonly on: string;
           readonly names: readonly string[];
       }
+    | { readonly kind: "plan-refused"; readonly code: string; readonly reason: string }
     | { readonly kind: "maintenance-started"; readonly maintainedVm: VmId; readonly pool: PoolName }
     | { readonly kind: "maintenance-completed"; readonly maintainedVm: VmId; readonly pool: PoolName }
     | { readonly kind: "vm-ejected"; readonly ejectedVm: VmId; readonly pool: PoolName; readonly reason: string }
@@ -49,6 +50,7 @@
     "drain-started": "info",
     "drain-completed": "info",
     "planner-waiting": "warn",
+    "plan-refused": "warn",
     "maintenance-started": "info",
     "maintenance-completed": "info",
     "vm-ejected": "warn",
--- a/programs/manager/src/manager-context.ts
+++ b/programs/manager/src/manager-context.ts
@@ -46,6 +46,8 @@
     round: number;
     /** Decisions of the last plan, for the state dump. */
     lastDecisions: readonly Decision[];
+    /** Why the last edit was refused; absent after an accepted one. */
+    lastRefusal: string | undefined;
     /** Wall clock of the last complete tick, in milliseconds since 1970. */
     lastTickAtMs: number | undefined;
     platformUp: boolean;
@@ -63,5 +65,5 @@
     readonly tables: ManagerTables;
 }
 
-/** Milliseconds since 1970 that never step back while the process runs. */
-export const wallClockMs = (): number => performance.timeOrigin + performance.now();
+/** Whole milliseconds since 1970, as rows of the fleet state hold them; never steps back while the process runs. */
+export const wallClockMs = (): number => Math.floor(performance.timeOrigin + performance.now());
--- a/programs/manager/src/manager-process.ts
+++ b/programs/manager/src/manager-process.ts
@@ -89,6 +89,7 @@
             plannerState: initialPlannerState,
             round: 0,
             lastDecisions: [],
+            lastRefusal: undefined,
             lastTickAtMs: undefined,
             platformUp: true,
             stopping: false,
@@ -106,6 +107,7 @@
         sections: [
             { name: "role", read: () => manager.tables.role },
             { name: "decisions", read: () => manager.tables.lastDecisions },
+            { name: "lastRefusal", read: () => manager.tables.lastRefusal },
             { name: "lastTickAtMs", read: () => manager.tables.lastTickAtMs },
             {
                 name: "drains",
--- a/programs/manager/src/run-plan.ts
+++ b/programs/manager/src/run-plan.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { Change, Edit } from "@almondusher/fleet/edit";
-import { hasCode } from "@almondusher/fleet/fleet-error";
+import { type FleetError, hasCode } from "@almondusher/fleet/fleet-error";
 import { type EditId, toId } from "@almondusher/fleet/ids";
 import type { Decision } from "@almondusher/planner/decision";
 import { planFleet } from "@almondusher/planner/plan-fleet";
@@ -67,6 +67,7 @@
             maxAttempts: COMMIT_ATTEMPTS,
         });
         manager.tables.state = committed.state;
+        manager.tables.lastRefusal = undefined;
         count(manager.counters, { name: "edits" });
         changes.forEach(change => logChange(manager, change));
     } catch (error) {
@@ -79,12 +80,23 @@
     if (hasCode(error, "lease-lost")) {
         loseLease(manager, lease, error);
     } else if (hasCode(error, "edit-conflict") || hasCode(error, "invalid-edit")) {
-        count(manager.counters, { name: "superseded-plans" });
+        count(manager.counters, { name: "refused-plans" });
+        reportRefusal(manager, error);
     } else {
         throw error;
     }
 };
 
+// The first refusal is an edit of somebody else in between; the same one again is a fault that stops all planning.
+const reportRefusal = (manager: ManagerContext, error: FleetError): void => {
+    const reason = [error.message, ...error.details].join("; ");
+    if (manager.tables.lastRefusal === reason) {
+        return;
+    }
+    manager.tables.lastRefusal = reason;
+    logEvent(manager.logger, { kind: "plan-refused", code: error.code, reason });
+};
+
 const logChange = (manager: ManagerContext, change: Change): void => {
     if (change.table !== "assignments") {
         return;
