--- a/domain/fleet/src/route.ts
+++ b/domain/fleet/src/route.ts
@@ -28,7 +28,7 @@
     urgency: z.enum(urgencies).default("normal"),
     /** `by-method` follows RFC 9110; `never` marks every request of the route as non-idempotent. */
     idempotency: z.enum(["by-method", "always", "never"]).default("by-method"),
-    /** Longest time from arrival to the first byte of the answer, in milliseconds. */
+    /** Longest wait for a slot, and longest silence of an endpoint without progress after that, in milliseconds. */
     timeoutMs: z.int().min(1).max(MAX_TIMEOUT_MS).default(DEFAULT_TIMEOUT_MS),
     maxBodyBytes: z.int().min(0).max(MAX_BODY_BYTES).default(DEFAULT_BODY_BYTES),
 });
