--- a/admission/slots/src/slot-targets.ts
+++ b/admission/slots/src/slot-targets.ts
@@ -17,6 +17,18 @@
     readonly queuedLong: ByUrgency<number>;
 }
 
+const NO_REQUESTS: ByUrgency<number> = { urgent: 0, normal: 0, deferrable: 0 };
+
+/** The demand of a member that has not reported. */
+export const emptyDemand = (member: ProcessId): MemberDemand => ({
+    member,
+    ownShort: NO_REQUESTS,
+    ownLong: NO_REQUESTS,
+    borrowed: 0,
+    queuedShort: NO_REQUESTS,
+    queuedLong: NO_REQUESTS,
+});
+
 /** Slots of one member, and how many of them are guaranteed to each class. */
 export interface SlotTarget {
     readonly member: ProcessId;
--- a/bench/policies/src/grantor-node.ts
+++ b/bench/policies/src/grantor-node.ts
@@ -19,7 +19,7 @@
     usedSlots,
 } from "@almondusher/slots/slot-ledger";
 import { createQuickReserve, learnShortUse, type QuickReserve, quickSlots } from "@almondusher/slots/quick-reserve";
-import type { MemberDemand } from "@almondusher/slots/slot-targets";
+import { emptyDemand, type MemberDemand } from "@almondusher/slots/slot-targets";
 import type { MemberSlots } from "@almondusher/slots/vm-slots";
 import { schedule } from "./event-queue.js";
 import { type EntryNode, type Simulation, startWaiting } from "./simulation.js";
@@ -227,17 +227,6 @@
     }
 };
 
-const NO_REQUESTS: ByUrgency<number> = { urgent: 0, normal: 0, deferrable: 0 };
-
-const emptyDemand = (member: ProcessId): MemberDemand => ({
-    member,
-    ownShort: NO_REQUESTS,
-    ownLong: NO_REQUESTS,
-    borrowed: 0,
-    queuedShort: NO_REQUESTS,
-    queuedLong: NO_REQUESTS,
-});
-
 // Slots that a member has after a division and did not have before.
 const countMoves = (before: readonly MemberSlots[], after: readonly MemberSlots[]): number =>
     after.reduce((sum, row) => {
--- a/programs/entry/src/divide-slots.ts
+++ b/programs/entry/src/divide-slots.ts
@@ -7,7 +7,7 @@
 import { createGrantBook, type GrantBook, issueGrants, recordReport } from "@almondusher/slots/grant-book";
 import { type Division, grantSlots } from "@almondusher/slots/grant-slots";
 import { createQuickReserve, learnShortUse, type QuickReserve, quickSlots } from "@almondusher/slots/quick-reserve";
-import type { MemberDemand } from "@almondusher/slots/slot-targets";
+import { emptyDemand } from "@almondusher/slots/slot-targets";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import type { PoolView } from "./fleet-view.js";
 import { type PoolRuntime, QUICK_SHARE } from "./pool-runtime.js";
@@ -43,17 +43,6 @@
 // Dividing every 20 ms needs a quarter more messages for the same result; docs/decisions/slots.md.
 const DIVISION_PERIOD_MS = 50;
 
-const NO_REQUESTS: ByUrgency<number> = { urgent: 0, normal: 0, deferrable: 0 };
-
-const emptyDemand = (member: ProcessId): MemberDemand => ({
-    member,
-    ownShort: NO_REQUESTS,
-    ownLong: NO_REQUESTS,
-    borrowed: 0,
-    queuedShort: NO_REQUESTS,
-    queuedLong: NO_REQUESTS,
-});
-
 /** True if this process divides the slots of the pool, by its own view of the members. */
 const isGrantor = (entry: EntryContext, pool: PoolName): boolean =>
     entry.rendezvous.grantorOf(pool, memberIds(entry)) === entry.processId;
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -19,10 +19,10 @@
 import { type Rejection, sendRejection } from "./rejection.js";
 import { claimFlow, settleFlowClaim, verdictOfKey } from "./request-claim.js";
 import type { Attempt, RequestFlow } from "./request-flow.js";
+import { decideRetry } from "./retry-rules.js";
 
 const RETRY_AFTER_FAILURE_MS = 1000;
 const MICROSECONDS_PER_MS = 1000;
-const MAX_REFUSALS = 10;
 const REFUSAL_PAUSE_MS = 50;
 
 /** Starts a request that admission has let in: claims it if it needs a claim, then sends it. */
@@ -160,20 +160,6 @@
     });
 };
 
-const mayRetry = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): boolean =>
-    flow.ended.filter(ended => ended.cause !== "endpoint-refused").length < entry.settings.limits.maxAttempts &&
-    failure.cause !== "endpoint-refused" &&
-    monotonicMs() < flow.request.deadlineAtMs &&
-    (flow.body?.canReplay() ?? true) &&
-    (failure.verdict === "not-run" || flow.request.idempotent);
-
-// A full endpoint has run nothing: two entries held the same slot for a moment, which the next grants end.
-const mayAskAgain = (flow: RequestFlow, { cause }: ExchangeFailure): boolean =>
-    cause === "endpoint-refused" &&
-    flow.ended.filter(ended => ended.cause === "endpoint-refused").length <= MAX_REFUSALS &&
-    monotonicMs() < flow.request.deadlineAtMs &&
-    (flow.body?.canReplay() ?? true);
-
 const askAgainLater = (entry: EntryContext, flow: RequestFlow): void => {
     flow.phase = "backing-off";
     flow.pool.waitingForSlot.add(flow.request.id);
@@ -186,16 +172,27 @@
 
 const retryOrReject = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): void => {
     flow.body?.detach();
-    if (mayAskAgain(flow, failure)) {
-        askAgainLater(entry, flow);
-        return;
-    }
-    if (mayRetry(entry, flow, failure) && spendRetry(flow.pool, monotonicMs())) {
-        const { route } = flow.request;
-        count(entry.counters, { name: "retries", route: route.name, pool: route.pool, cause: failure.cause });
-        sendAttempt(entry, flow, "retry");
-        return;
+    const { maxAttempts } = entry.settings.limits;
+    switch (decideRetry({ flow, failure, nowMs: monotonicMs(), maxAttempts })) {
+        case "ask-again-later":
+            askAgainLater(entry, flow);
+            return;
+        case "retry-within-budget":
+            if (spendRetry(flow.pool, monotonicMs())) {
+                const { route } = flow.request;
+                count(entry.counters, { name: "retries", route: route.name, pool: route.pool, cause: failure.cause });
+                sendAttempt(entry, flow, "retry");
+            } else {
+                rejectFailed(entry, flow, failure);
+            }
+            return;
+        case "give-up":
+            rejectFailed(entry, flow, failure);
+            return;
     }
+};
+
+const rejectFailed = (entry: EntryContext, flow: RequestFlow, failure: ExchangeFailure): void => {
     rejectFlow(entry, flow, {
         status: failure.cause === "endpoint-refused" || failure.cause === "no-capacity" ? 503 : 502,
         cause: failure.cause,
--- a/programs/manager/src/manager-command.ts
+++ b/programs/manager/src/manager-command.ts
@@ -1,12 +1,9 @@
 import { Command, Flags } from "@oclif/core";
-import { FleetError } from "@almondusher/fleet/fleet-error";
 import { loadSettings } from "@almondusher/settings/load-settings";
+import { describeStartupFailure } from "@almondusher/settings/startup-failure";
 import { runManager } from "./manager-process.js";
 import { managerSettingsSchema } from "./manager-settings.js";
 
-const EXIT_INVALID_SETTINGS = 2;
-const EXIT_FAILED = 1;
-
 /**
  * The command almondusher-manager: exit code 0 after a planned stop, 2 for invalid settings, 1 for other failures.
  * @public loaded by oclif
@@ -23,16 +20,12 @@
             const settings = loadSettings({ file: flags.settings, schema: managerSettingsSchema });
             await runManager({ settings, settingsFile: flags.settings });
         } catch (error) {
-            this.fail(error);
-        }
-    }
-
-    private fail(error: unknown): never {
-        if (error instanceof FleetError) {
-            const text = [error.message, ...error.details.map(line => `  ${line}`), `hint: ${error.hint}`].join("\n");
-            this.logToStderr(`${error.code}: ${text}`);
-            this.exit(error.code === "invalid-settings" ? EXIT_INVALID_SETTINGS : EXIT_FAILED);
+            const failure = describeStartupFailure(error);
+            if (failure === undefined) {
+                throw error;
+            }
+            this.logToStderr(failure.text);
+            this.exit(failure.exitCode);
         }
-        throw error;
     }
 }
