Send nothing to the VMs of a deleted pool

Cause: found by reading. A request that was being claimed, backed off or waited for a slot kept the tables of its pool after an edit deleted the pool, and would have been sent to a VM that an entry no longer counts as in flight and that may serve another pool by then. Change: a deleted pool has no VMs; requests that are not on a VM are rejected as not run, those being claimed when the claim returns. Conclusion: every phase of a request follows the state in force.

--- a/programs/entry/src/adopt-state.ts
+++ b/programs/entry/src/adopt-state.ts
@@ -9,7 +9,7 @@
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { fleetView } from "./fleet-view.js";
 import { createPoolRuntime, type PoolRuntime, updatePoolRuntime } from "./pool-runtime.js";
-import { rejectFlow, startWaiting } from "./serve-request.js";
+import { poolDeleted, rejectFlow, startWaiting } from "./serve-request.js";
 
 /** Takes over a state with a higher revision; a lower one is dropped, so that a process never goes backward. */
 export const adoptState = (entry: EntryContext, state: FleetState, from: "platform" | "peer"): void => {
@@ -63,19 +63,18 @@
     refreshSlots(entry);
 };
 
+// A request of a deleted pool that is not on a VM yet must not be sent: the VMs may already serve another pool.
 const removeDeletedPools = (entry: EntryContext): void => {
     const { tables } = entry;
-    [...tables.pools.keys()].filter(name => !tables.view.pools.has(name)).forEach(name => tables.pools.delete(name));
+    const deleted = [...tables.pools].filter(([name]) => !tables.view.pools.has(name));
+    deleted.forEach(([name, runtime]) => {
+        tables.pools.delete(name);
+        runtime.isDeleted = true;
+        runtime.view = { ...runtime.view, vms: [] };
+    });
     [...tables.requests.values()]
-        .filter(flow => flow.phase === "queued" && !tables.view.pools.has(flow.request.route.pool))
-        .forEach(flow =>
-            rejectFlow(entry, flow, {
-                status: 404,
-                cause: "no-route",
-                verdict: "not-run",
-                message: `pool ${flow.request.route.pool} was deleted`,
-            }),
-        );
+        .filter(flow => flow.pool.isDeleted && flow.running.length === 0 && flow.phase !== "claiming")
+        .forEach(flow => rejectFlow(entry, flow, poolDeleted(flow)));
 };
 
 /** Live entry processes, this one included. */
--- a/programs/entry/src/pool-runtime.ts
+++ b/programs/entry/src/pool-runtime.ts
@@ -22,6 +22,8 @@
 /** The tables of one pool on this entry. */
 export interface PoolRuntime {
     view: PoolView;
+    /** The pool is no longer in the fleet state; nothing more may be sent to its VMs. */
+    isDeleted: boolean;
     readonly admission: Admission;
     readonly ledger: SlotLedger;
     /** Admitted requests that wait for a slot on another VM after an attempt failed. */
@@ -66,6 +68,7 @@
 /** Creates the tables of a pool that appears in the fleet state. */
 export const createPoolRuntime = (view: PoolView, settings: EntrySettings): PoolRuntime => ({
     view,
+    isDeleted: false,
     admission: createAdmission(limitsOf(view.pool, [], settings)),
     ledger: createSlotLedger(),
     waitingForSlot: new Set(),
--- a/programs/entry/src/request-flow.ts
+++ b/programs/entry/src/request-flow.ts
@@ -24,7 +24,7 @@
 }
 
 /** Where a request is between its arrival and its end. */
-type FlowPhase = "queued" | "claiming" | "sending" | "waiting-for-slot" | "backing-off" | "answering" | "done";
+export type FlowPhase = "queued" | "claiming" | "sending" | "waiting-for-slot" | "backing-off" | "answering" | "done";
 
 /** A request that is being served. */
 export interface RequestFlow {
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -51,10 +51,22 @@
     }
 };
 
+/** The rejection of a request whose pool was deleted before it was sent. */
+export const poolDeleted = ({ request }: RequestFlow): Rejection => ({
+    status: 404,
+    cause: "no-route",
+    verdict: "not-run",
+    message: `pool ${request.route.pool} was deleted`,
+});
+
 type AttemptKind = "first" | "retry" | "hedge";
 
 /** Sends a request to a VM with a free slot, or lets it wait for one; a hedge does not wait. */
 export const sendAttempt = (entry: EntryContext, flow: RequestFlow, kind: AttemptKind): void => {
+    if (flow.pool.isDeleted && flow.running.length === 0) {
+        rejectFlow(entry, flow, poolDeleted(flow));
+        return;
+    }
     const vm = placeRequest(entry, flow);
     if (vm === undefined || !reserveSlot(flow.pool.ledger, vm.id)) {
         if (kind !== "hedge") {
