Allow no refusal at all where an entry was frozen or a manager failed

Cause: two tests allowed endpoint refusals after grants had expired, and one sent 8 instead of 20 waiting requests. Change: the tests require that no request is lost, with 20 that wait. Conclusion: the checks are as strict as they were first meant.

--- a/bench/system/src/balanced-load.ts
+++ b/bench/system/src/balanced-load.ts
@@ -161,10 +161,3 @@
 /** Requests that got no good answer. */
 export const lostRequests = (records: readonly CallRecord[]): readonly CallRecord[] =>
     records.filter(record => record.status !== 200);
-
-/**
- * Requests that were neither answered nor truthfully refused by an endpoint without a free slot. Refusals are allowed
- * for a moment after the grants of a frozen entry expired: two entries may then hold the same slot (section 3.7).
- */
-export const interruptedRequests = (records: readonly CallRecord[]): readonly CallRecord[] =>
-    lostRequests(records).filter(({ verdict, cause }) => verdict !== "not-run" || cause !== "endpoint-refused");
--- a/bench/system/test/control-drain.test.ts
+++ b/bench/system/test/control-drain.test.ts
@@ -1,13 +1,7 @@
 import { strict as assert } from "node:assert";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import {
-    type BalancedLoad,
-    callEntry,
-    interruptedRequests,
-    lostRequests,
-    startBalancedLoad,
-} from "../src/balanced-load.js";
+import { type BalancedLoad, callEntry, lostRequests, startBalancedLoad } from "../src/balanced-load.js";
 import { type ControlFleet, startControlFleet } from "../src/control-fleet.js";
 import { editTables, withVmIn } from "../src/operator-edit.js";
 import { pollUntil } from "../src/operator-client.js";
@@ -32,7 +26,7 @@
 // Sampled while the long work still runs, so that work of the new pool cannot be taken for work of the old one.
 const SAMPLED_AFTER_MS = 7000;
 const LETTERS = ["letters-1", "letters-2", "letters-3"];
-const WAITING_REQUESTS = 8;
+const WAITING_REQUESTS = 20;
 
 let control: ControlFleet;
 let path: PlatformPath;
@@ -194,6 +188,6 @@
             ),
     });
     const records = [...(await load.stop()), ...(await Promise.all(waiting))];
-    assert.deepEqual(interruptedRequests(records), []);
+    assert.deepEqual(lostRequests(records), []);
     assert.deepEqual(mixedUse({ records, vm: moved, oldPath: "/studies", newPath: "/letters" }), []);
 });
--- a/bench/system/test/control-managers.test.ts
+++ b/bench/system/test/control-managers.test.ts
@@ -1,7 +1,7 @@
 import { strict as assert } from "node:assert";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { interruptedRequests, startBalancedLoad } from "../src/balanced-load.js";
+import { lostRequests, startBalancedLoad } from "../src/balanced-load.js";
 import { type ControlFleet, startControlFleet } from "../src/control-fleet.js";
 import { checkHistory } from "../src/history-checks.js";
 import { pollUntil } from "../src/operator-client.js";
@@ -110,7 +110,7 @@
             await waitAssigned(control.deployment, VM, target, MOVE_LIMIT_MS);
             end(leader);
         }
-        assert.deepEqual(interruptedRequests(await load.stop()), []);
+        assert.deepEqual(lostRequests(await load.stop()), []);
         assert.deepEqual(await checkHistory(control.deployment, control.platform), []);
     });
 });
