Ask in one place whether a request announces a body

Cause: the check stood twice, in two forms that mean the same. Change: announcesBody; two imports of one module joined. Conclusion: no twin is left.

--- a/programs/entry/src/accept-request.ts
+++ b/programs/entry/src/accept-request.ts
@@ -5,7 +5,7 @@
 import type { Cause } from "@almondusher/fleet/verdict";
 import { runTimeOf } from "@almondusher/placement/run-times";
 import { recordArrival } from "@almondusher/telemetry/failure-log";
-import { type CallerRequest, readCallerRequest } from "./caller-request.js";
+import { announcesBody, type CallerRequest, readCallerRequest } from "./caller-request.js";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { capacityOf, type PoolRuntime } from "./pool-runtime.js";
 import { verdictOfKey } from "./request-claim.js";
@@ -86,7 +86,7 @@
         verdict: rejection.verdict,
         ...(route === undefined ? {} : { route }),
     });
-    const hasBody = incoming.headers["content-length"] !== undefined || "transfer-encoding" in incoming.headers;
+    const hasBody = announcesBody(incoming);
     sendRejection(response, rejection, { requestId: id, revision, closeConnection: hasBody });
 };
 
--- a/programs/entry/src/caller-request.ts
+++ b/programs/entry/src/caller-request.ts
@@ -87,14 +87,17 @@
         team: team === undefined ? route.team : toId<TeamName>(team),
         idempotent: isIdempotent(route, method),
         ...(key === undefined ? {} : { key }),
-        hasBody:
-            incoming.headers["content-length"] !== undefined || incoming.headers["transfer-encoding"] !== undefined,
+        hasBody: announcesBody(incoming),
         arrivedAtMs: options.nowMs,
         deadlineAtMs: options.nowMs + timeoutMs,
         ...(timeout === undefined ? {} : { answerByMs: options.nowMs + timeoutMs }),
     };
 };
 
+/** True if the request states that a body follows. */
+export const announcesBody = ({ headers }: IncomingMessage): boolean =>
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+
 const headerOf = (incoming: IncomingMessage, name: string): string | undefined => {
     const value = incoming.headers[name];
     return typeof value === "string" ? value : undefined;
--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -1,5 +1,4 @@
-import { cancel } from "@almondusher/admission/finish";
-import { finish } from "@almondusher/admission/finish";
+import { cancel, finish } from "@almondusher/admission/finish";
 import { takeNext } from "@almondusher/admission/take-next";
 import type { RequestId } from "@almondusher/fleet/ids";
 import { type Cause, combineVerdicts, type Verdict } from "@almondusher/fleet/verdict";
