--- /dev/null
+++ b/domain/jobs/src/ids.ts
@@ -0,0 +1,12 @@
+import type { Brand } from "@almondusher/fleet/ids";
+
+/** Id that a client gives to a job. */
+export type JobId = Brand<"JobId">;
+/** Name of a queue of jobs. */
+export type QueueName = Brand<"QueueName">;
+/** Id that an executor registers under; a restarted executor may keep it. */
+export type ExecutorId = Brand<"ExecutorId">;
+/** One step of one occurrence of a job: `job.occurrence.step`. */
+export type StepId = Brand<"StepId">;
+/** One task of a step: `job.occurrence.step.index`. */
+export type TaskId = Brand<"TaskId">;
--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -7,7 +7,7 @@
 };
 
 export default tseslint.config(
-    { ignores: ["**/dist/", "**/gen/", ".run/"] },
+    { ignores: ["**/dist/", "**/gen/", ".run/", "target/", "journal/"] },
     js.configs.recommended,
     {
         files: ["**/*.mjs", "**/bin/*.js"],
--- /dev/null
+++ b/pools/scheduler/src/admit-job.ts
@@ -0,0 +1,114 @@
+import { occurrencesOf, stepIdOf, taskIdOf, type Job, type Step } from "@almondusher/jobs/job";
+import type { Progress, StepProgress } from "@almondusher/jobs/progress";
+import type { ExecutorId } from "@almondusher/jobs/ids";
+import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
+
+/** A job as it was read from the store. */
+export interface AdmittedJob {
+    readonly job: Job;
+    readonly progress: Progress;
+    readonly progressVersion: number;
+    /** Steady time of acceptance in milliseconds. */
+    readonly arrivedAtMs: number;
+    readonly inherited: boolean;
+}
+
+/** Adds a job that is not finished to the tables; does nothing for a known one. */
+export const admitJob = (tables: PoolTables, admitted: AdmittedJob, wallMs: number): void => {
+    const { job, progress } = admitted;
+    if (tables.jobs.has(job.id) || isFinal(progress)) {
+        return;
+    }
+    const open: OpenJob = {
+        job,
+        id: job.id,
+        queue: job.queue,
+        arrivedAtMs: admitted.arrivedAtMs,
+        occurrences: new Map(),
+        state: progress.state,
+        started: progress.state === "running",
+        inherited: admitted.inherited,
+        dirty: false,
+        progressVersion: admitted.progressVersion,
+    };
+    tables.jobs.set(job.id, open);
+    openDueOccurrences(open, wallMs);
+    restoreProgress(open, progress);
+};
+
+/** Adds stored progress to what is known of a job. */
+export const restoreProgress = (open: OpenJob, progress: Progress): void =>
+    progress.steps.forEach(step => restoreStep(open, step));
+
+/** True for a job that needs no more work. */
+const isFinal = ({ state }: Progress): boolean => state === "completed" || state === "failed" || state === "cancelled";
+
+/** Creates the steps of the occurrences whose time has come; true if there is a new one. */
+export const openDueOccurrences = (open: OpenJob, wallMs: number): boolean => {
+    const due = Array.from({ length: occurrencesOf(open.job) }, (unused, occurrence) => occurrence)
+        .filter(occurrence => !open.occurrences.has(occurrence))
+        .filter(occurrence => dueAtMs(open.job, occurrence) <= wallMs);
+    due.forEach(occurrence => open.occurrences.set(occurrence, openSteps(open, occurrence)));
+    return due.length > 0;
+};
+
+/** Unix time at which an occurrence may start; 0 for a job without a schedule. */
+const dueAtMs = ({ schedule }: Job, occurrence: number): number =>
+    schedule === undefined ? 0 : schedule.firstRunMs + occurrence * schedule.intervalMs;
+
+const openSteps = (job: OpenJob, occurrence: number): readonly OpenStep[] =>
+    job.job.steps.map((step, index) => openStep(job, occurrence, step, index));
+
+const openStep = (job: OpenJob, occurrence: number, step: Step, index: number): OpenStep => {
+    const id = stepIdOf(job.id, occurrence, index);
+    const tasks: Task[] = [];
+    const open: OpenStep = { id, job, occurrence, index, step, tasks, remaining: step.count };
+    tasks.push(
+        ...Array.from({ length: step.count }, (unused, taskIndex) => ({
+            id: taskIdOf(id, taskIndex),
+            step: open,
+            index: taskIndex,
+            done: false,
+            failures: 0,
+            lastFailedRun: 0,
+            checkpoint: "",
+            runs: [],
+            failedOn: new Set<ExecutorId>(),
+        })),
+    );
+    return open;
+};
+
+const restoreStep = (job: OpenJob, progress: StepProgress): void => {
+    const step = (job.occurrences.get(progress.occurrence) ?? addOccurrence(job, progress.occurrence))[progress.step];
+    if (step === undefined) {
+        return;
+    }
+    progress.done.forEach(index => {
+        const task = step.tasks[index];
+        if (task !== undefined && !task.done) {
+            task.done = true;
+            step.remaining--;
+        }
+    });
+    progress.failures.forEach(({ index, attempts, lastRun }) => {
+        const task = step.tasks[index];
+        if (task !== undefined) {
+            task.failures = Math.max(task.failures, attempts);
+            task.lastFailedRun = Math.max(task.lastFailedRun, lastRun);
+        }
+    });
+    progress.checkpoints.forEach(({ index, checkpoint }) => {
+        const task = step.tasks[index];
+        if (task !== undefined) {
+            task.checkpoint = checkpoint;
+        }
+    });
+};
+
+// A stored occurrence was due once, whatever the clock of this process says.
+const addOccurrence = (job: OpenJob, occurrence: number): readonly OpenStep[] => {
+    const steps = openSteps(job, occurrence);
+    job.occurrences.set(occurrence, steps);
+    return steps;
+};
--- /dev/null
+++ b/pools/scheduler/src/executor-table.ts
@@ -0,0 +1,70 @@
+import { rackOf, type ExecutorRecord } from "@almondusher/jobs/executor";
+import type { ExecutorId } from "@almondusher/jobs/ids";
+import { hearClock } from "./lease-time.js";
+import { restartLife } from "./settle-run.js";
+import type { Executor, PoolTables } from "./pool-tables.js";
+
+/** Brings the table of executors in line with the registered ones of the pool. */
+export const applyRegistry = (tables: PoolTables, records: readonly ExecutorRecord[], nowMs: number): void => {
+    const present = new Set(records.map(({ id }) => id));
+    records.forEach(record => applyRecord(tables, record, nowMs));
+    tables.executors.forEach(executor => {
+        executor.registered = present.has(executor.id);
+        if (isGone(executor)) {
+            tables.executors.delete(executor.id);
+        }
+    });
+};
+
+/** Adds an executor that only a predecessor's lease row names, so that its runs are inspected. */
+export const addUnregistered = (tables: PoolTables, record: ExecutorRecord): void => {
+    if (!tables.executors.has(record.id)) {
+        tables.executors.set(record.id, { ...createExecutor(record), registered: false, reachable: true });
+    }
+};
+
+const applyRecord = (tables: PoolTables, record: ExecutorRecord, nowMs: number): void => {
+    const known = tables.executors.get(record.id);
+    if (known === undefined) {
+        const executor = createExecutor(record);
+        tables.executors.set(record.id, executor);
+        hearRecordClock(executor, record, nowMs);
+        return;
+    }
+    if (known.record.bornMs < record.bornMs) {
+        restartLife(tables, known, record.bornMs);
+        known.record = record;
+        known.reachable = true;
+    } else if (known.record.bornMs === record.bornMs) {
+        known.record = record;
+        hearRecordClock(known, record, nowMs);
+    }
+};
+
+const hearRecordClock = (executor: Executor, { clockMs }: ExecutorRecord, nowMs: number): void => {
+    if (clockMs !== undefined) {
+        hearClock(executor, clockMs, nowMs);
+    }
+};
+
+const createExecutor = (record: ExecutorRecord): Executor => ({
+    record,
+    id: record.id,
+    rack: rackOf(record.labels),
+    runs: new Map(),
+    strays: [],
+    clock: undefined,
+    leaseUntilMs: 0,
+    inspected: false,
+    announced: false,
+    reachable: true,
+    registered: true,
+    seenEnd: 0,
+    storedEnd: 0,
+    avoidUntilMs: 0,
+    failureStreak: 0,
+    evacuating: false,
+    evacuateByMs: Number.POSITIVE_INFINITY,
+});
+
+const isGone = ({ registered, reachable, runs }: Executor): boolean => !registered && !reachable && runs.size === 0;
--- /dev/null
+++ b/pools/scheduler/src/job-progress.ts
@@ -0,0 +1,48 @@
+import { occurrencesOf } from "@almondusher/jobs/job";
+import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
+import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
+
+/** What is to be stored about a job. */
+export const progressOf = (job: OpenJob): Progress => ({
+    state: job.state,
+    steps: [...job.occurrences.values()].flat().map(stepProgress).filter(hasContent),
+});
+
+const stepProgress = (step: OpenStep): StepProgress => ({
+    occurrence: step.occurrence,
+    step: step.index,
+    done: step.tasks.filter(task => task.done).map(task => task.index),
+    failures: step.tasks.filter(isOpenFailure).map(toFailures),
+    checkpoints: step.tasks.filter(isResumable).map(({ index, checkpoint }) => ({ index, checkpoint })),
+});
+
+const toFailures = ({ index, failures, lastFailedRun }: Task): TaskFailures => ({
+    index,
+    attempts: failures,
+    lastRun: lastFailedRun,
+});
+
+const isOpenFailure = ({ done, failures }: Task): boolean => !done && failures > 0;
+
+const isResumable = ({ done, checkpoint }: Task): boolean => !done && checkpoint !== "";
+
+const hasContent = ({ done, failures, checkpoints }: StepProgress): boolean =>
+    done.length + failures.length + checkpoints.length > 0;
+
+/** True once every task of every occurrence is done. */
+export const isCompleted = (job: OpenJob): boolean =>
+    job.occurrences.size === occurrencesOf(job.job) &&
+    [...job.occurrences.values()].flat().every(step => step.remaining === 0);
+
+/** True for a step whose earlier steps are done and that has work left. */
+export const isReady = (step: OpenStep): boolean => {
+    const steps = step.job.occurrences.get(step.occurrence);
+    return step.remaining > 0 && step.step.after.every(earlier => steps?.[earlier]?.remaining === 0);
+};
+
+/** Accepted jobs without a schedule of which no task has started, by queue. */
+export const pendingJobs = (tables: PoolTables): ReadonlyMap<string, number> => {
+    const counts = new Map<string, number>();
+    tables.jobs.forEach(({ queue, started }) => counts.set(queue, (counts.get(queue) ?? 0) + (started ? 0 : 1)));
+    return counts;
+};
--- /dev/null
+++ b/pools/scheduler/src/plan-stops.ts
@@ -0,0 +1,88 @@
+import { stopRun, isEnded } from "./settle-run.js";
+import { expectedRunMs } from "./order-steps.js";
+import { allRuns, type OpenStep, type PoolTables, type Run, type StopCause } from "./pool-tables.js";
+
+/** Times that stops are planned with, in milliseconds. */
+export interface StopTerms {
+    readonly nowMs: number;
+    /** A stop without an answer is sent again after this. */
+    readonly repeatMs: number;
+    /** A stop takes this long at most. */
+    readonly stopTimeMs: number;
+}
+
+/** Marks the runs that must end and returns those whose stop is to be sent now. */
+export const planStops = (tables: PoolTables, terms: StopTerms): readonly Run[] => {
+    const runs = allRuns(tables);
+    runs.filter(run => run.phase !== "stopping").forEach(run => {
+        const cause = stopCauseOf(tables, run, terms);
+        if (cause !== undefined) {
+            stopRun(run, cause);
+        }
+    });
+    const due = runs
+        .filter(run => run.phase === "stopping")
+        .filter(({ stopSentAtMs }) => stopSentAtMs === undefined || terms.nowMs - stopSentAtMs >= terms.repeatMs);
+    due.forEach(run => (run.stopSentAtMs = terms.nowMs));
+    return due;
+};
+
+const stopCauseOf = (tables: PoolTables, run: Run, terms: StopTerms): StopCause | undefined => {
+    const { job } = run.task.step;
+    if (job.state === "cancelled") {
+        return "cancelled";
+    }
+    if (isEnded(job)) {
+        return "job-ended";
+    }
+    if (run.task.done) {
+        return "duplicate";
+    }
+    if (run.phase === "unsettled") {
+        return "unanswered";
+    }
+    if (run.task.step.step.gang && !isGangPresent(run)) {
+        return "gang-incomplete";
+    }
+    const { executor } = run;
+    if (executor.record.draining) {
+        return mustLeave(tables, run, executor.record.remainingMs ?? 0) ? "draining" : undefined;
+    }
+    if (executor.evacuating) {
+        return mustLeave(tables, run, executor.evacuateByMs - terms.nowMs) && mayDisrupt(run, terms.nowMs)
+            ? "evacuation"
+            : undefined;
+    }
+    return undefined;
+};
+
+const isGangPresent = (run: Run): boolean =>
+    run.task.step.tasks.every(task => task.runs.some(member => member.number === run.number));
+
+// A task that cannot end in time is stopped early, with its checkpoint, and continues elsewhere.
+const mustLeave = (tables: PoolTables, run: Run, remainingMs: number): boolean => {
+    const { step } = run.task.step;
+    if (step.longRunning) {
+        return true;
+    }
+    const leftMs = expectedRunMs(tables, run.task.step) * (1 - Math.min(run.percent, 99) / 100);
+    return leftMs > remainingMs;
+};
+
+/** True if a task at work may be ended without exceeding the disruption budget of its step. */
+const mayDisrupt = (run: Run, nowMs: number): boolean => {
+    const { step } = run.task;
+    if (!step.step.longRunning || step.step.disruptionBudget === undefined) {
+        return true;
+    }
+    return unavailable(step, run, nowMs) < step.step.disruptionBudget;
+};
+
+// A replacement counts as available only after it was at work for a moment, since it may fail right away.
+const SETTLED_MS = 300;
+
+const unavailable = (step: OpenStep, except: Run, nowMs: number): number =>
+    step.tasks.filter(task => task !== except.task && !task.runs.some(run => isAtWork(run, nowMs))).length;
+
+const isAtWork = (run: Run, nowMs: number): boolean =>
+    run.phase === "running" && run.atWorkSinceMs !== undefined && nowMs - run.atWorkSinceMs >= SETTLED_MS;
--- /dev/null
+++ b/pools/scheduler/src/settle-run.ts
@@ -0,0 +1,254 @@
+import type { EndedRun, RunReport } from "@almondusher/jobs/executor";
+import { hearClock, leaseLapsed } from "./lease-time.js";
+import { isCompleted } from "./job-progress.js";
+import {
+    findTask,
+    forgetRun,
+    type Executor,
+    type OpenJob,
+    type PoolTables,
+    type Run,
+    type StopCause,
+    type Task,
+} from "./pool-tables.js";
+
+/** What was seen in a report, for the log. */
+export interface AppliedEnd {
+    readonly end: EndedRun;
+    readonly task: Task | undefined;
+    readonly run: Run | undefined;
+}
+
+/** When a report was asked for and received, in steady milliseconds. */
+export interface ReportTimes {
+    readonly sentAtMs: number;
+    readonly receivedAtMs: number;
+}
+
+// Weight of a new run time in the mean of its queue.
+const RUN_TIME_WEIGHT = 0.1;
+const STREAK_TO_AVOID = 2;
+const AVOID_MS = 2000;
+const MAX_AVOID_MS = 16_000;
+
+/** Applies an executor's report: ends, runs that are new to the tables, progress. Returns the ends not seen before. */
+export const applyReport = (
+    tables: PoolTables,
+    executor: Executor,
+    report: RunReport,
+    times: ReportTimes,
+): readonly AppliedEnd[] => {
+    if (report.bornMs !== undefined && report.bornMs !== executor.record.bornMs) {
+        restartLife(tables, executor, report.bornMs);
+    }
+    hearClock(executor, report.clockMs, times.receivedAtMs);
+    executor.reachable = true;
+    const fresh = report.ended.filter(end => end.number > executor.seenEnd);
+    const applied = fresh.map(end => applyEnd(tables, executor, end, times.receivedAtMs));
+    executor.seenEnd = Math.max(executor.seenEnd, ...report.ended.map(end => end.number));
+    report.active.forEach(active => {
+        const run = executor.runs.get(active.task);
+        if (run?.number !== active.run) {
+            adoptRun(tables, executor, active, times.receivedAtMs);
+            return;
+        }
+        run.percent = active.percent;
+        run.recentLoad = active.recentLoad;
+        run.atWorkSinceMs = active.percent >= 100 ? (run.atWorkSinceMs ?? times.receivedAtMs) : undefined;
+        if (active.checkpoint !== "") {
+            run.task.checkpoint = active.checkpoint;
+        }
+        if (run.phase === "unsettled" || run.phase === "starting") {
+            run.phase = "running";
+        }
+    });
+    dropVanished(executor, report, times);
+    executor.inspected = true;
+    return applied;
+};
+
+/** Gives up the runs of an executor whose leases have surely ended; returns them. */
+export const lapseRuns = (executor: Executor, nowMs: number): readonly Run[] => {
+    if (executor.reachable || executor.runs.size === 0 || !leaseLapsed(executor, nowMs)) {
+        return [];
+    }
+    const lapsed = [...executor.runs.values()];
+    lapsed.forEach(forgetRun);
+    return lapsed;
+};
+
+/** Forgets all runs of an executor that has restarted or whose address another one has. */
+export const restartLife = (tables: PoolTables, executor: Executor, bornMs: number): void => {
+    [...executor.runs.values()].forEach(forgetRun);
+    executor.record = { ...executor.record, bornMs };
+    executor.clock = undefined;
+    executor.leaseUntilMs = 0;
+    executor.seenEnd = 0;
+    executor.storedEnd = 0;
+    executor.failureStreak = 0;
+    executor.strays = [];
+    executor.inspected = false;
+};
+
+/** Marks a job as ended; its runs are to be stopped. */
+export const endJob = (job: OpenJob, state: "completed" | "failed" | "cancelled"): void => {
+    job.state = state;
+    job.dirty = true;
+};
+
+/** True for a job that must not start anything. */
+export const isEnded = ({ state }: OpenJob): boolean => state !== "queued" && state !== "running";
+
+/** Marks a run as to be stopped. */
+export const stopRun = (run: Run, cause: StopCause): void => {
+    run.phase = "stopping";
+    run.stopCause ??= cause;
+};
+
+const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
+    const task = findTask(tables, end.task);
+    const run = executor.runs.get(end.task);
+    const known = run?.number === end.run ? run : undefined;
+    if (known !== undefined) {
+        forgetRun(known);
+    }
+    if (task !== undefined) {
+        settleTask(tables, executor, task, end, known, nowMs);
+    }
+    noteHealth(executor, end, nowMs);
+    return { end, task, run: known };
+};
+
+const settleTask = (
+    tables: PoolTables,
+    executor: Executor,
+    task: Task,
+    end: EndedRun,
+    run: Run | undefined,
+    nowMs: number,
+): void => {
+    const { job, step } = task.step;
+    if (end.checkpoint !== "") {
+        task.checkpoint = end.checkpoint;
+    }
+    switch (end.how) {
+        case "done":
+            settleDone(tables, task, run, nowMs);
+            break;
+        case "failed":
+            countFailure(task, executor, end.run);
+            break;
+        case "stopped":
+        case "lapsed":
+        case "broken":
+        case "alone":
+            break;
+    }
+    job.dirty = true;
+    const maxAttempts = tables.queues.get(job.queue)?.maxAttempts ?? 1;
+    const failures = step.gang ? Math.max(...task.step.tasks.map(member => member.failures)) : task.failures;
+    if (!isEnded(job) && !step.longRunning && failures >= maxAttempts && !task.done) {
+        endJob(job, "failed");
+    }
+    if (!isEnded(job) && isCompleted(job)) {
+        endJob(job, "completed");
+    }
+};
+
+const countFailure = (task: Task, executor: Executor, run: number): void => {
+    if (!task.done && run > task.lastFailedRun) {
+        task.failures++;
+        task.lastFailedRun = run;
+        task.failedOn.add(executor.id);
+    }
+};
+
+const settleDone = (tables: PoolTables, task: Task, run: Run | undefined, nowMs: number): void => {
+    // One end stands for all members of a gang.
+    const ended = task.step.step.gang ? task.step.tasks : [task];
+    // A task that lasts is started again however it ends.
+    if (!task.step.step.longRunning) {
+        ended.filter(member => !member.done).forEach(markDone);
+    }
+    ended.flatMap(member => [...member.runs]).forEach(other => stopRun(other, "duplicate"));
+    if (run !== undefined && run.phase === "running" && !task.step.step.longRunning) {
+        learnRunTime(tables, task, nowMs - run.startedAtMs);
+    }
+};
+
+const markDone = (task: Task): void => {
+    task.done = true;
+    task.step.remaining--;
+};
+
+const learnRunTime = (tables: PoolTables, task: Task, tookMs: number): void => {
+    const { queue } = task.step.job;
+    const known = tables.runTimes.get(queue);
+    if (known === undefined) {
+        tables.runTimes.set(queue, { meanMs: tookMs, samples: 1 });
+        return;
+    }
+    known.samples++;
+    known.meanMs += (tookMs - known.meanMs) * Math.max(RUN_TIME_WEIGHT, 1 / known.samples);
+};
+
+const noteHealth = (executor: Executor, end: EndedRun, nowMs: number): void => {
+    if (end.how === "done") {
+        executor.failureStreak = 0;
+    }
+    if (end.how === "failed") {
+        executor.failureStreak++;
+        if (executor.failureStreak >= STREAK_TO_AVOID) {
+            const avoidMs = Math.min(AVOID_MS * 2 ** (executor.failureStreak - STREAK_TO_AVOID), MAX_AVOID_MS);
+            executor.avoidUntilMs = nowMs + avoidMs;
+        }
+    }
+};
+
+const adoptRun = (tables: PoolTables, executor: Executor, active: RunReport["active"][number], nowMs: number): void => {
+    const task = findTask(tables, active.task);
+    if (task === undefined || task.done || isEnded(task.step.job)) {
+        addStray(executor, active);
+        return;
+    }
+    const run: Run = {
+        task,
+        number: active.run,
+        executor,
+        phase: "running",
+        startedAtMs: nowMs,
+        confirmedAtMs: nowMs,
+        percent: active.percent,
+        atWorkSinceMs: active.percent >= 100 ? nowMs : undefined,
+        recentLoad: active.recentLoad,
+        pace: 100,
+        stopCause: undefined,
+        stopSentAtMs: undefined,
+    };
+    if (active.checkpoint !== "") {
+        task.checkpoint = active.checkpoint;
+    }
+    const copies = task.runs.length > 0 && !task.step.step.speculative;
+    task.runs.push(run);
+    executor.runs.set(task.id, run);
+    task.step.job.started = true;
+    if (copies) {
+        stopRun(run, "duplicate");
+    }
+};
+
+const addStray = (executor: Executor, { task, run }: RunReport["active"][number]): void => {
+    if (!executor.strays.some(stray => stray.task === task && stray.number === run)) {
+        executor.strays = [...executor.strays, { task, number: run, stopSentAtMs: undefined }];
+    }
+};
+
+// A confirmed run that a later report neither lists as active nor as ended no longer exists.
+const dropVanished = (executor: Executor, report: RunReport, { sentAtMs }: ReportTimes): void => {
+    const listed = new Set(report.active.map(({ task, run }) => `${task}/${run}`));
+    [...executor.runs.values()]
+        .filter(({ confirmedAtMs }) => confirmedAtMs !== undefined && confirmedAtMs < sentAtMs)
+        .filter(run => !listed.has(`${run.task.id}/${run.number}`))
+        .forEach(forgetRun);
+    executor.strays = executor.strays.filter(({ task, number }) => listed.has(`${task}/${number}`));
+};
--- /dev/null
+++ b/programs/dispatcher/src/bounded-output.ts
@@ -0,0 +1,65 @@
+import { write } from "node:fs";
+
+/** A log destination that never blocks its writer. */
+export interface BoundedOutput {
+    readonly write: (line: string) => void;
+    /** Lines that were dropped because the reader was too slow. */
+    readonly dropped: () => number;
+    /** Resolves once everything accepted so far is written, or the time is over. */
+    readonly flush: (timeoutMs: number) => Promise<void>;
+}
+
+/** Options of an output. */
+export interface BoundedOutputOptions {
+    readonly descriptor: number;
+    /** Most characters that wait for the reader. */
+    readonly maxBuffered: number;
+}
+
+const FLUSH_POLL_MS = 10;
+
+/** Creates an output that drops lines while its reader stands still; writes happen off the main thread. */
+export const createBoundedOutput = ({ descriptor, maxBuffered }: BoundedOutputOptions): BoundedOutput => {
+    let waiting: string[] = [];
+    let buffered = 0;
+    let dropped = 0;
+    let writing = false;
+    const writeAll = (chunk: Buffer): void => {
+        write(descriptor, chunk, (error, written) => {
+            if (!(error instanceof Error) && written < chunk.length) {
+                writeAll(chunk.subarray(written));
+                return;
+            }
+            writing = false;
+            pump();
+        });
+    };
+    const pump = (): void => {
+        if (writing || waiting.length === 0) {
+            return;
+        }
+        writing = true;
+        const chunk = Buffer.from(waiting.join(""));
+        waiting = [];
+        buffered = 0;
+        writeAll(chunk);
+    };
+    return {
+        dropped: () => dropped,
+        write: line => {
+            if (buffered + line.length > maxBuffered) {
+                dropped++;
+                return;
+            }
+            waiting.push(line);
+            buffered += line.length;
+            pump();
+        },
+        flush: async timeoutMs => {
+            const endMs = performance.now() + timeoutMs;
+            while ((writing || waiting.length > 0) && performance.now() < endMs) {
+                await new Promise(resolve => setTimeout(resolve, FLUSH_POLL_MS));
+            }
+        },
+    };
+};
--- /dev/null
+++ b/programs/dispatcher/src/dispatcher-metrics.ts
@@ -0,0 +1,53 @@
+import { createServer, type Server } from "node:http";
+import { build, type Histogram } from "hdr-histogram-js";
+
+/** Counters and latency histograms of a process. */
+export interface DispatcherMetrics {
+    readonly count: (name: string, by?: number) => void;
+    /** Records a latency in milliseconds. */
+    readonly record: (name: string, ms: number) => void;
+    /** All figures as text, one a line. */
+    readonly text: () => string;
+}
+
+const QUANTILES = [50, 90, 99, 100];
+const HIGHEST_LATENCY_MS = 600_000;
+
+/** Creates empty metrics. */
+export const createDispatcherMetrics = (): DispatcherMetrics => {
+    const counters = new Map<string, number>();
+    const histograms = new Map<string, Histogram>();
+    const histogramOf = (name: string): Histogram => {
+        const known = histograms.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const created = build({ highestTrackableValue: HIGHEST_LATENCY_MS, numberOfSignificantValueDigits: 2 });
+        histograms.set(name, created);
+        return created;
+    };
+    const text = (): string =>
+        [
+            ...[...counters].sort().map(([name, value]) => `almondusher_${name} ${value}`),
+            ...[...histograms].sort(([left], [right]) => (left < right ? -1 : 1)).flatMap(histogramLines),
+        ].join("\n") + "\n";
+    return {
+        text,
+        count: (name, by = 1) => void counters.set(name, (counters.get(name) ?? 0) + by),
+        record: (name, ms) => histogramOf(name).recordValue(Math.max(0, Math.min(Math.round(ms), HIGHEST_LATENCY_MS))),
+    };
+};
+
+const histogramLines = ([name, histogram]: [string, Histogram]): readonly string[] => [
+    ...QUANTILES.map(
+        quantile => `almondusher_${name}_ms{quantile="${quantile / 100}"} ${histogram.getValueAtPercentile(quantile)}`,
+    ),
+    `almondusher_${name}_ms_count ${histogram.totalCount}`,
+];
+
+/** Serves the metrics as text on every path of an address. */
+export const serveMetrics = (metrics: DispatcherMetrics, host: string, port: number): Server =>
+    createServer((unusedRequest, response) => {
+        response.setHeader("content-type", "text/plain; version=0.0.4");
+        response.end(metrics.text());
+    }).listen(port, host);
--- /dev/null
+++ b/programs/dispatcher/src/dispatcher-settings.ts
@@ -0,0 +1,37 @@
+import { z } from "zod";
+import { loadSettings } from "@almondusher/settings/load-settings";
+
+const address = z.string().regex(/^[\d.]+:\d+$/, "expected IP:port");
+
+const schema = z.object({
+    /** Name of the VM that this process runs on. */
+    vm: z.string().min(1),
+    dataCentre: z.string().min(1),
+    entryAddress: address,
+    readyAddress: address,
+    /** Address of the counters and histograms; absent: none. */
+    metricsAddress: address.optional(),
+    storeAddress: address,
+    vmServiceAddress: address,
+    /** Empty where no queue needs advice. */
+    adviceAddress: z.string(),
+    processorCores: z.number().positive(),
+    stopGraceSeconds: z.number().positive(),
+    /** Longest lease that executors grant. */
+    maxLeaseMs: z.number().positive(),
+    /** Longest time that an executor takes to stop a run. */
+    stopTimeMs: z.number().positive(),
+    disruptionNoticeMs: z.number().positive(),
+    latencyHarmMs: z.number().positive(),
+    farFactor: z.number().positive(),
+    earlyStartMs: z.number().nonnegative(),
+    moveSeconds: z.number().positive(),
+    maintenanceSeconds: z.number().positive(),
+    heartbeatMs: z.number().positive(),
+});
+
+/** Settings of one dispatcher process. */
+export type DispatcherSettings = z.output<typeof schema>;
+
+/** Reads the settings file; throws `invalid-settings` naming file, key and value. */
+export const readDispatcherSettings = (file: string): DispatcherSettings => loadSettings({ file, schema });
--- /dev/null
+++ b/programs/dispatcher/src/entry-server.ts
@@ -0,0 +1,192 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { findQueue, type QueueMatch } from "@almondusher/jobs/configuration";
+import type { JobId } from "@almondusher/jobs/ids";
+import { encodeJobState, encodePending } from "@almondusher/platform-adapter/job-answers";
+import type { DispatcherContext } from "./dispatcher-context.js";
+import { cancelJob, readJobState, submitJob, type JobAnswer, type JobCall } from "./job-api.js";
+import type { OperatorFeed } from "./operator-feed.js";
+
+/** Options of the server for clients. */
+export interface EntryServerOptions {
+    readonly context: DispatcherContext;
+    readonly operator: OperatorFeed;
+    /** Jobs of a queue that were accepted and have not started; undefined if nobody knows. */
+    readonly countPending: (match: QueueMatch) => Promise<number | undefined>;
+}
+
+const JOB_ID = /^[0-9a-f]{16}$/;
+const DEFAULT_BODY_LIMIT_BYTES = 262_144;
+// A client that sets no limit gets its answer within this.
+const DEFAULT_ANSWER_MS = 2500;
+// Left for the way back of the answer.
+const ANSWER_MARGIN_MS = 400;
+const RETRY_AFTER_NOT_READY_SECONDS = 1;
+
+/** Creates the server that takes jobs and questions of clients. */
+export const createEntryServer = (options: EntryServerOptions): Server => {
+    const { context } = options;
+    const server = createServer((request, response) => {
+        const startedMs = context.steadyMs();
+        handle(options, request, response, startedMs).catch((error: unknown) => {
+            context.metrics.count("internal_errors");
+            context.log("internal-error", {
+                reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
+            });
+            if (!response.headersSent) {
+                reply(response, 500, { error: "internal" });
+            }
+        });
+        response.on("finish", () => context.metrics.record("request", context.steadyMs() - startedMs));
+    });
+    // Clients keep connections open until the process ends.
+    server.keepAliveTimeout = 0;
+    server.headersTimeout = 0;
+    server.requestTimeout = 0;
+    return server;
+};
+
+const handle = async (
+    options: EntryServerOptions,
+    request: IncomingMessage,
+    response: ServerResponse,
+    startedMs: number,
+): Promise<void> => {
+    const configuration = options.operator.configuration();
+    if (configuration === undefined) {
+        refuse(response, "no configuration is known yet", RETRY_AFTER_NOT_READY_SECONDS);
+        return;
+    }
+    const path = (request.url ?? "/").split("?")[0] ?? "/";
+    const match = findQueue(configuration, hostOf(request), path);
+    if (match === undefined) {
+        request.resume();
+        options.context.metrics.count("requests_without_queue");
+        options.context.log("request-rejected", { path, cause: "no-queue", configuration: configuration.version });
+        reply(response, 404, { error: "no such queue" });
+        return;
+    }
+    const body = await readBody(request, configuration.limits.maxBodyBytes);
+    if (body === undefined) {
+        reply(response, 413, { error: "the body is too large" });
+        return;
+    }
+    const answerByMs = startedMs + deadlineOf(request) - ANSWER_MARGIN_MS;
+    await answer(options, { request, response, match, body, answerByMs });
+};
+
+interface MatchedRequest {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    readonly match: QueueMatch;
+    readonly body: string;
+    readonly answerByMs: number;
+}
+
+const answer = async (options: EntryServerOptions, matched: MatchedRequest): Promise<void> => {
+    const { request, response, match, body, answerByMs } = matched;
+    const { context } = options;
+    if (match.rest === "" && request.method === "GET") {
+        const pending = await options.countPending(match);
+        if (pending === undefined) {
+            refuse(response, "the queue's length is not known now", RETRY_AFTER_NOT_READY_SECONDS);
+        } else {
+            send(response, 200, encodePending(pending));
+        }
+        return;
+    }
+    if (!JOB_ID.test(match.rest)) {
+        reply(response, 404, { error: "no such job" });
+        return;
+    }
+    const call: JobCall = { queue: match.queue, id: match.rest as JobId, answerByMs };
+    const result = await runCall(context, request.method ?? "", call, body);
+    if (result === undefined) {
+        reply(response, 405, { error: "use POST, GET or DELETE" });
+        return;
+    }
+    logAnswer(context, request.method ?? "", call, result);
+    sendAnswer(response, result);
+};
+
+const runCall = (
+    context: DispatcherContext,
+    method: string,
+    call: JobCall,
+    body: string,
+): Promise<JobAnswer> | undefined => {
+    switch (method) {
+        case "POST":
+            return submitJob(context, call, body);
+        case "GET":
+            return readJobState(context, call);
+        case "DELETE":
+            return cancelJob(context, call);
+        default:
+            return undefined;
+    }
+};
+
+const logAnswer = (context: DispatcherContext, method: string, { queue, id }: JobCall, answered: JobAnswer): void => {
+    context.metrics.count(`requests_${method.toLowerCase()}_${answered.kind.replaceAll("-", "_")}`);
+    if (method !== "GET" || (answered.kind !== "state" && answered.kind !== "unknown-job")) {
+        const { kind, ...details } = answered;
+        context.log("request-answered", { job: id, method, queue: queue.name, outcome: kind, ...details });
+    }
+};
+
+const sendAnswer = (response: ServerResponse, result: JobAnswer): void => {
+    switch (result.kind) {
+        case "accepted":
+        case "cancelled":
+            send(response, 200, "{}");
+            break;
+        case "state":
+            send(response, 200, encodeJobState(result.state));
+            break;
+        case "not-run":
+            refuse(response, result.cause, result.retryAfterSeconds);
+            break;
+        case "unknown-job":
+            reply(response, 410, { error: "no such job" });
+            break;
+        case "invalid":
+            reply(response, 400, { error: result.message });
+            break;
+        case "unknown":
+            reply(response, 504, { error: result.cause });
+            break;
+    }
+};
+
+const hostOf = (request: IncomingMessage): string => (request.headers.host ?? "").replace(/:\d+$/, "");
+
+const deadlineOf = (request: IncomingMessage): number => {
+    const declared = Number(request.headers["deadline-ms"]);
+    return Number.isFinite(declared) && declared > 0 ? declared : DEFAULT_ANSWER_MS + ANSWER_MARGIN_MS;
+};
+
+const readBody = async (request: IncomingMessage, limit = DEFAULT_BODY_LIMIT_BYTES): Promise<string | undefined> => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        length += chunk.length;
+        if (length > limit) {
+            return undefined;
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString();
+};
+
+const refuse = (response: ServerResponse, reason: string, retryAfterSeconds: number): void => {
+    response.setHeader("retry-after", String(retryAfterSeconds));
+    reply(response, 503, { error: reason });
+};
+
+const reply = (response: ServerResponse, status: number, body: object): void =>
+    send(response, status, JSON.stringify(body));
+
+const send = (response: ServerResponse, status: number, body: string): void => {
+    response.writeHead(status, { "content-type": "application/json", "content-length": Buffer.byteLength(body) });
+    response.end(body);
+};
--- /dev/null
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -0,0 +1,111 @@
+import { EventEmitter } from "node:events";
+import type { PoolName } from "@almondusher/fleet/ids";
+import type { ExecutorRecord } from "@almondusher/jobs/executor";
+import type { ExecutorId } from "@almondusher/jobs/ids";
+import { decodeExecutor } from "@almondusher/platform-adapter/decode-executor";
+import { EXECUTOR_TABLE, PLATFORM_PART } from "@almondusher/platform-adapter/platform-rows";
+import type { Row } from "@almondusher/platform-adapter/table-store";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { readAll } from "./read-all.js";
+
+/** The registered executors; followed only while someone uses them. */
+export interface ExecutorRegistry {
+    /** Emits `change`. */
+    readonly events: EventEmitter;
+    /** Undefined until the registry was read. */
+    readonly executorsOf: (pool: PoolName) => readonly ExecutorRecord[] | undefined;
+    readonly all: () => readonly ExecutorRecord[];
+    /** Starts following; call the result to stop. */
+    readonly use: () => () => void;
+    readonly close: () => void;
+}
+
+const POLL_MS = 350;
+const IDLE_MS = 100;
+// Executors that live are registered again within about two seconds of the store's return.
+const RETURN_GRACE_MS = 2500;
+
+/** Creates the registry of a process. */
+export const createExecutorRegistry = (context: DispatcherContext): ExecutorRegistry => {
+    const events = new EventEmitter();
+    events.setMaxListeners(0);
+    const records = new Map<ExecutorId, ExecutorRecord>();
+    const missing = new Set<ExecutorId>();
+    let users = 0;
+    let closed = false;
+    let after: number | undefined;
+    let read = false;
+    let failedAtMs = Number.NEGATIVE_INFINITY;
+
+    const apply = ({ key, value, deleted, part }: Row): void => {
+        const id = key as ExecutorId;
+        const record = deleted || part !== PLATFORM_PART ? undefined : decodeExecutor(key, value);
+        if (record !== undefined) {
+            records.set(id, record);
+            missing.delete(id);
+        } else if (records.has(id)) {
+            missing.add(id);
+        }
+        if (!deleted && record === undefined) {
+            context.metrics.count("unreadable_executors");
+        }
+    };
+    const applyAll = (rows: readonly Row[]): void => {
+        const listed = new Set(rows.map(({ key }) => key));
+        rows.forEach(apply);
+        [...records.keys()].filter(id => !listed.has(id)).forEach(id => missing.add(id));
+    };
+    const dropMissing = (): void => {
+        if (context.steadyMs() - failedAtMs >= RETURN_GRACE_MS) {
+            missing.forEach(id => records.delete(id));
+            missing.clear();
+        }
+    };
+    const refresh = async (): Promise<void> => {
+        if (after === undefined) {
+            const all = await readAll(context.store, { table: EXECUTOR_TABLE, part: PLATFORM_PART });
+            if (all === undefined) {
+                failedAtMs = context.steadyMs();
+                return;
+            }
+            applyAll(all.rows);
+            after = all.version;
+            read = true;
+        } else {
+            const reading = await context.store.changes({ table: EXECUTOR_TABLE, after, waitMs: 0 });
+            if (reading.kind === "rows") {
+                reading.rows.forEach(apply);
+                after = reading.version;
+            } else {
+                failedAtMs = reading.kind === "failed" ? context.steadyMs() : failedAtMs;
+                after = reading.kind === "history-lost" ? undefined : after;
+                return;
+            }
+        }
+        dropMissing();
+        events.emit("change");
+    };
+    const follow = async (): Promise<void> => {
+        while (!closed) {
+            if (users > 0) {
+                await refresh();
+                await sleep(POLL_MS);
+            } else {
+                after = undefined;
+                read = false;
+                await sleep(IDLE_MS);
+            }
+        }
+    };
+    void follow();
+    return {
+        events,
+        executorsOf: pool => (read ? [...records.values()].filter(record => record.pool === pool) : undefined),
+        all: () => [...records.values()],
+        use: () => {
+            users++;
+            return () => void users--;
+        },
+        close: () => (closed = true),
+    };
+};
--- /dev/null
+++ b/programs/dispatcher/src/job-api.ts
@@ -0,0 +1,174 @@
+import { hasCode } from "@almondusher/fleet/fleet-error";
+import type { Queue } from "@almondusher/jobs/configuration";
+import type { JobId } from "@almondusher/jobs/ids";
+import type { Job, JobState } from "@almondusher/jobs/job";
+import { initialProgress } from "@almondusher/jobs/progress";
+import { decodeProgress, encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
+import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
+import type { Row } from "@almondusher/platform-adapter/table-store";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import {
+    cancellationRow,
+    cancelledProgressRow,
+    jobRow,
+    jobTablesOf,
+    progressRange,
+    progressRow,
+    type JobTables,
+} from "./job-rows.js";
+
+/** Outcome of a client's call about a job. */
+export type JobAnswer =
+    | { readonly kind: "accepted" }
+    | { readonly kind: "state"; readonly state: JobState }
+    | { readonly kind: "cancelled" }
+    /** The call surely had no effect and may be repeated later. */
+    | { readonly kind: "not-run"; readonly cause: string; readonly retryAfterSeconds: number }
+    | { readonly kind: "unknown-job" }
+    | { readonly kind: "invalid"; readonly message: string }
+    /** The call may have had an effect; the same call again is safe. */
+    | { readonly kind: "unknown"; readonly cause: string };
+
+/** Queue, job and time limit of a call. */
+export interface JobCall {
+    readonly queue: Queue;
+    readonly id: JobId;
+    /** Steady time by which the client must have an answer, in milliseconds. */
+    readonly answerByMs: number;
+}
+
+const RETRY_MS = 40;
+const STORE_RETRY_AFTER_SECONDS = 1;
+
+/** Stores a job; accepted only once it is durable. */
+export const submitJob = async (context: DispatcherContext, call: JobCall, body: string): Promise<JobAnswer> => {
+    const submission = readSubmission(body);
+    if ("message" in submission) {
+        return { kind: "invalid", message: submission.message };
+    }
+    const tables = jobTablesOf(call.queue.pool);
+    const job = toJob(context, call, submission);
+    const transaction = {
+        expect: [
+            { ...jobRow(tables, call.id), version: 0 },
+            { ...progressRow(tables, call.id), version: 0 },
+        ],
+        writes: [
+            { ...jobRow(tables, call.id), value: encodeJob(job) },
+            { ...progressRow(tables, call.id), value: encodeProgress(initialProgress) },
+        ],
+    };
+    let unknown = false;
+    for (;;) {
+        const commit = await context.store.transact(transaction);
+        switch (commit.kind) {
+            case "committed":
+            case "conflict":
+                return { kind: "accepted" };
+            case "unknown":
+                unknown = true;
+                break;
+            case "not-run":
+                break;
+        }
+        if (context.steadyMs() + RETRY_MS >= call.answerByMs) {
+            return unknown
+                ? { kind: "unknown", cause: commit.reason }
+                : { kind: "not-run", cause: commit.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+        }
+        await sleep(RETRY_MS);
+    }
+};
+
+/** Reads the state of a job. */
+export const readJobState = async (context: DispatcherContext, call: JobCall): Promise<JobAnswer> => {
+    const found = await readProgress(context, call);
+    switch (found.kind) {
+        case "found":
+            return { kind: "state", state: found.state };
+        case "absent":
+            return { kind: "unknown-job" };
+        case "failed":
+            return { kind: "not-run", cause: found.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+    }
+};
+
+/** Cancels a job; the cancellation is durable once it is confirmed. */
+export const cancelJob = async (context: DispatcherContext, call: JobCall): Promise<JobAnswer> => {
+    const found = await readProgress(context, call);
+    if (found.kind === "absent") {
+        return { kind: "unknown-job" };
+    }
+    if (found.kind === "failed") {
+        return { kind: "not-run", cause: found.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+    }
+    if (found.state !== "queued" && found.state !== "running") {
+        return { kind: "cancelled" };
+    }
+    const { tables } = found;
+    const rows = [cancellationRow(tables, call.id), cancelledProgressRow(tables, call.id)];
+    const transaction = {
+        expect: rows.map(row => ({ ...row, version: 0 })),
+        writes: rows.map(row => ({ ...row, value: "{}" })),
+    };
+    for (;;) {
+        const commit = await context.store.transact(transaction);
+        if (commit.kind === "committed" || commit.kind === "conflict") {
+            return { kind: "cancelled" };
+        }
+        if (context.steadyMs() + RETRY_MS >= call.answerByMs) {
+            return { kind: "unknown", cause: commit.reason };
+        }
+        await sleep(RETRY_MS);
+    }
+};
+
+type FoundProgress =
+    | { readonly kind: "found"; readonly state: JobState; readonly tables: JobTables }
+    | { readonly kind: "absent" }
+    | { readonly kind: "failed"; readonly reason: string };
+
+const readProgress = async (context: DispatcherContext, { queue, id, answerByMs }: JobCall): Promise<FoundProgress> => {
+    const tables = jobTablesOf(queue.pool);
+    for (;;) {
+        const reading = await context.store.read(progressRange(tables, id));
+        if (reading.kind === "rows") {
+            return stateOfRows(reading.rows, tables, id);
+        }
+        if (context.steadyMs() + RETRY_MS >= answerByMs) {
+            return { kind: "failed", reason: reading.kind === "failed" ? reading.reason : reading.kind };
+        }
+        await sleep(RETRY_MS);
+    }
+};
+
+const stateOfRows = (rows: readonly Row[], tables: JobTables, id: JobId): FoundProgress => {
+    const progress = rows.find(({ key }) => key === id);
+    if (progress === undefined) {
+        return { kind: "absent" };
+    }
+    const { state } = decodeProgress(progress.value);
+    const cancelled = rows.length > 1 && (state === "queued" || state === "running");
+    return { kind: "found", state: cancelled ? "cancelled" : state, tables };
+};
+
+const readSubmission = (body: string): Submission | { readonly message: string } => {
+    try {
+        return decodeSubmission(body);
+    } catch (error) {
+        if (hasCode(error, "bad-message")) {
+            return { message: error.message };
+        }
+        throw error;
+    }
+};
+
+const toJob = (context: DispatcherContext, { queue, id }: JobCall, { spec, steps, schedule }: Submission): Job => ({
+    id,
+    queue: queue.name,
+    pool: queue.pool,
+    spec,
+    steps,
+    schedule,
+    acceptedAtMs: Math.round(context.store.nowMs()),
+});
--- /dev/null
+++ b/programs/dispatcher/src/job-feed.ts
@@ -0,0 +1,134 @@
+import type { PoolName } from "@almondusher/fleet/ids";
+import type { JobId } from "@almondusher/jobs/ids";
+import type { Job } from "@almondusher/jobs/job";
+import { initialProgress, type Progress } from "@almondusher/jobs/progress";
+import { decodeJob, decodeProgress } from "@almondusher/jobs/stored-rows";
+import type { Row } from "@almondusher/platform-adapter/table-store";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { cancelledJob, jobTablesOf } from "./job-rows.js";
+import { readAll } from "./read-all.js";
+
+/** A job with its progress as read from the store. */
+export interface StoredJob {
+    readonly job: Job;
+    readonly progress: Progress;
+    readonly progressVersion: number;
+    /** It was there when the feed began. */
+    readonly inherited: boolean;
+}
+
+/** What the feed tells the scheduler of a pool. */
+interface JobFeedSink {
+    readonly job: (stored: StoredJob) => void;
+    readonly cancelled: (id: JobId) => void;
+    /** Called after each batch. */
+    readonly changed: () => void;
+}
+
+/** Options of a feed. */
+export interface JobFeedOptions {
+    readonly context: DispatcherContext;
+    readonly pool: PoolName;
+    readonly sink: JobFeedSink;
+    readonly isActive: () => boolean;
+}
+
+const WAIT_MS = 2000;
+const RETRY_MS = 60;
+
+/** Reads the stored jobs of a pool, then follows new jobs and cancellations while active. */
+export const followJobs = async (options: JobFeedOptions): Promise<void> => {
+    const { context, pool, sink, isActive } = options;
+    const tables = jobTablesOf(pool);
+    let after: number | undefined;
+    let inherited = true;
+    while (isActive()) {
+        if (after === undefined) {
+            after = await loadJobs(options, inherited);
+            if (after === undefined) {
+                await sleep(RETRY_MS);
+            } else {
+                inherited = false;
+                sink.changed();
+            }
+            continue;
+        }
+        const reading = await context.store.changes({ table: tables.jobs, after, waitMs: WAIT_MS });
+        if (!isActive()) {
+            return;
+        }
+        switch (reading.kind) {
+            case "rows":
+                reading.rows.forEach(row => applyChange(options, row));
+                after = reading.version;
+                if (reading.rows.length > 0) {
+                    sink.changed();
+                }
+                break;
+            case "history-lost":
+                after = undefined;
+                break;
+            case "failed":
+                await sleep(RETRY_MS);
+                break;
+        }
+    }
+};
+
+// Reads jobs before progress: a job accepted in between comes again with the feed.
+const loadJobs = async (options: JobFeedOptions, inherited: boolean): Promise<number | undefined> => {
+    const { context, pool, sink } = options;
+    const tables = jobTablesOf(pool);
+    const jobs = await readAll(context.store, { table: tables.jobs, part: tables.part });
+    const progress = await readAll(context.store, { table: tables.progress, part: tables.part });
+    if (jobs === undefined || progress === undefined) {
+        return undefined;
+    }
+    const progressById = new Map(progress.rows.map(row => [row.key, row]));
+    jobs.rows.forEach(row => {
+        const progressRow = progressById.get(row.key);
+        const job = readJob(options, row);
+        if (job !== undefined && progressRow !== undefined) {
+            const stored = decodeProgress(progressRow.value);
+            sink.job({ job, progress: stored, progressVersion: progressRow.version, inherited });
+        }
+    });
+    jobs.rows.forEach(row => applyCancellation(sink, row));
+    return jobs.version;
+};
+
+const applyChange = (options: JobFeedOptions, row: Row): void => {
+    if (row.deleted) {
+        return;
+    }
+    if (applyCancellation(options.sink, row)) {
+        return;
+    }
+    const job = readJob(options, row);
+    if (job !== undefined) {
+        // A job and its first progress are written by one transaction and so have one version.
+        options.sink.job({ job, progress: initialProgress, progressVersion: row.version, inherited: false });
+    }
+};
+
+const applyCancellation = (sink: JobFeedSink, { key }: Row): boolean => {
+    const cancelled = cancelledJob(key);
+    if (cancelled !== undefined) {
+        sink.cancelled(cancelled);
+    }
+    return cancelled !== undefined;
+};
+
+const readJob = ({ context, pool }: JobFeedOptions, { key, value }: Row): Job | undefined => {
+    if (cancelledJob(key) !== undefined) {
+        return undefined;
+    }
+    try {
+        const job = decodeJob(value);
+        return job.pool === pool ? job : undefined;
+    } catch (error) {
+        context.metrics.count("unreadable_jobs");
+        context.log("job-unreadable", { job: key, reason: error instanceof Error ? error.message : String(error) });
+        return undefined;
+    }
+};
--- /dev/null
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -0,0 +1,277 @@
+import type { Row } from "@almondusher/platform-adapter/table-store";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import {
+    LEASE_RANGE,
+    decodeLease,
+    encodeLease,
+    leaseKey,
+    leaseRow,
+    type LeaseRecord,
+    type LeaseSubject,
+} from "./lease-rows.js";
+
+/** A lease that this process holds. */
+export interface HeldLease {
+    readonly subject: LeaseSubject;
+    /** Fencing token. */
+    readonly epoch: number;
+    /** The record of the former holder; undefined for the first one. */
+    readonly predecessor: LeaseRecord | undefined;
+    /** The former holder surely has ended: it was an earlier process of this VM, or it gave the lease up. */
+    readonly predecessorEnded: boolean;
+    /** Steady time at which the last confirmed renewal was sent, in milliseconds. */
+    renewedAtMs: number;
+    version: number;
+    lost: boolean;
+}
+
+/** What a holder stores in its lease beside its name. */
+export type LeaseContent = Pick<LeaseRecord, "executors" | "pending">;
+
+/** What to do with a lease. */
+export interface LeaseHolder {
+    /** Called after the lease was acquired. */
+    readonly begin: (lease: HeldLease) => void;
+    /** Called after the lease was lost or before it is given up; resolves when nothing more is sent under it. */
+    readonly end: (lease: HeldLease) => Promise<void>;
+    /** What the next renewal stores. */
+    readonly content: (lease: HeldLease) => LeaseContent;
+    /** Called after a renewal that stored the content. */
+    readonly renewed: (lease: HeldLease, content: LeaseContent) => void;
+}
+
+/** Leases of this process and what is seen of the others. */
+export interface LeaseKeeper {
+    /** The record of a lease if it was renewed within the given time. */
+    readonly current: (subject: LeaseSubject, withinMs: number) => LeaseRecord | undefined;
+    /** Renews a held lease now; false if that failed. */
+    readonly renewNow: (lease: HeldLease) => Promise<boolean>;
+    /** Gives all leases up. */
+    readonly close: () => Promise<void>;
+}
+
+/** Options of the keeper. */
+export interface LeaseKeeperOptions {
+    readonly context: DispatcherContext;
+    readonly subjects: () => readonly LeaseSubject[];
+    readonly holder: LeaseHolder;
+}
+
+const POLL_MS = 400;
+const RENEW_MS = 500;
+// Unchanged this long, a lease may be taken over.
+const POOL_LEASE_MS = 2000;
+// The platform expects holders that take turns at one VM to be this far apart at least.
+const FLEET_LEASE_MS = 3300;
+// Readings further apart prove nothing about the time between them.
+const LONGEST_READING_GAP_MS = 1500;
+// Spreads the leases over the processes when several are free at once.
+const DELAY_FOR_HELD_MS = 350;
+const DELAY_FOR_SMALL_VM_MS = 300;
+
+interface Observation {
+    readonly version: number;
+    readonly record: LeaseRecord | undefined;
+    /** Time for which the row was seen unchanged, in milliseconds. */
+    unchangedMs: number;
+    readAtMs: number;
+}
+
+/** Acquires, renews and observes leases. */
+export const keepLeases = ({ context, subjects, holder }: LeaseKeeperOptions): LeaseKeeper => {
+    const { store, steadyMs } = context;
+    const held = new Map<string, HeldLease>();
+    const observed = new Map<string, Observation>();
+    let closed = false;
+
+    const observe = (rows: readonly Row[]): void => {
+        const nowMs = steadyMs();
+        rows.forEach(({ key, version, value }) => {
+            const known = observed.get(key);
+            if (known?.version === version) {
+                const gapMs = nowMs - known.readAtMs;
+                known.unchangedMs += gapMs <= LONGEST_READING_GAP_MS ? gapMs : 0;
+                known.readAtMs = nowMs;
+            } else {
+                observed.set(key, { version, record: decodeLease(value), unchangedMs: 0, readAtMs: nowMs });
+            }
+        });
+    };
+
+    const lose = async (lease: HeldLease, reason: string): Promise<void> => {
+        if (lease.lost) {
+            return;
+        }
+        lease.lost = true;
+        held.delete(leaseKey(lease.subject));
+        context.log("lease-lost", { lease: leaseKey(lease.subject), epoch: lease.epoch, reason });
+        context.metrics.count("leases_lost");
+        await holder.end(lease);
+    };
+
+    const renewNow = async (lease: HeldLease): Promise<boolean> => {
+        const sentAtMs = steadyMs();
+        const key = leaseKey(lease.subject);
+        const content = holder.content(lease);
+        const record: LeaseRecord = { holder: context.vm, process: context.process, epoch: lease.epoch, ...content };
+        const value = encodeLease(record);
+        const commit = await store.transact({
+            expect: [{ ...leaseRow(key), version: lease.version }],
+            writes: [{ ...leaseRow(key), value }],
+        });
+        switch (commit.kind) {
+            case "committed":
+                lease.version = Math.max(lease.version, commit.version);
+                lease.renewedAtMs = sentAtMs;
+                holder.renewed(lease, content);
+                return true;
+            case "conflict":
+                return resolveConflict(lease, commit.rows[0]);
+            case "not-run":
+            case "unknown":
+                return false;
+        }
+    };
+
+    // An earlier renewal without an answer may have been applied; the row then still names this process.
+    const resolveConflict = async (lease: HeldLease, row: Row | undefined): Promise<boolean> => {
+        const record = row === undefined ? undefined : decodeLease(row.value);
+        if (row !== undefined && record?.process === context.process && record.epoch === lease.epoch) {
+            lease.version = Math.max(lease.version, row.version);
+            return false;
+        }
+        await lose(lease, "another process holds it");
+        return false;
+    };
+
+    const mayTake = (subject: LeaseSubject, observation: Observation | undefined): boolean => {
+        if (observation?.record?.holder === undefined) {
+            return true;
+        }
+        if (observation.record.holder === context.vm && observation.record.process !== context.process) {
+            return true;
+        }
+        return observation.unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_MS : POOL_LEASE_MS);
+    };
+
+    const take = async (subject: LeaseSubject): Promise<void> => {
+        const key = leaseKey(subject);
+        const before = observed.get(key);
+        const predecessor = before?.record;
+        const epoch = (predecessor?.epoch ?? 0) + 1;
+        const sentAtMs = steadyMs();
+        const record: LeaseRecord = {
+            holder: context.vm,
+            process: context.process,
+            epoch,
+            executors: predecessor?.executors ?? [],
+            pending: predecessor?.pending ?? [],
+        };
+        const commit = await store.transact({
+            expect: [{ ...leaseRow(key), version: before?.version ?? 0 }],
+            writes: [{ ...leaseRow(key), value: encodeLease(record) }],
+        });
+        const version =
+            commit.kind === "committed"
+                ? commit.version
+                : commit.kind === "conflict"
+                  ? ownVersion(context, commit.rows[0], epoch)
+                  : undefined;
+        if (version === undefined || closed) {
+            return;
+        }
+        const lease: HeldLease = {
+            subject,
+            epoch,
+            predecessor,
+            predecessorEnded:
+                predecessor === undefined || predecessor.holder === undefined || predecessor.holder === context.vm,
+            renewedAtMs: sentAtMs,
+            version,
+            lost: false,
+        };
+        held.set(key, lease);
+        context.log("lease-taken", {
+            lease: key,
+            epoch,
+            predecessor: predecessor?.holder,
+            unchangedMs: before?.unchangedMs,
+        });
+        context.metrics.count("leases_taken");
+        holder.begin(lease);
+    };
+
+    const poll = async (): Promise<void> => {
+        while (!closed) {
+            const reading = await store.read(LEASE_RANGE);
+            if (reading.kind === "rows") {
+                observe(reading.rows);
+                await takeOne();
+            }
+            await sleep(POLL_MS);
+        }
+    };
+
+    const takeOne = async (): Promise<void> => {
+        const free = subjects().filter(
+            subject => !held.has(leaseKey(subject)) && mayTake(subject, observed.get(leaseKey(subject))),
+        );
+        const subject = free[Math.floor(Math.random() * free.length)];
+        if (subject === undefined) {
+            return;
+        }
+        const smallness = Math.max(0, 1 - context.settings.processorCores);
+        const delayMs = held.size * DELAY_FOR_HELD_MS + smallness * DELAY_FOR_SMALL_VM_MS;
+        await sleep(delayMs);
+        if (!closed) {
+            await take(subject);
+        }
+    };
+
+    const renewAll = async (): Promise<void> => {
+        while (!closed) {
+            await Promise.all([...held.values()].map(renewNow));
+            await sleep(RENEW_MS);
+        }
+    };
+
+    const giveUp = async (lease: HeldLease): Promise<void> => {
+        const key = leaseKey(lease.subject);
+        lease.lost = true;
+        await holder.end(lease);
+        const content = holder.content(lease);
+        await store.transact({
+            expect: [{ ...leaseRow(key), version: lease.version }],
+            writes: [
+                {
+                    ...leaseRow(key),
+                    value: encodeLease({ holder: undefined, process: undefined, epoch: lease.epoch, ...content }),
+                },
+            ],
+        });
+        context.log("lease-given-up", { lease: key, epoch: lease.epoch });
+    };
+
+    void poll();
+    void renewAll();
+    return {
+        renewNow,
+        current: (subject, withinMs) => {
+            const observation = observed.get(leaseKey(subject));
+            return observation !== undefined &&
+                observation.unchangedMs <= withinMs &&
+                steadyMs() - observation.readAtMs <= withinMs
+                ? observation.record
+                : undefined;
+        },
+        close: async () => {
+            closed = true;
+            await Promise.all([...held.values()].map(giveUp));
+        },
+    };
+};
+
+const ownVersion = (context: DispatcherContext, row: Row | undefined, epoch: number): number | undefined => {
+    const record = row === undefined ? undefined : decodeLease(row.value);
+    return row !== undefined && record?.process === context.process && record.epoch === epoch ? row.version : undefined;
+};
--- /dev/null
+++ b/programs/dispatcher/src/main.ts
@@ -0,0 +1,32 @@
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import { readDispatcherSettings } from "./dispatcher-settings.js";
+import { runDispatcher } from "./dispatcher-process.js";
+
+// The platform names the settings file in this variable; --settings FILE goes before it.
+const SETTINGS_VARIABLE = "ALMONDUSHER_NODE_FILE";
+const EXIT_INVALID_SETTINGS = 2;
+
+const settingsFile = (): string | undefined => {
+    const flag = process.argv.indexOf("--settings");
+    return flag >= 0 ? process.argv[flag + 1] : process.env[SETTINGS_VARIABLE];
+};
+
+const start = async (): Promise<void> => {
+    const file = settingsFile();
+    if (file === undefined) {
+        throw new FleetError("invalid-settings", {
+            message: "no settings file is named",
+            hint: `pass --settings FILE or set ${SETTINGS_VARIABLE}`,
+        });
+    }
+    await runDispatcher(readDispatcherSettings(file));
+};
+
+start().catch((error: unknown) => {
+    const text =
+        error instanceof FleetError
+            ? [`${error.code}: ${error.message}`, ...error.details, `hint: ${error.hint}`].join("\n")
+            : String(error);
+    process.stderr.write(`${text}\n`);
+    process.exit(EXIT_INVALID_SETTINGS);
+});
--- /dev/null
+++ b/programs/dispatcher/src/operator-feed.ts
@@ -0,0 +1,99 @@
+import { EventEmitter } from "node:events";
+import type { Configuration } from "@almondusher/jobs/configuration";
+import { decodeConfiguration } from "@almondusher/platform-adapter/decode-configuration";
+import { decodeWave, type WaveRequest } from "@almondusher/platform-adapter/decode-wave";
+import {
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    PLATFORM_PART,
+    WAVE_KEY_PREFIX,
+} from "@almondusher/platform-adapter/platform-rows";
+import type { Row } from "@almondusher/platform-adapter/table-store";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { readAll } from "./read-all.js";
+
+/** A requested wave and when this process first saw it. */
+interface SeenWave {
+    readonly request: WaveRequest;
+    readonly seenAtMs: number;
+}
+
+/** What the operator wrote, as far as this process knows. */
+export interface OperatorFeed {
+    readonly configuration: () => Configuration | undefined;
+    readonly waves: () => readonly SeenWave[];
+    /** Emits `configuration` and `wave`. */
+    readonly events: EventEmitter;
+    readonly close: () => void;
+}
+
+// Short enough to notice a silent connection before a configuration has to be in force.
+const WAIT_MS = 1200;
+const RETRY_MS = 100;
+
+/** Follows the operator's table; the version of the configuration never goes back. */
+export const followOperator = (context: DispatcherContext): OperatorFeed => {
+    const events = new EventEmitter();
+    const waves = new Map<number, SeenWave>();
+    let configuration: Configuration | undefined;
+    let closed = false;
+    const apply = ({ key, value, deleted }: Row): void => {
+        if (deleted) {
+            return;
+        }
+        if (key === CONFIGURATION_KEY) {
+            const decoded = readConfiguration(context, value);
+            if (decoded !== undefined && decoded.version > (configuration?.version ?? -1)) {
+                configuration = decoded;
+                context.log("configuration-adopted", { version: decoded.version, queues: decoded.queues.length });
+                events.emit("configuration");
+            }
+        } else if (key.startsWith(WAVE_KEY_PREFIX)) {
+            const wave = decodeWave(value);
+            if (wave !== undefined && !waves.has(wave.wave)) {
+                waves.set(wave.wave, { request: wave, seenAtMs: context.steadyMs() });
+                context.log("wave-requested", { ...wave, vms: wave.vms.length });
+                events.emit("wave");
+            }
+        }
+    };
+    const follow = async (): Promise<void> => {
+        let after: number | undefined;
+        while (!closed) {
+            if (after === undefined) {
+                const all = await readAll(context.store, { table: OPERATOR_TABLE, part: PLATFORM_PART });
+                all?.rows.forEach(apply);
+                after = all?.version;
+                if (after !== undefined) {
+                    continue;
+                }
+            } else {
+                const reading = await context.store.changes({ table: OPERATOR_TABLE, after, waitMs: WAIT_MS });
+                if (reading.kind === "rows") {
+                    reading.rows.forEach(apply);
+                    after = reading.version;
+                    continue;
+                }
+                after = reading.kind === "history-lost" ? undefined : after;
+            }
+            await sleep(RETRY_MS);
+        }
+    };
+    void follow();
+    return {
+        events,
+        configuration: () => configuration,
+        waves: () => [...waves.values()],
+        close: () => (closed = true),
+    };
+};
+
+const readConfiguration = (context: DispatcherContext, text: string): Configuration | undefined => {
+    try {
+        return decodeConfiguration(text);
+    } catch (error) {
+        context.metrics.count("unreadable_configurations");
+        context.log("configuration-unreadable", { reason: error instanceof Error ? error.message : String(error) });
+        return undefined;
+    }
+};
--- /dev/null
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -0,0 +1,300 @@
+import { EventEmitter } from "node:events";
+import { fromEvent, merge, periodic } from "most";
+import type { PoolName, VmId } from "@almondusher/fleet/ids";
+import type { DataCentreName } from "@almondusher/fleet/ids";
+import type { ExecutorId } from "@almondusher/jobs/ids";
+import { admitJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
+import { pendingJobs } from "@almondusher/scheduler/job-progress";
+import { placeTasks } from "@almondusher/scheduler/place-tasks";
+import { planStops } from "@almondusher/scheduler/plan-stops";
+import { createPoolTables, type Executor, type OpenJob, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { endJob, isEnded, lapseRuns, type AppliedEnd } from "@almondusher/scheduler/settle-run";
+import type { DispatcherContext } from "./dispatcher-context.js";
+import type { ExecutorRegistry } from "./executor-registry.js";
+import { openExecutorLink, type ExecutorLink } from "./executor-link.js";
+import { followJobs, type StoredJob } from "./job-feed.js";
+import type { HeldLease, LeaseContent } from "./lease-keeper.js";
+import type { AnnouncedExecutor } from "./lease-rows.js";
+import type { OperatorFeed } from "./operator-feed.js";
+import { createProgressWriter } from "./progress-writer.js";
+
+/** The scheduler of one pool, while its lease is held. */
+export interface PoolRunner {
+    readonly tables: PoolTables;
+    /** What the lease row has to say of the pool. */
+    readonly content: () => LeaseContent;
+    /** Called after the lease row was stored. */
+    readonly renewed: (content: LeaseContent) => void;
+    /** Stops sending orders; ends that are known are stored first. */
+    readonly stop: () => Promise<void>;
+    /** Names the VMs that must become empty, and by when in steady milliseconds. */
+    readonly evacuate: (vms: ReadonlyMap<VmId, number>) => void;
+    /** True if the VM's executor holds no run and gets none. */
+    readonly isVacated: (vm: VmId) => boolean;
+}
+
+/** Options of a runner. */
+export interface PoolRunnerOptions {
+    readonly context: DispatcherContext;
+    readonly pool: PoolName;
+    readonly lease: HeldLease;
+    readonly registry: ExecutorRegistry;
+    readonly operator: OperatorFeed;
+    /** Asks for a renewal before the regular one. */
+    readonly renewSoon: () => void;
+    /** An executor has seen a successor's token. */
+    readonly fenced: () => void;
+}
+
+const TICK_MS = 100;
+const STOP_REPEAT_MS = 400;
+const RUN_LEASE_MS = 4000;
+// A holder that cannot renew its lease extends and starts runs for this long, since then nobody may be able to succeed it.
+const UNCONFIRMED_MS = 8000;
+const SLOWEST_CLOCK_RATE = 0.98;
+const DRAIN_MS = 1000;
+const UNKNOWN_DATA_CENTRE = "" as DataCentreName;
+
+/** Starts scheduling a pool. */
+export const runPool = (options: PoolRunnerOptions): PoolRunner => {
+    const { context, pool, lease, registry, operator } = options;
+    const tables = createPoolTables(pool, lease.epoch);
+    const links = new Map<ExecutorId, ExecutorLink>();
+    const hub = new EventEmitter();
+    const leaseMs = Math.min(RUN_LEASE_MS, context.settings.maxLeaseMs);
+    let active = true;
+    let passQueued = false;
+    let loaded = false;
+    let evacuations: ReadonlyMap<VmId, number> = new Map();
+
+    const announced = lease.predecessor?.executors ?? [];
+    announced.forEach(executor => addUnregistered(tables, placeholder(pool, executor)));
+    tables.inheritedWaitUntilMs =
+        context.steadyMs() + (lease.predecessorEnded ? 0 : UNCONFIRMED_MS) + RUN_LEASE_MS / SLOWEST_CLOCK_RATE;
+
+    const isActive = (): boolean => active && !lease.lost;
+    const mayAct = (): boolean => isActive() && context.steadyMs() - lease.renewedAtMs < UNCONFIRMED_MS;
+    const changed = (): void => {
+        if (!passQueued) {
+            passQueued = true;
+            setImmediate(() => hub.emit("change"));
+        }
+    };
+    const logEnds = (executor: Executor, ends: readonly AppliedEnd[]): void =>
+        ends.forEach(({ end, run }) => {
+            context.metrics.count(`runs_ended_${end.how}`);
+            context.log("run-ended", {
+                task: end.task,
+                run: end.run,
+                executor: executor.id,
+                how: end.how,
+                end: end.number,
+                tookMs: run === undefined ? undefined : Math.round(context.steadyMs() - run.startedAtMs),
+                cause: run?.stopCause,
+            });
+        });
+    const writer = createProgressWriter({
+        context,
+        tables,
+        isActive,
+        stored: executor => links.get(executor.id)?.wake(),
+        finished: job => {
+            tables.jobs.delete(job.id);
+            context.metrics.count(`jobs_${job.state}`);
+            context.metrics.record(`job_${job.state}`, context.steadyMs() - job.arrivedAtMs);
+            context.log("job-finished", {
+                job: job.id,
+                queue: job.queue,
+                state: job.state,
+                tookMs: Math.round(context.steadyMs() - job.arrivedAtMs),
+            });
+        },
+    });
+    const owner = {
+        tables,
+        mayExtend: mayAct,
+        changed,
+        fenced: options.fenced,
+        ended: (executor: Executor, ends: readonly AppliedEnd[]): void => {
+            logEnds(executor, ends);
+            if (executor.storedEnd < executor.seenEnd) {
+                writer.request();
+            }
+        },
+    };
+    const syncExecutors = (): void => {
+        const records = registry.executorsOf(pool);
+        if (records === undefined) {
+            return;
+        }
+        applyRegistry(tables, records, context.steadyMs());
+        [...links.keys()]
+            .filter(id => !tables.executors.has(id))
+            .forEach(id => {
+                links.get(id)?.close();
+                links.delete(id);
+            });
+        tables.executors.forEach(executor => {
+            if (!links.has(executor.id)) {
+                links.set(executor.id, openExecutorLink({ context, owner, executor, leaseMs }));
+            }
+            const byMs = executor.record.vm === undefined ? undefined : evacuations.get(executor.record.vm);
+            executor.evacuating = byMs !== undefined;
+            executor.evacuateByMs = byMs ?? Number.POSITIVE_INFINITY;
+        });
+        if ([...tables.executors.values()].some(executor => !executor.announced)) {
+            options.renewSoon();
+        }
+    };
+    const syncQueues = (): void => {
+        operator.configuration()?.queues.forEach(queue => tables.queues.set(queue.name, queue));
+    };
+    const admit = ({ job, progress, progressVersion, inherited }: StoredJob): void => {
+        const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
+        const arrivedAtMs = context.steadyMs() - ageMs;
+        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, inherited }, Date.now());
+    };
+    const cancel = (id: OpenJob["id"]): void => {
+        const job = tables.jobs.get(id);
+        if (job !== undefined && !isEnded(job)) {
+            endJob(job, "cancelled");
+            context.log("job-cancelled", { job: id, queue: job.queue });
+            writer.request();
+        }
+    };
+    const openOccurrences = (): void => {
+        const wallMs = Date.now();
+        [...tables.jobs.values()]
+            .filter(({ job }) => job.schedule !== undefined)
+            .forEach(job => openDueOccurrences(job, wallMs));
+    };
+    const lapse = (): void =>
+        tables.executors.forEach(executor => {
+            const lapsed = lapseRuns(executor, context.steadyMs());
+            lapsed.forEach(run => {
+                context.metrics.count("runs_lapsed_unseen");
+                context.log("run-lapsed", { task: run.task.id, run: run.number, executor: executor.id });
+            });
+        });
+    const sendStops = (): void => {
+        const nowMs = context.steadyMs();
+        const terms = { nowMs, repeatMs: STOP_REPEAT_MS, stopTimeMs: context.settings.stopTimeMs };
+        planStops(tables, terms).forEach(run => {
+            context.log("run-stop", {
+                task: run.task.id,
+                run: run.number,
+                executor: run.executor.id,
+                cause: run.stopCause,
+            });
+            void links.get(run.executor.id)?.stop(run);
+        });
+        tables.executors.forEach(executor =>
+            executor.strays
+                .filter(({ stopSentAtMs }) => stopSentAtMs === undefined || nowMs - stopSentAtMs >= STOP_REPEAT_MS)
+                .forEach(stray => {
+                    stray.stopSentAtMs = nowMs;
+                    context.log("run-stop", {
+                        task: stray.task,
+                        run: stray.number,
+                        executor: executor.id,
+                        cause: "stray",
+                    });
+                    void links.get(executor.id)?.stopStray(stray);
+                }),
+        );
+    };
+    const sendStarts = (): void => {
+        const runs = placeTasks(tables, { nowMs: context.steadyMs(), tickets: () => undefined });
+        runs.forEach(run => {
+            context.log("run-start", {
+                task: run.task.id,
+                run: run.number,
+                executor: run.executor.id,
+                queue: run.task.step.job.queue,
+            });
+            void links.get(run.executor.id)?.start(run, undefined);
+        });
+    };
+    const pass = (): void => {
+        passQueued = false;
+        if (!isActive()) {
+            return;
+        }
+        lapse();
+        openOccurrences();
+        if (loaded && mayAct()) {
+            sendStops();
+            sendStarts();
+        }
+    };
+    const loadedOnce = (): void => {
+        loaded = true;
+        changed();
+    };
+
+    const release = registry.use();
+    const onRegistry = (): void => {
+        syncExecutors();
+        changed();
+    };
+    registry.events.on("change", onRegistry);
+    operator.events.on("configuration", syncQueues);
+    syncQueues();
+    const passes = merge(fromEvent("change", hub), periodic(TICK_MS)).takeWhile(() => active);
+    void passes.observe(pass);
+    void followJobs({ context, pool, isActive, sink: { job: admit, cancelled: cancel, changed: loadedOnce } });
+
+    return {
+        tables,
+        content: () => ({
+            executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
+            pending: loaded
+                ? [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue: queue as never, jobs }))
+                : (lease.predecessor?.pending ?? []),
+        }),
+        renewed: ({ executors }) => {
+            executors.forEach(({ id }) => {
+                const executor = tables.executors.get(id);
+                if (executor !== undefined) {
+                    executor.announced = true;
+                }
+            });
+            changed();
+        },
+        stop: async () => {
+            if (!lease.lost) {
+                await writer.drain(DRAIN_MS);
+            }
+            active = false;
+            release();
+            registry.events.off("change", onRegistry);
+            operator.events.off("configuration", syncQueues);
+            links.forEach(link => link.close());
+        },
+        evacuate: vms => {
+            evacuations = vms;
+            syncExecutors();
+            changed();
+        },
+        isVacated: vm =>
+            [...tables.executors.values()]
+                .filter(executor => executor.record.vm === vm)
+                .every(executor => executor.evacuating && executor.runs.size === 0 && executor.strays.length === 0),
+    };
+};
+
+// Known only by its address until its registry entry is read.
+const placeholder = (pool: PoolName, { id, address }: AnnouncedExecutor): Executor["record"] => ({
+    id,
+    vm: undefined,
+    pool,
+    address,
+    dataCentre: UNKNOWN_DATA_CENTRE,
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 0, memoryMb: 0, gpu: 0 },
+    labels: [],
+    bornMs: 0,
+    clockMs: undefined,
+});
--- /dev/null
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -0,0 +1,143 @@
+import { decodeProgress, encodeProgress } from "@almondusher/jobs/stored-rows";
+import type { Row } from "@almondusher/platform-adapter/table-store";
+import { restoreProgress } from "@almondusher/scheduler/admit-job";
+import { progressOf } from "@almondusher/scheduler/job-progress";
+import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
+import { isEnded } from "@almondusher/scheduler/settle-run";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { jobTablesOf, progressRow } from "./job-rows.js";
+
+/** Stores the progress of jobs and lets executors forget the ends that are stored. */
+export interface ProgressWriter {
+    /** Stores what has changed; calls during a write are covered by the next one. */
+    readonly request: () => void;
+    /** Resolves when everything that had changed is stored, or the time is over. */
+    readonly drain: (timeoutMs: number) => Promise<void>;
+}
+
+/** Options of a writer. */
+export interface ProgressWriterOptions {
+    readonly context: DispatcherContext;
+    readonly tables: PoolTables;
+    /** Called for each executor whose ends may be forgotten now. */
+    readonly stored: (executor: Executor) => void;
+    /** Called after a job's final state is stored. */
+    readonly finished: (job: OpenJob) => void;
+    readonly isActive: () => boolean;
+}
+
+const MAX_ROWS = 40;
+const RETRY_MS = 50;
+const DRAIN_POLL_MS = 10;
+
+/** Creates the writer of a pool. */
+export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
+    const { context, tables } = options;
+    let writing = false;
+    let requested = false;
+
+    const dirtyJobs = (): readonly OpenJob[] => [...tables.jobs.values()].filter(job => job.dirty);
+    const writeAll = async (): Promise<boolean> => {
+        const seenEnds = [...tables.executors.values()].map(executor => ({
+            executor,
+            seenEnd: executor.seenEnd,
+            bornMs: executor.record.bornMs,
+        }));
+        const jobs = dirtyJobs();
+        const batches = Array.from({ length: Math.ceil(jobs.length / MAX_ROWS) }, (unused, index) =>
+            jobs.slice(index * MAX_ROWS, (index + 1) * MAX_ROWS),
+        );
+        const results = await Promise.all(batches.map(batch => writeBatch(options, batch)));
+        if (!results.every(ok => ok)) {
+            return false;
+        }
+        seenEnds
+            .filter(({ executor, seenEnd }) => executor.storedEnd < seenEnd)
+            .filter(({ executor, bornMs }) => executor.record.bornMs === bornMs)
+            .forEach(({ executor, seenEnd }) => {
+                executor.storedEnd = seenEnd;
+                options.stored(executor);
+            });
+        return true;
+    };
+    const run = async (): Promise<void> => {
+        writing = true;
+        while (requested && options.isActive()) {
+            requested = false;
+            if (!(await writeAll())) {
+                requested = true;
+                await sleep(RETRY_MS);
+            }
+        }
+        writing = false;
+    };
+    return {
+        request: () => {
+            requested = true;
+            if (!writing) {
+                void run();
+            }
+        },
+        drain: async timeoutMs => {
+            const endMs = context.steadyMs() + timeoutMs;
+            while ((writing || dirtyJobs().length > 0) && context.steadyMs() < endMs) {
+                await sleep(DRAIN_POLL_MS);
+            }
+        },
+    };
+};
+
+interface Write {
+    readonly job: OpenJob;
+    readonly value: string;
+    readonly final: boolean;
+}
+
+const writeBatch = async (options: ProgressWriterOptions, jobs: readonly OpenJob[]): Promise<boolean> => {
+    const { context, tables } = options;
+    const rows = jobTablesOf(tables.pool);
+    const writes = jobs.map((job): Write => ({ job, value: encodeProgress(progressOf(job)), final: isEnded(job) }));
+    // Changes that arrive while the write is under way mark the job again.
+    jobs.forEach(job => (job.dirty = false));
+    const commit = await context.store.transact({
+        expect: writes.map(({ job }) => ({ ...progressRow(rows, job.id), version: job.progressVersion })),
+        writes: writes.map(({ job, value }) => ({ ...progressRow(rows, job.id), value })),
+    });
+    switch (commit.kind) {
+        case "committed":
+            writes.forEach(write => confirm(options, write, commit.version));
+            return true;
+        case "conflict":
+            writes.forEach(write => resolveConflict(options, write, commit.rows));
+            return writes.every(({ job }) => !job.dirty);
+        case "not-run":
+        case "unknown":
+            jobs.forEach(job => (job.dirty = true));
+            context.metrics.count("progress_writes_failed");
+            return false;
+    }
+};
+
+const confirm = (options: ProgressWriterOptions, { job, final }: Write, version: number): void => {
+    job.progressVersion = version;
+    if (final) {
+        options.finished(job);
+    }
+};
+
+// The row has another version than expected: an earlier write of this process without an answer,
+// or a late one of a former holder whose content is added to what is known here.
+const resolveConflict = (options: ProgressWriterOptions, write: Write, rows: readonly Row[]): void => {
+    const { job, value } = write;
+    const row = rows.find(({ key, version }) => key === job.id && version !== job.progressVersion);
+    if (row?.value === value) {
+        confirm(options, write, row.version);
+        return;
+    }
+    job.dirty = true;
+    if (row !== undefined) {
+        job.progressVersion = row.version;
+        restoreProgress(job, decodeProgress(row.value));
+        options.context.log("progress-conflict", { job: job.id, version: row.version });
+    }
+};
