Maintain the VMs of a wave in time

Change: a fleet manager with a lease of its own plans evacuations and maintenance orders; pools vacate the VMs that its lease row names.

--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -1,3 +1,4 @@
+import type { QueueName } from "@almondusher/jobs/ids";
 import { occurrencesOf } from "@almondusher/jobs/job";
 import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
 import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
@@ -41,8 +42,8 @@
 };
 
 /** Accepted jobs without a schedule of which no task has started, by queue. */
-export const pendingJobs = (tables: PoolTables): ReadonlyMap<string, number> => {
-    const counts = new Map<string, number>();
+export const pendingJobs = (tables: PoolTables): ReadonlyMap<QueueName, number> => {
+    const counts = new Map<QueueName, number>();
     tables.jobs.forEach(({ queue, started }) => counts.set(queue, (counts.get(queue) ?? 0) + (started ? 0 : 1)));
     return counts;
 };
--- /dev/null
+++ b/pools/upkeep/src/maintenance.ts
@@ -0,0 +1,149 @@
+import type { PoolName, VmId } from "@almondusher/fleet/ids";
+
+/** A VM as the platform lists it. */
+export interface FleetVm {
+    readonly id: VmId;
+    readonly pool: PoolName;
+    /** In service; otherwise it moves, is under maintenance or down. */
+    readonly up: boolean;
+}
+
+/** A requested wave and how far it is. */
+export interface Wave {
+    readonly number: number;
+    readonly vms: readonly VmId[];
+    readonly maxConcurrent: number;
+    /** Steady time by which all VMs are to be maintained, in milliseconds. */
+    readonly dueAtMs: number;
+    /** VMs whose maintenance the platform has confirmed. */
+    readonly begun: Set<VmId>;
+    completed: boolean;
+}
+
+/** An order to maintain a VM that was sent. */
+export interface MaintenanceOrder {
+    readonly wave: number;
+    readonly sentAtMs: number;
+    /** When the platform confirmed it; undefined while that is unknown. */
+    confirmedAtMs: number | undefined;
+}
+
+/** What the planner of maintenance decides on. */
+export interface MaintenanceTables {
+    readonly vms: ReadonlyMap<VmId, FleetVm>;
+    /** When the list of VMs was asked for. */
+    readonly listedAtMs: number;
+    readonly spare: ReadonlySet<PoolName>;
+    readonly waves: readonly Wave[];
+    readonly orders: ReadonlyMap<VmId, MaintenanceOrder>;
+    /** VMs that their pools are asked to vacate. */
+    readonly evacuations: ReadonlySet<VmId>;
+    /** VMs that hold no runs and get none. */
+    readonly vacated: ReadonlySet<VmId>;
+}
+
+/** Terms of a plan. */
+export interface MaintenanceTerms {
+    readonly nowMs: number;
+    readonly maintenanceMs: number;
+}
+
+/** What to do next. */
+export interface MaintenancePlan {
+    readonly evacuate: readonly VmId[];
+    readonly order: readonly { readonly vm: VmId; readonly wave: number }[];
+    /** VMs that are back in service and take work again. */
+    readonly release: readonly VmId[];
+    readonly completed: readonly number[];
+}
+
+// Share of a pool that may be out of service or vacating for maintenance at once, when time is not short.
+const MAX_POOL_SHARE = 0.34;
+// A new executor registers shortly after the VM's maintenance.
+const RETURN_MARGIN_MS = 300;
+// VMs vacated ahead of their turn, so that the wave never waits for one.
+const VACATED_AHEAD = 2;
+// Expected time to vacate a VM.
+const VACATE_MS = 2500;
+
+/** Plans the next steps of all open waves. */
+export const planMaintenance = (tables: MaintenanceTables, terms: MaintenanceTerms): MaintenancePlan => {
+    const release = [...tables.orders].filter(([vm, order]) => isBack(tables, vm, order, terms)).map(([vm]) => vm);
+    const open = tables.waves.filter(wave => !wave.completed);
+    const plans = open.map(wave => planWave(tables, wave, terms));
+    return {
+        release,
+        evacuate: plans.flatMap(plan => plan.evacuate),
+        order: plans.flatMap(plan => plan.order),
+        completed: open.filter(wave => remainingVms(tables, wave).length === 0).map(({ number }) => number),
+    };
+};
+
+const isBack = (
+    { vms, listedAtMs }: MaintenanceTables,
+    vm: VmId,
+    { confirmedAtMs }: MaintenanceOrder,
+    { maintenanceMs }: MaintenanceTerms,
+): boolean => {
+    if (confirmedAtMs === undefined) {
+        return false;
+    }
+    const listed = vms.get(vm);
+    // Only a list that was read after the maintenance can tell.
+    return listedAtMs > confirmedAtMs + maintenanceMs + RETURN_MARGIN_MS && (listed === undefined || listed.up);
+};
+
+// VMs that left the fleet need no maintenance.
+const remainingVms = ({ vms }: MaintenanceTables, wave: Wave): readonly VmId[] =>
+    wave.vms.filter(vm => !wave.begun.has(vm) && vms.has(vm));
+
+const planWave = (
+    tables: MaintenanceTables,
+    wave: Wave,
+    terms: MaintenanceTerms,
+): Pick<MaintenancePlan, "evacuate" | "order"> => {
+    const waiting = remainingVms(tables, wave).filter(vm => !tables.orders.has(vm));
+    const down = [...tables.orders].filter(
+        ([vm, order]) => order.wave === wave.number && !isBack(tables, vm, order, terms),
+    ).length;
+    const free = Math.max(0, wave.maxConcurrent - down);
+    const isEmpty = (vm: VmId): boolean =>
+        tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
+    const order = waiting
+        .filter(vm => tables.vms.get(vm)?.up === true && isEmpty(vm))
+        .slice(0, free)
+        .map(vm => ({ vm, wave: wave.number }));
+    return { order, evacuate: chooseEvacuations(tables, wave, waiting, isEmpty, terms) };
+};
+
+const chooseEvacuations = (
+    tables: MaintenanceTables,
+    wave: Wave,
+    waiting: readonly VmId[],
+    isEmpty: (vm: VmId) => boolean,
+    terms: MaintenanceTerms,
+): readonly VmId[] => {
+    const vacating = waiting.filter(vm => tables.evacuations.has(vm)).length;
+    const wanted = Math.max(0, wave.maxConcurrent + VACATED_AHEAD - vacating);
+    const rounds = Math.ceil(waiting.length / wave.maxConcurrent);
+    const neededMs = rounds * (terms.maintenanceMs + VACATE_MS);
+    const short = terms.nowMs + neededMs > wave.dueAtMs;
+    const chosen: VmId[] = [];
+    waiting
+        .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.up === true)
+        .forEach(vm => {
+            if (chosen.length < wanted && (short || hasPoolRoom(tables, vm, chosen))) {
+                chosen.push(vm);
+            }
+        });
+    return chosen;
+};
+
+const hasPoolRoom = (tables: MaintenanceTables, vm: VmId, chosen: readonly VmId[]): boolean => {
+    const pool = tables.vms.get(vm)?.pool;
+    const members = [...tables.vms.values()].filter(other => other.pool === pool);
+    const away = members.filter(
+        other => !other.up || tables.evacuations.has(other.id) || chosen.includes(other.id),
+    ).length;
+    return away + 1 <= Math.max(1, Math.floor(members.length * MAX_POOL_SHARE));
+};
--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -10,7 +10,8 @@
 import { createEntryServer } from "./entry-server.js";
 import { createExecutorRegistry } from "./executor-registry.js";
 import { keepLeases, type HeldLease, type LeaseHolder, type LeaseKeeper } from "./lease-keeper.js";
-import { leaseKey, type LeaseSubject } from "./lease-rows.js";
+import { runFleet, type FleetRunner } from "./fleet-runner.js";
+import { emptyLeaseContent, leaseKey, type LeaseSubject } from "./lease-rows.js";
 import { followOperator } from "./operator-feed.js";
 import { countPending } from "./pending-count.js";
 import { runPool, type PoolRunner } from "./pool-runner.js";
@@ -43,25 +44,21 @@
     context.log("started", { settings });
     const operator = followOperator(context);
     const registry = createExecutorRegistry(context);
-    const runners = new Map<string, PoolRunner>();
+    const runners = new Map<string, LeaseRunner>();
     const keeper: LeaseKeeper = keepLeases({
         context,
-        subjects: () => subjectsOf(operator.configuration()?.pools ?? []),
-        holder: poolHolder(runners, lease => {
-            if (lease.subject.kind === "fleet") {
-                return undefined;
+        subjects: () => subjectsOf(operator.configuration()?.pools),
+        holder: leaseHolder(runners, lease => {
+            const renewSoon = (): void => void keeper.renewNow(lease);
+            switch (lease.subject.kind) {
+                case "fleet":
+                    return runFleet({ context, lease, operator, keeper, renewSoon });
+                case "pool":
+                    return runPool({ context, pool: lease.subject.pool, lease, registry, operator, renewSoon });
             }
-            return runPool({
-                context,
-                pool: lease.subject.pool,
-                lease,
-                registry,
-                operator,
-                renewSoon: () => void keeper.renewNow(lease),
-                fenced: () => void keeper.renewNow(lease),
-            });
         }),
     });
+    keeper.events.on("change", () => forwardEvacuations(context, keeper, runners));
     const entry = createEntryServer({
         context,
         operator,
@@ -115,29 +112,47 @@
     };
 };
 
-const subjectsOf = (pools: readonly { readonly name: PoolName; readonly spare: boolean }[]): readonly LeaseSubject[] =>
-    pools.filter(({ spare }) => !spare).map(({ name }) => ({ kind: "pool", pool: name }));
+const subjectsOf = (
+    pools: readonly { readonly name: PoolName; readonly spare: boolean }[] | undefined,
+): readonly LeaseSubject[] =>
+    pools === undefined
+        ? []
+        : [
+              ...pools.filter(({ spare }) => !spare).map(({ name }): LeaseSubject => ({ kind: "pool", pool: name })),
+              { kind: "fleet" },
+          ];
 
-const poolHolder = (
-    runners: Map<string, PoolRunner>,
-    begin: (lease: HeldLease) => PoolRunner | undefined,
-): LeaseHolder => ({
-    begin: lease => {
-        const runner = begin(lease);
-        if (runner !== undefined) {
-            runners.set(leaseKey(lease.subject), runner);
-        }
-    },
+/** What runs while a lease is held. */
+type LeaseRunner = PoolRunner | FleetRunner;
+
+const leaseHolder = (runners: Map<string, LeaseRunner>, begin: (lease: HeldLease) => LeaseRunner): LeaseHolder => ({
+    begin: lease => void runners.set(leaseKey(lease.subject), begin(lease)),
     end: async lease => {
         const key = leaseKey(lease.subject);
         const runner = runners.get(key);
         runners.delete(key);
         await runner?.stop();
     },
-    content: lease => runners.get(leaseKey(lease.subject))?.content() ?? { executors: [], pending: [] },
+    content: lease => runners.get(leaseKey(lease.subject))?.content() ?? lease.predecessor ?? emptyLeaseContent,
     renewed: (lease, content) => runners.get(leaseKey(lease.subject))?.renewed(content),
 });
 
+// The fleet manager names the VMs to vacate in its lease, which every process reads.
+const forwardEvacuations = (
+    context: DispatcherContext,
+    keeper: LeaseKeeper,
+    runners: ReadonlyMap<string, LeaseRunner>,
+): void => {
+    const evacuations = keeper.last({ kind: "fleet" })?.evacuations ?? [];
+    const offsetMs = context.store.nowMs() - context.steadyMs();
+    const byVm = new Map(evacuations.map(({ vm, byMs }) => [vm, byMs - offsetMs]));
+    runners.forEach(runner => {
+        if (runner.kind === "pool") {
+            runner.evacuate(byVm);
+        }
+    });
+};
+
 const trackReadiness = (context: DispatcherContext, isServing: () => boolean): (() => boolean) => {
     let answeredAtMs = context.steadyMs();
     let last = { ...context.store.calls };
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -1,11 +1,14 @@
+import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import {
     LEASE_RANGE,
     decodeLease,
+    emptyLeaseContent,
     encodeLease,
     leaseKey,
     leaseRow,
+    type LeaseContent,
     type LeaseRecord,
     type LeaseSubject,
 } from "./lease-rows.js";
@@ -25,9 +28,6 @@
     lost: boolean;
 }
 
-/** What a holder stores in its lease beside its name. */
-export type LeaseContent = Pick<LeaseRecord, "executors" | "pending">;
-
 /** What to do with a lease. */
 export interface LeaseHolder {
     /** Called after the lease was acquired. */
@@ -44,6 +44,10 @@
 export interface LeaseKeeper {
     /** The record of a lease if it was renewed within the given time. */
     readonly current: (subject: LeaseSubject, withinMs: number) => LeaseRecord | undefined;
+    /** The record of a lease as last read, of whatever age. */
+    readonly last: (subject: LeaseSubject) => LeaseRecord | undefined;
+    /** Emits `change` when a lease was seen with new content. */
+    readonly events: EventEmitter;
     /** Renews a held lease now; false if that failed. */
     readonly renewNow: (lease: HeldLease) => Promise<boolean>;
     /** Gives all leases up. */
@@ -82,6 +86,7 @@
     const { store, steadyMs } = context;
     const held = new Map<string, HeldLease>();
     const observed = new Map<string, Observation>();
+    const events = new EventEmitter();
     let closed = false;
 
     const observe = (rows: readonly Row[]): void => {
@@ -161,11 +166,10 @@
         const epoch = (predecessor?.epoch ?? 0) + 1;
         const sentAtMs = steadyMs();
         const record: LeaseRecord = {
+            ...(predecessor ?? emptyLeaseContent),
             holder: context.vm,
             process: context.process,
             epoch,
-            executors: predecessor?.executors ?? [],
-            pending: predecessor?.pending ?? [],
         };
         const commit = await store.transact({
             expect: [{ ...leaseRow(key), version: before?.version ?? 0 }],
@@ -206,6 +210,7 @@
             const reading = await store.read(LEASE_RANGE);
             if (reading.kind === "rows") {
                 observe(reading.rows);
+                events.emit("change");
                 await takeOne();
             }
             await sleep(POLL_MS);
@@ -255,7 +260,9 @@
     void poll();
     void renewAll();
     return {
+        events,
         renewNow,
+        last: subject => observed.get(leaseKey(subject))?.record,
         current: (subject, withinMs) => {
             const observation = observed.get(leaseKey(subject));
             return observation !== undefined &&
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -14,11 +14,24 @@
 }
 
 /** Accepted jobs of a queue that have not started. */
-interface PendingCount {
+export interface PendingCount {
     readonly queue: QueueName;
     readonly jobs: number;
 }
 
+/** A VM that its pool is to vacate. */
+export interface Evacuation {
+    readonly vm: VmId;
+    /** Time on the store's clock by which tasks that can move have to be gone, in milliseconds. */
+    readonly byMs: number;
+}
+
+/** VMs of a wave whose maintenance has begun. */
+export interface MaintainedVms {
+    readonly wave: number;
+    readonly vms: readonly VmId[];
+}
+
 /** Stored content of a lease. */
 export interface LeaseRecord {
     /** Undefined after a planned stop. */
@@ -28,6 +41,12 @@
     readonly epoch: number;
     readonly executors: readonly AnnouncedExecutor[];
     readonly pending: readonly PendingCount[];
+    /** VMs of the pool that hold no runs and get none. */
+    readonly vacated: readonly VmId[];
+    /** Only in the lease of the fleet manager. */
+    readonly evacuations: readonly Evacuation[];
+    /** Only in the lease of the fleet manager. */
+    readonly maintained: readonly MaintainedVms[];
 }
 
 const LEASE_TABLE = "leases";
@@ -41,8 +60,23 @@
     epoch: z.int(),
     executors: z.array(z.object({ id: z.string(), address: z.string() })),
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
+    vacated: z.array(z.string()),
+    evacuations: z.array(z.object({ vm: z.string(), byMs: z.number() })),
+    maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
 });
 
+/** What a holder stores in its lease beside its name. */
+export type LeaseContent = Omit<LeaseRecord, "holder" | "process" | "epoch">;
+
+/** The content of a lease that nobody has written yet. */
+export const emptyLeaseContent: LeaseContent = {
+    executors: [],
+    pending: [],
+    vacated: [],
+    evacuations: [],
+    maintained: [],
+};
+
 /** Range of all leases. */
 export const LEASE_RANGE = { table: LEASE_TABLE, part: LEASE_PART };
 
--- a/programs/dispatcher/src/operator-feed.ts
+++ b/programs/dispatcher/src/operator-feed.ts
@@ -13,7 +13,7 @@
 import { readAll } from "./read-all.js";
 
 /** A requested wave and when this process first saw it. */
-interface SeenWave {
+export interface SeenWave {
     readonly request: WaveRequest;
     readonly seenAtMs: number;
 }
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -14,14 +14,14 @@
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { openExecutorLink, type ExecutorLink } from "./executor-link.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
-import type { HeldLease, LeaseContent } from "./lease-keeper.js";
-import type { AnnouncedExecutor } from "./lease-rows.js";
+import type { HeldLease } from "./lease-keeper.js";
+import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createProgressWriter } from "./progress-writer.js";
 
 /** The scheduler of one pool, while its lease is held. */
 export interface PoolRunner {
-    readonly tables: PoolTables;
+    readonly kind: "pool";
     /** What the lease row has to say of the pool. */
     readonly content: () => LeaseContent;
     /** Called after the lease row was stored. */
@@ -30,8 +30,6 @@
     readonly stop: () => Promise<void>;
     /** Names the VMs that must become empty, and by when in steady milliseconds. */
     readonly evacuate: (vms: ReadonlyMap<VmId, number>) => void;
-    /** True if the VM's executor holds no run and gets none. */
-    readonly isVacated: (vm: VmId) => boolean;
 }
 
 /** Options of a runner. */
@@ -43,8 +41,6 @@
     readonly operator: OperatorFeed;
     /** Asks for a renewal before the regular one. */
     readonly renewSoon: () => void;
-    /** An executor has seen a successor's token. */
-    readonly fenced: () => void;
 }
 
 const TICK_MS = 100;
@@ -66,6 +62,7 @@
     let active = true;
     let passQueued = false;
     let loaded = false;
+    let lastVacated = "";
     let evacuations: ReadonlyMap<VmId, number> = new Map();
 
     const announced = lease.predecessor?.executors ?? [];
@@ -115,7 +112,8 @@
         tables,
         mayExtend: mayAct,
         changed,
-        fenced: options.fenced,
+        // A renewal tells whether the lease is lost.
+        fenced: options.renewSoon,
         ended: (executor: Executor, ends: readonly AppliedEnd[]): void => {
             logEnds(executor, ends);
             if (executor.storedEnd < executor.seenEnd) {
@@ -226,6 +224,14 @@
         if (loaded && mayAct()) {
             sendStops();
             sendStarts();
+            announceVacated();
+        }
+    };
+    const announceVacated = (): void => {
+        const vacated = vacatedVms(tables).join();
+        if (vacated !== lastVacated) {
+            lastVacated = vacated;
+            options.renewSoon();
         }
     };
     const loadedOnce = (): void => {
@@ -246,12 +252,12 @@
     void followJobs({ context, pool, isActive, sink: { job: admit, cancelled: cancel, changed: loadedOnce } });
 
     return {
-        tables,
+        kind: "pool",
         content: () => ({
+            ...emptyLeaseContent,
             executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
-            pending: loaded
-                ? [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue: queue as never, jobs }))
-                : (lease.predecessor?.pending ?? []),
+            pending: loaded ? countPendingJobs(tables) : (lease.predecessor?.pending ?? []),
+            vacated: loaded ? vacatedVms(tables) : [],
         }),
         renewed: ({ executors }) => {
             executors.forEach(({ id }) => {
@@ -277,13 +283,18 @@
             syncExecutors();
             changed();
         },
-        isVacated: vm =>
-            [...tables.executors.values()]
-                .filter(executor => executor.record.vm === vm)
-                .every(executor => executor.evacuating && executor.runs.size === 0 && executor.strays.length === 0),
     };
 };
 
+const countPendingJobs = (tables: PoolTables): readonly PendingCount[] =>
+    [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
+
+const vacatedVms = (tables: PoolTables): readonly VmId[] =>
+    [...tables.executors.values()]
+        .filter(executor => executor.evacuating && executor.runs.size === 0 && executor.strays.length === 0)
+        .map(executor => executor.record.vm)
+        .filter(vm => vm !== undefined);
+
 // Known only by its address until its registry entry is read.
 const placeholder = (pool: PoolName, { id, address }: AnnouncedExecutor): Executor["record"] => ({
     id,
