--- /dev/null
+++ b/pools/scheduler/src/demand.ts
@@ -0,0 +1,99 @@
+import type { VmId } from "@almondusher/fleet/ids";
+import { expectedRunMs, jobTiming } from "./order-steps.js";
+import { demandOf } from "./place-tasks.js";
+import { isEnded } from "./settle-run.js";
+import type { Executor, OpenJob, OpenStep, PoolTables } from "./pool-tables.js";
+
+/** How many VMs a pool needs, and which it can give away. */
+export interface PoolDemand {
+    readonly wantedVms: number;
+    /** VMs without long-running tasks, the emptiest first. */
+    readonly removable: readonly VmId[];
+}
+
+/** Work that arrived at a pool lately, to tell how much it needs. */
+export interface DemandHistory {
+    arrivals: readonly Arrival[];
+    /** Wanted VMs of the last moments, so that a short pause releases nothing. */
+    wanted: readonly WantedVms[];
+}
+
+interface Arrival {
+    readonly untilMs: number;
+    /** Thousandths of a core that the job's work takes if it is spread until then. */
+    readonly cpu: number;
+}
+
+interface WantedVms {
+    readonly atMs: number;
+    readonly vms: number;
+}
+
+// Tasks don't fill executors completely.
+const USABLE_SHARE = 0.85;
+// A pool keeps what it needed within this time.
+const HOLD_MS = 2500;
+const MIN_VMS = 2;
+// The work of an arrived job is spread over this share of the time until its objective.
+const SPREAD_SHARE = 0.5;
+const MIN_SPREAD_MS = 800;
+// Work of jobs that miss their objective anyway is spread over a longer time.
+const LATE_SPREAD_MS = 4000;
+
+/** Creates an empty history. */
+export const createDemandHistory = (): DemandHistory => ({ arrivals: [], wanted: [] });
+
+/** Notes an arrived job. */
+export const noteArrival = (tables: PoolTables, history: DemandHistory, job: OpenJob, nowMs: number): void => {
+    const { objectiveMs } = jobTiming(tables, job);
+    const spreadMs = Math.max(MIN_SPREAD_MS, (objectiveMs - job.arrivedAtMs) * SPREAD_SHARE);
+    const work = openSteps(job).reduce((sum, step) => sum + openWork(tables, step), 0);
+    history.arrivals = [...history.arrivals, { untilMs: nowMs + spreadMs, cpu: work / spreadMs }];
+};
+
+/** Estimates how many VMs the pool needs now. */
+export const estimateDemand = (tables: PoolTables, history: DemandHistory, nowMs: number): PoolDemand => {
+    history.arrivals = history.arrivals.filter(({ untilMs }) => untilMs > nowMs);
+    const executors = [...tables.executors.values()].filter(({ registered, record }) => registered && !record.draining);
+    const vmCpu = Math.max(1, ...executors.map(({ record }) => record.capacity.cpu));
+    const jobs = [...tables.jobs.values()].filter(job => !isEnded(job));
+    const lasting = jobs.flatMap(job => [...job.occurrences.values()].flat()).filter(({ step }) => step.longRunning);
+    const lastingCpu = lasting.reduce((sum, { step }) => sum + step.count * demandOf(step).cpu, 0);
+    const spreadVms = Math.max(
+        0,
+        ...lasting.map(({ step }) => Math.ceil(step.count / (step.maxPerExecutor ?? step.count))),
+    );
+    const arrivingCpu = history.arrivals.reduce((sum, { cpu }) => sum + cpu, 0);
+    const openCpu = jobs.reduce((sum, job) => sum + openCpuOf(tables, job, nowMs), 0);
+    const cpu = lastingCpu + Math.max(arrivingCpu, openCpu);
+    const vms = Math.max(MIN_VMS, spreadVms, Math.ceil(cpu / (vmCpu * USABLE_SHARE)));
+    history.wanted = [...history.wanted.filter(({ atMs }) => atMs > nowMs - HOLD_MS), { atMs: nowMs, vms }];
+    return {
+        wantedVms: Math.max(...history.wanted.map(wanted => wanted.vms)),
+        removable: executors
+            .filter(executor => !hasLasting(executor))
+            .sort((left, right) => left.runs.size - right.runs.size)
+            .map(({ record }) => record.vm)
+            .filter(vm => vm !== undefined),
+    };
+};
+
+const openSteps = (job: OpenJob): readonly OpenStep[] =>
+    [...job.occurrences.values()].flat().filter(({ step }) => !step.longRunning);
+
+// Processor share that lets the job meet its objective.
+const openCpuOf = (tables: PoolTables, job: OpenJob, nowMs: number): number => {
+    const work = openSteps(job).reduce((sum, step) => sum + openWork(tables, step), 0);
+    const { objectiveMs } = jobTiming(tables, job);
+    const leftMs = objectiveMs > nowMs ? Math.max(MIN_SPREAD_MS, objectiveMs - nowMs) : LATE_SPREAD_MS;
+    return work / leftMs;
+};
+
+const openWork = (tables: PoolTables, step: OpenStep): number => {
+    const open = step.tasks.filter(task => !task.done);
+    const doneShares = open.map(task => Math.min(task.runs[0]?.percent ?? 0, 95) / 100);
+    const left = open.length - doneShares.reduce((sum, share) => sum + share, 0);
+    return left * demandOf(step.step).cpu * expectedRunMs(tables, step);
+};
+
+const hasLasting = ({ runs }: Executor): boolean => [...runs.values()].some(run => run.task.step.step.longRunning);
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -1,5 +1,4 @@
 import { rackOf, type ExecutorRecord } from "@almondusher/jobs/executor";
-import type { ExecutorId } from "@almondusher/jobs/ids";
 import { hearClock } from "./lease-time.js";
 import { restartLife } from "./settle-run.js";
 import type { Executor, PoolTables } from "./pool-tables.js";
@@ -63,8 +62,7 @@
     storedEnd: 0,
     avoidUntilMs: 0,
     failureStreak: 0,
-    evacuating: false,
-    evacuateByMs: Number.POSITIVE_INFINITY,
+    evacuation: undefined,
 });
 
 const isGone = ({ registered, reachable, runs }: Executor): boolean => !registered && !reachable && runs.size === 0;
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,4 +1,4 @@
-import type { OpenStep, PoolTables } from "./pool-tables.js";
+import type { OpenJob, OpenStep, PoolTables } from "./pool-tables.js";
 import { isReady } from "./job-progress.js";
 import { isEnded } from "./settle-run.js";
 
@@ -47,18 +47,24 @@
     if (step.step.longRunning) {
         return { step, class: "lasting", priority, latestStartMs: step.job.arrivedAtMs };
     }
-    const chainMs = longestChainMs(tables, step, step.index);
-    const wholeMs = Math.max(...step.job.job.steps.map((unused, index) => longestChainMs(tables, step, index)));
-    const objectiveMs = step.job.arrivedAtMs + (queue?.stretch ?? 1) * wholeMs + (queue?.graceMs ?? 0);
-    const latestStartMs = objectiveMs - chainMs;
+    const chainMs = longestChainMs(tables, step.job, step.occurrence, step.index);
+    const latestStartMs = jobTiming(tables, step.job).objectiveMs - chainMs;
     return { step, class: latestStartMs + LATE_MARGIN_MS < nowMs ? "late" : "on-time", priority, latestStartMs };
 };
 
+/** Steady time by which a job without a schedule is on time, in milliseconds. */
+export const jobTiming = (tables: PoolTables, job: OpenJob): { readonly objectiveMs: number } => {
+    const queue = tables.queues.get(job.queue);
+    const occurrence = [...job.occurrences.keys()][0] ?? 0;
+    const chains = job.job.steps.map((unused, index) => longestChainMs(tables, job, occurrence, index));
+    return { objectiveMs: job.arrivedAtMs + (queue?.stretch ?? 1) * Math.max(0, ...chains) + (queue?.graceMs ?? 0) };
+};
+
 // Expected time from the start of a step to the end of everything that waits for it.
-const longestChainMs = (tables: PoolTables, within: OpenStep, index: number): number => {
-    const steps = within.job.occurrences.get(within.occurrence) ?? [];
+const longestChainMs = (tables: PoolTables, job: OpenJob, occurrence: number, index: number): number => {
+    const steps = job.occurrences.get(occurrence) ?? [];
     const step = steps[index];
     const later = steps.filter(candidate => candidate.step.after.includes(index));
-    const restMs = later.map(candidate => longestChainMs(tables, within, candidate.index));
+    const restMs = later.map(candidate => longestChainMs(tables, job, occurrence, candidate.index));
     return (step === undefined ? 0 : expectedRunMs(tables, step)) + Math.max(0, ...restMs);
 };
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -29,7 +29,7 @@
     [...runs.values()].reduce((free, run) => subtract(free, demandOf(run.task.step.step)), record.capacity);
 
 /** Resources that a task takes from its executor. */
-const demandOf = ({ demand, backfill }: Step): Resources => (backfill ? { ...demand, cpu: 0 } : demand);
+export const demandOf = ({ demand, backfill }: Step): Resources => (backfill ? { ...demand, cpu: 0 } : demand);
 
 type Room = Map<Executor, Resources>;
 
@@ -38,7 +38,7 @@
     executor.reachable &&
     executor.inspected &&
     executor.announced &&
-    !executor.evacuating &&
+    executor.evacuation === undefined &&
     !executor.record.draining &&
     executor.strays.length === 0 &&
     executor.avoidUntilMs <= nowMs;
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -48,8 +48,8 @@
     if (executor.record.draining) {
         return mustLeave(tables, run, executor.record.remainingMs ?? 0) ? "draining" : undefined;
     }
-    if (executor.evacuating) {
-        return mustLeave(tables, run, executor.evacuateByMs - terms.nowMs) && mayDisrupt(run, terms.nowMs)
+    if (executor.evacuation !== undefined) {
+        return mustLeave(tables, run, executor.evacuation.byMs - terms.nowMs) && mayDisrupt(run, terms.nowMs)
             ? "evacuation"
             : undefined;
     }
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -118,10 +118,15 @@
     avoidUntilMs: number;
     /** Consecutive failed runs of different tasks. */
     failureStreak: number;
-    /** The VM is to be vacated for maintenance or a move. */
-    evacuating: boolean;
-    /** Steady time by which an evacuation has to be over. */
-    evacuateByMs: number;
+    /** Set while the VM is to be vacated for maintenance or a move. */
+    evacuation: VmEvacuation | undefined;
+}
+
+/** An order to vacate a VM. */
+export interface VmEvacuation {
+    readonly id: string;
+    /** Steady time by which tasks that can continue elsewhere have to be gone, in milliseconds. */
+    readonly byMs: number;
 }
 
 /** A run of a job that is finished or unknown; its executor takes no starts until it is gone. */
--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -36,6 +36,8 @@
     readonly spare: ReadonlySet<PoolName>;
     readonly waves: readonly Wave[];
     readonly orders: ReadonlyMap<VmId, MaintenanceOrder>;
+    /** VMs with any order under way. */
+    readonly engaged: ReadonlySet<VmId>;
     /** VMs that their pools are asked to vacate. */
     readonly evacuations: ReadonlySet<VmId>;
     /** VMs that hold no runs and get none. */
@@ -102,7 +104,7 @@
     wave: Wave,
     terms: MaintenanceTerms,
 ): Pick<MaintenancePlan, "evacuate" | "order"> => {
-    const waiting = remainingVms(tables, wave).filter(vm => !tables.orders.has(vm));
+    const waiting = remainingVms(tables, wave).filter(vm => !tables.engaged.has(vm));
     const down = [...tables.orders].filter(
         ([vm, order]) => order.wave === wave.number && !isBack(tables, vm, order, terms),
     ).length;
--- /dev/null
+++ b/pools/upkeep/src/surge-forecast.ts
@@ -0,0 +1,94 @@
+import type { PoolName } from "@almondusher/fleet/ids";
+import type { PoolNeed } from "./moves.js";
+
+/** What was seen of a pool's surges of demand. */
+interface PoolSurges {
+    /** VMs of the pool when it was first seen; it is not made smaller before its first surge is over. */
+    readonly initialVms: number;
+    surging: boolean;
+    /** Start of the last surge, in steady milliseconds; undefined before the first. */
+    startedAtMs: number | undefined;
+    /** VMs that the pool wanted at most in its last surge. */
+    peakVms: number;
+}
+
+/** Learns which pool's demand rises next where pools take turns. */
+export interface SurgeForecast {
+    readonly pools: Map<PoolName, PoolSurges>;
+    /** Starts of surges, oldest first. */
+    starts: readonly number[];
+}
+
+// A pool surges when it wants this share of its first size or more.
+const SURGE_SHARE = 0.75;
+const END_SHARE = 0.5;
+// VMs are ordered this long before a surge is expected: a move, its registration and the first look at the executor.
+const LEAD_MS = 2600;
+// A forecast surge that does not come by then is given up.
+const TOLERANCE_MS = 1500;
+const GAPS = 4;
+// Surges take turns if the gaps between them differ by no more than this share of their mean.
+const GAP_SPREAD = 0.4;
+
+/** Creates a forecast that has seen nothing. */
+export const createSurgeForecast = (): SurgeForecast => ({ pools: new Map(), starts: [] });
+
+/** Notes what the pools want now, and returns what they should have by the forecast. */
+export const forecastNeeds = (
+    forecast: SurgeForecast,
+    needs: readonly PoolNeed[],
+    sizes: ReadonlyMap<PoolName, number>,
+    nowMs: number,
+): readonly PoolNeed[] => {
+    needs.forEach(need => observe(forecast, need, sizes.get(need.pool) ?? 0, nowMs));
+    const expected = expectedSurge(forecast, nowMs);
+    return needs.map(need => ({ ...need, wantedVms: floorOf(forecast, need, expected) }));
+};
+
+const observe = (forecast: SurgeForecast, { pool, wantedVms }: PoolNeed, size: number, nowMs: number): void => {
+    const known = forecast.pools.get(pool) ?? {
+        initialVms: size,
+        surging: false,
+        startedAtMs: undefined,
+        peakVms: 0,
+    };
+    forecast.pools.set(pool, known);
+    if (!known.surging && wantedVms >= known.initialVms * SURGE_SHARE) {
+        known.surging = true;
+        known.startedAtMs = nowMs;
+        known.peakVms = 0;
+        forecast.starts = [...forecast.starts, nowMs].slice(-GAPS - 1);
+    } else if (known.surging && wantedVms < known.initialVms * END_SHARE) {
+        known.surging = false;
+    }
+    if (known.surging) {
+        known.peakVms = Math.max(known.peakVms, wantedVms);
+    }
+};
+
+// Where pools take turns, the one whose last surge is the longest ago is next.
+const expectedSurge = (forecast: SurgeForecast, nowMs: number): PoolName | undefined => {
+    const { starts } = forecast;
+    const gaps = starts.slice(1).map((start, index) => start - (starts[index] ?? start));
+    const last = starts.at(-1);
+    if (gaps.length < 2 || last === undefined) {
+        return undefined;
+    }
+    const mean = gaps.reduce((sum, gap) => sum + gap, 0) / gaps.length;
+    const regular = gaps.every(gap => Math.abs(gap - mean) <= GAP_SPREAD * mean);
+    const sinceLastMs = nowMs - last;
+    if (!regular || sinceLastMs < mean - LEAD_MS || sinceLastMs > mean + TOLERANCE_MS) {
+        return undefined;
+    }
+    const idle = [...forecast.pools].filter(([, surges]) => !surges.surging);
+    return idle.sort(([, left], [, right]) => (left.startedAtMs ?? 0) - (right.startedAtMs ?? 0))[0]?.[0];
+};
+
+const floorOf = (forecast: SurgeForecast, { pool, wantedVms }: PoolNeed, expected: PoolName | undefined): number => {
+    const surges = forecast.pools.get(pool);
+    if (surges === undefined) {
+        return wantedVms;
+    }
+    const first = surges.startedAtMs === undefined ? surges.initialVms : 0;
+    return Math.max(wantedVms, first, pool === expected ? surges.peakVms : 0);
+};
--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -145,7 +145,7 @@
 ): void => {
     const evacuations = keeper.last({ kind: "fleet" })?.evacuations ?? [];
     const offsetMs = context.store.nowMs() - context.steadyMs();
-    const byVm = new Map(evacuations.map(({ vm, byMs }) => [vm, byMs - offsetMs]));
+    const byVm = new Map(evacuations.map(({ vm, id, byMs }) => [vm, { id, byMs: byMs - offsetMs }]));
     runners.forEach(runner => {
         if (runner.kind === "pool") {
             runner.evacuate(byVm);
--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -20,7 +20,7 @@
     readonly close: () => void;
 }
 
-const POLL_MS = 350;
+const POLL_MS = 200;
 const IDLE_MS = 100;
 // Executors that live are registered again within about two seconds of the store's return.
 const RETURN_GRACE_MS = 2500;
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -1,13 +1,16 @@
 import { periodic } from "most";
-import type { VmId } from "@almondusher/fleet/ids";
+import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import { encodeWaveState } from "@almondusher/platform-adapter/decode-wave";
 import { PLATFORM_PART, STATUS_TABLE, WAVE_KEY_PREFIX } from "@almondusher/platform-adapter/platform-rows";
-import { createVmClient, type VmOrderResult } from "@almondusher/platform-adapter/vm-client";
+import { createVmClient } from "@almondusher/platform-adapter/vm-client";
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
+import { planMoves, type PoolNeed } from "@almondusher/upkeep/moves";
+import { createSurgeForecast, forecastNeeds } from "@almondusher/upkeep/surge-forecast";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { HeldLease, LeaseKeeper } from "./lease-keeper.js";
-import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
+import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
 import type { OperatorFeed, SeenWave } from "./operator-feed.js";
+import { sendOrder, type OrderOutcome, type OrderPurpose, type VmOrder } from "./vm-orders.js";
 
 /** The fleet manager, while its lease is held. */
 export interface FleetRunner {
@@ -26,15 +29,23 @@
     readonly renewSoon: () => void;
 }
 
-const TICK_MS = 150;
-const LIST_MS = 600;
-const ORDER_RETRY_MS = 400;
+interface FleetEvacuation {
+    readonly id: string;
+    readonly byMs: number;
+    readonly purpose: OrderPurpose["kind"];
+}
+
+const TICK_MS = 100;
+const LIST_MS = 500;
+const STATUS_RETRY_MS = 400;
 // Lease rows of pools are trusted for this long; a pool without a scheduler vacates nothing.
 const POOL_FRESH_MS = 2500;
 // Holders that lost touch with the store order nothing; a successor may have begun.
 const UNCONFIRMED_MS = 2500;
 // Tasks that end by themselves within this time are let finish on a VM that is vacated.
 const VACATE_WITHIN_MS = 2500;
+const RETURN_MARGIN_MS = 300;
+const MS_PER_SECOND = 1000;
 
 /** Starts managing VMs. */
 export const runFleet = (options: FleetRunnerOptions): FleetRunner => {
@@ -45,12 +56,16 @@
         fencingToken: lease.epoch,
     });
     const waves = new Map<number, Wave>();
-    const orders = new Map<VmId, MaintenanceOrder>();
-    // Those of a predecessor stand until this holder has maintained the VM, since a late order may still arrive.
-    const evacuations = new Map((lease.predecessor?.evacuations ?? []).map(({ vm, byMs }) => [vm, byMs]));
+    const orders = new Map<VmId, VmOrder>();
+    // Those of a predecessor stand until the VM is maintained, since a late order may still arrive.
+    const evacuations = new Map<VmId, FleetEvacuation>(
+        (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs }) => [vm, { id, byMs, purpose: "maintenance" }]),
+    );
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let active = true;
+    let evacuationCounter = 0;
+    const forecast = createSurgeForecast();
 
     const mayAct = (): boolean => active && !lease.lost && context.steadyMs() - lease.renewedAtMs < UNCONFIRMED_MS;
     const adoptWave = ({ request, seenAtMs }: SeenWave): void => {
@@ -79,125 +94,80 @@
                 context.log("wave-state", { wave, state });
                 return;
             }
-            await sleep(ORDER_RETRY_MS);
+            await sleep(STATUS_RETRY_MS);
         }
     };
     const openWaves = (): readonly Wave[] => [...waves.values()].filter(({ completed }) => !completed);
     const listVms = async (): Promise<void> => {
         while (active) {
-            if (openWaves().length > 0 || orders.size > 0) {
-                const sentAtMs = context.steadyMs();
-                const listing = await client.list();
-                if (listing.kind === "listed") {
-                    vms = new Map(
-                        listing.vms.map(({ id, pool, condition }) => [id, { id, pool, up: condition === "up" }]),
-                    );
-                    listedAtMs = sentAtMs;
-                }
+            const sentAtMs = context.steadyMs();
+            const listing = await client.list();
+            if (listing.kind === "listed") {
+                vms = new Map(listing.vms.map(({ id, pool, condition }) => [id, { id, pool, up: condition === "up" }]));
+                listedAtMs = sentAtMs;
             }
             await sleep(LIST_MS);
         }
     };
-    const spare = (): ReadonlySet<FleetVm["pool"]> =>
-        new Set(
-            operator
-                .configuration()
-                ?.pools.filter(pool => pool.spare)
-                .map(({ name }) => name),
-        );
-    const vacated = (): ReadonlySet<VmId> => {
-        const pools = operator.configuration()?.pools ?? [];
-        return new Set(
-            pools.flatMap(({ name }) => keeper.current({ kind: "pool", pool: name }, POOL_FRESH_MS)?.vacated ?? []),
-        );
-    };
-    const order = async (vm: VmId, wave: number): Promise<void> => {
-        const sent: MaintenanceOrder = { wave, sentAtMs: context.steadyMs(), confirmedAtMs: undefined };
-        orders.set(vm, sent);
-        for (;;) {
-            if (!mayAct()) {
-                return;
-            }
-            const result = await client.maintain(vm, wave);
-            context.log("vm-maintenance", { vm, wave, ...result });
-            if (settle(vm, wave, sent, result)) {
-                return;
-            }
-            await sleep(ORDER_RETRY_MS);
-        }
+    const sparePools = (): readonly PoolName[] =>
+        (operator.configuration()?.pools ?? []).filter(pool => pool.spare).map(({ name }) => name);
+    const poolRecords = (): readonly PoolRecord[] =>
+        (operator.configuration()?.pools ?? []).map(({ name }) => ({
+            pool: name,
+            record: keeper.current({ kind: "pool", pool: name }, POOL_FRESH_MS),
+        }));
+    const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
+        const order: VmOrder = { purpose, sentAtMs: context.steadyMs(), confirmedAtMs: undefined };
+        orders.set(vm, order);
+        settle(vm, order, await sendOrder({ context, client, vm, order, mayAct }));
     };
-    const settle = (vm: VmId, wave: number, sent: MaintenanceOrder, result: VmOrderResult): boolean => {
-        switch (result.kind) {
-            case "done":
-                sent.confirmedAtMs = context.steadyMs();
-                waves.get(wave)?.begun.add(vm);
+    const settle = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
+        switch (outcome) {
+            case "confirmed":
+                order.confirmedAtMs = context.steadyMs();
+                noteMaintained(vm, order.purpose);
                 options.renewSoon();
-                return true;
-            case "unknown":
-                return false;
-            case "rejected":
-                return reject(vm, wave, result.reason);
-        }
-    };
-    const reject = (
-        vm: VmId,
-        wave: number,
-        reason: Extract<VmOrderResult, { kind: "rejected" }>["reason"],
-    ): boolean => {
-        switch (reason) {
-            case "overloaded":
-                return false;
+                break;
+            case "unneeded":
+                noteMaintained(vm, order.purpose);
+                orders.delete(vm);
+                evacuations.delete(vm);
+                break;
             case "fenced":
                 options.renewSoon();
                 orders.delete(vm);
-                return true;
-            case "busy":
+                break;
+            case "refused":
                 orders.delete(vm);
-                return true;
-            case "other-wave":
-            case "invalid":
-                // The platform does not know the VM in this wave, so there is nothing to maintain.
-                waves.get(wave)?.begun.add(vm);
-                orders.delete(vm);
-                evacuations.delete(vm);
-                return true;
+                break;
+            case "given-up":
+                break;
         }
     };
-    const dropSettledEvacuations = (): void => {
-        const waiting = new Set(openWaves().flatMap(wave => wave.vms.filter(vm => !wave.begun.has(vm))));
-        [...evacuations.keys()].filter(vm => !waiting.has(vm) && !orders.has(vm)).forEach(vm => evacuations.delete(vm));
-    };
-    const tick = (): void => {
-        operator.waves().forEach(adoptWave);
-        if (!mayAct() || vms.size === 0) {
-            return;
+    const noteMaintained = (vm: VmId, purpose: OrderPurpose): void => {
+        if (purpose.kind === "maintenance") {
+            waves.get(purpose.wave)?.begun.add(vm);
         }
-        const nowMs = context.steadyMs();
+    };
+    const awaitedByWave = (): ReadonlySet<VmId> =>
+        new Set(openWaves().flatMap(wave => wave.vms.filter(vm => !wave.begun.has(vm))));
+    const planWaves = (vacated: ReadonlySet<VmId>): void => {
         const plan = planMaintenance(
             {
                 vms,
                 listedAtMs,
-                spare: spare(),
+                spare: new Set(sparePools()),
                 waves: [...waves.values()],
-                orders,
+                orders: maintenanceOrders(orders),
+                engaged: new Set(orders.keys()),
                 evacuations: new Set(evacuations.keys()),
-                vacated: vacated(),
+                vacated,
             },
-            { nowMs, maintenanceMs: context.settings.maintenanceSeconds * 1000 },
+            { nowMs: context.steadyMs(), maintenanceMs: context.settings.maintenanceSeconds * MS_PER_SECOND },
         );
-        dropSettledEvacuations();
-        plan.release.forEach(vm => {
-            orders.delete(vm);
-            evacuations.delete(vm);
-        });
-        plan.evacuate.forEach(vm => {
-            evacuations.set(vm, context.store.nowMs() + VACATE_WITHIN_MS);
-            context.log("vm-evacuate", { vm, pool: vms.get(vm)?.pool });
-        });
-        if (plan.release.length + plan.evacuate.length > 0) {
-            options.renewSoon();
-        }
-        plan.order.forEach(({ vm, wave }) => void order(vm, wave));
+        plan.release.forEach(release);
+        plan.evacuate.forEach(vm => evacuate(vm, "maintenance"));
+        plan.order.forEach(({ vm, wave }) => void send(vm, { kind: "maintenance", wave }));
         plan.completed.forEach(number => {
             const wave = waves.get(number);
             if (wave !== undefined) {
@@ -206,6 +176,80 @@
             }
         });
     };
+    const evacuate = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
+        evacuationCounter++;
+        evacuations.set(vm, {
+            id: `${lease.epoch}-${evacuationCounter}`,
+            byMs: context.store.nowMs() + VACATE_WITHIN_MS,
+            purpose,
+        });
+        context.log("vm-evacuate", { vm, pool: vms.get(vm)?.pool, purpose });
+        options.renewSoon();
+    };
+    const release = (vm: VmId): void => {
+        orders.delete(vm);
+        if (evacuations.delete(vm)) {
+            options.renewSoon();
+        }
+    };
+    const planPoolMoves = (records: readonly PoolRecord[], vacated: ReadonlySet<VmId>): void => {
+        const spare = sparePools()[0];
+        const needs = records.map(toNeed).filter(need => need !== undefined);
+        const leaving = new Set([...evacuations].filter(([, { purpose }]) => purpose === "move").map(([vm]) => vm));
+        const plan = planMoves({
+            vms,
+            spare,
+            needs: forecastNeeds(forecast, needs, poolSizes(vms), context.steadyMs()),
+            engaged: new Set([...orders.keys(), ...[...evacuations.keys()].filter(vm => !leaving.has(vm))]),
+            leaving,
+            arriving: countArriving(orders),
+            awaitedByWave: awaitedByWave(),
+        });
+        plan.keep.filter(vm => !orders.has(vm)).forEach(release);
+        plan.evacuate.forEach(vm => evacuate(vm, "move"));
+        plan.moves.forEach(({ vm, to }) => {
+            evacuations.delete(vm);
+            void send(vm, { kind: "move", to });
+        });
+        if (spare !== undefined) {
+            [...leaving]
+                .filter(vm => vacated.has(vm) && evacuations.has(vm) && !orders.has(vm))
+                .forEach(vm => void send(vm, { kind: "move", to: spare }));
+        }
+    };
+    const releaseMoved = (): void => {
+        const moveMs = context.settings.moveSeconds * MS_PER_SECOND + RETURN_MARGIN_MS;
+        [...orders]
+            .filter(([vm, { purpose, confirmedAtMs }]) => {
+                const listed = vms.get(vm);
+                return (
+                    purpose.kind === "move" &&
+                    confirmedAtMs !== undefined &&
+                    listedAtMs > confirmedAtMs + moveMs &&
+                    (listed === undefined || (listed.up && listed.pool === purpose.to))
+                );
+            })
+            .forEach(([vm]) => release(vm));
+    };
+    const dropSettledEvacuations = (): void => {
+        const waiting = awaitedByWave();
+        [...evacuations]
+            .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
+            .forEach(([vm]) => release(vm));
+    };
+    const tick = (): void => {
+        operator.waves().forEach(adoptWave);
+        if (!mayAct() || vms.size === 0) {
+            return;
+        }
+        const records = poolRecords();
+        const vacatedIds = new Set(records.flatMap(({ record }) => record?.vacated ?? []));
+        const vacated = new Set([...evacuations].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
+        releaseMoved();
+        planWaves(vacated);
+        dropSettledEvacuations();
+        planPoolMoves(records, vacated);
+    };
     void periodic(TICK_MS)
         .takeWhile(() => active)
         .observe(tick);
@@ -214,7 +258,7 @@
         kind: "fleet",
         content: () => ({
             ...emptyLeaseContent,
-            evacuations: [...evacuations].map(([vm, byMs]) => ({ vm, byMs })),
+            evacuations: [...evacuations].map(([vm, { id, byMs }]) => ({ vm, id, byMs })),
             maintained: [...waves.values()].map(({ number, begun }) => ({ wave: number, vms: [...begun] })),
         }),
         renewed: () => undefined,
@@ -225,3 +269,32 @@
         },
     };
 };
+
+interface PoolRecord {
+    readonly pool: PoolName;
+    readonly record: LeaseRecord | undefined;
+}
+
+const poolSizes = (vms: ReadonlyMap<VmId, FleetVm>): ReadonlyMap<PoolName, number> =>
+    [...vms.values()].reduce(
+        (sizes, { pool }) => sizes.set(pool, (sizes.get(pool) ?? 0) + 1),
+        new Map<PoolName, number>(),
+    );
+
+const toNeed = ({ pool, record }: PoolRecord): PoolNeed | undefined =>
+    record?.demand === undefined ? undefined : { pool, ...record.demand };
+
+const maintenanceOrders = (orders: ReadonlyMap<VmId, VmOrder>): ReadonlyMap<VmId, MaintenanceOrder> =>
+    new Map(
+        [...orders].flatMap(([vm, { purpose, sentAtMs, confirmedAtMs }]) =>
+            purpose.kind === "maintenance" ? [[vm, { wave: purpose.wave, sentAtMs, confirmedAtMs }] as const] : [],
+        ),
+    );
+
+const countArriving = (orders: ReadonlyMap<VmId, VmOrder>): ReadonlyMap<PoolName, number> =>
+    [...orders.values()].reduce((counts, { purpose }) => {
+        if (purpose.kind === "move") {
+            counts.set(purpose.to, (counts.get(purpose.to) ?? 0) + 1);
+        }
+        return counts;
+    }, new Map<PoolName, number>());
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -62,6 +62,8 @@
 }
 
 const POLL_MS = 400;
+// The fleet manager answers to what pools need, which stands in their leases.
+const FLEET_POLL_MS = 120;
 const RENEW_MS = 500;
 // Unchanged this long, a lease may be taken over.
 const POOL_LEASE_MS = 2000;
@@ -213,7 +215,7 @@
                 events.emit("change");
                 await takeOne();
             }
-            await sleep(POLL_MS);
+            await sleep(held.has(leaseKey({ kind: "fleet" })) ? FLEET_POLL_MS : POLL_MS);
         }
     };
 
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -2,6 +2,7 @@
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
 import type { ExecutorId, QueueName } from "@almondusher/jobs/ids";
 import { parseJson } from "@almondusher/jobs/json-text";
+import type { PoolDemand } from "@almondusher/scheduler/demand";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
 
 /** What a lease is for. */
@@ -22,6 +23,8 @@
 /** A VM that its pool is to vacate. */
 export interface Evacuation {
     readonly vm: VmId;
+    /** Tells the evacuations of a VM apart. */
+    readonly id: string;
     /** Time on the store's clock by which tasks that can move have to be gone, in milliseconds. */
     readonly byMs: number;
 }
@@ -41,8 +44,10 @@
     readonly epoch: number;
     readonly executors: readonly AnnouncedExecutor[];
     readonly pending: readonly PendingCount[];
-    /** VMs of the pool that hold no runs and get none. */
-    readonly vacated: readonly VmId[];
+    /** Evacuations whose VM holds no runs and gets none. */
+    readonly vacated: readonly string[];
+    /** How many VMs the pool needs; undefined until its scheduler knows. */
+    readonly demand: PoolDemand | undefined;
     /** Only in the lease of the fleet manager. */
     readonly evacuations: readonly Evacuation[];
     /** Only in the lease of the fleet manager. */
@@ -61,7 +66,8 @@
     executors: z.array(z.object({ id: z.string(), address: z.string() })),
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     vacated: z.array(z.string()),
-    evacuations: z.array(z.object({ vm: z.string(), byMs: z.number() })),
+    demand: z.object({ wantedVms: z.int(), removable: z.array(z.string()) }).optional(),
+    evacuations: z.array(z.object({ vm: z.string(), id: z.string(), byMs: z.number() })),
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
 });
 
@@ -73,6 +79,7 @@
     executors: [],
     pending: [],
     vacated: [],
+    demand: undefined,
     evacuations: [],
     maintained: [],
 };
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -4,11 +4,18 @@
 import type { DataCentreName } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { admitJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { createDemandHistory, estimateDemand, noteArrival, type PoolDemand } from "@almondusher/scheduler/demand";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { pendingJobs } from "@almondusher/scheduler/job-progress";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { planStops } from "@almondusher/scheduler/plan-stops";
-import { createPoolTables, type Executor, type OpenJob, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import {
+    createPoolTables,
+    type Executor,
+    type OpenJob,
+    type PoolTables,
+    type VmEvacuation,
+} from "@almondusher/scheduler/pool-tables";
 import { endJob, isEnded, lapseRuns, type AppliedEnd } from "@almondusher/scheduler/settle-run";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
@@ -28,8 +35,8 @@
     readonly renewed: (content: LeaseContent) => void;
     /** Stops sending orders; ends that are known are stored first. */
     readonly stop: () => Promise<void>;
-    /** Names the VMs that must become empty, and by when in steady milliseconds. */
-    readonly evacuate: (vms: ReadonlyMap<VmId, number>) => void;
+    /** Names the VMs that must become empty. */
+    readonly evacuate: (vms: ReadonlyMap<VmId, VmEvacuation>) => void;
 }
 
 /** Options of a runner. */
@@ -63,7 +70,9 @@
     let passQueued = false;
     let loaded = false;
     let lastVacated = "";
-    let evacuations: ReadonlyMap<VmId, number> = new Map();
+    const history = createDemandHistory();
+    let demand: PoolDemand | undefined;
+    let evacuations: ReadonlyMap<VmId, VmEvacuation> = new Map();
 
     const announced = lease.predecessor?.executors ?? [];
     announced.forEach(executor => addUnregistered(tables, placeholder(pool, executor)));
@@ -137,9 +146,7 @@
             if (!links.has(executor.id)) {
                 links.set(executor.id, openExecutorLink({ context, owner, executor, leaseMs }));
             }
-            const byMs = executor.record.vm === undefined ? undefined : evacuations.get(executor.record.vm);
-            executor.evacuating = byMs !== undefined;
-            executor.evacuateByMs = byMs ?? Number.POSITIVE_INFINITY;
+            executor.evacuation = executor.record.vm === undefined ? undefined : evacuations.get(executor.record.vm);
         });
         if ([...tables.executors.values()].some(executor => !executor.announced)) {
             options.renewSoon();
@@ -152,6 +159,17 @@
         const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
         const arrivedAtMs = context.steadyMs() - ageMs;
         admitJob(tables, { job, progress, progressVersion, arrivedAtMs, inherited }, Date.now());
+        const open = tables.jobs.get(job.id);
+        if (open !== undefined) {
+            noteArrival(tables, history, open, context.steadyMs());
+        }
+        context.log("job-admitted", {
+            job: job.id,
+            queue: job.queue,
+            ageMs: Math.round(ageMs),
+            inherited,
+            steps: job.steps,
+        });
     };
     const cancel = (id: OpenJob["id"]): void => {
         const job = tables.jobs.get(id);
@@ -225,15 +243,23 @@
             sendStops();
             sendStarts();
             announceVacated();
+            announceDemand();
         }
     };
     const announceVacated = (): void => {
-        const vacated = vacatedVms(tables).join();
+        const vacated = vacatedEvacuations(tables).join();
         if (vacated !== lastVacated) {
             lastVacated = vacated;
             options.renewSoon();
         }
     };
+    const announceDemand = (): void => {
+        const before = demand?.wantedVms;
+        demand = estimateDemand(tables, history, context.steadyMs());
+        if (before === undefined || demand.wantedVms > before) {
+            options.renewSoon();
+        }
+    };
     const loadedOnce = (): void => {
         loaded = true;
         changed();
@@ -257,7 +283,8 @@
             ...emptyLeaseContent,
             executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
             pending: loaded ? countPendingJobs(tables) : (lease.predecessor?.pending ?? []),
-            vacated: loaded ? vacatedVms(tables) : [],
+            vacated: loaded ? vacatedEvacuations(tables) : [],
+            demand: loaded ? demand : undefined,
         }),
         renewed: ({ executors }) => {
             executors.forEach(({ id }) => {
@@ -289,11 +316,11 @@
 const countPendingJobs = (tables: PoolTables): readonly PendingCount[] =>
     [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
 
-const vacatedVms = (tables: PoolTables): readonly VmId[] =>
+const vacatedEvacuations = (tables: PoolTables): readonly string[] =>
     [...tables.executors.values()]
-        .filter(executor => executor.evacuating && executor.runs.size === 0 && executor.strays.length === 0)
-        .map(executor => executor.record.vm)
-        .filter(vm => vm !== undefined);
+        .filter(executor => executor.inspected && executor.runs.size === 0 && executor.strays.length === 0)
+        .map(executor => executor.evacuation?.id)
+        .filter(id => id !== undefined);
 
 // Known only by its address until its registry entry is read.
 const placeholder = (pool: PoolName, { id, address }: AnnouncedExecutor): Executor["record"] => ({
--- /dev/null
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -0,0 +1,81 @@
+import type { PoolName, VmId } from "@almondusher/fleet/ids";
+import type { VmClient, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+
+/** What an order does to a VM. */
+export type OrderPurpose =
+    { readonly kind: "maintenance"; readonly wave: number } | { readonly kind: "move"; readonly to: PoolName };
+
+/** An order that was sent; it stands until the VM is back in service. */
+export interface VmOrder {
+    readonly purpose: OrderPurpose;
+    readonly sentAtMs: number;
+    /** When the platform confirmed it; undefined while that is unknown. */
+    confirmedAtMs: number | undefined;
+}
+
+/** How an order ended. */
+export type OrderOutcome = "confirmed" | "refused" | "fenced" | "unneeded" | "given-up";
+
+/** Options of an order. */
+export interface SendOrderOptions {
+    readonly context: DispatcherContext;
+    readonly client: VmClient;
+    readonly vm: VmId;
+    readonly order: VmOrder;
+    /** False once the holder may order nothing more. */
+    readonly mayAct: () => boolean;
+}
+
+const RETRY_MS = 400;
+
+/** Sends an order until the platform answers it; repeating it is safe. */
+export const sendOrder = async ({ context, client, vm, order, mayAct }: SendOrderOptions): Promise<OrderOutcome> => {
+    while (mayAct()) {
+        const result = await send(client, vm, order.purpose);
+        context.metrics.count(`vm_orders_${order.purpose.kind}`);
+        context.log("vm-order", { vm, ...order.purpose, outcome: result });
+        const outcome = outcomeOf(result);
+        if (outcome !== undefined) {
+            return outcome;
+        }
+        await sleep(RETRY_MS);
+    }
+    return "given-up";
+};
+
+const send = (client: VmClient, vm: VmId, purpose: OrderPurpose): Promise<VmOrderResult> => {
+    switch (purpose.kind) {
+        case "maintenance":
+            return client.maintain(vm, purpose.wave);
+        case "move":
+            return client.move(vm, purpose.to);
+    }
+};
+
+const outcomeOf = (result: VmOrderResult): OrderOutcome | undefined => {
+    switch (result.kind) {
+        case "done":
+            return "confirmed";
+        case "unknown":
+            return undefined;
+        case "rejected":
+            return outcomeOfRejection(result.reason);
+    }
+};
+
+const outcomeOfRejection = (
+    reason: Extract<VmOrderResult, { kind: "rejected" }>["reason"],
+): OrderOutcome | undefined => {
+    switch (reason) {
+        case "overloaded":
+            return undefined;
+        case "fenced":
+            return "fenced";
+        case "busy":
+            return "refused";
+        case "other-wave":
+        case "invalid":
+            return "unneeded";
+    }
+};
