Move VMs between pools by what their work needs

Change: schedulers publish the VMs that their open and arriving work needs; the fleet manager moves vacated VMs directly to the pool that is short, and parks the rest. Evacuations have ids, so that an old report of an empty VM cannot allow an order.

--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -6,6 +6,9 @@
 
 /** How many VMs a pool needs, and which it can give away. */
 export interface PoolDemand {
+    /** VMs that its work needs at this moment. */
+    readonly neededVms: number;
+    /** VMs that it needed at most in the last moments. */
     readonly wantedVms: number;
     /** VMs without long-running tasks, the emptiest first. */
     readonly removable: readonly VmId[];
@@ -69,6 +72,7 @@
     const vms = Math.max(MIN_VMS, spreadVms, Math.ceil(cpu / (vmCpu * USABLE_SHARE)));
     history.wanted = [...history.wanted.filter(({ atMs }) => atMs > nowMs - HOLD_MS), { atMs: nowMs, vms }];
     return {
+        neededVms: vms,
         wantedVms: Math.max(...history.wanted.map(wanted => wanted.vms)),
         removable: executors
             .filter(executor => !hasLasting(executor))
--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -1,11 +1,13 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 
+/** `returning` VMs move or are under maintenance and serve again soon. */
+export type VmCondition = "up" | "returning" | "down";
+
 /** A VM as the platform lists it. */
 export interface FleetVm {
     readonly id: VmId;
     readonly pool: PoolName;
-    /** In service; otherwise it moves, is under maintenance or down. */
-    readonly up: boolean;
+    readonly condition: VmCondition;
 }
 
 /** A requested wave and how far it is. */
@@ -92,7 +94,10 @@
     }
     const listed = vms.get(vm);
     // Only a list that was read after the maintenance can tell.
-    return listedAtMs > confirmedAtMs + maintenanceMs + RETURN_MARGIN_MS && (listed === undefined || listed.up);
+    return (
+        listedAtMs > confirmedAtMs + maintenanceMs + RETURN_MARGIN_MS &&
+        (listed === undefined || listed.condition === "up")
+    );
 };
 
 // VMs that left the fleet need no maintenance.
@@ -112,7 +117,7 @@
     const isEmpty = (vm: VmId): boolean =>
         tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
     const order = waiting
-        .filter(vm => tables.vms.get(vm)?.up === true && isEmpty(vm))
+        .filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm))
         .slice(0, free)
         .map(vm => ({ vm, wave: wave.number }));
     return { order, evacuate: chooseEvacuations(tables, wave, waiting, isEmpty, terms) };
@@ -132,7 +137,7 @@
     const short = terms.nowMs + neededMs > wave.dueAtMs;
     const chosen: VmId[] = [];
     waiting
-        .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.up === true)
+        .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.condition === "up")
         .forEach(vm => {
             if (chosen.length < wanted && (short || hasPoolRoom(tables, vm, chosen))) {
                 chosen.push(vm);
@@ -145,7 +150,7 @@
     const pool = tables.vms.get(vm)?.pool;
     const members = [...tables.vms.values()].filter(other => other.pool === pool);
     const away = members.filter(
-        other => !other.up || tables.evacuations.has(other.id) || chosen.includes(other.id),
+        other => other.condition !== "up" || tables.evacuations.has(other.id) || chosen.includes(other.id),
     ).length;
     return away + 1 <= Math.max(1, Math.floor(members.length * MAX_POOL_SHARE));
 };
--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -4,6 +4,9 @@
 /** What a pool's scheduler says of its size. */
 export interface PoolNeed {
     readonly pool: PoolName;
+    /** VMs that its work needs at this moment. */
+    readonly neededVms: number;
+    /** VMs that it keeps while no other pool is short of them; at least the needed ones. */
     readonly wantedVms: number;
     /** VMs that can be vacated without ending a long-running task, the emptiest first. */
     readonly removable: readonly VmId[];
@@ -16,10 +19,12 @@
     readonly needs: readonly PoolNeed[];
     /** VMs with an order under way, and those that are vacated for maintenance. */
     readonly engaged: ReadonlySet<VmId>;
-    /** VMs that are vacated to be moved to the spare pool. */
+    /** VMs that are vacated to leave their pool. */
     readonly leaving: ReadonlySet<VmId>;
-    /** VMs on their way to a pool, by pool. */
-    readonly arriving: ReadonlyMap<PoolName, number>;
+    /** Those of them that are empty. */
+    readonly vacated: ReadonlySet<VmId>;
+    /** Moves that were ordered and are not over. */
+    readonly moving: readonly Move[];
     /** VMs that a wave waits for; they are moved last. */
     readonly awaitedByWave: ReadonlySet<VmId>;
 }
@@ -33,46 +38,90 @@
 /** What to do next. */
 export interface MovePlan {
     readonly moves: readonly Move[];
-    /** VMs to vacate for the spare pool. */
+    /** VMs to vacate, so that they can leave their pool. */
     readonly evacuate: readonly VmId[];
     /** Vacated or vacating VMs that their pool needs again. */
     readonly keep: readonly VmId[];
 }
 
-/** Plans moves between the spare pool and the others by what each needs. */
+interface PoolBalance {
+    readonly need: PoolNeed;
+    /** VMs that stay in the pool or are on their way to it. */
+    readonly size: number;
+    readonly leaving: readonly VmId[];
+    readonly removable: readonly VmId[];
+}
+
+/** Plans moves between pools by what each needs; what no pool needs goes to the spare pool. */
 export const planMoves = (tables: MoveTables): MovePlan => {
-    const spareVms = [...tables.vms.values()]
-        .filter(vm => vm.pool === tables.spare && vm.up && !tables.engaged.has(vm.id))
+    const balances = tables.needs.map(need => balanceOf(tables, need));
+    const keep = balances.flatMap(({ need, size, leaving }) => leaving.slice(0, Math.max(0, need.wantedVms - size)));
+    const short = balances.flatMap(({ need, size, leaving }) =>
+        repeat(need.pool, need.wantedVms - size - Math.min(leaving.length, Math.max(0, need.wantedVms - size))),
+    );
+    const free = [
+        ...spareVms(tables),
+        ...[...tables.vacated].filter(vm => tables.leaving.has(vm) && !keep.includes(vm)),
+    ];
+    const moves = interleave(short)
+        .slice(0, free.length)
+        .map((to, index) => ({ to, vm: free[index] as VmId }));
+    const parked = free
+        .slice(moves.length)
+        .filter(vm => tables.leaving.has(vm))
+        .flatMap(vm => (tables.spare === undefined ? [] : [{ vm, to: tables.spare }]));
+    const onTheWay = balances.reduce((sum, { leaving }) => sum + leaving.length, 0) - keep.length - tables.vacated.size;
+    const lacking = Math.max(0, short.length - moves.length - Math.max(0, onTheWay));
+    return { keep, moves: [...moves, ...parked], evacuate: chooseEvacuations(tables, balances, lacking) };
+};
+
+const spareVms = (tables: MoveTables): readonly VmId[] =>
+    [...tables.vms.values()]
+        .filter(vm => vm.pool === tables.spare && vm.condition === "up" && !tables.engaged.has(vm.id))
         .map(({ id }) => id)
         .sort((left, right) => Number(tables.awaitedByWave.has(left)) - Number(tables.awaitedByWave.has(right)));
-    const plans = tables.needs.map(need => planPool(tables, need));
-    const wanted = plans.flatMap(({ missing, pool }) => Array.from({ length: missing }, () => pool));
+
+const balanceOf = (tables: MoveTables, need: PoolNeed): PoolBalance => {
+    const members = [...tables.vms.values()].filter(vm => vm.pool === need.pool && vm.condition !== "down");
+    const inPool = new Set(members.map(({ id }) => id));
+    const movingAway = new Set(tables.moving.filter(({ to }) => to !== need.pool).map(({ vm }) => vm));
+    const staying = members.filter(({ id }) => !tables.leaving.has(id) && !movingAway.has(id)).length;
+    const coming = tables.moving.filter(({ to, vm }) => to === need.pool && !inPool.has(vm)).length;
     return {
-        moves: wanted.slice(0, spareVms.length).map((to, index) => ({ to, vm: spareVms[index] as VmId })),
-        evacuate: tables.spare === undefined ? [] : plans.flatMap(({ evacuate }) => evacuate),
-        keep: plans.flatMap(({ keep }) => keep),
+        need,
+        size: staying + coming,
+        leaving: members.map(({ id }) => id).filter(vm => tables.leaving.has(vm) && !movingAway.has(vm)),
+        removable: need.removable.filter(vm => inPool.has(vm) && !tables.leaving.has(vm) && !tables.engaged.has(vm)),
     };
 };
 
-interface PoolMovePlan {
-    readonly pool: PoolName;
-    readonly missing: number;
-    readonly evacuate: readonly VmId[];
-    readonly keep: readonly VmId[];
-}
+// Without a shortage a pool gives away what it does not want; for a shortage elsewhere, what it does not need now.
+const chooseEvacuations = (
+    { spare }: MoveTables,
+    balances: readonly PoolBalance[],
+    lacking: number,
+): readonly VmId[] => {
+    const surplus = spare === undefined ? [] : balances.flatMap(balance => giveAway(balance, balance.need.wantedVms));
+    const donors = balances.flatMap(balance => giveAway(balance, balance.need.neededVms));
+    const forShortage = donors.filter(vm => !surplus.includes(vm)).slice(0, Math.max(0, lacking - surplus.length));
+    return [...surplus, ...forShortage];
+};
 
-const planPool = (tables: MoveTables, { pool, wantedVms, removable }: PoolNeed): PoolMovePlan => {
-    const members = [...tables.vms.values()].filter(vm => vm.pool === pool && vm.up);
-    const leaving = members.filter(({ id }) => tables.leaving.has(id)).map(({ id }) => id);
-    const staying = members.filter(({ id }) => !tables.leaving.has(id) && !tables.engaged.has(id)).length;
-    const coming = tables.arriving.get(pool) ?? 0;
-    const missing = wantedVms - staying - coming;
-    if (missing > 0) {
-        const keep = leaving.slice(0, missing);
-        return { pool, missing: missing - keep.length, evacuate: [], keep };
-    }
-    const surplus = -missing;
-    const inPool = new Set(members.map(({ id }) => id));
-    const candidates = removable.filter(vm => inPool.has(vm) && !tables.leaving.has(vm) && !tables.engaged.has(vm));
-    return { pool, missing: 0, evacuate: candidates.slice(0, surplus), keep: [] };
+const giveAway = ({ size, removable }: PoolBalance, keepVms: number): readonly VmId[] =>
+    removable.slice(0, Math.max(0, size - keepVms));
+
+const repeat = (pool: PoolName, times: number): readonly PoolName[] =>
+    Array.from({ length: Math.max(0, times) }, () => pool);
+
+// Pools that are short of VMs get them in turn.
+const interleave = (pools: readonly PoolName[]): readonly PoolName[] => {
+    const ranks = new Map<PoolName, number>();
+    return pools
+        .map(pool => {
+            const rank = ranks.get(pool) ?? 0;
+            ranks.set(pool, rank + 1);
+            return { pool, rank };
+        })
+        .sort((left, right) => left.rank - right.rank)
+        .map(({ pool }) => pool);
 };
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -2,9 +2,9 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import { encodeWaveState } from "@almondusher/platform-adapter/decode-wave";
 import { PLATFORM_PART, STATUS_TABLE, WAVE_KEY_PREFIX } from "@almondusher/platform-adapter/platform-rows";
-import { createVmClient } from "@almondusher/platform-adapter/vm-client";
+import { createVmClient, type ListedVm } from "@almondusher/platform-adapter/vm-client";
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
-import { planMoves, type PoolNeed } from "@almondusher/upkeep/moves";
+import { planMoves, type Move, type PoolNeed } from "@almondusher/upkeep/moves";
 import { createSurgeForecast, forecastNeeds } from "@almondusher/upkeep/surge-forecast";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { HeldLease, LeaseKeeper } from "./lease-keeper.js";
@@ -65,6 +65,7 @@
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let active = true;
     let evacuationCounter = 0;
+    let lastNeeds = "";
     const forecast = createSurgeForecast();
 
     const mayAct = (): boolean => active && !lease.lost && context.steadyMs() - lease.renewedAtMs < UNCONFIRMED_MS;
@@ -103,7 +104,9 @@
             const sentAtMs = context.steadyMs();
             const listing = await client.list();
             if (listing.kind === "listed") {
-                vms = new Map(listing.vms.map(({ id, pool, condition }) => [id, { id, pool, up: condition === "up" }]));
+                vms = new Map(
+                    listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
+                );
                 listedAtMs = sentAtMs;
             }
             await sleep(LIST_MS);
@@ -192,30 +195,41 @@
             options.renewSoon();
         }
     };
+    const logNeeds = (forecasted: readonly PoolNeed[], needs: readonly PoolNeed[]): void => {
+        const sizes = poolSizes(vms);
+        const pools = forecasted.map(({ pool, wantedVms }, index) => ({
+            pool,
+            size: sizes.get(pool) ?? 0,
+            wanted: needs[index]?.wantedVms,
+            target: wantedVms,
+        }));
+        const text = JSON.stringify(pools);
+        if (text !== lastNeeds) {
+            lastNeeds = text;
+            context.log("pool-needs", { pools });
+        }
+    };
     const planPoolMoves = (records: readonly PoolRecord[], vacated: ReadonlySet<VmId>): void => {
         const spare = sparePools()[0];
         const needs = records.map(toNeed).filter(need => need !== undefined);
-        const leaving = new Set([...evacuations].filter(([, { purpose }]) => purpose === "move").map(([vm]) => vm));
+        const forecasted = forecastNeeds(forecast, needs, poolSizes(vms), context.steadyMs());
+        logNeeds(forecasted, needs);
+        const leaving = new Set(
+            [...evacuations].filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm)).map(([vm]) => vm),
+        );
         const plan = planMoves({
             vms,
             spare,
-            needs: forecastNeeds(forecast, needs, poolSizes(vms), context.steadyMs()),
+            needs: forecasted,
             engaged: new Set([...orders.keys(), ...[...evacuations.keys()].filter(vm => !leaving.has(vm))]),
             leaving,
-            arriving: countArriving(orders),
+            vacated: new Set([...leaving].filter(vm => vacated.has(vm))),
+            moving: movesOf(orders),
             awaitedByWave: awaitedByWave(),
         });
         plan.keep.filter(vm => !orders.has(vm)).forEach(release);
         plan.evacuate.forEach(vm => evacuate(vm, "move"));
-        plan.moves.forEach(({ vm, to }) => {
-            evacuations.delete(vm);
-            void send(vm, { kind: "move", to });
-        });
-        if (spare !== undefined) {
-            [...leaving]
-                .filter(vm => vacated.has(vm) && evacuations.has(vm) && !orders.has(vm))
-                .forEach(vm => void send(vm, { kind: "move", to: spare }));
-        }
+        plan.moves.forEach(({ vm, to }) => void send(vm, { kind: "move", to }));
     };
     const releaseMoved = (): void => {
         const moveMs = context.settings.moveSeconds * MS_PER_SECOND + RETURN_MARGIN_MS;
@@ -226,7 +240,7 @@
                     purpose.kind === "move" &&
                     confirmedAtMs !== undefined &&
                     listedAtMs > confirmedAtMs + moveMs &&
-                    (listed === undefined || (listed.up && listed.pool === purpose.to))
+                    (listed === undefined || (listed.condition === "up" && listed.pool === purpose.to))
                 );
             })
             .forEach(([vm]) => release(vm));
@@ -291,10 +305,16 @@
         ),
     );
 
-const countArriving = (orders: ReadonlyMap<VmId, VmOrder>): ReadonlyMap<PoolName, number> =>
-    [...orders.values()].reduce((counts, { purpose }) => {
-        if (purpose.kind === "move") {
-            counts.set(purpose.to, (counts.get(purpose.to) ?? 0) + 1);
-        }
-        return counts;
-    }, new Map<PoolName, number>());
+const movesOf = (orders: ReadonlyMap<VmId, VmOrder>): readonly Move[] =>
+    [...orders].flatMap(([vm, { purpose }]) => (purpose.kind === "move" ? [{ vm, to: purpose.to }] : []));
+
+const conditionOf = (condition: ListedVm["condition"]): FleetVm["condition"] => {
+    switch (condition) {
+        case "up":
+        case "down":
+            return condition;
+        case "moving":
+        case "upkeep":
+            return "returning";
+    }
+};
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -146,7 +146,13 @@
             if (!links.has(executor.id)) {
                 links.set(executor.id, openExecutorLink({ context, owner, executor, leaseMs }));
             }
-            executor.evacuation = executor.record.vm === undefined ? undefined : evacuations.get(executor.record.vm);
+            const evacuation = executor.record.vm === undefined ? undefined : evacuations.get(executor.record.vm);
+            // The VM may have restarted meanwhile, which ends the executor before its entry is gone.
+            if (executor.evacuation !== undefined && evacuation === undefined) {
+                executor.inspected = false;
+                links.get(executor.id)?.wake();
+            }
+            executor.evacuation = evacuation;
         });
         if ([...tables.executors.values()].some(executor => !executor.announced)) {
             options.renewSoon();
@@ -316,11 +322,18 @@
 const countPendingJobs = (tables: PoolTables): readonly PendingCount[] =>
     [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
 
-const vacatedEvacuations = (tables: PoolTables): readonly string[] =>
-    [...tables.executors.values()]
-        .filter(executor => executor.inspected && executor.runs.size === 0 && executor.strays.length === 0)
-        .map(executor => executor.evacuation?.id)
-        .filter(id => id !== undefined);
+const vacatedEvacuations = (tables: PoolTables): readonly string[] => {
+    const executors = [...tables.executors.values()].filter(({ evacuation }) => evacuation !== undefined);
+    // A VM may be listed with an earlier executor beside the one that runs there now.
+    const occupied = new Set(
+        executors.filter(executor => !isVacated(executor)).map(({ evacuation }) => evacuation?.id),
+    );
+    const ids = new Set(executors.map(({ evacuation }) => evacuation?.id).filter(id => id !== undefined));
+    return [...ids].filter(id => !occupied.has(id));
+};
+
+const isVacated = (executor: Executor): boolean =>
+    executor.runs.size === 0 && executor.strays.length === 0 && (executor.inspected || !executor.reachable);
 
 // Known only by its address until its registry entry is read.
 const placeholder = (pool: PoolName, { id, address }: AnnouncedExecutor): Executor["record"] => ({
