--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -132,7 +132,8 @@
     };
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
-        if (records === undefined) {
+        // Runs that executors report can only be told from strays once the jobs are known.
+        if (records === undefined || !loaded) {
             return;
         }
         applyRegistry(tables, records, context.steadyMs());
@@ -266,8 +267,11 @@
             options.renewSoon();
         }
     };
-    const loadedOnce = (): void => {
-        loaded = true;
+    const jobsChanged = (): void => {
+        if (!loaded) {
+            loaded = true;
+            syncExecutors();
+        }
         changed();
     };
 
@@ -281,7 +285,7 @@
     syncQueues();
     const passes = merge(fromEvent("change", hub), periodic(TICK_MS)).takeWhile(() => active);
     void passes.observe(pass);
-    void followJobs({ context, pool, isActive, sink: { job: admit, cancelled: cancel, changed: loadedOnce } });
+    void followJobs({ context, pool, isActive, sink: { job: admit, cancelled: cancel, changed: jobsChanged } });
 
     return {
         kind: "pool",
