Learn run times by regression, and test the scheduler's decisions

Change: a regression for each queue of seen on declared times; the longest of many tasks counts; late work asks for fewer VMs; no demand without executors; a lapsed lease is taken with less delay than a free one.

--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -41,7 +41,7 @@
 const SPREAD_SHARE = 0.5;
 const MIN_SPREAD_MS = 800;
 // Work of jobs that miss their objective anyway is spread over a longer time.
-const LATE_SPREAD_MS = 4000;
+const LATE_SPREAD_MS = 8000;
 
 /** Creates an empty history. */
 export const createDemandHistory = (): DemandHistory => ({ arrivals: [], wanted: [] });
@@ -54,10 +54,13 @@
     history.arrivals = [...history.arrivals, { untilMs: nowMs + spreadMs, cpu: work / spreadMs }];
 };
 
-/** Estimates how many VMs the pool needs now. */
-export const estimateDemand = (tables: PoolTables, history: DemandHistory, nowMs: number): PoolDemand => {
+/** Estimates how many VMs the pool needs now; undefined while it has none, so that their size is not known. */
+export const estimateDemand = (tables: PoolTables, history: DemandHistory, nowMs: number): PoolDemand | undefined => {
     history.arrivals = history.arrivals.filter(({ untilMs }) => untilMs > nowMs);
     const executors = [...tables.executors.values()].filter(({ registered, record }) => registered && !record.draining);
+    if (executors.length === 0) {
+        return undefined;
+    }
     const vmCpu = Math.max(1, ...executors.map(({ record }) => record.capacity.cpu));
     const jobs = [...tables.jobs.values()].filter(job => !isEnded(job));
     const lasting = jobs.flatMap(job => [...job.occurrences.values()].flat()).filter(({ step }) => step.longRunning);
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,4 +1,5 @@
 import type { OpenJob, OpenStep, PoolTables } from "./pool-tables.js";
+import { expectRunTime } from "./run-times.js";
 import { isReady } from "./job-progress.js";
 import { isEnded } from "./settle-run.js";
 
@@ -12,18 +13,13 @@
 }
 
 // A job counts as late only when it would miss its objective by more than this, since run times are guesses.
-const LATE_MARGIN_MS = 250;
-const DEFAULT_RUN_MS = 1000;
+const LATE_MARGIN_MS = 100;
+// Tasks of a step differ by about this share, so that the longest of many takes longer than the mean.
+const TASK_SPREAD = 0.25;
 
-/** Expected run time of a task of the step: between what the client declared and what its queue showed. */
-export const expectedRunMs = (tables: PoolTables, { step, job }: OpenStep): number => {
-    const declaredMs = step.estimateMs;
-    const seen = tables.runTimes.get(job.queue);
-    if (seen === undefined) {
-        return declaredMs > 0 ? declaredMs : DEFAULT_RUN_MS;
-    }
-    return declaredMs > 0 ? Math.sqrt(declaredMs * seen.meanMs) : seen.meanMs;
-};
+/** Expected run time of a task of the step in milliseconds. */
+export const expectedRunMs = (tables: PoolTables, { step, job }: OpenStep): number =>
+    expectRunTime(tables.runTimes, job.queue, step.estimateMs);
 
 /** Steps that may start tasks, in the order in which they get room. */
 export const orderSteps = (tables: PoolTables, nowMs: number): readonly RankedStep[] =>
@@ -66,5 +62,9 @@
     const step = steps[index];
     const later = steps.filter(candidate => candidate.step.after.includes(index));
     const restMs = later.map(candidate => longestChainMs(tables, job, occurrence, candidate.index));
-    return (step === undefined ? 0 : expectedRunMs(tables, step)) + Math.max(0, ...restMs);
+    return (step === undefined ? 0 : expectedStepMs(tables, step)) + Math.max(0, ...restMs);
 };
+
+// Time until the longest task of the step ends.
+const expectedStepMs = (tables: PoolTables, step: OpenStep): number =>
+    expectedRunMs(tables, step) * (1 + TASK_SPREAD * Math.sqrt(Math.log(step.step.count)));
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -174,6 +174,7 @@
         executor,
         phase: "starting",
         startedAtMs: nowMs,
+        resumedFrom: task.checkpoint,
         confirmedAtMs: undefined,
         percent: 0,
         atWorkSinceMs: undefined,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -3,6 +3,7 @@
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
+import type { RunTimeTable } from "./run-times.js";
 
 /** One task and what is known of its runs. */
 export interface Task {
@@ -50,6 +51,8 @@
     readonly executor: Executor;
     phase: RunPhase;
     readonly startedAtMs: number;
+    /** Checkpoint that the run began with; empty for none. */
+    readonly resumedFrom: string;
     /** When the executor last confirmed a start or stop of the run; reports asked for later must list the run. */
     confirmedAtMs: number | undefined;
     /** Progress as last reported. */
@@ -136,19 +139,13 @@
     stopSentAtMs: number | undefined;
 }
 
-/** Run times seen for a queue. */
-interface RunTimes {
-    meanMs: number;
-    samples: number;
-}
-
 /** Everything that a scheduler knows of its pool. */
 export interface PoolTables {
     readonly pool: PoolName;
     readonly jobs: Map<JobId, OpenJob>;
     readonly executors: Map<ExecutorId, Executor>;
     readonly queues: Map<QueueName, Queue>;
-    readonly runTimes: Map<QueueName, RunTimes>;
+    readonly runTimes: RunTimeTable;
     /** Fencing token of the lease. */
     readonly token: number;
     /** Runs that were started, for numbering. */
--- a/pools/scheduler/src/settle-run.ts
+++ b/pools/scheduler/src/settle-run.ts
@@ -1,5 +1,6 @@
 import type { EndedRun, RunReport } from "@almondusher/jobs/executor";
 import { hearClock, leaseLapsed } from "./lease-time.js";
+import { learnRunTime } from "./run-times.js";
 import { isCompleted } from "./job-progress.js";
 import {
     findTask,
@@ -25,8 +26,6 @@
     readonly receivedAtMs: number;
 }
 
-// Weight of a new run time in the mean of its queue.
-const RUN_TIME_WEIGHT = 0.1;
 const STREAK_TO_AVOID = 2;
 const AVOID_MS = 2000;
 const MAX_AVOID_MS = 16_000;
@@ -171,8 +170,8 @@
         ended.filter(member => !member.done).forEach(markDone);
     }
     ended.flatMap(member => [...member.runs]).forEach(other => stopRun(other, "duplicate"));
-    if (run !== undefined && run.phase === "running" && !task.step.step.longRunning) {
-        learnRunTime(tables, task, nowMs - run.startedAtMs);
+    if (run?.phase === "running" && run.resumedFrom === "" && !task.step.step.longRunning) {
+        learnRunTime(tables.runTimes, task.step.job.queue, task.step.step.estimateMs, nowMs - run.startedAtMs);
     }
 };
 
@@ -181,17 +180,6 @@
     task.step.remaining--;
 };
 
-const learnRunTime = (tables: PoolTables, task: Task, tookMs: number): void => {
-    const { queue } = task.step.job;
-    const known = tables.runTimes.get(queue);
-    if (known === undefined) {
-        tables.runTimes.set(queue, { meanMs: tookMs, samples: 1 });
-        return;
-    }
-    known.samples++;
-    known.meanMs += (tookMs - known.meanMs) * Math.max(RUN_TIME_WEIGHT, 1 / known.samples);
-};
-
 const noteHealth = (executor: Executor, end: EndedRun, nowMs: number): void => {
     if (end.how === "done") {
         executor.failureStreak = 0;
@@ -217,6 +205,8 @@
         executor,
         phase: "running",
         startedAtMs: nowMs,
+        // Its start was not seen, so its time tells nothing.
+        resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
         percent: active.percent,
         atWorkSinceMs: active.percent >= 100 ? nowMs : undefined,
--- /dev/null
+++ b/pools/scheduler/test/demand.test.ts
@@ -0,0 +1,41 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
+import { addJob, createPool, place, record, step } from "./fixture.js";
+
+test("a pool without executors says nothing of its needs, since the size of its VMs is unknown", () => {
+    const tables = createPool({ executors: [], jobs: [{ id: "j1", steps: [step({ count: 9 })] }] });
+    assert.equal(estimateDemand(tables, createDemandHistory(), 0), undefined);
+});
+
+test("a burst of arrivals raises the need at once, and a pause lowers it only after a while", () => {
+    const tables = createPool({ executors: [record("a"), record("b")] });
+    const history = createDemandHistory();
+    Array.from({ length: 20 }, (unused, index) => `j${index}`).forEach(id => {
+        addJob(tables, { id, steps: [step({ count: 2 })] });
+        const job = tables.jobs.get(id as never);
+        assert.ok(job !== undefined);
+        noteArrival(tables, history, job, 0);
+    });
+    const burst = estimateDemand(tables, history, 10);
+    assert.ok(burst !== undefined && burst.neededVms >= 6, JSON.stringify(burst));
+    tables.jobs.clear();
+    const paused = estimateDemand(tables, history, 2000);
+    assert.equal(paused?.neededVms, 2);
+    assert.equal(paused?.wantedVms, burst.wantedVms);
+    assert.equal(estimateDemand(tables, history, 3000)?.wantedVms, 2);
+});
+
+test("VMs with long-running tasks are not offered, and the emptiest is offered first", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b"), record("c")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    const lasting = place(tables)[0];
+    addJob(tables, { id: "j2", steps: [step({ demand: { cpu: 3500, memoryMb: 1, gpu: 0 } })] });
+    const short = place(tables)[0];
+    const { removable } = estimateDemand(tables, createDemandHistory(), 0) ?? { removable: [] };
+    assert.equal(removable.length, 2);
+    assert.equal(removable.includes(lasting?.executor.record.vm as never), false);
+    assert.equal(removable[1], short?.executor.record.vm);
+});
--- /dev/null
+++ b/pools/scheduler/test/fixture.ts
@@ -0,0 +1,137 @@
+import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { ExecutorRecord, RunReport } from "@almondusher/jobs/executor";
+import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
+import type { Job, Step } from "@almondusher/jobs/job";
+import { initialProgress, type Progress } from "@almondusher/jobs/progress";
+import { admitJob } from "@almondusher/scheduler/admit-job";
+import { applyRegistry } from "@almondusher/scheduler/executor-table";
+import { createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import { placeTasks } from "@almondusher/scheduler/place-tasks";
+import { applyReport } from "@almondusher/scheduler/settle-run";
+
+export const POOL = toId<PoolName>("pool");
+export const QUEUE = toId<QueueName>("queue");
+
+/** A step of one small task, changed as given. */
+export const step = (change: Partial<Step> = {}): Step => ({
+    count: 1,
+    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
+    estimateMs: 1000,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerExecutor: undefined,
+    speculative: false,
+    longRunning: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    backfill: false,
+    disruptionBudget: undefined,
+    ...change,
+});
+
+export const record = (id: string, change: Partial<ExecutorRecord> = {}): ExecutorRecord => ({
+    id: toId<ExecutorId>(id),
+    vm: toId<VmId>(`vm-${id}`),
+    pool: POOL,
+    address: "127.0.0.1:1",
+    dataCentre: toId<DataCentreName>("dc"),
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
+    labels: ["a", "r1-1"],
+    bornMs: 1,
+    clockMs: 0,
+    ...change,
+});
+
+export interface PoolFixture {
+    readonly executors: readonly ExecutorRecord[];
+    readonly jobs?: readonly JobFixture[];
+}
+
+export interface JobFixture {
+    readonly id: string;
+    readonly steps: readonly Step[];
+    readonly progress?: Progress;
+    readonly inherited?: boolean;
+    readonly arrivedAtMs?: number;
+}
+
+/** Tables of a pool whose executors have been looked at. */
+export const createPool = ({ executors, jobs = [] }: PoolFixture): PoolTables => {
+    const tables = createPoolTables(POOL, 1);
+    tables.queues.set(QUEUE, {
+        name: QUEUE,
+        host: "host",
+        prefix: "/q/",
+        pool: POOL,
+        priority: 0,
+        maxAttempts: 2,
+        stretch: 2,
+        graceMs: 500,
+        timeoutMs: 3000,
+        advice: undefined,
+    });
+    applyRegistry(tables, executors, 0);
+    tables.executors.forEach(executor => {
+        executor.inspected = true;
+        executor.announced = true;
+    });
+    jobs.forEach(job => addJob(tables, job));
+    return tables;
+};
+
+export const addJob = (tables: PoolTables, { id, steps, progress, inherited, arrivedAtMs }: JobFixture): void => {
+    const job: Job = {
+        id: toId<JobId>(id),
+        queue: QUEUE,
+        pool: POOL,
+        spec: "text",
+        steps,
+        schedule: undefined,
+        acceptedAtMs: 0,
+    };
+    admitJob(
+        tables,
+        {
+            job,
+            progress: progress ?? initialProgress,
+            progressVersion: 1,
+            arrivedAtMs: arrivedAtMs ?? 0,
+            inherited: inherited ?? false,
+        },
+        0,
+    );
+};
+
+export const place = (tables: PoolTables, nowMs = 0): readonly Run[] =>
+    placeTasks(tables, { nowMs, tickets: () => undefined });
+
+export const executorOf = (tables: PoolTables, id: string): Executor => {
+    const executor = tables.executors.get(toId<ExecutorId>(id));
+    if (executor === undefined) {
+        throw new Error(`no executor ${id}`);
+    }
+    return executor;
+};
+
+export const report = (change: Partial<RunReport> = {}): RunReport => ({
+    clockMs: 1000,
+    bornMs: 1,
+    active: [],
+    ended: [],
+    ...change,
+});
+
+/** Applies a report that was asked for and received at the given times. */
+export const hear = (
+    tables: PoolTables,
+    id: string,
+    change: Partial<RunReport>,
+    sentAtMs = 100,
+): ReturnType<typeof applyReport> =>
+    applyReport(tables, executorOf(tables, id), report(change), { sentAtMs, receivedAtMs: sentAtMs + 5 });
--- /dev/null
+++ b/pools/scheduler/test/order-steps.test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { orderSteps } from "@almondusher/scheduler/order-steps";
+import { createPool, record, step } from "./fixture.js";
+
+const order = (nowMs: number, jobs: Parameters<typeof createPool>[0]["jobs"]): readonly string[] =>
+    orderSteps(createPool({ executors: [record("a")], jobs: jobs ?? [] }), nowMs).map(({ step: { job } }) => job.id);
+
+test("jobs that can still be on time go before those that are late, the tightest first", () => {
+    const jobs = [
+        { id: "late", steps: [step()], arrivedAtMs: 0 },
+        { id: "loose", steps: [step()], arrivedAtMs: 4900 },
+        { id: "tight", steps: [step()], arrivedAtMs: 4000 },
+    ];
+    assert.deepEqual(order(5000, jobs), ["tight", "loose", "late"]);
+});
+
+test("long-running tasks go first, since each moment without them is lost", () => {
+    const jobs = [
+        { id: "short", steps: [step()] },
+        { id: "lasting", steps: [step({ longRunning: true })] },
+    ];
+    assert.deepEqual(order(0, jobs), ["lasting", "short"]);
+});
+
+test("a chain of steps makes a job tighter than a single step that arrived with it", () => {
+    const jobs = [
+        { id: "single", steps: [step({ estimateMs: 500 })] },
+        { id: "chain", steps: [step({ estimateMs: 500 }), step({ estimateMs: 500, after: [0] })] },
+    ];
+    // The objective grows by the stretch, twice the chain, so the single step has less time to spare.
+    assert.deepEqual(order(0, jobs), ["single", "chain"]);
+});
--- /dev/null
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { forgetRun } from "@almondusher/scheduler/pool-tables";
+import { stopRun } from "@almondusher/scheduler/settle-run";
+import { createPool, executorOf, place, record, step } from "./fixture.js";
+
+test("room of a run that is being stopped or has no answer is not given away", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [
+            { id: "j1", steps: [step({ count: 4 })] },
+            { id: "j2", steps: [step()] },
+        ],
+    });
+    const runs = place(tables);
+    assert.equal(runs.length, 4);
+    const [first, second] = runs;
+    assert.ok(first !== undefined && second !== undefined);
+    first.phase = "unsettled";
+    stopRun(second, "cancelled");
+    assert.equal(place(tables).length, 0);
+    forgetRun(first);
+    first.task.done = true;
+    assert.equal(place(tables).length, 1, "the room is free once the run is settled");
+});
+
+test("tasks of a step on one executor are limited by what runs there already", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 4, maxPerExecutor: 1 })] }],
+    });
+    assert.equal(place(tables).length, 2);
+    assert.equal(place(tables).length, 0, "a second round must count the runs of the first");
+});
+
+test("executors that drain, are vacated, unannounced, not inspected or hold strays get no starts", () => {
+    const tables = createPool({
+        executors: [record("a", { draining: true }), record("b"), record("c"), record("d"), record("e")],
+        jobs: [{ id: "j1", steps: [step()] }],
+    });
+    executorOf(tables, "b").evacuation = { id: "1-1", byMs: 0 };
+    executorOf(tables, "c").announced = false;
+    executorOf(tables, "d").inspected = false;
+    executorOf(tables, "e").strays = [{ task: "x.0.0.0" as never, number: 1, stopSentAtMs: undefined }];
+    assert.equal(place(tables).length, 0);
+    executorOf(tables, "e").strays = [];
+    assert.equal(place(tables).length, 1);
+});
+
+test("a required label is honoured and the rack of the data preferred", () => {
+    const tables = createPool({
+        executors: [record("a", { labels: ["a", "r1-1"] }), record("b", { labels: ["b", "r1-2"] })],
+        jobs: [
+            { id: "j1", steps: [step({ requiredLabel: "b" })] },
+            { id: "j2", steps: [step({ dataRack: "r1-1" })] },
+        ],
+    });
+    const placed = new Map(place(tables).map(run => [run.task.step.job.id as string, run.executor.id as string]));
+    assert.deepEqual(Object.fromEntries(placed), { j1: "b", j2: "a" });
+});
+
+test("a gang starts whole with one run number, or not at all", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ count: 5, gang: true })] }],
+    });
+    assert.equal(place(tables).length, 0, "four of five fit, so none starts");
+    const roomy = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 5, gang: true })] }],
+    });
+    const runs = place(roomy);
+    assert.equal(runs.length, 5);
+    assert.equal(new Set(runs.map(run => run.number)).size, 1);
+});
+
+test("a gang that prefers one rack uses one if it fits there", () => {
+    const tables = createPool({
+        executors: [
+            record("a", { labels: ["r1-1"] }),
+            record("b", { labels: ["r1-2"] }),
+            record("c", { labels: ["r1-2"] }),
+        ],
+        jobs: [{ id: "j1", steps: [step({ count: 6, gang: true, sameRack: true })] }],
+    });
+    assert.deepEqual(new Set(place(tables).map(run => run.executor.rack)), new Set(["r1-2"]));
+});
+
+test("a job of a former holder starts nothing until every executor was inspected or the leases have ended", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "old", steps: [step()], inherited: true }],
+    });
+    tables.inheritedWaitUntilMs = 5000;
+    executorOf(tables, "b").inspected = false;
+    assert.equal(place(tables, 4000).length, 0);
+    assert.equal(place(tables, 5000).length, 1);
+});
+
+test("a step waits for the steps before it", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step(), step({ after: [0] })] }],
+    });
+    assert.deepEqual(
+        place(tables).map(run => run.task.id as string),
+        ["j1.0.0.0"],
+    );
+});
+
+test("an executor that failed a task is the last choice for it", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step()] }],
+    });
+    const task = tables.jobs.get("j1" as never)?.occurrences.get(0)?.[0]?.tasks[0];
+    task?.failedOn.add("a" as never);
+    assert.equal(place(tables)[0]?.executor.id, "b");
+});
--- /dev/null
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -0,0 +1,92 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { planStops } from "@almondusher/scheduler/plan-stops";
+import { endJob } from "@almondusher/scheduler/settle-run";
+import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
+import { createPool, executorOf, place, record, step } from "./fixture.js";
+
+const stops = (tables: PoolTables, nowMs: number): readonly Run[] =>
+    planStops(tables, { nowMs, repeatMs: 400, stopTimeMs: 200 });
+
+const atWork = (runs: readonly Run[]): void =>
+    runs.forEach(run => {
+        run.phase = "running";
+        run.atWorkSinceMs = 0;
+    });
+
+test("a start without an answer is stopped, and the stop repeated until it is settled", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    run.phase = "unsettled";
+    assert.deepEqual(stops(tables, 0), [run]);
+    assert.equal(stops(tables, 300).length, 0);
+    assert.equal(stops(tables, 400).length, 1);
+    assert.equal(place(tables, 400).length, 0, "the task starts nowhere else before");
+});
+
+test("a cancelled job's runs are stopped", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
+    const runs = place(tables);
+    const job = runs[0]?.task.step.job;
+    assert.ok(job !== undefined);
+    endJob(job, "cancelled");
+    assert.deepEqual(
+        stops(tables, 0).map(run => run.stopCause),
+        ["cancelled", "cancelled"],
+    );
+});
+
+test("vacating VMs ends no more long-running tasks of a step at once than its budget allows", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b"), record("c")],
+        jobs: [{ id: "j1", steps: [step({ count: 2, maxPerExecutor: 1, longRunning: true, disruptionBudget: 1 })] }],
+    });
+    const runs = place(tables);
+    atWork(runs);
+    runs.forEach(run => (run.executor.evacuation = { id: run.executor.id, byMs: 0 }));
+    assert.equal(stops(tables, 1000).length, 1, "the second task waits until the first is at work elsewhere");
+    const [first] = runs;
+    assert.equal(stops(tables, 1200).length, 0);
+    first?.executor.runs.delete(first.task.id);
+    first?.task.runs.splice(0);
+    const replacement = place(tables, 1300)[0];
+    assert.ok(replacement !== undefined);
+    assert.equal(replacement.executor.id, executorOf(tables, "c").id);
+    replacement.phase = "running";
+    replacement.atWorkSinceMs = 2000;
+    assert.equal(stops(tables, 2100).length, 0, "a replacement that has just begun does not count yet");
+    assert.equal(stops(tables, 2400).length, 1);
+});
+
+test("a task that ends in time is left to end on an executor that leaves", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [
+            { id: "short", steps: [step({ estimateMs: 500 })] },
+            { id: "long", steps: [step({ estimateMs: 9000 })] },
+        ],
+    });
+    place(tables);
+    const executor = executorOf(tables, "a");
+    executor.record = { ...executor.record, draining: true, remainingMs: 2000 };
+    assert.deepEqual(
+        stops(tables, 0).map(run => run.task.step.job.id as string),
+        ["long"],
+    );
+});
+
+test("members of a gang that cannot all be present are stopped", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ count: 2, gang: true })] }],
+    });
+    const [first] = place(tables);
+    assert.ok(first !== undefined);
+    first.executor.runs.delete(first.task.id);
+    first.task.runs.splice(0);
+    assert.deepEqual(
+        stops(tables, 0).map(run => run.stopCause),
+        ["gang-incomplete"],
+    );
+});
--- /dev/null
+++ b/pools/scheduler/test/settle-run.test.ts
@@ -0,0 +1,130 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { progressOf } from "@almondusher/scheduler/job-progress";
+import { findTask } from "@almondusher/scheduler/pool-tables";
+import { lapseRuns } from "@almondusher/scheduler/settle-run";
+import { createPool, executorOf, hear, place, record, step } from "./fixture.js";
+
+const TASK = "j1.0.0.0" as never;
+
+test("a repeated report of a failure counts one attempt, also for a successor", () => {
+    const ended = [{ number: 1, task: TASK, run: 7, how: "failed", checkpoint: "" }] as const;
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    hear(tables, "a", { ended });
+    hear(tables, "a", { ended });
+    assert.equal(findTask(tables, TASK)?.failures, 1);
+    const job = tables.jobs.get("j1" as never);
+    assert.ok(job !== undefined);
+    const successor = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step()], progress: progressOf(job) }],
+    });
+    hear(successor, "a", { ended });
+    assert.equal(findTask(successor, TASK)?.failures, 1, "the stored progress names the counted run");
+    assert.equal(successor.jobs.get("j1" as never)?.state, "queued");
+});
+
+test("a job fails after its last attempt and completes only when every task is done", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [
+            { id: "j1", steps: [step()] },
+            { id: "j2", steps: [step({ count: 2 })] },
+        ],
+    });
+    hear(tables, "a", {
+        ended: [
+            { number: 1, task: TASK, run: 7, how: "failed", checkpoint: "" },
+            { number: 2, task: TASK, run: 8, how: "failed", checkpoint: "" },
+            { number: 3, task: "j2.0.0.0" as never, run: 9, how: "done", checkpoint: "" },
+        ],
+    });
+    assert.equal(tables.jobs.get("j1" as never)?.state, "failed");
+    assert.equal(tables.jobs.get("j2" as never)?.state, "queued");
+    hear(tables, "a", { ended: [{ number: 4, task: "j2.0.0.1" as never, run: 10, how: "done", checkpoint: "" }] });
+    assert.equal(tables.jobs.get("j2" as never)?.state, "completed");
+});
+
+test("an active run that a former holder started is adopted, and its task not started again", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step()], inherited: true }],
+    });
+    hear(tables, "a", { active: [{ task: TASK, run: 5, checkpoint: "c1", percent: 40, recentLoad: undefined }] });
+    assert.equal(place(tables).length, 0);
+    assert.equal(findTask(tables, TASK)?.checkpoint, "c1");
+});
+
+test("a run of an unknown or finished job is a stray and blocks its executor until it is gone", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    hear(tables, "a", {
+        active: [{ task: "gone.0.0.0" as never, run: 5, checkpoint: "", percent: 0, recentLoad: undefined }],
+    });
+    assert.equal(executorOf(tables, "a").strays.length, 1);
+    assert.equal(place(tables).length, 0);
+    hear(tables, "a", {}, 200);
+    assert.equal(place(tables).length, 1);
+});
+
+test("a report that was asked for before a start was confirmed does not make its run vanish", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    const run = place(tables, 90)[0];
+    assert.ok(run !== undefined);
+    hear(tables, "a", {}, 100);
+    assert.equal(executorOf(tables, "a").runs.size, 1, "the start has no answer yet");
+    run.confirmedAtMs = 110;
+    hear(tables, "a", {}, 105);
+    assert.equal(executorOf(tables, "a").runs.size, 1);
+    hear(tables, "a", {}, 120);
+    assert.equal(executorOf(tables, "a").runs.size, 0, "it is neither active nor ended");
+});
+
+test("runs on an executor out of reach end with their lease, on the slowest clock, and not before", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    place(tables);
+    const executor = executorOf(tables, "a");
+    executor.clock = { clockMs: 1000, heardAtMs: 0 };
+    executor.leaseUntilMs = 5000;
+    executor.reachable = false;
+    assert.equal(lapseRuns(executor, 4100).length, 0);
+    assert.equal(lapseRuns(executor, 4250).length, 1);
+    executor.reachable = true;
+    assert.equal(place(tables, 4250).length, 1);
+});
+
+test("another birth time under the same id ends all runs and restarts the count of ends", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
+    place(tables);
+    hear(tables, "a", { ended: [{ number: 9, task: TASK, run: 65_537, how: "stopped", checkpoint: "" }] });
+    const executor = executorOf(tables, "a");
+    assert.equal(executor.seenEnd, 9);
+    hear(tables, "a", { bornMs: 2 });
+    assert.equal(executor.runs.size, 0);
+    assert.equal(executor.seenEnd, 0);
+    assert.equal(place(tables).length, 2);
+});
+
+test("an end of a gang member stands for the whole gang", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ count: 3, gang: true })] }],
+    });
+    const runs = place(tables);
+    hear(tables, "a", { ended: [{ number: 1, task: TASK, run: runs[0]?.number ?? 0, how: "done", checkpoint: "" }] });
+    assert.equal(tables.jobs.get("j1" as never)?.state, "completed");
+});
+
+test("an executor that fails different tasks in a row is avoided for a while", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 4 })] }] });
+    hear(tables, "a", {
+        ended: [0, 1].map(index => ({
+            number: index + 1,
+            task: `j1.0.0.${index}` as never,
+            run: 5,
+            how: "failed" as const,
+            checkpoint: "",
+        })),
+    });
+    assert.equal(place(tables, 200).length, 0);
+    assert.equal(place(tables, 3000).length, 4);
+});
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -71,8 +71,9 @@
 const FLEET_LEASE_MS = 3300;
 // Readings further apart prove nothing about the time between them.
 const LONGEST_READING_GAP_MS = 1500;
-// Spreads the leases over the processes when several are free at once.
+// Spreads the leases over the processes when several are free at once; a lapsed one is taken sooner.
 const DELAY_FOR_HELD_MS = 350;
+const DELAY_AFTER_LAPSE_MS = 60;
 const DELAY_FOR_SMALL_VM_MS = 300;
 
 interface Observation {
@@ -227,14 +228,22 @@
         if (subject === undefined) {
             return;
         }
-        const smallness = Math.max(0, 1 - context.settings.processorCores);
-        const delayMs = held.size * DELAY_FOR_HELD_MS + smallness * DELAY_FOR_SMALL_VM_MS;
-        await sleep(delayMs);
+        await sleep(delayBeforeTaking(observed.get(leaseKey(subject))?.record));
         if (!closed) {
             await take(subject);
         }
     };
 
+    const delayBeforeTaking = (record: LeaseRecord | undefined): number => {
+        if (record?.holder === context.vm) {
+            return 0;
+        }
+        const smallness = Math.max(0, 1 - context.settings.processorCores);
+        return record?.holder === undefined
+            ? held.size * DELAY_FOR_HELD_MS + smallness * DELAY_FOR_SMALL_VM_MS
+            : held.size * DELAY_AFTER_LAPSE_MS;
+    };
+
     const renewAll = async (): Promise<void> => {
         while (!closed) {
             await Promise.all([...held.values()].map(renewNow));
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -4,7 +4,7 @@
 import type { DataCentreName } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { admitJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
-import { createDemandHistory, estimateDemand, noteArrival, type PoolDemand } from "@almondusher/scheduler/demand";
+import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { pendingJobs } from "@almondusher/scheduler/job-progress";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
@@ -71,7 +71,7 @@
     let loaded = false;
     let lastVacated = "";
     const history = createDemandHistory();
-    let demand: PoolDemand | undefined;
+    let demand = lease.predecessor?.demand;
     let evacuations: ReadonlyMap<VmId, VmEvacuation> = new Map();
 
     const announced = lease.predecessor?.executors ?? [];
@@ -262,8 +262,8 @@
     };
     const announceDemand = (): void => {
         const before = demand?.wantedVms;
-        demand = estimateDemand(tables, history, context.steadyMs());
-        if (before === undefined || demand.wantedVms > before) {
+        demand = estimateDemand(tables, history, context.steadyMs()) ?? demand;
+        if (demand !== undefined && demand.wantedVms > (before ?? 0)) {
             options.renewSoon();
         }
     };
@@ -294,7 +294,7 @@
             executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
             pending: loaded ? countPendingJobs(tables) : (lease.predecessor?.pending ?? []),
             vacated: loaded ? vacatedEvacuations(tables) : [],
-            demand: loaded ? demand : undefined,
+            demand,
         }),
         renewed: ({ executors }) => {
             executors.forEach(({ id }) => {
