Keep a lease's fencing token when it is given up, and finished jobs closed

A holder that gave its lease up stored its predecessor's record over its own, epoch included. Change: the stored record's epoch and holder win over its content, which is taken before the holder ends; the scheduler remembers finished jobs. Stand-ins for the platform's store, executors and VM service, and tests of real dispatcher processes against them.

--- /dev/null
+++ b/bench/system/src/job-deployment.ts
@@ -0,0 +1,253 @@
+import { spawn, type ChildProcess } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { startExecutorStandIn, type ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
+import { startStoreStandIn, type StoreStandIn } from "@almondusher/job-platform-stand-in/store";
+import { startVmServiceStandIn, type VmServiceStandIn } from "@almondusher/job-platform-stand-in/vm-service";
+import { freePorts } from "./free-ports.js";
+
+/** A dispatcher process. */
+export interface DeployedDispatcher {
+    readonly vm: string;
+    /** host:port of the server for clients. */
+    readonly address: string;
+    readonly metricsAddress: string;
+    readonly process: ChildProcess;
+    /** Log lines so far, decoded. */
+    readonly log: readonly LogLine[];
+    readonly ended: Promise<number | undefined>;
+}
+
+/** One structured log line. */
+export interface LogLine {
+    readonly event?: string;
+    readonly [field: string]: unknown;
+}
+
+/** Dispatchers on stand-ins for the platform. */
+export interface JobDeployment {
+    readonly store: StoreStandIn;
+    readonly vms: VmServiceStandIn;
+    readonly executors: readonly ExecutorStandIn[];
+    readonly dispatchers: readonly DeployedDispatcher[];
+    readonly startDispatcher: (vm: string) => Promise<DeployedDispatcher>;
+    readonly close: () => Promise<void>;
+}
+
+/** Options of a deployment. */
+export interface JobDeploymentOptions {
+    readonly dispatchers: number;
+    readonly executors: number;
+    /** How long a task runs, in milliseconds. */
+    readonly runMs: (task: string) => number;
+}
+
+/** Answer to a client. */
+export interface ClientAnswer {
+    readonly status: number;
+    readonly body: { readonly state?: string; readonly pending?: number };
+    readonly retryAfter: string | undefined;
+}
+
+/** Host that the queue of the deployment is served under. */
+const JOB_HOST = "jobs.example";
+/** Path prefix of the queue. */
+const JOB_PREFIX = "/queue/";
+
+const POOL = "pool-a";
+const MAIN = fileURLToPath(new URL("../../../programs/dispatcher/src/main.ts", import.meta.url));
+const TSX = import.meta.resolve("tsx");
+const KILL_AFTER_MS = 5000;
+
+/** Starts stand-ins and dispatcher processes, and waits until the dispatchers are ready. */
+export const startJobDeployment = async (options: JobDeploymentOptions): Promise<JobDeployment> => {
+    const directory = mkdtempSync(join(tmpdir(), "almondusher-jobs-"));
+    const store = await startStoreStandIn();
+    store.put("op", "config", configuration());
+    const executors = await Promise.all(
+        Array.from({ length: options.executors }, (unused, index) =>
+            startExecutorStandIn({ store, id: `i-${index}`, service: POOL, runMs: options.runMs }),
+        ),
+    );
+    const vms = await startVmServiceStandIn(executors.map(({ id }) => ({ id: `vm-${id}`, pool: POOL, executor: id })));
+    const dispatchers: DeployedDispatcher[] = [];
+    const startDispatcher = async (vm: string): Promise<DeployedDispatcher> => {
+        const started = await spawnDispatcher(directory, vm, store.address, vms.address);
+        dispatchers.push(started);
+        return started;
+    };
+    await Promise.all(
+        Array.from({ length: options.dispatchers }, (unused, index) => startDispatcher(`entry-${index}`)),
+    );
+    return {
+        store,
+        vms,
+        executors,
+        dispatchers,
+        startDispatcher,
+        close: async () => {
+            await Promise.all(dispatchers.map(endDispatcher));
+            await Promise.all([...executors.map(executor => executor.close()), vms.close(), store.close()]);
+            rmSync(directory, { recursive: true, force: true });
+        },
+    };
+};
+
+/** Sends one request of a client. */
+export const callJob = (
+    { address }: Pick<DeployedDispatcher, "address">,
+    method: "POST" | "GET" | "DELETE",
+    job: string,
+    body?: object,
+): Promise<ClientAnswer> =>
+    new Promise((resolve, reject) => {
+        const [host, port] = address.split(":");
+        const call = request(
+            {
+                host,
+                port,
+                method,
+                path: JOB_PREFIX + job,
+                agent: false,
+                headers: { host: JOB_HOST, "deadline-ms": "3000" },
+            },
+            response => {
+                const chunks: Buffer[] = [];
+                response.on("data", (chunk: Buffer) => chunks.push(chunk));
+                response.on("end", () => {
+                    const text = Buffer.concat(chunks).toString();
+                    resolve({
+                        status: response.statusCode ?? 0,
+                        body: text === "" ? {} : (JSON.parse(text) as ClientAnswer["body"]),
+                        retryAfter: response.headers["retry-after"],
+                    });
+                });
+            },
+        );
+        call.on("error", reject);
+        call.end(body === undefined ? undefined : JSON.stringify(body));
+    });
+
+/** Waits until a check holds; throws after the time. */
+export const waitUntil = async (
+    what: string,
+    timeoutMs: number,
+    check: () => Promise<boolean> | boolean,
+): Promise<void> => {
+    const endMs = performance.now() + timeoutMs;
+    while (!(await check())) {
+        if (performance.now() > endMs) {
+            throw new Error(`${what}: not within ${timeoutMs} ms`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+};
+
+/** Waits until a job is shown in a state. */
+export const waitForState = (
+    dispatcher: Pick<DeployedDispatcher, "address">,
+    job: string,
+    state: string,
+    timeoutMs: number,
+): Promise<void> =>
+    waitUntil(
+        `job ${job} ${state}`,
+        timeoutMs,
+        async () => (await callJob(dispatcher, "GET", job)).body.state === state,
+    );
+
+const configuration = (): object => ({
+    version: 1,
+    routes: [
+        {
+            name: "queue",
+            host: JOB_HOST,
+            prefix: JOB_PREFIX,
+            kind: "unsafe",
+            timeout_ms: 3000,
+            target_duration_ms: 600,
+            priority: 0,
+            service: POOL,
+            max_attempts: 2,
+            stretch: 1.6,
+        },
+    ],
+    services: [
+        { name: POOL, enforces_capacity: false, spare: false },
+        { name: "pool-spare", enforces_capacity: false, spare: true },
+    ],
+    limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
+});
+
+const spawnDispatcher = async (
+    directory: string,
+    vm: string,
+    storeAddress: string,
+    vmServiceAddress: string,
+): Promise<DeployedDispatcher> => {
+    const [entryPort, readyPort, metricsPort] = await freePorts(3);
+    const file = join(directory, `${vm}.json`);
+    const metricsAddress = `127.0.0.1:${metricsPort}`;
+    const settings = {
+        vm,
+        dataCentre: "dc-1",
+        entryAddress: `127.0.0.1:${entryPort}`,
+        readyAddress: `127.0.0.1:${readyPort}`,
+        metricsAddress,
+        storeAddress,
+        vmServiceAddress,
+        adviceAddress: "",
+        processorCores: 1,
+        stopGraceSeconds: 6,
+        maxLeaseMs: 6000,
+        stopTimeMs: 200,
+        disruptionNoticeMs: 4500,
+        latencyHarmMs: 4000,
+        farFactor: 2,
+        earlyStartMs: 250,
+        moveSeconds: 0.1,
+        maintenanceSeconds: 0.1,
+        heartbeatMs: 500,
+    };
+    writeFileSync(file, JSON.stringify(settings));
+    const child = spawn(process.execPath, ["--conditions=source", "--import", TSX, MAIN, "--settings", file], {
+        stdio: ["ignore", "pipe", "inherit"],
+    });
+    const log: LogLine[] = [];
+    collectLines(child, line => log.push(line));
+    const ended = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
+    await waitUntil(`${vm} ready`, 20_000, () => isReady(readyPort ?? 0));
+    return { vm, address: settings.entryAddress, metricsAddress, process: child, log, ended };
+};
+
+const collectLines = (child: ChildProcess, take: (line: LogLine) => void): void => {
+    let rest = "";
+    child.stdout?.on("data", (chunk: Buffer) => {
+        const lines = (rest + chunk.toString()).split("\n");
+        rest = lines.pop() ?? "";
+        lines.forEach(line => take(JSON.parse(line) as LogLine));
+    });
+};
+
+const isReady = (port: number): Promise<boolean> =>
+    new Promise(resolve => {
+        const call = request({ host: "127.0.0.1", port, path: "/-/ready", agent: false }, response => {
+            response.resume();
+            resolve(response.statusCode === 200);
+        });
+        call.on("error", () => resolve(false));
+        call.end();
+    });
+
+const endDispatcher = async ({ process: child, ended }: DeployedDispatcher): Promise<void> => {
+    if (typeof child.exitCode === "number" || typeof child.signalCode === "string") {
+        return;
+    }
+    child.kill("SIGTERM");
+    const timer = setTimeout(() => child.kill("SIGKILL"), KILL_AFTER_MS);
+    await ended;
+    clearTimeout(timer);
+};
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -1,8 +1,11 @@
 import { occurrencesOf, stepIdOf, taskIdOf, type Job, type Step } from "@almondusher/jobs/job";
 import type { Progress, StepProgress } from "@almondusher/jobs/progress";
-import type { ExecutorId } from "@almondusher/jobs/ids";
+import type { ExecutorId, JobId } from "@almondusher/jobs/ids";
 import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
 
+// About 100 bytes each; far more than a pool finishes while one reading is under way.
+const MAX_FINISHED = 20_000;
+
 /** A job as it was read from the store. */
 export interface AdmittedJob {
     readonly job: Job;
@@ -16,7 +19,7 @@
 /** Adds a job that is not finished to the tables; does nothing for a known one. */
 export const admitJob = (tables: PoolTables, admitted: AdmittedJob, wallMs: number): void => {
     const { job, progress } = admitted;
-    if (tables.jobs.has(job.id) || isFinal(progress)) {
+    if (tables.jobs.has(job.id) || tables.finished.has(job.id) || isFinal(progress)) {
         return;
     }
     const open: OpenJob = {
@@ -40,6 +43,15 @@
 export const restoreProgress = (open: OpenJob, progress: Progress): void =>
     progress.steps.forEach(step => restoreStep(open, step));
 
+/** Removes a job whose end is stored. */
+export const closeJob = (tables: PoolTables, { id }: OpenJob): void => {
+    tables.jobs.delete(id);
+    tables.finished.add(id);
+    if (tables.finished.size > MAX_FINISHED) {
+        tables.finished.delete(tables.finished.values().next().value as JobId);
+    }
+};
+
 /** True for a job that needs no more work. */
 const isFinal = ({ state }: Progress): boolean => state === "completed" || state === "failed" || state === "cancelled";
 
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -143,6 +143,8 @@
 export interface PoolTables {
     readonly pool: PoolName;
     readonly jobs: Map<JobId, OpenJob>;
+    /** Jobs whose end is stored, the newest ones; a late reading of their rows must not open them again. */
+    readonly finished: Set<JobId>;
     readonly executors: Map<ExecutorId, Executor>;
     readonly queues: Map<QueueName, Queue>;
     readonly runTimes: RunTimeTable;
@@ -158,6 +160,7 @@
 export const createPoolTables = (pool: PoolName, token: number): PoolTables => ({
     pool,
     jobs: new Map(),
+    finished: new Set(),
     executors: new Map(),
     queues: new Map(),
     runTimes: new Map(),
--- a/pools/scheduler/test/settle-run.test.ts
+++ b/pools/scheduler/test/settle-run.test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { closeJob } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { findTask } from "@almondusher/scheduler/pool-tables";
 import { lapseRuns } from "@almondusher/scheduler/settle-run";
-import { createPool, executorOf, hear, place, record, step } from "./fixture.js";
+import { addJob, createPool, executorOf, hear, place, record, step } from "./fixture.js";
 
 const TASK = "j1.0.0.0" as never;
 
@@ -128,3 +129,13 @@
     assert.equal(place(tables, 200).length, 0);
     assert.equal(place(tables, 3000).length, 4);
 });
+
+test("a finished job is not opened again by a reading of its rows from before its end", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    hear(tables, "a", { ended: [{ number: 1, task: TASK, run: 7, how: "done", checkpoint: "" }] });
+    const job = tables.jobs.get("j1" as never);
+    assert.ok(job !== undefined);
+    closeJob(tables, job);
+    addJob(tables, { id: "j1", steps: [step()] });
+    assert.equal(place(tables).length, 0);
+});
--- /dev/null
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import type { VmId } from "@almondusher/fleet/ids";
+import {
+    planMaintenance,
+    type MaintenanceOrder,
+    type MaintenanceTables,
+    type Wave,
+} from "@almondusher/upkeep/maintenance";
+import { fleet, poolName, vmId } from "./fixture.js";
+
+const wave = (vms: readonly string[], change: Partial<Wave> = {}): Wave => ({
+    number: 1,
+    vms: vms.map(vmId),
+    maxConcurrent: 2,
+    dueAtMs: 20_000,
+    begun: new Set<VmId>(),
+    completed: false,
+    ...change,
+});
+
+const tables = (change: Partial<MaintenanceTables>): MaintenanceTables => ({
+    vms: fleet("a p", "b p", "c p", "d p", "e p", "f p", "s spare"),
+    listedAtMs: 0,
+    spare: new Set([poolName("spare")]),
+    waves: [],
+    orders: new Map(),
+    engaged: new Set(),
+    evacuations: new Set(),
+    vacated: new Set(),
+    ...change,
+});
+
+const TERMS = { nowMs: 0, maintenanceMs: 2000 };
+
+const orders = (...rows: readonly (readonly [string, number | undefined])[]): ReadonlyMap<VmId, MaintenanceOrder> =>
+    new Map(rows.map(([vm, confirmedAtMs]) => [vmId(vm), { wave: 1, sentAtMs: 0, confirmedAtMs }]));
+
+test("only vacated VMs and those of the spare pool are maintained", () => {
+    const plan = planMaintenance(
+        tables({ waves: [wave(["a", "b", "s"])], vacated: new Set([vmId("b")]), evacuations: new Set([vmId("b")]) }),
+        TERMS,
+    );
+    assert.deepEqual(
+        plan.order.map(({ vm }) => vm as string),
+        ["b", "s"],
+    );
+});
+
+test("orders without an answer count against the cap until the VM is listed up after its maintenance", () => {
+    const vacated = new Set(["c", "d"].map(vmId));
+    const planWith = (given: ReadonlyMap<VmId, MaintenanceOrder>, listedAtMs: number) =>
+        planMaintenance(
+            tables({
+                waves: [wave(["a", "b", "c", "d"])],
+                orders: given,
+                engaged: new Set(given.keys()),
+                vacated,
+                listedAtMs,
+            }),
+            TERMS,
+        );
+    assert.equal(planWith(orders(["a", undefined], ["b", 100]), 9000).order.length, 1, "one is back, one unknown");
+    assert.equal(planWith(orders(["a", 100], ["b", 100]), 1000).order.length, 0, "the list is too old to tell");
+    assert.deepEqual(planWith(orders(["a", 100], ["b", 100]), 9000).release.map(String), ["a", "b"]);
+});
+
+test("VMs are vacated ahead of their turn, but no more of a pool than its share while there is time", () => {
+    const plan = planMaintenance(tables({ waves: [wave(["a", "b", "c", "d"])] }), TERMS);
+    assert.equal(plan.evacuate.length, 2, "a third of six");
+    const hurried = planMaintenance(tables({ waves: [wave(["a", "b", "c", "d"], { dueAtMs: 5000 })] }), TERMS);
+    assert.equal(hurried.evacuate.length, 4);
+});
+
+test("a wave is completed once every VM that is still in the fleet was maintained", () => {
+    const begun = new Set(["a", "b"].map(vmId));
+    assert.deepEqual(planMaintenance(tables({ waves: [wave(["a", "b", "left"], { begun })] }), TERMS).completed, [1]);
+    assert.deepEqual(planMaintenance(tables({ waves: [wave(["a", "b", "c"], { begun })] }), TERMS).completed, []);
+});
--- /dev/null
+++ b/pools/upkeep/test/moves.test.ts
@@ -0,0 +1,90 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { planMoves, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
+import { fleet, poolName, vmId } from "./fixture.js";
+
+const need = (pool: string, neededVms: number, wantedVms: number, removable: readonly string[] = []): PoolNeed => ({
+    pool: poolName(pool),
+    neededVms,
+    wantedVms,
+    removable: removable.map(vmId),
+});
+
+const tables = (change: Partial<MoveTables>): MoveTables => ({
+    vms: fleet("a p", "b p", "c q", "d q", "e q", "s spare"),
+    spare: poolName("spare"),
+    needs: [],
+    engaged: new Set(),
+    leaving: new Set(),
+    vacated: new Set(),
+    moving: [],
+    awaitedByWave: new Set(),
+    ...change,
+});
+
+const ids = (vms: readonly unknown[]): readonly string[] => vms.map(String);
+
+test("a pool that is short gets spare VMs, and the rest from a pool that does not need its own now", () => {
+    const plan = planMoves(tables({ needs: [need("p", 4, 4), need("q", 1, 3, ["e", "d"])] }));
+    assert.deepEqual(
+        plan.moves.map(({ vm, to }) => `${vm}>${to}`),
+        ["s>p"],
+    );
+    assert.deepEqual(ids(plan.evacuate), ["e"]);
+});
+
+test("a vacated VM moves straight to the pool that is short of one", () => {
+    const leaving = new Set([vmId("e")]);
+    const plan = planMoves(
+        tables({
+            vms: fleet("a p", "e q", "f q"),
+            needs: [need("p", 2, 2), need("q", 1, 1)],
+            leaving,
+            vacated: leaving,
+        }),
+    );
+    assert.deepEqual(
+        plan.moves.map(({ vm, to }) => `${vm}>${to}`),
+        ["e>p"],
+    );
+});
+
+test("without a shortage a pool keeps what it wants, and the rest goes to the spare pool", () => {
+    const plan = planMoves(tables({ needs: [need("p", 1, 2), need("q", 1, 2, ["d"])] }));
+    assert.deepEqual(ids(plan.evacuate), ["d"]);
+    const vacated = new Set([vmId("d")]);
+    const next = planMoves(tables({ needs: [need("p", 1, 2), need("q", 1, 2)], leaving: vacated, vacated }));
+    assert.deepEqual(
+        next.moves.map(({ vm, to }) => `${vm}>${to}`),
+        ["d>spare"],
+    );
+});
+
+test("a VM that is being vacated is kept if its pool needs it again", () => {
+    const plan = planMoves(tables({ needs: [need("q", 3, 3)], leaving: new Set([vmId("d")]) }));
+    assert.deepEqual(ids(plan.keep), ["d"]);
+    assert.equal(plan.moves.length, 0);
+});
+
+test("VMs on their way and VMs under maintenance count for their pool", () => {
+    const plan = planMoves(
+        tables({
+            vms: fleet("a p", "b p returning", "s spare", "t spare"),
+            needs: [need("p", 3, 3)],
+            moving: [{ vm: vmId("t"), to: poolName("p") }],
+            engaged: new Set([vmId("t"), vmId("b")]),
+        }),
+    );
+    assert.deepEqual(plan.moves, []);
+});
+
+test("spare VMs that a wave waits for are moved last", () => {
+    const plan = planMoves(
+        tables({
+            vms: fleet("s spare", "t spare", "a p"),
+            needs: [need("p", 2, 2)],
+            awaitedByWave: new Set([vmId("s")]),
+        }),
+    );
+    assert.deepEqual(ids(plan.moves.map(({ vm }) => vm)), ["t"]);
+});
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -121,7 +121,7 @@
         const sentAtMs = steadyMs();
         const key = leaseKey(lease.subject);
         const content = holder.content(lease);
-        const record: LeaseRecord = { holder: context.vm, process: context.process, epoch: lease.epoch, ...content };
+        const record: LeaseRecord = { ...content, holder: context.vm, process: context.process, epoch: lease.epoch };
         const value = encodeLease(record);
         const commit = await store.transact({
             expect: [{ ...leaseRow(key), version: lease.version }],
@@ -253,15 +253,16 @@
 
     const giveUp = async (lease: HeldLease): Promise<void> => {
         const key = leaseKey(lease.subject);
+        // The successor needs what is known now; nothing is vacated once nobody holds VMs empty.
+        const content = { ...holder.content(lease), vacated: [] };
         lease.lost = true;
         await holder.end(lease);
-        const content = holder.content(lease);
         await store.transact({
             expect: [{ ...leaseRow(key), version: lease.version }],
             writes: [
                 {
                     ...leaseRow(key),
-                    value: encodeLease({ holder: undefined, process: undefined, epoch: lease.epoch, ...content }),
+                    value: encodeLease({ ...content, holder: undefined, process: undefined, epoch: lease.epoch }),
                 },
             ],
         });
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -3,7 +3,7 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { DataCentreName } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
-import { admitJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { admitJob, closeJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { pendingJobs } from "@almondusher/scheduler/job-progress";
@@ -106,7 +106,7 @@
         isActive,
         stored: executor => links.get(executor.id)?.wake(),
         finished: job => {
-            tables.jobs.delete(job.id);
+            closeJob(tables, job);
             context.metrics.count(`jobs_${job.state}`);
             context.metrics.record(`job_${job.state}`, context.steadyMs() - job.arrivedAtMs);
             context.log("job-finished", {
--- /dev/null
+++ b/stand-ins/job-platform/src/json-server.ts
@@ -0,0 +1,77 @@
+import { createServer, type IncomingMessage, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A request as a stand-in handles it. */
+export interface JsonRequest {
+    readonly method: string;
+    readonly path: string;
+    readonly query: URLSearchParams;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: unknown;
+}
+
+/** What a stand-in answers; `silence` never answers, `cut` closes the connection. */
+export type JsonReply =
+    | { readonly kind: "reply"; readonly status: number; readonly body: unknown }
+    | { readonly kind: "silence" }
+    | { readonly kind: "cut" };
+
+/** A server on a port of the loopback address. */
+export interface JsonServer {
+    /** host:port */
+    readonly address: string;
+    readonly close: () => Promise<void>;
+}
+
+/** An answer with a body. */
+export const reply = (status: number, body: unknown = {}): JsonReply => ({ kind: "reply", status, body });
+
+/** Starts a server; port 0 takes a free one. */
+export const startJsonServer = async (
+    handle: (request: JsonRequest) => Promise<JsonReply> | JsonReply,
+    port = 0,
+): Promise<JsonServer> => {
+    const server: Server = createServer((request, response) => {
+        const url = new URL(request.url ?? "/", "http://stand-in");
+        void readBody(request)
+            .then(body =>
+                handle({
+                    method: request.method ?? "GET",
+                    path: url.pathname,
+                    query: url.searchParams,
+                    headers: request.headers,
+                    body,
+                }),
+            )
+            .then(answer => {
+                switch (answer.kind) {
+                    case "reply":
+                        response.writeHead(answer.status, { "content-type": "application/json" });
+                        response.end(JSON.stringify(answer.body));
+                        break;
+                    case "cut":
+                        request.socket.destroy();
+                        break;
+                    case "silence":
+                        break;
+                }
+            });
+    });
+    await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+        close: async () => {
+            server.closeAllConnections();
+            await new Promise(resolve => server.close(resolve));
+        },
+    };
+};
+
+const readBody = async (request: IncomingMessage): Promise<unknown> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    const text = Buffer.concat(chunks).toString();
+    return text === "" ? undefined : JSON.parse(text);
+};
