--- /dev/null
+++ b/programs/dispatcher/test/bounded-output.test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { execFileSync, spawn } from "node:child_process";
+import { closeSync, mkdtempSync, openSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import test from "node:test";
+import { createBoundedOutput } from "@almondusher/dispatcher/bounded-output";
+
+test("a reader that stands still blocks nobody; lines beyond the bound are dropped and counted", async () => {
+    const directory = mkdtempSync(join(tmpdir(), "almondusher-log-"));
+    const pipe = join(directory, "pipe");
+    execFileSync("mkfifo", [pipe]);
+    // Holds the pipe open and never reads.
+    const reader = spawn("sleep", ["30"], { stdio: [openSync(pipe, "r+"), "ignore", "ignore"] });
+    const descriptor = openSync(pipe, "w");
+    const output = createBoundedOutput({ descriptor, maxBuffered: 100_000 });
+    const beganMs = performance.now();
+    const line = `${"x".repeat(999)}\n`;
+    Array.from({ length: 2000 }).forEach(() => output.write(line));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    assert.ok(performance.now() - beganMs < 1000, "writing returns at once");
+    assert.ok(output.dropped() >= 1700, `${output.dropped()} dropped`);
+    reader.kill("SIGKILL");
+    execFileSync("sh", ["-c", `timeout 1 cat ${pipe} > /dev/null || true`]);
+    closeSync(descriptor);
+    rmSync(directory, { recursive: true, force: true });
+});
