Fetch tickets for queues with advice, and pace backfill by the tail of the tasks it disturbs

Change: a scheduler asks for tickets ahead, the next steps first, and sends them with starts; backfill is held back at 0.8 of a latency target and let go in steps below 0.5 of it.

--- /dev/null
+++ b/pools/scheduler/test/plan-pace.test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { planPace, type PaceHistory } from "@almondusher/scheduler/plan-pace";
+import type { Run } from "@almondusher/scheduler/pool-tables";
+import { createPool, place, record, step } from "./fixture.js";
+
+const serveAndFill = (): {
+    readonly plan: (loadMs: number, nowMs: number) => readonly number[];
+    readonly backfill: Run;
+} => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [
+            { id: "serves", steps: [step({ longRunning: true, latencyTargetMs: 100 })] },
+            { id: "fills", steps: [step({ longRunning: true, backfill: true })] },
+        ],
+    });
+    const runs = place(tables);
+    runs.forEach(run => (run.phase = "running"));
+    const serving = runs.find(run => run.task.step.job.id === ("serves" as never));
+    const backfill = runs.find(run => run.task.step.job.id === ("fills" as never));
+    assert.ok(serving !== undefined && backfill !== undefined);
+    const history: PaceHistory = new Map();
+    return {
+        backfill,
+        plan: (loadMs, nowMs) => {
+            serving.recentLoad = loadMs;
+            const changes = planPace(tables, history, nowMs);
+            changes.forEach(({ run, percent }) => (run.pace = percent));
+            return changes.map(({ percent }) => percent);
+        },
+    };
+};
+
+test("backfill stops before a task beside it misses its latency target", () => {
+    const { plan, backfill } = serveAndFill();
+    assert.deepEqual(plan(60, 0), []);
+    assert.deepEqual(plan(85, 100), [0]);
+    assert.equal(backfill.pace, 0);
+});
+
+test("the pace rises by steps, only well below the target and not right after a change", () => {
+    const { plan } = serveAndFill();
+    plan(120, 0);
+    assert.deepEqual(plan(30, 1000), [], "too soon");
+    assert.deepEqual(plan(60, 3000), [], "too near the target");
+    assert.deepEqual(plan(30, 3000), [25]);
+    assert.deepEqual(plan(30, 4000), []);
+    assert.deepEqual(plan(30, 5000), [50]);
+});
--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -1,6 +1,7 @@
 import { createServer } from "node:http";
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
 import type { QueueMatch } from "@almondusher/jobs/configuration";
+import { createAdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { createTableStore } from "@almondusher/platform-adapter/table-store";
 import { createBoundedOutput } from "./bounded-output.js";
 import { createDecisionLog } from "./decision-log.js";
@@ -44,6 +45,7 @@
     context.log("started", { settings });
     const operator = followOperator(context);
     const registry = createExecutorRegistry(context);
+    const advice = settings.adviceAddress === "" ? undefined : createAdviceClient(settings.adviceAddress);
     const runners = new Map<string, LeaseRunner>();
     const keeper: LeaseKeeper = keepLeases({
         context,
@@ -54,7 +56,7 @@
                 case "fleet":
                     return runFleet({ context, lease, operator, keeper, renewSoon });
                 case "pool":
-                    return runPool({ context, pool: lease.subject.pool, lease, registry, operator, renewSoon });
+                    return runPool({ context, pool: lease.subject.pool, lease, registry, operator, advice, renewSoon });
             }
         }),
     });
--- a/programs/dispatcher/src/executor-link.ts
+++ b/programs/dispatcher/src/executor-link.ts
@@ -28,6 +28,8 @@
     readonly mayExtend: () => boolean;
     readonly ended: (executor: Executor, ends: readonly AppliedEnd[]) => void;
     readonly changed: () => void;
+    /** The executor did not take the permission that came with a start. */
+    readonly ticketRejected: (run: Run) => void;
     /** An executor has seen a higher fencing token. */
     readonly fenced: () => void;
 }
@@ -190,7 +192,9 @@
                 hear(result.clockMs);
                 forgetRun(run);
                 logRejection(run, result.reason);
-                if (result.reason === "no-room") {
+                if (result.reason === "ticket") {
+                    owner.ticketRejected(run);
+                } else if (result.reason === "no-room") {
                     executor.avoidUntilMs = nowMs + AVOID_FULL_MS;
                 } else {
                     reject(result.reason);
@@ -256,9 +260,12 @@
             wake();
         },
         pace: async (run, percent) => {
+            const before = run.pace;
+            // Set before the answer, so that the next plan doesn't order it again.
+            run.pace = percent;
             const result = await currentClient().pace(run.task.id, run.number, percent);
-            if (result.kind === "accepted") {
-                run.pace = percent;
+            if (result.kind !== "accepted" && run.pace === percent) {
+                run.pace = before;
             }
         },
         close: () => {
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -7,6 +7,7 @@
 import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { pendingJobs } from "@almondusher/scheduler/job-progress";
+import { planPace, type PaceHistory } from "@almondusher/scheduler/plan-pace";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { planStops } from "@almondusher/scheduler/plan-stops";
 import {
@@ -14,9 +15,11 @@
     type Executor,
     type OpenJob,
     type PoolTables,
+    type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
 import { endJob, isEnded, lapseRuns, type AppliedEnd } from "@almondusher/scheduler/settle-run";
+import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { openExecutorLink, type ExecutorLink } from "./executor-link.js";
@@ -25,6 +28,7 @@
 import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createProgressWriter } from "./progress-writer.js";
+import { createStepTickets } from "./step-tickets.js";
 
 /** The scheduler of one pool, while its lease is held. */
 export interface PoolRunner {
@@ -46,6 +50,8 @@
     readonly lease: HeldLease;
     readonly registry: ExecutorRegistry;
     readonly operator: OperatorFeed;
+    /** Undefined where no advice service is configured. */
+    readonly advice: AdviceClient | undefined;
     /** Asks for a renewal before the regular one. */
     readonly renewSoon: () => void;
 }
@@ -71,6 +77,7 @@
     let loaded = false;
     let lastVacated = "";
     const history = createDemandHistory();
+    const paceHistory: PaceHistory = new Map();
     let demand = lease.predecessor?.demand;
     let evacuations: ReadonlyMap<VmId, VmEvacuation> = new Map();
 
@@ -123,6 +130,7 @@
         changed,
         // A renewal tells whether the lease is lost.
         fenced: options.renewSoon,
+        ticketRejected: (run: Run): void => tickets.forget(run.task.step),
         ended: (executor: Executor, ends: readonly AppliedEnd[]): void => {
             logEnds(executor, ends);
             if (executor.storedEnd < executor.seenEnd) {
@@ -130,6 +138,7 @@
             }
         },
     };
+    const tickets = createStepTickets({ context, client: options.advice, tables, changed });
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
         // Runs that executors report can only be told from strays once the jobs are known.
@@ -228,7 +237,7 @@
         );
     };
     const sendStarts = (): void => {
-        const runs = placeTasks(tables, { nowMs: context.steadyMs(), tickets: () => undefined });
+        const runs = placeTasks(tables, { nowMs: context.steadyMs(), tickets: tickets.executorsFor });
         runs.forEach(run => {
             context.log("run-start", {
                 task: run.task.id,
@@ -236,9 +245,20 @@
                 executor: run.executor.id,
                 queue: run.task.step.job.queue,
             });
-            void links.get(run.executor.id)?.start(run, undefined);
+            void links.get(run.executor.id)?.start(run, tickets.ticketFor(run.task.step, run.executor.id));
         });
     };
+    const sendPace = (): void =>
+        planPace(tables, paceHistory, context.steadyMs()).forEach(({ run, percent }) => {
+            context.log("run-pace", {
+                task: run.task.id,
+                run: run.number,
+                executor: run.executor.id,
+                from: run.pace,
+                percent,
+            });
+            void links.get(run.executor.id)?.pace(run, percent);
+        });
     const pass = (): void => {
         passQueued = false;
         if (!isActive()) {
@@ -247,8 +267,10 @@
         lapse();
         openOccurrences();
         if (loaded && mayAct()) {
+            tickets.fetchAhead();
             sendStops();
             sendStarts();
+            sendPace();
             announceVacated();
             announceDemand();
         }
--- /dev/null
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -0,0 +1,103 @@
+import type { AdviceTerms } from "@almondusher/jobs/configuration";
+import type { ExecutorId, StepId } from "@almondusher/jobs/ids";
+import { MAX_ADVISED_EXECUTORS, type AdviceClient } from "@almondusher/platform-adapter/advice-client";
+import { isReady } from "@almondusher/scheduler/job-progress";
+import { isEnded } from "@almondusher/scheduler/settle-run";
+import type { OpenStep, PoolTables } from "@almondusher/scheduler/pool-tables";
+import type { DispatcherContext } from "./dispatcher-context.js";
+
+/** Permissions for the steps of queues whose executors the advice service chooses. */
+export interface StepTickets {
+    /** Executors that may run the step now; undefined if the step needs no permission. */
+    readonly executorsFor: (step: OpenStep) => ReadonlySet<ExecutorId> | undefined;
+    readonly ticketFor: (step: OpenStep, executor: ExecutorId) => string | undefined;
+    /** Forgets the permissions of a step, after one was rejected. */
+    readonly forget: (step: OpenStep) => void;
+    /** Asks for what steps will need, the next ones first; call it often. */
+    readonly fetchAhead: () => void;
+}
+
+/** Options of the tickets of a pool. */
+export interface StepTicketsOptions {
+    readonly context: DispatcherContext;
+    /** Undefined where no advice service is configured. */
+    readonly client: AdviceClient | undefined;
+    readonly tables: PoolTables;
+    readonly changed: () => void;
+}
+
+interface HeldTickets {
+    readonly validUntilMs: number;
+    readonly tickets: ReadonlyMap<ExecutorId, string>;
+}
+
+// Of a ticket's time, what is left for the start itself.
+const VALIDITY_MARGIN_MS = 300;
+const TIMEOUT_SLACK_MS = 1000;
+const RETRY_MS = 200;
+
+/** Creates the tickets of a pool. */
+export const createStepTickets = ({ context, client, tables, changed }: StepTicketsOptions): StepTickets => {
+    const held = new Map<StepId, HeldTickets>();
+    let asking = false;
+    let retryAtMs = 0;
+
+    const termsOf = (step: OpenStep): AdviceTerms | undefined => tables.queues.get(step.job.queue)?.advice;
+    const valid = (step: OpenStep): HeldTickets | undefined => {
+        const tickets = held.get(step.id);
+        return tickets !== undefined && tickets.validUntilMs > context.steadyMs() ? tickets : undefined;
+    };
+    const ask = async (step: OpenStep, terms: AdviceTerms, service: AdviceClient): Promise<void> => {
+        const executors = [...tables.executors.values()]
+            .filter(({ registered, record }) => registered && !record.draining)
+            .map(({ id }) => id)
+            .slice(0, MAX_ADVISED_EXECUTORS);
+        const sentAtMs = context.steadyMs();
+        const timeoutMs = terms.decideMs + terms.perExecutorMs * executors.length + TIMEOUT_SLACK_MS;
+        const advice = await service.advise(step.id, executors, timeoutMs);
+        context.metrics.count(`advice_${advice.kind}`);
+        if (advice.kind === "failed") {
+            context.log("advice-failed", { step: step.id, reason: advice.reason });
+            retryAtMs = context.steadyMs() + RETRY_MS;
+            return;
+        }
+        held.set(step.id, {
+            validUntilMs: sentAtMs + advice.validMs - VALIDITY_MARGIN_MS,
+            tickets: new Map(advice.tickets.map(({ executor, ticket }) => [executor, ticket])),
+        });
+        changed();
+    };
+    // Steps that can start come first, then those that follow them.
+    const nextStep = (): OpenStep | undefined => {
+        const waiting = [...tables.jobs.values()]
+            .filter(job => !isEnded(job))
+            .flatMap(job => [...job.occurrences.values()].flat())
+            .filter(step => termsOf(step) !== undefined && valid(step) === undefined)
+            .filter(step => step.tasks.some(task => !task.done && task.runs.length === 0));
+        return waiting.find(isReady) ?? waiting[0];
+    };
+    const dropOld = (): void => {
+        const nowMs = context.steadyMs();
+        [...held].filter(([, { validUntilMs }]) => validUntilMs <= nowMs).forEach(([step]) => held.delete(step));
+    };
+    return {
+        executorsFor: step => (termsOf(step) === undefined ? undefined : new Set(valid(step)?.tickets.keys() ?? [])),
+        ticketFor: (step, executor) => valid(step)?.tickets.get(executor),
+        forget: step => held.delete(step.id),
+        fetchAhead: () => {
+            if (client === undefined || asking || context.steadyMs() < retryAtMs || tables.executors.size === 0) {
+                return;
+            }
+            dropOld();
+            const step = nextStep();
+            const terms = step === undefined ? undefined : termsOf(step);
+            if (step === undefined || terms === undefined) {
+                return;
+            }
+            asking = true;
+            void ask(step, terms, client).finally(() => {
+                asking = false;
+            });
+        },
+    };
+};
