Lend VMs that a pool only keeps in reserve, and pace waves by what their time requires

Change: a floor keeps VMs only while no pool is short and asks for none back; in a shortage pools ask for what they need at the moment; a wave then takes no more VMs at once than its time requires.

--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -50,6 +50,8 @@
 export interface MaintenanceTerms {
     readonly nowMs: number;
     readonly maintenanceMs: number;
+    /** Pools are short of VMs, so that the wave takes no more at once than it has to. */
+    readonly fleetShort: boolean;
 }
 
 /** What to do next. */
@@ -67,6 +69,8 @@
 const RETURN_MARGIN_MS = 300;
 // VMs vacated ahead of their turn, so that the wave never waits for one.
 const VACATED_AHEAD = 2;
+// A wave is planned to end this long before it is due.
+const WAVE_RESERVE_MS = 5000;
 // Expected time to vacate a VM.
 const VACATE_MS = 2500;
 
@@ -113,14 +117,22 @@
     const down = [...tables.orders].filter(
         ([vm, order]) => order.wave === wave.number && !isBack(tables, vm, order, terms),
     ).length;
-    const free = Math.max(0, wave.maxConcurrent - down);
+    const concurrent = concurrencyOf(wave, waiting.length, terms);
+    const free = Math.max(0, concurrent - down);
     const isEmpty = (vm: VmId): boolean =>
         tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
     const order = waiting
         .filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm))
         .slice(0, free)
         .map(vm => ({ vm, wave: wave.number }));
-    return { order, evacuate: chooseEvacuations(tables, wave, waiting, isEmpty, terms) };
+    return { order, evacuate: chooseEvacuations(tables, wave, waiting, isEmpty, concurrent, terms) };
+};
+
+// Enough at once to end well before the wave is due; all that are allowed while no pool is short.
+const concurrencyOf = (wave: Wave, waiting: number, { nowMs, maintenanceMs, fleetShort }: MaintenanceTerms): number => {
+    const leftMs = Math.max(1, wave.dueAtMs - nowMs - WAVE_RESERVE_MS);
+    const required = Math.ceil((waiting * (maintenanceMs + VACATE_MS)) / leftMs);
+    return fleetShort ? Math.min(wave.maxConcurrent, Math.max(1, required)) : wave.maxConcurrent;
 };
 
 const chooseEvacuations = (
@@ -128,10 +140,11 @@
     wave: Wave,
     waiting: readonly VmId[],
     isEmpty: (vm: VmId) => boolean,
+    concurrent: number,
     terms: MaintenanceTerms,
 ): readonly VmId[] => {
     const vacating = waiting.filter(vm => tables.evacuations.has(vm)).length;
-    const wanted = Math.max(0, wave.maxConcurrent + VACATED_AHEAD - vacating);
+    const wanted = Math.max(0, concurrent + (terms.fleetShort ? 0 : VACATED_AHEAD) - vacating);
     const rounds = Math.ceil(waiting.length / wave.maxConcurrent);
     const neededMs = rounds * (terms.maintenanceMs + VACATE_MS);
     const short = terms.nowMs + neededMs > wave.dueAtMs;
--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -6,8 +6,10 @@
     readonly pool: PoolName;
     /** VMs that its work needs at this moment. */
     readonly neededVms: number;
-    /** VMs that it keeps while no other pool is short of them; at least the needed ones. */
+    /** VMs that it is to have while that leaves no other pool short; at least the needed ones. */
     readonly wantedVms: number;
+    /** VMs that it does not give away while no other pool is short; it is not given more for this. */
+    readonly floorVms: number;
     /** VMs that can be vacated without ending a long-running task, the emptiest first. */
     readonly removable: readonly VmId[];
 }
@@ -52,13 +54,22 @@
     readonly removable: readonly VmId[];
 }
 
+/** True if the pools want more VMs than are free or being vacated. */
+export const isFleetShort = (tables: MoveTables): boolean =>
+    isShort(
+        tables,
+        tables.needs.map(need => balanceOf(tables, need)),
+    );
+
 /** Plans moves between pools by what each needs; what no pool needs goes to the spare pool. */
 export const planMoves = (tables: MoveTables): MovePlan => {
     const balances = tables.needs.map(need => balanceOf(tables, need));
-    const keep = balances.flatMap(({ need, size, leaving }) => leaving.slice(0, Math.max(0, need.wantedVms - size)));
-    const short = balances.flatMap(({ need, size, leaving }) =>
-        repeat(need.pool, need.wantedVms - size - Math.min(leaving.length, Math.max(0, need.wantedVms - size))),
-    );
+    const targetOf = isShort(tables, balances)
+        ? ({ neededVms }: PoolNeed): number => neededVms
+        : ({ wantedVms }: PoolNeed): number => wantedVms;
+    const missingOf = ({ need, size }: PoolBalance): number => Math.max(0, targetOf(need) - size);
+    const keep = balances.flatMap(balance => balance.leaving.slice(0, missingOf(balance)));
+    const short = balances.flatMap(balance => repeat(balance.need.pool, missingOf(balance) - balance.leaving.length));
     const free = [
         ...spareVms(tables),
         ...[...tables.vacated].filter(vm => tables.leaving.has(vm) && !keep.includes(vm)),
@@ -81,6 +92,12 @@
         .map(({ id }) => id)
         .sort((left, right) => Number(tables.awaitedByWave.has(left)) - Number(tables.awaitedByWave.has(right)));
 
+const isShort = (tables: MoveTables, balances: readonly PoolBalance[]): boolean => {
+    const missing = balances.reduce((sum, { need, size }) => sum + Math.max(0, need.wantedVms - size), 0);
+    const available = spareVms(tables).length + balances.reduce((sum, { leaving }) => sum + leaving.length, 0);
+    return missing > available;
+};
+
 const balanceOf = (tables: MoveTables, need: PoolNeed): PoolBalance => {
     const members = [...tables.vms.values()].filter(vm => vm.pool === need.pool && vm.condition !== "down");
     const inPool = new Set(members.map(({ id }) => id));
@@ -95,13 +112,16 @@
     };
 };
 
-// Without a shortage a pool gives away what it does not want; for a shortage elsewhere, what it does not need now.
+// Without a shortage a pool gives away what exceeds its floor; for a shortage elsewhere, what it does not need now.
 const chooseEvacuations = (
     { spare }: MoveTables,
     balances: readonly PoolBalance[],
     lacking: number,
 ): readonly VmId[] => {
-    const surplus = spare === undefined ? [] : balances.flatMap(balance => giveAway(balance, balance.need.wantedVms));
+    const surplus =
+        spare === undefined
+            ? []
+            : balances.flatMap(balance => giveAway(balance, Math.max(balance.need.wantedVms, balance.need.floorVms)));
     const donors = balances.flatMap(balance => giveAway(balance, balance.need.neededVms));
     const forShortage = donors.filter(vm => !surplus.includes(vm)).slice(0, Math.max(0, lacking - surplus.length));
     return [...surplus, ...forShortage];
--- a/pools/upkeep/src/surge-forecast.ts
+++ b/pools/upkeep/src/surge-forecast.ts
@@ -1,6 +1,9 @@
 import type { PoolName } from "@almondusher/fleet/ids";
 import type { PoolNeed } from "./moves.js";
 
+/** What a pool's scheduler says of its size, before the forecast. */
+export type PoolDemand = Omit<PoolNeed, "floorVms">;
+
 /** What was seen of a pool's surges of demand. */
 interface PoolSurges {
     /** VMs of the pool when it was first seen; it is not made smaller before its first surge is over. */
@@ -36,16 +39,16 @@
 /** Notes what the pools want now, and returns what they should have by the forecast. */
 export const forecastNeeds = (
     forecast: SurgeForecast,
-    needs: readonly PoolNeed[],
+    needs: readonly PoolDemand[],
     sizes: ReadonlyMap<PoolName, number>,
     nowMs: number,
 ): readonly PoolNeed[] => {
     needs.forEach(need => observe(forecast, need, sizes.get(need.pool) ?? 0, nowMs));
     const expected = expectedSurge(forecast, nowMs);
-    return needs.map(need => ({ ...need, wantedVms: floorOf(forecast, need, expected) }));
+    return needs.map(need => applyForecast(forecast, need, expected));
 };
 
-const observe = (forecast: SurgeForecast, { pool, wantedVms }: PoolNeed, size: number, nowMs: number): void => {
+const observe = (forecast: SurgeForecast, { pool, wantedVms }: PoolDemand, size: number, nowMs: number): void => {
     const known = forecast.pools.get(pool) ?? {
         initialVms: size,
         surging: false,
@@ -84,11 +87,9 @@
     return idle.sort(([, left], [, right]) => (left.startedAtMs ?? 0) - (right.startedAtMs ?? 0))[0]?.[0];
 };
 
-const floorOf = (forecast: SurgeForecast, { pool, wantedVms }: PoolNeed, expected: PoolName | undefined): number => {
-    const surges = forecast.pools.get(pool);
-    if (surges === undefined) {
-        return wantedVms;
-    }
-    const first = surges.startedAtMs === undefined ? surges.initialVms : 0;
-    return Math.max(wantedVms, first, pool === expected ? surges.peakVms : 0);
+const applyForecast = (forecast: SurgeForecast, need: PoolDemand, expected: PoolName | undefined): PoolNeed => {
+    const surges = forecast.pools.get(need.pool);
+    const expectedVms = need.pool === expected ? (surges?.peakVms ?? 0) : 0;
+    const floorVms = surges?.startedAtMs === undefined ? (surges?.initialVms ?? 0) : 0;
+    return { ...need, wantedVms: Math.max(need.wantedVms, expectedVms), floorVms };
 };
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -31,7 +31,7 @@
     ...change,
 });
 
-const TERMS = { nowMs: 0, maintenanceMs: 2000 };
+const TERMS = { nowMs: 0, maintenanceMs: 2000, fleetShort: false };
 
 const orders = (...rows: readonly (readonly [string, number | undefined])[]): ReadonlyMap<VmId, MaintenanceOrder> =>
     new Map(rows.map(([vm, confirmedAtMs]) => [vmId(vm), { wave: 1, sentAtMs: 0, confirmedAtMs }]));
@@ -77,3 +77,16 @@
     assert.deepEqual(planMaintenance(tables({ waves: [wave(["a", "b", "left"], { begun })] }), TERMS).completed, [1]);
     assert.deepEqual(planMaintenance(tables({ waves: [wave(["a", "b", "c"], { begun })] }), TERMS).completed, []);
 });
+
+test("while pools are short of VMs a wave takes no more at once than its time requires", () => {
+    const vms = ["a", "b", "c", "d"];
+    const vacated = new Set(vms.map(vmId));
+    const ordersAt = (dueAtMs: number, fleetShort: boolean): number =>
+        planMaintenance(tables({ waves: [wave(vms, { dueAtMs, maxConcurrent: 4 })], vacated }), {
+            ...TERMS,
+            fleetShort,
+        }).order.length;
+    assert.equal(ordersAt(30_000, true), 1);
+    assert.equal(ordersAt(12_000, true), 3);
+    assert.equal(ordersAt(30_000, false), 4);
+});
--- a/pools/upkeep/test/moves.test.ts
+++ b/pools/upkeep/test/moves.test.ts
@@ -7,6 +7,7 @@
     pool: poolName(pool),
     neededVms,
     wantedVms,
+    floorVms: 0,
     removable: removable.map(vmId),
 });
 
@@ -88,3 +89,13 @@
     );
     assert.deepEqual(ids(plan.moves.map(({ vm }) => vm)), ["t"]);
 });
+
+test("a floor keeps a pool's VMs without a shortage, is given up for one, and asks for none back", () => {
+    const kept = { ...need("q", 1, 1, ["c", "d", "e"]), floorVms: 3 };
+    assert.deepEqual(planMoves(tables({ needs: [need("p", 2, 2), kept] })).evacuate, []);
+    const lent = planMoves(tables({ needs: [need("p", 5, 5), kept] }));
+    assert.deepEqual(ids(lent.evacuate), ["c", "d"]);
+    const leaving = new Set(["c", "d"].map(vmId));
+    assert.deepEqual(planMoves(tables({ needs: [need("p", 5, 5), kept], leaving })).keep, [], "no swinging back");
+    assert.deepEqual(planMoves(tables({ needs: [need("p", 2, 2), kept], leaving })).keep, []);
+});
--- a/pools/upkeep/test/surge-forecast.test.ts
+++ b/pools/upkeep/test/surge-forecast.test.ts
@@ -21,7 +21,7 @@
             })),
             SIZES,
             nowMs,
-        ).map(({ pool, wantedVms }) => [pool, wantedVms]),
+        ).map(({ pool, wantedVms, floorVms }) => [pool, Math.max(wantedVms, floorVms)]),
     );
 
 test("a pool keeps its size until its first surge is over", () => {
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -4,8 +4,8 @@
 import { PLATFORM_PART, STATUS_TABLE, WAVE_KEY_PREFIX } from "@almondusher/platform-adapter/platform-rows";
 import { createVmClient, type ListedVm } from "@almondusher/platform-adapter/vm-client";
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
-import { planMoves, type Move, type PoolNeed } from "@almondusher/upkeep/moves";
-import { createSurgeForecast, forecastNeeds } from "@almondusher/upkeep/surge-forecast";
+import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
+import { createSurgeForecast, forecastNeeds, type PoolDemand } from "@almondusher/upkeep/surge-forecast";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { HeldLease, LeaseKeeper } from "./lease-keeper.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
@@ -154,7 +154,7 @@
     };
     const awaitedByWave = (): ReadonlySet<VmId> =>
         new Set(openWaves().flatMap(wave => wave.vms.filter(vm => !wave.begun.has(vm))));
-    const planWaves = (vacated: ReadonlySet<VmId>): void => {
+    const planWaves = (vacated: ReadonlySet<VmId>, fleetShort: boolean): void => {
         const plan = planMaintenance(
             {
                 vms,
@@ -166,7 +166,11 @@
                 evacuations: new Set(evacuations.keys()),
                 vacated,
             },
-            { nowMs: context.steadyMs(), maintenanceMs: context.settings.maintenanceSeconds * MS_PER_SECOND },
+            {
+                nowMs: context.steadyMs(),
+                maintenanceMs: context.settings.maintenanceSeconds * MS_PER_SECOND,
+                fleetShort,
+            },
         );
         plan.release.forEach(release);
         plan.evacuate.forEach(vm => evacuate(vm, "maintenance"));
@@ -195,7 +199,7 @@
             options.renewSoon();
         }
     };
-    const logNeeds = (forecasted: readonly PoolNeed[], needs: readonly PoolNeed[]): void => {
+    const logNeeds = (forecasted: readonly PoolNeed[], needs: readonly PoolDemand[]): void => {
         const sizes = poolSizes(vms);
         const pools = forecasted.map(({ pool, wantedVms }, index) => ({
             pool,
@@ -209,24 +213,26 @@
             context.log("pool-needs", { pools });
         }
     };
-    const planPoolMoves = (records: readonly PoolRecord[], vacated: ReadonlySet<VmId>): void => {
-        const spare = sparePools()[0];
-        const needs = records.map(toNeed).filter(need => need !== undefined);
+    const moveTables = (records: readonly PoolRecord[], vacated: ReadonlySet<VmId>): MoveTables => {
+        const needs = records.map(toDemand).filter(need => need !== undefined);
         const forecasted = forecastNeeds(forecast, needs, poolSizes(vms), context.steadyMs());
         logNeeds(forecasted, needs);
         const leaving = new Set(
             [...evacuations].filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm)).map(([vm]) => vm),
         );
-        const plan = planMoves({
+        return {
             vms,
-            spare,
+            spare: sparePools()[0],
             needs: forecasted,
             engaged: new Set([...orders.keys(), ...[...evacuations.keys()].filter(vm => !leaving.has(vm))]),
             leaving,
             vacated: new Set([...leaving].filter(vm => vacated.has(vm))),
             moving: movesOf(orders),
             awaitedByWave: awaitedByWave(),
-        });
+        };
+    };
+    const moveVms = (tables: MoveTables): void => {
+        const plan = planMoves(tables);
         plan.keep.filter(vm => !orders.has(vm)).forEach(release);
         plan.evacuate.forEach(vm => evacuate(vm, "move"));
         plan.moves.forEach(({ vm, to }) => void send(vm, { kind: "move", to }));
@@ -260,9 +266,9 @@
         const vacatedIds = new Set(records.flatMap(({ record }) => record?.vacated ?? []));
         const vacated = new Set([...evacuations].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
         releaseMoved();
-        planWaves(vacated);
+        planWaves(vacated, isFleetShort(moveTables(records, vacated)));
         dropSettledEvacuations();
-        planPoolMoves(records, vacated);
+        moveVms(moveTables(records, vacated));
     };
     void periodic(TICK_MS)
         .takeWhile(() => active)
@@ -295,7 +301,7 @@
         new Map<PoolName, number>(),
     );
 
-const toNeed = ({ pool, record }: PoolRecord): PoolNeed | undefined =>
+const toDemand = ({ pool, record }: PoolRecord): PoolDemand | undefined =>
     record?.demand === undefined ? undefined : { pool, ...record.demand };
 
 const maintenanceOrders = (orders: ReadonlyMap<VmId, VmOrder>): ReadonlyMap<VmId, MaintenanceOrder> =>
