Count VMs that a former fleet manager took down

Change: VMs of a wave that the platform lists as under maintenance, and inherited evacuations whose order may still come, count as down; the latter are ordered again without a further place.

--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -22,7 +22,7 @@
 }
 
 /** One structured log line. */
-export interface LogLine {
+interface LogLine {
     readonly event?: string;
     readonly [field: string]: unknown;
 }
--- a/pools/scheduler/src/run-times.ts
+++ b/pools/scheduler/src/run-times.ts
@@ -1,7 +1,7 @@
 import type { QueueName } from "@almondusher/jobs/ids";
 
 /** Sums of a regression of logarithms of seen run times on those of declared ones. */
-export interface RunTimes {
+interface RunTimes {
     samples: number;
     declared: number;
     seen: number;
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -9,7 +9,7 @@
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { applyReport } from "@almondusher/scheduler/settle-run";
 
-export const POOL = toId<PoolName>("pool");
+const POOL = toId<PoolName>("pool");
 export const QUEUE = toId<QueueName>("queue");
 
 /** A step of one small task, changed as given. */
@@ -119,7 +119,7 @@
     return executor;
 };
 
-export const report = (change: Partial<RunReport> = {}): RunReport => ({
+const report = (change: Partial<RunReport> = {}): RunReport => ({
     clockMs: 1000,
     bornMs: 1,
     active: [],
--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -44,6 +44,8 @@
     readonly evacuations: ReadonlySet<VmId>;
     /** VMs that hold no runs and get none. */
     readonly vacated: ReadonlySet<VmId>;
+    /** VMs that an order of a former holder may still take down. */
+    readonly presumedDown: ReadonlySet<VmId>;
 }
 
 /** Terms of a plan. */
@@ -114,17 +116,23 @@
     terms: MaintenanceTerms,
 ): Pick<MaintenancePlan, "evacuate" | "order"> => {
     const waiting = remainingVms(tables, wave).filter(vm => !tables.engaged.has(vm));
-    const down = [...tables.orders].filter(
-        ([vm, order]) => order.wave === wave.number && !isBack(tables, vm, order, terms),
-    ).length;
+    const down = new Set([
+        ...[...tables.orders]
+            .filter(([vm, order]) => order.wave === wave.number && !isBack(tables, vm, order, terms))
+            .map(([vm]) => vm),
+        // Those that a former holder sent to maintenance.
+        ...wave.vms.filter(vm => tables.vms.get(vm)?.condition === "returning" || tables.presumedDown.has(vm)),
+    ]);
     const concurrent = concurrencyOf(wave, waiting.length, terms);
-    const free = Math.max(0, concurrent - down);
+    const free = Math.max(0, concurrent - down.size);
     const isEmpty = (vm: VmId): boolean =>
         tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
-    const order = waiting
-        .filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm))
-        .slice(0, free)
-        .map(vm => ({ vm, wave: wave.number }));
+    const ready = waiting.filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm));
+    const counted = ready.filter(vm => down.has(vm));
+    const order = [...counted, ...ready.filter(vm => !down.has(vm)).slice(0, free)].map(vm => ({
+        vm,
+        wave: wave.number,
+    }));
     return { order, evacuate: chooseEvacuations(tables, wave, waiting, isEmpty, concurrent, terms) };
 };
 
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -28,6 +28,7 @@
     engaged: new Set(),
     evacuations: new Set(),
     vacated: new Set(),
+    presumedDown: new Set(),
     ...change,
 });
 
@@ -90,3 +91,19 @@
     assert.equal(ordersAt(12_000, true), 3);
     assert.equal(ordersAt(30_000, false), 4);
 });
+
+test("a successor counts the VMs that its predecessor took down or may still take down", () => {
+    const vacated = new Set(["a", "b", "c"].map(vmId));
+    const base = tables({
+        vms: fleet("a p", "b p", "c p", "d p returning", "e p", "f p"),
+        waves: [wave(["a", "b", "c", "d"])],
+        vacated,
+    });
+    assert.equal(planMaintenance(base, TERMS).order.length, 1, "one of two is under maintenance");
+    const plan = planMaintenance({ ...base, presumedDown: new Set([vmId("c")]) }, TERMS);
+    assert.deepEqual(
+        plan.order.map(({ vm }) => String(vm)),
+        ["c"],
+        "an order that may come late counts, and is given again",
+    );
+});
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -61,6 +61,7 @@
     const evacuations = new Map<VmId, FleetEvacuation>(
         (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs }) => [vm, { id, byMs, purpose: "maintenance" }]),
     );
+    const inherited: ReadonlySet<VmId> = new Set(evacuations.keys());
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let active = true;
@@ -165,6 +166,7 @@
                 engaged: new Set(orders.keys()),
                 evacuations: new Set(evacuations.keys()),
                 vacated,
+                presumedDown: new Set([...inherited].filter(vm => evacuations.has(vm) && !orders.has(vm))),
             },
             {
                 nowMs: context.steadyMs(),
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -21,7 +21,7 @@
 }
 
 /** A VM that its pool is to vacate. */
-export interface Evacuation {
+interface Evacuation {
     readonly vm: VmId;
     /** Tells the evacuations of a VM apart. */
     readonly id: string;
@@ -30,7 +30,7 @@
 }
 
 /** VMs of a wave whose maintenance has begun. */
-export interface MaintainedVms {
+interface MaintainedVms {
     readonly wave: number;
     readonly vms: readonly VmId[];
 }
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -3,7 +3,7 @@
 import type { StoreStandIn } from "./store.js";
 
 /** What an executor does with orders. */
-export type ExecutorFault =
+type ExecutorFault =
     | { readonly kind: "none" }
     /** Carries out starts and cuts the connection instead of answering. */
     | { readonly kind: "lost-answers" }
@@ -14,7 +14,7 @@
     | { readonly kind: "silent" };
 
 /** A run that was started. */
-export interface StartedRun {
+interface StartedRun {
     readonly task: string;
     readonly run: number;
     readonly startedAtMs: number;
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -2,7 +2,7 @@
 import { reply, startJsonServer, type JsonReply, type JsonRequest, type JsonServer } from "./json-server.js";
 
 /** What the store does instead of serving. */
-export type StoreFault =
+type StoreFault =
     | { readonly kind: "none" }
     /** Refuses every call with 503; nothing is done. */
     | { readonly kind: "busy" }
@@ -27,7 +27,7 @@
 }
 
 /** A row as tests see it. */
-export interface StoredRow {
+interface StoredRow {
     readonly key: string;
     readonly part: string;
     readonly version: number;
--- a/stand-ins/job-platform/src/vm-service.ts
+++ b/stand-ins/job-platform/src/vm-service.ts
@@ -10,7 +10,7 @@
 }
 
 /** An order that was carried out. */
-export interface VmOrderRecord {
+interface VmOrderRecord {
     readonly vm: string;
     readonly kind: "move" | "upkeep";
     readonly target: string;
