Handle stop signals from the start of a process

Cause: entry, manager and endpoint stand-in listened for SIGTERM only after they had announced themselves or begun to serve; an early stop ended them without a graceful end (endpoint-faults test failed 3 of 3 times beside ten busy processes). Change: signalStream listens from its creation and keeps early signals until it is observed; the programs create it first, the stand-in handles signals before it announces its addresses.

--- a/observe/telemetry/src/event-stream.ts
+++ b/observe/telemetry/src/event-stream.ts
@@ -62,12 +62,20 @@
         },
     });
 
-/** The given signals of the process; while it is observed they no longer end the process by themselves. */
-export const signalStream = (signals: readonly NodeJS.Signals[]): Stream<NodeJS.Signals> =>
-    new Stream<NodeJS.Signals>({
+/**
+ * The given signals of the process, from the call on; they no longer end the process by themselves.
+ * Those that arrive before the stream is observed are delivered then, so that an early stop is a graceful one.
+ */
+export const signalStream = (signals: readonly NodeJS.Signals[]): Stream<NodeJS.Signals> => {
+    const early: NodeJS.Signals[] = [];
+    let receive = (signal: NodeJS.Signals): void => void early.push(signal);
+    const listener = (signal: NodeJS.Signals): void => receive(signal);
+    signals.forEach(signal => process.on(signal, listener));
+    return new Stream<NodeJS.Signals>({
         run: (sink, scheduler) => {
-            const listener = (signal: NodeJS.Signals): void => deliver({ sink, scheduler }, signal);
-            signals.forEach(signal => process.on(signal, listener));
+            receive = signal => deliver({ sink, scheduler }, signal);
+            early.splice(0).forEach(signal => setImmediate(() => receive(signal)));
             return { dispose: () => signals.forEach(signal => process.off(signal, listener)) };
         },
     });
+};
--- a/programs/entry/src/entry-events.ts
+++ b/programs/entry/src/entry-events.ts
@@ -2,7 +2,7 @@
 import { retrySettlements } from "@almondusher/platform/claims";
 import { removeRegistration } from "@almondusher/platform/registrations";
 import { count } from "@almondusher/telemetry/counters";
-import { signalStream, tickStream } from "@almondusher/telemetry/event-stream";
+import { tickStream } from "@almondusher/telemetry/event-stream";
 import { logEvent } from "@almondusher/telemetry/logger";
 import type { CallerServer } from "./caller-server.js";
 import type { EntryContext } from "./entry-context.js";
@@ -29,14 +29,14 @@
     | { readonly kind: "settle-claims" }
     | { readonly kind: "signal"; readonly signal: NodeJS.Signals };
 
-const eventStream = (settings: EntrySettings): Stream<EntryEvent> => {
+const eventStream = (settings: EntrySettings, signals: Stream<NodeJS.Signals>): Stream<EntryEvent> => {
     const { tickMs, exchangeMs, pollMs, vmListMs } = settings.timing;
     const every = (periodMs: number, kind: Exclude<EntryEvent["kind"], "signal">): Stream<EntryEvent> =>
         tickStream(periodMs)
             .map((): EntryEvent => ({ kind }))
             .startWith({ kind });
     return mergeArray([
-        signalStream(["SIGTERM", "SIGINT"]).map((signal): EntryEvent => ({ kind: "signal", signal })),
+        signals.map((signal): EntryEvent => ({ kind: "signal", signal })),
         every(tickMs, "tick"),
         every(exchangeMs, "exchange"),
         every(pollMs, "poll-head"),
@@ -47,7 +47,11 @@
 };
 
 /** Runs the systems on each event until the process has stopped. */
-export const runEvents = async (entry: EntryContext, callerServer: CallerServer): Promise<void> => {
+export const runEvents = async (
+    entry: EntryContext,
+    callerServer: CallerServer,
+    signals: Stream<NodeJS.Signals>,
+): Promise<void> => {
     const busy = new Set<string>();
     const once = (name: string, task: () => Promise<void>): void => {
         if (!busy.has(name)) {
@@ -57,7 +61,7 @@
     };
     const busyPeers = new Set<string>();
     await new Promise<void>((resolve, reject) => {
-        const subscription = eventStream(entry.settings).subscribe({
+        const subscription = eventStream(entry.settings, signals).subscribe({
             next: event => {
                 switch (event.kind) {
                     case "tick":
--- a/programs/entry/src/entry-process.ts
+++ b/programs/entry/src/entry-process.ts
@@ -3,6 +3,7 @@
 import { startPeerServer } from "@almondusher/peer/peer-server";
 import { closePlatform } from "@almondusher/platform/create-platform";
 import { loadSecret } from "@almondusher/settings/load-settings";
+import { signalStream } from "@almondusher/telemetry/event-stream";
 import { summarizeLatencies } from "@almondusher/telemetry/latencies";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { startOperatorServer } from "@almondusher/telemetry/operator-server";
@@ -18,6 +19,7 @@
 
 /** Runs an entry until a signal stops it and every request in flight has ended. */
 export const runEntry = async ({ settings, settingsFile }: EntryOptions): Promise<void> => {
+    const signals = signalStream(["SIGTERM", "SIGINT"]);
     const entry = await createEntry({ settings, settingsFile });
     const operatorSecret = loadSecret(settingsFile, settings.operatorSecretFile);
     const peerServer = await startPeerServer({
@@ -50,7 +52,7 @@
     const callerServer = await startCallerServer(entry);
     entry.tables.phase = "serving";
     logEvent(entry.logger, { kind: "started", version: VERSION, settingsFile });
-    await runEvents(entry, callerServer);
+    await runEvents(entry, callerServer, signals);
     await closeConnections(entry.connections);
     await operatorServer.close();
     await peerServer.close();
--- a/programs/manager/src/manager-process.ts
+++ b/programs/manager/src/manager-process.ts
@@ -38,6 +38,7 @@
 
 /** Runs a manager until a signal stops it. */
 export const runManager = async ({ settings, settingsFile }: ManagerOptions): Promise<void> => {
+    const signals = signalStream(["SIGTERM", "SIGINT"]);
     const manager = createManager({ settings, settingsFile });
     const dumper = startDumper(manager);
     const operatorServer = await startOperatorServer({
@@ -50,7 +51,7 @@
         routes: [statusRoute(() => managerStatus(manager))],
     });
     logEvent(manager.logger, { kind: "started", version: VERSION, settingsFile });
-    await runEvents(manager);
+    await runEvents(manager, signals);
     await handOver(manager);
     await operatorServer.close();
     dumper.stop();
@@ -122,16 +123,16 @@
         ],
     });
 
-const eventStream = (settings: ManagerSettings): Stream<ManagerEvent> =>
+const eventStream = (settings: ManagerSettings, signals: Stream<NodeJS.Signals>): Stream<ManagerEvent> =>
     mergeArray([
-        signalStream(["SIGTERM", "SIGINT"]).map((signal): ManagerEvent => ({ kind: "signal", signal })),
+        signals.map((signal): ManagerEvent => ({ kind: "signal", signal })),
         tickStream(settings.timing.tickMs).map((): ManagerEvent => ({ kind: "tick" })),
     ]);
 
-const runEvents = (manager: ManagerContext): Promise<void> =>
+const runEvents = (manager: ManagerContext, signals: Stream<NodeJS.Signals>): Promise<void> =>
     new Promise((resolve, reject) => {
         let ticking: Promise<void> | undefined;
-        const subscription = eventStream(manager.settings).subscribe({
+        const subscription = eventStream(manager.settings, signals).subscribe({
             next: event => {
                 switch (event.kind) {
                     case "tick":
--- a/stand-ins/endpoint/src/main.ts
+++ b/stand-ins/endpoint/src/main.ts
@@ -22,18 +22,19 @@
 };
 
 const run = async (file: string): Promise<void> => {
-    const standIn = await startEndpointStandIn(loadSettings({ file, schema: standInSettingsSchema }));
+    const settings = loadSettings({ file, schema: standInSettingsSchema });
+    // Signals are handled before the addresses are announced, so that an early stop is a graceful one.
+    const starting = startEndpointStandIn(settings);
+    const stop = (): void => void starting.then(started => started.close());
+    process.once("SIGTERM", stop);
+    process.once("SIGINT", stop);
+    const standIn = await starting;
     const ready = {
         ready: true,
         control: standIn.controlAddress,
         vms: standIn.vms.map(({ vm, address }) => ({ vm, address })),
     };
     process.stdout.write(`${JSON.stringify(ready)}\n`);
-    const stop = (): void => {
-        void standIn.close();
-    };
-    process.once("SIGTERM", stop);
-    process.once("SIGINT", stop);
 };
 
 const describe = (error: unknown): string => {
