Start nothing of a job that was read after the lease may have been lost

A suspended VM's steady clock stops, so the age of a lease was also too low after a freeze. Change: jobs read while the lease's last renewal is older than 0.8 of its time wait for the next renewal; the age of a lease is the larger of what the steady clock and the time of day say.

--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -123,6 +123,24 @@
     assert.equal(startsOf(deployment, jobId(1)).length, 4, "the runs went on under the successor");
 });
 
+test("a paused scheduler starts nothing of a job that came to its successor", async context => {
+    const deployment = await deploy(context, { runMs: () => 3000 });
+    const victim = await waitForScheduler(deployment);
+    const other = deployment.dispatchers.find(dispatcher => dispatcher !== victim);
+    assert.ok(other !== undefined);
+    victim.process.kill("SIGSTOP");
+    await callJob(other, "POST", jobId(1), oneStep(2));
+    await waitUntil("a start by the successor", TAKEOVER_MS, () => startsOf(deployment, jobId(1)).length === 2);
+    victim.process.kill("SIGCONT");
+    await waitForState(other, jobId(1), "completed", START_MS);
+    assert.equal(startsOf(deployment, jobId(1)).length, 2);
+    await waitUntil("the loss of the lease", START_MS, () => victim.log.some(({ event }) => event === "lease-lost"));
+    assert.deepEqual(
+        victim.log.filter(({ event, task }) => event === "run-start" && String(task).startsWith(jobId(1))),
+        [],
+    );
+});
+
 test("a planned stop hands its pool over and exits in time", async context => {
     const deployment = await deploy(context);
     const victim = await waitForScheduler(deployment);
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -14,6 +14,8 @@
     /** Steady time of acceptance in milliseconds. */
     readonly arrivedAtMs: number;
     readonly inherited: boolean;
+    /** The lease was surely held when the job was read. */
+    readonly trusted: boolean;
 }
 
 /** Adds a job that is not finished to the tables; does nothing for a known one. */
@@ -31,6 +33,7 @@
         state: progress.state,
         started: progress.state === "running",
         inherited: admitted.inherited,
+        trusted: admitted.trusted,
         dirty: false,
         progressVersion: admitted.progressVersion,
     };
@@ -39,6 +42,9 @@
     restoreProgress(open, progress);
 };
 
+/** Lets all known jobs start, after a renewal has shown that the lease was held when they were read. */
+export const trustJobs = (tables: PoolTables): void => tables.jobs.forEach(job => (job.trusted = true));
+
 /** Adds stored progress to what is known of a job. */
 export const restoreProgress = (open: OpenJob, progress: Progress): void =>
     progress.steps.forEach(step => restoreStep(open, step));
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -44,9 +44,10 @@
     executor.avoidUntilMs <= nowMs;
 
 const mayStart = (tables: PoolTables, { job }: OpenStep, nowMs: number): boolean =>
-    !job.inherited ||
-    nowMs >= tables.inheritedWaitUntilMs ||
-    [...tables.executors.values()].every(executor => executor.inspected);
+    job.trusted &&
+    (!job.inherited ||
+        nowMs >= tables.inheritedWaitUntilMs ||
+        [...tables.executors.values()].every(executor => executor.inspected));
 
 const placeStep = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] => {
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -83,6 +83,11 @@
     started: boolean;
     /** Accepted before this holder's lease, so that runs of it may exist that were not seen. */
     readonly inherited: boolean;
+    /**
+     * False for a job that was read after the lease may have been lost: a successor does not know that this
+     * holder has it, so it starts nothing until a renewal shows that the lease is still held.
+     */
+    trusted: boolean;
     /** Changed since the last stored progress. */
     dirty: boolean;
     /** Version of the stored progress row. */
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -58,6 +58,7 @@
     readonly steps: readonly Step[];
     readonly progress?: Progress;
     readonly inherited?: boolean;
+    readonly trusted?: boolean;
     readonly arrivedAtMs?: number;
 }
 
@@ -85,7 +86,10 @@
     return tables;
 };
 
-export const addJob = (tables: PoolTables, { id, steps, progress, inherited, arrivedAtMs }: JobFixture): void => {
+export const addJob = (
+    tables: PoolTables,
+    { id, steps, progress, inherited, trusted, arrivedAtMs }: JobFixture,
+): void => {
     const job: Job = {
         id: toId<JobId>(id),
         queue: QUEUE,
@@ -103,6 +107,7 @@
             progressVersion: 1,
             arrivedAtMs: arrivedAtMs ?? 0,
             inherited: inherited ?? false,
+            trusted: trusted ?? true,
         },
         0,
     );
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { trustJobs } from "@almondusher/scheduler/admit-job";
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
 import { stopRun } from "@almondusher/scheduler/settle-run";
 import { createPool, executorOf, place, record, step } from "./fixture.js";
@@ -117,3 +118,10 @@
     task?.failedOn.add("a" as never);
     assert.equal(place(tables)[0]?.executor.id, "b");
 });
+
+test("a job that was read after the lease may have been lost starts only once a renewal shows that it is held", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()], trusted: false }] });
+    assert.equal(place(tables).length, 0);
+    trustJobs(tables);
+    assert.equal(place(tables).length, 1);
+});
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -7,7 +7,7 @@
 import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
 import { createSurgeForecast, forecastNeeds, type PoolDemand } from "@almondusher/upkeep/surge-forecast";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import type { HeldLease, LeaseKeeper } from "./lease-keeper.js";
+import { leaseAgeMs, type HeldLease, type LeaseKeeper } from "./lease-keeper.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
 import type { OperatorFeed, SeenWave } from "./operator-feed.js";
 import { sendOrder, type OrderOutcome, type OrderPurpose, type VmOrder } from "./vm-orders.js";
@@ -69,7 +69,7 @@
     let lastNeeds = "";
     const forecast = createSurgeForecast();
 
-    const mayAct = (): boolean => active && !lease.lost && context.steadyMs() - lease.renewedAtMs < UNCONFIRMED_MS;
+    const mayAct = (): boolean => active && !lease.lost && leaseAgeMs(lease, context) < UNCONFIRMED_MS;
     const adoptWave = ({ request, seenAtMs }: SeenWave): void => {
         if (waves.has(request.wave)) {
             return;
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -24,6 +24,8 @@
     readonly predecessorEnded: boolean;
     /** Steady time at which the last confirmed renewal was sent, in milliseconds. */
     renewedAtMs: number;
+    /** Unix time at that moment in milliseconds. */
+    renewedWallMs: number;
     version: number;
     lost: boolean;
 }
@@ -66,7 +68,7 @@
 const FLEET_POLL_MS = 120;
 const RENEW_MS = 500;
 // Unchanged this long, a lease may be taken over.
-const POOL_LEASE_MS = 2000;
+export const POOL_LEASE_MS = 2000;
 // The platform expects holders that take turns at one VM to be this far apart at least.
 const FLEET_LEASE_MS = 3300;
 // Readings further apart prove nothing about the time between them.
@@ -76,6 +78,13 @@
 const DELAY_AFTER_LAPSE_MS = 60;
 const DELAY_FOR_SMALL_VM_MS = 300;
 
+/**
+ * Time since a lease was surely held, in milliseconds.
+ * The steady clock stops while a VM is suspended, so the time of day counts too; a jump of it only makes holders wait for a renewal.
+ */
+export const leaseAgeMs = ({ renewedAtMs, renewedWallMs }: HeldLease, context: DispatcherContext): number =>
+    Math.max(context.steadyMs() - renewedAtMs, Date.now() - renewedWallMs);
+
 interface Observation {
     readonly version: number;
     readonly record: LeaseRecord | undefined;
@@ -119,6 +128,7 @@
 
     const renewNow = async (lease: HeldLease): Promise<boolean> => {
         const sentAtMs = steadyMs();
+        const sentWallMs = Date.now();
         const key = leaseKey(lease.subject);
         const content = holder.content(lease);
         const record: LeaseRecord = { ...content, holder: context.vm, process: context.process, epoch: lease.epoch };
@@ -131,6 +141,7 @@
             case "committed":
                 lease.version = Math.max(lease.version, commit.version);
                 lease.renewedAtMs = sentAtMs;
+                lease.renewedWallMs = sentWallMs;
                 holder.renewed(lease, content);
                 return true;
             case "conflict":
@@ -168,6 +179,7 @@
         const predecessor = before?.record;
         const epoch = (predecessor?.epoch ?? 0) + 1;
         const sentAtMs = steadyMs();
+        const sentWallMs = Date.now();
         const record: LeaseRecord = {
             ...(predecessor ?? emptyLeaseContent),
             holder: context.vm,
@@ -194,6 +206,7 @@
             predecessorEnded:
                 predecessor === undefined || predecessor.holder === undefined || predecessor.holder === context.vm,
             renewedAtMs: sentAtMs,
+            renewedWallMs: sentWallMs,
             version,
             lost: false,
         };
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -3,7 +3,7 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { DataCentreName } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
-import { admitJob, closeJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { admitJob, closeJob, openDueOccurrences, trustJobs } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { pendingJobs } from "@almondusher/scheduler/job-progress";
@@ -24,7 +24,7 @@
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { openExecutorLink, type ExecutorLink } from "./executor-link.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
-import type { HeldLease } from "./lease-keeper.js";
+import { POOL_LEASE_MS, leaseAgeMs, type HeldLease } from "./lease-keeper.js";
 import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createProgressWriter } from "./progress-writer.js";
@@ -62,6 +62,8 @@
 // A holder that cannot renew its lease extends and starts runs for this long, since then nobody may be able to succeed it.
 const UNCONFIRMED_MS = 8000;
 const SLOWEST_CLOCK_RATE = 0.98;
+// Part of the lease's time after which a successor may have begun to accept jobs.
+const TRUSTED_LEASE_SHARE = 0.8;
 const DRAIN_MS = 1000;
 const UNKNOWN_DATA_CENTRE = "" as DataCentreName;
 
@@ -87,7 +89,7 @@
         context.steadyMs() + (lease.predecessorEnded ? 0 : UNCONFIRMED_MS) + RUN_LEASE_MS / SLOWEST_CLOCK_RATE;
 
     const isActive = (): boolean => active && !lease.lost;
-    const mayAct = (): boolean => isActive() && context.steadyMs() - lease.renewedAtMs < UNCONFIRMED_MS;
+    const mayAct = (): boolean => isActive() && leaseAgeMs(lease, context) < UNCONFIRMED_MS;
     const changed = (): void => {
         if (!passQueued) {
             passQueued = true;
@@ -174,7 +176,11 @@
     const admit = ({ job, progress, progressVersion, inherited }: StoredJob): void => {
         const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
         const arrivedAtMs = context.steadyMs() - ageMs;
-        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, inherited }, Date.now());
+        const trusted = leaseAgeMs(lease, context) < POOL_LEASE_MS * TRUSTED_LEASE_SHARE;
+        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, inherited, trusted }, Date.now());
+        if (!trusted) {
+            options.renewSoon();
+        }
         const open = tables.jobs.get(job.id);
         if (open !== undefined) {
             noteArrival(tables, history, open, context.steadyMs());
@@ -319,6 +325,7 @@
             demand,
         }),
         renewed: ({ executors }) => {
+            trustJobs(tables);
             executors.forEach(({ id }) => {
                 const executor = tables.executors.get(id);
                 if (executor !== undefined) {
