--- a/programs/dispatcher/src/dispatcher-metrics.ts
+++ b/programs/dispatcher/src/dispatcher-metrics.ts
@@ -13,8 +13,8 @@
 const QUANTILES = [50, 90, 99, 100];
 const HIGHEST_LATENCY_MS = 600_000;
 
-/** Creates empty metrics. */
-export const createDispatcherMetrics = (): DispatcherMetrics => {
+/** Creates empty metrics; gauges are read when the text is made. */
+export const createDispatcherMetrics = (gauges: Readonly<Record<string, () => number>> = {}): DispatcherMetrics => {
     const counters = new Map<string, number>();
     const histograms = new Map<string, Histogram>();
     const histogramOf = (name: string): Histogram => {
@@ -28,6 +28,7 @@
     };
     const text = (): string =>
         [
+            ...Object.entries(gauges).map(([name, read]) => `almondusher_${name} ${read()}`),
             ...[...counters].sort().map(([name, value]) => `almondusher_${name} ${value}`),
             ...[...histograms].sort(([left], [right]) => (left < right ? -1 : 1)).flatMap(histogramLines),
         ].join("\n") + "\n";
--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -3,7 +3,7 @@
 import type { QueueMatch } from "@almondusher/jobs/configuration";
 import { createAdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { createTableStore } from "@almondusher/platform-adapter/table-store";
-import { createBoundedOutput } from "./bounded-output.js";
+import { createBoundedOutput, type BoundedOutput } from "./bounded-output.js";
 import { createDecisionLog } from "./decision-log.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { createDispatcherMetrics, serveMetrics } from "./dispatcher-metrics.js";
@@ -29,7 +29,7 @@
 /** Runs a dispatcher until SIGTERM. */
 export const runDispatcher = async (settings: DispatcherSettings): Promise<void> => {
     const output = createBoundedOutput({ descriptor: STANDARD_OUTPUT, maxBuffered: LOG_BUFFER_CHARACTERS });
-    const context = createContext(settings, output.write);
+    const context = createContext(settings, output);
     // The signal is handled before anything is served, so that an early stop is a graceful one.
     const stopping = new Promise<string>(resolve => {
         process.once("SIGTERM", () => resolve("SIGTERM"));
@@ -95,7 +95,7 @@
     process.exit(0);
 };
 
-const createContext = (settings: DispatcherSettings, write: (line: string) => void): DispatcherContext => {
+const createContext = (settings: DispatcherSettings, output: BoundedOutput): DispatcherContext => {
     const vm = settings.vm as VmId;
     const processId = `${settings.vm}/${Math.floor(Math.random() * 2 ** 40).toString(36)}` as ProcessId;
     const steadyMs = (): number => performance.now();
@@ -104,13 +104,9 @@
         vm,
         process: processId,
         steadyMs,
-        metrics: createDispatcherMetrics(),
+        metrics: createDispatcherMetrics({ log_lines_dropped: output.dropped }),
         store: createTableStore({ address: settings.storeAddress, steadyMs }),
-        log: createDecisionLog({
-            vm,
-            process: processId,
-            output: { write, dropped: () => 0, flush: () => Promise.resolve() },
-        }),
+        log: createDecisionLog({ vm, process: processId, output }),
     };
 };
 
