Store an order for a VM before it is sent

The VM that moved to another pool stayed marked as evacuated until the list of VMs showed it. Change: a lease row says for which VMs an order was or is being sent, and is stored before the order; only those count as down for a successor, for 13 s. Renewals of a lease are sent one after the other. An evacuation ends with the confirmed order.

--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -128,7 +128,8 @@
     const isEmpty = (vm: VmId): boolean =>
         tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
     const ready = waiting.filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm));
-    const counted = ready.filter(vm => down.has(vm));
+    // Ordering one that is counted already takes no further place.
+    const counted = down.size <= wave.maxConcurrent ? ready.filter(vm => down.has(vm)) : [];
     const order = [...counted, ...ready.filter(vm => !down.has(vm)).slice(0, free)].map(vm => ({
         vm,
         wave: wave.number,
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -107,3 +107,13 @@
         "an order that may come late counts, and is given again",
     );
 });
+
+test("a VM that may go down late is not ordered again while the cap is used up by others", () => {
+    const base = tables({
+        vms: fleet("a p", "b p", "c p returning", "d p returning"),
+        waves: [wave(["a", "b", "c", "d"])],
+        vacated: new Set(["a", "b"].map(vmId)),
+        presumedDown: new Set([vmId("a")]),
+    });
+    assert.deepEqual(planMaintenance(base, TERMS).order, []);
+});
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -33,6 +33,8 @@
     readonly id: string;
     readonly byMs: number;
     readonly purpose: OrderPurpose["kind"];
+    /** Stored before an order is sent, so that a successor knows of it. */
+    ordered: boolean;
 }
 
 const TICK_MS = 100;
@@ -44,6 +46,8 @@
 const UNCONFIRMED_MS = 2500;
 // Tasks that end by themselves within this time are let finish on a VM that is vacated.
 const VACATE_WITHIN_MS = 2500;
+// Orders that were not answered may be carried out up to this much later.
+const LATE_ORDER_MS = 13_000;
 const RETURN_MARGIN_MS = 300;
 const MS_PER_SECOND = 1000;
 
@@ -57,11 +61,15 @@
     });
     const waves = new Map<number, Wave>();
     const orders = new Map<VmId, VmOrder>();
-    // Those of a predecessor stand until the VM is maintained, since a late order may still arrive.
+    // Those of a predecessor with an order stand for a while, since the order may still arrive.
     const evacuations = new Map<VmId, FleetEvacuation>(
-        (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs }) => [vm, { id, byMs, purpose: "maintenance" }]),
+        (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs, ordered }) => [
+            vm,
+            { id, byMs, ordered, purpose: "maintenance" },
+        ]),
     );
-    const inherited: ReadonlySet<VmId> = new Set(evacuations.keys());
+    const inheritedOrders = new Set([...evacuations].filter(([, { ordered }]) => ordered).map(([vm]) => vm));
+    const inheritedUntilMs = context.steadyMs() + LATE_ORDER_MS;
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let active = true;
@@ -120,15 +128,32 @@
             pool: name,
             record: keeper.current({ kind: "pool", pool: name }, POOL_FRESH_MS),
         }));
+    /** VMs that an order of the predecessor may still reach. */
+    const lateOrders = (): readonly VmId[] =>
+        context.steadyMs() < inheritedUntilMs ? [...inheritedOrders].filter(vm => evacuations.has(vm)) : [];
     const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
         const order: VmOrder = { purpose, sentAtMs: context.steadyMs(), confirmedAtMs: undefined };
         orders.set(vm, order);
+        if (!evacuations.has(vm)) {
+            addEvacuation(vm, purpose.kind);
+        }
+        const evacuation = evacuations.get(vm);
+        if (evacuation !== undefined) {
+            evacuation.ordered = true;
+        }
+        if (!(await keeper.renewNow(lease))) {
+            // Nothing was sent; the next tick plans again.
+            orders.delete(vm);
+            return;
+        }
         settle(vm, order, await sendOrder({ context, client, vm, order, mayAct }));
     };
     const settle = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
         switch (outcome) {
             case "confirmed":
                 order.confirmedAtMs = context.steadyMs();
+                // The former executor has ended; the next one is free to take work as soon as it registers.
+                evacuations.delete(vm);
                 noteMaintained(vm, order.purpose);
                 options.renewSoon();
                 break;
@@ -166,7 +191,7 @@
                 engaged: new Set(orders.keys()),
                 evacuations: new Set(evacuations.keys()),
                 vacated,
-                presumedDown: new Set([...inherited].filter(vm => evacuations.has(vm) && !orders.has(vm))),
+                presumedDown: new Set(lateOrders().filter(vm => !orders.has(vm))),
             },
             {
                 nowMs: context.steadyMs(),
@@ -185,13 +210,17 @@
             }
         });
     };
-    const evacuate = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
+    const addEvacuation = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
         evacuationCounter++;
         evacuations.set(vm, {
             id: `${lease.epoch}-${evacuationCounter}`,
             byMs: context.store.nowMs() + VACATE_WITHIN_MS,
             purpose,
+            ordered: false,
         });
+    };
+    const evacuate = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
+        addEvacuation(vm, purpose);
         context.log("vm-evacuate", { vm, pool: vms.get(vm)?.pool, purpose });
         options.renewSoon();
     };
@@ -254,7 +283,7 @@
             .forEach(([vm]) => release(vm));
     };
     const dropSettledEvacuations = (): void => {
-        const waiting = awaitedByWave();
+        const waiting = new Set([...awaitedByWave(), ...lateOrders()]);
         [...evacuations]
             .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
             .forEach(([vm]) => release(vm));
@@ -280,7 +309,7 @@
         kind: "fleet",
         content: () => ({
             ...emptyLeaseContent,
-            evacuations: [...evacuations].map(([vm, { id, byMs }]) => ({ vm, id, byMs })),
+            evacuations: [...evacuations].map(([vm, { id, byMs, ordered }]) => ({ vm, id, byMs, ordered })),
             maintained: [...waves.values()].map(({ number, begun }) => ({ wave: number, vms: [...begun] })),
         }),
         renewed: () => undefined,
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -98,6 +98,8 @@
     const { store, steadyMs } = context;
     const held = new Map<string, HeldLease>();
     const observed = new Map<string, Observation>();
+    const runningRenewals = new Map<string, Promise<boolean>>();
+    const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
     let closed = false;
 
@@ -126,7 +128,10 @@
         await holder.end(lease);
     };
 
-    const renewNow = async (lease: HeldLease): Promise<boolean> => {
+    const renewOnce = async (lease: HeldLease): Promise<boolean> => {
+        if (lease.lost) {
+            return false;
+        }
         const sentAtMs = steadyMs();
         const sentWallMs = Date.now();
         const key = leaseKey(lease.subject);
@@ -152,6 +157,23 @@
         }
     };
 
+    // One renewal at a time, since each expects the version that the one before it made; waiting calls share the next.
+    const renewNow = (lease: HeldLease): Promise<boolean> => {
+        const key = leaseKey(lease.subject);
+        const waiting = waitingRenewals.get(key);
+        if (waiting !== undefined) {
+            return waiting;
+        }
+        const next = (runningRenewals.get(key) ?? Promise.resolve(false)).then(() => {
+            waitingRenewals.delete(key);
+            const running = renewOnce(lease);
+            runningRenewals.set(key, running);
+            return running;
+        });
+        waitingRenewals.set(key, next);
+        return next;
+    };
+
     // An earlier renewal without an answer may have been applied; the row then still names this process.
     const resolveConflict = async (lease: HeldLease, row: Row | undefined): Promise<boolean> => {
         const record = row === undefined ? undefined : decodeLease(row.value);
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -27,6 +27,8 @@
     readonly id: string;
     /** Time on the store's clock by which tasks that can move have to be gone, in milliseconds. */
     readonly byMs: number;
+    /** An order for the VM was or is being sent, and may still arrive. */
+    readonly ordered: boolean;
 }
 
 /** VMs of a wave whose maintenance has begun. */
@@ -67,7 +69,7 @@
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     vacated: z.array(z.string()),
     demand: z.object({ neededVms: z.int(), wantedVms: z.int(), removable: z.array(z.string()) }).optional(),
-    evacuations: z.array(z.object({ vm: z.string(), id: z.string(), byMs: z.number() })),
+    evacuations: z.array(z.object({ vm: z.string(), id: z.string(), byMs: z.number(), ordered: z.boolean() })),
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
 });
 
