Forecast the needs of pools once a tick, and drop an unused time

Cause: the fleet manager forecast and logged the needs of pools twice in every tick, with the same inputs; the terms of planned stops carried a time that nothing read. Change: the needs are forecast once and passed to both planners; the time is gone, also from the tests' terms. No assertion changed. Result: behaviour as before; 105 tests of the planners, schedulers and dispatcher processes pass.

--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -7,8 +7,6 @@
     readonly nowMs: number;
     /** A stop without an answer is sent again after this. */
     readonly repeatMs: number;
-    /** A stop takes this long at most. */
-    readonly stopTimeMs: number;
 }
 
 /** Marks the runs that must end and returns those whose stop is to be sent now. */
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -5,8 +5,7 @@
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import { createPool, executorOf, place, record, step } from "./fixture.js";
 
-const stops = (tables: PoolTables, nowMs: number): readonly Run[] =>
-    planStops(tables, { nowMs, repeatMs: 400, stopTimeMs: 200 });
+const stops = (tables: PoolTables, nowMs: number): readonly Run[] => planStops(tables, { nowMs, repeatMs: 400 });
 
 const atWork = (runs: readonly Run[]): void =>
     runs.forEach(run => {
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -244,17 +244,20 @@
             context.log("pool-needs", { pools });
         }
     };
-    const moveTables = (records: readonly PoolRecord[], vacated: ReadonlySet<VmId>): MoveTables => {
+    const forecastFor = (records: readonly PoolRecord[]): readonly PoolNeed[] => {
         const needs = records.map(toDemand).filter(need => need !== undefined);
         const forecasted = forecastNeeds(forecast, needs, poolSizes(vms), context.steadyMs());
         logNeeds(forecasted, needs);
+        return forecasted;
+    };
+    const moveTables = (needs: readonly PoolNeed[], vacated: ReadonlySet<VmId>): MoveTables => {
         const leaving = new Set(
             [...evacuations].filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm)).map(([vm]) => vm),
         );
         return {
             vms,
             spare: sparePools()[0],
-            needs: forecasted,
+            needs,
             engaged: new Set([...orders.keys(), ...[...evacuations.keys()].filter(vm => !leaving.has(vm))]),
             leaving,
             vacated: new Set([...leaving].filter(vm => vacated.has(vm))),
@@ -297,9 +300,10 @@
         const vacatedIds = new Set(records.flatMap(({ record }) => record?.vacated ?? []));
         const vacated = new Set([...evacuations].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
         releaseMoved();
-        planWaves(vacated, isFleetShort(moveTables(records, vacated)));
+        const needs = forecastFor(records);
+        planWaves(vacated, isFleetShort(moveTables(needs, vacated)));
         dropSettledEvacuations();
-        moveVms(moveTables(records, vacated));
+        moveVms(moveTables(needs, vacated));
     };
     void periodic(TICK_MS)
         .takeWhile(() => active)
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -217,7 +217,7 @@
         });
     const sendStops = (): void => {
         const nowMs = context.steadyMs();
-        const terms = { nowMs, repeatMs: STOP_REPEAT_MS, stopTimeMs: context.settings.stopTimeMs };
+        const terms = { nowMs, repeatMs: STOP_REPEAT_MS };
         planStops(tables, terms).forEach(run => {
             context.log("run-stop", {
                 task: run.task.id,
