Use a VM that returned from maintenance although the VM list is older

The state reaches an entry faster than the polled list, so a wave that goes on at once can leave a pool without a VM for up to a list period.

Change: an entry notes when a VM comes back to service, and ignores what a list that was read before says of it. A list that is read or confirmed unchanged later counts again, and so does any list of an entry that did not see the VM away.

Ruled out: the planner (budgets held in every sample) and lost state updates (all entries had revision 5).

--- a/programs/entry/src/adopt-state.ts
+++ b/programs/entry/src/adopt-state.ts
@@ -17,6 +17,7 @@
     if (tables.hasState && state.revision <= tables.view.state.revision) {
         return;
     }
+    noteReturnedVms(entry, state);
     tables.hasState = true;
     rebuildView(entry, state);
     noteRevisionUse(entry.revisionUse, {
@@ -27,6 +28,14 @@
     logEvent(entry.logger, { kind: "revision-adopted", revision: state.revision, from });
 };
 
+// The list is polled more slowly than the state, and a wave may drain the rest of a pool in between.
+const noteReturnedVms = ({ tables }: EntryContext, next: FleetState): void => {
+    const before = tables.view.state.assignments;
+    next.assignments.rows
+        .filter(({ vm, phase }) => phase.kind === "serving" && (before.get(vm)?.phase.kind ?? "serving") !== "serving")
+        .forEach(({ vm }) => tables.returnedVms.set(vm, monotonicMs()));
+};
+
 export interface ListedVms {
     readonly vms: readonly Vm[];
     readonly etag?: string;
@@ -44,13 +53,30 @@
         listedAtMs: listed.listedAtMs,
         ...(listed.etag === undefined ? {} : { etag: listed.etag }),
     };
+    forgetReturnedVms(entry, listed.listedAtMs);
     rebuildView(entry, tables.view.state);
 };
 
+/** Notes that the VM list was unchanged at a monotonic time in milliseconds. */
+export const confirmVms = (entry: EntryContext, listedAtMs: number): void => {
+    const { tables } = entry;
+    tables.listing = { ...tables.listing, listedAtMs };
+    if (forgetReturnedVms(entry, listedAtMs)) {
+        rebuildView(entry, tables.view.state);
+    }
+};
+
+// True if there were any.
+const forgetReturnedVms = ({ tables: { returnedVms } }: EntryContext, listedAtMs: number): boolean => {
+    const outdated = [...returnedVms].filter(([, returnedAtMs]) => returnedAtMs <= listedAtMs);
+    outdated.forEach(([vm]) => returnedVms.delete(vm));
+    return outdated.length > 0;
+};
+
 const rebuildView = (entry: EntryContext, state: FleetState): void => {
     const { tables } = entry;
     const { vms, knownVms } = tables.listing;
-    tables.view = fleetView({ state, vms, knownVms });
+    tables.view = fleetView({ state, vms, knownVms, returnedVms: new Set(tables.returnedVms.keys()) });
     tables.view.pools.rows.forEach(view => {
         const runtime = tables.pools.get(view.pool.name);
         if (runtime === undefined) {
--- a/programs/entry/src/create-entry.ts
+++ b/programs/entry/src/create-entry.ts
@@ -70,9 +70,10 @@
     const vms = entityTable<VmId, Vm>([], vm => vm.id);
     return {
         phase: "starting",
-        view: fleetView({ state: emptyFleetState, vms, knownVms: vms }),
+        view: fleetView({ state: emptyFleetState, vms, knownVms: vms, returnedVms: new Set() }),
         hasState: false,
         listing: { vms, knownVms: vms },
+        returnedVms: new Map(),
         membership: initialMembership(settings.peers),
         unregisteredPeers: new Map(),
         isCatchingUp: false,
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -40,6 +40,8 @@
     /** False until a state was taken from the platform or a peer. */
     hasState: boolean;
     listing: VmListing;
+    /** VMs that came back to service while this process watched, with the monotonic time in milliseconds. */
+    readonly returnedVms: Map<VmId, number>;
     membership: Membership;
     /** Unregistered processes that took their state from this one, by VM. */
     readonly unregisteredPeers: Map<VmId, Peer>;
--- a/programs/entry/src/fleet-view.ts
+++ b/programs/entry/src/fleet-view.ts
@@ -25,6 +25,8 @@
     readonly vms: EntityTable<VmId, Vm>;
     /** The last entry of each VM that was ever listed, also of those no longer listed. */
     readonly knownVms: EntityTable<VmId, Vm>;
+    /** VMs that returned to service after the list was read, so that it may still show them leaving. */
+    readonly returnedVms: ReadonlySet<VmId>;
 }
 
 const servingByPool = (state: FleetState): ReadonlyMap<PoolName, readonly Assignment[]> => {
@@ -42,20 +44,24 @@
     return serving;
 };
 
-const liveVms = (assignments: readonly Assignment[], vms: EntityTable<VmId, Vm>): readonly Vm[] =>
+const usableVms = (
+    assignments: readonly Assignment[],
+    vms: EntityTable<VmId, Vm>,
+    returnedVms: ReadonlySet<VmId>,
+): readonly Vm[] =>
     assignments
         .map(assignment => vms.get(assignment.vm))
         .filter(vm => vm !== undefined)
-        .filter(vm => vm.state === "live");
+        .filter(vm => vm.state === "live" || returnedVms.has(vm.id));
 
 /** Joins a revision with the VM list. */
-export const fleetView = ({ state, vms, knownVms }: FleetViewOptions): FleetView => {
+export const fleetView = ({ state, vms, knownVms, returnedVms }: FleetViewOptions): FleetView => {
     const serving = servingByPool(state);
     const viewOf = (pool: Pool): PoolView => {
         const assignments = serving.get(pool.name) ?? [];
-        const listed = liveVms(assignments, vms);
+        const listed = usableVms(assignments, vms, returnedVms);
         // A list without any VM of a pool is more often wrong than right, and a dead VM costs only a failed connection.
-        return { pool, vms: listed.length > 0 ? listed : liveVms(assignments, knownVms) };
+        return { pool, vms: listed.length > 0 ? listed : usableVms(assignments, knownVms, returnedVms) };
     };
     return {
         state,
--- a/programs/entry/src/poll-platform.ts
+++ b/programs/entry/src/poll-platform.ts
@@ -3,7 +3,7 @@
 import { readVms } from "@almondusher/platform/vm-list";
 import { addContacts } from "@almondusher/peer/membership";
 import { logEvent } from "@almondusher/telemetry/logger";
-import { adoptState, adoptVms } from "./adopt-state.js";
+import { adoptState, adoptVms, confirmVms } from "./adopt-state.js";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 
 const reportPlatform = (entry: EntryContext, operation: string, error: unknown): void => {
@@ -67,7 +67,7 @@
         const listing = await readVms(entry.platform, { etag: entry.tables.listing.etag });
         switch (listing.kind) {
             case "unchanged":
-                entry.tables.listing = { ...entry.tables.listing, listedAtMs: sentAtMs };
+                confirmVms(entry, sentAtMs);
                 return;
             case "list":
                 adoptVms(entry, {
--- a/programs/entry/test/adopt-state.test.ts
+++ b/programs/entry/test/adopt-state.test.ts
@@ -10,7 +10,7 @@
 import { poolSchema } from "@almondusher/fleet/pool";
 import { routeSchema } from "@almondusher/fleet/route";
 import { vmSchema } from "@almondusher/fleet/vm";
-import { adoptState, adoptVms } from "../src/adopt-state.js";
+import { adoptState, adoptVms, confirmVms } from "../src/adopt-state.js";
 import type { CallerRequest } from "../src/caller-request.js";
 import { createEntry } from "../src/create-entry.js";
 import type { EntryContext } from "../src/entry-context.js";
@@ -104,3 +104,42 @@
     assert.equal(entry.tables.view.state.revision, 2);
     await closeConnections(entry.connections);
 });
+
+const leaving = { ...vm, state: "leaving" as const };
+const underMaintenance = fleetState(2, {
+    routes: [route],
+    pools: [pool],
+    assignments: [{ ...assignment, phase: { kind: "maintenance" as const, bootId: "boot-1" } }],
+});
+const returned = fleetState(3, { routes: [route], pools: [pool], assignments: [assignment] });
+const servingVms = (entry: EntryContext): readonly string[] =>
+    entry.tables.view.pools.get(toId<PoolName>("letters"))?.vms.map(({ id }) => id) ?? [];
+
+test("a VM that returned from maintenance serves although the list, which is older, still says that it leaves", async () => {
+    const entry = await createTestEntry();
+    adoptState(entry, underMaintenance, "platform");
+    adoptVms(entry, { vms: [leaving], listedAtMs: performance.now() });
+    adoptState(entry, returned, "platform");
+    assert.deepEqual(servingVms(entry), ["vm-1"]);
+    await closeConnections(entry.connections);
+});
+
+test("a VM that leaves by a list read after its return gets no requests, also if that list is unchanged", async () => {
+    const entry = await createTestEntry();
+    adoptState(entry, underMaintenance, "platform");
+    adoptVms(entry, { vms: [leaving], listedAtMs: performance.now() });
+    adoptState(entry, returned, "platform");
+    confirmVms(entry, performance.now());
+    assert.deepEqual(servingVms(entry), []);
+    adoptVms(entry, { vms: [leaving], listedAtMs: performance.now() });
+    assert.deepEqual(servingVms(entry), []);
+    await closeConnections(entry.connections);
+});
+
+test("a VM that leaves by the list of a new entry gets no requests, as nothing tells when it began to serve", async () => {
+    const entry = await createTestEntry();
+    adoptVms(entry, { vms: [leaving], listedAtMs: performance.now() });
+    adoptState(entry, returned, "platform");
+    assert.deepEqual(servingVms(entry), []);
+    await closeConnections(entry.connections);
+});
