Keep the first use of the client out of the limit of endpoint-faults

It was the first request of its process. Loading the client and the first connection are most of it; the answer of 300,000 bytes is not slow.

Change: one request without a limit before the first test; the limit of 300 ms and all checks stay, and the todo mark goes.

--- a/stand-ins/endpoint/test/endpoint-faults.test.ts
+++ b/stand-ins/endpoint/test/endpoint-faults.test.ts
@@ -5,7 +5,7 @@
 import { Agent, request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { test, type TestContext } from "node:test";
+import { before, test, type TestContext } from "node:test";
 import { type VmId, toId } from "@almondusher/fleet/ids";
 import { startEndpointStandIn } from "../src/start-endpoint-stand-in.js";
 import type { StandInOptions } from "../src/stand-in-settings.js";
@@ -22,17 +22,21 @@
 const get = (address: string, headers: Record<string, string> = {}) =>
     fetch(`http://${address}/`, { headers, signal: AbortSignal.timeout(300) });
 
-test(
-    "a large answer has the length asked for and names its request throughout",
-    { todo: "see KNOWN-RED.txt" },
-    async context => {
-        const standIn = await start(context);
-        const headers = { "almondusher-request-id": "abc", "x-answer-bytes": "300000" };
-        const text = await (await get(standIn.vm(VM).address, headers)).text();
-        assert.equal(text.length, 300_000);
-        assert.ok(text.includes('"requestId":"abc"') && /(abc\.)+a?b?c?\.?$/.test(text));
-    },
-);
+// The first request of a process loads the client and takes several times as long as any later one, so it counts
+// towards no limit.
+before(async () => {
+    const standIn = await startEndpointStandIn({ vms: [{ vm: VM, port: 0 }] });
+    await (await fetch(`http://${standIn.vm(VM).address}/`)).text();
+    await standIn.close();
+});
+
+test("a large answer has the length asked for and names its request throughout", async context => {
+    const standIn = await start(context);
+    const headers = { "almondusher-request-id": "abc", "x-answer-bytes": "300000" };
+    const text = await (await get(standIn.vm(VM).address, headers)).text();
+    assert.equal(text.length, 300_000);
+    assert.ok(text.includes('"requestId":"abc"') && /(abc\.)+a?b?c?\.?$/.test(text));
+});
 
 test("silenced connections stay silent while new ones work", async context => {
     const standIn = await start(context);
