Give leases to large VMs first, and keep passes from using up the processor

Every answer of an executor requested a pass over all open tasks, and a pass over a full pool of 60 executors with 120 jobs took 3.4 ms on an idle machine, most of it for tasks that were tried one by one without room.

Change: a small VM waits longer for a lease that nobody has held yet; a pass pauses three times as long as it took; a step whose task finds no room is not tried further.

--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -43,6 +43,8 @@
     readonly executors: number;
     /** How long a task runs, in milliseconds. */
     readonly runMs: (task: string) => number;
+    /** Further flags of Node for the dispatchers, such as those of its profiler. */
+    readonly nodeFlags?: readonly string[];
 }
 
 /** Answer to a client. */
@@ -75,7 +77,7 @@
     const vms = await startVmServiceStandIn(executors.map(({ id }) => ({ id: `vm-${id}`, pool: POOL, executor: id })));
     const dispatchers: DeployedDispatcher[] = [];
     const startDispatcher = async (vm: string): Promise<DeployedDispatcher> => {
-        const started = await spawnDispatcher(directory, vm, store.address, vms.address);
+        const started = await spawnDispatcher(options.nodeFlags ?? [], directory, vm, store.address, vms.address);
         dispatchers.push(started);
         return started;
     };
@@ -183,6 +185,7 @@
 });
 
 const spawnDispatcher = async (
+    nodeFlags: readonly string[],
     directory: string,
     vm: string,
     storeAddress: string,
@@ -213,7 +216,7 @@
         heartbeatMs: 500,
     };
     writeFileSync(file, JSON.stringify(settings));
-    const child = spawn(process.execPath, ["--conditions=source", "--import", TSX, MAIN, "--settings", file], {
+    const child = spawn(process.execPath, [...nodeFlags, "--conditions=source", "--import", TSX, MAIN, "--settings", file], {
         stdio: ["ignore", "pipe", "inherit"],
     });
     const log: LogLine[] = [];
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -15,10 +15,12 @@
 /** Chooses executors for tasks that can start, and enters the runs in the tables. */
 export const placeTasks = (tables: PoolTables, terms: PlacementTerms): readonly Run[] => {
     const executors = [...tables.executors.values()].filter(executor => isOpen(executor, terms.nowMs));
-    if (executors.length === 0) {
+    const room = new Map(
+        executors.map(executor => [executor, freeResources(executor)] as const).filter(([, free]) => hasRoom(free)),
+    );
+    if (room.size === 0) {
         return [];
     }
-    const room = new Map(executors.map(executor => [executor, freeResources(executor)]));
     return orderSteps(tables, terms.nowMs)
         .filter(({ step }) => mayStart(tables, step, terms.nowMs))
         .flatMap(({ step }) => placeStep(tables, step, room, terms));
@@ -50,10 +52,19 @@
         [...tables.executors.values()].every(executor => executor.inspected));
 
 const placeStep = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] => {
+    return step.step.gang ? placeGang(tables, step, room, terms) : placeWaiting(tables, step, room, terms);
+};
+
+const placeWaiting = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] => {
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
-    return step.step.gang
-        ? placeGang(tables, step, room, terms)
-        : waiting.map(task => placeTask(tables, task, room, terms)).filter(run => run !== undefined);
+    const runs: Run[] = [];
+    // Tasks of a step differ only in where they failed, so what has no room for one has none for the others.
+    waiting.every(task => {
+        const run = placeTask(tables, task, room, terms);
+        runs.push(...(run === undefined ? [] : [run]));
+        return run !== undefined;
+    });
+    return runs;
 };
 
 const placeTask = (tables: PoolTables, task: Task, room: Room, terms: PlacementTerms): Run | undefined => {
@@ -195,6 +206,8 @@
     return run;
 };
 
+const hasRoom = ({ cpu, memoryMb, gpu }: Resources): boolean => cpu >= 0 && memoryMb >= 0 && gpu >= 0;
+
 const subtract = (from: Resources, demand: Resources): Resources => ({
     cpu: from.cpu - demand.cpu,
     memoryMb: from.memoryMb - demand.memoryMb,
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { trustJobs } from "@almondusher/scheduler/admit-job";
+import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
 import { stopRun } from "@almondusher/scheduler/settle-run";
 import { createPool, executorOf, place, record, step } from "./fixture.js";
@@ -125,3 +126,24 @@
     trustJobs(tables);
     assert.equal(place(tables).length, 1);
 });
+
+test("a full pool is found full once for each step, not for each task, as a burst would use up the processor", () => {
+    const wide = { steps: [step({ count: 50, demand: { cpu: 3000, memoryMb: 1, gpu: 0 } })] };
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [
+            { id: "first", ...wide },
+            { id: "second", ...wide },
+        ],
+    });
+    let searches = 0;
+    const runs = placeTasks(tables, {
+        nowMs: 0,
+        tickets: () => {
+            searches++;
+            return undefined;
+        },
+    });
+    assert.equal(runs.length, 2);
+    assert.ok(searches <= 4, `${searches} searches`);
+});
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -1,6 +1,7 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { delayBeforeTaking } from "./lease-delay.js";
 import {
     LEASE_RANGE,
     decodeLease,
@@ -73,11 +74,6 @@
 const FLEET_LEASE_MS = 3300;
 // Readings further apart prove nothing about the time between them.
 const LONGEST_READING_GAP_MS = 1500;
-// Spreads the leases over the processes when several are free at once; a lapsed one is taken sooner.
-const DELAY_FOR_HELD_MS = 350;
-const DELAY_AFTER_LAPSE_MS = 60;
-const DELAY_FOR_SMALL_VM_MS = 300;
-
 /**
  * Time since a lease was surely held, in milliseconds.
  * The steady clock stops while a VM is suspended, so the time of day counts too; a jump of it only makes holders wait for a renewal.
@@ -263,22 +259,19 @@
         if (subject === undefined) {
             return;
         }
-        await sleep(delayBeforeTaking(observed.get(leaseKey(subject))?.record));
+        await sleep(
+            delayBeforeTaking({
+                record: observed.get(leaseKey(subject))?.record,
+                vm: context.vm,
+                heldLeases: held.size,
+                processorCores: context.settings.processorCores,
+            }),
+        );
         if (!closed) {
             await take(subject);
         }
     };
 
-    const delayBeforeTaking = (record: LeaseRecord | undefined): number => {
-        if (record?.holder === context.vm) {
-            return 0;
-        }
-        const smallness = Math.max(0, 1 - context.settings.processorCores);
-        return record?.holder === undefined
-            ? held.size * DELAY_FOR_HELD_MS + smallness * DELAY_FOR_SMALL_VM_MS
-            : held.size * DELAY_AFTER_LAPSE_MS;
-    };
-
     const renewAll = async (): Promise<void> => {
         while (!closed) {
             await Promise.all([...held.values()].map(renewNow));
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -1,5 +1,4 @@
-import { EventEmitter } from "node:events";
-import { fromEvent, merge, periodic } from "most";
+import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { DataCentreName } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
@@ -27,6 +26,7 @@
 import { POOL_LEASE_MS, leaseAgeMs, type HeldLease } from "./lease-keeper.js";
 import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
+import { createPassPacer } from "./pass-pacer.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createStepTickets } from "./step-tickets.js";
 
@@ -72,10 +72,8 @@
     const { context, pool, lease, registry, operator } = options;
     const tables = createPoolTables(pool, lease.epoch);
     const links = new Map<ExecutorId, ExecutorLink>();
-    const hub = new EventEmitter();
     const leaseMs = Math.min(RUN_LEASE_MS, context.settings.maxLeaseMs);
     let active = true;
-    let passQueued = false;
     let loaded = false;
     let lastVacated = "";
     const history = createDemandHistory();
@@ -90,12 +88,16 @@
 
     const isActive = (): boolean => active && !lease.lost;
     const mayAct = (): boolean => isActive() && leaseAgeMs(lease, context) < UNCONFIRMED_MS;
-    const changed = (): void => {
-        if (!passQueued) {
-            passQueued = true;
-            setImmediate(() => hub.emit("change"));
-        }
-    };
+    const pacer = createPassPacer({
+        pass: () => {
+            if (isActive()) {
+                schedule();
+            }
+        },
+        steadyMs: context.steadyMs,
+        after: callLater,
+    });
+    const changed = pacer.request;
     const logEnds = (executor: Executor, ends: readonly AppliedEnd[]): void =>
         ends.forEach(({ end, run }) => {
             context.metrics.count(`runs_ended_${end.how}`);
@@ -265,11 +267,7 @@
             });
             void links.get(run.executor.id)?.pace(run, percent);
         });
-    const pass = (): void => {
-        passQueued = false;
-        if (!isActive()) {
-            return;
-        }
+    const schedule = (): void => {
         lapse();
         openOccurrences();
         if (loaded && mayAct()) {
@@ -311,8 +309,9 @@
     registry.events.on("change", onRegistry);
     operator.events.on("configuration", syncQueues);
     syncQueues();
-    const passes = merge(fromEvent("change", hub), periodic(TICK_MS)).takeWhile(() => active);
-    void passes.observe(pass);
+    void periodic(TICK_MS)
+        .takeWhile(() => active)
+        .observe(pacer.run);
     void followJobs({ context, pool, isActive, sink: { job: admit, cancelled: cancel, changed: jobsChanged } });
 
     return {
@@ -352,6 +351,14 @@
     };
 };
 
+const callLater = (waitMs: number, callback: () => void): void => {
+    if (waitMs === 0) {
+        setImmediate(callback);
+    } else {
+        setTimeout(callback, waitMs);
+    }
+};
+
 const countPendingJobs = (tables: PoolTables): readonly PendingCount[] =>
     [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
 
--- /dev/null
+++ b/programs/dispatcher/test/pass-pacer.test.ts
@@ -0,0 +1,51 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createPassPacer } from "../src/pass-pacer.js";
+
+interface Timer {
+    readonly atMs: number;
+    readonly callback: () => void;
+}
+
+test("passes that take long leave most of the time to other work, however often they are requested", () => {
+    const PASS_MS = 20;
+    const END_MS = 2000;
+    let nowMs = 0;
+    let passes = 0;
+    let timers: readonly Timer[] = [];
+    const pacer = createPassPacer({
+        pass: () => {
+            passes++;
+            nowMs += PASS_MS;
+        },
+        steadyMs: () => nowMs,
+        after: (waitMs, callback) => (timers = [...timers, { atMs: nowMs + waitMs, callback }]),
+    });
+    while (nowMs < END_MS) {
+        pacer.request();
+        const due = timers.filter(({ atMs }) => atMs <= nowMs);
+        timers = timers.filter(({ atMs }) => atMs > nowMs);
+        due.forEach(({ callback }) => callback());
+        nowMs++;
+    }
+    assert.ok(passes * PASS_MS <= END_MS / 3, `${passes} passes`);
+    assert.ok(passes > 10);
+});
+
+test("the first request runs at once, and requests until then are one", () => {
+    let passes = 0;
+    const waits: number[] = [];
+    const callbacks: (() => void)[] = [];
+    const pacer = createPassPacer({
+        pass: () => passes++,
+        steadyMs: () => 0,
+        after: (waitMs, callback) => {
+            waits.push(waitMs);
+            callbacks.push(callback);
+        },
+    });
+    pacer.request();
+    pacer.request();
+    callbacks.forEach(callback => callback());
+    assert.deepEqual({ passes, waits }, { passes: 1, waits: [0] });
+});
