--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -272,3 +272,22 @@
     });
     assert.match(text, /almondusher_leases_taken|almondusher_executor_reports|almondusher_request_ms/);
 });
+
+test("a store that takes half a second for each transaction costs no lease, and jobs are accepted and run", async context => {
+    const deployment = await deploy(context);
+    await waitUntil("a scheduler and a fleet manager", START_MS, () => leaseEpochs(deployment).length === 2);
+    const before = leaseEpochs(deployment);
+    deployment.store.setFault({ kind: "slow", answerMs: 500 });
+    const [first, second] = deployment.dispatchers;
+    assert.ok(first !== undefined && second !== undefined);
+    const answers = await Promise.all(
+        [first, second].map((dispatcher, index) => callJob(dispatcher, "POST", jobId(901 + index), oneStep(2))),
+    );
+    assert.deepEqual(
+        answers.map(({ status }) => status),
+        [200, 200],
+    );
+    await waitForState(first, jobId(901), "completed", TAKEOVER_MS);
+    assert.deepEqual(leaseEpochs(deployment), before);
+    deployment.store.setFault({ kind: "none" });
+});
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -1,9 +1,9 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { createLeaseView, type LeaseObservation } from "./lease-view.js";
 import { delayBeforeTaking } from "./lease-delay.js";
 import {
-    LEASE_RANGE,
     decodeLease,
     emptyLeaseContent,
     encodeLease,
@@ -65,15 +65,15 @@
 }
 
 const POLL_MS = 400;
-// The fleet manager answers to what pools need, which stands in their leases.
-const FLEET_POLL_MS = 120;
+// The fleet manager and the schedulers answer to each other's leases: what pools need, and which VMs to vacate.
+const HOLDER_POLL_MS = 120;
+// Until the configuration tells which leases there are, so that a restarted process finds its own at once.
+const CONFIGURATION_POLL_MS = 20;
 const RENEW_MS = 500;
 // Unchanged this long, a lease may be taken over.
 export const POOL_LEASE_MS = 2000;
 // The platform expects holders that take turns at one VM to be this far apart at least.
 const FLEET_LEASE_MS = 3300;
-// Readings further apart prove nothing about the time between them.
-const LONGEST_READING_GAP_MS = 1500;
 /**
  * Time since a lease was surely held, in milliseconds.
  * The steady clock stops while a VM is suspended, so the time of day counts too; a jump of it only makes holders wait for a renewal.
@@ -81,38 +81,16 @@
 export const leaseAgeMs = ({ renewedAtMs, renewedWallMs }: HeldLease, context: DispatcherContext): number =>
     Math.max(context.steadyMs() - renewedAtMs, Date.now() - renewedWallMs);
 
-interface Observation {
-    readonly version: number;
-    readonly record: LeaseRecord | undefined;
-    /** Time for which the row was seen unchanged, in milliseconds. */
-    unchangedMs: number;
-    readAtMs: number;
-}
-
 /** Acquires, renews and observes leases. */
 export const keepLeases = ({ context, subjects, holder }: LeaseKeeperOptions): LeaseKeeper => {
     const { store, steadyMs } = context;
     const held = new Map<string, HeldLease>();
-    const observed = new Map<string, Observation>();
+    const view = createLeaseView({ store, steadyMs });
     const runningRenewals = new Map<string, Promise<boolean>>();
     const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
     let closed = false;
 
-    const observe = (rows: readonly Row[]): void => {
-        const nowMs = steadyMs();
-        rows.forEach(({ key, version, value }) => {
-            const known = observed.get(key);
-            if (known?.version === version) {
-                const gapMs = nowMs - known.readAtMs;
-                known.unchangedMs += gapMs <= LONGEST_READING_GAP_MS ? gapMs : 0;
-                known.readAtMs = nowMs;
-            } else {
-                observed.set(key, { version, record: decodeLease(value), unchangedMs: 0, readAtMs: nowMs });
-            }
-        });
-    };
-
     const lose = async (lease: HeldLease, reason: string): Promise<void> => {
         if (lease.lost) {
             return;
@@ -181,7 +159,7 @@
         return false;
     };
 
-    const mayTake = (subject: LeaseSubject, observation: Observation | undefined): boolean => {
+    const mayTake = (subject: LeaseSubject, observation: LeaseObservation | undefined): boolean => {
         if (observation?.record?.holder === undefined) {
             return true;
         }
@@ -193,7 +171,7 @@
 
     const take = async (subject: LeaseSubject): Promise<void> => {
         const key = leaseKey(subject);
-        const before = observed.get(key);
+        const before = view.observation(key);
         const predecessor = before?.record;
         const epoch = (predecessor?.epoch ?? 0) + 1;
         const sentAtMs = steadyMs();
@@ -214,6 +192,9 @@
                 : commit.kind === "conflict"
                   ? ownVersion(context, commit.rows[0], epoch)
                   : undefined;
+        if (commit.kind === "conflict") {
+            view.observe(commit.rows);
+        }
         if (version === undefined || closed) {
             return;
         }
@@ -241,19 +222,27 @@
 
     const poll = async (): Promise<void> => {
         while (!closed) {
-            const reading = await store.read(LEASE_RANGE);
-            if (reading.kind === "rows") {
-                observe(reading.rows);
+            const refreshed = await view.refresh(subjects().map(leaseKey));
+            if (refreshed === "changed") {
                 events.emit("change");
+            }
+            if (refreshed !== "failed") {
                 await takeOne();
             }
-            await sleep(held.has(leaseKey({ kind: "fleet" })) ? FLEET_POLL_MS : POLL_MS);
+            await sleep(pollPauseMs());
+        }
+    };
+
+    const pollPauseMs = (): number => {
+        if (subjects().length === 0) {
+            return CONFIGURATION_POLL_MS;
         }
+        return held.size > 0 ? HOLDER_POLL_MS : POLL_MS;
     };
 
     const takeOne = async (): Promise<void> => {
         const free = subjects().filter(
-            subject => !held.has(leaseKey(subject)) && mayTake(subject, observed.get(leaseKey(subject))),
+            subject => !held.has(leaseKey(subject)) && mayTake(subject, view.observation(leaseKey(subject))),
         );
         const subject = free[Math.floor(Math.random() * free.length)];
         if (subject === undefined) {
@@ -261,7 +250,7 @@
         }
         await sleep(
             delayBeforeTaking({
-                record: observed.get(leaseKey(subject))?.record,
+                record: view.observation(leaseKey(subject))?.record,
                 vm: context.vm,
                 heldLeases: held.size,
                 processorCores: context.settings.processorCores,
@@ -302,9 +291,9 @@
     return {
         events,
         renewNow,
-        last: subject => observed.get(leaseKey(subject))?.record,
+        last: subject => view.observation(leaseKey(subject))?.record,
         current: (subject, withinMs) => {
-            const observation = observed.get(leaseKey(subject));
+            const observation = view.observation(leaseKey(subject));
             return observation !== undefined &&
                 observation.unchangedMs <= withinMs &&
                 steadyMs() - observation.readAtMs <= withinMs
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -56,8 +56,8 @@
     readonly maintained: readonly MaintainedVms[];
 }
 
-const LEASE_TABLE = "leases";
-const LEASE_PART = "leases";
+/** Table of the leases. */
+export const LEASE_TABLE = "leases";
 const FLEET_KEY = "fleet";
 const POOL_KEY_PREFIX = "pool/";
 
@@ -86,15 +86,12 @@
     maintained: [],
 };
 
-/** Range of all leases. */
-export const LEASE_RANGE = { table: LEASE_TABLE, part: LEASE_PART };
-
 /** Key of a lease. */
 export const leaseKey = (subject: LeaseSubject): string =>
     subject.kind === "fleet" ? FLEET_KEY : POOL_KEY_PREFIX + subject.pool;
 
-/** Row of a lease. */
-export const leaseRow = (key: string): RowKey => ({ table: LEASE_TABLE, part: LEASE_PART, key });
+/** Row of a lease; each has a part of its own, since the store does the transactions of a part one after another. */
+export const leaseRow = (key: string): RowKey => ({ table: LEASE_TABLE, part: `lease/${key}`, key });
 
 /** Encodes a lease for the store. */
 export const encodeLease = (record: LeaseRecord): string => JSON.stringify(record);
--- /dev/null
+++ b/programs/dispatcher/test/lease-view.test.ts
@@ -0,0 +1,100 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
+import { emptyLeaseContent, encodeLease, LEASE_TABLE, leaseRow } from "../src/lease-rows.js";
+import { createLeaseView, type LeaseView } from "../src/lease-view.js";
+
+type Reading = Awaited<ReturnType<TableStore["read"]>>;
+
+const row = (key: string, version: number): Row => ({
+    ...leaseRow(key),
+    version,
+    deleted: false,
+    value: encodeLease({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: version }),
+});
+
+const rows = (version: number, changed: readonly Row[]): Reading => ({
+    kind: "rows",
+    rows: changed,
+    version,
+    nowMs: 0,
+    truncated: false,
+});
+
+interface ScriptedStore {
+    nowMs: number;
+    reads: number;
+    reading: Reading;
+    changes: Reading;
+}
+
+const scripted = (): { readonly script: ScriptedStore; readonly view: LeaseView } => {
+    const script: ScriptedStore = { nowMs: 0, reads: 0, reading: rows(0, []), changes: rows(0, []) };
+    const view = createLeaseView({
+        steadyMs: () => script.nowMs,
+        store: {
+            read: () => {
+                script.reads++;
+                return Promise.resolve(script.reading);
+            },
+            changes: () => Promise.resolve(script.changes),
+        },
+    });
+    return { script, view };
+};
+
+test("a lease that stays the same grows old, and a renewal makes it young, or a live holder would be replaced", async () => {
+    const { script, view } = scripted();
+    script.reading = rows(5, [row("a", 5)]);
+    script.changes = rows(5, []);
+    assert.equal(await view.refresh(["a"]), "changed");
+    script.nowMs = 400;
+    assert.equal(await view.refresh(["a"]), "unchanged");
+    assert.equal(view.observation("a")?.unchangedMs, 400);
+    script.changes = rows(6, [row("a", 6)]);
+    await view.refresh(["a"]);
+    assert.equal(view.observation("a")?.unchangedMs, 0);
+    assert.equal(script.reads, 1);
+});
+
+test("the time of an outage of the store does not count as time without a renewal", async () => {
+    const { script, view } = scripted();
+    script.reading = rows(5, [row("a", 5)]);
+    script.changes = rows(5, []);
+    await view.refresh(["a"]);
+    script.changes = { kind: "failed", reason: "status 503" };
+    script.nowMs = 3000;
+    assert.equal(await view.refresh(["a"]), "failed");
+    script.changes = rows(5, []);
+    script.nowMs = 6000;
+    await view.refresh(["a"]);
+    assert.equal(view.observation("a")?.unchangedMs, 0);
+});
+
+test("a lost history is read anew, and a lease that is new in the configuration is read once", async () => {
+    const { script, view } = scripted();
+    script.reading = rows(5, [row("a", 5)]);
+    script.changes = { kind: "history-lost" };
+    assert.equal(await view.refresh(["a"]), "failed");
+    script.changes = rows(9, [row("a", 9)]);
+    await view.refresh(["a"]);
+    assert.equal(script.reads, 2);
+    script.reading = rows(9, []);
+    await view.refresh(["a", "b"]);
+    assert.equal(script.reads, 3);
+    assert.equal(view.observation("a")?.version, 9);
+    assert.equal(view.observation("b"), undefined);
+});
+
+test("an older row never replaces a newer one", () => {
+    const { view } = scripted();
+    view.observe([row("a", 7)]);
+    view.observe([row("a", 6)]);
+    assert.equal(view.observation("a")?.version, 7);
+});
+
+test("each lease has a part of its own, so that renewals don't wait for each other", () => {
+    const parts = ["fleet", "pool/a", "pool/b"].map(key => leaseRow(key));
+    assert.equal(new Set(parts.map(({ part }) => part)).size, parts.length);
+    assert.ok(parts.every(({ table }) => table === LEASE_TABLE));
+});
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import { reply, startJsonServer, type JsonReply, type JsonRequest, type JsonServer } from "./json-server.js";
 
@@ -7,6 +8,8 @@
     /** Refuses every call with 503; nothing is done. */
     | { readonly kind: "busy" }
     | { readonly kind: "silent" }
+    /** Every answer takes this long; the transactions of a part are done one after another. */
+    | { readonly kind: "slow"; readonly answerMs: number }
     /** Carries out writes and cuts the connection instead of answering. */
     | { readonly kind: "lost-answers" }
     /** Carries out writes this much later than it cuts the connection. */
@@ -58,6 +61,8 @@
 /** Starts the stand-in. */
 export const startStoreStandIn = async (): Promise<StoreStandIn> => {
     const rows = new Map<string, Row>();
+    /** Resolves when the last transaction of a part is done. */
+    const partQueues = new Map<string, Promise<void>>();
     let waiting: (() => void)[] = [];
     let version = 0;
     let historyFrom = 0;
@@ -131,6 +136,9 @@
                 return reply(503);
             case "silent":
                 return { kind: "silence" };
+            case "slow":
+                await delayAnswer(request, fault.answerMs);
+                break;
             case "none":
             case "lost-answers":
             case "late-writes":
@@ -158,9 +166,21 @@
             case "none":
             case "busy":
             case "silent":
+            case "slow":
                 return commit(body);
         }
     };
+    const delayAnswer = async ({ path, body }: JsonRequest, answerMs: number): Promise<void> => {
+        if (path !== "/-/rows-tx") {
+            await sleep(answerMs);
+            return;
+        }
+        const { expect, set_keys: writes, remove } = transaction.parse(body);
+        const part = [...expect, ...writes, ...remove][0]?.part ?? "";
+        const turn = (partQueues.get(part) ?? Promise.resolve()).then(() => sleep(answerMs));
+        partQueues.set(part, turn);
+        await turn;
+    };
     const server: JsonServer = await startJsonServer(handle);
     return {
         address: server.address,
