Count the silence before a takeover, and shorten what a cut-off holder does

While an executor was out of reach, the successor waited 8 s and a run's lease from its takeover on, though it had seen the lease unrenewed for 2 s before, and the former holder counts its 8 s from its last renewal.

Change: the wait is shortened by the time for which the lease was seen unchanged, and a holder without renewals acts for 6 s instead of 8 s. Outages of the store up to 9 s are still bridged, 6 s of orders and a lease of 4 s.

Two more faults in the fleet manager, found by reading: a "running" that was still tried in an outage could be stored after "completed", and a successor published "running" for a wave that its predecessor had ended. The states of waves are published by a module of its own now, newest only.

--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -132,7 +132,12 @@
         await runner?.stop();
     },
     content: lease => runners.get(leaseKey(lease.subject))?.content() ?? lease.predecessor ?? emptyLeaseContent,
-    renewed: (lease, content) => runners.get(leaseKey(lease.subject))?.renewed(content),
+    renewed: (lease, content) => {
+        const runner = runners.get(leaseKey(lease.subject));
+        if (runner?.kind === "pool") {
+            runner.renewed(content);
+        }
+    },
 });
 
 // The fleet manager names the VMs to vacate in its lease, which every process reads.
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -1,7 +1,5 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import { encodeWaveState } from "@almondusher/platform-adapter/decode-wave";
-import { PLATFORM_PART, STATUS_TABLE, WAVE_KEY_PREFIX } from "@almondusher/platform-adapter/platform-rows";
 import { createVmClient, type ListedVm } from "@almondusher/platform-adapter/vm-client";
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
 import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
@@ -10,13 +8,13 @@
 import { leaseAgeMs, type HeldLease, type LeaseKeeper } from "./lease-keeper.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
 import type { OperatorFeed, SeenWave } from "./operator-feed.js";
+import { createWaveStatus } from "./wave-status.js";
 import { sendOrder, type OrderOutcome, type OrderPurpose, type VmOrder } from "./vm-orders.js";
 
 /** The fleet manager, while its lease is held. */
 export interface FleetRunner {
     readonly kind: "fleet";
     readonly content: () => LeaseContent;
-    readonly renewed: (content: LeaseContent) => void;
     readonly stop: () => Promise<void>;
 }
 
@@ -39,7 +37,6 @@
 
 const TICK_MS = 100;
 const LIST_MS = 500;
-const STATUS_RETRY_MS = 400;
 // Lease rows of pools are trusted for this long; a pool without a scheduler vacates nothing.
 const POOL_FRESH_MS = 2500;
 // Holders that lost touch with the store order nothing; a successor may have begun.
@@ -78,6 +75,12 @@
     const forecast = createSurgeForecast();
 
     const mayAct = (): boolean => active && !lease.lost && leaseAgeMs(lease, context) < UNCONFIRMED_MS;
+    const waveStatus = createWaveStatus({
+        store: context.store,
+        log: context.log,
+        isActive: () => active && !lease.lost,
+        sleep,
+    });
     const adoptWave = ({ request, seenAtMs }: SeenWave): void => {
         if (waves.has(request.wave)) {
             return;
@@ -91,20 +94,9 @@
             begun: new Set(begun),
             completed: false,
         });
-        void writeStatus(request.wave, "running");
-    };
-    const writeStatus = async (wave: number, state: "running" | "completed"): Promise<void> => {
-        const row = { table: STATUS_TABLE, part: PLATFORM_PART, key: `${WAVE_KEY_PREFIX}${wave}` };
-        while (active && !lease.lost) {
-            const commit = await context.store.transact({
-                expect: [],
-                writes: [{ ...row, value: encodeWaveState(wave, state) }],
-            });
-            if (commit.kind === "committed") {
-                context.log("wave-state", { wave, state });
-                return;
-            }
-            await sleep(STATUS_RETRY_MS);
+        // A wave that the former fleet manager has ended stays completed.
+        if (request.vms.some(vm => !begun.includes(vm))) {
+            waveStatus.publish(request.wave, "running");
         }
     };
     const openWaves = (): readonly Wave[] => [...waves.values()].filter(({ completed }) => !completed);
@@ -206,7 +198,7 @@
             const wave = waves.get(number);
             if (wave !== undefined) {
                 wave.completed = true;
-                void writeStatus(number, "completed");
+                waveStatus.publish(number, "completed");
             }
         });
     };
@@ -316,7 +308,6 @@
             evacuations: [...evacuations].map(([vm, { id, byMs, ordered }]) => ({ vm, id, byMs, ordered })),
             maintained: [...waves.values()].map(({ number, begun }) => ({ wave: number, vms: [...begun] })),
         }),
-        renewed: () => undefined,
         stop: () => {
             active = false;
             client.close();
--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -23,6 +23,8 @@
     readonly predecessor: LeaseRecord | undefined;
     /** The former holder surely has ended: it was an earlier process of this VM, or it gave the lease up. */
     readonly predecessorEnded: boolean;
+    /** Time for which the former holder was seen not to renew it, in milliseconds. */
+    readonly unrenewedMs: number;
     /** Steady time at which the last confirmed renewal was sent, in milliseconds. */
     renewedAtMs: number;
     /** Unix time at that moment in milliseconds. */
@@ -204,6 +206,7 @@
             predecessor,
             predecessorEnded:
                 predecessor === undefined || predecessor.holder === undefined || predecessor.holder === context.vm,
+            unrenewedMs: before?.unchangedMs ?? 0,
             renewedAtMs: sentAtMs,
             renewedWallMs: sentWallMs,
             version,
@@ -214,7 +217,7 @@
             lease: key,
             epoch,
             predecessor: predecessor?.holder,
-            unchangedMs: before?.unchangedMs,
+            unchangedMs: lease.unrenewedMs,
         });
         context.metrics.count("leases_taken");
         holder.begin(lease);
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -27,6 +27,7 @@
 import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createPassPacer } from "./pass-pacer.js";
+import { RUN_LEASE_MS, takeoverWaitMs, UNCONFIRMED_MS } from "./run-leases.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createStepTickets } from "./step-tickets.js";
 
@@ -58,10 +59,6 @@
 
 const TICK_MS = 100;
 const STOP_REPEAT_MS = 400;
-const RUN_LEASE_MS = 4000;
-// A holder that cannot renew its lease extends and starts runs for this long, since then nobody may be able to succeed it.
-const UNCONFIRMED_MS = 8000;
-const SLOWEST_CLOCK_RATE = 0.98;
 // Part of the lease's time after which a successor may have begun to accept jobs.
 const TRUSTED_LEASE_SHARE = 0.8;
 const DRAIN_MS = 1000;
@@ -83,8 +80,7 @@
 
     const announced = lease.predecessor?.executors ?? [];
     announced.forEach(executor => addUnregistered(tables, placeholder(pool, executor)));
-    tables.inheritedWaitUntilMs =
-        context.steadyMs() + (lease.predecessorEnded ? 0 : UNCONFIRMED_MS) + RUN_LEASE_MS / SLOWEST_CLOCK_RATE;
+    tables.inheritedWaitUntilMs = context.steadyMs() + takeoverWaitMs(lease);
 
     const isActive = (): boolean => active && !lease.lost;
     const mayAct = (): boolean => isActive() && leaseAgeMs(lease, context) < UNCONFIRMED_MS;
--- /dev/null
+++ b/programs/dispatcher/src/run-leases.ts
@@ -0,0 +1,19 @@
+import type { HeldLease } from "./lease-keeper.js";
+
+/** Length of the leases of runs in milliseconds. */
+export const RUN_LEASE_MS = 4000;
+/**
+ * A holder that cannot renew its lease extends and starts runs for this long, in milliseconds, since in an outage of
+ * the store nobody can succeed it. With the leases of its runs it bridges outages of about 9 s.
+ */
+export const UNCONFIRMED_MS = 6000;
+
+const SLOWEST_CLOCK_RATE = 0.98;
+
+/** Time after a takeover until every run that the former holder could have started or extended has ended. */
+export const takeoverWaitMs = ({
+    predecessorEnded,
+    unrenewedMs,
+}: Pick<HeldLease, "predecessorEnded" | "unrenewedMs">): number =>
+    // It counts from the former holder's last renewal, which is at least as old as its row was seen unchanged.
+    (predecessorEnded ? 0 : Math.max(0, UNCONFIRMED_MS - unrenewedMs)) + RUN_LEASE_MS / SLOWEST_CLOCK_RATE;
--- /dev/null
+++ b/programs/dispatcher/src/wave-status.ts
@@ -0,0 +1,58 @@
+import { encodeWaveState } from "@almondusher/platform-adapter/decode-wave";
+import { PLATFORM_PART, STATUS_TABLE, WAVE_KEY_PREFIX } from "@almondusher/platform-adapter/platform-rows";
+import type { TableStore } from "@almondusher/platform-adapter/table-store";
+import type { DecisionLog } from "./decision-log.js";
+
+/** How far a wave is, as the operator reads it. */
+export type WaveState = "running" | "completed";
+
+/** Publishes the states of waves. */
+export interface WaveStatus {
+    /** Publishes a state; writes that are still tried for an earlier state of the wave are dropped. */
+    readonly publish: (wave: number, state: WaveState) => void;
+}
+
+/** Options of a publisher. */
+export interface WaveStatusOptions {
+    readonly store: Pick<TableStore, "transact">;
+    readonly log: DecisionLog;
+    /** False once another process may publish. */
+    readonly isActive: () => boolean;
+    /** Resolves after a time in milliseconds. */
+    readonly sleep: (ms: number) => Promise<void>;
+}
+
+const RETRY_MS = 400;
+
+/** Creates a publisher. */
+export const createWaveStatus = ({ store, log, isActive, sleep }: WaveStatusOptions): WaveStatus => {
+    const states = new Map<number, WaveState>();
+    const writing = new Set<number>();
+    const write = async (wave: number): Promise<void> => {
+        let stored: WaveState | undefined;
+        while (isActive() && stored !== states.get(wave)) {
+            const state = states.get(wave) ?? "running";
+            const row = { table: STATUS_TABLE, part: PLATFORM_PART, key: `${WAVE_KEY_PREFIX}${wave}` };
+            const commit = await store.transact({
+                expect: [],
+                writes: [{ ...row, value: encodeWaveState(wave, state) }],
+            });
+            if (commit.kind === "committed") {
+                stored = state;
+                log("wave-state", { wave, state });
+            } else {
+                await sleep(RETRY_MS);
+            }
+        }
+        writing.delete(wave);
+    };
+    return {
+        publish: (wave, state) => {
+            states.set(wave, state);
+            if (!writing.has(wave)) {
+                writing.add(wave);
+                void write(wave);
+            }
+        },
+    };
+};
