Read the stored progress again after a takeover, and model the runs of a task

Cause: a new specification of leases and runs (model/specification/src/ runs.ts) shows a hole in the protocol: the former holder sees an end; a successor takes the lease and reads the jobs; the former holder stores the end and lets the executor forget it, since nobody has raised the token there yet; the successor looks at the executor, sees nothing, and starts a task that is done.

Change: an inherited job starts nothing before its progress was read again, after all executors were asked or the wait for them was over. A holder that may no longer act stores no progress and acknowledges no ends. Both are guards of the model.

Two tests of place-tasks fail without the change.

--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -216,9 +216,13 @@
         heartbeatMs: 500,
     };
     writeFileSync(file, JSON.stringify(settings));
-    const child = spawn(process.execPath, [...nodeFlags, "--conditions=source", "--import", TSX, MAIN, "--settings", file], {
-        stdio: ["ignore", "pipe", "inherit"],
-    });
+    const child = spawn(
+        process.execPath,
+        [...nodeFlags, "--conditions=source", "--import", TSX, MAIN, "--settings", file],
+        {
+            stdio: ["ignore", "pipe", "inherit"],
+        },
+    );
     const log: LogLine[] = [];
     collectLines(child, line => log.push(line));
     const ended = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
--- a/model/specification/src/checks.ts
+++ b/model/specification/src/checks.ts
@@ -6,6 +6,7 @@
 import { moveProtocol } from "./moves.js";
 import type { Protocol, ProtocolStep, Trace } from "./protocol.js";
 import { replay } from "./replay.js";
+import { type RunGuard, runGuards, runProtocol } from "./runs.js";
 
 /** The complete protocol within some bounds on faults. */
 export interface CompleteCheck {
@@ -94,6 +95,15 @@
         complete: maintenanceProtocol(maintenanceBounds),
     });
 
+// An executor out of reach is a second fault beside the takeover.
+const runBounds = (guard: RunGuard) => ({ maxFaults: guard === "wait-for-unreachable" ? 2 : 1, maxStarts: 2 });
+const runCheck = (guard: RunGuard): GuardCheck =>
+    guardCheck({
+        guard,
+        mutant: runProtocol({ ...runBounds(guard), without: guard }),
+        complete: runProtocol(runBounds(guard)),
+    });
+
 /** Explorations that must find nothing. */
 export const completeChecks: readonly CompleteCheck[] = [
     completeCheck("3 entries, 2 faults", editProtocol({ maxFaults: 2, entries: 3 })),
@@ -103,6 +113,8 @@
     completeCheck("1 fault, 3 edits", maintenanceProtocol({ maxFaults: 1, maxEdits: 3 })),
     completeCheck("3 entries, 1 fault", claimProtocol({ maxFaults: 1, entries: 3 })),
     completeCheck("2 entries, 3 faults", claimProtocol({ maxFaults: 3, entries: 2 })),
+    completeCheck("1 fault, 3 starts", runProtocol({ maxFaults: 1, maxStarts: 3 })),
+    completeCheck("2 faults, 2 starts", runProtocol({ maxFaults: 2, maxStarts: 2 })),
 ];
 
 /** One exploration for each guard, which must find a violation. */
@@ -111,4 +123,5 @@
     ...moveGuards.map(moveCheck),
     ...maintenanceGuards.map(maintenanceCheck),
     ...claimGuards.map(claimCheck),
+    ...runGuards.map(runCheck),
 ];
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -49,6 +49,18 @@
 export const restoreProgress = (open: OpenJob, progress: Progress): void =>
     progress.steps.forEach(step => restoreStep(open, step));
 
+/** Adds progress that a former holder of the lease has stored since the job was read; a finished job is closed. */
+export const mergeProgress = (tables: PoolTables, open: OpenJob, progress: Progress, version: number): void => {
+    if (version <= open.progressVersion) {
+        return;
+    }
+    open.progressVersion = version;
+    restoreProgress(open, progress);
+    if (isFinal(progress)) {
+        closeJob(tables, open);
+    }
+};
+
 /** Removes a job whose end is stored. */
 export const closeJob = (tables: PoolTables, { id }: OpenJob): void => {
     tables.jobs.delete(id);
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -46,10 +46,11 @@
     executor.avoidUntilMs <= nowMs;
 
 const mayStart = (tables: PoolTables, { job }: OpenStep, nowMs: number): boolean =>
-    job.trusted &&
-    (!job.inherited ||
-        nowMs >= tables.inheritedWaitUntilMs ||
-        [...tables.executors.values()].every(executor => executor.inspected));
+    job.trusted && (!job.inherited || (tables.isProgressCurrent && isPredecessorShutOut(tables, nowMs)));
+
+/** True once every run that a former holder of the lease could have started is known or has surely ended. */
+export const isPredecessorShutOut = (tables: PoolTables, nowMs: number): boolean =>
+    nowMs >= tables.inheritedWaitUntilMs || [...tables.executors.values()].every(executor => executor.inspected);
 
 const placeStep = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] => {
     return step.step.gang ? placeGang(tables, step, room, terms) : placeWaiting(tables, step, room, terms);
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -159,6 +159,11 @@
     runCounter: number;
     /** Inherited jobs start nothing before this steady time, unless every announced executor was inspected. */
     inheritedWaitUntilMs: number;
+    /**
+     * The stored progress was read after the former holder could no longer store an end and let an executor forget
+     * it; inherited jobs start nothing before.
+     */
+    isProgressCurrent: boolean;
 }
 
 /** Creates the empty tables of a pool. */
@@ -172,6 +177,7 @@
     token,
     runCounter: 0,
     inheritedWaitUntilMs: 0,
+    isProgressCurrent: false,
 });
 
 /** The task with an id, if its job is open. */
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -77,6 +77,7 @@
         timeoutMs: 3000,
         advice: undefined,
     });
+    tables.isProgressCurrent = true;
     applyRegistry(tables, executors, 0);
     tables.executors.forEach(executor => {
         executor.inspected = true;
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { trustJobs } from "@almondusher/scheduler/admit-job";
+import { toId } from "@almondusher/fleet/ids";
+import type { JobId } from "@almondusher/jobs/ids";
+import { mergeProgress, trustJobs } from "@almondusher/scheduler/admit-job";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
 import { stopRun } from "@almondusher/scheduler/settle-run";
@@ -147,3 +149,41 @@
     assert.equal(runs.length, 2);
     assert.ok(searches <= 4, `${searches} searches`);
 });
+
+test("an inherited job starts nothing before its progress was read after the look at all executors, or a done task may run again", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [
+            { id: "old", steps: [step({ count: 2 })], inherited: true },
+            { id: "new", steps: [step()] },
+        ],
+    });
+    tables.isProgressCurrent = false;
+    assert.deepEqual(
+        place(tables).map(run => run.task.step.job.id as string),
+        ["new"],
+    );
+    const old = tables.jobs.get(toId<JobId>("old"));
+    assert.ok(old !== undefined);
+    // The former holder has stored the end of the first task meanwhile.
+    const done = { occurrence: 0, step: 0, done: [0], failures: [], checkpoints: [] };
+    mergeProgress(tables, old, { state: "running", steps: [done] }, 2);
+    tables.isProgressCurrent = true;
+    assert.deepEqual(
+        place(tables).map(run => run.task.id as string),
+        ["old.0.0.1"],
+    );
+});
+
+test("a job that the former holder finished is closed, and an older reading changes nothing", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "old", steps: [step()], inherited: true }],
+    });
+    const old = tables.jobs.get(toId<JobId>("old"));
+    assert.ok(old !== undefined);
+    mergeProgress(tables, old, { state: "completed", steps: [] }, 1);
+    assert.equal(tables.jobs.size, 1);
+    mergeProgress(tables, old, { state: "completed", steps: [] }, 2);
+    assert.equal(tables.jobs.size, 0);
+});
--- a/programs/dispatcher/src/executor-link.ts
+++ b/programs/dispatcher/src/executor-link.ts
@@ -101,7 +101,8 @@
         const sentAtMs = context.steadyMs();
         context.metrics.count("executor_reports");
         const result = await currentClient().report({
-            acknowledged: executor.storedEnd,
+            // A successor may not have read yet what was stored after the lease could have been taken over.
+            acknowledged: owner.mayExtend() ? executor.storedEnd : 0,
             leaseUntilMs: extendTo(),
             waitMs: executor.inspected && misses === 0 && executor.storedEnd >= executor.seenEnd ? REPORT_WAIT_MS : 0,
         });
@@ -169,10 +170,11 @@
         executor.runs.size > 0 ||
         executor.strays.length > 0 ||
         executor.storedEnd < executor.seenEnd;
+    // Ends that are not stored or not acknowledged yet would be listed again at once.
+    const listsOldEnds = (): boolean => executor.storedEnd < executor.seenEnd || !owner.mayExtend();
     const watch = async (): Promise<void> => {
         while (!closed) {
-            // Ends that are not stored yet would be listed again at once.
-            if (!isBusy() || (executor.storedEnd < executor.seenEnd && executor.inspected && misses === 0)) {
+            if (!isBusy() || (executor.inspected && misses === 0 && listsOldEnds())) {
                 await waitForWake(isBusy() ? REPORT_WAIT_MS : IDLE_LOOK_MS);
             }
             if (!closed && isBusy()) {
--- a/programs/dispatcher/src/lease-view.ts
+++ b/programs/dispatcher/src/lease-view.ts
@@ -20,7 +20,7 @@
 }
 
 /** What a reading of the leases told. */
-export type LeaseRefresh = "changed" | "unchanged" | "failed";
+type LeaseRefresh = "changed" | "unchanged" | "failed";
 
 /** Options of a view. */
 export interface LeaseViewOptions {
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -7,7 +7,7 @@
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { pendingJobs } from "@almondusher/scheduler/job-progress";
 import { planPace, type PaceHistory } from "@almondusher/scheduler/plan-pace";
-import { placeTasks } from "@almondusher/scheduler/place-tasks";
+import { isPredecessorShutOut, placeTasks } from "@almondusher/scheduler/place-tasks";
 import { planStops } from "@almondusher/scheduler/plan-stops";
 import {
     createPoolTables,
@@ -27,6 +27,7 @@
 import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createPassPacer } from "./pass-pacer.js";
+import { rereadProgress } from "./reread-progress.js";
 import { RUN_LEASE_MS, takeoverWaitMs, UNCONFIRMED_MS } from "./run-leases.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { createStepTickets } from "./step-tickets.js";
@@ -72,6 +73,7 @@
     const leaseMs = Math.min(RUN_LEASE_MS, context.settings.maxLeaseMs);
     let active = true;
     let loaded = false;
+    let rereading = false;
     let lastVacated = "";
     const history = createDemandHistory();
     const paceHistory: PaceHistory = new Map();
@@ -111,6 +113,7 @@
         context,
         tables,
         isActive,
+        mayStore: mayAct,
         stored: executor => links.get(executor.id)?.wake(),
         finished: job => {
             closeJob(tables, job);
@@ -267,6 +270,7 @@
         lapse();
         openOccurrences();
         if (loaded && mayAct()) {
+            readProgressAgain();
             tickets.fetchAhead();
             sendStops();
             sendStarts();
@@ -275,6 +279,17 @@
             announceDemand();
         }
     };
+    const readProgressAgain = (): void => {
+        if (tables.isProgressCurrent || rereading || !isPredecessorShutOut(tables, context.steadyMs())) {
+            return;
+        }
+        rereading = true;
+        void rereadProgress(context, tables).then(read => {
+            rereading = false;
+            tables.isProgressCurrent = read;
+            changed();
+        });
+    };
     const announceVacated = (): void => {
         const vacated = vacatedEvacuations(tables).join();
         if (vacated !== lastVacated) {
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -24,6 +24,8 @@
     /** Called after a job's final state is stored. */
     readonly finished: (job: OpenJob) => void;
     readonly isActive: () => boolean;
+    /** False while a successor may count on nothing being stored any more. */
+    readonly mayStore: () => boolean;
 }
 
 const MAX_ROWS = 40;
@@ -64,7 +66,7 @@
         writing = true;
         while (requested && options.isActive()) {
             requested = false;
-            if (!(await writeAll())) {
+            if (!options.mayStore() || !(await writeAll())) {
                 requested = true;
                 await sleep(RETRY_MS);
             }
--- /dev/null
+++ b/programs/dispatcher/src/reread-progress.ts
@@ -0,0 +1,24 @@
+import type { JobId } from "@almondusher/jobs/ids";
+import { decodeProgress } from "@almondusher/jobs/stored-rows";
+import { mergeProgress } from "@almondusher/scheduler/admit-job";
+import type { PoolTables } from "@almondusher/scheduler/pool-tables";
+import type { DispatcherContext } from "./dispatcher-context.js";
+import { jobTablesOf } from "./job-rows.js";
+import { readAll } from "./read-all.js";
+
+/**
+ * Reads the progress of the pool's jobs again after a takeover; false if the store failed.
+ * Between the first reading and the look at an executor, the former holder may have stored an end and let the executor
+ * forget it.
+ */
+export const rereadProgress = async ({ store }: DispatcherContext, tables: PoolTables): Promise<boolean> => {
+    const { progress, part } = jobTablesOf(tables.pool);
+    const reading = await readAll(store, { table: progress, part });
+    reading?.rows.forEach(({ key, value, version }) => {
+        const open = tables.jobs.get(key as JobId);
+        if (open !== undefined) {
+            mergeProgress(tables, open, decodeProgress(value), version);
+        }
+    });
+    return reading !== undefined;
+};
--- a/programs/dispatcher/src/wave-status.ts
+++ b/programs/dispatcher/src/wave-status.ts
@@ -4,7 +4,7 @@
 import type { DecisionLog } from "./decision-log.js";
 
 /** How far a wave is, as the operator reads it. */
-export type WaveState = "running" | "completed";
+type WaveState = "running" | "completed";
 
 /** Publishes the states of waves. */
 export interface WaveStatus {
