--- a/programs/dispatcher/src/lease-keeper.ts
+++ b/programs/dispatcher/src/lease-keeper.ts
@@ -1,7 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { createLeaseView, type LeaseObservation } from "./lease-view.js";
 import { delayBeforeTaking } from "./lease-delay.js";
 import {
     decodeLease,
@@ -13,6 +12,7 @@
     type LeaseRecord,
     type LeaseSubject,
 } from "./lease-rows.js";
+import { createLeaseView, type LeaseObservation } from "./lease-view.js";
 
 /** A lease that this process holds. */
 export interface HeldLease {
@@ -76,6 +76,7 @@
 export const POOL_LEASE_MS = 2000;
 // The platform expects holders that take turns at one VM to be this far apart at least.
 const FLEET_LEASE_MS = 3300;
+
 /**
  * Time since a lease was surely held, in milliseconds.
  * The steady clock stops while a VM is suspended, so the time of day counts too; a jump of it only makes holders wait for a renewal.
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -1,6 +1,5 @@
 import { periodic } from "most";
-import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import type { DataCentreName } from "@almondusher/fleet/ids";
+import type { DataCentreName, PoolName, VmId } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { admitJob, closeJob, openDueOccurrences, trustJobs } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
@@ -27,9 +26,9 @@
 import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createPassPacer } from "./pass-pacer.js";
+import { createProgressWriter } from "./progress-writer.js";
 import { rereadProgress } from "./reread-progress.js";
 import { RUN_LEASE_MS, takeoverWaitMs, UNCONFIRMED_MS } from "./run-leases.js";
-import { createProgressWriter } from "./progress-writer.js";
 import { createStepTickets } from "./step-tickets.js";
 
 /** The scheduler of one pool, while its lease is held. */
