Keep the slowest clock rate of executors in one place

Cause: run-leases had its own copy of the rate that lease-time uses; both must agree, or a successor counts on the end of leases too early.

Change: lease-time exports it. placeStep loses a needless block. No behaviour changes.

--- a/pools/scheduler/src/lease-time.ts
+++ b/pools/scheduler/src/lease-time.ts
@@ -1,7 +1,7 @@
 import type { Executor } from "./pool-tables.js";
 
-// Executors' clocks may run this much slower than ours.
-const SLOWEST_CLOCK_RATE = 0.98;
+/** Rate of the slowest clock of an executor, as a share of ours. */
+export const SLOWEST_CLOCK_RATE = 0.98;
 const LAPSE_MARGIN_MS = 100;
 
 /** Notes a reading of the executor's clock, unless a newer one is known. */
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -52,9 +52,8 @@
 export const isPredecessorShutOut = (tables: PoolTables, nowMs: number): boolean =>
     nowMs >= tables.inheritedWaitUntilMs || [...tables.executors.values()].every(executor => executor.inspected);
 
-const placeStep = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] => {
-    return step.step.gang ? placeGang(tables, step, room, terms) : placeWaiting(tables, step, room, terms);
-};
+const placeStep = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] =>
+    step.step.gang ? placeGang(tables, step, room, terms) : placeWaiting(tables, step, room, terms);
 
 const placeWaiting = (tables: PoolTables, step: OpenStep, room: Room, terms: PlacementTerms): readonly Run[] => {
     const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
--- a/programs/dispatcher/src/run-leases.ts
+++ b/programs/dispatcher/src/run-leases.ts
@@ -1,3 +1,4 @@
+import { SLOWEST_CLOCK_RATE } from "@almondusher/scheduler/lease-time";
 import type { HeldLease } from "./lease-keeper.js";
 
 /** Length of the leases of runs in milliseconds. */
@@ -8,8 +9,6 @@
  */
 export const UNCONFIRMED_MS = 6000;
 
-const SLOWEST_CLOCK_RATE = 0.98;
-
 /** Time after a takeover until every run that the former holder could have started or extended has ended. */
 export const takeoverWaitMs = ({
     predecessorEnded,
