Reject a request that waits for a slot beyond its deadline, and hedge its retries

Cause: only requests in the admission queue and on a VM were checked against the deadline. One whose attempt had failed and that waited for a slot of another VM, or for the pause after a refusal, was kept until it found one.

Change: waiting and backing-off requests are rejected at their deadline, and a retry may be hedged again.

--- a/programs/entry/src/serve-request.ts
+++ b/programs/entry/src/serve-request.ts
@@ -82,6 +82,9 @@
     }
     const attempt: Attempt = { vm, startedAtMs: monotonicMs() };
     flow.running = [...flow.running, attempt];
+    if (kind === "retry") {
+        flow.hedged = false;
+    }
     attempt.exchange = runAttempt(entry, flow, attempt, kind);
 };
 
@@ -347,7 +350,8 @@
     }
 };
 
-const expireRequest = (entry: EntryContext, id: RequestId): void => {
+/** Rejects a request that found no slot before its deadline. */
+export const expireRequest = (entry: EntryContext, id: RequestId): void => {
     const flow = entry.tables.requests.get(id);
     if (flow !== undefined) {
         rejectFlow(entry, flow, {
--- a/programs/entry/src/watch-attempts.ts
+++ b/programs/entry/src/watch-attempts.ts
@@ -4,15 +4,29 @@
 import { count } from "@almondusher/telemetry/counters";
 import { type EntryContext, monotonicMs } from "./entry-context.js";
 import { spendRetry } from "./pool-runtime.js";
-import { failLostAttempt, rejectFlow, sendAttempt } from "./serve-request.js";
+import { expireRequest, failLostAttempt, rejectFlow, sendAttempt } from "./serve-request.js";
 import type { Attempt, RequestFlow } from "./request-flow.js";
 
-/** Finds attempts whose connection is lost, hedges idempotent requests that hear nothing, and ends those out of time. */
+/** Finds attempts whose connection is lost, hedges idempotent requests that hear nothing, and ends requests out of time. */
 export const watchAttempts = (entry: EntryContext): void => {
     const nowMs = monotonicMs();
     entry.tables.requests.forEach(flow => {
-        if (flow.phase === "sending" || flow.phase === "answering") {
-            watchFlow(entry, flow, nowMs);
+        switch (flow.phase) {
+            case "sending":
+            case "answering":
+                watchFlow(entry, flow, nowMs);
+                return;
+            case "waiting-for-slot":
+            case "backing-off":
+                if (nowMs > flow.request.deadlineAtMs) {
+                    expireRequest(entry, flow.request.id);
+                }
+                return;
+            // Admission drops a queued request at its deadline, and the calls of a claim have time limits.
+            case "queued":
+            case "claiming":
+            case "done":
+                return;
         }
     });
 };
