Break the import circles of the entry, the exchange and the platform client

Cause: 13 modules of the entry, 3 of the exchange and 5 of the platform client imported each other, types included, so that none could be read alone.

Change: the clock, the grantor's state, the standing of a VM and the claim are modules of their own; the handler of a connection is kept beside the exchange that uses it. A lint rule refuses new circles; it found none after this and both ends of one put in on purpose.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,5 +1,6 @@
 import js from "@eslint/js";
 import tseslint from "typescript-eslint";
+import { noImportCycle } from "./scripts/eslint-rules/no-import-cycle.mjs";
 
 const noNull = {
     selector: "Literal[raw='null']",
@@ -17,7 +18,9 @@
         files: ["**/*.ts"],
         extends: [...tseslint.configs.recommendedTypeChecked],
         languageOptions: { parserOptions: { project: "./tsconfig.test.json", tsconfigRootDir: import.meta.dirname } },
+        plugins: { almondusher: { rules: { "no-import-cycle": noImportCycle } } },
         rules: {
+            "almondusher/no-import-cycle": "error",
             curly: "error",
             eqeqeq: "error",
             "one-var": ["error", "never"],
--- a/programs/entry/src/create-entry.ts
+++ b/programs/entry/src/create-entry.ts
@@ -17,7 +17,8 @@
 import { createLatencies } from "@almondusher/telemetry/latencies";
 import { createLogger } from "@almondusher/telemetry/logger";
 import { createRevisionUse } from "@almondusher/telemetry/revision-use";
-import { type EntryContext, type EntryTables, monotonicMs } from "./entry-context.js";
+import type { EntryContext, EntryTables } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
 import type { EntrySettings } from "./entry-settings.js";
 import { fleetView } from "./fleet-view.js";
 
--- a/programs/entry/src/divide-slots.ts
+++ b/programs/entry/src/divide-slots.ts
@@ -4,31 +4,16 @@
 import { type ByUrgency, urgencies } from "@almondusher/fleet/urgency";
 import { memberIds } from "./adopt-state.js";
 import { divideQuotas, type QuotaPart } from "@almondusher/slots/divide-quotas";
-import { createGrantBook, type GrantBook, issueGrants, recordReport } from "@almondusher/slots/grant-book";
-import { type Division, grantSlots } from "@almondusher/slots/grant-slots";
-import { createQuickReserve, learnShortUse, type QuickReserve, quickSlots } from "@almondusher/slots/quick-reserve";
+import { createGrantBook, issueGrants, recordReport } from "@almondusher/slots/grant-book";
+import { grantSlots } from "@almondusher/slots/grant-slots";
+import { createQuickReserve, learnShortUse, quickSlots } from "@almondusher/slots/quick-reserve";
 import { emptyDemand } from "@almondusher/slots/slot-targets";
-import { type EntryContext, monotonicMs } from "./entry-context.js";
-import type { PoolView } from "./fleet-view.js";
+import type { EntryContext } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
+import type { Grantor } from "./grantor.js";
 import { type PoolRuntime, QUICK_SHARE } from "./pool-runtime.js";
 import { type GrantFields, grantFields, type ReadReport } from "./slot-messages.js";
 
-/** What this process keeps for a pool while it is the pool's grantor. */
-export interface Grantor {
-    readonly book: GrantBook;
-    readonly reports: Map<ProcessId, ReadReport>;
-    division: Division;
-    quickReserve: QuickReserve | undefined;
-    /** Monotonic time of the last division, in milliseconds. */
-    dividedAtMs: number;
-    isDivisionPending: boolean;
-    /** What the division was made for. */
-    view: PoolView | undefined;
-    members: readonly ProcessId[];
-    /** Monotonic time from which slots without demand may move again, in milliseconds. */
-    nextSpareMoveAt: number;
-}
-
 /** A grant and the member that it is for. */
 export interface AddressedGrant {
     readonly member: ProcessId;
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -14,7 +14,7 @@
 import type { Latencies } from "@almondusher/telemetry/latencies";
 import type { Logger } from "@almondusher/telemetry/logger";
 import type { RevisionUse } from "@almondusher/telemetry/revision-use";
-import type { Grantor } from "./divide-slots.js";
+import type { Grantor } from "./grantor.js";
 import type { EntrySettings } from "./entry-settings.js";
 import type { FleetView } from "./fleet-view.js";
 import type { PoolRuntime } from "./pool-runtime.js";
@@ -83,6 +83,3 @@
     readonly logger: Logger;
     readonly tables: EntryTables;
 }
-
-/** Monotonic time in milliseconds. */
-export const monotonicMs = (): number => performance.now();
--- a/programs/entry/src/exchange-peers.ts
+++ b/programs/entry/src/exchange-peers.ts
@@ -14,7 +14,8 @@
 import { memberFields, readMember, readMembers } from "@almondusher/peer/peer-schema";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { adoptState, adoptVms, refreshSlots } from "./adopt-state.js";
-import { type EntryContext, monotonicMs } from "./entry-context.js";
+import type { EntryContext } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
 
 const UNKNOWN_AGE_MS = 0xffff_ffff;
 // A list that is older than this many polling periods means that the platform does not answer this process.
--- /dev/null
+++ b/programs/entry/src/monotonic-clock.ts
@@ -0,0 +1,2 @@
+/** Monotonic time in milliseconds. */
+export const monotonicMs = (): number => performance.now();
--- a/programs/entry/src/place-request.ts
+++ b/programs/entry/src/place-request.ts
@@ -11,15 +11,11 @@
     vmWeight,
 } from "@almondusher/placement/vm-health";
 import { logEvent } from "@almondusher/telemetry/logger";
-import { type EntryContext, monotonicMs } from "./entry-context.js";
+import type { EntryContext } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
 import type { PoolRuntime } from "./pool-runtime.js";
 import type { Attempt, RequestFlow } from "./request-flow.js";
-
-/** What placement knows of a VM; health is refreshed every tick, as decaying it for each request would cost more. */
-export interface VmStanding {
-    readonly weight: number;
-    readonly latencyMs: number | undefined;
-}
+import type { VmStanding } from "./vm-standing.js";
 
 const UNKNOWN_STANDING: VmStanding = { weight: 1, latencyMs: undefined };
 
--- a/programs/entry/src/poll-platform.ts
+++ b/programs/entry/src/poll-platform.ts
@@ -4,7 +4,8 @@
 import { addContacts } from "@almondusher/peer/membership";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { adoptState, adoptVms, confirmVms } from "./adopt-state.js";
-import { type EntryContext, monotonicMs } from "./entry-context.js";
+import type { EntryContext } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
 
 const reportPlatform = (entry: EntryContext, operation: string, error: unknown): void => {
     const { tables } = entry;
--- a/programs/entry/src/pool-runtime.ts
+++ b/programs/entry/src/pool-runtime.ts
@@ -15,7 +15,7 @@
 } from "@almondusher/slots/slot-ledger";
 import { createRetryBudget, type RetryBudget, takeRetry } from "@almondusher/placement/retry-budget";
 import type { Ejections } from "@almondusher/placement/ejection";
-import type { VmStanding } from "./place-request.js";
+import type { VmStanding } from "./vm-standing.js";
 import type { EntrySettings } from "./entry-settings.js";
 import type { PoolView } from "./fleet-view.js";
 
--- a/programs/entry/src/readiness.ts
+++ b/programs/entry/src/readiness.ts
@@ -1,4 +1,5 @@
-import { type EntryContext, type EntryPhase, monotonicMs } from "./entry-context.js";
+import type { EntryContext, EntryPhase } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
 
 export interface ReadinessOptions {
     readonly phase: EntryPhase;
--- a/programs/entry/src/request-flow.ts
+++ b/programs/entry/src/request-flow.ts
@@ -3,7 +3,7 @@
 import type { Vm } from "@almondusher/fleet/vm";
 import type { Cause, Verdict } from "@almondusher/fleet/verdict";
 import type { Exchange } from "@almondusher/exchange/exchange";
-import type { Claim } from "@almondusher/platform/claims";
+import type { Claim } from "@almondusher/platform/claim";
 import type { CallerRequest } from "./caller-request.js";
 import type { PoolRuntime } from "./pool-runtime.js";
 import type { ReplayBody } from "./replay-body.js";
--- a/programs/entry/src/slot-messages.ts
+++ b/programs/entry/src/slot-messages.ts
@@ -10,7 +10,7 @@
 import { acknowledgedVersion, type Grant, heldSlots, type TeamSlots, usedSlots } from "@almondusher/slots/slot-ledger";
 import type { MemberDemand } from "@almondusher/slots/slot-targets";
 import type { VmSlots } from "@almondusher/slots/vm-slots";
-import { monotonicMs } from "./entry-context.js";
+import { monotonicMs } from "./monotonic-clock.js";
 import type { PoolRuntime } from "./pool-runtime.js";
 
 /** A report of one member as the grantor of a pool uses it. */
--- a/routing/exchange/src/connection.ts
+++ b/routing/exchange/src/connection.ts
@@ -1,7 +1,6 @@
 import { connect as connectSocket, Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 import { parseAddress } from "./endpoint-address.js";
-import type { Carrier } from "./running-exchange.js";
 
 /** Why a connection was closed; counted by the pool. */
 export const closeReasons = [
@@ -44,8 +43,6 @@
 /** A connection that is reused, as one client. */
 export interface PooledConnection extends Connection {
     readonly client: Client;
-    /** Handles the exchanges of this connection; created with the first one, so that later ones allocate none. */
-    carrier: Carrier | undefined;
 }
 
 export interface OpenConnectionOptions {
@@ -105,7 +102,6 @@
         ...newConnection(options),
         close: () => client.destroy(ignore),
         client,
-        carrier: undefined,
     };
     return connection;
 };
--- a/routing/exchange/src/run-exchange.ts
+++ b/routing/exchange/src/run-exchange.ts
@@ -106,7 +106,7 @@
         waitOrFail(running, fresh);
         return;
     }
-    const carrier = (connection.carrier ??= createCarrier(connection));
+    const carrier = carrierOf(connection);
     carrier.current = running;
     running.carrier = carrier;
     running.connection = connection;
@@ -137,6 +137,19 @@
     });
 };
 
+// A connection keeps the handler of its first exchange, so that later ones allocate none.
+const carriers = new WeakMap<PooledConnection, Carrier>();
+
+const carrierOf = (connection: PooledConnection): Carrier => {
+    const known = carriers.get(connection);
+    if (known !== undefined) {
+        return known;
+    }
+    const created = createCarrier(connection);
+    carriers.set(connection, created);
+    return created;
+};
+
 const createCarrier = (connection: PooledConnection): Carrier => {
     const carrier: Carrier = {
         current: undefined,
