Give odd slots of a division to each entry in turn

Cause: an even division in whole numbers gave what was left to the entry that wanted most. A class with one guaranteed slot then gave it to the same entry in every division, and long requests of another entry waited for as long as that one had work.

Ruled out: a lost answer, an attempt without a time limit and a request that waits for a slot on another VM; all requests that waited were in the queue of admission.

Change: what cannot be divided evenly goes to other members in each turn of 200 ms, for requests that run or wait; slots that nobody asks for stay. A report with requests that wait leads to a division also if it is unchanged.

Two tests of targets.test.ts fail without the change.

--- a/admission/slots/src/grant-slots.ts
+++ b/admission/slots/src/grant-slots.ts
@@ -16,6 +16,8 @@
     readonly reservePerMember: number;
     /** Slots that may move in one round although nobody waits for them. */
     readonly maxSpareMoves: number;
+    /** Counts up over time; what cannot be divided evenly goes to other members in each turn. */
+    readonly turn: number;
     /** Result of the last round, of which as much as possible stays. */
     readonly previous: readonly MemberSlots[];
 }
--- a/admission/slots/src/slot-targets.ts
+++ b/admission/slots/src/slot-targets.ts
@@ -49,8 +49,16 @@
     readonly previous: readonly number[];
     /** Slots that may move in one round although nobody waits for them. */
     readonly maxSpareMoves: number;
+    /** Counts up over time; what cannot be divided evenly goes to other members in each turn. */
+    readonly turn: number;
 }
 
+// Long enough for a waiting request to start with the slot that its entry gets in a turn.
+const TURN_MS = 200;
+
+/** The turn at a monotonic time in milliseconds. */
+export const turnAt = (nowMs: number): number => Math.floor(nowMs / TURN_MS);
+
 /**
  * Divides the slots of a pool among its members. Each class's guaranteed slots follow the demand of that class. What a
  * class leaves goes first to the reserves and then to short requests of any class.
@@ -86,7 +94,7 @@
 
 // Slots of the class's guarantee that the requests of each member use. Only long requests keep their slots: if short
 // ones did, members that are full of short work would keep the whole guarantee for as long as their queues last.
-const claimsOf = ({ demands, guarantees }: TargetOptions, urgency: Urgency): Counts => {
+const claimsOf = ({ demands, guarantees, turn }: TargetOptions, urgency: Urgency): Counts => {
     const limit = guarantees[urgency];
     const long = divideFairly(
         demands.map(({ ownLong }) => ownLong[urgency]),
@@ -97,10 +105,20 @@
             ({ ownShort, queuedShort, queuedLong }) => ownShort[urgency] + queuedShort[urgency] + queuedLong[urgency],
         ),
         limit - sum(long),
+        turn,
     );
     return add(long, others);
 };
 
+// Slots that members want; in turns where a member without any would wait.
+interface Want {
+    readonly counts: Counts;
+    readonly turn?: number;
+}
+
+const waitingOf = ({ queuedShort, queuedLong }: MemberDemand): number =>
+    sum(urgencies.map(urgency => queuedShort[urgency] + queuedLong[urgency]));
+
 interface Leftover {
     readonly claims: readonly Counts[];
     readonly claimed: Counts;
@@ -108,17 +126,20 @@
 }
 
 const divideLeftover = (options: TargetOptions, { claims, claimed, left }: Leftover): Counts => {
-    const { demands, reservePerMember, previous } = options;
+    const { demands, reservePerMember, previous, turn } = options;
     const longExcess = demands.map(({ ownLong }, index) =>
         Math.max(0, sum(urgencies.map(urgency => ownLong[urgency])) - (claimed[index] ?? 0)),
     );
-    const wanted = [
-        longExcess,
-        claimed.map(count => Math.max(0, reservePerMember - count)),
-        demands.map((demand, index) => shortBeyondClaims(demand, { claims, index })),
+    const reserve = claimed.map(count => Math.max(0, reservePerMember - count));
+    const isWaiting = demands.map(demand => waitingOf(demand) > 0);
+    const wanted: readonly Want[] = [
+        { counts: longExcess },
+        { counts: reserve.map((count, index) => (isWaiting[index] === true ? count : 0)), turn },
+        { counts: reserve.map((count, index) => (isWaiting[index] === true ? 0 : count)) },
+        { counts: demands.map((demand, index) => shortBeyondClaims(demand, { claims, index })), turn },
     ];
     const needed = wanted.reduce<Counts>(
-        (given, want) => add(given, divideFairly(want, left - sum(given))),
+        (given, want) => add(given, divideFairly(want.counts, left - sum(given), want.turn)),
         zeros(demands.length),
     );
     const surplus = needed.map((count, index) => Math.max(0, (previous[index] ?? 0) - (claimed[index] ?? 0) - count));
--- a/admission/slots/test/grant-book.test.ts
+++ b/admission/slots/test/grant-book.test.ts
@@ -117,6 +117,7 @@
         guarantees,
         reservePerMember: 1,
         maxSpareMoves: 2,
+        turn: world.now,
         previous: world.previous,
         // Without this knowledge only the book keeps slots that are in use from being given out.
         inUse: [],
@@ -230,6 +231,7 @@
             guarantees,
             reservePerMember: 1,
             maxSpareMoves: 0,
+            turn: 0,
             previous: [],
             inUse: [],
             demands,
--- a/admission/slots/test/slots.test.ts
+++ b/admission/slots/test/slots.test.ts
@@ -62,6 +62,7 @@
                     guarantees: guaranteesOf(vmCount * SLOTS_PER_VM),
                     reservePerMember: 1,
                     maxSpareMoves: 0,
+                    turn: 0,
                     inUse: [],
                     previous,
                     demands: members.map((member, index) => ({
--- a/admission/slots/test/targets.test.ts
+++ b/admission/slots/test/targets.test.ts
@@ -19,6 +19,7 @@
         reservePerMember: 1,
         maxSpareMoves,
         previous,
+        turn: 0,
         demands: members.map((member, index) => ({
             member,
             ownShort: NONE,
@@ -98,3 +99,48 @@
     assert.equal(quickSlots(learnShortUse(start, 0, 3_600_000), 28), 0);
     assert.equal(quickSlots(learnShortUse(start, 10, 3_600_000), 28), 15);
 });
+
+// A pool of one VM with four entries; the class "normal" has one guaranteed slot.
+const fewSlots = {
+    total: 8,
+    guarantees: { urgent: 2, normal: 1, deferrable: 1 },
+    reservePerMember: 1,
+    maxSpareMoves: 0,
+    previous: [],
+};
+const fourMembers = members.slice(0, 4);
+const demandsOf = (demands: readonly Partial<MemberDemand>[]): readonly MemberDemand[] =>
+    fourMembers.map((member, index) => ({
+        member,
+        ownShort: NONE,
+        ownLong: NONE,
+        borrowed: 0,
+        queuedShort: NONE,
+        queuedLong: NONE,
+        ...demands[index],
+    }));
+const turns = fourMembers.map((unused, turn) => turn);
+
+test("long requests of an entry would wait for ever beside an entry with more short ones, if it got each odd slot", () => {
+    const demands = demandsOf([
+        { queuedLong: { ...NONE, normal: 4 } },
+        {},
+        {},
+        { ownShort: { ...NONE, normal: 5 }, queuedShort: { ...NONE, normal: 1 } },
+    ]);
+    const served = turns.filter(turn => slotTargets({ ...fewSlots, demands, turn })[0]?.guarantees.normal === 1);
+    assert.ok(served.length > 0);
+});
+
+test("an entry whose requests wait would never get a slot of a pool with fewer slots than entries", () => {
+    const demands = demandsOf(fourMembers.map((unused, index) => ({ queuedShort: { ...NONE, urgent: 9 - index } })));
+    const options = { ...fewSlots, total: 2, guarantees: { ...NONE, urgent: 1 }, demands };
+    const served = turns.flatMap(turn => slotTargets({ ...options, turn }).filter(target => target.slots > 0));
+    assert.deepEqual(new Set(served.map(target => target.member)), new Set(fourMembers));
+});
+
+test("the odd slots of entries without requests that wait stay, as each move costs a connection", () => {
+    const options = { ...fewSlots, total: 2, guarantees: NONE, demands: demandsOf([]) };
+    const divisions = turns.map(turn => slotTargets({ ...options, turn }));
+    divisions.forEach(division => assert.deepEqual(division, divisions[0]));
+});
--- a/bench/policies/src/grantor-node.ts
+++ b/bench/policies/src/grantor-node.ts
@@ -19,7 +19,7 @@
     usedSlots,
 } from "@almondusher/slots/slot-ledger";
 import { createQuickReserve, learnShortUse, type QuickReserve, quickSlots } from "@almondusher/slots/quick-reserve";
-import { emptyDemand, type MemberDemand } from "@almondusher/slots/slot-targets";
+import { emptyDemand, type MemberDemand, turnAt } from "@almondusher/slots/slot-targets";
 import type { MemberSlots } from "@almondusher/slots/vm-slots";
 import { schedule } from "./event-queue.js";
 import { type EntryNode, type Simulation, startWaiting } from "./simulation.js";
@@ -190,6 +190,7 @@
         ...options,
         guarantees: guaranteesNow(grantor),
         maxSpareMoves: isDriftDue ? options.maxSpareMoves : 0,
+        turn: turnAt(now),
         demands: members.map(member => grantor.demands.get(member) ?? emptyDemand(member)),
         inUse: [...grantor.inUse.values()].flat(),
         previous: grantor.division.rows,
--- a/programs/entry/src/divide-slots.ts
+++ b/programs/entry/src/divide-slots.ts
@@ -7,7 +7,7 @@
 import { createGrantBook, issueGrants, recordReport } from "@almondusher/slots/grant-book";
 import { grantSlots } from "@almondusher/slots/grant-slots";
 import { createQuickReserve, learnShortUse, quickSlots } from "@almondusher/slots/quick-reserve";
-import { emptyDemand } from "@almondusher/slots/slot-targets";
+import { emptyDemand, turnAt } from "@almondusher/slots/slot-targets";
 import type { EntryContext } from "./entry-context.js";
 import { monotonicMs } from "./monotonic-clock.js";
 import type { Grantor } from "./grantor.js";
@@ -65,7 +65,7 @@
     readonly onLateGrants: (grants: readonly AddressedGrant[]) => void;
 }
 
-/** Notes a report and divides the pool's slots anew if it asks for something else; returns the grants that are due. */
+/** Notes a report, divides the pool's slots anew if it asks for more or less, or waits for its turn; returns the grants that are due. */
 export const takeReport = (entry: EntryContext, { read, onLateGrants }: ReportTaking): readonly AddressedGrant[] => {
     const runtime = entry.tables.pools.get(read.pool);
     if (runtime === undefined || !isGrantor(entry, read.pool)) {
@@ -78,7 +78,7 @@
     const members = memberIds(entry);
     if (!isSettled(grantor, members, runtime)) {
         redivide(grantor, members, runtime);
-    } else if (known === undefined || !asksForTheSame(known, read)) {
+    } else if (known === undefined || read.report.isWaiting || !asksForTheSame(known, read)) {
         redivideInTurn(entry, read.pool, grantor, onLateGrants);
     }
     return issue(entry, { pool: read.pool, grantor, members, runtime });
@@ -155,6 +155,7 @@
         guarantees: learnGuarantees(grantor, { shares, slots: vms.length * slotsPerVm, now }),
         reservePerMember: RESERVE_PER_MEMBER,
         maxSpareMoves: mayMoveSpare ? MAX_SPARE_MOVES : 0,
+        turn: turnAt(now),
         previous: grantor.division.rows,
     });
     grantor.nextSpareMoveAt = mayMoveSpare ? now + SPARE_MOVE_PERIOD_MS : grantor.nextSpareMoveAt;
