Notice by the clock that an executor has restarted under its id

Cause: an executor may start again under the id that it had, and answers to orders name only the id. A start that reached the new life before the registry or a list of runs named it was then forgotten with the runs of the former life, and its task placed again beside it. A list of runs that was asked for with the last end of the former life also let the new one forget ends that nobody had seen, and a run out of reach was given up with its lease on the old clock, although the new life grants the longest lease.

Change: a clock in the answer to an order that went back begins a new life; starts without an answer are kept when one begins, and hold their task for the longest lease if the executor is out of reach; no end is acknowledged while a start is without an answer; answers from before the life are ignored.

Two tests of settle-run confirmed nothing before the restart and now confirm the starts, as the dispatcher does.

--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -1,6 +1,6 @@
 import { rackOf, type ExecutorRecord } from "@almondusher/jobs/executor";
+import { beginLife, nameLife } from "./executor-life.js";
 import { hearClock } from "./lease-time.js";
-import { restartLife } from "./settle-run.js";
 import type { Executor, PoolTables } from "./pool-tables.js";
 
 /** Brings the table of executors in line with the registered ones of the pool. */
@@ -31,10 +31,13 @@
         return;
     }
     if (known.record.bornMs < record.bornMs) {
-        restartLife(tables, known, record.bornMs);
+        if (known.isLifeNamed) {
+            beginLife(known, nowMs);
+        }
+        nameLife(known, record.bornMs);
         known.record = record;
         known.reachable = true;
-    } else if (known.record.bornMs === record.bornMs) {
+    } else if (known.record.bornMs === record.bornMs && known.isLifeNamed) {
         known.record = record;
         hearRecordClock(known, record, nowMs);
     }
@@ -50,6 +53,10 @@
     record,
     id: record.id,
     rack: rackOf(record.labels),
+    life: 0,
+    lifeSinceMs: Number.NEGATIVE_INFINITY,
+    isLifeNamed: true,
+    hasUncheckedStart: false,
     runs: new Map(),
     strays: [],
     clock: undefined,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -101,9 +101,17 @@
     readonly heardAtMs: number;
 }
 
-/** One life of an executor. */
+/** An executor as its present life is known. */
 export interface Executor {
     record: ExecutorRecord;
+    /** Counts the lives that were noticed. */
+    life: number;
+    /** Steady time at which the present life was noticed, in milliseconds. */
+    lifeSinceMs: number;
+    /** False after a clock that went back has shown a new life, until a report or record names its start. */
+    isLifeNamed: boolean;
+    /** A start without an answer was given up, so that a life that is not known yet may have an end of it. */
+    hasUncheckedStart: boolean;
     readonly id: ExecutorId;
     readonly rack: string | undefined;
     readonly runs: Map<TaskId, Run>;
@@ -155,6 +163,8 @@
     readonly runTimes: RunTimeTable;
     /** Fencing token of the lease. */
     readonly token: number;
+    /** Longest lease of runs that executors grant, in milliseconds. */
+    readonly maxLeaseMs: number;
     /** Runs that were started, for numbering. */
     runCounter: number;
     /** Inherited jobs start nothing before this steady time, unless every announced executor was inspected. */
@@ -167,8 +177,13 @@
 }
 
 /** Creates the empty tables of a pool. */
-export const createPoolTables = (pool: PoolName, token: number): PoolTables => ({
+export const createPoolTables = ({
     pool,
+    token,
+    maxLeaseMs,
+}: Pick<PoolTables, "pool" | "token" | "maxLeaseMs">): PoolTables => ({
+    pool,
+    maxLeaseMs,
     jobs: new Map(),
     finished: new Set(),
     executors: new Map(),
--- a/pools/scheduler/src/settle-run.ts
+++ b/pools/scheduler/src/settle-run.ts
@@ -1,5 +1,6 @@
 import type { EndedRun, RunReport } from "@almondusher/jobs/executor";
-import { hearClock, leaseLapsed } from "./lease-time.js";
+import { isOutdated, noteLife } from "./executor-life.js";
+import { leaseLapsed, longestLeaseLapsed } from "./lease-time.js";
 import { learnRunTime } from "./run-times.js";
 import { isCompleted } from "./job-progress.js";
 import {
@@ -37,11 +38,12 @@
     report: RunReport,
     times: ReportTimes,
 ): readonly AppliedEnd[] => {
-    if (report.bornMs !== undefined && report.bornMs !== executor.record.bornMs) {
-        restartLife(tables, executor, report.bornMs);
+    if (isOutdated(executor, { bornMs: report.bornMs, sentAtMs: times.sentAtMs })) {
+        return [];
     }
-    hearClock(executor, report.clockMs, times.receivedAtMs);
+    noteLife(executor, { ...times, clockMs: report.clockMs, bornMs: report.bornMs });
     executor.reachable = true;
+    executor.hasUncheckedStart = false;
     const fresh = report.ended.filter(end => end.number > executor.seenEnd);
     const applied = fresh.map(end => applyEnd(tables, executor, end, times.receivedAtMs));
     executor.seenEnd = Math.max(executor.seenEnd, ...report.ended.map(end => end.number));
@@ -57,6 +59,7 @@
         if (active.checkpoint !== "") {
             run.task.checkpoint = active.checkpoint;
         }
+        run.confirmedAtMs ??= times.receivedAtMs;
         if (run.phase === "unsettled" || run.phase === "starting") {
             run.phase = "running";
         }
@@ -66,28 +69,24 @@
     return applied;
 };
 
-/** Gives up the runs of an executor whose leases have surely ended; returns them. */
-export const lapseRuns = (executor: Executor, nowMs: number): readonly Run[] => {
-    if (executor.reachable || executor.runs.size === 0 || !leaseLapsed(executor, nowMs)) {
+/** Gives up the runs of an executor out of reach whose leases have surely ended; returns them. */
+export const lapseRuns = (tables: PoolTables, executor: Executor, nowMs: number): readonly Run[] => {
+    if (executor.reachable) {
         return [];
     }
-    const lapsed = [...executor.runs.values()];
+    const lapsed = [...executor.runs.values()].filter(run => hasLapsed(tables, run, nowMs));
     lapsed.forEach(forgetRun);
+    if (lapsed.some(({ confirmedAtMs }) => confirmedAtMs === undefined)) {
+        executor.hasUncheckedStart = true;
+    }
     return lapsed;
 };
 
-/** Forgets all runs of an executor that has restarted or whose address another one has. */
-export const restartLife = (tables: PoolTables, executor: Executor, bornMs: number): void => {
-    [...executor.runs.values()].forEach(forgetRun);
-    executor.record = { ...executor.record, bornMs };
-    executor.clock = undefined;
-    executor.leaseUntilMs = 0;
-    executor.seenEnd = 0;
-    executor.storedEnd = 0;
-    executor.failureStreak = 0;
-    executor.strays = [];
-    executor.inspected = false;
-};
+// A start without an answer may have reached a new life, whose clock gives it the longest lease.
+const hasLapsed = (tables: PoolTables, { confirmedAtMs, startedAtMs, executor }: Run, nowMs: number): boolean =>
+    confirmedAtMs === undefined
+        ? longestLeaseLapsed(startedAtMs, tables.maxLeaseMs, nowMs)
+        : leaseLapsed(executor, nowMs);
 
 /** Marks a job as ended; its runs are to be stopped. */
 export const endJob = (job: OpenJob, state: "completed" | "failed" | "cancelled"): void => {
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -10,6 +10,8 @@
 import { applyReport } from "@almondusher/scheduler/settle-run";
 
 const POOL = toId<PoolName>("pool");
+/** Longest lease of runs in milliseconds. */
+export const MAX_LEASE_MS = 6000;
 export const QUEUE = toId<QueueName>("queue");
 
 /** A step of one small task, changed as given. */
@@ -64,7 +66,7 @@
 
 /** Tables of a pool whose executors have been looked at. */
 export const createPool = ({ executors, jobs = [] }: PoolFixture): PoolTables => {
-    const tables = createPoolTables(POOL, 1);
+    const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: MAX_LEASE_MS });
     tables.queues.set(QUEUE, {
         name: QUEUE,
         host: "host",
--- a/pools/scheduler/test/settle-run.test.ts
+++ b/pools/scheduler/test/settle-run.test.ts
@@ -4,6 +4,7 @@
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { findTask } from "@almondusher/scheduler/pool-tables";
 import { lapseRuns } from "@almondusher/scheduler/settle-run";
+import { confirmStart } from "@almondusher/scheduler/executor-life";
 import { addJob, createPool, executorOf, hear, place, record, step } from "./fixture.js";
 
 const TASK = "j1.0.0.0" as never;
@@ -82,20 +83,20 @@
 
 test("runs on an executor out of reach end with their lease, on the slowest clock, and not before", () => {
     const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
-    place(tables);
+    place(tables).forEach(run => confirmStart(tables, run, 0));
     const executor = executorOf(tables, "a");
     executor.clock = { clockMs: 1000, heardAtMs: 0 };
     executor.leaseUntilMs = 5000;
     executor.reachable = false;
-    assert.equal(lapseRuns(executor, 4100).length, 0);
-    assert.equal(lapseRuns(executor, 4250).length, 1);
+    assert.equal(lapseRuns(tables, executor, 4100).length, 0);
+    assert.equal(lapseRuns(tables, executor, 4250).length, 1);
     executor.reachable = true;
     assert.equal(place(tables, 4250).length, 1);
 });
 
 test("another birth time under the same id ends all runs and restarts the count of ends", () => {
     const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
-    place(tables);
+    place(tables).forEach(run => confirmStart(tables, run, 50));
     hear(tables, "a", { ended: [{ number: 9, task: TASK, run: 65_537, how: "stopped", checkpoint: "" }] });
     const executor = executorOf(tables, "a");
     assert.equal(executor.seenEnd, 9);
--- a/programs/dispatcher/src/executor-link.ts
+++ b/programs/dispatcher/src/executor-link.ts
@@ -1,7 +1,8 @@
 import type { PoolTables, Executor, Run, StrayRun } from "@almondusher/scheduler/pool-tables";
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
-import { hearClock, leaseUntil } from "@almondusher/scheduler/lease-time";
-import { applyReport, restartLife, type AppliedEnd } from "@almondusher/scheduler/settle-run";
+import { acknowledgedEnd, confirmStart, endLife, noteLife } from "@almondusher/scheduler/executor-life";
+import { leaseUntil } from "@almondusher/scheduler/lease-time";
+import { applyReport, type AppliedEnd } from "@almondusher/scheduler/settle-run";
 import {
     createExecutorClient,
     type ExecutorClient,
@@ -102,7 +103,7 @@
         context.metrics.count("executor_reports");
         const result = await currentClient().report({
             // A successor may not have read yet what was stored after the lease could have been taken over.
-            acknowledged: owner.mayExtend() ? executor.storedEnd : 0,
+            acknowledged: owner.mayExtend() ? acknowledgedEnd(executor) : 0,
             leaseUntilMs: extendTo(),
             waitMs: executor.inspected && misses === 0 && executor.storedEnd >= executor.seenEnd ? REPORT_WAIT_MS : 0,
         });
@@ -151,7 +152,7 @@
                 break;
             case "other-life":
                 // Another executor has the address, so this one has ended.
-                restartLife(tables, executor, executor.record.bornMs);
+                endLife(executor, context.steadyMs());
                 executor.reachable = false;
                 executor.inspected = !executor.registered;
                 break;
@@ -170,8 +171,8 @@
         executor.runs.size > 0 ||
         executor.strays.length > 0 ||
         executor.storedEnd < executor.seenEnd;
-    // Ends that are not stored or not acknowledged yet would be listed again at once.
-    const listsOldEnds = (): boolean => executor.storedEnd < executor.seenEnd || !owner.mayExtend();
+    // Ends that are not stored or may not be acknowledged yet would be listed again at once.
+    const listsOldEnds = (): boolean => acknowledgedEnd(executor) < executor.seenEnd || !owner.mayExtend();
     const watch = async (): Promise<void> => {
         while (!closed) {
             if (!isBusy() || (executor.inspected && misses === 0 && listsOldEnds())) {
@@ -182,16 +183,15 @@
             }
         }
     };
-    const settleStart = (run: Run, result: OrderResult): void => {
+    const settleStart = (run: Run, result: OrderResult, sentAtMs: number): void => {
         const nowMs = context.steadyMs();
         switch (result.kind) {
             case "accepted":
-                run.confirmedAtMs = nowMs;
-                run.phase = run.phase === "starting" ? "running" : run.phase;
-                hear(result.clockMs);
+                hear(result.clockMs, sentAtMs);
+                confirmStart(tables, run, nowMs);
                 return;
             case "rejected":
-                hear(result.clockMs);
+                hear(result.clockMs, sentAtMs);
                 forgetRun(run);
                 logRejection(run, result.reason);
                 if (result.reason === "ticket") {
@@ -214,9 +214,9 @@
                 return;
         }
     };
-    const hear = (clockMs: number | undefined): void => {
+    const hear = (clockMs: number | undefined, sentAtMs: number): void => {
         if (clockMs !== undefined) {
-            hearClock(executor, clockMs, context.steadyMs());
+            noteLife(executor, { clockMs, bornMs: undefined, sentAtMs, receivedAtMs: context.steadyMs() });
         }
     };
     const logRejection = (run: Run, reason: string): void => {
@@ -234,6 +234,7 @@
             }
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
             context.metrics.count("starts");
+            const sentAtMs = context.steadyMs();
             const result = await currentClient().start({
                 task: run.task.id,
                 run: run.number,
@@ -242,16 +243,17 @@
                 leaseUntilMs,
                 ticket,
             });
-            settleStart(run, result);
+            settleStart(run, result, sentAtMs);
             wake();
             owner.changed();
         },
         stop: async run => {
             context.metrics.count("stops");
+            const sentAtMs = context.steadyMs();
             const result = await currentClient().stop(run.task.id, run.number);
             if (result.kind === "accepted") {
+                hear(result.clockMs, sentAtMs);
                 run.confirmedAtMs = context.steadyMs();
-                hear(result.clockMs);
             } else if (result.kind === "rejected" && result.reason === "fenced") {
                 owner.fenced();
             }
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -67,9 +67,10 @@
 /** Starts scheduling a pool. */
 export const runPool = (options: PoolRunnerOptions): PoolRunner => {
     const { context, pool, lease, registry, operator } = options;
-    const tables = createPoolTables(pool, lease.epoch);
+    const { maxLeaseMs } = context.settings;
+    const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs });
     const links = new Map<ExecutorId, ExecutorLink>();
-    const leaseMs = Math.min(RUN_LEASE_MS, context.settings.maxLeaseMs);
+    const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
     let loaded = false;
     let rereading = false;
@@ -209,7 +210,7 @@
     };
     const lapse = (): void =>
         tables.executors.forEach(executor => {
-            const lapsed = lapseRuns(executor, context.steadyMs());
+            const lapsed = lapseRuns(tables, executor, context.steadyMs());
             lapsed.forEach(run => {
                 context.metrics.count("runs_lapsed_unseen");
                 context.log("run-lapsed", { task: run.task.id, run: run.number, executor: executor.id });
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -43,7 +43,7 @@
         const seenEnds = [...tables.executors.values()].map(executor => ({
             executor,
             seenEnd: executor.seenEnd,
-            bornMs: executor.record.bornMs,
+            life: executor.life,
         }));
         const jobs = dirtyJobs();
         const batches = Array.from({ length: Math.ceil(jobs.length / MAX_ROWS) }, (unused, index) =>
@@ -55,7 +55,7 @@
         }
         seenEnds
             .filter(({ executor, seenEnd }) => executor.storedEnd < seenEnd)
-            .filter(({ executor, bornMs }) => executor.record.bornMs === bornMs)
+            .filter(({ executor, life }) => executor.life === life)
             .forEach(({ executor, seenEnd }) => {
                 executor.storedEnd = seenEnd;
                 options.stored(executor);
