Act on a lease only after a renewal that follows a fence, and split the pool runner

Change: a holder that was fenced acts again once a renewal sent since is confirmed. Needs are estimated once a tick, the predecessor is looked at once a pass. The events run-start, run-stop and run-pace are run-placed, run-stopping and run-pace-changed, as the former were names of the wire.

133 tests of scheduler, upkeep, dispatcher and jobs pass; the new one of run-leases fails without the change, as the function was missing.

--- a/bench/system/src/job-load.ts
+++ b/bench/system/src/job-load.ts
@@ -88,7 +88,7 @@
 
 const startDelays = ({ log }: DeployedDispatcher): readonly number[] => {
     const started = new Map<string, number>();
-    log.filter(({ event }) => event === "run-start").forEach(({ task, time }) => {
+    log.filter(({ event }) => event === "run-placed").forEach(({ task, time }) => {
         const [job = ""] = String(task).split(".");
         started.set(job, Math.min(started.get(job) ?? Infinity, Date.parse(String(time))));
     });
--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -136,7 +136,7 @@
     assert.equal(startsOf(deployment, jobId(1)).length, 2);
     await waitUntil("the loss of the lease", START_MS, () => victim.log.some(({ event }) => event === "lease-lost"));
     assert.deepEqual(
-        victim.log.filter(({ event, task }) => event === "run-start" && String(task).startsWith(jobId(1))),
+        victim.log.filter(({ event, task }) => event === "run-placed" && String(task).startsWith(jobId(1))),
         [],
     );
 });
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -45,12 +45,18 @@
 /** Lets all known jobs start, after a renewal has shown that the lease was held when they were read. */
 export const trustJobs = (tables: PoolTables): void => tables.jobs.forEach(job => (job.trusted = true));
 
-/** Adds stored progress to what is known of a job. */
-export const restoreProgress = (open: OpenJob, progress: Progress): void =>
+// Adds stored progress to what is known of a job.
+const restoreProgress = (open: OpenJob, progress: Progress): void =>
     progress.steps.forEach(step => restoreStep(open, step));
 
+/** Progress as it was read from the store. */
+export interface StoredProgress {
+    readonly progress: Progress;
+    readonly version: number;
+}
+
 /** Adds progress that a former holder of the lease has stored since the job was read; a finished job is closed. */
-export const mergeProgress = (tables: PoolTables, open: OpenJob, progress: Progress, version: number): void => {
+export const mergeProgress = (tables: PoolTables, open: OpenJob, { progress, version }: StoredProgress): void => {
     if (version <= open.progressVersion) {
         return;
     }
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -21,8 +21,9 @@
     if (room.size === 0) {
         return [];
     }
+    const mayStartInherited = tables.isProgressCurrent && isPredecessorShutOut(tables, terms.nowMs);
     return orderSteps(tables, terms.nowMs)
-        .filter(({ step }) => mayStart(tables, step, terms.nowMs))
+        .filter(({ step: { job } }) => job.trusted && (!job.inherited || mayStartInherited))
         .flatMap(({ step }) => placeStep(tables, step, room, terms));
 };
 
@@ -45,9 +46,6 @@
     executor.strays.length === 0 &&
     executor.avoidUntilMs <= nowMs;
 
-const mayStart = (tables: PoolTables, { job }: OpenStep, nowMs: number): boolean =>
-    job.trusted && (!job.inherited || (tables.isProgressCurrent && isPredecessorShutOut(tables, nowMs)));
-
 /** True once every run that a former holder of the lease could have started is known or has surely ended. */
 export const isPredecessorShutOut = (tables: PoolTables, nowMs: number): boolean =>
     nowMs >= tables.inheritedWaitUntilMs || [...tables.executors.values()].every(executor => executor.inspected);
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -167,7 +167,7 @@
     assert.ok(old !== undefined);
     // The former holder has stored the end of the first task meanwhile.
     const done = { occurrence: 0, step: 0, done: [0], failures: [], checkpoints: [] };
-    mergeProgress(tables, old, { state: "running", steps: [done] }, 2);
+    mergeProgress(tables, old, { progress: { state: "running", steps: [done] }, version: 2 });
     tables.isProgressCurrent = true;
     assert.deepEqual(
         place(tables).map(run => run.task.id as string),
@@ -182,8 +182,8 @@
     });
     const old = tables.jobs.get(toId<JobId>("old"));
     assert.ok(old !== undefined);
-    mergeProgress(tables, old, { state: "completed", steps: [] }, 1);
+    mergeProgress(tables, old, { progress: { state: "completed", steps: [] }, version: 1 });
     assert.equal(tables.jobs.size, 1);
-    mergeProgress(tables, old, { state: "completed", steps: [] }, 2);
+    mergeProgress(tables, old, { progress: { state: "completed", steps: [] }, version: 2 });
     assert.equal(tables.jobs.size, 0);
 });
--- a/programs/dispatcher/src/executor-link.ts
+++ b/programs/dispatcher/src/executor-link.ts
@@ -23,7 +23,7 @@
 }
 
 /** What a link reports to its pool. */
-interface LinkOwner {
+export interface LinkOwner {
     readonly tables: PoolTables;
     /** False once the lease was not renewed for too long; leases of runs are then not extended. */
     readonly mayExtend: () => boolean;
--- /dev/null
+++ b/programs/dispatcher/src/pool-lease-content.ts
@@ -0,0 +1,39 @@
+import type { DataCentreName, PoolName } from "@almondusher/fleet/ids";
+import { pendingJobs } from "@almondusher/scheduler/job-progress";
+import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
+import type { AnnouncedExecutor, PendingCount } from "./lease-rows.js";
+
+const UNKNOWN_DATA_CENTRE = "" as DataCentreName;
+
+/** Jobs of each queue that are not finished. */
+export const countPendingJobs = (tables: PoolTables): readonly PendingCount[] =>
+    [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
+
+/** Evacuations whose VMs have no runs left. */
+export const vacatedEvacuations = (tables: PoolTables): readonly string[] => {
+    const executors = [...tables.executors.values()].filter(({ evacuation }) => evacuation !== undefined);
+    // A VM may be listed with an earlier executor beside the one that runs there now.
+    const occupied = new Set(
+        executors.filter(executor => !isVacated(executor)).map(({ evacuation }) => evacuation?.id),
+    );
+    const ids = new Set(executors.map(({ evacuation }) => evacuation?.id).filter(id => id !== undefined));
+    return [...ids].filter(id => !occupied.has(id));
+};
+
+const isVacated = (executor: Executor): boolean =>
+    executor.runs.size === 0 && executor.strays.length === 0 && (executor.inspected || !executor.reachable);
+
+/** An executor that is known only by its address until its registry entry is read. */
+export const announcedRecord = (pool: PoolName, { id, address }: AnnouncedExecutor): Executor["record"] => ({
+    id,
+    vm: undefined,
+    pool,
+    address,
+    dataCentre: UNKNOWN_DATA_CENTRE,
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 0, memoryMb: 0, gpu: 0 },
+    labels: [],
+    bornMs: 0,
+    clockMs: undefined,
+});
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -1,18 +1,13 @@
 import { periodic } from "most";
-import type { DataCentreName, PoolName, VmId } from "@almondusher/fleet/ids";
-import type { ExecutorId } from "@almondusher/jobs/ids";
+import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import { admitJob, closeJob, openDueOccurrences, trustJobs } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand, noteArrival } from "@almondusher/scheduler/demand";
-import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
-import { pendingJobs } from "@almondusher/scheduler/job-progress";
-import { planPace, type PaceHistory } from "@almondusher/scheduler/plan-pace";
-import { isPredecessorShutOut, placeTasks } from "@almondusher/scheduler/place-tasks";
-import { planStops } from "@almondusher/scheduler/plan-stops";
+import { addUnregistered } from "@almondusher/scheduler/executor-table";
+import { isPredecessorShutOut } from "@almondusher/scheduler/place-tasks";
 import {
     createPoolTables,
     type Executor,
     type OpenJob,
-    type PoolTables,
     type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
@@ -20,15 +15,17 @@
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
-import { openExecutorLink, type ExecutorLink } from "./executor-link.js";
+import { createExecutorLinks } from "./executor-links.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
 import { POOL_LEASE_MS, leaseAgeMs, type HeldLease } from "./lease-keeper.js";
-import { emptyLeaseContent, type AnnouncedExecutor, type LeaseContent, type PendingCount } from "./lease-rows.js";
+import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createPassPacer } from "./pass-pacer.js";
+import { announcedRecord, countPendingJobs, vacatedEvacuations } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { rereadProgress } from "./reread-progress.js";
-import { RUN_LEASE_MS, takeoverWaitMs, UNCONFIRMED_MS } from "./run-leases.js";
+import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs } from "./run-leases.js";
+import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
 
 /** The scheduler of one pool, while its lease is held. */
@@ -58,34 +55,33 @@
 }
 
 const TICK_MS = 100;
-const STOP_REPEAT_MS = 400;
 // Part of the lease's time after which a successor may have begun to accept jobs.
 const TRUSTED_LEASE_SHARE = 0.8;
 const DRAIN_MS = 1000;
-const UNKNOWN_DATA_CENTRE = "" as DataCentreName;
 
 /** Starts scheduling a pool. */
 export const runPool = (options: PoolRunnerOptions): PoolRunner => {
     const { context, pool, lease, registry, operator } = options;
     const { maxLeaseMs } = context.settings;
     const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs });
-    const links = new Map<ExecutorId, ExecutorLink>();
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
     let loaded = false;
     let rereading = false;
     let lastVacated = "";
     const history = createDemandHistory();
-    const paceHistory: PaceHistory = new Map();
     let demand = lease.predecessor?.demand;
     let evacuations: ReadonlyMap<VmId, VmEvacuation> = new Map();
 
     const announced = lease.predecessor?.executors ?? [];
-    announced.forEach(executor => addUnregistered(tables, placeholder(pool, executor)));
+    announced.forEach(executor => addUnregistered(tables, announcedRecord(pool, executor)));
     tables.inheritedWaitUntilMs = context.steadyMs() + takeoverWaitMs(lease);
 
     const isActive = (): boolean => active && !lease.lost;
-    const mayAct = (): boolean => isActive() && leaseAgeMs(lease, context) < UNCONFIRMED_MS;
+    let fencedAtMs = Number.NEGATIVE_INFINITY;
+    const mayAct = (): boolean =>
+        isActive() &&
+        mayActOnLease({ leaseAgeMs: leaseAgeMs(lease, context), fencedAgoMs: context.steadyMs() - fencedAtMs });
     const pacer = createPassPacer({
         pass: () => {
             if (isActive()) {
@@ -132,7 +128,10 @@
         mayExtend: mayAct,
         changed,
         // A renewal tells whether the lease is lost.
-        fenced: options.renewSoon,
+        fenced: (): void => {
+            fencedAtMs = context.steadyMs();
+            options.renewSoon();
+        },
         ticketRejected: (run: Run): void => tickets.forget(run.task.step),
         ended: (executor: Executor, ends: readonly AppliedEnd[]): void => {
             logEnds(executor, ends);
@@ -142,31 +141,15 @@
         },
     };
     const tickets = createStepTickets({ context, client: options.advice, tables, changed });
+    const links = createExecutorLinks({ context, owner, leaseMs });
+    const orders = createRunOrders({ context, tables, links, tickets });
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
         // Runs that executors report can only be told from strays once the jobs are known.
         if (records === undefined || !loaded) {
             return;
         }
-        applyRegistry(tables, records, context.steadyMs());
-        [...links.keys()]
-            .filter(id => !tables.executors.has(id))
-            .forEach(id => {
-                links.get(id)?.close();
-                links.delete(id);
-            });
-        tables.executors.forEach(executor => {
-            if (!links.has(executor.id)) {
-                links.set(executor.id, openExecutorLink({ context, owner, executor, leaseMs }));
-            }
-            const evacuation = executor.record.vm === undefined ? undefined : evacuations.get(executor.record.vm);
-            // The VM may have restarted meanwhile, which ends the executor before its entry is gone.
-            if (executor.evacuation !== undefined && evacuation === undefined) {
-                executor.inspected = false;
-                links.get(executor.id)?.wake();
-            }
-            executor.evacuation = evacuation;
-        });
+        links.sync(records, evacuations);
         if ([...tables.executors.values()].some(executor => !executor.announced)) {
             options.renewSoon();
         }
@@ -216,67 +199,16 @@
                 context.log("run-lapsed", { task: run.task.id, run: run.number, executor: executor.id });
             });
         });
-    const sendStops = (): void => {
-        const nowMs = context.steadyMs();
-        const terms = { nowMs, repeatMs: STOP_REPEAT_MS };
-        planStops(tables, terms).forEach(run => {
-            context.log("run-stop", {
-                task: run.task.id,
-                run: run.number,
-                executor: run.executor.id,
-                cause: run.stopCause,
-            });
-            void links.get(run.executor.id)?.stop(run);
-        });
-        tables.executors.forEach(executor =>
-            executor.strays
-                .filter(({ stopSentAtMs }) => stopSentAtMs === undefined || nowMs - stopSentAtMs >= STOP_REPEAT_MS)
-                .forEach(stray => {
-                    stray.stopSentAtMs = nowMs;
-                    context.log("run-stop", {
-                        task: stray.task,
-                        run: stray.number,
-                        executor: executor.id,
-                        cause: "stray",
-                    });
-                    void links.get(executor.id)?.stopStray(stray);
-                }),
-        );
-    };
-    const sendStarts = (): void => {
-        const runs = placeTasks(tables, { nowMs: context.steadyMs(), tickets: tickets.executorsFor });
-        runs.forEach(run => {
-            context.log("run-start", {
-                task: run.task.id,
-                run: run.number,
-                executor: run.executor.id,
-                queue: run.task.step.job.queue,
-            });
-            void links.get(run.executor.id)?.start(run, tickets.ticketFor(run.task.step, run.executor.id));
-        });
-    };
-    const sendPace = (): void =>
-        planPace(tables, paceHistory, context.steadyMs()).forEach(({ run, percent }) => {
-            context.log("run-pace", {
-                task: run.task.id,
-                run: run.number,
-                executor: run.executor.id,
-                from: run.pace,
-                percent,
-            });
-            void links.get(run.executor.id)?.pace(run, percent);
-        });
     const schedule = (): void => {
         lapse();
         openOccurrences();
         if (loaded && mayAct()) {
             readProgressAgain();
             tickets.fetchAhead();
-            sendStops();
-            sendStarts();
-            sendPace();
+            orders.sendStops();
+            orders.sendStarts();
+            orders.sendPace();
             announceVacated();
-            announceDemand();
         }
     };
     const readProgressAgain = (): void => {
@@ -322,7 +254,12 @@
     syncQueues();
     void periodic(TICK_MS)
         .takeWhile(() => active)
-        .observe(pacer.run);
+        .observe(() => {
+            pacer.run();
+            if (loaded && mayAct()) {
+                announceDemand();
+            }
+        });
     void followJobs({ context, pool, isActive, sink: { job: admit, cancelled: cancel, changed: jobsChanged } });
 
     return {
@@ -352,7 +289,7 @@
             release();
             registry.events.off("change", onRegistry);
             operator.events.off("configuration", syncQueues);
-            links.forEach(link => link.close());
+            links.close();
         },
         evacuate: vms => {
             evacuations = vms;
@@ -369,34 +306,3 @@
         setTimeout(callback, waitMs);
     }
 };
-
-const countPendingJobs = (tables: PoolTables): readonly PendingCount[] =>
-    [...pendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
-
-const vacatedEvacuations = (tables: PoolTables): readonly string[] => {
-    const executors = [...tables.executors.values()].filter(({ evacuation }) => evacuation !== undefined);
-    // A VM may be listed with an earlier executor beside the one that runs there now.
-    const occupied = new Set(
-        executors.filter(executor => !isVacated(executor)).map(({ evacuation }) => evacuation?.id),
-    );
-    const ids = new Set(executors.map(({ evacuation }) => evacuation?.id).filter(id => id !== undefined));
-    return [...ids].filter(id => !occupied.has(id));
-};
-
-const isVacated = (executor: Executor): boolean =>
-    executor.runs.size === 0 && executor.strays.length === 0 && (executor.inspected || !executor.reachable);
-
-// Known only by its address until its registry entry is read.
-const placeholder = (pool: PoolName, { id, address }: AnnouncedExecutor): Executor["record"] => ({
-    id,
-    vm: undefined,
-    pool,
-    address,
-    dataCentre: UNKNOWN_DATA_CENTRE,
-    draining: false,
-    remainingMs: undefined,
-    capacity: { cpu: 0, memoryMb: 0, gpu: 0 },
-    labels: [],
-    bornMs: 0,
-    clockMs: undefined,
-});
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -1,6 +1,6 @@
 import { decodeProgress, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { restoreProgress } from "@almondusher/scheduler/admit-job";
+import { mergeProgress } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
 import { isEnded } from "@almondusher/scheduler/settle-run";
@@ -138,8 +138,7 @@
     }
     job.dirty = true;
     if (row !== undefined) {
-        job.progressVersion = row.version;
-        restoreProgress(job, decodeProgress(row.value));
+        mergeProgress(options.tables, job, { progress: decodeProgress(row.value), version: row.version });
         options.context.log("progress-conflict", { job: job.id, version: row.version });
     }
 };
--- a/programs/dispatcher/src/reread-progress.ts
+++ b/programs/dispatcher/src/reread-progress.ts
@@ -17,7 +17,7 @@
     reading?.rows.forEach(({ key, value, version }) => {
         const open = tables.jobs.get(key as JobId);
         if (open !== undefined) {
-            mergeProgress(tables, open, decodeProgress(value), version);
+            mergeProgress(tables, open, { progress: decodeProgress(value), version });
         }
     });
     return reading !== undefined;
--- a/programs/dispatcher/src/run-leases.ts
+++ b/programs/dispatcher/src/run-leases.ts
@@ -9,6 +9,18 @@
  */
 export const UNCONFIRMED_MS = 6000;
 
+/** What decides whether a holder may start and extend runs. */
+export interface LeaseConfidence {
+    /** Time since the lease was surely held, in milliseconds. */
+    readonly leaseAgeMs: number;
+    /** Time since an executor answered that it knows a later holder, in milliseconds. */
+    readonly fencedAgoMs: number;
+}
+
+/** True while a holder may act: its lease was renewed lately, and since an executor last named a later holder. */
+export const mayActOnLease = ({ leaseAgeMs, fencedAgoMs }: LeaseConfidence): boolean =>
+    leaseAgeMs < UNCONFIRMED_MS && leaseAgeMs < fencedAgoMs;
+
 /** Time after a takeover until every run that the former holder could have started or extended has ended. */
 export const takeoverWaitMs = ({
     predecessorEnded,
--- a/programs/dispatcher/test/run-leases.test.ts
+++ b/programs/dispatcher/test/run-leases.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { RUN_LEASE_MS, takeoverWaitMs, UNCONFIRMED_MS } from "../src/run-leases.js";
+import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs, UNCONFIRMED_MS } from "../src/run-leases.js";
 
 const SLOWEST_CLOCK_RATE = 0.98;
 
@@ -22,3 +22,9 @@
     assert.equal(takeoverWaitMs({ predecessorEnded: true, unrenewedMs: 0 }), lease);
     assert.equal(takeoverWaitMs({ predecessorEnded: false, unrenewedMs: 60_000 }), lease);
 });
+
+test("a holder that an executor has fenced would go on sending starts that are rejected until a renewal fails", () => {
+    assert.equal(mayActOnLease({ leaseAgeMs: 300, fencedAgoMs: 100 }), false);
+    assert.equal(mayActOnLease({ leaseAgeMs: 50, fencedAgoMs: 100 }), true, "a renewal was confirmed since");
+    assert.equal(mayActOnLease({ leaseAgeMs: UNCONFIRMED_MS, fencedAgoMs: Infinity }), false);
+});
