Vacate VMs whose tasks would lose work last, and let nearly done tasks end

Change: what is left of a run is estimated by its own pace as well. A pool names VMs whose tasks would lose work; they go to the spare pool only once that is over, and are vacated last for a wave or a pool that is short. A VM that is vacated waits 1.5 s longer for a task without checkpoints that has more done than left.

--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -1,6 +1,7 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import { expectedRunMs, jobTiming } from "./order-steps.js";
 import { demandOf } from "./place-tasks.js";
+import { remainingRunMs } from "./remaining-time.js";
 import { isEnded } from "./settle-run.js";
 import type { Executor, OpenJob, OpenStep, PoolTables } from "./pool-tables.js";
 
@@ -10,10 +11,17 @@
     readonly neededVms: number;
     /** VMs that it needed at most in the last moments. */
     readonly wantedVms: number;
-    /** VMs without long-running tasks, the emptiest first. */
+    /** VMs without long-running tasks; those that lose no work first, and the emptiest of them. */
     readonly removable: readonly VmId[];
+    /** VMs whose tasks would lose work, since they neither end while the VM is vacated nor keep a checkpoint. */
+    readonly losing: readonly VmId[];
 }
 
+/** Tasks that end by themselves within this time are let finish on a VM that is vacated, in milliseconds. */
+export const VACATE_WITHIN_MS = 2500;
+// Less work than this is soon done again.
+const SMALL_LOSS_MS = 500;
+
 /** Work that arrived at a pool lately, to tell how much it needs. */
 export interface DemandHistory {
     arrivals: readonly Arrival[];
@@ -73,18 +81,31 @@
     const openCpu = jobs.reduce((sum, job) => sum + openCpuOf(tables, job, nowMs), 0);
     const cpu = lastingCpu + Math.max(arrivingCpu, openCpu);
     const vms = Math.max(MIN_VMS, spreadVms, Math.ceil(cpu / (vmCpu * USABLE_SHARE)));
+    const losing = new Set(executors.filter(executor => losesWork(tables, executor, nowMs)));
     history.wanted = [...history.wanted.filter(({ atMs }) => atMs > nowMs - HOLD_MS), { atMs: nowMs, vms }];
     return {
         neededVms: vms,
         wantedVms: Math.max(...history.wanted.map(wanted => wanted.vms)),
-        removable: executors
-            .filter(executor => !hasLasting(executor))
-            .sort((left, right) => left.runs.size - right.runs.size)
-            .map(({ record }) => record.vm)
-            .filter(vm => vm !== undefined),
+        removable: vmsOf(
+            executors
+                .filter(executor => !hasLasting(executor))
+                .sort((left, right) => left.runs.size - right.runs.size)
+                .sort((left, right) => Number(losing.has(left)) - Number(losing.has(right))),
+        ),
+        losing: vmsOf([...losing]),
     };
 };
 
+const vmsOf = (executors: readonly Executor[]): readonly VmId[] =>
+    executors.map(({ record }) => record.vm).filter(vm => vm !== undefined);
+
+const losesWork = (tables: PoolTables, { runs }: Executor, nowMs: number): boolean =>
+    [...runs.values()].some(run => {
+        const { checkpointing, longRunning } = run.task.step.step;
+        const isLost = remainingRunMs(tables, run, nowMs) > VACATE_WITHIN_MS;
+        return !checkpointing && !longRunning && isLost && nowMs - run.startedAtMs > SMALL_LOSS_MS;
+    });
+
 const openSteps = (job: OpenJob): readonly OpenStep[] =>
     [...job.occurrences.values()].flat().filter(({ step }) => !step.longRunning);
 
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -1,5 +1,5 @@
 import { stopRun, isEnded } from "./settle-run.js";
-import { expectedRunMs } from "./order-steps.js";
+import { remainingRunMs } from "./remaining-time.js";
 import { allRuns, type OpenStep, type PoolTables, type Run, type StopCause } from "./pool-tables.js";
 
 /** Times that stops are planned with, in milliseconds. */
@@ -25,6 +25,8 @@
     return due;
 };
 
+const MAX_OVERTIME_MS = 1500;
+
 const stopCauseOf = (tables: PoolTables, run: Run, terms: StopTerms): StopCause | undefined => {
     const { job } = run.task.step;
     if (job.state === "cancelled") {
@@ -44,10 +46,11 @@
     }
     const { executor } = run;
     if (executor.record.draining) {
-        return mustLeave(tables, run, executor.record.remainingMs ?? 0) ? "draining" : undefined;
+        return mustLeave(tables, run, executor.record.remainingMs ?? 0, terms.nowMs) ? "draining" : undefined;
     }
     if (executor.evacuation !== undefined) {
-        return mustLeave(tables, run, executor.evacuation.byMs - terms.nowMs) && mayDisrupt(run, terms.nowMs)
+        const remainingMs = executor.evacuation.byMs - terms.nowMs + overtimeMs(tables, run, terms.nowMs);
+        return mustLeave(tables, run, remainingMs, terms.nowMs) && mayDisrupt(run, terms.nowMs)
             ? "evacuation"
             : undefined;
     }
@@ -58,14 +61,14 @@
     run.task.step.tasks.every(task => task.runs.some(member => member.number === run.number));
 
 // A task that cannot end in time is stopped early, with its checkpoint, and continues elsewhere.
-const mustLeave = (tables: PoolTables, run: Run, remainingMs: number): boolean => {
-    const { step } = run.task.step;
-    if (step.longRunning) {
-        return true;
-    }
-    const leftMs = expectedRunMs(tables, run.task.step) * (1 - Math.min(run.percent, 99) / 100);
-    return leftMs > remainingMs;
-};
+const mustLeave = (tables: PoolTables, run: Run, remainingMs: number, nowMs: number): boolean =>
+    run.task.step.step.longRunning || remainingRunMs(tables, run, nowMs) > remainingMs;
+
+// A VM that is vacated waits somewhat longer for a task that would have to begin again and has less left than done.
+const overtimeMs = (tables: PoolTables, run: Run, nowMs: number): number =>
+    run.task.step.step.checkpointing || remainingRunMs(tables, run, nowMs) > nowMs - run.startedAtMs
+        ? 0
+        : MAX_OVERTIME_MS;
 
 /** True if a task at work may be ended without exceeding the disruption budget of its step. */
 const mayDisrupt = (run: Run, nowMs: number): boolean => {
--- a/pools/scheduler/test/demand.test.ts
+++ b/pools/scheduler/test/demand.test.ts
@@ -39,3 +39,20 @@
     assert.equal(removable.includes(lasting?.executor.record.vm as never), false);
     assert.equal(removable[1], short?.executor.record.vm);
 });
+
+test("a VM with a long task without checkpoints is named, and offered last, or the task would begin again elsewhere", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b"), record("c")],
+        jobs: [{ id: "j1", steps: [step({ estimateMs: 9000 })] }],
+    });
+    const long = place(tables, 0)[0];
+    addJob(tables, { id: "j2", steps: [step({ count: 3, demand: { cpu: 3500, memoryMb: 1, gpu: 0 } })] });
+    place(tables, 0);
+    const named = (nowMs: number) => estimateDemand(tables, createDemandHistory(), nowMs);
+    assert.deepEqual(named(100)?.losing, [], "it has only begun");
+    assert.deepEqual(named(5000)?.losing, [long?.executor.record.vm]);
+    assert.equal(named(5000)?.removable.at(-1), long?.executor.record.vm);
+    assert.ok(long !== undefined);
+    long.percent = 80;
+    assert.deepEqual(named(7200)?.losing, [], "it ends while the VM is vacated");
+});
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -89,3 +89,33 @@
         ["gang-incomplete"],
     );
 });
+
+test("a VM that is vacated waits for a task that is slower than its kind, or nine tenths of its work would be lost", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ estimateMs: 3500 })] }] });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    atWork([run]);
+    run.executor.evacuation = { id: "e", byMs: 8000 };
+    run.percent = 88;
+    assert.equal(stops(tables, 8000).length, 0);
+    run.percent = 90;
+    assert.equal(stops(tables, 11_000).length, 1, "but not without end");
+});
+
+test("a task with little done, or with checkpoints, leaves a VM that is vacated in time", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [
+            { id: "j1", steps: [step({ estimateMs: 9000 })] },
+            { id: "j2", steps: [step({ estimateMs: 9000, checkpointing: true })] },
+        ],
+    });
+    const runs = place(tables);
+    atWork(runs);
+    const [first, second] = runs;
+    assert.ok(first !== undefined && second !== undefined);
+    first.executor.evacuation = { id: "e", byMs: 5000 };
+    first.percent = 30;
+    second.percent = 70;
+    assert.equal(stops(tables, 3000).length, 2);
+});
--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -44,6 +44,8 @@
     readonly evacuations: ReadonlySet<VmId>;
     /** VMs that hold no runs and get none. */
     readonly vacated: ReadonlySet<VmId>;
+    /** VMs whose tasks would lose work if they were vacated now. */
+    readonly losing: ReadonlySet<VmId>;
     /** VMs that an order of a former holder may still take down. */
     readonly presumedDown: ReadonlySet<VmId>;
 }
@@ -160,6 +162,7 @@
     const chosen: VmId[] = [];
     waiting
         .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.condition === "up")
+        .sort((left, right) => Number(tables.losing.has(left)) - Number(tables.losing.has(right)))
         .forEach(vm => {
             if (chosen.length < wanted && (short || hasPoolRoom(tables, vm, chosen))) {
                 chosen.push(vm);
--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -10,8 +10,10 @@
     readonly wantedVms: number;
     /** VMs that it does not give away while no other pool is short; it is not given more for this. */
     readonly floorVms: number;
-    /** VMs that can be vacated without ending a long-running task, the emptiest first. */
+    /** VMs that can be vacated without ending a long-running task, the best ones first. */
     readonly removable: readonly VmId[];
+    /** VMs whose tasks would lose work if they were vacated now. */
+    readonly losing: readonly VmId[];
 }
 
 /** What the planner of moves decides on. */
@@ -121,7 +123,12 @@
     const surplus =
         spare === undefined
             ? []
-            : balances.flatMap(balance => giveAway(balance, Math.max(balance.need.wantedVms, balance.need.floorVms)));
+            : balances.flatMap(balance =>
+                  // What nobody waits for stays until its tasks have ended.
+                  giveAway(balance, Math.max(balance.need.wantedVms, balance.need.floorVms)).filter(
+                      vm => !balance.need.losing.includes(vm),
+                  ),
+              );
     const donors = balances.flatMap(balance => giveAway(balance, balance.need.neededVms));
     const forShortage = donors.filter(vm => !surplus.includes(vm)).slice(0, Math.max(0, lacking - surplus.length));
     return [...surplus, ...forShortage];
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -28,6 +28,7 @@
     engaged: new Set(),
     evacuations: new Set(),
     vacated: new Set(),
+    losing: new Set(),
     presumedDown: new Set(),
     ...change,
 });
@@ -117,3 +118,11 @@
     });
     assert.deepEqual(planMaintenance(base, TERMS).order, []);
 });
+
+test("VMs whose tasks would lose their work are vacated last for a wave", () => {
+    const plan = planMaintenance(
+        tables({ waves: [wave(["a", "b", "c"], { maxConcurrent: 1 })], losing: new Set([vmId("a")]) }),
+        TERMS,
+    );
+    assert.deepEqual(plan.evacuate.map(String), ["b", "c"]);
+});
--- a/pools/upkeep/test/moves.test.ts
+++ b/pools/upkeep/test/moves.test.ts
@@ -9,6 +9,7 @@
     wantedVms,
     floorVms: 0,
     removable: removable.map(vmId),
+    losing: [],
 });
 
 const tables = (change: Partial<MoveTables>): MoveTables => ({
@@ -99,3 +100,9 @@
     assert.deepEqual(planMoves(tables({ needs: [need("p", 5, 5), kept], leaving })).keep, [], "no swinging back");
     assert.deepEqual(planMoves(tables({ needs: [need("p", 2, 2), kept], leaving })).keep, []);
 });
+
+test("a VM whose tasks would lose their work is not vacated for the spare pool, only for a pool that is short", () => {
+    const surplus = { ...need("q", 1, 1, ["d", "e"]), losing: [vmId("d"), vmId("e")] };
+    assert.deepEqual(ids(planMoves(tables({ needs: [need("p", 2, 2), surplus] })).evacuate), []);
+    assert.deepEqual(ids(planMoves(tables({ needs: [need("p", 4, 4), surplus] })).evacuate), ["d"]);
+});
--- a/pools/upkeep/test/surge-forecast.test.ts
+++ b/pools/upkeep/test/surge-forecast.test.ts
@@ -18,6 +18,7 @@
                 neededVms: pool === surging ? 12 : 2,
                 wantedVms: pool === surging ? 12 : 2,
                 removable: [],
+                losing: [],
             })),
             SIZES,
             nowMs,
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -1,5 +1,6 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
+import { VACATE_WITHIN_MS } from "@almondusher/scheduler/demand";
 import { createVmClient, type ListedVm } from "@almondusher/platform-adapter/vm-client";
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
 import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
@@ -35,14 +36,21 @@
     ordered: boolean;
 }
 
+/** What the plan of a wave needs to know of the pools. */
+interface WaveView {
+    readonly vacated: ReadonlySet<VmId>;
+    /** VMs whose tasks would lose work if they were vacated now. */
+    readonly losing: ReadonlySet<VmId>;
+    /** The pools want more VMs than there are. */
+    readonly fleetShort: boolean;
+}
+
 const TICK_MS = 100;
 const LIST_MS = 500;
 // Lease rows of pools are trusted for this long; a pool without a scheduler vacates nothing.
 const POOL_FRESH_MS = 2500;
 // Holders that lost touch with the store order nothing; a successor may have begun.
 const UNCONFIRMED_MS = 2500;
-// Tasks that end by themselves within this time are let finish on a VM that is vacated.
-const VACATE_WITHIN_MS = 2500;
 // Orders that were not answered may be carried out up to this much later.
 const LATE_ORDER_MS = 13_000;
 const RETURN_MARGIN_MS = 300;
@@ -172,7 +180,7 @@
     };
     const awaitedByWave = (): ReadonlySet<VmId> =>
         new Set(openWaves().flatMap(wave => wave.vms.filter(vm => !wave.begun.has(vm))));
-    const planWaves = (vacated: ReadonlySet<VmId>, fleetShort: boolean): void => {
+    const planWaves = ({ vacated, losing, fleetShort }: WaveView): void => {
         const plan = planMaintenance(
             {
                 vms,
@@ -183,6 +191,7 @@
                 engaged: new Set(orders.keys()),
                 evacuations: new Set(evacuations.keys()),
                 vacated,
+                losing,
                 presumedDown: new Set(lateOrders().filter(vm => !orders.has(vm))),
             },
             {
@@ -293,7 +302,11 @@
         const vacated = new Set([...evacuations].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
         releaseMoved();
         const needs = forecastFor(records);
-        planWaves(vacated, isFleetShort(moveTables(needs, vacated)));
+        planWaves({
+            vacated,
+            losing: new Set(needs.flatMap(need => need.losing)),
+            fleetShort: isFleetShort(moveTables(needs, vacated)),
+        });
         dropSettledEvacuations();
         moveVms(moveTables(needs, vacated));
     };
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -68,7 +68,15 @@
     executors: z.array(z.object({ id: z.string(), address: z.string() })),
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     vacated: z.array(z.string()),
-    demand: z.object({ neededVms: z.int(), wantedVms: z.int(), removable: z.array(z.string()) }).optional(),
+    demand: z
+        .object({
+            neededVms: z.int(),
+            wantedVms: z.int(),
+            removable: z.array(z.string()),
+            // Absent in rows of earlier versions.
+            losing: z.array(z.string()).default([]),
+        })
+        .optional(),
     evacuations: z.array(z.object({ vm: z.string(), id: z.string(), byMs: z.number(), ordered: z.boolean() })),
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
 });
