Add commands for jobs: submit, show, cancel, list and explain

Jobs could be reached only by clients' own calls. The commands read a settings file with the entries and the queues, try the entries in turn (every call may be repeated, as a job keeps its id), and end with the documented exit codes; job explain sums up what the logs of the dispatchers say of a job. The error codes invalid-job and not-accepted are new.

--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -55,9 +55,9 @@
 }
 
 /** Host that the queue of the deployment is served under. */
-const JOB_HOST = "jobs.example";
+export const JOB_HOST = "jobs.example";
 /** Path prefix of the queue. */
-const JOB_PREFIX = "/queue/";
+export const JOB_PREFIX = "/queue/";
 
 const POOL = "pool-a";
 const MAIN = fileURLToPath(new URL("../../../programs/dispatcher/src/main.ts", import.meta.url));
--- a/observe/telemetry/src/operator-server.ts
+++ b/observe/telemetry/src/operator-server.ts
@@ -145,6 +145,7 @@
         case "invalid-settings":
         case "invalid-table":
         case "invalid-edit":
+        case "invalid-job":
         case "bad-message":
             return 400;
         case "unauthorized":
@@ -155,6 +156,7 @@
         case "lease-lost":
             return 409;
         case "platform-unavailable":
+        case "not-accepted":
         case "unknown-outcome":
             return 503;
     }
--- /dev/null
+++ b/programs/cli/src/commands/job-cancel.ts
@@ -0,0 +1,24 @@
+import { Args } from "@oclif/core";
+import { BaseCommand } from "../base-command.js";
+import { callQueue, checkJobId } from "../job-client.js";
+import { jobSettingsFlag, loadJobSettings, queueNamed } from "../job-settings.js";
+
+/** Cancels a job; its tasks are stopped soon after. */
+export class JobCancelCommand extends BaseCommand {
+    static override summary = "Cancel a job";
+    static override args = {
+        queue: Args.string({ required: true, description: "name of the queue in the settings" }),
+        job: Args.string({ required: true, description: "id of the job" }),
+    };
+    static override flags = { settings: jobSettingsFlag };
+
+    async run(): Promise<{ job: string; queue: string }> {
+        const { args, flags } = await this.parse(JobCancelCommand);
+        const settings = loadJobSettings(flags.settings);
+        const queue = queueNamed(settings, args.queue);
+        const job = checkJobId(args.job);
+        await callQueue({ settings, queue, method: "DELETE", job });
+        this.log(`cancelled ${job}`);
+        return { job, queue: queue.name };
+    }
+}
--- /dev/null
+++ b/programs/cli/src/commands/job-submit.ts
@@ -0,0 +1,49 @@
+import { randomBytes } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { Args, Flags } from "@oclif/core";
+import { FleetError } from "@almondusher/fleet/fleet-error";
+import { BaseCommand } from "../base-command.js";
+import { callQueue, checkJobId } from "../job-client.js";
+import { jobSettingsFlag, loadJobSettings, queueNamed } from "../job-settings.js";
+
+const JOB_ID_BYTES = 8;
+
+/** Submits a job; it is stored once the command succeeds. */
+export class JobSubmitCommand extends BaseCommand {
+    static override summary = "Submit a job to a queue";
+    static override args = {
+        queue: Args.string({ required: true, description: "name of the queue in the settings" }),
+        file: Args.string({ required: true, description: "file with the job, JSON as clients send it" }),
+    };
+    static override flags = {
+        settings: jobSettingsFlag,
+        id: Flags.string({ description: "id of the job, to repeat a call whose outcome is unknown" }),
+    };
+
+    async run(): Promise<{ job: string; queue: string }> {
+        const { args, flags } = await this.parse(JobSubmitCommand);
+        const settings = loadJobSettings(flags.settings);
+        const queue = queueNamed(settings, args.queue);
+        const job = checkJobId(flags.id ?? randomBytes(JOB_ID_BYTES).toString("hex"));
+        const body = readJobFile(args.file);
+        // Named before the call, so that it can be repeated with the same id.
+        this.log(`job ${job}`);
+        await callQueue({ settings, queue, method: "POST", job, body });
+        this.log(`accepted by queue ${queue.name}`);
+        return { job, queue: queue.name };
+    }
+}
+
+const readJobFile = (file: string): string => {
+    try {
+        const text = readFileSync(file, "utf8");
+        JSON.parse(text);
+        return text;
+    } catch (error) {
+        throw new FleetError("invalid-job", {
+            message: `${file}: ${error instanceof Error ? error.message : String(error)}`,
+            hint: "the file must hold one job as JSON",
+            cause: error,
+        });
+    }
+};
--- a/programs/cli/src/error-report.ts
+++ b/programs/cli/src/error-report.ts
@@ -50,6 +50,7 @@
         case "invalid-settings":
         case "invalid-table":
         case "invalid-edit":
+        case "invalid-job":
         case "not-found":
         case "unauthorized":
             return exitCodes.invalidInput;
@@ -57,6 +58,7 @@
         case "lease-lost":
             return exitCodes.conflict;
         case "platform-unavailable":
+        case "not-accepted":
             return exitCodes.platformUnavailable;
         case "unknown-outcome":
             return exitCodes.unknownOutcome;
--- a/programs/cli/test/documentation.test.ts
+++ b/programs/cli/test/documentation.test.ts
@@ -17,7 +17,9 @@
         [],
     );
     assert.deepEqual(
-        Object.keys(commands).filter(name => !page.includes(`\`${name}`)),
+        Object.keys(commands)
+            .map(name => name.replace(":", " "))
+            .filter(name => !page.includes(`\`${name}`)),
         [],
     );
 });
--- /dev/null
+++ b/programs/cli/test/explain-job.test.ts
@@ -0,0 +1,46 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { explainJob, findJobEvents } from "../src/explain-job.js";
+
+const JOB = "00000000000000ab";
+const at = (second: number): string => `2026-01-01T00:00:${String(second).padStart(2, "0")}.000Z`;
+const line = (second: number, fields: object): string =>
+    JSON.stringify({ name: "almondusher-dispatcher", vm: "entry-1", time: at(second), ...fields });
+
+const lines = [
+    line(5, { event: "run-ended", task: `${JOB}.0.0.0`, executor: "i-1", how: "stopped", cause: "evacuation" }),
+    line(1, { event: "request-answered", job: JOB, method: "POST", outcome: "accepted" }),
+    `3.5 entry-1 ${line(2, { event: "job-admitted", job: JOB })}`,
+    line(4, { event: "run-placed", task: `${JOB}.0.0.0`, executor: "i-1" }),
+    line(8, { event: "job-finished", job: JOB, state: "completed" }),
+    line(3, { event: "job-admitted", job: "00000000000000ac" }),
+    "not JSON 00000000000000ab",
+];
+
+test("lines of other jobs and lines that are not JSON would hide what happened to a job", () => {
+    const events = findJobEvents(lines, JOB).map(({ event }) => event);
+    assert.deepEqual(events, ["request-answered", "job-admitted", "run-placed", "run-ended", "job-finished"]);
+});
+
+test("an explanation names the wait for the first start, the runs that were stopped and the end", () => {
+    const { state, findings } = explainJob(JOB, findJobEvents(lines, JOB));
+    assert.equal(state, "completed");
+    assert.deepEqual(findings, [
+        `accepted by entry-1 at ${at(1)}`,
+        "first start 2000 ms after the scheduler on entry-1 read it",
+        "1 run(s) stopped: evacuation",
+        `completed at ${at(8)}`,
+    ]);
+});
+
+test("a job that was stored and never read is told apart from one that was never accepted", () => {
+    const events = findJobEvents(
+        [line(1, { event: "request-answered", job: JOB, method: "POST", outcome: "not-run" })],
+        JOB,
+    );
+    assert.deepEqual(explainJob(JOB, events).findings, [
+        "not accepted: not-run",
+        "no scheduler has read it",
+        "no line tells of its end",
+    ]);
+});
