Show jobs in the demo

The demo of the README showed requests only. The commands for tests and demo are prepared in one place.

--- a/bench/system/src/demo.ts
+++ b/bench/system/src/demo.ts
@@ -4,6 +4,7 @@
 import { request } from "undici";
 import { writeFileSync } from "node:fs";
 import { runCli } from "./run-cli.js";
+import { demonstrateJobs } from "./demo-jobs.js";
 import { type Deployment, startDeployment } from "./deployment.js";
 import { placeVms, sampleTables } from "./fleet-layout.js";
 import { pollUntil, readDump } from "./operator-client.js";
@@ -174,10 +175,11 @@
     }
 };
 
-/** Runs both sample fleets one after the other; the exit code is 0 if everything worked. */
+/** Runs both sample fleets one after the other, and then jobs; the exit code is 0 if everything worked. */
 export const runDemo = async (): Promise<void> => {
     const folder = mkdtempSync(join(tmpdir(), "almondusher-demo-"));
     await runFleet(unionFleet, join(folder, "union"));
     await runFleet(lapidariaFleet, join(folder, "lapidaria"));
+    await demonstrateJobs({ print, expect });
     print("done");
 };
--- /dev/null
+++ b/bench/system/src/job-cli.ts
@@ -0,0 +1,57 @@
+import { execFile } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { programPath } from "./deployment.js";
+import { JOB_HOST, JOB_PREFIX } from "./job-deployment.js";
+
+/** How a command ended. */
+export interface JobCliResult {
+    readonly exitCode: number;
+    readonly output: Readonly<Record<string, unknown>>;
+}
+
+/** The commands for jobs, with settings and files in a directory of their own. */
+export interface JobCli {
+    /** Runs a command with --json; `entries` replaces the entries of the settings. */
+    readonly run: (args: readonly string[], entries?: readonly string[]) => Promise<JobCliResult>;
+    /** Writes a file and returns its path. */
+    readonly write: (name: string, text: string) => string;
+    readonly remove: () => void;
+}
+
+/** Name of the deployment's queue in the settings. */
+export const QUEUE_NAME = "main";
+
+/** Prepares the commands for entries at the given addresses, host:port each. */
+export const createJobCli = (addresses: readonly string[]): JobCli => {
+    const directory = mkdtempSync(join(tmpdir(), "almondusher-job-cli-"));
+    const write = (name: string, text: string): string => {
+        const file = join(directory, name);
+        writeFileSync(file, text);
+        return file;
+    };
+    const writeSettings = (entries: readonly string[]): string =>
+        write(
+            `settings-${entries.join("-").replaceAll(":", "-")}.json`,
+            JSON.stringify({
+                entries: entries.map(address => `http://${address}`),
+                queues: [{ name: QUEUE_NAME, host: JOB_HOST, prefix: JOB_PREFIX }],
+            }),
+        );
+    return {
+        write,
+        run: (args, entries = addresses) =>
+            new Promise(resolve => {
+                const all = [programPath("cli", "almondusher.js"), "job", ...args, "--json"];
+                const env = { ...process.env, ALMONDUSHER_JOB_SETTINGS: writeSettings(entries) };
+                const child = execFile(process.execPath, all, { env }, (unusedError, stdout) =>
+                    resolve({
+                        exitCode: child.exitCode ?? 0,
+                        output: JSON.parse(stdout) as JobCliResult["output"],
+                    }),
+                );
+            }),
+        remove: () => rmSync(directory, { recursive: true, force: true }),
+    };
+};
