--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -87,6 +87,7 @@
         store: context.store,
         log: context.log,
         isActive: () => active && !lease.lost,
+        mayPublish: mayAct,
         sleep,
     });
     const adoptWave = ({ request, seenAtMs }: SeenWave): void => {
--- a/programs/dispatcher/src/pool-runner.ts
+++ b/programs/dispatcher/src/pool-runner.ts
@@ -166,9 +166,11 @@
             options.renewSoon();
         }
         const open = tables.jobs.get(job.id);
-        if (open !== undefined) {
-            noteArrival(tables, history, open, context.steadyMs());
+        // A successor reads finished jobs as well, as long as their rows are kept.
+        if (open === undefined) {
+            return;
         }
+        noteArrival(tables, history, open, context.steadyMs());
         context.log("job-admitted", {
             job: job.id,
             queue: job.queue,
--- a/programs/dispatcher/src/wave-status.ts
+++ b/programs/dispatcher/src/wave-status.ts
@@ -16,8 +16,10 @@
 export interface WaveStatusOptions {
     readonly store: Pick<TableStore, "transact">;
     readonly log: DecisionLog;
-    /** False once another process may publish. */
+    /** False once another process has the lease. */
     readonly isActive: () => boolean;
+    /** False while another process may have taken the lease; a state of its own must not be overwritten. */
+    readonly mayPublish: () => boolean;
     /** Resolves after a time in milliseconds. */
     readonly sleep: (ms: number) => Promise<void>;
 }
@@ -25,12 +27,16 @@
 const RETRY_MS = 400;
 
 /** Creates a publisher. */
-export const createWaveStatus = ({ store, log, isActive, sleep }: WaveStatusOptions): WaveStatus => {
+export const createWaveStatus = ({ store, log, isActive, mayPublish, sleep }: WaveStatusOptions): WaveStatus => {
     const states = new Map<number, WaveState>();
     const writing = new Set<number>();
     const write = async (wave: number): Promise<void> => {
         let stored: WaveState | undefined;
         while (isActive() && stored !== states.get(wave)) {
+            if (!mayPublish()) {
+                await sleep(RETRY_MS);
+                continue;
+            }
             const state = states.get(wave) ?? "running";
             const row = { table: STATUS_TABLE, part: PLATFORM_PART, key: `${WAVE_KEY_PREFIX}${wave}` };
             const commit = await store.transact({
--- a/programs/dispatcher/test/wave-status.test.ts
+++ b/programs/dispatcher/test/wave-status.test.ts
@@ -19,6 +19,7 @@
         },
         log: () => undefined,
         isActive: () => true,
+        mayPublish: () => true,
         sleep: nextTurn,
     });
     status.publish(1, "running");
@@ -43,6 +44,7 @@
         },
         log: () => undefined,
         isActive: () => true,
+        mayPublish: () => true,
         sleep: nextTurn,
     });
     status.publish(1, "running");
@@ -53,3 +55,49 @@
     assert.match(stored.at(-1) ?? "", /completed/);
     assert.equal(stored.length, 2);
 });
+
+test("a fleet manager that was out of touch would show a wave as running that its successor has completed", async () => {
+    const stored: string[] = [];
+    const holder = { isActive: true, mayPublish: false };
+    const status = createWaveStatus({
+        store: {
+            transact: ({ writes: [write] }) => {
+                stored.push(write?.value ?? "");
+                return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
+            },
+        },
+        log: () => undefined,
+        isActive: () => holder.isActive,
+        mayPublish: () => holder.mayPublish,
+        sleep: nextTurn,
+    });
+    status.publish(1, "running");
+    await nextTurn();
+    assert.deepEqual(stored, []);
+    holder.isActive = false;
+    await nextTurn();
+    assert.deepEqual(stored, [], "the lease was lost meanwhile");
+});
+
+test("a state is published once the lease is confirmed again", async () => {
+    const stored: string[] = [];
+    const holder = { mayPublish: false };
+    const status = createWaveStatus({
+        store: {
+            transact: ({ writes: [write] }) => {
+                stored.push(write?.value ?? "");
+                return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
+            },
+        },
+        log: () => undefined,
+        isActive: () => true,
+        mayPublish: () => holder.mayPublish,
+        sleep: nextTurn,
+    });
+    status.publish(1, "running");
+    await nextTurn();
+    holder.mayPublish = true;
+    await nextTurn();
+    await nextTurn();
+    assert.equal(stored.length, 1);
+});
