Look again at an executor that was out of reach until its runs were given up

Cause: a scheduler looks at an executor while it holds runs or has ends to store. An executor out of reach whose runs had been given up at the end of their leases had neither, so it was never looked at again and counted as out of reach for good.

Ruled out: the lease (held from 19.3 s on, tasks of other jobs were started), room, and the time that a start without an answer now waits (the runs had been confirmed).

Change: an executor out of reach is looked at each second while it is registered.

A new test against a silent stand-in fails without the change.

--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -244,6 +244,20 @@
     assert.equal(startsOf(deployment, jobId(1)).length, 4);
 });
 
+test("an executor that was out of reach until its runs were given up would never get work again", async context => {
+    const deployment = await deploy(context, { executors: 1, dispatchers: 1, runMs: () => 1500 });
+    const [entry] = deployment.dispatchers;
+    const [executor] = deployment.executors;
+    assert.ok(entry !== undefined && executor !== undefined);
+    await callJob(entry, "POST", jobId(1), oneStep(1));
+    await waitUntil("the start", START_MS, () => startsOf(deployment, jobId(1)).length === 1);
+    executor.setFault({ kind: "silent" });
+    await waitUntil("the end of the lease", START_MS, () => entry.log.some(({ event }) => event === "run-lapsed"));
+    await callJob(entry, "POST", jobId(2), oneStep(1));
+    executor.setFault({ kind: "none" });
+    await waitForState(entry, jobId(2), "completed", START_MS);
+});
+
 test("tasks that fail are tried again as often as the queue allows, then the job has failed", async context => {
     const deployment = await deploy(context, { executors: 1 });
     const [entry] = deployment.dispatchers;
--- a/programs/dispatcher/src/executor-link.ts
+++ b/programs/dispatcher/src/executor-link.ts
@@ -47,6 +47,8 @@
 const REPORT_WAIT_MS = 700;
 const RETRY_MS = 250;
 const IDLE_LOOK_MS = 60_000;
+// An executor out of reach takes work again as soon as it has answered.
+const UNREACHABLE_LOOK_MS = 1000;
 const AVOID_UNHEALTHY_MS = 700;
 const AVOID_UNREACHABLE_MS = 1500;
 const AVOID_FULL_MS = 300;
@@ -173,12 +175,19 @@
         executor.storedEnd < executor.seenEnd;
     // Ends that are not stored or may not be acknowledged yet would be listed again at once.
     const listsOldEnds = (): boolean => acknowledgedEnd(executor) < executor.seenEnd || !owner.mayExtend();
+    const pauseBeforeLook = (): number => {
+        if (isBusy()) {
+            return executor.inspected && misses === 0 && listsOldEnds() ? REPORT_WAIT_MS : 0;
+        }
+        return executor.reachable ? IDLE_LOOK_MS : UNREACHABLE_LOOK_MS;
+    };
     const watch = async (): Promise<void> => {
         while (!closed) {
-            if (!isBusy() || (executor.inspected && misses === 0 && listsOldEnds())) {
-                await waitForWake(isBusy() ? REPORT_WAIT_MS : IDLE_LOOK_MS);
+            const pauseMs = pauseBeforeLook();
+            if (pauseMs > 0) {
+                await waitForWake(pauseMs);
             }
-            if (!closed && isBusy()) {
+            if (!closed && (isBusy() || !executor.reachable)) {
                 await look();
             }
         }
