Wait for an answer through the cut-off entry instead of half a second

The first test of the file makes the route count as long, so that first requests wait for the guaranteed slots of their class.

--- a/bench/system/test/control-drain.test.ts
+++ b/bench/system/test/control-drain.test.ts
@@ -132,10 +132,18 @@
     await path.cut();
     const load = startLoad(["/letters/1"]);
     const cutOffLoad = startLoad(["/letters/1"], [entryAt(3)]);
-    await sleep(500);
-    // The slots of an entry lie on few VMs, so that not every VM shows what the cut-off entry does.
-    const leaving = cutOffLoad.records.map(record => record.vm).find(vm => vm !== moved && LETTERS.includes(vm ?? ""));
-    assert.ok(leaving);
+    // The slots of an entry lie on few VMs, so that not every VM shows what the cut-off entry does. Its first requests
+    // may wait for their turn, since the long work above made the route count as long.
+    const leaving = await pollUntil({
+        what: "an answer through the cut-off entry",
+        timeoutMs: LAST_WORK_LIMIT_MS,
+        read: () =>
+            Promise.resolve(
+                cutOffLoad.records
+                    .map(record => record.vm)
+                    .find((vm): vm is string => vm !== undefined && vm !== moved && LETTERS.includes(vm)),
+            ),
+    });
     await listLeaving(deployment, leaving);
     const leavingAtMs = performance.now();
     await sleep(CUT_OFF_LIMIT_MS + 2000);
