Call what the project already has instead of writing it again

The commands for jobs had copies of what stood elsewhere: the form of a job's id, the states of jobs, the parsing of JSON and the reading of a file. They call one piece now (isJobId, jobStates, parseJson, readInputFile), and the answers of entries are decoded beside their encoding in the adapter. Tests and demo share schedulerOf, startsOf and the writing of logs; two tests share their demands and their store.

One text changes: job submit and job explain report an unreadable file in the words of the other commands; codes and exit codes stay.

--- a/admission/slots/src/divide-fairly.ts
+++ b/admission/slots/src/divide-fairly.ts
@@ -21,7 +21,8 @@
     readonly index: number;
 }
 
-const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
+/** Sum of counts. */
+export const sum = (counts: readonly number[]): number => counts.reduce((total, count) => total + count, 0);
 
 const byWant = (left: Want, right: Want): number => right.want - left.want || right.index - left.index;
 
@@ -33,9 +34,14 @@
 // The most that everyone who wants it can have.
 const evenLevel = (wanted: readonly number[], slots: number): number => {
     const ascending = wanted.toSorted((left, right) => left - right);
-    const evenParts = ascending.map((unused, position) =>
-        Math.floor((slots - sum(ascending.slice(0, position))) / (ascending.length - position)),
-    );
-    const unserved = ascending.findIndex((want, position) => want > (evenParts[position] ?? 0));
-    return unserved < 0 ? Infinity : Math.max(0, evenParts[unserved] ?? 0);
+    let left = slots;
+    const evenPart = (position: number): number => Math.floor(left / (ascending.length - position));
+    const unserved = ascending.findIndex((want, position) => {
+        if (want > evenPart(position)) {
+            return true;
+        }
+        left -= want;
+        return false;
+    });
+    return unserved < 0 ? Infinity : Math.max(0, evenPart(unserved));
 };
--- a/admission/slots/src/slot-targets.ts
+++ b/admission/slots/src/slot-targets.ts
@@ -1,6 +1,6 @@
 import type { ProcessId } from "@almondusher/fleet/ids";
 import { type ByUrgency, type Urgency, urgencies } from "@almondusher/fleet/urgency";
-import { divideFairly } from "./divide-fairly.js";
+import { divideFairly, sum } from "./divide-fairly.js";
 
 /** Requests of one member in one pool. */
 export interface MemberDemand {
@@ -87,8 +87,6 @@
 
 type Counts = readonly number[];
 
-const sum = (counts: Counts): number => counts.reduce((total, count) => total + count, 0);
-
 const add = (left: Counts, right: Counts): Counts => left.map((count, index) => count + (right[index] ?? 0));
 
 const zeros = (count: number): Counts => Array.from({ length: count }, () => 0);
--- a/admission/slots/test/targets.test.ts
+++ b/admission/slots/test/targets.test.ts
@@ -4,7 +4,7 @@
 import fc from "fast-check";
 import { divideQuotas } from "../src/divide-quotas.js";
 import { createQuickReserve, learnShortUse, quickSlots } from "../src/quick-reserve.js";
-import { type MemberDemand, slotTargets } from "../src/slot-targets.js";
+import { emptyDemand, type MemberDemand, slotTargets } from "../src/slot-targets.js";
 
 const SEED = 20261206;
 const TOTAL = 56;
@@ -12,6 +12,9 @@
 const guarantees = { urgent: 14, normal: 8, deferrable: 6 };
 const members = Array.from({ length: 7 }, (unused, index) => toId<ProcessId>(`entry-${index}`));
 
+const demandsOf = (ids: readonly ProcessId[], demands: readonly Partial<MemberDemand>[]): readonly MemberDemand[] =>
+    ids.map((member, index) => ({ ...emptyDemand(member), ...demands[index] }));
+
 const targetsOf = (demands: readonly Partial<MemberDemand>[], maxSpareMoves = 0, previous: readonly number[] = []) =>
     slotTargets({
         total: TOTAL,
@@ -20,15 +23,7 @@
         maxSpareMoves,
         previous,
         turn: 0,
-        demands: members.map((member, index) => ({
-            member,
-            ownShort: NONE,
-            ownLong: NONE,
-            borrowed: 0,
-            queuedShort: NONE,
-            queuedLong: NONE,
-            ...demands[index],
-        })),
+        demands: demandsOf(members, demands),
     });
 
 test("all slots and all guaranteed slots are divided whatever the demand", () => {
@@ -109,20 +104,10 @@
     previous: [],
 };
 const fourMembers = members.slice(0, 4);
-const demandsOf = (demands: readonly Partial<MemberDemand>[]): readonly MemberDemand[] =>
-    fourMembers.map((member, index) => ({
-        member,
-        ownShort: NONE,
-        ownLong: NONE,
-        borrowed: 0,
-        queuedShort: NONE,
-        queuedLong: NONE,
-        ...demands[index],
-    }));
 const turns = fourMembers.map((unused, turn) => turn);
 
 test("long requests of an entry would wait for ever beside an entry with more short ones, if it got each odd slot", () => {
-    const demands = demandsOf([
+    const demands = demandsOf(fourMembers, [
         { queuedLong: { ...NONE, normal: 4 } },
         {},
         {},
@@ -133,14 +118,17 @@
 });
 
 test("an entry whose requests wait would never get a slot of a pool with fewer slots than entries", () => {
-    const demands = demandsOf(fourMembers.map((unused, index) => ({ queuedShort: { ...NONE, urgent: 9 - index } })));
+    const demands = demandsOf(
+        fourMembers,
+        fourMembers.map((unused, index) => ({ queuedShort: { ...NONE, urgent: 9 - index } })),
+    );
     const options = { ...fewSlots, total: 2, guarantees: { ...NONE, urgent: 1 }, demands };
     const served = turns.flatMap(turn => slotTargets({ ...options, turn }).filter(target => target.slots > 0));
     assert.deepEqual(new Set(served.map(target => target.member)), new Set(fourMembers));
 });
 
 test("the odd slots of entries without requests that wait stay, as each move costs a connection", () => {
-    const options = { ...fewSlots, total: 2, guarantees: NONE, demands: demandsOf([]) };
+    const options = { ...fewSlots, total: 2, guarantees: NONE, demands: demandsOf(fourMembers, []) };
     const divisions = turns.map(turn => slotTargets({ ...options, turn }));
     divisions.forEach(division => assert.deepEqual(division, divisions[0]));
 });
@@ -149,7 +137,9 @@
     const holder = { ownLong: { ...NONE, normal: 1 }, queuedLong: { ...NONE, normal: 6 } };
     const waiting = { queuedLong: { ...NONE, normal: 1 } };
     const guaranteesIn = (demands: readonly Partial<MemberDemand>[]) =>
-        slotTargets({ ...fewSlots, demands: demandsOf(demands), turn: 0 }).map(target => target.guarantees.normal);
+        slotTargets({ ...fewSlots, demands: demandsOf(fourMembers, demands), turn: 0 }).map(
+            target => target.guarantees.normal,
+        );
     assert.deepEqual(guaranteesIn([waiting, {}, {}, holder]), [0, 0, 0, 0]);
     assert.deepEqual(guaranteesIn([{}, {}, {}, holder]), [0, 0, 0, 1]);
 });
--- a/bench/system/src/demo-jobs.ts
+++ b/bench/system/src/demo-jobs.ts
@@ -1,5 +1,5 @@
 import { createJobCli, QUEUE_NAME, type JobCli } from "./job-cli.js";
-import { type JobDeployment, startJobDeployment, waitUntil } from "./job-deployment.js";
+import { type JobDeployment, schedulerOf, startJobDeployment, startsOf, waitUntil } from "./job-deployment.js";
 
 const DISPATCHERS = 3;
 const EXECUTORS = 3;
@@ -36,7 +36,7 @@
         const [cancelled, ...others] = jobs;
         await cli.run(["cancel", QUEUE_NAME, cancelled?.id ?? ""]);
         expect((await cancelled?.state()) === "cancelled", "a cancelled job is shown as cancelled");
-        await waitUntil("a job at work", RUNNING_LIMIT_MS, () => isAtWork(deployment, others[0]?.id ?? ""));
+        await waitUntil("a job at work", RUNNING_LIMIT_MS, () => startsOf(deployment, others[0]?.id ?? "").length > 0);
         loseExecutor(deployment);
         const scheduler = await killScheduler(deployment);
         print(`ok    an executor restarted and the scheduler on ${scheduler} was killed`);
@@ -68,15 +68,10 @@
     });
 };
 
-const isAtWork = ({ executors }: JobDeployment, job: string): boolean =>
-    executors.some(({ started }) => started.some(({ task }) => task.startsWith(job)));
-
 const loseExecutor = ({ executors }: JobDeployment): void => executors[0]?.restart();
 
-const killScheduler = async ({ store, dispatchers }: JobDeployment): Promise<string> => {
-    const lease = store.rows("leases").find(({ key }) => key.startsWith("pool/"))?.value as
-        { readonly holder?: string } | undefined;
-    const scheduler = dispatchers.find(({ vm }) => vm === lease?.holder);
+const killScheduler = async (deployment: JobDeployment): Promise<string> => {
+    const scheduler = schedulerOf(deployment);
     scheduler?.process.kill("SIGKILL");
     await scheduler?.ended;
     return scheduler?.vm ?? "no VM";
@@ -88,10 +83,7 @@
     job: string,
     print: DemoOutput["print"],
 ): Promise<void> => {
-    const logs = dispatchers.map(({ vm, log }) =>
-        cli.write(`${vm}.log`, log.map(line => JSON.stringify(line)).join("\n")),
-    );
-    const { output } = await cli.run(["explain", job, ...logs]);
+    const { output } = await cli.run(["explain", job, ...cli.writeLogs(dispatchers)]);
     print(`what the logs say of job ${job}:`);
     (output["findings"] as readonly string[]).forEach(line => print(`      ${line}`));
 };
--- a/bench/system/src/job-cli.ts
+++ b/bench/system/src/job-cli.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { programPath } from "./deployment.js";
-import { JOB_HOST, JOB_PREFIX } from "./job-deployment.js";
+import { type DeployedDispatcher, JOB_HOST, JOB_PREFIX } from "./job-deployment.js";
 
 /** How a command ended. */
 export interface JobCliResult {
@@ -17,6 +17,8 @@
     readonly run: (args: readonly string[], entries?: readonly string[]) => Promise<JobCliResult>;
     /** Writes a file and returns its path. */
     readonly write: (name: string, text: string) => string;
+    /** Writes the logs of dispatchers so far and returns the paths. */
+    readonly writeLogs: (dispatchers: readonly Pick<DeployedDispatcher, "vm" | "log">[]) => readonly string[];
     readonly remove: () => void;
 }
 
@@ -41,6 +43,8 @@
         );
     return {
         write,
+        writeLogs: dispatchers =>
+            dispatchers.map(({ vm, log }) => write(`${vm}.log`, log.map(line => JSON.stringify(line)).join("\n"))),
         run: (args, entries = addresses) =>
             new Promise(resolve => {
                 const all = [programPath("cli", "almondusher.js"), "job", ...args, "--json"];
--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -133,6 +133,20 @@
         call.end(body === undefined ? undefined : JSON.stringify(body));
     });
 
+/** The dispatcher that schedules the pool; undefined while nobody holds its lease. */
+export const schedulerOf = ({
+    store,
+    dispatchers,
+}: Pick<JobDeployment, "store" | "dispatchers">): DeployedDispatcher | undefined => {
+    const lease = store.rows("leases").find(({ key }) => key.startsWith("pool/"))?.value as
+        { readonly holder?: string } | undefined;
+    return dispatchers.find(({ vm }) => vm === lease?.holder);
+};
+
+/** Tasks of a job that were started, once for each start. */
+export const startsOf = ({ executors }: Pick<JobDeployment, "executors">, job: string): readonly string[] =>
+    executors.flatMap(({ started }) => started.map(({ task }) => task)).filter(task => task.startsWith(job));
+
 /** Waits until a check holds; throws after the time. */
 export const waitUntil = async (
     what: string,
--- a/bench/system/test/job-commands.test.ts
+++ b/bench/system/test/job-commands.test.ts
@@ -44,10 +44,7 @@
         const { output } = await cli.run(["show", QUEUE_NAME, job]);
         return output["state"] === "completed";
     });
-    const logs = deployment.dispatchers.map(({ vm, log }) =>
-        cli.write(`${vm}.log`, log.map(line => JSON.stringify(line)).join("\n")),
-    );
-    const { output } = await cli.run(["explain", job, ...logs]);
+    const { output } = await cli.run(["explain", job, ...cli.writeLogs(deployment.dispatchers)]);
     const findings = output["findings"] as readonly string[];
     assert.equal(output["state"], "completed");
     assert.ok(findings.some(line => line.startsWith("accepted by entry-")));
--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -3,7 +3,9 @@
 import test, { type TestContext } from "node:test";
 import {
     callJob,
+    schedulerOf,
     startJobDeployment,
+    startsOf,
     waitForState,
     waitUntil,
     type JobDeployment,
@@ -27,9 +29,6 @@
     steps: [{ count, cpu: 1000, mem_mb: 100, est_duration_ms: 150 }],
 });
 
-const startsOf = ({ executors }: JobDeployment, job: string): readonly string[] =>
-    executors.flatMap(({ started }) => started.map(({ task }) => task)).filter(task => task.startsWith(job));
-
 const overlaps = ({ executors }: JobDeployment): number => {
     const runs = executors.flatMap(({ started }) => started);
     return runs.filter(left =>
@@ -43,12 +42,6 @@
     ).length;
 };
 
-const schedulerOf = (deployment: JobDeployment): JobDeployment["dispatchers"][number] | undefined => {
-    const lease = deployment.store.rows("leases").find(({ key }) => key.startsWith("pool/"))?.value as
-        { readonly holder?: string } | undefined;
-    return deployment.dispatchers.find(({ vm }) => vm === lease?.holder);
-};
-
 const waitForScheduler = async (deployment: JobDeployment): Promise<JobDeployment["dispatchers"][number]> => {
     await waitUntil("a holder of the pool's lease", START_MS, () => schedulerOf(deployment) !== undefined);
     const found = schedulerOf(deployment);
--- a/domain/jobs/src/ids.ts
+++ b/domain/jobs/src/ids.ts
@@ -2,6 +2,11 @@
 
 /** Id that a client gives to a job. */
 export type JobId = Brand<"JobId">;
+const JOB_ID = /^[0-9a-f]{16}$/;
+
+/** True for text that has the form of a job's id. */
+export const isJobId = (text: string): text is JobId => JOB_ID.test(text);
+
 /** Name of a queue of jobs. */
 export type QueueName = Brand<"QueueName">;
 /** Id that an executor registers under; a restarted executor may keep it. */
--- a/domain/jobs/src/job.ts
+++ b/domain/jobs/src/job.ts
@@ -63,8 +63,11 @@
     readonly acceptedAtMs: number;
 }
 
-/** State of a job as clients see it. */
-export type JobState = "queued" | "running" | "completed" | "failed" | "cancelled";
+/** States of a job as clients see them. */
+export const jobStates = ["queued", "running", "completed", "failed", "cancelled"] as const;
+
+/** One of the states. */
+export type JobState = (typeof jobStates)[number];
 
 /** Id of a step of one occurrence. */
 export const stepIdOf = (job: JobId, occurrence: number, step: number): StepId =>
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { FleetError } from "@almondusher/fleet/fleet-error";
-import type { Job } from "./job.js";
+import { jobStates, type Job } from "./job.js";
 import type { Progress } from "./progress.js";
 import { parseJson } from "./json-text.js";
 
@@ -43,7 +43,7 @@
 const storedProgress = z.object({
     format: z.literal(FORMAT),
     progress: z.object({
-        state: z.enum(["queued", "running", "completed", "failed", "cancelled"]),
+        state: z.enum(jobStates),
         steps: z.array(
             z.object({
                 occurrence: z.int(),
--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -89,8 +89,10 @@
         removable: vmsOf(
             executors
                 .filter(executor => !hasLasting(executor))
-                .sort((left, right) => left.runs.size - right.runs.size)
-                .sort((left, right) => Number(losing.has(left)) - Number(losing.has(right))),
+                .sort(
+                    (left, right) =>
+                        Number(losing.has(left)) - Number(losing.has(right)) || left.runs.size - right.runs.size,
+                ),
         ),
         losing: vmsOf([...losing]),
     };
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -46,13 +46,13 @@
     }
     const { executor } = run;
     if (executor.record.draining) {
-        return mustLeave(tables, run, executor.record.remainingMs ?? 0, terms.nowMs) ? "draining" : undefined;
+        const leftMs = remainingRunMs(tables, run, terms.nowMs);
+        return mustLeave(run, leftMs, executor.record.remainingMs ?? 0) ? "draining" : undefined;
     }
     if (executor.evacuation !== undefined) {
-        const remainingMs = executor.evacuation.byMs - terms.nowMs + overtimeMs(tables, run, terms.nowMs);
-        return mustLeave(tables, run, remainingMs, terms.nowMs) && mayDisrupt(run, terms.nowMs)
-            ? "evacuation"
-            : undefined;
+        const leftMs = remainingRunMs(tables, run, terms.nowMs);
+        const untilMs = executor.evacuation.byMs + overtimeMs(run, leftMs, terms.nowMs);
+        return mustLeave(run, leftMs, untilMs - terms.nowMs) && mayDisrupt(run, terms.nowMs) ? "evacuation" : undefined;
     }
     return undefined;
 };
@@ -61,14 +61,12 @@
     run.task.step.tasks.every(task => task.runs.some(member => member.number === run.number));
 
 // A task that cannot end in time is stopped early, with its checkpoint, and continues elsewhere.
-const mustLeave = (tables: PoolTables, run: Run, remainingMs: number, nowMs: number): boolean =>
-    run.task.step.step.longRunning || remainingRunMs(tables, run, nowMs) > remainingMs;
+const mustLeave = (run: Run, leftMs: number, withinMs: number): boolean =>
+    run.task.step.step.longRunning || leftMs > withinMs;
 
 // A VM that is vacated waits somewhat longer for a task that would have to begin again and has less left than done.
-const overtimeMs = (tables: PoolTables, run: Run, nowMs: number): number =>
-    run.task.step.step.checkpointing || remainingRunMs(tables, run, nowMs) > nowMs - run.startedAtMs
-        ? 0
-        : MAX_OVERTIME_MS;
+const overtimeMs = (run: Run, leftMs: number, nowMs: number): number =>
+    run.task.step.step.checkpointing || leftMs > nowMs - run.startedAtMs ? 0 : MAX_OVERTIME_MS;
 
 /** True if a task at work may be ended without exceeding the disruption budget of its step. */
 const mayDisrupt = (run: Run, nowMs: number): boolean => {
--- a/pools/scheduler/src/remaining-time.ts
+++ b/pools/scheduler/src/remaining-time.ts
@@ -12,7 +12,6 @@
     const percent = Math.min(run.percent, MAX_PERCENT);
     const expectedMs = expectedRunMs(tables, run.task.step) * (1 - percent / COMPLETE_PERCENT);
     const elapsedMs = nowMs - run.startedAtMs;
-    return percent < MIN_PERCENT
-        ? Math.max(expectedMs, 0)
-        : Math.max(expectedMs, (elapsedMs * (COMPLETE_PERCENT - percent)) / percent);
+    const atOwnPaceMs = percent < MIN_PERCENT ? 0 : (elapsedMs * (COMPLETE_PERCENT - percent)) / percent;
+    return Math.max(expectedMs, atOwnPaceMs);
 };
--- a/programs/cli/src/commands/job-explain.ts
+++ b/programs/cli/src/commands/job-explain.ts
@@ -1,9 +1,9 @@
-import { readFileSync } from "node:fs";
 import { Args } from "@oclif/core";
 import { FleetError } from "@almondusher/fleet/fleet-error";
 import { BaseCommand } from "../base-command.js";
 import { explainJob, findJobEvents, type JobExplanation } from "../explain-job.js";
 import { checkJobId } from "../job-client.js";
+import { readInputFile } from "../read-input-file.js";
 
 /** Explains from the logs of the dispatchers what happened to a job. */
 export class JobExplainCommand extends BaseCommand {
@@ -30,14 +30,4 @@
     }
 }
 
-const readLines = (file: string): readonly string[] => {
-    try {
-        return readFileSync(file, "utf8").split("\n");
-    } catch (error) {
-        throw new FleetError("not-found", {
-            message: `${file}: ${error instanceof Error ? error.message : String(error)}`,
-            hint: "the logs are files that hold the standard output of the dispatchers",
-            cause: error,
-        });
-    }
-};
+const readLines = (file: string): readonly string[] => readInputFile(file, "not-found").split("\n");
--- a/programs/cli/src/commands/job-list.ts
+++ b/programs/cli/src/commands/job-list.ts
@@ -1,12 +1,10 @@
 import { FleetError } from "@almondusher/fleet/fleet-error";
-import { z } from "zod";
+import { decodePending } from "@almondusher/platform-adapter/job-answers";
 import { BaseCommand } from "../base-command.js";
 import { formatTable } from "../format-table.js";
 import { callQueue } from "../job-client.js";
 import { jobSettingsFlag, loadJobSettings, type JobSettings, type NamedQueue } from "../job-settings.js";
 
-const answerSchema = z.object({ pending: z.int().min(0) });
-
 interface ListedQueue {
     readonly queue: string;
     /** Accepted jobs that have not started; absent if no entry told. */
@@ -36,10 +34,14 @@
 
 const readQueue = async (settings: JobSettings, queue: NamedQueue): Promise<ListedQueue> => {
     try {
-        const answer = answerSchema.parse(await callQueue({ settings, queue, method: "GET" }));
-        return { queue: queue.name, pending: answer.pending };
+        const pending = decodePending(await callQueue({ settings, queue, method: "GET" }));
+        return pending === undefined
+            ? { queue: queue.name, error: "an entry answered without a number" }
+            : { queue: queue.name, pending };
     } catch (error) {
-        const reason = error instanceof FleetError ? error.message : "an entry answered without a number";
-        return { queue: queue.name, error: reason };
+        if (error instanceof FleetError) {
+            return { queue: queue.name, error: error.message };
+        }
+        throw error;
     }
 };
--- a/programs/cli/src/commands/job-show.ts
+++ b/programs/cli/src/commands/job-show.ts
@@ -1,15 +1,15 @@
 import { Args } from "@oclif/core";
 import { FleetError } from "@almondusher/fleet/fleet-error";
-import { z } from "zod";
+import type { JobState } from "@almondusher/jobs/job";
+import { decodeJobState } from "@almondusher/platform-adapter/job-answers";
 import { BaseCommand } from "../base-command.js";
 import { callQueue, checkJobId } from "../job-client.js";
 import { jobSettingsFlag, loadJobSettings, queueNamed } from "../job-settings.js";
 
-const answerSchema = z.object({ state: z.enum(["queued", "running", "completed", "failed", "cancelled"]) });
-
-interface ShownJob extends z.output<typeof answerSchema> {
+interface ShownJob {
     readonly job: string;
     readonly queue: string;
+    readonly state: JobState;
 }
 
 /** Shows the state of a job. */
@@ -26,14 +26,14 @@
         const settings = loadJobSettings(flags.settings);
         const queue = queueNamed(settings, args.queue);
         const job = checkJobId(args.job);
-        const answer = answerSchema.safeParse(await callQueue({ settings, queue, method: "GET", job }));
-        if (!answer.success) {
+        const state = decodeJobState(await callQueue({ settings, queue, method: "GET", job }));
+        if (state === undefined) {
             throw new FleetError("bad-message", {
                 message: `an entry answered for job ${job} without a known state`,
                 hint: "the entry may be of another version",
             });
         }
-        this.log(`${job} ${answer.data.state}`);
-        return { job, queue: queue.name, state: answer.data.state };
+        this.log(`${job} ${state}`);
+        return { job, queue: queue.name, state };
     }
 }
--- a/programs/cli/src/commands/job-submit.ts
+++ b/programs/cli/src/commands/job-submit.ts
@@ -1,10 +1,11 @@
 import { randomBytes } from "node:crypto";
-import { readFileSync } from "node:fs";
 import { Args, Flags } from "@oclif/core";
 import { FleetError } from "@almondusher/fleet/fleet-error";
+import { parseJson } from "@almondusher/jobs/json-text";
 import { BaseCommand } from "../base-command.js";
 import { callQueue, checkJobId } from "../job-client.js";
 import { jobSettingsFlag, loadJobSettings, queueNamed } from "../job-settings.js";
+import { readInputFile } from "../read-input-file.js";
 
 const JOB_ID_BYTES = 8;
 
@@ -35,15 +36,12 @@
 }
 
 const readJobFile = (file: string): string => {
-    try {
-        const text = readFileSync(file, "utf8");
-        JSON.parse(text);
-        return text;
-    } catch (error) {
+    const text = readInputFile(file, "invalid-job");
+    if (parseJson(text) === undefined) {
         throw new FleetError("invalid-job", {
-            message: `${file}: ${error instanceof Error ? error.message : String(error)}`,
+            message: `${file} is not JSON`,
             hint: "the file must hold one job as JSON",
-            cause: error,
         });
     }
+    return text;
 };
--- a/programs/cli/src/explain-job.ts
+++ b/programs/cli/src/explain-job.ts
@@ -1,3 +1,4 @@
+import { parseJson } from "@almondusher/jobs/json-text";
 import { z } from "zod";
 
 const lineSchema = z.looseObject({
@@ -33,7 +34,7 @@
     lines
         .filter(line => line.includes(job))
         .flatMap(line => {
-            const parsed = lineSchema.safeParse(parse(line.slice(Math.max(0, line.indexOf("{")))));
+            const parsed = lineSchema.safeParse(parseJson(line.slice(Math.max(0, line.indexOf("{")))));
             return parsed.success && isAbout(parsed.data, job) ? [parsed.data] : [];
         })
         .toSorted((left, right) => Date.parse(left.time) - Date.parse(right.time));
@@ -59,14 +60,6 @@
     };
 };
 
-const parse = (text: string): unknown => {
-    try {
-        return JSON.parse(text) as unknown;
-    } catch {
-        return undefined;
-    }
-};
-
 const isAbout = (event: JobEvent, job: string): boolean =>
     event.job === job || event.task?.startsWith(`${job}.`) === true;
 
--- a/programs/cli/src/job-client.ts
+++ b/programs/cli/src/job-client.ts
@@ -1,4 +1,6 @@
 import { FleetError } from "@almondusher/fleet/fleet-error";
+import { isJobId } from "@almondusher/jobs/ids";
+import { parseJson } from "@almondusher/jobs/json-text";
 import { Agent, type Dispatcher, request } from "undici";
 import type { JobSettings, NamedQueue } from "./job-settings.js";
 
@@ -12,11 +14,9 @@
     readonly body?: string;
 }
 
-const JOB_ID = /^[0-9a-f]{16}$/;
-
 /** Throws `invalid-job` unless the text is the id of a job. */
 export const checkJobId = (id: string): string => {
-    if (!JOB_ID.test(id)) {
+    if (!isJobId(id)) {
         throw new FleetError("invalid-job", {
             message: `${id} is not the id of a job`,
             hint: "an id has 16 hexadecimal digits in lower case",
@@ -66,19 +66,14 @@
             signal: AbortSignal.timeout(settings.timeoutMs),
             ...(body === undefined ? {} : { body }),
         });
-        return { kind: "answered", status: response.statusCode, body: parse(await response.body.text()) };
+        return { kind: "answered", status: response.statusCode, body: readBody(await response.body.text()) };
     } catch (error) {
         return { kind: "failed", reason: `${entry}: ${error instanceof Error ? error.message : String(error)}` };
     }
 };
 
-const parse = (text: string): unknown => {
-    try {
-        return JSON.parse(text) as unknown;
-    } catch {
-        return text;
-    }
-};
+// What is not JSON is shown as it came.
+const readBody = (text: string): unknown => parseJson(text) ?? text;
 
 const SERVER_ERROR = 500;
 const TOO_MANY_REQUESTS = 429;
--- a/programs/dispatcher/src/entry-server.ts
+++ b/programs/dispatcher/src/entry-server.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { findQueue, type QueueMatch } from "@almondusher/jobs/configuration";
-import type { JobId } from "@almondusher/jobs/ids";
+import { isJobId } from "@almondusher/jobs/ids";
 import { encodeJobState, encodePending } from "@almondusher/platform-adapter/job-answers";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { cancelJob, readJobState, submitJob, type JobAnswer, type JobCall } from "./job-api.js";
@@ -14,7 +14,6 @@
     readonly countPending: (match: QueueMatch) => Promise<number | undefined>;
 }
 
-const JOB_ID = /^[0-9a-f]{16}$/;
 const DEFAULT_BODY_LIMIT_BYTES = 262_144;
 // A client that sets no limit gets its answer within this.
 const DEFAULT_ANSWER_MS = 2500;
@@ -94,11 +93,11 @@
         }
         return;
     }
-    if (!JOB_ID.test(match.rest)) {
+    if (!isJobId(match.rest)) {
         reply(response, 404, { error: "no such job" });
         return;
     }
-    const call: JobCall = { queue: match.queue, id: match.rest as JobId, answerByMs };
+    const call: JobCall = { queue: match.queue, id: match.rest, answerByMs };
     const result = await runCall(context, request.method ?? "", call, body);
     if (result === undefined) {
         reply(response, 405, { error: "use POST, GET or DELETE" });
--- a/programs/dispatcher/src/fleet-runner.ts
+++ b/programs/dispatcher/src/fleet-runner.ts
@@ -135,13 +135,8 @@
     const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
         const order: VmOrder = { purpose, sentAtMs: context.steadyMs(), confirmedAtMs: undefined };
         orders.set(vm, order);
-        if (!evacuations.has(vm)) {
-            addEvacuation(vm, purpose.kind);
-        }
-        const evacuation = evacuations.get(vm);
-        if (evacuation !== undefined) {
-            evacuation.ordered = true;
-        }
+        const evacuation = evacuations.get(vm) ?? addEvacuation(vm, purpose.kind);
+        evacuation.ordered = true;
         if (!(await keeper.renewNow(lease))) {
             // Nothing was sent; the next tick plans again.
             orders.delete(vm);
@@ -212,14 +207,16 @@
             }
         });
     };
-    const addEvacuation = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
+    const addEvacuation = (vm: VmId, purpose: FleetEvacuation["purpose"]): FleetEvacuation => {
         evacuationCounter++;
-        evacuations.set(vm, {
+        const evacuation: FleetEvacuation = {
             id: `${lease.epoch}-${evacuationCounter}`,
             byMs: context.store.nowMs() + VACATE_WITHIN_MS,
             purpose,
             ordered: false,
-        });
+        };
+        evacuations.set(vm, evacuation);
+        return evacuation;
     };
     const evacuate = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
         addEvacuation(vm, purpose);
--- a/programs/dispatcher/test/wave-status.test.ts
+++ b/programs/dispatcher/test/wave-status.test.ts
@@ -1,6 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createWaveStatus } from "../src/wave-status.js";
+import { createWaveStatus, type WaveStatusOptions } from "../src/wave-status.js";
+
+const recordingStore = (stored: string[]): WaveStatusOptions["store"] => ({
+    transact: ({ writes: [write] }) => {
+        stored.push(write?.value ?? "");
+        return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
+    },
+});
 
 const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
@@ -60,12 +67,7 @@
     const stored: string[] = [];
     const holder = { isActive: true, mayPublish: false };
     const status = createWaveStatus({
-        store: {
-            transact: ({ writes: [write] }) => {
-                stored.push(write?.value ?? "");
-                return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
-            },
-        },
+        store: recordingStore(stored),
         log: () => undefined,
         isActive: () => holder.isActive,
         mayPublish: () => holder.mayPublish,
@@ -83,12 +85,7 @@
     const stored: string[] = [];
     const holder = { mayPublish: false };
     const status = createWaveStatus({
-        store: {
-            transact: ({ writes: [write] }) => {
-                stored.push(write?.value ?? "");
-                return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
-            },
-        },
+        store: recordingStore(stored),
         log: () => undefined,
         isActive: () => true,
         mayPublish: () => holder.mayPublish,
