Let one scheduling pass handle the answers of 10 ms

Callers of a busy pool saw late starts: the scheduler's process spent its processor time on passes. Each answer of an executor requested one, and a short pass was followed by the next after three times its own duration, so that a pass ran for nearly every answer.

A pass is now followed by a pause of at least 10 ms, in which further answers are merged. The first pass after a pause still runs at once. The new test failed before: 1000 passes in a second, now at most 100.

--- a/programs/dispatcher/src/pass-throttle.ts
+++ b/programs/dispatcher/src/pass-throttle.ts
@@ -17,6 +17,8 @@
 // Pause after a pass as a multiple of its duration. A pass iterates over all open tasks, so most of the processor time
 // has to be left for handling the requests and responses that it depends on.
 const PAUSE_FACTOR = 3;
+// Shortest pause after a pass. Answers that arrive during it are handled by one pass, not by one each.
+const MIN_PAUSE_MS = 10;
 
 export const createPassThrottle = ({ pass, monotonicMs, after }: PassThrottleOptions): PassThrottle => {
     let requested = false;
@@ -26,7 +28,7 @@
         const startedAtMs = monotonicMs();
         pass();
         const endedAtMs = monotonicMs();
-        earliestNextPassMs = endedAtMs + (endedAtMs - startedAtMs) * PAUSE_FACTOR;
+        earliestNextPassMs = endedAtMs + Math.max(MIN_PAUSE_MS, (endedAtMs - startedAtMs) * PAUSE_FACTOR);
     };
     return {
         run,
--- a/programs/dispatcher/test/pass-throttle.test.ts
+++ b/programs/dispatcher/test/pass-throttle.test.ts
@@ -49,3 +49,24 @@
     callbacks.forEach(callback => callback());
     assert.deepEqual({ passes, waits }, { passes: 1, waits: [0] });
 });
+
+test("answers that arrive one after another do not cause a pass each", () => {
+    const END_MS = 1000;
+    const PAUSE_MS = 10;
+    let nowMs = 0;
+    let passes = 0;
+    let timers: readonly Timer[] = [];
+    const throttle = createPassThrottle({
+        pass: () => passes++,
+        monotonicMs: () => nowMs,
+        after: (waitMs, callback) => (timers = [...timers, { atMs: nowMs + waitMs, callback }]),
+    });
+    while (nowMs < END_MS) {
+        throttle.request();
+        const due = timers.filter(({ atMs }) => atMs <= nowMs);
+        timers = timers.filter(({ atMs }) => atMs > nowMs);
+        due.forEach(({ callback }) => callback());
+        nowMs++;
+    }
+    assert.ok(passes <= END_MS / PAUSE_MS, `${passes} passes`);
+});
