Estimate a backlog's paths only now and then, and skip steps that fit nowhere

One cause is that the scheduler of a pool in its peak is short of processor time. With a backlog each pass estimated the critical path of every waiting step again, searched all executors for each step although the pool was full, and looked for steps without tickets although no queue has advice.

A step keeps its estimate for 500 ms, a step whose demand exceeds the largest free amount of a resource is skipped, and tickets are looked for only if a queue has advice.

--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -99,7 +99,7 @@
 const openStep = (job: OpenJob, occurrence: number, step: Step, index: number): OpenStep => {
     const id = stepIdOf(job.id, occurrence, index);
     const tasks: Task[] = [];
-    const open: OpenStep = { id, job, occurrence, index, step, tasks, remaining: step.count };
+    const open: OpenStep = { id, job, occurrence, index, step, tasks, remaining: step.count, criticalPath: undefined };
     tasks.push(
         ...Array.from({ length: step.count }, (unused, taskIndex) => ({
             id: taskIdOf(id, taskIndex),
--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -56,7 +56,7 @@
 
 /** Records the work of an arrived job. */
 export const recordArrival = (tables: PoolTables, history: DemandHistory, job: OpenJob, nowMs: number): void => {
-    const { objectiveMs } = completionObjective(tables, job);
+    const { objectiveMs } = completionObjective(tables, job, nowMs);
     const spreadMs = Math.max(MIN_SPREAD_MS, (objectiveMs - job.arrivedAtMs) * SPREAD_SHARE);
     const work = runToCompletionSteps(job).reduce((sum, step) => sum + remainingWork(tables, step), 0);
     history.arrivals = [...history.arrivals, { untilMs: nowMs + spreadMs, cpu: work / spreadMs }];
@@ -119,7 +119,7 @@
 // CPU that the job needs to meet its objective, in thousandths of a core.
 const requiredCpuOf = (tables: PoolTables, job: OpenJob, nowMs: number): number => {
     const work = runToCompletionSteps(job).reduce((sum, step) => sum + remainingWork(tables, step), 0);
-    const { objectiveMs } = completionObjective(tables, job);
+    const { objectiveMs } = completionObjective(tables, job, nowMs);
     const leftMs = objectiveMs > nowMs ? Math.max(MIN_SPREAD_MS, objectiveMs - nowMs) : LATE_SPREAD_MS;
     return work / leftMs;
 };
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -14,6 +14,7 @@
 
 // A job counts as late only if it would miss its objective by more than this, since run times are estimates.
 const LATE_MARGIN_MS = 100;
+const PATH_REFRESH_MS = 500;
 // Relative spread of the run times within a step: the longest of many tasks takes longer than the mean.
 const RUN_TIME_SPREAD = 0.25;
 
@@ -43,26 +44,37 @@
     if (step.step.longRunning) {
         return { step, class: "longRunning", priority, latestStartMs: step.job.arrivedAtMs };
     }
-    const pathMs = criticalPathMs(tables, step.job, step.occurrence, step.index);
-    const latestStartMs = completionObjective(tables, step.job).objectiveMs - pathMs;
+    const latestStartMs =
+        completionObjective(tables, step.job, nowMs).objectiveMs - criticalPathMs(tables, step, nowMs);
     return { step, class: latestStartMs + LATE_MARGIN_MS < nowMs ? "late" : "on-time", priority, latestStartMs };
 };
 
 /** Time by which a job without a schedule must end to be on time, in milliseconds of the monotonic clock. */
-export const completionObjective = (tables: PoolTables, job: OpenJob): { readonly objectiveMs: number } => {
+export const completionObjective = (
+    tables: PoolTables,
+    job: OpenJob,
+    nowMs: number,
+): { readonly objectiveMs: number } => {
     const queue = tables.queues.get(job.queue);
-    const occurrence = [...job.occurrences.keys()][0] ?? 0;
-    const pathsMs = job.job.steps.map((unused, index) => criticalPathMs(tables, job, occurrence, index));
-    return { objectiveMs: job.arrivedAtMs + (queue?.stretch ?? 1) * Math.max(0, ...pathsMs) + (queue?.graceMs ?? 0) };
+    const steps = job.occurrences.values().next().value ?? [];
+    const longestPathMs = Math.max(0, ...steps.map(step => criticalPathMs(tables, step, nowMs)));
+    return { objectiveMs: job.arrivedAtMs + (queue?.stretch ?? 1) * longestPathMs + (queue?.graceMs ?? 0) };
 };
 
-// Expected time from the start of a step to the end of the longest chain of steps that depend on it.
-const criticalPathMs = (tables: PoolTables, job: OpenJob, occurrence: number, index: number): number => {
-    const steps = job.occurrences.get(occurrence) ?? [];
-    const step = steps[index];
-    const dependents = steps.filter(candidate => candidate.step.after.includes(index));
-    const dependentPathsMs = dependents.map(candidate => criticalPathMs(tables, job, occurrence, candidate.index));
-    return (step === undefined ? 0 : expectedStepMs(tables, step)) + Math.max(0, ...dependentPathsMs);
+// Expected time from the start of a step to the end of the longest chain of steps that depend on it. Estimates are
+// reused for a while, since each pass ranks all waiting steps.
+const criticalPathMs = (tables: PoolTables, step: OpenStep, nowMs: number): number => {
+    const known = step.criticalPath;
+    if (known !== undefined && nowMs - known.estimatedAtMs < PATH_REFRESH_MS) {
+        return known.pathMs;
+    }
+    const dependents = (step.job.occurrences.get(step.occurrence) ?? []).filter(candidate =>
+        candidate.step.after.includes(step.index),
+    );
+    const dependentPathsMs = dependents.map(dependent => criticalPathMs(tables, dependent, nowMs));
+    const pathMs = expectedStepMs(tables, step) + Math.max(0, ...dependentPathsMs);
+    step.criticalPath = { pathMs, estimatedAtMs: nowMs };
+    return pathMs;
 };
 
 // Expected run time of the longest task of the step.
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -29,9 +29,18 @@
         return [];
     }
     const mayStartInherited = tables.isProgressCurrent && areInheritedRunsKnown(tables, options.nowMs);
+    let largestFree = maxOfEach([...freeByExecutor.values()]);
     return orderSteps(tables, options.nowMs)
         .filter(({ step: { job } }) => job.leaseVerified && (!job.inherited || mayStartInherited))
-        .flatMap(({ step }) => placeStep(tables, step, freeByExecutor, options));
+        .flatMap(({ step }) => {
+            // In a full pool most steps are skipped here, without a search through the executors.
+            if (!fits(demandOf(step.step), largestFree)) {
+                return [];
+            }
+            const runs = placeStep(tables, step, freeByExecutor, options);
+            largestFree = runs.length === 0 ? largestFree : maxOfEach([...freeByExecutor.values()]);
+            return runs;
+        });
 };
 
 /** Capacity of an executor minus the demand of all runs that are or may be present. */
@@ -254,5 +263,13 @@
     gpu: from.gpu - demand.gpu,
 });
 
+// The largest amount of each resource; different executors may have them.
+const maxOfEach = (all: readonly Resources[]): Resources =>
+    all.reduce((largest, { cpu, memoryMb, gpu }) => ({
+        cpu: Math.max(largest.cpu, cpu),
+        memoryMb: Math.max(largest.memoryMb, memoryMb),
+        gpu: Math.max(largest.gpu, gpu),
+    }));
+
 const fits = (demand: Resources, free: Resources): boolean =>
     demand.cpu <= free.cpu && demand.memoryMb <= free.memoryMb && demand.gpu <= free.gpu;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -31,6 +31,15 @@
     readonly tasks: readonly Task[];
     /** Number of tasks that are not done. */
     remaining: number;
+    /** Last estimate of the time from the start of this step to the end of the job; undefined before the first one. */
+    criticalPath: CriticalPath | undefined;
+}
+
+/** Estimated time to the end of a job, in milliseconds. */
+interface CriticalPath {
+    readonly pathMs: number;
+    /** When it was estimated, in milliseconds of the monotonic clock. */
+    readonly estimatedAtMs: number;
 }
 
 /** Why a run is being stopped. */
--- a/pools/scheduler/test/order-steps.test.ts
+++ b/pools/scheduler/test/order-steps.test.ts
@@ -31,3 +31,25 @@
     // The objective is the stretch (2) times the critical path, so the longer chain has more slack.
     assert.deepEqual(order(0, jobs), ["single", "chain"]);
 });
+
+test("steps of a backlog are not estimated again in each pass, but again once estimates may have changed", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "waiting", steps: [step({ estimateMs: 500 })] }],
+    });
+    let lookups = 0;
+    const runTimes = tables.runTimes;
+    const counted = {
+        ...tables,
+        get runTimes() {
+            lookups++;
+            return runTimes;
+        },
+    };
+    orderSteps(counted, 0);
+    const first = lookups;
+    orderSteps(counted, 10);
+    assert.equal(lookups, first);
+    orderSteps(counted, 1000);
+    assert.ok(lookups > first);
+});
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -190,3 +190,23 @@
     mergeProgress(tables, old, { progress: { state: "completed", steps: [] }, version: 2 });
     assert.equal(tables.jobs.size, 0);
 });
+
+test("steps that fit on no executor are not searched for, so that a backlog does not exhaust the CPU", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: Array.from({ length: 100 }, (unused, index) => ({
+            id: `job-${index}`,
+            steps: [step({ demand: { cpu: 3000, memoryMb: 1, gpu: 0 } })],
+        })),
+    });
+    let searches = 0;
+    const runs = placeTasks(tables, {
+        nowMs: 0,
+        executorsWithTicket: () => {
+            searches++;
+            return undefined;
+        },
+    });
+    assert.equal(runs.length, 2);
+    assert.equal(searches, 2);
+});
--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -45,6 +45,7 @@
     let retryAtMs = 0;
 
     const timingOf = (step: OpenStep): AdviceTiming | undefined => tables.queues.get(step.job.queue)?.advice;
+    const isAnyQueueAdvised = (): boolean => [...tables.queues.values()].some(({ advice }) => advice !== undefined);
     const valid = (step: OpenStep): ValidTickets | undefined => {
         const tickets = ticketsByStep.get(step.id);
         return tickets !== undefined && tickets.validUntilMs > context.monotonicMs() ? tickets : undefined;
@@ -93,7 +94,8 @@
                 client === undefined ||
                 requestInFlight ||
                 context.monotonicMs() < retryAtMs ||
-                tables.executors.size === 0
+                tables.executors.size === 0 ||
+                !isAnyQueueAdvised()
             ) {
                 return;
             }
