--- a/programs/dispatcher/src/order-load.ts
+++ b/programs/dispatcher/src/order-load.ts
@@ -2,7 +2,7 @@
 import type { DispatcherMetrics } from "./dispatcher-metrics.js";
 
 /** Requests that a pool's scheduler sent to its executors within an interval. */
-export interface OrderLoadSample {
+interface OrderLoadSample {
     readonly sent: number;
     readonly answered: number;
     /** Requests that ended without a response; the executor may have executed them. */
