--- /dev/null
+++ b/programs/dispatcher/src/fleet-evacuations.ts
@@ -0,0 +1,72 @@
+import type { VmId } from "@almondusher/fleet/ids";
+import { EVACUATION_WINDOW_MS } from "@almondusher/scheduler/demand";
+import type { DispatcherContext } from "./dispatcher-context.js";
+import type { HeldLease } from "./lease-manager.js";
+import type { LeaseContent } from "./lease-rows.js";
+import type { OrderPurpose } from "./vm-orders.js";
+
+/** A request of the fleet manager to the schedulers to evacuate a VM. */
+export interface FleetEvacuation {
+    readonly id: string;
+    /** Time on the store's clock by which tasks that can continue elsewhere must have left the VM, in milliseconds. */
+    readonly byMs: number;
+    readonly purpose: OrderPurpose["kind"];
+    /** Stored before the order for the VM is sent, so that the next fleet manager knows that it may still arrive. */
+    ordered: boolean;
+}
+
+/** The VMs that the fleet manager has evacuated, including those of its predecessor. */
+export interface FleetEvacuations {
+    readonly entries: ReadonlyMap<VmId, FleetEvacuation>;
+    readonly add: (vm: VmId, purpose: FleetEvacuation["purpose"]) => FleetEvacuation;
+    /** Returns false if the VM was not being evacuated. */
+    readonly remove: (vm: VmId) => boolean;
+    /** VMs that an order sent by the previous fleet manager may still reach. */
+    readonly withPendingInheritedOrder: () => readonly VmId[];
+    /** Content for the fleet lease. */
+    readonly stored: () => LeaseContent["evacuations"];
+}
+
+export interface FleetEvacuationsOptions {
+    readonly context: Pick<DispatcherContext, "monotonicMs"> & {
+        readonly store: Pick<DispatcherContext["store"], "nowMs">;
+    };
+    readonly lease: Pick<HeldLease, "epoch" | "predecessor">;
+}
+
+// An order that was not answered may still be carried out up to this much later.
+const MAX_ORDER_DELAY_MS = 13_000;
+
+/**
+ * Starts with the evacuations of the previous fleet manager. Those with an order stay for a while even if no wave needs
+ * them any more, since the order may still arrive.
+ */
+export const createFleetEvacuations = ({ context, lease }: FleetEvacuationsOptions): FleetEvacuations => {
+    const entries = new Map<VmId, FleetEvacuation>(
+        (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs, ordered }) => [
+            vm,
+            { id, byMs, ordered, purpose: "maintenance" },
+        ]),
+    );
+    const inheritedOrders = new Set([...entries].filter(([, { ordered }]) => ordered).map(([vm]) => vm));
+    const inheritedOrdersUntilMs = context.monotonicMs() + MAX_ORDER_DELAY_MS;
+    let counter = 0;
+    return {
+        entries,
+        add: (vm, purpose) => {
+            counter++;
+            const evacuation: FleetEvacuation = {
+                id: `${lease.epoch}-${counter}`,
+                byMs: context.store.nowMs() + EVACUATION_WINDOW_MS,
+                purpose,
+                ordered: false,
+            };
+            entries.set(vm, evacuation);
+            return evacuation;
+        },
+        remove: vm => entries.delete(vm),
+        withPendingInheritedOrder: () =>
+            context.monotonicMs() < inheritedOrdersUntilMs ? [...inheritedOrders].filter(vm => entries.has(vm)) : [],
+        stored: () => [...entries].map(([vm, { id, byMs, ordered }]) => ({ vm, id, byMs, ordered })),
+    };
+};
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -1,6 +1,5 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import { EVACUATION_WINDOW_MS } from "@almondusher/scheduler/demand";
 import { createVmClient, type ListedVm } from "@almondusher/platform-adapter/vm-client";
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
 import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
@@ -9,6 +8,7 @@
 import { leaseAgeMs, type HeldLease, type LeaseManager } from "./lease-manager.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
 import type { OperatorFeed, RequestedWave } from "./operator-feed.js";
+import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
 import { createWaveStatusPublisher } from "./wave-status-publisher.js";
 import { sendOrder, type OrderOutcome, type OrderPurpose, type VmOrder } from "./vm-orders.js";
 
@@ -28,15 +28,6 @@
     readonly requestRenewal: () => void;
 }
 
-interface FleetEvacuation {
-    readonly id: string;
-    /** Time on the store's clock by which tasks that can continue elsewhere must have left the VM, in milliseconds. */
-    readonly byMs: number;
-    readonly purpose: OrderPurpose["kind"];
-    /** Stored before the order for the VM is sent, so that the next fleet manager knows that it may still arrive. */
-    ordered: boolean;
-}
-
 /** State of the pools that maintenance planning depends on. */
 interface MaintenancePlanInput {
     /** VMs that are being evacuated and have no runs left. */
@@ -54,8 +45,6 @@
 const MAX_POOL_RECORD_AGE_MS = 2500;
 // A fleet manager that could not renew its lease for this long sends no orders, because another may have taken over.
 const MAX_LEASE_AGE_MS = 2500;
-// An order that was not answered may still be carried out up to this much later.
-const MAX_ORDER_DELAY_MS = 13_000;
 // Added to the configured duration of a move before the list of VMs is expected to show the VM in its new pool.
 const MOVE_MARGIN_MS = 300;
 const MS_PER_SECOND = 1000;
@@ -70,20 +59,10 @@
     });
     const waves = new Map<number, Wave>();
     const orders = new Map<VmId, VmOrder>();
-    // Evacuations of the previous fleet manager are kept. Those with an order stay for a while even if no wave needs
-    // them any more, since the order may still arrive.
-    const evacuations = new Map<VmId, FleetEvacuation>(
-        (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs, ordered }) => [
-            vm,
-            { id, byMs, ordered, purpose: "maintenance" },
-        ]),
-    );
-    const inheritedOrders = new Set([...evacuations].filter(([, { ordered }]) => ordered).map(([vm]) => vm));
-    const inheritedOrdersUntilMs = context.monotonicMs() + MAX_ORDER_DELAY_MS;
+    const evacuations = createFleetEvacuations({ context, lease });
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let active = true;
-    let evacuationCounter = 0;
     let lastLoggedNeeds = "";
     const forecast = createSurgeForecast();
 
@@ -134,13 +113,10 @@
             pool: name,
             record: leases.freshRecord({ kind: "pool", pool: name }, MAX_POOL_RECORD_AGE_MS),
         }));
-    /** VMs that an order sent by the previous fleet manager may still reach. */
-    const vmsWithPendingInheritedOrder = (): readonly VmId[] =>
-        context.monotonicMs() < inheritedOrdersUntilMs ? [...inheritedOrders].filter(vm => evacuations.has(vm)) : [];
     const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
         const order: VmOrder = { purpose, sentAtMs: context.monotonicMs(), confirmedAtMs: undefined };
         orders.set(vm, order);
-        const evacuation = evacuations.get(vm) ?? addEvacuation(vm, purpose.kind);
+        const evacuation = evacuations.entries.get(vm) ?? evacuations.add(vm, purpose.kind);
         evacuation.ordered = true;
         if (!(await leases.renew(lease))) {
             // The order was not sent; the next tick plans it again.
@@ -154,14 +130,14 @@
             case "confirmed":
                 order.confirmedAtMs = context.monotonicMs();
                 // The order has ended the executor on the VM; the next one may get work as soon as it registers.
-                evacuations.delete(vm);
+                evacuations.remove(vm);
                 markMaintained(vm, order.purpose);
                 options.requestRenewal();
                 break;
             case "unneeded":
                 markMaintained(vm, order.purpose);
                 orders.delete(vm);
-                evacuations.delete(vm);
+                evacuations.remove(vm);
                 break;
             case "fenced":
                 options.requestRenewal();
@@ -190,10 +166,10 @@
                 waves: [...waves.values()],
                 orders: maintenanceOrders(orders),
                 withPendingRequest: new Set(orders.keys()),
-                evacuations: new Set(evacuations.keys()),
+                evacuations: new Set(evacuations.entries.keys()),
                 vacated,
                 losing,
-                possiblyDown: new Set(vmsWithPendingInheritedOrder().filter(vm => !orders.has(vm))),
+                possiblyDown: new Set(evacuations.withPendingInheritedOrder().filter(vm => !orders.has(vm))),
             },
             {
                 nowMs: context.monotonicMs(),
@@ -212,26 +188,15 @@
             }
         });
     };
-    const addEvacuation = (vm: VmId, purpose: FleetEvacuation["purpose"]): FleetEvacuation => {
-        evacuationCounter++;
-        const evacuation: FleetEvacuation = {
-            id: `${lease.epoch}-${evacuationCounter}`,
-            byMs: context.store.nowMs() + EVACUATION_WINDOW_MS,
-            purpose,
-            ordered: false,
-        };
-        evacuations.set(vm, evacuation);
-        return evacuation;
-    };
     const evacuateVm = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
-        addEvacuation(vm, purpose);
+        evacuations.add(vm, purpose);
         context.log("vm-evacuate", { vm, pool: vms.get(vm)?.pool, purpose });
         options.requestRenewal();
     };
     // Drops the order and the evacuation of a VM, because the VM is back in service or because they are not needed.
     const releaseVm = (vm: VmId): void => {
         orders.delete(vm);
-        if (evacuations.delete(vm)) {
+        if (evacuations.remove(vm)) {
             options.requestRenewal();
         }
     };
@@ -257,13 +222,18 @@
     };
     const movePlanInput = (needs: readonly PoolNeed[], vacated: ReadonlySet<VmId>): MoveTables => {
         const leaving = new Set(
-            [...evacuations].filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm)).map(([vm]) => vm),
+            [...evacuations.entries]
+                .filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm))
+                .map(([vm]) => vm),
         );
         return {
             vms,
             spare: sparePools()[0],
             needs,
-            unavailableForMove: new Set([...orders.keys(), ...[...evacuations.keys()].filter(vm => !leaving.has(vm))]),
+            unavailableForMove: new Set([
+                ...orders.keys(),
+                ...[...evacuations.entries.keys()].filter(vm => !leaving.has(vm)),
+            ]),
             leaving,
             vacated: new Set([...leaving].filter(vm => vacated.has(vm))),
             moving: movesOf(orders),
@@ -291,8 +261,8 @@
             .forEach(([vm]) => releaseVm(vm));
     };
     const dropUnneededEvacuations = (): void => {
-        const waiting = new Set([...vmsAwaitingMaintenance(), ...vmsWithPendingInheritedOrder()]);
-        [...evacuations]
+        const waiting = new Set([...vmsAwaitingMaintenance(), ...evacuations.withPendingInheritedOrder()]);
+        [...evacuations.entries]
             .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
             .forEach(([vm]) => releaseVm(vm));
     };
@@ -303,7 +273,7 @@
         }
         const records = poolRecords();
         const vacatedIds = new Set(records.flatMap(({ record }) => record?.vacated ?? []));
-        const vacated = new Set([...evacuations].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
+        const vacated = new Set([...evacuations.entries].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
         dropCompletedMoves();
         const needs = forecastPoolNeeds(records);
         applyMaintenancePlan({
@@ -322,7 +292,7 @@
         kind: "fleet",
         leaseContent: () => ({
             ...emptyLeaseContent,
-            evacuations: [...evacuations].map(([vm, { id, byMs, ordered }]) => ({ vm, id, byMs, ordered })),
+            evacuations: evacuations.stored(),
             maintained: [...waves.values()].map(({ number, confirmed }) => ({ wave: number, vms: [...confirmed] })),
         }),
         stop: () => {
--- /dev/null
+++ b/programs/dispatcher/test/fleet-evacuations.test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { VmId } from "@almondusher/fleet/ids";
+import { createFleetEvacuations } from "../src/fleet-evacuations.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
+
+const ORDERED = "vm-ordered" as VmId;
+const REQUESTED = "vm-requested" as VmId;
+// Longer than an unanswered order may take to be carried out.
+const LATE_ORDER_MS = 60_000;
+
+const predecessor: LeaseRecord = {
+    ...emptyLeaseContent,
+    holder: "entry-1" as VmId,
+    process: undefined,
+    epoch: 3,
+    evacuations: [
+        { vm: ORDERED, id: "3-1", byMs: 500, ordered: true },
+        { vm: REQUESTED, id: "3-2", byMs: 600, ordered: false },
+    ],
+};
+
+test("evacuations of the previous fleet manager are kept and stored again under their ids", () => {
+    const evacuations = createFleetEvacuations({
+        context: { monotonicMs: () => 0, store: { nowMs: () => 1000 } },
+        lease: { epoch: 4, predecessor },
+    });
+    assert.deepEqual(evacuations.stored(), predecessor.evacuations);
+    const { id } = evacuations.add("vm-new" as VmId, "move");
+    assert.equal(id, "4-1");
+    assert.equal(evacuations.stored().length, 3);
+});
+
+test("a VM that an inherited order may still reach counts as such until it is released or the order cannot arrive", () => {
+    let nowMs = 0;
+    const evacuations = createFleetEvacuations({
+        context: { monotonicMs: () => nowMs, store: { nowMs: () => 1000 } },
+        lease: { epoch: 4, predecessor },
+    });
+    assert.deepEqual(evacuations.withPendingInheritedOrder(), [ORDERED]);
+    nowMs = LATE_ORDER_MS;
+    assert.deepEqual(evacuations.withPendingInheritedOrder(), []);
+    nowMs = 0;
+    assert.equal(evacuations.remove(ORDERED), true);
+    assert.deepEqual(evacuations.withPendingInheritedOrder(), []);
+    assert.equal(evacuations.remove(ORDERED), false);
+});
