Stop an unanswered start of a long-running task only if a later report does not list it

Callers saw AVAIL: long-running tasks were ended while more of their step were away than the disruption budget allows.

A start without a response was stopped at once, although the executor may run it by then.

A long-running run stays unsettled until a report that was requested after the start was given up. If the report lists it, it goes on; if not, the start may still arrive and the run is stopped as before. Its task and capacity stay reserved meanwhile. Other runs are stopped at once as before, since the stop settles them sooner than the next report and no budget applies to them.

--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -64,10 +64,11 @@
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
-        if (run.phase === "unsettled" || run.phase === "starting") {
+        if (run.phase === "unsettled" || run.phase === "missing" || run.phase === "starting") {
             run.phase = "running";
         }
     });
+    markMissingRuns(executor, times);
     dropMissingRuns(executor, report, times);
     executor.reconciled = true;
     return applied;
@@ -216,6 +217,7 @@
         // statistics.
         resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
+        unansweredAtMs: undefined,
         percent: active.percent,
         availableSinceMs: active.percent >= 100 ? nowMs : undefined,
         recentLoad: active.recentLoad,
@@ -241,6 +243,12 @@
     }
 };
 
+// The runs that the report lists are no longer unsettled when this is called.
+const markMissingRuns = (executor: Executor, { sentAtMs }: ReportTimes): void =>
+    [...executor.runs.values()]
+        .filter(({ phase, unansweredAtMs }) => phase === "unsettled" && (unansweredAtMs ?? Infinity) <= sentAtMs)
+        .forEach(run => (run.phase = "missing"));
+
 // A report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer exists.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => `${task}/${run}`));
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -56,6 +56,12 @@
     run.phase = run.phase === "starting" ? "running" : run.phase;
 };
 
+/** Records that the start request of a run was given up without a response, so that the run may or may not exist. */
+export const markUnanswered = (run: Run, nowMs: number): void => {
+    run.unansweredAtMs = nowMs;
+    run.phase = run.phase === "starting" ? "unsettled" : run.phase;
+};
+
 /**
  * Begins an incarnation whose start time is not known yet. Confirmed runs ended with the previous incarnation. Runs
  * with an unanswered start request are kept, since the request may have reached the new one.
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -234,6 +234,7 @@
         startedAtMs: nowMs,
         resumedFrom: task.checkpoint,
         confirmedAtMs: undefined,
+        unansweredAtMs: undefined,
         percent: 0,
         availableSinceMs: undefined,
         recentLoad: undefined,
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -40,7 +40,7 @@
     if (run.task.done) {
         return "duplicate";
     }
-    if (run.phase === "unsettled") {
+    if (run.phase === "missing" || (run.phase === "unsettled" && !run.task.step.step.longRunning)) {
         return "unanswered";
     }
     if (run.task.step.step.gang && !isGangComplete(run)) {
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -70,6 +70,8 @@
      * reports requested later must list the run until it has ended.
      */
     confirmedAtMs: number | undefined;
+    /** When the start request was given up without a response; undefined if it was answered or still may be. */
+    unansweredAtMs: number | undefined;
     /** Last reported progress. */
     percent: number;
     /** When 100% progress was first reported, which means that a long-running task is in service; undefined before. */
@@ -83,8 +85,11 @@
     stopSentAtMs: number | undefined;
 }
 
-/** `unsettled` is a start request without a response: the run may or may not exist. */
-type RunPhase = "starting" | "running" | "stopping" | "unsettled";
+/**
+ * `unsettled` is a start request without a response: the run may or may not exist. `missing` is one that a later report
+ * does not list: the request may still arrive.
+ */
+type RunPhase = "starting" | "running" | "stopping" | "unsettled" | "missing";
 
 /** A job with remaining work, or whose final state is not stored yet. */
 export interface OpenJob {
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -2,8 +2,9 @@
 import test from "node:test";
 import { planStops } from "@almondusher/scheduler/plan-stops";
 import { endJob } from "../src/apply-report.js";
+import { markUnanswered } from "../src/executor-incarnation.js";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
-import { createPool, executorOf, place, record, step } from "./fixture.js";
+import { createPool, executorOf, place, receiveReport, record, step } from "./fixture.js";
 
 const stops = (tables: PoolTables, nowMs: number): readonly Run[] => planStops(tables, { nowMs, resendAfterMs: 400 });
 
@@ -24,6 +25,36 @@
     assert.equal(place(tables, 400).length, 0, "the task does not start elsewhere in the meantime");
 });
 
+test("a long-running task whose start was not answered keeps running if the executor reports it", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
+    });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    markUnanswered(run, 350);
+    assert.equal(stops(tables, 360).length, 0);
+    const active = [{ task: run.task.id, run: run.number, checkpoint: "", percent: 10, recentLoad: undefined }];
+    receiveReport(tables, "a", { active }, 400);
+    assert.equal(stops(tables, 410).length, 0);
+    assert.equal(run.phase, "running");
+});
+
+test("an unanswered start of a long-running task is stopped once a report that was requested later does not list it", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
+    });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    markUnanswered(run, 350);
+    receiveReport(tables, "a", {}, 300);
+    assert.equal(stops(tables, 360).length, 0, "the report was requested before the start could have been executed");
+    receiveReport(tables, "a", {}, 400);
+    assert.deepEqual(stops(tables, 410), [run]);
+    assert.equal(place(tables, 420).length, 0, "the start may still arrive, so its task does not start elsewhere");
+});
+
 test("the runs of a cancelled job are stopped", () => {
     const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
     const runs = place(tables);
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -4,6 +4,7 @@
     acknowledgedEnd,
     confirmStart,
     endIncarnation,
+    markUnanswered,
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
 import { leaseUntil } from "@almondusher/scheduler/lease-time";
@@ -122,6 +123,11 @@
         executor.leaseUntilMs = Math.max(executor.leaseUntilMs, until ?? 0);
         return until;
     };
+    const isReportUrgent = (): boolean =>
+        !executor.reconciled ||
+        failedPolls > 0 ||
+        executor.lastStoredEnd < executor.lastAppliedEnd ||
+        [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
     const pollReport = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         context.metrics.count("executor_reports");
@@ -130,10 +136,7 @@
             // have read the stored progress before they were added, and still needs the executor to report them.
             acknowledged: owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0,
             leaseUntilMs: extendRunLeases(),
-            waitMs:
-                executor.reconciled && failedPolls === 0 && executor.lastStoredEnd >= executor.lastAppliedEnd
-                    ? REPORT_LONG_POLL_MS
-                    : 0,
+            waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
         });
         if (closed) {
             return;
@@ -248,7 +251,7 @@
                 logStartNotAccepted(run, result.reason);
                 return;
             case "unknown":
-                run.phase = run.phase === "starting" ? "unsettled" : run.phase;
+                markUnanswered(run, nowMs);
                 executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
                 logStartNotAccepted(run, result.reason);
                 return;
