Give up runs only if the executor was asked after the end of their leases

The scheduler gave up a run as soon as its lease must have ended while its executor was marked unreachable, also if it had asked the executor last before that: after a suspension or a stall the scheduling pass runs before the next poll, whose answer would name the end. The rule now counts from the sending of the last unanswered poll.

The new test describes the stall; with the rule of before, the run is given up at 9 s, before the poll that reports its end.

--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -74,12 +74,18 @@
     return applied;
 };
 
-/** Removes from an unreachable executor the runs whose leases have certainly expired, and returns them. */
-export const expireRuns = (tables: PoolTables, executor: Executor, nowMs: number): readonly Run[] => {
+/**
+ * Removes from an unreachable executor the runs whose leases had certainly expired when the last unanswered poll was
+ * sent, and returns them. A scheduler that was late or suspended has not asked since, and the runs may have ended as
+ * done.
+ */
+export const expireRuns = (tables: PoolTables, executor: Executor): readonly Run[] => {
     if (executor.reachable) {
         return [];
     }
-    const expired = [...executor.runs.values()].filter(run => hasLeaseExpired(tables, run, nowMs));
+    const expired = [...executor.runs.values()].filter(run =>
+        hasLeaseExpired(tables, run, executor.unansweredPollSentAtMs),
+    );
     expired.forEach(forgetRun);
     if (expired.some(({ confirmedAtMs }) => confirmedAtMs === undefined)) {
         executor.hasUnresolvedStart = true;
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -64,6 +64,7 @@
     reconciled: false,
     listedInLease: false,
     reachable: true,
+    unansweredPollSentAtMs: Number.NEGATIVE_INFINITY,
     registered: true,
     lastAppliedEnd: 0,
     lastStoredEnd: 0,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -148,6 +148,8 @@
     /** Listed in the stored row of the pool lease, so that the next holder reads the executor's runs. */
     listedInLease: boolean;
     reachable: boolean;
+    /** When the last poll that got no answer was sent, in milliseconds of the monotonic clock. */
+    unansweredPollSentAtMs: number;
     /** Present in the registry. */
     registered: boolean;
     /** Highest number of a run end that was applied. */
--- a/pools/scheduler/test/apply-report.test.ts
+++ b/pools/scheduler/test/apply-report.test.ts
@@ -3,9 +3,8 @@
 import { closeJob } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { findTask } from "@almondusher/scheduler/pool-tables";
-import { expireRuns } from "../src/apply-report.js";
 import { confirmStart } from "../src/executor-incarnation.js";
-import { addJob, createPool, executorOf, receiveReport, place, record, step } from "./fixture.js";
+import { addJob, createPool, executorOf, expireAfterPoll, receiveReport, place, record, step } from "./fixture.js";
 
 const TASK = "j1.0.0.0" as never;
 
@@ -92,12 +91,29 @@
     executor.clock = { clockMs: 1000, heardAtMs: 0 };
     executor.leaseUntilMs = 5000;
     executor.reachable = false;
-    assert.equal(expireRuns(tables, executor, 4100).length, 0);
-    assert.equal(expireRuns(tables, executor, 4250).length, 1);
+    assert.equal(expireAfterPoll(tables, executor, 4100).length, 0);
+    assert.equal(expireAfterPoll(tables, executor, 4250).length, 1);
     executor.reachable = true;
     assert.equal(place(tables, 4250).length, 1);
 });
 
+test("a scheduler that was suspended does not start a task again before it has asked for the end of its run", () => {
+    const tables = createPool({ executors: [record("a"), record("b")], jobs: [{ id: "j1", steps: [step()] }] });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    confirmStart(tables, run, 0);
+    const { executor } = run;
+    executor.clock = { clockMs: 1000, heardAtMs: 0 };
+    executor.leaseUntilMs = 5000;
+    executor.reachable = false;
+    assert.equal(expireAfterPoll(tables, executor, 1500).length, 0);
+    assert.equal(place(tables, 9000).length, 0, "the last poll was sent before the end of the lease");
+    const ended = [{ number: 1, task: TASK, run: run.number, how: "done", checkpoint: "" }] as const;
+    receiveReport(tables, executor.id, { clockMs: 10_000, ended }, 9000);
+    assert.equal(place(tables, 9100).length, 0);
+    assert.equal(tables.jobs.get("j1" as never)?.state, "completed");
+});
+
 test("another start time under the same id ends all runs and resets the number of the last run end", () => {
     const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
     place(tables).forEach(run => confirmStart(tables, run, 50));
--- a/pools/scheduler/test/executor-incarnation.test.ts
+++ b/pools/scheduler/test/executor-incarnation.test.ts
@@ -2,9 +2,17 @@
 import test from "node:test";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { acknowledgedEnd, confirmStart, observeIncarnation } from "../src/executor-incarnation.js";
-import { expireRuns } from "../src/apply-report.js";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
-import { createPool, executorOf, receiveReport, MAX_LEASE_MS, place, record, step } from "./fixture.js";
+import {
+    createPool,
+    expireAfterPoll,
+    executorOf,
+    receiveReport,
+    MAX_LEASE_MS,
+    place,
+    record,
+    step,
+} from "./fixture.js";
 
 const OLD_CLOCK_MS = 500_000;
 const STARTED_AT_MS = 1000;
@@ -91,8 +99,8 @@
     executor.leaseUntilMs = OLD_CLOCK_MS + 4000;
     executor.reachable = false;
     const longestMs = STARTED_AT_MS + MAX_LEASE_MS / 0.98;
-    assert.ok(!expireRuns(tables, executor, longestMs).includes(run));
-    assert.deepEqual(expireRuns(tables, executor, longestMs + 1000), [run]);
+    assert.ok(!expireAfterPoll(tables, executor, longestMs).includes(run));
+    assert.deepEqual(expireAfterPoll(tables, executor, longestMs + 1000), [run]);
     assert.equal(acknowledgedEnd(executor), 0, "the end of that run may be the first one of a new incarnation");
     receiveReport(tables, "a", { clockMs: OLD_CLOCK_MS + 10_000 }, 9000);
     assert.equal(acknowledgedEnd(executor), 7);
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -7,7 +7,7 @@
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import { applyReport } from "../src/apply-report.js";
+import { applyReport, expireRuns } from "../src/apply-report.js";
 
 const POOL = toId<PoolName>("pool");
 /** Longest lease of runs in milliseconds. */
@@ -127,6 +127,12 @@
     return executor;
 };
 
+/** Gives up runs after a poll that was sent at the given time got no answer. */
+export const expireAfterPoll = (tables: PoolTables, executor: Executor, pollSentAtMs: number): readonly Run[] => {
+    executor.unansweredPollSentAtMs = pollSentAtMs;
+    return expireRuns(tables, executor);
+};
+
 const report = (change: Partial<RunReport> = {}): RunReport => ({
     clockMs: 1000,
     startedAtMs: 1,
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -156,6 +156,7 @@
                 return;
             case "unreachable":
                 failedPolls++;
+                executor.unansweredPollSentAtMs = sentAtMs;
                 if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
                     markUnreachable(result.reason);
                     await sleep(RETRY_DELAY_MS);
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -204,7 +204,7 @@
     };
     const expireLostRuns = (): void =>
         tables.executors.forEach(executor => {
-            const expired = expireRuns(tables, executor, context.monotonicMs());
+            const expired = expireRuns(tables, executor);
             expired.forEach(run => {
                 context.metrics.count("runs_lapsed_unseen");
                 context.log("run-lapsed", { task: run.task.id, run: run.number, executor: executor.id });
