Load settings and describe start-up failures in one place

The commands of entry and manager had the same loop, and the dispatcher formatted the same error itself and exited with 2, the code for invalid settings, after any failure. It now exits with 1 after others, as the other daemons do.

--- a/programs/dispatcher/src/main.ts
+++ b/programs/dispatcher/src/main.ts
@@ -1,10 +1,11 @@
 import { FleetError } from "@almondusher/fleet/fleet-error";
+import { describeStartupFailure } from "@almondusher/settings/startup-failure";
 import { readDispatcherSettings } from "./dispatcher-settings.js";
 import { runDispatcher } from "./dispatcher-process.js";
 
 // The platform sets this variable to the path of the settings file; --settings FILE takes precedence.
 const SETTINGS_VARIABLE = "ALMONDUSHER_NODE_FILE";
-const EXIT_INVALID_SETTINGS = 2;
+const EXIT_FAILED = 1;
 
 const settingsFile = (): string | undefined => {
     const flag = process.argv.indexOf("--settings");
@@ -23,10 +24,7 @@
 };
 
 start().catch((error: unknown) => {
-    const text =
-        error instanceof FleetError
-            ? [`${error.code}: ${error.message}`, ...error.details, `hint: ${error.hint}`].join("\n")
-            : String(error);
+    const { text, exitCode } = describeStartupFailure(error) ?? { text: String(error), exitCode: EXIT_FAILED };
     process.stderr.write(`${text}\n`);
-    process.exit(EXIT_INVALID_SETTINGS);
+    process.exit(exitCode);
 });
--- a/programs/entry/src/entry-command.ts
+++ b/programs/entry/src/entry-command.ts
@@ -1,6 +1,5 @@
 import { Command, Flags } from "@oclif/core";
-import { loadSettings } from "@almondusher/settings/load-settings";
-import { describeStartupFailure } from "@almondusher/settings/startup-failure";
+import { runWithSettings } from "@almondusher/settings/startup-failure";
 import { runEntry } from "./entry-process.js";
 import { entrySettingsSchema } from "./entry-settings.js";
 
@@ -17,14 +16,12 @@
 
     async run(): Promise<void> {
         const { flags } = await this.parse(EntryCommand);
-        try {
-            const settings = loadSettings({ file: flags.settings, schema: entrySettingsSchema });
-            await runEntry({ settings, settingsFile: flags.settings });
-        } catch (error) {
-            const failure = describeStartupFailure(error);
-            if (failure === undefined) {
-                throw error;
-            }
+        const failure = await runWithSettings({
+            file: flags.settings,
+            schema: entrySettingsSchema,
+            run: settings => runEntry({ settings, settingsFile: flags.settings }),
+        });
+        if (failure !== undefined) {
             this.logToStderr(failure.text);
             this.exit(failure.exitCode);
         }
--- a/programs/manager/src/manager-command.ts
+++ b/programs/manager/src/manager-command.ts
@@ -1,6 +1,5 @@
 import { Command, Flags } from "@oclif/core";
-import { loadSettings } from "@almondusher/settings/load-settings";
-import { describeStartupFailure } from "@almondusher/settings/startup-failure";
+import { runWithSettings } from "@almondusher/settings/startup-failure";
 import { runManager } from "./manager-process.js";
 import { managerSettingsSchema } from "./manager-settings.js";
 
@@ -17,14 +16,12 @@
 
     async run(): Promise<void> {
         const { flags } = await this.parse(ManagerCommand);
-        try {
-            const settings = loadSettings({ file: flags.settings, schema: managerSettingsSchema });
-            await runManager({ settings, settingsFile: flags.settings });
-        } catch (error) {
-            const failure = describeStartupFailure(error);
-            if (failure === undefined) {
-                throw error;
-            }
+        const failure = await runWithSettings({
+            file: flags.settings,
+            schema: managerSettingsSchema,
+            run: settings => runManager({ settings, settingsFile: flags.settings }),
+        });
+        if (failure !== undefined) {
             this.logToStderr(failure.text);
             this.exit(failure.exitCode);
         }
