Count a job as pending until an executor has begun one of its tasks

Callers of a queue's count got as few as 0 pending jobs while the starts of all of them had only been sent. A job was marked as started when its first run was placed, and stayed so if the start was rejected, got no answer or was given up.

The state of a job now becomes running with evidence of the executor: an accepted start, a listed run or a listed end. The flag `started`, which said the same as the state, is gone, so a job cancelled before its first start is no longer pending either.

Two assertions in apply-report.test.ts expected "queued" for jobs of which an executor had listed an ended run, to show that they had neither failed nor completed; an ended run had begun, so they now expect "running", which is as strict.

--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -32,7 +32,6 @@
         arrivedAtMs: admitted.arrivedAtMs,
         occurrences: new Map(),
         state: progress.state,
-        started: progress.state === "running",
         inherited: admitted.inherited,
         leaseVerified: admitted.leaseVerified,
         dirty: false,
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -2,7 +2,7 @@
 import { isFromPastIncarnation, observeIncarnation } from "./executor-incarnation.js";
 import { haveLeasesExpired, hasLongestLeaseExpired } from "./lease-time.js";
 import { learnRunTime } from "./run-times.js";
-import { isCompleted } from "./job-progress.js";
+import { isCompleted, markStarted } from "./job-progress.js";
 import {
     findTask,
     forgetRun,
@@ -57,6 +57,7 @@
             adoptRun(tables, executor, active, times.receivedAtMs);
             return;
         }
+        markStarted(run.task.step.job);
         run.percent = active.percent;
         run.recentLoad = active.recentLoad;
         run.availableSinceMs = active.percent >= 100 ? (run.availableSinceMs ?? times.receivedAtMs) : undefined;
@@ -131,6 +132,7 @@
     nowMs: number,
 ): void => {
     const { job, step } = task.step;
+    markStarted(job);
     if (end.checkpoint !== "") {
         task.checkpoint = end.checkpoint;
     }
@@ -229,7 +231,7 @@
     const isDuplicate = task.runs.length > 0 && !task.step.step.speculative;
     task.runs.push(run);
     executor.runs.set(task.id, run);
-    task.step.job.started = true;
+    markStarted(task.step.job);
     if (isDuplicate) {
         markForStop(run, "duplicate");
     }
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,4 +1,5 @@
 import { clockWentBack, recordClockReading } from "./lease-time.js";
+import { markStarted } from "./job-progress.js";
 import { forgetRun, type Executor, type PoolTables, type Run } from "./pool-tables.js";
 
 /** What a response of an executor says about its incarnation, which lasts from the start to the end of its process. */
@@ -53,6 +54,7 @@
         executor.leaseUntilMs = executor.clock.clockMs + tables.maxLeaseMs;
     }
     run.confirmedAtMs = nowMs;
+    markStarted(run.task.step.job);
     run.phase = run.phase === "starting" ? "running" : run.phase;
 };
 
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -41,9 +41,18 @@
     return step.remaining > 0 && step.step.after.every(earlier => steps?.[earlier]?.remaining === 0);
 };
 
-/** Number of accepted jobs without a started task, by queue. */
+/** Records that an executor has begun a task of the job. */
+export const markStarted = (job: OpenJob): void => {
+    if (job.state === "queued") {
+        job.state = "running";
+    }
+};
+
+/** Number of accepted jobs of which no executor is known to have begun a task, by queue. */
 export const countPendingJobs = (tables: PoolTables): ReadonlyMap<QueueName, number> => {
     const counts = new Map<QueueName, number>();
-    tables.jobs.forEach(({ queue, started }) => counts.set(queue, (counts.get(queue) ?? 0) + (started ? 0 : 1)));
+    tables.jobs.forEach(({ queue, state }) =>
+        counts.set(queue, (counts.get(queue) ?? 0) + (state === "queued" ? 1 : 0)),
+    );
     return counts;
 };
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -247,11 +247,6 @@
         executor,
         subtract(freeByExecutor.get(executor) ?? executor.record.capacity, demandOf(task.step.step)),
     );
-    const { job } = task.step;
-    job.started = true;
-    if (job.state === "queued") {
-        job.state = "running";
-    }
     return run;
 };
 
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -95,8 +95,8 @@
     readonly arrivedAtMs: number;
     /** Occurrences that are due, by number. */
     readonly occurrences: Map<number, readonly OpenStep[]>;
+    /** `queued` until an executor is known to have begun a task. */
     state: JobState;
-    started: boolean;
     /** Accepted before the current pool lease was taken, so the job may have runs that are not in the tables yet. */
     readonly inherited: boolean;
     /**
--- a/pools/scheduler/test/apply-report.test.ts
+++ b/pools/scheduler/test/apply-report.test.ts
@@ -23,7 +23,7 @@
     });
     receiveReport(successor, "a", { ended });
     assert.equal(findTask(successor, TASK)?.failures, 1, "the stored progress contains the number of the counted run");
-    assert.equal(successor.jobs.get("j1" as never)?.state, "queued");
+    assert.equal(successor.jobs.get("j1" as never)?.state, "running");
 });
 
 test("a job fails after its last attempt and completes only when every task is done", () => {
@@ -42,7 +42,7 @@
         ],
     });
     assert.equal(tables.jobs.get("j1" as never)?.state, "failed");
-    assert.equal(tables.jobs.get("j2" as never)?.state, "queued");
+    assert.equal(tables.jobs.get("j2" as never)?.state, "running");
     receiveReport(tables, "a", {
         ended: [{ number: 4, task: "j2.0.0.1" as never, run: 10, how: "done", checkpoint: "" }],
     });
