Measure the processor time of a dispatcher as it is deployed

job-load ran the sources through a loader, which transforms them in another way than the bundle that is deployed.

--- a/bench/system/bin/job-load.js
+++ b/bench/system/bin/job-load.js
@@ -10,6 +10,7 @@
         "run-ms": { type: "string", default: "400" },
         seconds: { type: "string", default: "8" },
         profile: { type: "string" },
+        program: { type: "string" },
     },
 });
 const result = await runJobLoad({
@@ -19,5 +20,6 @@
     runMs: Number(values["run-ms"]),
     seconds: Number(values.seconds),
     profileFolder: values.profile,
+    program: values.program,
 });
 console.log(JSON.stringify(result));
--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -43,6 +43,8 @@
     readonly runMs: (task: string) => number;
     /** Additional Node.js flags for the dispatchers, for example for the profiler. */
     readonly nodeFlags?: readonly string[];
+    /** File of a bundled dispatcher to run; the sources are run if undefined. */
+    readonly program?: string | undefined;
 }
 
 /** Response to a client's request. */
@@ -74,8 +76,9 @@
     );
     const vms = await startVmServiceStandIn(executors.map(({ id }) => ({ id: `vm-${id}`, pool: POOL, executor: id })));
     const dispatchers: DeployedDispatcher[] = [];
+    const command = [...(options.nodeFlags ?? []), ...programArguments(options.program)];
     const startDispatcher = async (vm: string): Promise<DeployedDispatcher> => {
-        const started = await spawnDispatcher(options.nodeFlags ?? [], directory, vm, store.address, vms.address);
+        const started = await spawnDispatcher(command, directory, vm, store.address, vms.address);
         dispatchers.push(started);
         return started;
     };
@@ -196,8 +199,11 @@
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
 });
 
+const programArguments = (program: string | undefined): readonly string[] =>
+    program === undefined ? ["--conditions=source", "--import", TSX, MAIN] : [program];
+
 const spawnDispatcher = async (
-    nodeFlags: readonly string[],
+    command: readonly string[],
     directory: string,
     vm: string,
     storeAddress: string,
@@ -228,13 +234,7 @@
         heartbeatMs: 500,
     };
     writeFileSync(file, JSON.stringify(settings));
-    const child = spawn(
-        process.execPath,
-        [...nodeFlags, "--conditions=source", "--import", TSX, MAIN, "--settings", file],
-        {
-            stdio: ["ignore", "pipe", "inherit"],
-        },
-    );
+    const child = spawn(process.execPath, [...command, "--settings", file], { stdio: ["ignore", "pipe", "inherit"] });
     const log: LogLine[] = [];
     parseLogLines(child, line => log.push(line));
     const ended = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
--- a/bench/system/src/job-load.ts
+++ b/bench/system/src/job-load.ts
@@ -12,6 +12,8 @@
     readonly seconds: number;
     /** Directory for a CPU profile of the dispatcher; profiling is off if undefined. */
     readonly profileFolder: string | undefined;
+    /** File of a bundled dispatcher, as it is deployed; the sources are run if undefined. */
+    readonly program: string | undefined;
 }
 
 /** Figures measured on the dispatcher under load. */
@@ -34,11 +36,12 @@
 
 /** Sends jobs to one dispatcher at a constant rate and measures its CPU time per task and its start delays. */
 export const runJobLoad = async (options: JobLoadOptions): Promise<JobLoadResult> => {
-    const { profileFolder } = options;
+    const { profileFolder, program } = options;
     const deployment = await startJobDeployment({
         dispatchers: 1,
         executors: options.executors,
         runMs: () => options.runMs,
+        program,
         nodeFlags: profileFolder === undefined ? [] : ["--cpu-prof", `--cpu-prof-dir=${profileFolder}`],
     });
     try {
