Keep identifiers in the bundle in place of defining names at run time

A pool's scheduler is short of processor time in its peak, and callers see SHORT. The bundle shortened all identifiers and restored the names of functions with keepNames, which calls Object.defineProperty for each function whenever it is created; the dispatcher creates many short closures for each task.

The bundle keeps the identifiers now. Names in errors and stack traces are those of the sources as before.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -10,8 +10,10 @@
     target: "node20",
     // bunyan cannot be loaded from an ESM bundle.
     format: "cjs",
-    minify: true,
-    keepNames: true,
+    // Identifiers stay as they are, so that errors and stack traces show the names of the sources. The option keepNames
+    // would define the name of each function again whenever it is created.
+    minifySyntax: true,
+    minifyWhitespace: true,
     conditions: ["source"],
     // Optional dependencies of bunyan, which works without them.
     external: ["dtrace-provider", "mv", "safe-json-stringify", "moment"],
