--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -5,6 +5,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { startExecutorStandIn, type ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
+import type { NarrowPath } from "@almondusher/job-platform-stand-in/narrow-path";
 import { startStoreStandIn, type StoreStandIn } from "@almondusher/job-platform-stand-in/store";
 import { startVmServiceStandIn, type VmServiceStandIn } from "@almondusher/job-platform-stand-in/vm-service";
 import { freePorts } from "./free-ports.js";
@@ -41,6 +42,8 @@
     readonly executors: number;
     /** Run time of a task in milliseconds. */
     readonly runMs: (task: string) => number;
+    /** Path that carries the requests to all executors; unlimited if undefined. */
+    readonly path?: NarrowPath;
     /** Additional Node.js flags for the dispatchers, for example for the profiler. */
     readonly nodeFlags?: readonly string[];
 }
@@ -69,7 +72,7 @@
     store.put("op", "config", configuration());
     const executors = await Promise.all(
         Array.from({ length: options.executors }, (unused, index) =>
-            startExecutorStandIn({ store, id: `i-${index}`, service: POOL, runMs: options.runMs }),
+            startExecutorStandIn({ store, id: `i-${index}`, service: POOL, runMs: options.runMs, path: options.path }),
         ),
     );
     const vms = await startVmServiceStandIn(executors.map(({ id }) => ({ id: `vm-${id}`, pool: POOL, executor: id })));
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -222,6 +222,7 @@
         speedLimitPercent: 100,
         stopCause: undefined,
         stopSentAtMs: undefined,
+        stopsSent: 0,
     };
     if (active.checkpoint !== "") {
         task.checkpoint = active.checkpoint;
@@ -237,7 +238,10 @@
 
 const addOrphanedRun = (executor: Executor, { task, run }: RunReport["active"][number]): void => {
     if (!executor.orphanedRuns.some(orphan => orphan.task === task && orphan.number === run)) {
-        executor.orphanedRuns = [...executor.orphanedRuns, { task, number: run, stopSentAtMs: undefined }];
+        executor.orphanedRuns = [
+            ...executor.orphanedRuns,
+            { task, number: run, stopSentAtMs: undefined, stopsSent: 0 },
+        ];
     }
 };
 
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -1,11 +1,13 @@
 import type { Resources, Step } from "@almondusher/jobs/job";
+import type { OrderBudget } from "./order-budget.js";
 import { orderSteps } from "./order-steps.js";
 import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
 
-/** Time of a placement pass, and the executors to which a step is restricted in it. */
+/** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
     /** Current time of the monotonic clock. */
     readonly nowMs: number;
+    readonly budget: OrderBudget;
     /**
      * Executors that may run the step; undefined if the step needs no ticket. For some queues the advice service
      * decides where a step may run, and issues a ticket for each executor that it chooses.
@@ -17,9 +19,17 @@
 // are always higher.
 const RUNS_PER_TOKEN = 65_536;
 
-/** Assigns executors to the tasks that can start and records the new runs in the tables. */
+/**
+ * Assigns executors to the tasks that can start and records the new runs in the tables. Tasks beyond the budget keep
+ * waiting in the order of their steps.
+ */
 export const placeTasks = (tables: PoolTables, options: PlacementOptions): readonly Run[] => {
-    const executors = [...tables.executors.values()].filter(executor => isSchedulable(executor, options.nowMs));
+    if (options.budget.isExhausted()) {
+        return [];
+    }
+    const executors = [...tables.executors.values()].filter(
+        executor => isSchedulable(executor, options.nowMs) && options.budget.allows(executor.id),
+    );
     const freeByExecutor = new Map(
         executors
             .map(executor => [executor, freeResources(executor)] as const)
@@ -34,7 +44,7 @@
         .filter(({ step: { job } }) => job.leaseVerified && (!job.inherited || mayStartInherited))
         .flatMap(({ step }) => {
             // In a full pool most steps are skipped here, without a search through the executors.
-            if (!fits(demandOf(step.step), largestFree)) {
+            if (options.budget.isExhausted() || !fits(demandOf(step.step), largestFree)) {
                 return [];
             }
             const runs = placeStep(tables, step, freeByExecutor, options);
@@ -90,6 +100,9 @@
     // Tasks of a step differ only in the executors on which they failed, so if one does not fit, no other one does.
     // Searching again for each task of a large step would exhaust the CPU when the pool is full.
     waiting.every(task => {
+        if (options.budget.isExhausted()) {
+            return false;
+        }
         const run = placeTask(tables, task, freeByExecutor, options);
         runs.push(...(run === undefined ? [] : [run]));
         return run !== undefined;
@@ -106,7 +119,7 @@
     const executor = chooseExecutor(task, freeByExecutor, options, undefined);
     return executor === undefined
         ? undefined
-        : addRun(tables, task, executor, nextRunNumber(tables), freeByExecutor, options.nowMs);
+        : addRun(tables, task, executor, nextRunNumber(tables), freeByExecutor, options);
 };
 
 const placeGang = (
@@ -128,7 +141,8 @@
         return [];
     }
     const run = nextRunNumber(tables);
-    return plan.map(({ task, executor }) => addRun(tables, task, executor, run, freeByExecutor, options.nowMs));
+    // The members start together, so the last gang of a pass may exceed the budget.
+    return plan.map(({ task, executor }) => addRun(tables, task, executor, run, freeByExecutor, options));
 };
 
 interface PlannedMember {
@@ -224,8 +238,9 @@
     executor: Executor,
     number: number,
     freeByExecutor: FreeByExecutor,
-    nowMs: number,
+    { nowMs, budget }: PlacementOptions,
 ): Run => {
+    budget.spend(executor.id);
     const run: Run = {
         task,
         number,
@@ -240,6 +255,7 @@
         speedLimitPercent: 100,
         stopCause: undefined,
         stopSentAtMs: undefined,
+        stopsSent: 0,
     };
     task.runs.push(run);
     executor.runs.set(task.id, run);
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -1,15 +1,23 @@
+import type { OrderBudget } from "./order-budget.js";
+import { isStopDue, recordStop, type StopSchedule, type StopTimes } from "./stop-schedule.js";
 import { markForStop, isJobEnded } from "./apply-report.js";
 import { remainingRunMs } from "./remaining-time.js";
-import { allRuns, type OpenStep, type PoolTables, type Run, type StopCause } from "./pool-tables.js";
+import {
+    allRuns,
+    type Executor,
+    type OpenStep,
+    type OrphanedRun,
+    type PoolTables,
+    type Run,
+    type StopCause,
+} from "./pool-tables.js";
 
-/** Current time and resend interval of a stop planning pass, in milliseconds. */
-export interface StopOptions {
-    readonly nowMs: number;
-    /** A stop request is sent again after this time if the end of the run is not known by then. */
-    readonly resendAfterMs: number;
+/** Times of a stop planning pass, and the orders that it may send. */
+export interface StopOptions extends StopTimes {
+    readonly budget: OrderBudget;
 }
 
-/** Marks the runs that must be stopped, and returns those for which a stop request is due now. */
+/** Marks the runs that must be stopped, and returns those for which a stop request is due now and within the budget. */
 export const planStops = (tables: PoolTables, options: StopOptions): readonly Run[] => {
     const runs = allRuns(tables);
     runs.filter(run => run.phase !== "stopping").forEach(run => {
@@ -18,13 +26,21 @@
             markForStop(run, cause);
         }
     });
-    const due = runs
-        .filter(run => run.phase === "stopping")
-        .filter(
-            ({ stopSentAtMs }) => stopSentAtMs === undefined || options.nowMs - stopSentAtMs >= options.resendAfterMs,
-        );
-    due.forEach(run => (run.stopSentAtMs = options.nowMs));
-    return due;
+    return runs.filter(run => run.phase === "stopping" && takeDueStop(run, run.executor, options));
+};
+
+/** Stop requests of orphaned runs that are due now and within the budget. */
+export const planOrphanStops = (executor: Executor, options: StopOptions): readonly OrphanedRun[] =>
+    executor.orphanedRuns.filter(orphanedRun => takeDueStop(orphanedRun, executor, options));
+
+/** Records a stop request as sent if it is due and within the budget; returns whether it is. */
+const takeDueStop = (schedule: StopSchedule, { id }: Executor, { budget, ...times }: StopOptions): boolean => {
+    if (!budget.allows(id) || !isStopDue(schedule, times)) {
+        return false;
+    }
+    budget.spend(id);
+    recordStop(schedule, times.nowMs);
+    return true;
 };
 
 const EVACUATION_GRACE_MS = 1500;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -4,6 +4,7 @@
 import type { ExecutorId, JobId, QueueName, StepId, TaskId } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
 import type { RunTimeTable } from "./run-times.js";
+import type { StopSchedule } from "./stop-schedule.js";
 
 /** A task and its known runs. */
 export interface Task {
@@ -54,7 +55,7 @@
     | "gang-incomplete";
 
 /** A run that is or may be present on an executor. It occupies resources until its end is known. */
-export interface Run {
+export interface Run extends StopSchedule {
     readonly task: Task;
     readonly number: number;
     readonly executor: Executor;
@@ -79,8 +80,6 @@
     /** Speed limit of the run, in percent of its full speed. */
     speedLimitPercent: number;
     stopCause: StopCause | undefined;
-    /** When a stop request was last sent. */
-    stopSentAtMs: number | undefined;
 }
 
 /** `unsettled` is a start request without a response: the run may or may not exist. */
@@ -165,10 +164,9 @@
 }
 
 /** An orphaned run: its job or task is finished or unknown. Its executor gets no starts until the run is gone. */
-export interface OrphanedRun {
+export interface OrphanedRun extends StopSchedule {
     readonly task: TaskId;
     readonly number: number;
-    stopSentAtMs: number | undefined;
 }
 
 /** In-memory state of the scheduler of one pool. */
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -5,6 +5,7 @@
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
+import type { OrderBudget } from "@almondusher/scheduler/order-budget";
 import { createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { applyReport } from "../src/apply-report.js";
@@ -14,6 +15,23 @@
 export const MAX_LEASE_MS = 6000;
 export const QUEUE = toId<QueueName>("queue");
 
+/** A budget that limits nothing. */
+export const UNLIMITED_BUDGET: OrderBudget = {
+    isExhausted: () => false,
+    allows: () => true,
+    spend: () => undefined,
+};
+
+/** A budget for a number of orders to any executors. */
+export const limitedBudget = (orders: number): OrderBudget => {
+    let remaining = orders;
+    return {
+        isExhausted: () => remaining <= 0,
+        allows: () => remaining > 0,
+        spend: () => void remaining--,
+    };
+};
+
 /** A step with one small task and the given changes. */
 export const step = (change: Partial<Step> = {}): Step => ({
     count: 1,
@@ -117,7 +135,7 @@
 };
 
 export const place = (tables: PoolTables, nowMs = 0): readonly Run[] =>
-    placeTasks(tables, { nowMs, executorsWithTicket: () => undefined });
+    placeTasks(tables, { nowMs, budget: UNLIMITED_BUDGET, executorsWithTicket: () => undefined });
 
 export const executorOf = (tables: PoolTables, id: string): Executor => {
     const executor = tables.executors.get(toId<ExecutorId>(id));
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -6,7 +6,7 @@
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
 import { markForStop } from "../src/apply-report.js";
-import { createPool, executorOf, place, record, step } from "./fixture.js";
+import { UNLIMITED_BUDGET, createPool, executorOf, limitedBudget, place, record, step } from "./fixture.js";
 
 test("resources of a run that is being stopped or has an unanswered start are not reassigned", () => {
     const tables = createPool({
@@ -45,7 +45,9 @@
     executorOf(tables, "b").evacuation = { id: "1-1", byMs: 0 };
     executorOf(tables, "c").listedInLease = false;
     executorOf(tables, "d").reconciled = false;
-    executorOf(tables, "e").orphanedRuns = [{ task: "x.0.0.0" as never, number: 1, stopSentAtMs: undefined }];
+    executorOf(tables, "e").orphanedRuns = [
+        { task: "x.0.0.0" as never, number: 1, stopSentAtMs: undefined, stopsSent: 0 },
+    ];
     assert.equal(place(tables).length, 0);
     executorOf(tables, "e").orphanedRuns = [];
     assert.equal(place(tables).length, 1);
@@ -144,6 +146,7 @@
     let searches = 0;
     const runs = placeTasks(tables, {
         nowMs: 0,
+        budget: UNLIMITED_BUDGET,
         executorsWithTicket: () => {
             searches++;
             return undefined;
@@ -202,6 +205,7 @@
     let searches = 0;
     const runs = placeTasks(tables, {
         nowMs: 0,
+        budget: UNLIMITED_BUDGET,
         executorsWithTicket: () => {
             searches++;
             return undefined;
@@ -210,3 +214,23 @@
     assert.equal(runs.length, 2);
     assert.equal(searches, 2);
 });
+
+test("tasks beyond the budget keep waiting in the order of their steps, and a gang is not split by it", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [
+            { id: "j1", steps: [step({ count: 3 })], arrivedAtMs: 0 },
+            { id: "j2", steps: [step({ count: 2, gang: true })], arrivedAtMs: 10_000 },
+            { id: "j3", steps: [step()], arrivedAtMs: 20_000 },
+        ],
+    });
+    const placeWithin = (orders: number): readonly string[] =>
+        placeTasks(tables, { nowMs: 0, budget: limitedBudget(orders), executorsWithTicket: () => undefined }).map(
+            ({ task }) => task.id as string,
+        );
+    assert.deepEqual(placeWithin(0), []);
+    assert.deepEqual(placeWithin(2), ["j1.0.0.0", "j1.0.0.1"]);
+    assert.equal(tables.jobs.get(toId<JobId>("j2"))?.started, false, "no run was recorded for a waiting task");
+    assert.deepEqual(placeWithin(2), ["j1.0.0.2", "j2.0.0.0", "j2.0.0.1"]);
+    assert.deepEqual(placeWithin(2), ["j3.0.0.0"]);
+});
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -1,11 +1,12 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { planStops } from "@almondusher/scheduler/plan-stops";
+import { planOrphanStops, planStops } from "@almondusher/scheduler/plan-stops";
 import { endJob } from "../src/apply-report.js";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
-import { createPool, executorOf, place, record, step } from "./fixture.js";
+import { UNLIMITED_BUDGET, createPool, limitedBudget, executorOf, place, record, step } from "./fixture.js";
 
-const stops = (tables: PoolTables, nowMs: number): readonly Run[] => planStops(tables, { nowMs, resendAfterMs: 400 });
+const stops = (tables: PoolTables, nowMs: number): readonly Run[] =>
+    planStops(tables, { nowMs, resendAfterMs: 400, budget: UNLIMITED_BUDGET });
 
 const markAvailable = (runs: readonly Run[]): void =>
     runs.forEach(run => {
@@ -119,3 +120,40 @@
     second.percent = 70;
     assert.equal(stops(tables, 3000).length, 2);
 });
+
+const RESEND_AFTER_MS = 400;
+const DURATION_MS = 20_000;
+const TICK_MS = 100;
+
+/** Times at which a stop request is due during the simulated time. */
+const dueTimes = (isDue: (nowMs: number) => boolean): readonly number[] =>
+    Array.from({ length: DURATION_MS / TICK_MS }, (unused, index) => index * TICK_MS).filter(isDue);
+
+test("stop requests that are not answered are sent at growing, bounded intervals, so that they do not cause congestion", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    run.phase = "unsettled";
+    const { executor } = run;
+    executor.orphanedRuns = [{ task: "x.0.0.0" as never, number: 1, stopSentAtMs: undefined, stopsSent: 0 }];
+    const expected = [0, 400, 1200, 2800, 6000, 9200, 12_400, 15_600, 18_800];
+    const options = { resendAfterMs: RESEND_AFTER_MS, budget: UNLIMITED_BUDGET };
+    assert.deepEqual(
+        dueTimes(nowMs => planStops(tables, { ...options, nowMs }).length > 0),
+        expected,
+    );
+    assert.deepEqual(
+        dueTimes(nowMs => planOrphanStops(executor, { ...options, nowMs }).length > 0),
+        expected,
+    );
+});
+
+test("stop requests beyond the budget are due in the next pass", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 3 })] }] });
+    const runs = place(tables);
+    runs.forEach(run => (run.phase = "unsettled"));
+    const stopWithin = (orders: number): readonly Run[] =>
+        planStops(tables, { nowMs: 0, resendAfterMs: RESEND_AFTER_MS, budget: limitedBudget(orders) });
+    assert.deepEqual(stopWithin(2), runs.slice(0, 2));
+    assert.deepEqual(stopWithin(2), runs.slice(2));
+});
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -16,6 +16,7 @@
 } from "@almondusher/platform-adapter/executor-client";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
+import type { OrderWindow } from "./order-window.js";
 
 /** Connection from a pool's scheduler to one executor: sends orders and polls the executor's reports. */
 export interface ExecutorConnection {
@@ -38,7 +39,7 @@
     readonly mayExtendLeases: () => boolean;
     /** Called with the run ends that a report contains for the first time. */
     readonly ended: (executor: Executor, ends: readonly AppliedEnd[]) => void;
-    /** Called when the executor's state has changed, so that a scheduling pass may have orders to send. */
+    /** Called when the executor's state has changed or an order has ended, so that a pass may have orders to send. */
     readonly changed: () => void;
     /** Called when the executor has rejected the ticket of a start. */
     readonly ticketRejected: (run: Run) => void;
@@ -51,6 +52,7 @@
     readonly owner: ExecutorConnectionOwner;
     readonly executor: Executor;
     readonly orderLoad: OrderLoad;
+    readonly orderWindow: OrderWindow;
     /** Time for which each start or extension of a run grants a lease, in milliseconds. */
     readonly leaseMs: number;
 }
@@ -75,6 +77,7 @@
     owner,
     executor,
     orderLoad,
+    orderWindow,
     leaseMs,
 }: ExecutorConnectionOptions): ExecutorConnection => {
     const { tables } = owner;
@@ -268,6 +271,8 @@
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
     };
+    const track = (send: () => Promise<OrderResult>): Promise<OrderResult> =>
+        orderWindow.track(executor.id, () => orderLoad.track(send));
     void pollWhileOpen();
     return {
         pollNow,
@@ -280,7 +285,7 @@
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
             context.metrics.count("starts");
             const sentAtMs = context.monotonicMs();
-            const result = await orderLoad.track(() =>
+            const result = await track(() =>
                 currentClient().start({
                     task: run.task.id,
                     run: run.number,
@@ -297,7 +302,7 @@
         stop: async run => {
             context.metrics.count("stops");
             const sentAtMs = context.monotonicMs();
-            const result = await orderLoad.track(() => currentClient().stop(run.task.id, run.number));
+            const result = await track(() => currentClient().stop(run.task.id, run.number));
             if (result.kind === "accepted") {
                 recordClock(result.clockMs, sentAtMs);
                 run.confirmedAtMs = context.monotonicMs();
@@ -305,16 +310,18 @@
                 owner.fenced();
             }
             pollNow();
+            owner.changed();
         },
         stopOrphanedRun: async orphanedRun => {
-            await orderLoad.track(() => currentClient().stop(orphanedRun.task, orphanedRun.number));
+            await track(() => currentClient().stop(orphanedRun.task, orphanedRun.number));
             pollNow();
+            owner.changed();
         },
         setPace: async (run, percent) => {
             const before = run.speedLimitPercent;
             // Set before the answer arrives, so that the next scheduling pass does not send the same order again.
             run.speedLimitPercent = percent;
-            const result = await orderLoad.track(() => currentClient().pace(run.task.id, run.number, percent));
+            const result = await track(() => currentClient().pace(run.task.id, run.number, percent));
             if (result.kind !== "accepted" && run.speedLimitPercent === percent) {
                 run.speedLimitPercent = before;
             }
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executor-connections.ts
@@ -10,6 +10,7 @@
     type ExecutorConnectionOwner,
 } from "./executor-connection.js";
 import type { OrderLoad } from "./order-load.js";
+import type { OrderWindow } from "./order-window.js";
 
 /** Connections from a pool's scheduler to all its executors. */
 export interface ExecutorConnections {
@@ -23,6 +24,7 @@
     readonly context: DispatcherContext;
     readonly owner: ExecutorConnectionOwner;
     readonly orderLoad: OrderLoad;
+    readonly orderWindow: OrderWindow;
     /** Time for which each start or extension of a run grants a lease, in milliseconds. */
     readonly leaseMs: number;
 }
@@ -32,6 +34,7 @@
     context,
     owner,
     orderLoad,
+    orderWindow,
     leaseMs,
 }: ExecutorConnectionsOptions): ExecutorConnections => {
     const { tables } = owner;
@@ -42,6 +45,7 @@
             .forEach(id => {
                 connections.get(id)?.close();
                 connections.delete(id);
+                orderWindow.forget(id);
             });
     return {
         sync: (records, evacuations) => {
@@ -51,7 +55,7 @@
                 if (!connections.has(executor.id)) {
                     connections.set(
                         executor.id,
-                        openExecutorConnection({ context, owner, executor, orderLoad, leaseMs }),
+                        openExecutorConnection({ context, owner, executor, orderLoad, orderWindow, leaseMs }),
                     );
                 }
                 const { vm } = executor.record;
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -13,6 +13,7 @@
 } from "@almondusher/scheduler/pool-tables";
 import { endJob, isJobEnded, expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
+import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
@@ -21,6 +22,7 @@
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createOrderLoad } from "./order-load.js";
+import { createOrderWindow } from "./order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { placeholderRecord, pendingCounts, completedEvacuations } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
@@ -150,8 +152,13 @@
     };
     const tickets = createStepTickets({ context, client: options.advice, tables, changed: requestPass });
     const orderLoad = createOrderLoad(context);
-    const connections = createExecutorConnections({ context, owner, orderLoad, leaseMs });
-    const orders = createRunOrders({ context, tables, connections, tickets });
+    const orderWindow = createOrderWindow({
+        monotonicMs: context.monotonicMs,
+        timeoutMs: ORDER_TIMEOUT_MS,
+        maxSize: () => tables.executors.size * MAX_ORDER_CONNECTIONS,
+    });
+    const connections = createExecutorConnections({ context, owner, orderLoad, orderWindow, leaseMs });
+    const orders = createRunOrders({ context, tables, connections, orderWindow, tickets });
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
         // Until the jobs are loaded, runs that executors report cannot be told from orphaned ones.
@@ -276,7 +283,7 @@
         .observe(() => {
             const sample = orderLoad.takeSample();
             if (sample !== undefined) {
-                context.log("order-load", { pool, ...sample });
+                context.log("order-load", { pool, ...sample, window: orderWindow.size() });
             }
         });
     void followJobs({
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { reply, startJsonServer, type JsonReply, type JsonRequest } from "./json-server.js";
+import type { NarrowPath } from "./narrow-path.js";
 import type { StoreStandIn } from "./store.js";
 
 /** Fault that the executor simulates until the next call of `setFault`. */
@@ -45,6 +46,8 @@
     /** Run time of a task in milliseconds. */
     readonly runMs: (task: string) => number;
     readonly cpu?: number;
+    /** Path that carries the requests to this executor; unlimited if undefined. */
+    readonly path?: NarrowPath | undefined;
 }
 
 interface ExecutorRun extends StartedRun {
@@ -80,7 +83,7 @@
 
 /** Starts an executor, registers it in the store and keeps renewing the registration. */
 export const startExecutorStandIn = async (options: ExecutorStandInOptions): Promise<ExecutorStandIn> => {
-    const { store, id, service, runMs, cpu = DEFAULT_CPU } = options;
+    const { store, id, service, runMs, cpu = DEFAULT_CPU, path } = options;
     const started: ExecutorRun[] = [];
     /** Highest run number that was started or stopped, by task. A start must name a higher one. */
     const highestRuns = new Map<string, number>();
@@ -225,7 +228,10 @@
                 return reply(404);
         }
     };
-    const server = await startJsonServer(handle);
+    const server = await startJsonServer(async request => {
+        await path?.carry();
+        return handle(request);
+    });
     const register = (): void => {
         sequenceNumber++;
         store.put("servers", id, {
