Let the age of the read jobs decide whether a count of pending jobs is used

Callers of a queue's count got the one in the lease of the pool if the lease had been renewed within 1.5 s. The renewal says nothing about the jobs: it goes on while the scheduler's feed of jobs lags (a long poll without an answer, a reload after lost history, a late process), and a new holder published the counts of its predecessor until it had loaded the jobs. With the stand-in's new fault, which leaves long polls unanswered, both entries answered 0 while 10 accepted jobs were waiting.

A scheduler now publishes with its counts the version and the time of the store up to which its feed has delivered all jobs; it hands on those of its predecessor with the predecessor's counts. An entry uses a count alone while that time is at most 2 s ago on the store's clock. Otherwise it adds the jobs that were stored after that version, one read without waiting. A started job never becomes pending again, so the sum is never too low. Without a usable count, or if the history is lost, it counts the stored jobs as before, now without cancelled ones.

Leases of earlier versions have no such time and are not used.

--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -77,7 +77,8 @@
     const entryServer = createEntryServer({
         context,
         operator,
-        countPending: (match: QueueMatch) => countPending(context, leases, match),
+        countPending: ({ queue }: QueueMatch) =>
+            countPending({ context, published: leases.lastRecord({ kind: "pool", pool: queue.pool }), queue }),
     });
     let stopped = false;
     const isReady = trackReadiness(context, () => !stopped && operator.configuration() !== undefined);
--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -69,7 +69,7 @@
                 return;
             }
             applyAll(all.rows);
-            after = all.version;
+            after = all.asOf.version;
             loaded = true;
         } else {
             const reading = await context.store.changes({ table: EXECUTOR_TABLE, after, waitMs: 0 });
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -6,7 +6,7 @@
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
-import { readAll } from "./read-all.js";
+import { readAll, type StorePoint } from "./read-all.js";
 
 /** A job with its progress as read from the store. */
 export interface StoredJob {
@@ -25,6 +25,8 @@
     readonly cancelled: (id: JobId) => void;
     /** Called after the initial load and after each batch of changes. */
     readonly changed: () => void;
+    /** Called after each successful read, with the state of the store whose jobs have all been delivered. */
+    readonly readUpTo: (point: StorePoint) => void;
 }
 
 export interface JobFeedOptions {
@@ -41,33 +43,39 @@
 export const followJobs = async (options: JobFeedOptions): Promise<void> => {
     const { context, pool, sink, isActive } = options;
     const tables = jobTablesOf(pool);
-    let after: number | undefined;
+    let asOf: StorePoint | undefined;
     let inherited = true;
     while (isActive()) {
-        if (after === undefined) {
-            after = await loadJobs(options, inherited);
-            if (after === undefined) {
+        if (asOf === undefined) {
+            asOf = await loadJobs(options, inherited);
+            if (asOf === undefined) {
                 await sleep(RETRY_DELAY_MS);
             } else {
                 inherited = false;
+                sink.readUpTo(asOf);
                 sink.changed();
             }
             continue;
         }
-        const reading = await context.store.changes({ table: tables.jobs, after, waitMs: LONG_POLL_MS });
+        const reading = await context.store.changes({
+            table: tables.jobs,
+            after: asOf.version,
+            waitMs: LONG_POLL_MS,
+        });
         if (!isActive()) {
             return;
         }
         switch (reading.kind) {
             case "rows":
                 reading.rows.forEach(row => applyChange(options, row));
-                after = reading.version;
+                asOf = { version: reading.version, atMs: reading.truncated ? asOf.atMs : reading.nowMs };
+                sink.readUpTo(asOf);
                 if (reading.rows.length > 0) {
                     sink.changed();
                 }
                 break;
             case "history-lost":
-                after = undefined;
+                asOf = undefined;
                 break;
             case "failed":
                 await sleep(RETRY_DELAY_MS);
@@ -78,7 +86,7 @@
 
 // Jobs are read before progress. A job that is accepted between the two reads is missing in the first one and is
 // delivered by the change feed.
-const loadJobs = async (options: JobFeedOptions, inherited: boolean): Promise<number | undefined> => {
+const loadJobs = async (options: JobFeedOptions, inherited: boolean): Promise<StorePoint | undefined> => {
     const { context, pool, sink } = options;
     const tables = jobTablesOf(pool);
     const jobs = await readAll(context.store, { table: tables.jobs, part: tables.part });
@@ -96,7 +104,7 @@
         }
     });
     jobs.rows.forEach(row => applyCancellation(sink, row));
-    return jobs.version;
+    return jobs.asOf;
 };
 
 const applyChange = (options: JobFeedOptions, row: Row): void => {
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -4,6 +4,7 @@
 import { parseJson } from "@almondusher/jobs/json-text";
 import type { PoolDemand } from "@almondusher/scheduler/demand";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
+import type { StorePoint } from "./read-all.js";
 
 /** What the holder of a lease is responsible for: a pool or the fleet. */
 export type LeaseSubject = { readonly kind: "pool"; readonly pool: PoolName } | { readonly kind: "fleet" };
@@ -46,6 +47,8 @@
     readonly epoch: number;
     readonly executors: readonly ListedExecutor[];
     readonly pending: readonly PendingCount[];
+    /** The stored jobs that `pending` covers; undefined if it covers none, as in rows written by earlier versions. */
+    readonly pendingAsOf: StorePoint | undefined;
     /** IDs of the evacuations whose VM has no runs and gets no new ones. */
     readonly vacated: readonly string[];
     /** Demand of the pool for VMs; undefined until its scheduler has estimated it. */
@@ -66,6 +69,7 @@
     epoch: z.int(),
     executors: z.array(z.object({ id: z.string(), address: z.string() })),
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
+    pendingAsOf: z.object({ version: z.number(), atMs: z.number() }).optional(),
     vacated: z.array(z.string()),
     demand: z
         .object({
@@ -87,6 +91,7 @@
 export const emptyLeaseContent: LeaseContent = {
     executors: [],
     pending: [],
+    pendingAsOf: undefined,
     vacated: [],
     demand: undefined,
     evacuations: [],
--- a/programs/dispatcher/src/operator-feed.ts
+++ b/programs/dispatcher/src/operator-feed.ts
@@ -66,7 +66,7 @@
             if (after === undefined) {
                 const all = await readAll(context.store, { table: OPERATOR_TABLE, part: PLATFORM_PART });
                 all?.rows.forEach(apply);
-                after = all?.version;
+                after = all?.asOf.version;
                 if (after !== undefined) {
                     continue;
                 }
--- a/programs/dispatcher/src/pending-count.ts
+++ b/programs/dispatcher/src/pending-count.ts
@@ -1,52 +1,103 @@
 import type { VmId } from "@almondusher/fleet/ids";
-import type { QueueMatch } from "@almondusher/jobs/configuration";
+import type { Queue } from "@almondusher/jobs/configuration";
 import { decodeJob, decodeProgress } from "@almondusher/jobs/stored-rows";
+import type { Row } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
-import type { LeaseManager } from "./lease-manager.js";
-import { readAll } from "./read-all.js";
+import type { LeaseRecord } from "./lease-rows.js";
+import { readAll, type StorePoint } from "./read-all.js";
 
 // Clients may get a count of up to this age.
-const MAX_COUNT_AGE_MS = 1500;
+const MAX_COUNT_AGE_MS = 2000;
 
 /** Number of accepted jobs of a queue that have not started, and how it is known. */
 export interface CountedJobs {
     readonly jobs: number;
+    /** How long ago the newest counted job can have been accepted, in milliseconds. */
+    readonly ageMs: number;
     readonly source: CountSource;
 }
 
 type CountSource =
-    /** Published by the scheduler of the pool. */
-    | { readonly kind: "lease"; readonly holder: VmId; readonly epoch: number }
+    /** Published in the lease of the pool by its last holder. */
+    | { readonly kind: "lease"; readonly holder: VmId | undefined; readonly epoch: number }
+    /** The published count and the jobs that were stored after it. */
+    | {
+          readonly kind: "lease-and-store";
+          readonly holder: VmId | undefined;
+          readonly epoch: number;
+          readonly publishedAgeMs: number;
+      }
     /** Counted from the stored jobs. */
     | { readonly kind: "store" };
 
+export interface PendingCountOptions {
+    readonly context: Pick<DispatcherContext, "store">;
+    /** Lease of the queue's pool as last read; undefined if it is not known. */
+    readonly published: LeaseRecord | undefined;
+    readonly queue: Queue;
+}
+
 /** Counts the accepted jobs of a queue that have not started; undefined if the store cannot be read. */
-export const countPending = async (
-    context: DispatcherContext,
-    leases: LeaseManager,
-    { queue }: QueueMatch,
-): Promise<CountedJobs | undefined> => {
-    const lease = leases.freshRecord({ kind: "pool", pool: queue.pool }, MAX_COUNT_AGE_MS);
-    if (lease?.holder !== undefined) {
-        const jobs = lease.pending.find(count => count.queue === queue.name)?.jobs ?? 0;
-        return { jobs, source: { kind: "lease", holder: lease.holder, epoch: lease.epoch } };
+export const countPending = async ({
+    context,
+    published,
+    queue,
+}: PendingCountOptions): Promise<CountedJobs | undefined> => {
+    if (published?.pendingAsOf === undefined) {
+        return countStored(context, queue);
+    }
+    const { holder, epoch, pending, pendingAsOf } = published;
+    const jobs = pending.find(count => count.queue === queue.name)?.jobs ?? 0;
+    const ageMs = ageOf(context, pendingAsOf);
+    if (ageMs <= MAX_COUNT_AGE_MS) {
+        return { jobs, ageMs, source: { kind: "lease", holder, epoch } };
+    }
+    // A lease that was renewed recently may still contain an old count, if its holder is late in reading new jobs. Jobs
+    // that have started since then are counted as well, so the sum is never too low.
+    const tables = jobTablesOf(queue.pool);
+    const changes = await context.store.changes({ table: tables.jobs, after: pendingAsOf.version, waitMs: 0 });
+    switch (changes.kind) {
+        case "rows":
+            return changes.truncated
+                ? countStored(context, queue)
+                : {
+                      jobs: jobs + selectJobs(changes.rows, queue).length,
+                      ageMs: 0,
+                      source: { kind: "lease-and-store", holder, epoch, publishedAgeMs: ageMs },
+                  };
+        case "history-lost":
+            return countStored(context, queue);
+        case "failed":
+            return undefined;
     }
-    // No process is known to schedule the pool at present, so its stored jobs are counted.
+};
+
+const countStored = async (context: PendingCountOptions["context"], queue: Queue): Promise<CountedJobs | undefined> => {
     const tables = jobTablesOf(queue.pool);
     const jobs = await readAll(context.store, { table: tables.jobs, part: tables.part });
     const progress = await readAll(context.store, { table: tables.progress, part: tables.part });
     if (jobs === undefined || progress === undefined) {
         return undefined;
     }
-    const queuedIds = new Set(
+    const startedIds = new Set(
         progress.rows
             .filter(({ key }) => cancelledJobId(key) === undefined)
-            .filter(({ value }) => decodeProgress(value).state === "queued")
+            .filter(({ value }) => decodeProgress(value).state !== "queued")
             .map(({ key }) => key),
     );
-    const counted = jobs.rows
-        .filter(({ key }) => queuedIds.has(key))
+    const counted = selectJobs(jobs.rows, queue).filter(({ key }) => !startedIds.has(key));
+    return { jobs: counted.length, ageMs: ageOf(context, jobs.asOf), source: { kind: "store" } };
+};
+
+/** Returns the rows of the queue's jobs, without those that a later row cancels. */
+const selectJobs = (rows: readonly Row[], queue: Queue): readonly Row[] => {
+    const present = rows.filter(({ deleted }) => !deleted);
+    const cancelledIds = new Set<string>(present.map(({ key }) => cancelledJobId(key)).filter(id => id !== undefined));
+    return present
+        .filter(({ key }) => cancelledJobId(key) === undefined && !cancelledIds.has(key))
         .filter(({ value }) => decodeJob(value).queue === queue.name);
-    return { jobs: counted.length, source: { kind: "store" } };
 };
+
+const ageOf = ({ store }: PendingCountOptions["context"], { atMs }: StorePoint): number =>
+    Math.max(0, Math.round(store.nowMs() - atMs));
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -72,6 +72,7 @@
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
     let jobsLoaded = false;
+    let jobsAsOf = lease.predecessor?.pendingAsOf;
     let reloadingProgress = false;
     let lastCompletedEvacuations = "";
     const demandHistory = createDemandHistory();
@@ -283,7 +284,12 @@
         context,
         pool,
         isActive,
-        sink: { job: admitStoredJob, cancelled: cancelJob, changed: onJobsChanged },
+        sink: {
+            job: admitStoredJob,
+            cancelled: cancelJob,
+            changed: onJobsChanged,
+            readUpTo: point => (jobsAsOf = point),
+        },
     });
 
     return {
@@ -292,6 +298,7 @@
             ...emptyLeaseContent,
             executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
             pending: jobsLoaded ? pendingCounts(tables) : (lease.predecessor?.pending ?? []),
+            pendingAsOf: jobsAsOf,
             vacated: jobsLoaded ? completedEvacuations(tables) : [],
             demand,
         }),
--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -1,15 +1,22 @@
 import type { Range, Row, TableStore } from "@almondusher/platform-adapter/table-store";
 
-/** All rows of a range, and the version from which to follow changes. */
+/** A state of the store: it contains all transactions up to the version. */
+export interface StorePoint {
+    readonly version: number;
+    /** Time on the store's clock at which this was its latest version, in milliseconds. */
+    readonly atMs: number;
+}
+
+/** All rows of a range, and the state of the store from which to follow changes. */
 export interface CompleteRange {
     readonly rows: readonly Row[];
-    readonly version: number;
+    readonly asOf: StorePoint;
 }
 
 /** Reads all pages of a range; undefined if the store failed. */
 export const readAll = async (store: TableStore, range: Range): Promise<CompleteRange | undefined> => {
     const rows: Row[] = [];
-    let version: number | undefined;
+    let asOf: StorePoint | undefined;
     let from = range.from;
     for (;;) {
         const reading = await store.read({ ...range, ...(from === undefined ? {} : { from }) });
@@ -17,11 +24,11 @@
             return undefined;
         }
         // The first page may lack changes made while later pages are read, so the feed has to start at its version.
-        version ??= reading.version;
+        asOf ??= { version: reading.version, atMs: reading.nowMs };
         rows.push(...reading.rows);
         const last = reading.rows.at(-1);
         if (!reading.truncated || last === undefined) {
-            return { rows, version };
+            return { rows, asOf };
         }
         // The smallest key that is greater than the last one.
         from = `${last.key}\u0000`;
--- /dev/null
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toId, type PoolName } from "@almondusher/fleet/ids";
+import type { TableStore } from "@almondusher/platform-adapter/table-store";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import { followJobs } from "../src/job-feed.js";
+import type { StorePoint } from "../src/read-all.js";
+
+type Reading = Awaited<ReturnType<TableStore["read"]>>;
+
+const rows = (version: number, nowMs: number, truncated = false): Reading => ({
+    kind: "rows",
+    rows: [],
+    version,
+    nowMs,
+    truncated,
+});
+
+/** Follows the jobs of a pool until the given changes are used up, and returns the states that were read up to. */
+const follow = async (loads: readonly Reading[], changes: readonly Reading[]): Promise<readonly StorePoint[]> => {
+    const points: StorePoint[] = [];
+    const remainingLoads = [...loads];
+    const remainingChanges = [...changes];
+    const store = {
+        read: () => Promise.resolve(remainingLoads.shift() ?? rows(99, 99)),
+        changes: () => Promise.resolve(remainingChanges.shift() ?? { kind: "failed", reason: "no more" }),
+    } as unknown as TableStore;
+    await followJobs({
+        context: { store } as unknown as DispatcherContext,
+        pool: toId<PoolName>("pool-a"),
+        isActive: () => remainingChanges.length > 0,
+        sink: {
+            job: () => undefined,
+            cancelled: () => undefined,
+            changed: () => undefined,
+            readUpTo: point => points.push(point),
+        },
+    });
+    return points;
+};
+
+test("the jobs are known up to the first page of the load, since later pages may lack jobs", async () => {
+    const cancellation = { table: "jobs-1", part: "jobs-1", key: "a!", value: "{}", version: 4, deleted: false };
+    const firstPage: Reading = { kind: "rows", rows: [cancellation], version: 5, nowMs: 100, truncated: true };
+    const loads = [firstPage, rows(8, 130), rows(9, 140)];
+    assert.deepEqual(await follow(loads, [{ kind: "failed", reason: "status 503" }]), [{ version: 5, atMs: 100 }]);
+});
+
+test("failed, lost and cut off reads of changes do not make the known jobs appear newer", async () => {
+    const loads = [rows(5, 100), rows(5, 100), { kind: "failed", reason: "status 503" } as const, rows(9, 900)];
+    const points = await follow(loads, [
+        rows(6, 300),
+        { kind: "failed", reason: "status 503" },
+        rows(7, 500, true),
+        { kind: "history-lost" },
+        rows(8, 999),
+    ]);
+    assert.deepEqual(points.slice(0, 3), [
+        { version: 5, atMs: 100 },
+        { version: 6, atMs: 300 },
+        { version: 7, atMs: 300 },
+    ]);
+    assert.deepEqual(points[3], { version: 99, atMs: 99 }, "the load after the failed one");
+});
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -14,7 +14,9 @@
     /** Carries out writes but closes the connection instead of answering. */
     | { readonly kind: "lost-answers" }
     /** Closes the connection instead of answering a write, and carries the write out after the delay. */
-    | { readonly kind: "late-writes"; readonly delayMs: number };
+    | { readonly kind: "late-writes"; readonly delayMs: number }
+    /** Answers no request for changes that may wait; all other calls are answered. */
+    | { readonly kind: "silent-long-polls" };
 
 /** In-memory stand-in for the platform's store: transactions, reads and the change feed. */
 export interface StoreStandIn {
@@ -148,6 +150,11 @@
             case "slow":
                 await delayAnswer(request, fault.answerMs);
                 break;
+            case "silent-long-polls":
+                if (Number(request.query.get("wait_ms") ?? 0) > 0) {
+                    return { kind: "no-reply" };
+                }
+                break;
             case "none":
             case "lost-answers":
             case "late-writes":
@@ -175,6 +182,7 @@
             case "none":
             case "busy":
             case "silent":
+            case "silent-long-polls":
             case "slow":
                 return commit(body);
         }
