Complete a wave only on confirmed maintenance or repeated lists without the VM

A wave could be shown as completed before every VM of it that stays had begun its maintenance, in three ways, each shown by a new test that failed before:

Also the two rejections that mean "not of this wave" and "no such VM" no longer count as maintenance; if the VM has left, the lists show it. - a VM missing in the last list counted as having left the fleet. Pages of a list are read one after another while VMs move. Now the last two lists must lack it. - so did a VM that joined after the last list: the list may be older than the wave, since it is read every 500 ms and stays in use while the service fails. Now both lists must have been requested after the wave was read.

--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -17,6 +17,8 @@
     readonly maxConcurrent: number;
     /** Deadline for the maintenance of all VMs, in milliseconds of the monotonic clock. */
     readonly dueAtMs: number;
+    /** When the wave was first read, in milliseconds of the monotonic clock. */
+    readonly requestedAtMs: number;
     /** VMs whose maintenance the platform has confirmed. */
     readonly confirmed: Set<VmId>;
     completed: boolean;
@@ -35,6 +37,10 @@
     readonly vms: ReadonlyMap<VmId, FleetVm>;
     /** When the list of VMs was requested. */
     readonly listedAtMs: number;
+    /** VMs in any of the last lists; a VM may be missing in one of them although it is still in the fleet. */
+    readonly recentlyListed: ReadonlySet<VmId>;
+    /** When the first of the last lists was requested. */
+    readonly listsSinceMs: number;
     readonly spare: ReadonlySet<PoolName>;
     readonly waves: readonly Wave[];
     readonly orders: ReadonlyMap<VmId, MaintenanceOrder>;
@@ -90,10 +96,14 @@
         release,
         evacuate: plans.flatMap(plan => plan.evacuate),
         order: plans.flatMap(plan => plan.order),
-        completed: open.filter(wave => unmaintainedVms(tables, wave).length === 0).map(({ number }) => number),
+        completed: open.filter(wave => isCompleted(tables, wave)).map(({ number }) => number),
     };
 };
 
+// A VM that has left the fleet needs no maintenance. Lists requested before the wave do not show that a VM has left.
+const isCompleted = ({ recentlyListed, listsSinceMs }: MaintenanceTables, wave: Wave): boolean =>
+    wave.vms.every(vm => wave.confirmed.has(vm) || (!recentlyListed.has(vm) && listsSinceMs >= wave.requestedAtMs));
+
 const isBackInService = (
     { vms, listedAtMs }: MaintenanceTables,
     vm: VmId,
@@ -111,7 +121,7 @@
     );
 };
 
-// VMs of the wave whose maintenance is not confirmed; VMs that left the fleet need none.
+// VMs of the wave that are listed and whose maintenance is not confirmed.
 const unmaintainedVms = ({ vms }: MaintenanceTables, wave: Wave): readonly VmId[] =>
     wave.vms.filter(vm => !wave.confirmed.has(vm) && vms.has(vm));
 
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -14,6 +14,7 @@
     vms: vms.map(vmId),
     maxConcurrent: 2,
     dueAtMs: 20_000,
+    requestedAtMs: 0,
     confirmed: new Set<VmId>(),
     completed: false,
     ...change,
@@ -22,6 +23,8 @@
 const tables = (change: Partial<MaintenanceTables>): MaintenanceTables => ({
     vms: fleet("a p", "b p", "c p", "d p", "e p", "f p", "s spare"),
     listedAtMs: 0,
+    recentlyListed: new Set(["a", "b", "c", "d", "e", "f", "s"].map(vmId)),
+    listsSinceMs: 0,
     spare: new Set([poolName("spare")]),
     waves: [],
     orders: new Map(),
@@ -140,3 +143,25 @@
     );
     assert.deepEqual(plan.evacuate.map(String), ["b", "c"]);
 });
+
+test("a wave is not completed while a VM of it is missing only in the last list", () => {
+    const planWith = (change: Partial<MaintenanceTables>) =>
+        planMaintenance(
+            tables({ waves: [wave(["a", "x"], { confirmed: new Set([vmId("a")]), requestedAtMs: 500 })], ...change }),
+            OPTIONS,
+        ).completed;
+    assert.deepEqual(planWith({ recentlyListed: new Set([vmId("a")]), listsSinceMs: 600 }), [1], "x has left");
+    assert.deepEqual(planWith({ recentlyListed: new Set(["a", "x"].map(vmId)), listsSinceMs: 600 }), []);
+});
+
+test("a wave is not completed by lists that were requested before it, since VMs may have joined since", () => {
+    const plan = planMaintenance(
+        tables({
+            waves: [wave(["a", "x"], { confirmed: new Set([vmId("a")]), requestedAtMs: 500 })],
+            recentlyListed: new Set([vmId("a")]),
+            listsSinceMs: 499,
+        }),
+        OPTIONS,
+    );
+    assert.deepEqual(plan.completed, []);
+});
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -40,9 +40,12 @@
 
 const TICK_INTERVAL_MS = 100;
 const LIST_INTERVAL_MS = 500;
+// A VM has left the fleet if this many successive lists lack it.
+const LISTS_TO_TELL_A_DEPARTURE = 2;
 // Pool leases that were renewed longer ago are ignored: without a scheduler, VMs that the pool has evacuated may not
 // stay empty, and its demand is outdated.
 const MAX_POOL_RECORD_AGE_MS = 2500;
+const ORDER_RETRY_DELAY_MS = 400;
 // A fleet manager that could not renew its lease for this long sends no orders, because another may have taken over.
 const MAX_LEASE_AGE_MS = 2500;
 // Added to the configured duration of a move before the list of VMs is expected to show the VM in its new pool.
@@ -61,7 +64,7 @@
     const orders = new Map<VmId, VmOrder>();
     const evacuations = createFleetEvacuations({ context, lease });
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
-    let listedAtMs = Number.NEGATIVE_INFINITY;
+    let lastLists: readonly VmList[] = [];
     let active = true;
     let lastLoggedNeeds = "";
     const forecast = createSurgeForecast();
@@ -84,6 +87,7 @@
             vms: request.vms,
             maxConcurrent: request.maxConcurrent,
             dueAtMs: firstReadAtMs + request.withinMs,
+            requestedAtMs: firstReadAtMs,
             confirmed: new Set(maintained),
             completed: false,
         });
@@ -93,6 +97,11 @@
         }
     };
     const openWaves = (): readonly Wave[] => [...waves.values()].filter(({ completed }) => !completed);
+    const listedAtMs = (): number => lastLists.at(-1)?.sentAtMs ?? Number.NEGATIVE_INFINITY;
+    const listsSinceMs = (): number =>
+        lastLists.length < LISTS_TO_TELL_A_DEPARTURE
+            ? Number.NEGATIVE_INFINITY
+            : (lastLists[0]?.sentAtMs ?? Number.NEGATIVE_INFINITY);
     const pollVms = async (): Promise<void> => {
         while (active) {
             const sentAtMs = context.monotonicMs();
@@ -101,7 +110,7 @@
                 vms = new Map(
                     listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
                 );
-                listedAtMs = sentAtMs;
+                lastLists = [...lastLists, { vms: [...vms.keys()], sentAtMs }].slice(-LISTS_TO_TELL_A_DEPARTURE);
             }
             await sleep(LIST_INTERVAL_MS);
         }
@@ -123,7 +132,11 @@
             orders.delete(vm);
             return;
         }
-        applyOutcome(vm, order, await sendOrder({ context, client, vm, order, mayAct }));
+        applyOutcome(
+            vm,
+            order,
+            await sendOrder({ context, client, vm, order, mayAct, retryDelayMs: ORDER_RETRY_DELAY_MS }),
+        );
     };
     const applyOutcome = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
         switch (outcome) {
@@ -135,7 +148,6 @@
                 options.requestRenewal();
                 break;
             case "unneeded":
-                markMaintained(vm, order.purpose);
                 orders.delete(vm);
                 evacuations.remove(vm);
                 break;
@@ -161,7 +173,9 @@
         const plan = planMaintenance(
             {
                 vms,
-                listedAtMs,
+                listedAtMs: listedAtMs(),
+                recentlyListed: new Set(lastLists.flatMap(list => list.vms)),
+                listsSinceMs: listsSinceMs(),
                 spare: new Set(sparePools()),
                 waves: [...waves.values()],
                 orders: maintenanceOrders(orders),
@@ -254,7 +268,7 @@
                 return (
                     purpose.kind === "move" &&
                     confirmedAtMs !== undefined &&
-                    listedAtMs > confirmedAtMs + moveMs &&
+                    listedAtMs() > confirmedAtMs + moveMs &&
                     (listed === undefined || (listed.condition === "up" && listed.pool === purpose.to))
                 );
             })
@@ -303,6 +317,12 @@
     };
 };
 
+/** VMs in one list of the platform, and when it was requested. */
+interface VmList {
+    readonly vms: readonly VmId[];
+    readonly sentAtMs: number;
+}
+
 interface PoolRecord {
     readonly pool: PoolName;
     readonly record: LeaseRecord | undefined;
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -32,7 +32,7 @@
     readonly ordered: boolean;
 }
 
-/** VMs of a maintenance wave whose maintenance order is confirmed or not needed. */
+/** VMs of a maintenance wave whose maintenance order is confirmed. */
 interface WaveMaintenance {
     readonly wave: number;
     readonly vms: readonly VmId[];
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -22,24 +22,31 @@
     readonly order: VmOrder;
     /** False if the process must send no more orders under its lease. */
     readonly mayAct: () => boolean;
+    /** Pause before an order is sent again, in milliseconds. */
+    readonly retryDelayMs: number;
 }
 
-const RETRY_DELAY_MS = 400;
-
 /**
  * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, as long as `mayAct` returns
  * true. Orders are idempotent.
  */
-export const sendOrder = async ({ context, client, vm, order, mayAct }: SendOrderOptions): Promise<OrderOutcome> => {
+export const sendOrder = async ({
+    context,
+    client,
+    vm,
+    order,
+    mayAct,
+    retryDelayMs,
+}: SendOrderOptions): Promise<OrderOutcome> => {
     while (mayAct()) {
         const result = await send(client, vm, order.purpose);
         context.metrics.count(`vm_orders_${order.purpose.kind}`);
         context.log("vm-order", { vm, ...order.purpose, outcome: result });
-        const outcome = outcomeOf(result);
+        const outcome = outcomeOf(result, order.purpose);
         if (outcome !== undefined) {
             return outcome;
         }
-        await sleep(RETRY_DELAY_MS);
+        await sleep(retryDelayMs);
     }
     return "given-up";
 };
@@ -53,19 +60,20 @@
     }
 };
 
-const outcomeOf = (result: VmOrderResult): OrderOutcome | undefined => {
+const outcomeOf = (result: VmOrderResult, purpose: OrderPurpose): OrderOutcome | undefined => {
     switch (result.kind) {
         case "done":
             return "confirmed";
         case "unknown":
             return undefined;
         case "rejected":
-            return outcomeOfRejection(result.reason);
+            return outcomeOfRejection(result.reason, purpose);
     }
 };
 
 const outcomeOfRejection = (
     reason: Extract<VmOrderResult, { kind: "rejected" }>["reason"],
+    purpose: OrderPurpose,
 ): OrderOutcome | undefined => {
     switch (reason) {
         case "overloaded":
@@ -76,6 +84,7 @@
             return "refused";
         case "other-wave":
         case "invalid":
-            return "unneeded";
+            // Only a confirmed maintenance, or lists that lack the VM, complete its part of a wave.
+            return purpose.kind === "maintenance" ? "refused" : "unneeded";
     }
 };
--- /dev/null
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -0,0 +1,38 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toId, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { VmClient, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import { sendOrder, type OrderOutcome, type OrderPurpose } from "../src/vm-orders.js";
+
+const outcomeOf = (purpose: OrderPurpose, ...results: readonly VmOrderResult[]): Promise<OrderOutcome> => {
+    const remaining = [...results];
+    const answer = (): Promise<VmOrderResult> => Promise.resolve(remaining.shift() ?? { kind: "done" });
+    return sendOrder({
+        context: { metrics: { count: () => undefined }, log: () => undefined } as unknown as DispatcherContext,
+        client: { move: answer, maintain: answer } as unknown as VmClient,
+        vm: toId<VmId>("vm-1"),
+        order: { purpose, sentAtMs: 0, confirmedAtMs: undefined },
+        mayAct: () => remaining.length > 0,
+        retryDelayMs: 1,
+    });
+};
+
+const MAINTENANCE: OrderPurpose = { kind: "maintenance", wave: 1 };
+const MOVE: OrderPurpose = { kind: "move", to: toId<PoolName>("pool-a") };
+
+test("a rejected maintenance is not taken for one that is not needed", async () => {
+    for (const reason of ["busy", "other-wave", "invalid"] as const) {
+        assert.equal(await outcomeOf(MAINTENANCE, { kind: "rejected", reason }), "refused", reason);
+    }
+    assert.equal(await outcomeOf(MAINTENANCE, { kind: "done" }), "confirmed");
+});
+
+test("an order without a readable answer is repeated, and a move that the platform cannot make is dropped", async () => {
+    const unknown = { kind: "unknown", reason: "status 500" } as const;
+    assert.equal(
+        await outcomeOf(MAINTENANCE, unknown, { kind: "rejected", reason: "overloaded" }, { kind: "done" }),
+        "confirmed",
+    );
+    assert.equal(await outcomeOf(MOVE, { kind: "rejected", reason: "invalid" }), "unneeded");
+});
