Complete a job whose last tasks ended under two schedulers

A job could be shown as running for good although all of its tasks were done. After a takeover the former holder may store the end of one task while the successor reads the end of the last one from an executor. The successor merges the stored progress afterwards, either as it reads it again or after a conflict, but looked for the completion of a job only when an end arrived. No end was left to arrive.

The completion is now looked for after each merge and when a job is loaded, and the progress is stored then. Stored progress that says running also makes the job running for its reader, instead of being overwritten with queued.

Three of the four new tests failed before; the fourth holds that a merge that lacks a task completes nothing.

--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -1,6 +1,8 @@
 import { occurrencesOf, stepIdOf, taskIdOf, type Job, type Step } from "@almondusher/jobs/job";
 import type { Progress, StepProgress } from "@almondusher/jobs/progress";
 import type { ExecutorId, JobId } from "@almondusher/jobs/ids";
+import { completeIfDone } from "./apply-report.js";
+import { markStarted } from "./job-progress.js";
 import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
 
 // Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows.
@@ -40,14 +42,19 @@
     tables.jobs.set(job.id, open);
     openDueOccurrences(open, wallMs);
     restoreProgress(open, progress);
+    completeIfDone(open);
 };
 
 /** Allows all known jobs to start runs, after a renewal has shown that the pool lease was held when they were read. */
 export const markLeaseVerified = (tables: PoolTables): void => tables.jobs.forEach(job => (job.leaseVerified = true));
 
 // Merges stored progress into the state of a job.
-const restoreProgress = (open: OpenJob, progress: Progress): void =>
+const restoreProgress = (open: OpenJob, progress: Progress): void => {
+    if (progress.state === "running") {
+        markStarted(open);
+    }
     progress.steps.forEach(step => restoreStep(open, step));
+};
 
 /** Progress as it was read from the store. */
 export interface StoredProgress {
@@ -64,7 +71,10 @@
     restoreProgress(open, progress);
     if (isFinal(progress)) {
         closeJob(tables, open);
+        return;
     }
+    // Neither holder of the lease may have known of all tasks that are done.
+    completeIfDone(open);
 };
 
 /** Removes a job whose final state is stored. */
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -100,6 +100,13 @@
     job.dirty = true;
 };
 
+/** Ends a job as completed if all of its tasks are done. */
+export const completeIfDone = (job: OpenJob): void => {
+    if (!isJobEnded(job) && isCompleted(job)) {
+        endJob(job, "completed");
+    }
+};
+
 /** True for a job in a final state, which must not start further runs. */
 export const isJobEnded = ({ state }: OpenJob): boolean => state !== "queued" && state !== "running";
 
@@ -155,9 +162,7 @@
     if (!isJobEnded(job) && !step.longRunning && failures >= maxAttempts && !task.done) {
         endJob(job, "failed");
     }
-    if (!isJobEnded(job) && isCompleted(job)) {
-        endJob(job, "completed");
-    }
+    completeIfDone(job);
 };
 
 const recordFailure = (task: Task, executor: Executor, run: number): void => {
--- /dev/null
+++ b/pools/scheduler/test/admit-job.test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import { mergeProgress } from "@almondusher/scheduler/admit-job";
+import type { Progress } from "@almondusher/jobs/progress";
+import type { PoolTables } from "@almondusher/scheduler/pool-tables";
+import { createPool, receiveReport, record, step } from "./fixture.js";
+
+const withDoneTask = (index: number): Progress => ({
+    state: "running",
+    steps: [{ occurrence: 0, step: 0, done: [index], failures: [], checkpoints: [] }],
+});
+
+const merge = (tables: PoolTables, progress: Progress): void => {
+    const job = tables.jobs.get("j1" as never);
+    assert.ok(job !== undefined);
+    mergeProgress(tables, job, { progress, version: 2 });
+};
+
+const endOfSecondTask = [{ number: 1, task: "j1.0.0.1" as never, run: 1, how: "done", checkpoint: "" }] as const;
+
+test("a job completes when its last tasks ended under two schedulers, each of which knows a part", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
+    receiveReport(tables, "a", { ended: endOfSecondTask });
+    assert.equal(tables.jobs.get("j1" as never)?.state, "running");
+    merge(tables, withDoneTask(0));
+    assert.equal(tables.jobs.get("j1" as never)?.state, "completed");
+    assert.equal(tables.jobs.get("j1" as never)?.dirty, true, "the completion must be stored");
+});
+
+test("a job whose stored progress lacks a task does not complete", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 3 })] }] });
+    receiveReport(tables, "a", { ended: endOfSecondTask });
+    merge(tables, withDoneTask(0));
+    assert.equal(tables.jobs.get("j1" as never)?.state, "running");
+});
+
+test("a job that the previous scheduler knew as running stays so in stored progress", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 2 })] }] });
+    merge(tables, withDoneTask(0));
+    assert.equal(tables.jobs.get("j1" as never)?.state, "running");
+});
+
+test("a job loaded with all of its tasks done but not completed is completed", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step()], progress: withDoneTask(0) }],
+    });
+    assert.equal(tables.jobs.get("j1" as never)?.state, "completed");
+    assert.equal(tables.jobs.get("j1" as never)?.dirty, true);
+});
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -180,6 +180,9 @@
         if (openJob === undefined) {
             return;
         }
+        if (openJob.dirty) {
+            writer.request();
+        }
         recordArrival(tables, demandHistory, openJob, context.monotonicMs());
         context.log("job-admitted", {
             job: job.id,
@@ -231,6 +234,7 @@
         void reloadProgress(context, tables).then(read => {
             reloadingProgress = false;
             tables.isProgressCurrent = read;
+            writer.request();
             requestPass();
         });
     };
