Publish a wave as running only if no state of it is published yet

The operator could be told that a completed wave was running, and never told again of its completion: a write of "running" without an answer may be applied seconds later, after that of "completed", and a fleet manager that takes over before the last confirmed maintenance is stored publishes "running" again.

"running" is now written on the condition that the row does not exist. A conflict means that a state is there already and ends the attempt. The new test failed before.

--- a/programs/dispatcher/src/wave-status-publisher.ts
+++ b/programs/dispatcher/src/wave-status-publisher.ts
@@ -43,12 +43,15 @@
             const state = states.get(wave) ?? "running";
             const row = { table: STATUS_TABLE, part: PLATFORM_PART, key: `${WAVE_KEY_PREFIX}${wave}` };
             const commit = await store.transact({
-                expect: [],
+                // A delayed write, or one of a successor, must not replace a completion.
+                expect: state === "running" ? [{ ...row, version: 0 }] : [],
                 writes: [{ ...row, value: encodeWaveState(wave, state) }],
             });
             if (commit.kind === "committed") {
                 stored = state;
                 log("wave-state", { wave, state });
+            } else if (commit.kind === "conflict") {
+                stored = state;
             } else {
                 await sleep(RETRY_DELAY_MS);
             }
--- a/programs/dispatcher/test/wave-status-publisher.test.ts
+++ b/programs/dispatcher/test/wave-status-publisher.test.ts
@@ -98,3 +98,43 @@
     await nextTurn();
     assert.equal(stored.length, 1);
 });
+
+test("neither a successor nor a late write of running replaces the published completion of a wave", async () => {
+    const stored: string[] = [];
+    const attempts: (() => void)[] = [];
+    let answered = false;
+    const publisher = createWaveStatusPublisher({
+        store: {
+            transact: ({ expect, writes: [write] }) => {
+                const attempt = (): boolean => {
+                    const holds = expect.every(({ version }) => version === stored.length);
+                    stored.push(...(holds ? [write?.value ?? ""] : []));
+                    return holds;
+                };
+                attempts.push(attempt);
+                if (!answered) {
+                    answered = true;
+                    return Promise.resolve({ kind: "unknown", reason: "no answer" });
+                }
+                return Promise.resolve(
+                    attempt()
+                        ? { kind: "committed", version: stored.length, nowMs: 0 }
+                        : { kind: "conflict", rows: [] },
+                );
+            },
+        },
+        log: () => undefined,
+        isActive: () => true,
+        mayPublish: () => true,
+        sleep: nextTurn,
+    });
+    publisher.publish(1, "running");
+    publisher.publish(1, "completed");
+    await nextTurn();
+    await nextTurn();
+    attempts[0]?.();
+    publisher.publish(1, "running");
+    await nextTurn();
+    await nextTurn();
+    assert.match(stored.at(-1) ?? "", /completed/);
+});
