Send an order to a VM again after an overdue lease renewal

A VM could stay evacuated and its wave incomplete for as long as one fleet manager held the lease: if the lease was not renewed for 2.5 s while the outcome of an order was unknown, the order was given up but kept as pending, so that it was not planned again when the renewal succeeded.

The order now waits until it may be sent again and is dropped only with the lease. It stays counted against the limit of the wave meanwhile, as it may still be carried out. The new test failed before.

--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -69,11 +69,12 @@
     let lastLoggedNeeds = "";
     const forecast = createSurgeForecast();
 
-    const mayAct = (): boolean => active && !lease.lost && leaseAgeMs(lease, context) < MAX_LEASE_AGE_MS;
+    const isActive = (): boolean => active && !lease.lost;
+    const mayAct = (): boolean => isActive() && leaseAgeMs(lease, context) < MAX_LEASE_AGE_MS;
     const waveStatus = createWaveStatusPublisher({
         store: context.store,
         log: context.log,
-        isActive: () => active && !lease.lost,
+        isActive,
         mayPublish: mayAct,
         sleep,
     });
@@ -135,7 +136,7 @@
         applyOutcome(
             vm,
             order,
-            await sendOrder({ context, client, vm, order, mayAct, retryDelayMs: ORDER_RETRY_DELAY_MS }),
+            await sendOrder({ context, client, vm, order, mayAct, isActive, retryDelayMs: ORDER_RETRY_DELAY_MS }),
         );
     };
     const applyOutcome = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -20,15 +20,17 @@
     readonly client: VmClient;
     readonly vm: VmId;
     readonly order: VmOrder;
-    /** False if the process must send no more orders under its lease. */
+    /** False while the process must send no orders, because its lease was not renewed for too long. */
     readonly mayAct: () => boolean;
+    /** False once the lease is lost. */
+    readonly isActive: () => boolean;
     /** Pause before an order is sent again, in milliseconds. */
     readonly retryDelayMs: number;
 }
 
 /**
- * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, as long as `mayAct` returns
- * true. Orders are idempotent.
+ * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, until the lease is lost. While
+ * `mayAct` returns false, it waits. Orders are idempotent.
  */
 export const sendOrder = async ({
     context,
@@ -36,9 +38,14 @@
     vm,
     order,
     mayAct,
+    isActive,
     retryDelayMs,
 }: SendOrderOptions): Promise<OrderOutcome> => {
-    while (mayAct()) {
+    while (isActive()) {
+        if (!mayAct()) {
+            await sleep(retryDelayMs);
+            continue;
+        }
         const result = await send(client, vm, order.purpose);
         context.metrics.count(`vm_orders_${order.purpose.kind}`);
         context.log("vm-order", { vm, ...order.purpose, outcome: result });
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -13,7 +13,8 @@
         client: { move: answer, maintain: answer } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
         order: { purpose, sentAtMs: 0, confirmedAtMs: undefined },
-        mayAct: () => remaining.length > 0,
+        mayAct: () => true,
+        isActive: () => remaining.length > 0,
         retryDelayMs: 1,
     });
 };
@@ -36,3 +37,24 @@
     );
     assert.equal(await outcomeOf(MOVE, { kind: "rejected", reason: "invalid" }), "unneeded");
 });
+
+test("an order whose outcome is unknown is sent again once an overdue lease renewal has succeeded", async () => {
+    const renewals = [true, false, false, true];
+    let sent = 0;
+    const outcome = await sendOrder({
+        context: { metrics: { count: () => undefined }, log: () => undefined } as unknown as DispatcherContext,
+        client: {
+            maintain: () => {
+                sent++;
+                return Promise.resolve(sent === 1 ? { kind: "unknown", reason: "no answer" } : { kind: "done" });
+            },
+        } as unknown as VmClient,
+        vm: toId<VmId>("vm-1"),
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        mayAct: () => renewals.shift() ?? true,
+        isActive: () => true,
+        retryDelayMs: 1,
+    });
+    assert.equal(outcome, "confirmed");
+    assert.equal(sent, 2);
+});
