--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -74,6 +74,7 @@
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
     let jobsLoaded = false;
+    let jobsAsOf = lease.predecessor?.pendingAsOf;
     let reloadingProgress = false;
     let lastCompletedEvacuations = "";
     const demandHistory = createDemandHistory();
@@ -186,6 +187,9 @@
         if (openJob === undefined) {
             return;
         }
+        if (openJob.dirty) {
+            writer.request();
+        }
         recordArrival(tables, demandHistory, openJob, context.monotonicMs());
         context.log("job-admitted", {
             job: job.id,
@@ -237,6 +241,7 @@
         void reloadProgress(context, tables).then(read => {
             reloadingProgress = false;
             tables.isProgressCurrent = read;
+            writer.request();
             requestPass();
         });
     };
@@ -290,7 +295,12 @@
         context,
         pool,
         isActive,
-        sink: { job: admitStoredJob, cancelled: cancelJob, changed: onJobsChanged },
+        sink: {
+            job: admitStoredJob,
+            cancelled: cancelJob,
+            changed: onJobsChanged,
+            readUpTo: point => (jobsAsOf = point),
+        },
     });
 
     return {
@@ -299,6 +309,7 @@
             ...emptyLeaseContent,
             executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
             pending: jobsLoaded ? pendingCounts(tables) : (lease.predecessor?.pending ?? []),
+            pendingAsOf: jobsAsOf,
             vacated: jobsLoaded ? completedEvacuations(tables) : [],
             demand,
         }),
