--- a/bench/system/src/read-operator.ts
+++ b/bench/system/src/read-operator.ts
@@ -44,6 +44,14 @@
     return dumps.filter(dump => dump !== undefined);
 };
 
+/** Counters of failed attempts by cause and VM, of all entries that respond. */
+export const readFailedAttempts = async (deployment: Deployment): Promise<readonly object[]> => {
+    const dumps = await readEntryDumps(deployment);
+    return dumps.flatMap(({ processId, sections }) =>
+        sections.counters.filter(({ name }) => name === "failed-attempts").map(row => ({ processId, ...row })),
+    );
+};
+
 /** Reads the status of all managers that respond, with their index in the deployment. */
 export const readManagers = async (
     deployment: Deployment,
--- a/bench/system/test/control-drain.test.ts
+++ b/bench/system/test/control-drain.test.ts
@@ -7,7 +7,7 @@
 import { pollUntil } from "../src/operator-client.js";
 import { listInitialVms, listVmAsLeaving, type PlatformLink, relayPlatformTraffic } from "../src/platform-faults.js";
 import { pauseProcess, readDrainBlockers, resumeProcess } from "../src/process-faults.js";
-import { type ProcessStatus, readOperator } from "../src/read-operator.js";
+import { type ProcessStatus, readFailedAttempts, readOperator } from "../src/read-operator.js";
 import { findOldPoolRequestsAfterMove, readVmCounts, waitForAssignment, watchRuns } from "../src/vm-usage.js";
 
 const LONG_RUN_MS = 9000;
@@ -203,7 +203,9 @@
             ),
     });
     const records = [...(await load.stop()), ...(await Promise.all(pendingCalls))];
-    assert.deepEqual(failedRequests(records), []);
+    const failed = failedRequests(records);
+    const causes = failed.length === 0 ? [] : await readFailedAttempts(deployment);
+    assert.deepEqual({ failed, causes }, { failed: [], causes: [] });
     assert.deepEqual(
         findOldPoolRequestsAfterMove({ records, vm: movedVm, oldPath: "/studies", newPath: "/letters" }),
         [],
--- a/bench/system/test/whole-answers.test.ts
+++ b/bench/system/test/whole-answers.test.ts
@@ -11,6 +11,8 @@
 import { readDump } from "../src/operator-client.js";
 
 const CALLS = 30;
+// Shorter than the time for which an entry repeats a refused request.
+const FULL_MS = 300;
 const LARGE_BODY_BYTES = 10 * 1024 * 1024;
 const SLOW_READ_BYTES = 200 * 1024 * 1024;
 // An entry that buffers without limit would hold 200 MB; kernel buffers and garbage stay far below this limit.
@@ -31,7 +33,7 @@
 
 before(async () => {
     deployment = await startFailureFleet({
-        services: [...FAULTS.map(row => row.service), "unsolicited", "big"],
+        services: [...FAULTS.map(row => row.service), "unsolicited", "full", "big"],
         vmsPerService: 2,
         entries: 1,
     });
@@ -55,6 +57,18 @@
 
 const faultyVms = (service: string): readonly string[] => [`${service}-1`, `${service}-2`];
 
+test("an idempotent request that briefly full endpoints refuse on used connections must not be lost", async () => {
+    const call = (): Promise<CallResult> => callEntry(entry, { path: "/full", headers: { "x-work-ms": "100" } });
+    // Opens more connections than a request has attempts.
+    await Promise.all(Array.from({ length: CALLS }, call));
+    await setFaults(deployment, faultyVms("full"), { refuse: true });
+    const result = call();
+    await sleep(FULL_MS);
+    await setFaults(deployment, faultyVms("full"));
+    const { status, cause } = requireResponse(await result);
+    assert.deepEqual([status, cause], [200, undefined]);
+});
+
 FAULTS.forEach(({ service, fault, expectSuccess }) => {
     test(`${JSON.stringify(fault)}: callers get their own complete response or an error`, async () => {
         await setFaults(deployment, faultyVms(service), fault);
--- a/routing/exchange/src/exchange-state.ts
+++ b/routing/exchange/src/exchange-state.ts
@@ -38,8 +38,8 @@
     } else if (statusCode < FIRST_FINAL_STATUS) {
         running.options.handler.onInformation(statusCode, headers);
     } else if (!isResponseToRequest(running, headers)) {
-        fail(running, "bad-answer", "the answer belongs to another request", "unsolicited-bytes");
-    } else if (statusCode === SERVICE_UNAVAILABLE && headerValue(headers, VERDICT_HEADER) === "not-run") {
+        failForeignResponse(running, head);
+    } else if (isRefusal(head)) {
         reportRefusal(running);
     } else {
         running.phase = isBodyless(running.options.method, statusCode) ? "bodyless" : "body";
@@ -48,6 +48,20 @@
     }
 };
 
+const isRefusal = ({ statusCode, headers }: ReceivedHead): boolean =>
+    statusCode === SERVICE_UNAVAILABLE && headerValue(headers, VERDICT_HEADER) === "not-run";
+
+// Endpoints may refuse a request before they have read its id. Such a refusal is most likely the response to this
+// request, but it may also be a second response to an earlier one, so that it is no evidence that this one has not run.
+const failForeignResponse = (running: RunningExchange, head: ReceivedHead): void => {
+    if (isRefusal(head) && headerValue(head.headers, REQUEST_ID_HEADER) === undefined) {
+        const message = `${running.options.address} refused a request without naming it`;
+        fail(running, "endpoint-refused", message, "unsolicited-bytes");
+    } else {
+        fail(running, "bad-answer", "the answer belongs to another request", "unsolicited-bytes");
+    }
+};
+
 const isBodyless = (method: string, statusCode: number): boolean =>
     method === "HEAD" || statusCode === NO_CONTENT || statusCode === NOT_MODIFIED;
 
--- a/routing/exchange/test/endpoint-echo.test.ts
+++ b/routing/exchange/test/endpoint-echo.test.ts
@@ -42,3 +42,20 @@
     assert.equal(second.failure.verdict, "may-have-run");
     assert.equal(endpoint.sockets.length, 1);
 });
+
+test("a refusal that names no request, on a reused connection of an endpoint that names all, is no broken answer", async context => {
+    const endpoint = await startRawEndpoint(context, (socket, request) => {
+        if (request === 1) {
+            socket.write(responseTo("first"));
+        } else {
+            socket.write("HTTP/1.1 503 Full\r\nalmondusher-verdict: not-run\r\ncontent-length: 0\r\n\r\n");
+        }
+    });
+    const connections = createConnectionPool();
+    const options = { address: endpoint.address };
+    await runRecorded(connections, { ...options, requestId: "first" });
+    const second = await runRecorded(connections, { ...options, requestId: "second" });
+    assert.equal(second.failure?.cause, "endpoint-refused");
+    assert.equal(second.failure.verdict, "may-have-run", "it may be a second response to the first request");
+    assert.equal(connections.byAddress.size, 0, "the connection is kept");
+});
