--- a/programs/dispatcher/src/bounded-output.ts
+++ b/programs/dispatcher/src/bounded-output.ts
@@ -16,10 +16,16 @@
 }
 
 const FLUSH_POLL_INTERVAL_MS = 10;
+// Maximum size of a write of several lines. A pipe takes a write of up to this size whole (PIPE_BUF), and some readers
+// discard the rest of a larger one.
+const MAX_WRITE_BYTES = 4096;
 
 /** Creates an output that drops lines while its reader is stalled. Writes do not block the main thread. */
 export const createBoundedOutput = ({ descriptor, maxBuffered }: BoundedOutputOptions): BoundedOutput => {
     let pendingLines: string[] = [];
+    /** Lines that are written before the pending ones, from the index `next` on. */
+    let batch: string[] = [];
+    let next = 0;
     let buffered = 0;
     let dropped = 0;
     let writing = false;
@@ -33,15 +39,29 @@
             writePending();
         });
     };
+    const hasLines = (): boolean => next < batch.length || pendingLines.length > 0;
+    const takeChunk = (): Buffer => {
+        if (next === batch.length) {
+            batch = pendingLines;
+            pendingLines = [];
+            next = 0;
+        }
+        const first = next;
+        let bytes = 0;
+        do {
+            bytes += Buffer.byteLength(batch[next] ?? "");
+            next++;
+        } while (next < batch.length && bytes + Buffer.byteLength(batch[next] ?? "") <= MAX_WRITE_BYTES);
+        const chunk = batch.slice(first, next).join("");
+        buffered -= chunk.length;
+        return Buffer.from(chunk);
+    };
     const writePending = (): void => {
-        if (writing || pendingLines.length === 0) {
+        if (writing || !hasLines()) {
             return;
         }
         writing = true;
-        const chunk = Buffer.from(pendingLines.join(""));
-        pendingLines = [];
-        buffered = 0;
-        writeAll(chunk);
+        writeAll(takeChunk());
     };
     return {
         dropped: () => dropped,
@@ -56,7 +76,7 @@
         },
         flush: async timeoutMs => {
             const endMs = performance.now() + timeoutMs;
-            while ((writing || pendingLines.length > 0) && performance.now() < endMs) {
+            while ((writing || hasLines()) && performance.now() < endMs) {
                 await new Promise(resolve => setTimeout(resolve, FLUSH_POLL_INTERVAL_MS));
             }
         },
