--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -16,6 +16,8 @@
 // Covers the expiry of the lease, its takeover and the successor's first poll of the executors.
 const TAKEOVER_TIMEOUT_MS = 8000;
 
+const POOL_LEASE = "pool/pool-a";
+
 const startTestDeployment = async (
     context: TestContext,
     options: Partial<JobDeploymentOptions> = {},
@@ -131,12 +133,21 @@
     assert.equal(startedTasks(deployment, jobId(1)).length, 4, "tasks were started again after the takeover");
 });
 
-const pausedOptions = { todo: "see KNOWN-RED.txt" };
-test("a paused scheduler starts nothing of a job that came to its successor", pausedOptions, async context => {
+const hasLogged = ({ log }: JobDeployment["dispatchers"][number], event: string, lease: string): boolean =>
+    log.some(line => line.event === event && line.lease === lease);
+
+const placedTasks = ({ log }: JobDeployment["dispatchers"][number], job: string): readonly unknown[] =>
+    log.filter(({ event, task }) => event === "run-placed" && String(task).startsWith(job));
+
+test("a paused scheduler starts nothing of a job that came to its successor", async context => {
     const deployment = await startTestDeployment(context, { runMs: () => 3000 });
     const scheduler = await waitForScheduler(deployment);
     const other = deployment.dispatchers.find(dispatcher => dispatcher !== scheduler);
     assert.ok(other !== undefined);
+    // The lease's row appears before its holder has received the store's answer.
+    await waitUntil("the scheduler to know that it holds the lease", START_TIMEOUT_MS, () =>
+        hasLogged(scheduler, "lease-taken", POOL_LEASE),
+    );
     scheduler.process.kill("SIGSTOP");
     await sendJobRequest(other, "POST", jobId(1), jobOfTasks(2));
     await waitUntil(
@@ -147,13 +158,30 @@
     scheduler.process.kill("SIGCONT");
     await waitForState(other, jobId(1), "completed", START_TIMEOUT_MS);
     assert.equal(startedTasks(deployment, jobId(1)).length, 2);
-    await waitUntil("the loss of the lease", START_TIMEOUT_MS, () =>
-        scheduler.log.some(({ event }) => event === "lease-lost"),
-    );
-    assert.deepEqual(
-        scheduler.log.filter(({ event, task }) => event === "run-placed" && String(task).startsWith(jobId(1))),
-        [],
+    await waitUntil("the loss of the lease", START_TIMEOUT_MS, () => hasLogged(scheduler, "lease-lost", POOL_LEASE));
+    assert.deepEqual(placedTasks(scheduler, jobId(1)), []);
+});
+
+test("a process paused before it knows that it has taken a lease does not act on it after another has taken it over", async context => {
+    const deployment = await startTestDeployment(context, { dispatchers: 0, runMs: () => 3000 });
+    deployment.store.setFault({ kind: "late-answers", delayMs: START_TIMEOUT_MS });
+    const paused = await deployment.startDispatcher("entry-0");
+    await waitForScheduler(deployment);
+    paused.process.kill("SIGSTOP");
+    deployment.store.setFault({ kind: "none" });
+    const other = await deployment.startDispatcher("entry-1");
+    await sendJobRequest(other, "POST", jobId(1), jobOfTasks(2));
+    await waitUntil(
+        "a start by the successor",
+        TAKEOVER_TIMEOUT_MS,
+        () => startedTasks(deployment, jobId(1)).length === 2,
     );
+    paused.process.kill("SIGCONT");
+    await waitForState(paused, jobId(1), "completed", START_TIMEOUT_MS);
+    assert.equal(startedTasks(deployment, jobId(1)).length, 2);
+    assert.ok(!hasLogged(paused, "lease-taken", POOL_LEASE), "it took the lease for its own");
+    assert.deepEqual(placedTasks(paused, jobId(1)), []);
+    assert.equal(findScheduler(deployment), other);
 });
 
 test("a dispatcher releases its pool lease on a planned stop, and another one takes over in time", async context => {
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,5 +1,5 @@
 import { EventEmitter } from "node:events";
-import type { Row } from "@almondusher/platform-adapter/table-store";
+import type { Row, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { acquisitionDelayMs } from "./acquisition-delay.js";
 import {
@@ -80,6 +80,7 @@
 const RENEW_INTERVAL_MS = 500;
 // A pool lease that has not changed for this long may be acquired by another process.
 export const POOL_LEASE_DURATION_MS = 2000;
+const REPEAT_DELAY_MS = 50;
 // The platform requires at least this much time between orders for a VM from two successive holders.
 const FLEET_LEASE_DURATION_MS = 3300;
 
@@ -181,6 +182,17 @@
         return observation.unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
     };
 
+    // Repeats a transaction with an unknown outcome unchanged. If an earlier attempt was applied, a later one conflicts
+    // with the row that it wrote.
+    const transactUntilKnown = async (transaction: Transaction, endMs: number): Promise<TransactionResult> => {
+        const commit = await store.transact(transaction);
+        if (commit.kind !== "unknown" || monotonicMs() >= endMs) {
+            return commit;
+        }
+        await sleep(REPEAT_DELAY_MS);
+        return transactUntilKnown(transaction, endMs);
+    };
+
     const acquire = async (subject: LeaseSubject): Promise<void> => {
         const key = leaseKey(subject);
         const lastObservation = view.observation(key);
@@ -194,10 +206,13 @@
             process: context.process,
             epoch,
         };
-        const commit = await store.transact({
-            expect: [{ ...leaseRow(key), version: lastObservation?.version ?? 0 }],
-            writes: [{ ...leaseRow(key), value: encodeLease(record) }],
-        });
+        const commit = await transactUntilKnown(
+            {
+                expect: [{ ...leaseRow(key), version: lastObservation?.version ?? 0 }],
+                writes: [{ ...leaseRow(key), value: encodeLease(record) }],
+            },
+            sentAtMs + POOL_LEASE_DURATION_MS,
+        );
         const version =
             commit.kind === "committed"
                 ? commit.version
--- /dev/null
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
+import type { Row, TableStore, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
+import { createLeaseManager, type HeldLease, type LeaseManager } from "../src/lease-manager.js";
+import { decodeLease, emptyLeaseContent, type LeaseRecord, leaseRow, type LeaseSubject } from "../src/lease-rows.js";
+
+const SUBJECT: LeaseSubject = { kind: "pool", pool: "pool-a" as PoolName };
+const VM = "entry-1" as VmId;
+const TIMEOUT_MS = 5000;
+// A lease whose acquisition is not noticed is taken over once it has not changed for 2 s.
+const NOTICED_WITHIN_MS = 1500;
+
+/** A store with one lease row; `answer` decides when and how a transaction that was carried out is answered. */
+interface LeaseStore {
+    readonly store: TableStore;
+    readonly lease: () => LeaseRecord | undefined;
+    answer: (result: TransactionResult) => Promise<TransactionResult>;
+    /** True if transactions are refused without being carried out. */
+    busy: boolean;
+}
+
+const createLeaseStore = (): LeaseStore => {
+    let version = 0;
+    let row: Row | undefined;
+    const commit = ({ expect, writes }: Transaction): TransactionResult => {
+        if ((row?.version ?? 0) !== expect[0]?.version) {
+            return { kind: "conflict", rows: row === undefined ? [] : [row] };
+        }
+        version++;
+        row = { ...leaseRow("pool/pool-a"), version, value: writes[0]?.value ?? "", deleted: false };
+        return { kind: "committed", version, nowMs: 0 };
+    };
+    const rowsAfter = (after: number) =>
+        Promise.resolve({
+            kind: "rows" as const,
+            rows: row !== undefined && row.version > after ? [row] : [],
+            version,
+            nowMs: 0,
+            truncated: false,
+        });
+    const leaseStore: LeaseStore = {
+        answer: result => Promise.resolve(result),
+        busy: false,
+        lease: () => (row === undefined ? undefined : decodeLease(row.value)),
+        store: {
+            transact: transaction =>
+                leaseStore.busy
+                    ? Promise.resolve({ kind: "not-run", reason: "status 503" })
+                    : leaseStore.answer(commit(transaction)),
+            read: () => rowsAfter(0),
+            changes: ({ after }) => rowsAfter(after),
+            nowMs: () => 0,
+            calls: { writes: 0, reads: 0, failures: 0 },
+        },
+    };
+    return leaseStore;
+};
+
+interface StartedManager {
+    readonly manager: LeaseManager;
+    readonly begun: readonly HeldLease[];
+    readonly events: readonly string[];
+    end: (lease: HeldLease) => Promise<void>;
+}
+
+const startManager = (context: TestContext, { store }: LeaseStore): StartedManager => {
+    const begun: HeldLease[] = [];
+    const events: string[] = [];
+    const started: StartedManager = {
+        begun,
+        events,
+        end: () => Promise.resolve(),
+        manager: createLeaseManager({
+            context: {
+                settings: { processorCores: 1.5 } as DispatcherContext["settings"],
+                vm: VM,
+                process: `${VM}/1` as ProcessId,
+                store,
+                log: event => void events.push(event),
+                metrics: createDispatcherMetrics(),
+                monotonicMs: () => performance.now(),
+            },
+            subjects: () => [SUBJECT],
+            holder: {
+                begin: lease => void begun.push(lease),
+                end: lease => started.end(lease),
+                content: () => emptyLeaseContent,
+                renewed: () => undefined,
+            },
+        }),
+    };
+    context.after(() => started.manager.close());
+    return started;
+};
+
+const waitUntil = async (what: string, check: () => boolean, timeoutMs = TIMEOUT_MS): Promise<void> => {
+    const endMs = performance.now() + timeoutMs;
+    while (!check()) {
+        assert.ok(performance.now() < endMs, `${what}: not within ${timeoutMs} ms`);
+        await sleep(5);
+    }
+};
+
+test("a lease whose acquisition was applied but not answered must not stay idle until it expires", async context => {
+    const store = createLeaseStore();
+    store.answer = () => {
+        store.answer = result => Promise.resolve(result);
+        return Promise.resolve({ kind: "unknown", reason: "no answer" });
+    };
+    const { begun } = startManager(context, store);
+    await waitUntil("the acquisition", () => store.lease() !== undefined);
+    await waitUntil("the holder to begin", () => begun.length > 0, NOTICED_WITHIN_MS);
+    assert.equal(begun[0]?.epoch, 1, "the lease was taken again");
+});
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -13,6 +13,8 @@
     | { readonly kind: "slow"; readonly answerMs: number }
     /** Carries out writes but closes the connection instead of answering. */
     | { readonly kind: "lost-answers" }
+    /** Carries out writes at once but answers them only after the delay. */
+    | { readonly kind: "late-answers"; readonly delayMs: number }
     /** Closes the connection instead of answering a write, and carries the write out after the delay. */
     | { readonly kind: "late-writes"; readonly delayMs: number };
 
@@ -150,6 +152,7 @@
                 break;
             case "none":
             case "lost-answers":
+            case "late-answers":
             case "late-writes":
                 break;
         }
@@ -164,11 +167,16 @@
                 return reply(404);
         }
     };
-    const commitWithFault = (body: unknown): JsonReply => {
+    const commitWithFault = async (body: unknown): Promise<JsonReply> => {
         switch (fault.kind) {
             case "lost-answers":
                 commit(body);
                 return { kind: "disconnect" };
+            case "late-answers": {
+                const answer = commit(body);
+                await sleep(fault.delayMs);
+                return answer;
+            }
             case "late-writes":
                 setTimeout(() => commit(body), fault.delayMs);
                 return { kind: "disconnect" };
