--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -230,7 +230,34 @@
         );
     assert.deepEqual(placeWithin(0), []);
     assert.deepEqual(placeWithin(2), ["j1.0.0.0", "j1.0.0.1"]);
-    assert.equal(tables.jobs.get(toId<JobId>("j2"))?.started, false, "no run was recorded for a waiting task");
+    assert.ok(
+        [...executorOf(tables, "a").runs.keys(), ...executorOf(tables, "b").runs.keys()].every(
+            id => !id.startsWith("j2"),
+        ),
+        "no run was recorded for a waiting task",
+    );
     assert.deepEqual(placeWithin(2), ["j1.0.0.2", "j2.0.0.0", "j2.0.0.1"]);
     assert.deepEqual(placeWithin(2), ["j3.0.0.0"]);
 });
+
+test("steps that fit on no executor are not ranked in each pass, so that a backlog does not exhaust the CPU", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: Array.from({ length: 100 }, (unused, index) => ({
+            id: `job-${index}`,
+            steps: [step({ demand: { cpu: 3000, memoryMb: 1, gpu: 0 } })],
+        })),
+    });
+    assert.equal(place(tables).length, 1);
+    let lookups = 0;
+    const { runTimes } = tables;
+    const counted = {
+        ...tables,
+        get runTimes() {
+            lookups++;
+            return runTimes;
+        },
+    };
+    assert.equal(place(counted, 1000).length, 0);
+    assert.equal(lookups, 0);
+});
