--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -53,7 +53,10 @@
 };
 
 const leaseEpochs = ({ store }: JobDeployment): readonly number[] =>
-    store.rows("leases").map(({ value }) => (value as { readonly epoch: number }).epoch);
+    store
+        .rows("leases")
+        .filter(({ part }) => part.startsWith("lease/"))
+        .map(({ value }) => (value as { readonly epoch: number }).epoch);
 
 test("a job runs its steps in order, is shown as completed, and is accepted once however often it is submitted", async context => {
     const deployment = await startTestDeployment(context);
--- /dev/null
+++ b/programs/dispatcher/src/acquisition-order.ts
@@ -0,0 +1,86 @@
+import type { VmId } from "@almondusher/fleet/ids";
+import { relativeCapacity, type VmCapacity } from "./vm-capacity.js";
+
+interface RankedVm {
+    readonly vm: VmId;
+    readonly capacity: VmCapacity;
+    /** Number of leases that its process holds. */
+    readonly heldLeases: number;
+}
+
+/** The VMs that may acquire available leases, from the point of view of one of them. */
+export interface Ranking {
+    readonly self: RankedVm;
+    readonly others: readonly RankedVm[];
+}
+
+/** An available lease, from the point of view of a VM that may acquire it. */
+export interface AcquisitionRequest extends Ranking {
+    /** VM that held the lease last; undefined if it was released or never held. */
+    readonly previousHolder: VmId | undefined;
+    /** True if the system may be starting for the first time, so that not all VMs are known. */
+    readonly neverHeld: boolean;
+}
+
+// A VM gives precedence to another one whose load under the lease would be smaller by this factor.
+const CLEAR_DIFFERENCE_FACTOR = 1.5;
+// Covers the interval at which an idle process reads the leases, and its write.
+const PRECEDENCE_MS = 600;
+const MAX_PRECEDENCE_STEPS = 2;
+// Spreads several available leases over processes that do not know each other.
+const DELAY_PER_HELD_LEASE_MS = 60;
+// Time in which all VMs of a system that starts for the first time make themselves known.
+const FIRST_START_MS = 800;
+
+/** Returns the number of leases per capacity that a VM would have after acquiring another lease, for each VM. */
+const loadsAfterAcquisition = (vms: readonly RankedVm[]): readonly number[] => {
+    const capacities = vms.map(({ capacity }) => capacity);
+    return vms.map(({ capacity, heldLeases }) => (heldLeases + 1) / relativeCapacity(capacity, capacities));
+};
+
+const isClearlySmaller = (load: number, than: number): boolean => load * CLEAR_DIFFERENCE_FACTOR <= than;
+
+/** Returns the VMs that should acquire an available lease rather than this one. */
+export const precedingVms = ({ self, others }: Ranking): readonly VmId[] => {
+    const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
+    return others.filter((unused, index) => isClearlySmaller(loads[index] ?? ownLoad, ownLoad)).map(({ vm }) => vm);
+};
+
+// Each group has clearly smaller loads than the next one.
+const countPrecedingGroups = ({ self, others }: Ranking): number => {
+    const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
+    const groupStarts = loads
+        .filter(load => isClearlySmaller(load, ownLoad))
+        .sort((left, right) => left - right)
+        .reduce<readonly number[]>((starts, load) => {
+            const last = starts.at(-1);
+            return last === undefined || isClearlySmaller(last, load) ? [...starts, load] : starts;
+        }, []);
+    return Math.min(groupStarts.length, MAX_PRECEDENCE_STEPS);
+};
+
+/**
+ * Returns how long a process leaves an available lease to other VMs, in milliseconds: a VM with clearly more free
+ * capacity gets it first if it is alive. The VM that held the lease last does not wait.
+ */
+export const acquisitionDelayMs = (request: AcquisitionRequest): number => {
+    const { self, previousHolder, neverHeld } = request;
+    if (previousHolder === self.vm) {
+        return 0;
+    }
+    return (
+        (neverHeld ? FIRST_START_MS : 0) +
+        countPrecedingGroups(request) * PRECEDENCE_MS +
+        self.heldLeases * DELAY_PER_HELD_LEASE_MS
+    );
+};
+
+/**
+ * Returns which of several available leases a process tries first, so that VMs of the same rank try different ones;
+ * undefined if there is none.
+ */
+export const chooseLease = <Lease>(leases: readonly Lease[], { self, others }: Ranking): Lease | undefined => {
+    const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
+    const position = others.filter(({ vm }, index) => loads[index] === ownLoad && vm < self.vm).length;
+    return leases[position % leases.length];
+};
--- a/programs/dispatcher/src/dispatcher-settings.ts
+++ b/programs/dispatcher/src/dispatcher-settings.ts
@@ -15,7 +15,12 @@
     vmServiceAddress: address,
     /** Address of the advice service; empty if no queue needs advice. */
     adviceAddress: z.string(),
-    processorCores: z.number().positive(),
+    /** Share of a core that the process gets. */
+    processorShare: z.number().positive(),
+    /** Speed of the core, as a multiple of that of a core of speed 1. */
+    processorSpeed: z.number().positive(),
+    /** Bandwidth of the VM's network link, in megabits per second. */
+    linkMbps: z.number().positive(),
     stopGraceSeconds: z.number().positive(),
     /** Maximum duration of a run lease that executors grant. */
     maxLeaseMs: z.number().positive(),
--- /dev/null
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -0,0 +1,138 @@
+import type { VmId } from "@almondusher/fleet/ids";
+import { acquisitionDelayMs, chooseLease, precedingVms, type Ranking } from "./acquisition-order.js";
+import type { CandidateView } from "./candidate-view.js";
+import type { DispatcherContext } from "./dispatcher-context.js";
+import { leaseKey, type LeaseSubject } from "./lease-rows.js";
+import type { LeaseView } from "./lease-view.js";
+import { vmCapacity } from "./vm-capacity.js";
+
+/** A lease that this process should acquire now. */
+export interface DueLease {
+    readonly subject: LeaseSubject;
+    /** VMs that had precedence but have not acquired the lease, and the holder that has let it expire. */
+    readonly unresponsive: readonly VmId[];
+}
+
+/** Decides which available leases this process acquires, and when. */
+export interface LeaseCandidacy {
+    /** Reads the other candidates and makes this one known, if necessary. */
+    readonly refresh: () => Promise<void>;
+    /** Returns the lease to acquire next, except those already tried; undefined if none is due. */
+    readonly nextDue: (tried: ReadonlySet<string>) => DueLease | undefined;
+    /** Starts all waiting times again; called when the leases could not be read. */
+    readonly interrupt: () => void;
+    /** Time until the next available lease is due, in milliseconds; infinite if none is available. */
+    readonly untilDueMs: () => number;
+    /** Makes known that this process acquires no more leases. */
+    readonly withdraw: () => Promise<void>;
+}
+
+export interface LeaseCandidacyOptions {
+    readonly context: DispatcherContext;
+    readonly candidates: CandidateView;
+    readonly view: Pick<LeaseView, "observation">;
+    readonly subjects: () => readonly LeaseSubject[];
+    readonly isAvailable: (subject: LeaseSubject) => boolean;
+    /** Number of leases that this process holds. */
+    readonly heldLeases: () => number;
+}
+
+/** An available lease, and when this process may acquire it. */
+interface AvailableLease {
+    readonly subject: LeaseSubject;
+    readonly dueInMs: number;
+}
+
+/** A period in which a lease can be acquired. */
+interface Availability {
+    /** Version of the lease's row in this period. */
+    readonly version: number;
+    /** Monotonic time at which the period was first observed. */
+    readonly sinceMs: number;
+}
+
+const ANNOUNCE_RETRY_INTERVAL_MS = 2000;
+
+/** Creates the candidacy of this process; it starts with the first `refresh`. */
+export const createLeaseCandidacy = (options: LeaseCandidacyOptions): LeaseCandidacy => {
+    const { context, candidates, view, subjects, isAvailable } = options;
+    const capacity = vmCapacity(context.settings);
+    const availabilities = new Map<string, Availability>();
+    let announcedAtMs = Number.NEGATIVE_INFINITY;
+
+    const holderOf = (subject: LeaseSubject): VmId | undefined => view.observation(leaseKey(subject))?.record?.holder;
+    const rank = (): Ranking => {
+        const holders = subjects().map(holderOf);
+        // The holder of an expired lease has probably failed.
+        const expired = new Set(subjects().filter(isAvailable).map(holderOf));
+        return {
+            self: { vm: context.vm, capacity, heldLeases: options.heldLeases() },
+            others: candidates
+                .all()
+                .filter(({ vm }) => vm !== context.vm && !expired.has(vm))
+                .map(other => ({ ...other, heldLeases: holders.filter(holder => holder === other.vm).length })),
+        };
+    };
+    const unresponsiveVms = (subject: LeaseSubject, ranked: Ranking): readonly VmId[] => {
+        const holder = holderOf(subject);
+        if (holder === context.vm) {
+            return [];
+        }
+        return holder === undefined ? precedingVms(ranked) : [...precedingVms(ranked), holder];
+    };
+    const trackAvailability = (): void =>
+        subjects().forEach(subject => {
+            const key = leaseKey(subject);
+            const version = view.observation(key)?.version ?? 0;
+            if (!isAvailable(subject)) {
+                availabilities.delete(key);
+            } else if (availabilities.get(key)?.version !== version) {
+                availabilities.set(key, { version, sinceMs: context.monotonicMs() });
+            }
+        });
+    const availableLeases = (): readonly AvailableLease[] => {
+        trackAvailability();
+        const available = subjects().filter(isAvailable);
+        if (available.length === 0) {
+            return [];
+        }
+        const ranked = rank();
+        return available.map(subject => {
+            const delayMs = acquisitionDelayMs({
+                ...ranked,
+                previousHolder: holderOf(subject),
+                neverHeld: view.observation(leaseKey(subject))?.record === undefined,
+            });
+            const sinceMs = availabilities.get(leaseKey(subject))?.sinceMs ?? context.monotonicMs();
+            return { subject, dueInMs: sinceMs + delayMs - context.monotonicMs() };
+        });
+    };
+    const announce = async (): Promise<void> => {
+        const atMs = context.monotonicMs();
+        if (await candidates.announce(context.vm, capacity)) {
+            announcedAtMs = atMs;
+        }
+    };
+    return {
+        refresh: async () => {
+            await candidates.load();
+            if (context.monotonicMs() - announcedAtMs >= ANNOUNCE_RETRY_INTERVAL_MS) {
+                await announce();
+            }
+        },
+        nextDue: tried => {
+            const due = availableLeases()
+                .filter(({ subject, dueInMs }) => dueInMs <= 0 && !tried.has(leaseKey(subject)))
+                .map(({ subject }) => subject);
+            if (due.length === 0) {
+                return undefined;
+            }
+            const ranked = rank();
+            const subject = chooseLease(due, ranked);
+            return subject === undefined ? undefined : { subject, unresponsive: unresponsiveVms(subject, ranked) };
+        },
+        interrupt: () => availabilities.clear(),
+        untilDueMs: () => Math.min(Infinity, ...availableLeases().map(({ dueInMs }) => dueInMs)),
+        withdraw: () => candidates.remove([context.vm]),
+    };
+};
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,7 +1,8 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { acquisitionDelayMs } from "./acquisition-delay.js";
+import { createCandidateView } from "./candidate-view.js";
+import { createLeaseCandidacy, type DueLease } from "./lease-candidacy.js";
 import {
     decodeLease,
     emptyLeaseContent,
@@ -91,11 +92,15 @@
 export const leaseAgeMs = ({ renewedAtMs, renewedWallMs }: HeldLease, context: DispatcherContext): number =>
     Math.max(context.monotonicMs() - renewedAtMs, Date.now() - renewedWallMs);
 
+const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
+    unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
+
 /** Starts acquiring, renewing and observing leases. */
 export const createLeaseManager = ({ context, subjects, holder }: LeaseManagerOptions): LeaseManager => {
     const { store, monotonicMs } = context;
     const heldLeases = new Map<string, HeldLease>();
-    const view = createLeaseView({ store, monotonicMs });
+    const candidates = createCandidateView(store);
+    const view = createLeaseView({ store, candidates, monotonicMs });
     const runningRenewals = new Map<string, Promise<boolean>>();
     const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
@@ -171,17 +176,27 @@
         return false;
     };
 
-    const isAcquirable = (subject: LeaseSubject, observation: LeaseObservation | undefined): boolean => {
-        if (observation?.record?.holder === undefined) {
-            return true;
-        }
-        if (observation.record.holder === context.vm && observation.record.process !== context.process) {
-            return true;
+    const isAvailable = (subject: LeaseSubject): boolean => {
+        const key = leaseKey(subject);
+        if (heldLeases.has(key)) {
+            return false;
         }
-        return observation.unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
+        const observation = view.observation(key);
+        const holder = observation?.record?.holder;
+        const ownPrevious = holder === context.vm && observation?.record?.process !== context.process;
+        return observation === undefined || holder === undefined || ownPrevious || hasExpired(subject, observation);
     };
 
-    const acquire = async (subject: LeaseSubject): Promise<void> => {
+    const candidacy = createLeaseCandidacy({
+        context,
+        candidates,
+        view,
+        subjects,
+        isAvailable,
+        heldLeases: () => heldLeases.size,
+    });
+
+    const acquire = async ({ subject, unresponsive }: DueLease): Promise<void> => {
         const key = leaseKey(subject);
         const lastObservation = view.observation(key);
         const predecessor = lastObservation?.record;
@@ -231,6 +246,7 @@
         });
         context.metrics.count("leases_taken");
         holder.begin(lease);
+        await candidates.remove(unresponsive);
     };
 
     const poll = async (): Promise<void> => {
@@ -239,10 +255,13 @@
             if (refreshed === "changed") {
                 events.emit("change");
             }
-            if (refreshed !== "failed") {
-                await acquireOne();
+            if (refreshed === "failed") {
+                candidacy.interrupt();
+            } else if (!closed) {
+                await candidacy.refresh();
+                await acquireDue();
             }
-            await sleep(pollIntervalMs());
+            await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
         }
     };
 
@@ -253,24 +272,15 @@
         return heldLeases.size > 0 ? HOLDER_POLL_INTERVAL_MS : POLL_INTERVAL_MS;
     };
 
-    const acquireOne = async (): Promise<void> => {
-        const acquirable = subjects().filter(
-            subject => !heldLeases.has(leaseKey(subject)) && isAcquirable(subject, view.observation(leaseKey(subject))),
-        );
-        const subject = acquirable[Math.floor(Math.random() * acquirable.length)];
-        if (subject === undefined) {
-            return;
-        }
-        await sleep(
-            acquisitionDelayMs({
-                record: view.observation(leaseKey(subject))?.record,
-                vm: context.vm,
-                heldLeases: heldLeases.size,
-                processorCores: context.settings.processorCores,
-            }),
-        );
-        if (!closed) {
-            await acquire(subject);
+    const acquireDue = async (): Promise<void> => {
+        const tried = new Set<string>();
+        for (;;) {
+            const due = candidacy.nextDue(tried);
+            if (due === undefined || closed) {
+                return;
+            }
+            tried.add(leaseKey(due.subject));
+            await acquire(due);
         }
     };
 
@@ -316,7 +326,7 @@
         },
         close: async () => {
             closed = true;
-            await Promise.all([...heldLeases.values()].map(releaseLease));
+            await Promise.all([candidacy.withdraw(), ...[...heldLeases.values()].map(releaseLease)]);
         },
     };
 };
--- a/programs/dispatcher/src/lease-view.ts
+++ b/programs/dispatcher/src/lease-view.ts
@@ -1,4 +1,6 @@
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
+import { candidateVm } from "./candidate-rows.js";
+import type { CandidateView } from "./candidate-view.js";
 import { LEASE_TABLE, decodeLease, leaseRow, type LeaseRecord } from "./lease-rows.js";
 
 /** A lease as it was read. */
@@ -25,6 +27,8 @@
 
 export interface LeaseViewOptions {
     readonly store: Pick<TableStore, "read" | "changes">;
+    /** Gets the changed rows of candidates, which are in the same table. */
+    readonly candidates: Pick<CandidateView, "observe" | "invalidate">;
     /** Monotonic clock in milliseconds. */
     readonly monotonicMs: () => number;
 }
@@ -33,7 +37,7 @@
 // renew because of a store outage.
 const MAX_READ_GAP_MS = 1500;
 
-export const createLeaseView = ({ store, monotonicMs }: LeaseViewOptions): LeaseView => {
+export const createLeaseView = ({ store, candidates, monotonicMs }: LeaseViewOptions): LeaseView => {
     const observations = new Map<string, LeaseObservation>();
     /** Keys that were read individually; afterwards the change feed of the table delivers their changes. */
     const individuallyReadKeys = new Set<string>();
@@ -47,10 +51,11 @@
         });
     const observe = (rows: readonly Row[]): void => {
         const readAtMs = monotonicMs();
-        rows.filter(({ key, version }) => (observations.get(key)?.version ?? 0) < version).forEach(
-            ({ key, version, value }) =>
+        rows.filter(({ key }) => candidateVm(key) === undefined)
+            .filter(({ key, version }) => (observations.get(key)?.version ?? 0) < version)
+            .forEach(({ key, version, value }) =>
                 observations.set(key, { version, record: decodeLease(value), unchangedMs: 0, readAtMs }),
-        );
+            );
     };
     const readKeys = async (keys: readonly string[]): Promise<boolean> => {
         const readings = await Promise.all(keys.map(key => store.read(rangeOf(key))));
@@ -69,11 +74,13 @@
             case "rows":
                 extendUnchangedTimes(monotonicMs());
                 observe(reading.rows.filter(({ deleted }) => !deleted));
+                candidates.observe(reading.rows);
                 after = reading.version;
                 return reading.rows.length > 0 ? "changed" : "unchanged";
             case "history-lost":
                 after = undefined;
                 individuallyReadKeys.clear();
+                candidates.invalidate();
                 return "failed";
             case "failed":
                 return "failed";
--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -7,7 +7,7 @@
 }
 
 /** Reads all pages of a range; undefined if the store failed. */
-export const readAll = async (store: TableStore, range: Range): Promise<CompleteRange | undefined> => {
+export const readAll = async (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> => {
     const rows: Row[] = [];
     let version: number | undefined;
     let from = range.from;
--- a/programs/dispatcher/test/lease-view.test.ts
+++ b/programs/dispatcher/test/lease-view.test.ts
@@ -31,6 +31,7 @@
 const scripted = (): { readonly script: ScriptedStore; readonly view: LeaseView } => {
     const script: ScriptedStore = { nowMs: 0, reads: 0, reading: rows(0, []), changes: rows(0, []) };
     const view = createLeaseView({
+        candidates: { observe: () => undefined, invalidate: () => undefined },
         monotonicMs: () => script.nowMs,
         store: {
             read: () => {
