--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -76,7 +76,7 @@
         end: () => Promise.resolve(),
         manager: createLeaseManager({
             context: {
-                settings: { processorCores: 1.5 } as DispatcherContext["settings"],
+                settings: { processorShare: 1, processorSpeed: 1.5, linkMbps: 100 } as DispatcherContext["settings"],
                 vm: VM,
                 process: `${VM}/1` as ProcessId,
                 store,
