Test the counts that a new holder of a pool publishes

Two tests hold that a successor publishes its predecessor's counts with their age until it has loaded the jobs, and its own as of the start of the load afterwards.

--- /dev/null
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -0,0 +1,137 @@
+import assert from "node:assert/strict";
+import { EventEmitter } from "node:events";
+import { test } from "node:test";
+import { toId, type PoolName, type ProcessId, type VmId } from "@almondusher/fleet/ids";
+import type { JobId, QueueName } from "@almondusher/jobs/ids";
+import type { Step } from "@almondusher/jobs/job";
+import { initialProgress } from "@almondusher/jobs/progress";
+import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
+import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import type { ExecutorRegistry } from "../src/executor-registry.js";
+import { jobRow, jobTablesOf, progressRow } from "../src/job-rows.js";
+import type { HeldLease } from "../src/lease-manager.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
+import type { OperatorFeed } from "../src/operator-feed.js";
+import { startPoolScheduler, type PoolScheduler } from "../src/pool-scheduler.js";
+
+type Reading = Awaited<ReturnType<TableStore["read"]>>;
+
+const POOL = toId<PoolName>("pool-a");
+const QUEUE = toId<QueueName>("queue-1");
+const TABLES = jobTablesOf(POOL);
+const ID = "0000000000000001" as JobId;
+const STEP: Step = {
+    count: 1,
+    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
+    estimateMs: 1000,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerExecutor: undefined,
+    speculative: false,
+    longRunning: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    backfill: false,
+    disruptionBudget: undefined,
+};
+
+const never = <Value>(): Promise<Value> => new Promise(() => undefined);
+const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+/** Starts the scheduler of a pool after a takeover, with a store that answers reads as given. */
+const takeOver = (
+    predecessor: LeaseRecord,
+    read: (table: string) => Promise<Reading>,
+): { readonly scheduler: PoolScheduler; readonly lease: HeldLease } => {
+    const lease: HeldLease = {
+        subject: { kind: "pool", pool: POOL },
+        epoch: predecessor.epoch + 1,
+        predecessor,
+        predecessorEnded: false,
+        unrenewedMs: 2000,
+        renewedAtMs: performance.now(),
+        renewedWallMs: Date.now(),
+        version: 1,
+        lost: false,
+    };
+    const scheduler = startPoolScheduler({
+        context: {
+            settings: { maxLeaseMs: 6000 },
+            monotonicMs: () => performance.now(),
+            log: () => undefined,
+            metrics: { count: () => undefined, record: () => undefined },
+            store: {
+                nowMs: () => performance.now(),
+                read: ({ table }: { readonly table: string }) => read(table),
+                changes: never,
+            },
+        } as unknown as DispatcherContext,
+        pool: POOL,
+        lease,
+        registry: {
+            subscribe: () => () => undefined,
+            events: new EventEmitter(),
+            executorsOf: () => undefined,
+        } as unknown as ExecutorRegistry,
+        operator: { events: new EventEmitter(), configuration: () => undefined } as unknown as OperatorFeed,
+        advice: undefined,
+        requestRenewal: () => undefined,
+    });
+    return { scheduler, lease };
+};
+
+const PREDECESSOR: LeaseRecord = {
+    ...emptyLeaseContent,
+    holder: toId<VmId>("vm-1"),
+    process: "vm-1/1" as ProcessId,
+    epoch: 3,
+    pending: [{ queue: QUEUE, jobs: 7 }],
+    pendingAsOf: { version: 40, atMs: 1000 },
+};
+
+test("a new holder that has not loaded the jobs yet publishes its predecessor's counts with their age", async () => {
+    const { scheduler } = takeOver(PREDECESSOR, never);
+    await nextTurn();
+    const content = scheduler.leaseContent();
+    await scheduler.stop();
+    assert.deepEqual(content.pending, [{ queue: QUEUE, jobs: 7 }]);
+    assert.deepEqual(content.pendingAsOf, { version: 40, atMs: 1000 });
+});
+
+test("a new holder publishes its own counts once the jobs are loaded, as of the start of the load", async () => {
+    const job: Row = {
+        ...jobRow(TABLES, ID),
+        version: 50,
+        deleted: false,
+        value: encodeJob({
+            id: ID,
+            queue: QUEUE,
+            pool: POOL,
+            spec: "",
+            steps: [STEP],
+            schedule: undefined,
+            acceptedAtMs: 0,
+        }),
+    };
+    const progress: Row = { ...job, ...progressRow(TABLES, ID), value: encodeProgress(initialProgress) };
+    const { scheduler } = takeOver(PREDECESSOR, table =>
+        Promise.resolve({
+            kind: "rows",
+            rows: [table === TABLES.jobs ? job : progress],
+            version: table === TABLES.jobs ? 60 : 61,
+            nowMs: table === TABLES.jobs ? 2000 : 2020,
+            truncated: false,
+        }),
+    );
+    await nextTurn();
+    await nextTurn();
+    const content = scheduler.leaseContent();
+    await scheduler.stop();
+    assert.deepEqual(content.pending, [{ queue: QUEUE, jobs: 1 }]);
+    assert.deepEqual(content.pendingAsOf, { version: 60, atMs: 2000 });
+});
