--- a/bench/system/src/free-ports.ts
+++ b/bench/system/src/free-ports.ts
@@ -8,14 +8,13 @@
 // Coprime to BLOCKS, so that processes with adjacent ids start in different blocks.
 const BLOCK_STEP = 97;
 
-const state = { next: FIRST_PORT + ((process.pid * BLOCK_STEP) % BLOCKS) * PORTS_PER_BLOCK };
+/** The block of ports that this process hands out; `next` is the next port of it. */
+interface Block {
+    readonly index: number;
+    next: number;
+}
 
-const nextPort = (): number => {
-    const port = state.next;
-    const last = FIRST_PORT + BLOCKS * PORTS_PER_BLOCK - 1;
-    state.next = port === last ? FIRST_PORT : port + 1;
-    return port;
-};
+let block: Block | undefined;
 
 const tryListen = (port: number): Promise<Server | undefined> =>
     new Promise(resolve => {
@@ -24,8 +23,34 @@
         server.listen(port, "127.0.0.1", () => resolve(server));
     });
 
+/**
+ * Claims a block of ports for the rest of this process by listening on its first port. A port of a process that has
+ * ended is free until the process is started again, and another test must not be given it in that time.
+ */
+const claimBlock = async (index: number, tries = BLOCKS): Promise<Block> => {
+    if (tries === 0) {
+        throw new Error(`all ${BLOCKS} blocks of ports from ${FIRST_PORT} on are in use`);
+    }
+    const firstPort = FIRST_PORT + index * PORTS_PER_BLOCK;
+    const server = await tryListen(firstPort);
+    if (server === undefined) {
+        return claimBlock((index + 1) % BLOCKS, tries - 1);
+    }
+    server.unref();
+    return { index, next: firstPort + 1 };
+};
+
+const nextPort = async (): Promise<number> => {
+    if (block === undefined) {
+        block = await claimBlock((process.pid * BLOCK_STEP) % BLOCKS);
+    } else if (block.next === FIRST_PORT + (block.index + 1) * PORTS_PER_BLOCK) {
+        block = await claimBlock((block.index + 1) % BLOCKS);
+    }
+    return block.next++;
+};
+
 const findFreePort = async (): Promise<number> => {
-    const port = nextPort();
+    const port = await nextPort();
     const server = await tryListen(port);
     if (server === undefined) {
         return findFreePort();
@@ -34,11 +59,17 @@
     return port;
 };
 
-/** Returns free ports of the loopback address. Concurrent processes search different port blocks to avoid conflicts. */
-export const freePorts = async (count: number): Promise<readonly number[]> => {
-    const ports: number[] = [];
-    while (ports.length < count) {
-        ports.push(await findFreePort());
-    }
-    return ports;
+let search: Promise<unknown> = Promise.resolve();
+
+/** Returns free ports of the loopback address that no other process gets from this function while this one runs. */
+export const freePorts = (count: number): Promise<readonly number[]> => {
+    const found = search.then(async () => {
+        const ports: number[] = [];
+        while (ports.length < count) {
+            ports.push(await findFreePort());
+        }
+        return ports;
+    });
+    search = found.catch(() => undefined);
+    return found;
 };
--- a/bench/system/src/operator-client.ts
+++ b/bench/system/src/operator-client.ts
@@ -53,12 +53,14 @@
     readonly timeoutMs: number;
     /** Returns undefined until the condition holds; an error counts as undefined. */
     readonly read: () => Promise<Result | undefined>;
+    /** Describes the state of the processes for the error message of a timeout. */
+    readonly describeState?: () => string;
 }
 
 const POLL_PERIOD_MS = 100;
 
 /** Repeats a read until it returns a result; rejects on timeout. */
-export const pollUntil = async <Result>({ what, timeoutMs, read }: Poll<Result>): Promise<Result> => {
+export const pollUntil = async <Result>({ what, timeoutMs, read, describeState }: Poll<Result>): Promise<Result> => {
     const startedAt = performance.now();
     for (;;) {
         const result = await read().catch(() => undefined);
@@ -66,7 +68,8 @@
             return result;
         }
         if (performance.now() - startedAt > timeoutMs) {
-            throw new Error(`timed out waiting for ${what} after ${timeoutMs} ms`);
+            const state = describeState === undefined ? "" : `\n${describeState()}`;
+            throw new Error(`timed out waiting for ${what} after ${timeoutMs} ms${state}`);
         }
         await new Promise(resolve => setTimeout(resolve, POLL_PERIOD_MS));
     }
--- a/bench/system/src/process-faults.ts
+++ b/bench/system/src/process-faults.ts
@@ -1,4 +1,5 @@
 import { readFileSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import type { Child } from "./child-process.js";
 import { type DeployedEntry, type Deployment, launchEntry, launchManager } from "./deployment.js";
 import { pollUntil } from "./operator-client.js";
@@ -6,6 +7,7 @@
 
 const READY_TIMEOUT_MS = 20_000;
 const TAKEOVER_TIMEOUT_MS = 20_000;
+const DESCRIBED_LOG_LINES = 8;
 
 /** Pauses a process with SIGSTOP; its connections stay open. */
 export const pauseProcess = (child: Child): void => void child.process.kill("SIGSTOP");
@@ -56,6 +58,18 @@
     }
 };
 
+const describeManagers = ({ managers, folder }: Deployment): string =>
+    managers
+        .map(({ child }) => {
+            const { pid, exitCode, signalCode } = child.process;
+            const lines = readFileSync(join(folder, `${child.name}.log`), "utf8")
+                .trimEnd()
+                .split("\n");
+            const state = `${child.name}: pid ${pid}, exit code ${exitCode}, signal ${signalCode}`;
+            return [state, ...lines.slice(-DESCRIBED_LOG_LINES)].join("\n");
+        })
+        .join("\n");
+
 /** Waits for an active manager other than `except` and returns its index in the deployment. */
 export const waitForActiveManager = (deployment: Deployment, except?: number): Promise<number> =>
     pollUntil({
@@ -65,6 +79,7 @@
             const managers = await readManagers(deployment);
             return managers.find(({ index, status }) => status.leading === true && index !== except)?.index;
         },
+        describeState: () => describeManagers(deployment),
     });
 
 /** Conditions that block the drain of a VM, as reported by the active manager. */
