--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -101,6 +101,7 @@
     const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
     let closed = false;
+    let runningAcquisition: Promise<void> | undefined;
 
     const handleLostLease = async (lease: HeldLease, reason: string): Promise<void> => {
         if (lease.lost) {
@@ -222,7 +223,7 @@
         if (commit.kind === "conflict") {
             view.observe(commit.rows);
         }
-        if (version === undefined || closed) {
+        if (version === undefined) {
             return;
         }
         const lease: HeldLease = {
@@ -237,6 +238,11 @@
             version,
             lost: false,
         };
+        // During a stop the lease is released at once, unless its previous holder may still act: releasing it would tell the
+        // next holder that there is no such process.
+        if (closed && !lease.predecessorEnded) {
+            return;
+        }
         heldLeases.set(key, lease);
         context.log("lease-taken", {
             lease: key,
@@ -245,7 +251,9 @@
             unchangedMs: lease.unrenewedMs,
         });
         context.metrics.count("leases_taken");
-        holder.begin(lease);
+        if (!closed) {
+            holder.begin(lease);
+        }
     };
 
     const poll = async (): Promise<void> => {
@@ -285,7 +293,8 @@
             }),
         );
         if (!closed) {
-            await acquire(subject);
+            runningAcquisition = acquire(subject);
+            await runningAcquisition;
         }
     };
 
@@ -301,6 +310,7 @@
         // The next holder starts from this content. Completed evacuations are removed, because without a scheduler
         // nothing keeps the VMs empty.
         const content = { ...holder.content(lease), vacated: [] };
+        heldLeases.delete(key);
         lease.lost = true;
         await holder.end(lease);
         await store.transact({
@@ -315,6 +325,8 @@
         context.log("lease-given-up", { lease: key, epoch: lease.epoch });
     };
 
+    const releaseAll = (): Promise<unknown> => Promise.all([...heldLeases.values()].map(releaseLease));
+
     void poll();
     void renewPeriodically();
     return {
@@ -331,7 +343,7 @@
         },
         close: async () => {
             closed = true;
-            await Promise.all([...heldLeases.values()].map(releaseLease));
+            await Promise.all([releaseAll(), runningAcquisition?.then(releaseAll)]);
         },
     };
 };
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -105,6 +105,17 @@
     }
 };
 
+/** Makes the store hold its answers until the returned function is called. */
+const holdAnswers = (store: LeaseStore): (() => void) => {
+    let open = (): void => undefined;
+    const gate = new Promise<void>(resolve => (open = resolve));
+    store.answer = result => gate.then(() => result);
+    return () => {
+        store.answer = result => Promise.resolve(result);
+        open();
+    };
+};
+
 test("a lease whose acquisition was applied but not answered must not stay idle until it expires", async context => {
     const store = createLeaseStore();
     store.answer = () => {
@@ -116,3 +127,15 @@
     await waitUntil("the holder to begin", () => begun.length > 0, NOTICED_WITHIN_MS);
     assert.equal(begun[0]?.epoch, 1, "the lease was taken again");
 });
+
+test("a lease whose acquisition is answered during a planned stop is released", async context => {
+    const store = createLeaseStore();
+    const release = holdAnswers(store);
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the acquisition", () => store.lease() !== undefined);
+    const closed = manager.close();
+    release();
+    await closed;
+    assert.equal(begun.length, 0, "the holder began during the stop");
+    assert.equal(store.lease()?.holder, undefined);
+});
