--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -313,16 +313,40 @@
         heldLeases.delete(key);
         lease.lost = true;
         await holder.end(lease);
-        await store.transact({
-            expect: [{ ...leaseRow(key), version: lease.version }],
-            writes: [
-                {
-                    ...leaseRow(key),
-                    value: encodeLease({ ...content, holder: undefined, process: undefined, epoch: lease.epoch }),
-                },
-            ],
+        // A renewal under way changes the version of the row.
+        await runningRenewals.get(key);
+        const record: LeaseRecord = { ...content, holder: undefined, process: undefined, epoch: lease.epoch };
+        const released = await writeRelease(lease, encodeLease(record));
+        context.log(released ? "lease-given-up" : "lease-not-released", { lease: key, epoch: lease.epoch });
+    };
+
+    // Repeated until the outcome is known or another process may take the lease over anyway.
+    const writeRelease = async (lease: HeldLease, value: string): Promise<boolean> => {
+        const row = leaseRow(leaseKey(lease.subject));
+        const commit = await store.transact({
+            expect: [{ ...row, version: lease.version }],
+            writes: [{ ...row, value }],
         });
-        context.log("lease-given-up", { lease: key, epoch: lease.epoch });
+        switch (commit.kind) {
+            case "committed":
+                return true;
+            case "conflict": {
+                const [current] = commit.rows;
+                const ownVersion = versionIfOwn(context, current, lease.epoch);
+                if (ownVersion === undefined) {
+                    return current?.value === value;
+                }
+                lease.version = Math.max(lease.version, ownVersion);
+                return writeRelease(lease, value);
+            }
+            case "not-run":
+            case "unknown":
+                if (leaseAgeMs(lease, context) >= POOL_LEASE_DURATION_MS) {
+                    return false;
+                }
+                await sleep(REPEAT_DELAY_MS);
+                return writeRelease(lease, value);
+        }
     };
 
     const releaseAll = (): Promise<unknown> => Promise.all([...heldLeases.values()].map(releaseLease));
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -139,3 +139,37 @@
     assert.equal(begun.length, 0, "the holder began during the stop");
     assert.equal(store.lease()?.holder, undefined);
 });
+
+test("a planned stop during a renewal releases the lease", async context => {
+    const store = createLeaseStore();
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    const release = holdAnswers(store);
+    const renewed = manager.renew(lease);
+    await sleep(0);
+    const closed = manager.close();
+    await sleep(20);
+    release();
+    await Promise.all([renewed, closed]);
+    assert.equal(store.lease()?.holder, undefined);
+});
+
+test("a release that the store refuses or does not answer is sent again, and logged only if it took effect", async context => {
+    const store = createLeaseStore();
+    const { manager, begun, events } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    store.busy = true;
+    const closed = manager.close();
+    await sleep(150);
+    assert.ok(!events.includes("lease-given-up"), "logged before it took effect");
+    store.answer = () => {
+        store.answer = result => Promise.resolve(result);
+        return Promise.resolve({ kind: "unknown", reason: "no answer" });
+    };
+    store.busy = false;
+    await closed;
+    assert.equal(store.lease()?.holder, undefined);
+    assert.ok(events.includes("lease-given-up"));
+});
