--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -196,6 +196,25 @@
     await waitForState(other, jobId(1), "completed", 4000);
 });
 
+test("the end of a task that is known at a planned stop is stored, so that its work is not done again", async context => {
+    const deployment = await startTestDeployment(context, { dispatchers: 1, executors: 1, runMs: () => 600 });
+    const [scheduler] = deployment.dispatchers;
+    const [executor] = deployment.executors;
+    assert.ok(scheduler !== undefined && executor !== undefined);
+    await sendJobRequest(scheduler, "POST", jobId(1), jobOfTasks(1));
+    await waitUntil("the task start", START_TIMEOUT_MS, () => startedTasks(deployment, jobId(1)).length === 1);
+    deployment.store.setFault({ kind: "busy" });
+    await waitUntil("the task end", START_TIMEOUT_MS, () => scheduler.log.some(({ event }) => event === "run-ended"));
+    scheduler.process.kill("SIGTERM");
+    await waitUntil("the stop", START_TIMEOUT_MS, () => scheduler.log.some(({ event }) => event === "stopping"));
+    deployment.store.setFault({ kind: "none" });
+    assert.equal(await scheduler.ended, 0);
+    executor.restart();
+    const successor = await deployment.startDispatcher("entry-x");
+    await waitForState(successor, jobId(1), "completed", START_TIMEOUT_MS);
+    assert.equal(startedTasks(deployment, jobId(1)).length, 1);
+});
+
 test("every new holder of a lease gets a higher fencing token, also after planned stops", async context => {
     const deployment = await startTestDeployment(context, { dispatchers: 1 });
     const seen: (readonly number[])[] = [];
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -34,7 +34,7 @@
     renewedWallMs: number;
     /** Version of the lease row that the next renewal expects. */
     version: number;
-    /** Set when another process has acquired the lease, or when this one releases it. */
+    /** Set when another process has acquired the lease, or when this one has ended its work to release it. */
     lost: boolean;
 }
 
@@ -115,12 +115,12 @@
     };
 
     const renewOnce = async (lease: HeldLease): Promise<boolean> => {
-        if (lease.lost) {
+        const key = leaseKey(lease.subject);
+        if (heldLeases.get(key) !== lease) {
             return false;
         }
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
-        const key = leaseKey(lease.subject);
         const content = holder.content(lease);
         const record: LeaseRecord = { ...content, holder: context.vm, process: context.process, epoch: lease.epoch };
         const value = encodeLease(record);
@@ -311,8 +311,8 @@
         // nothing keeps the VMs empty.
         const content = { ...holder.content(lease), vacated: [] };
         heldLeases.delete(key);
-        lease.lost = true;
         await holder.end(lease);
+        lease.lost = true;
         // A renewal under way changes the version of the row.
         await runningRenewals.get(key);
         const record: LeaseRecord = { ...content, holder: undefined, process: undefined, epoch: lease.epoch };
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -37,8 +37,8 @@
     /** Must be called after each renewal, with the content that was stored. */
     readonly onLeaseRenewed: (content: LeaseContent) => void;
     /**
-     * Stops sending orders. Run ends that are already known are stored first only if the lease is not marked as lost; the
-     * lease manager marks it before this call, also when it releases the lease.
+     * Stops sending orders. Unless the lease is lost, resolves only once the run ends that are already known are stored, or
+     * after a time limit.
      */
     readonly stop: () => Promise<void>;
     /** Replaces the set of VMs that have to be evacuated. */
@@ -71,6 +71,7 @@
     const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs });
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
+    let stopping = false;
     let jobsLoaded = false;
     let reloadingProgress = false;
     let lastCompletedEvacuations = "";
@@ -92,7 +93,7 @@
         });
     const passThrottle = createPassThrottle({
         pass: () => {
-            if (isActive()) {
+            if (isActive() && !stopping) {
                 runPass();
             }
         },
@@ -306,14 +307,15 @@
             requestPass();
         },
         stop: async () => {
-            if (!lease.lost) {
-                await writer.flush(FLUSH_TIMEOUT_MS);
-            }
-            active = false;
+            stopping = true;
             unsubscribeRegistry();
             registry.events.off("change", onRegistryChange);
             operator.events.off("configuration", syncQueues);
             connections.close();
+            if (!lease.lost) {
+                await writer.flush(FLUSH_TIMEOUT_MS);
+            }
+            active = false;
         },
         setEvacuations: vms => {
             evacuations = vms;
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -173,3 +173,17 @@
     assert.equal(store.lease()?.holder, undefined);
     assert.ok(events.includes("lease-given-up"));
 });
+
+test("a lease is not marked as lost while its holder stores its last results before a planned stop", async context => {
+    const store = createLeaseStore();
+    const started = startManager(context, store);
+    await waitUntil("the holder to begin", () => started.begun.length > 0);
+    const lost: boolean[] = [];
+    started.end = async lease => {
+        await sleep(20);
+        lost.push(lease.lost);
+    };
+    await started.manager.close();
+    assert.deepEqual(lost, [false]);
+    assert.ok(started.begun[0]?.lost, "the lease counts as held after its release");
+});
