--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -35,7 +35,7 @@
     renewedWallMs: number;
     /** Version of the lease row that the next renewal expects. */
     version: number;
-    /** Set when another process has acquired the lease, or when this one releases it. */
+    /** Set when another process has acquired the lease, or when this one has ended its work to release it. */
     lost: boolean;
 }
 
@@ -106,6 +106,7 @@
     const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
     let closed = false;
+    let runningAcquisition: Promise<void> | undefined;
 
     const handleLostLease = async (lease: HeldLease, reason: string): Promise<void> => {
         if (lease.lost) {
@@ -119,12 +120,12 @@
     };
 
     const renewOnce = async (lease: HeldLease): Promise<boolean> => {
-        if (lease.lost) {
+        const key = leaseKey(lease.subject);
+        if (heldLeases.get(key) !== lease) {
             return false;
         }
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
-        const key = leaseKey(lease.subject);
         const content = holder.content(lease);
         const record: LeaseRecord = { ...content, holder: context.vm, process: context.process, epoch: lease.epoch };
         const value = encodeLease(record);
@@ -237,7 +238,7 @@
         if (commit.kind === "conflict") {
             view.observe(commit.rows);
         }
-        if (version === undefined || closed) {
+        if (version === undefined) {
             return;
         }
         const lease: HeldLease = {
@@ -252,6 +253,11 @@
             version,
             lost: false,
         };
+        // During a stop the lease is released at once, unless its previous holder may still act: releasing it would tell the
+        // next holder that there is no such process.
+        if (closed && !lease.predecessorEnded) {
+            return;
+        }
         heldLeases.set(key, lease);
         context.log("lease-taken", {
             lease: key,
@@ -260,7 +266,9 @@
             unchangedMs: lease.unrenewedMs,
         });
         context.metrics.count("leases_taken");
-        holder.begin(lease);
+        if (!closed) {
+            holder.begin(lease);
+        }
         await candidates.remove(unresponsive);
     };
 
@@ -295,7 +303,8 @@
                 return;
             }
             tried.add(leaseKey(due.subject));
-            await acquire(due);
+            runningAcquisition = acquire(due);
+            await runningAcquisition;
         }
     };
 
@@ -311,20 +320,47 @@
         // The next holder starts from this content. Completed evacuations are removed, because without a scheduler
         // nothing keeps the VMs empty.
         const content = { ...holder.content(lease), vacated: [] };
-        lease.lost = true;
+        heldLeases.delete(key);
         await holder.end(lease);
-        await store.transact({
-            expect: [{ ...leaseRow(key), version: lease.version }],
-            writes: [
-                {
-                    ...leaseRow(key),
-                    value: encodeLease({ ...content, holder: undefined, process: undefined, epoch: lease.epoch }),
-                },
-            ],
+        lease.lost = true;
+        // A renewal under way changes the version of the row.
+        await runningRenewals.get(key);
+        const record: LeaseRecord = { ...content, holder: undefined, process: undefined, epoch: lease.epoch };
+        const released = await writeRelease(lease, encodeLease(record));
+        context.log(released ? "lease-given-up" : "lease-not-released", { lease: key, epoch: lease.epoch });
+    };
+
+    // Repeated until the outcome is known or another process may take the lease over anyway.
+    const writeRelease = async (lease: HeldLease, value: string): Promise<boolean> => {
+        const row = leaseRow(leaseKey(lease.subject));
+        const commit = await store.transact({
+            expect: [{ ...row, version: lease.version }],
+            writes: [{ ...row, value }],
         });
-        context.log("lease-given-up", { lease: key, epoch: lease.epoch });
+        switch (commit.kind) {
+            case "committed":
+                return true;
+            case "conflict": {
+                const [current] = commit.rows;
+                const ownVersion = versionIfOwn(context, current, lease.epoch);
+                if (ownVersion === undefined) {
+                    return current?.value === value;
+                }
+                lease.version = Math.max(lease.version, ownVersion);
+                return writeRelease(lease, value);
+            }
+            case "not-run":
+            case "unknown":
+                if (leaseAgeMs(lease, context) >= POOL_LEASE_DURATION_MS) {
+                    return false;
+                }
+                await sleep(REPEAT_DELAY_MS);
+                return writeRelease(lease, value);
+        }
     };
 
+    const releaseAll = (): Promise<unknown> => Promise.all([...heldLeases.values()].map(releaseLease));
+
     void poll();
     void renewPeriodically();
     return {
@@ -341,7 +377,7 @@
         },
         close: async () => {
             closed = true;
-            await Promise.all([candidacy.withdraw(), ...[...heldLeases.values()].map(releaseLease)]);
+            await Promise.all([candidacy.withdraw(), releaseAll(), runningAcquisition?.then(releaseAll)]);
         },
     };
 };
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -105,6 +105,17 @@
     }
 };
 
+/** Makes the store hold its answers until the returned function is called. */
+const holdAnswers = (store: LeaseStore): (() => void) => {
+    let open = (): void => undefined;
+    const gate = new Promise<void>(resolve => (open = resolve));
+    store.answer = result => gate.then(() => result);
+    return () => {
+        store.answer = result => Promise.resolve(result);
+        open();
+    };
+};
+
 test("a lease whose acquisition was applied but not answered must not stay idle until it expires", async context => {
     const store = createLeaseStore();
     store.answer = () => {
@@ -116,3 +127,63 @@
     await waitUntil("the holder to begin", () => begun.length > 0, NOTICED_WITHIN_MS);
     assert.equal(begun[0]?.epoch, 1, "the lease was taken again");
 });
+
+test("a lease whose acquisition is answered during a planned stop is released", async context => {
+    const store = createLeaseStore();
+    const release = holdAnswers(store);
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the acquisition", () => store.lease() !== undefined);
+    const closed = manager.close();
+    release();
+    await closed;
+    assert.equal(begun.length, 0, "the holder began during the stop");
+    assert.equal(store.lease()?.holder, undefined);
+});
+
+test("a planned stop during a renewal releases the lease", async context => {
+    const store = createLeaseStore();
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    const release = holdAnswers(store);
+    const renewed = manager.renew(lease);
+    await sleep(0);
+    const closed = manager.close();
+    await sleep(20);
+    release();
+    await Promise.all([renewed, closed]);
+    assert.equal(store.lease()?.holder, undefined);
+});
+
+test("a release that the store refuses or does not answer is sent again, and logged only if it took effect", async context => {
+    const store = createLeaseStore();
+    const { manager, begun, events } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    store.busy = true;
+    const closed = manager.close();
+    await sleep(150);
+    assert.ok(!events.includes("lease-given-up"), "logged before it took effect");
+    store.answer = () => {
+        store.answer = result => Promise.resolve(result);
+        return Promise.resolve({ kind: "unknown", reason: "no answer" });
+    };
+    store.busy = false;
+    await closed;
+    assert.equal(store.lease()?.holder, undefined);
+    assert.ok(events.includes("lease-given-up"));
+});
+
+test("a lease is not marked as lost while its holder stores its last results before a planned stop", async context => {
+    const store = createLeaseStore();
+    const started = startManager(context, store);
+    await waitUntil("the holder to begin", () => started.begun.length > 0);
+    const lost: boolean[] = [];
+    started.end = async lease => {
+        await sleep(20);
+        lost.push(lease.lost);
+    };
+    await started.manager.close();
+    assert.deepEqual(lost, [false]);
+    assert.ok(started.begun[0]?.lost, "the lease counts as held after its release");
+});
