--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -2,7 +2,7 @@
 import { isFromPastIncarnation, observeIncarnation } from "./executor-incarnation.js";
 import { haveLeasesExpired, hasLongestLeaseExpired } from "./lease-time.js";
 import { learnRunTime } from "./run-times.js";
-import { isCompleted } from "./job-progress.js";
+import { isCompleted, markStarted } from "./job-progress.js";
 import {
     findTask,
     forgetRun,
@@ -57,6 +57,7 @@
             adoptRun(tables, executor, active, times.receivedAtMs);
             return;
         }
+        markStarted(run.task.step.job);
         run.percent = active.percent;
         run.recentLoad = active.recentLoad;
         run.availableSinceMs = active.percent >= 100 ? (run.availableSinceMs ?? times.receivedAtMs) : undefined;
@@ -64,21 +65,28 @@
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
-        if (run.phase === "unsettled" || run.phase === "starting") {
+        if (run.phase === "unsettled" || run.phase === "missing" || run.phase === "starting") {
             run.phase = "running";
         }
     });
+    markMissingRuns(executor, times);
     dropMissingRuns(executor, report, times);
     executor.reconciled = true;
     return applied;
 };
 
-/** Removes from an unreachable executor the runs whose leases have certainly expired, and returns them. */
-export const expireRuns = (tables: PoolTables, executor: Executor, nowMs: number): readonly Run[] => {
+/**
+ * Removes from an unreachable executor the runs whose leases had certainly expired when the last unanswered poll was
+ * sent, and returns them. A scheduler that was late or suspended has not asked since, and the runs may have ended as
+ * done.
+ */
+export const expireRuns = (tables: PoolTables, executor: Executor): readonly Run[] => {
     if (executor.reachable) {
         return [];
     }
-    const expired = [...executor.runs.values()].filter(run => hasLeaseExpired(tables, run, nowMs));
+    const expired = [...executor.runs.values()].filter(run =>
+        hasLeaseExpired(tables, run, executor.unansweredPollSentAtMs),
+    );
     expired.forEach(forgetRun);
     if (expired.some(({ confirmedAtMs }) => confirmedAtMs === undefined)) {
         executor.hasUnresolvedStart = true;
@@ -99,6 +107,13 @@
     job.dirty = true;
 };
 
+/** Ends a job as completed if all of its tasks are done. */
+export const completeIfDone = (job: OpenJob): void => {
+    if (!isJobEnded(job) && isCompleted(job)) {
+        endJob(job, "completed");
+    }
+};
+
 /** True for a job in a final state, which must not start further runs. */
 export const isJobEnded = ({ state }: OpenJob): boolean => state !== "queued" && state !== "running";
 
@@ -131,6 +146,7 @@
     nowMs: number,
 ): void => {
     const { job, step } = task.step;
+    markStarted(job);
     if (end.checkpoint !== "") {
         task.checkpoint = end.checkpoint;
     }
@@ -153,9 +169,7 @@
     if (!isJobEnded(job) && !step.longRunning && failures >= maxAttempts && !task.done) {
         endJob(job, "failed");
     }
-    if (!isJobEnded(job) && isCompleted(job)) {
-        endJob(job, "completed");
-    }
+    completeIfDone(job);
 };
 
 const recordFailure = (task: Task, executor: Executor, run: number): void => {
@@ -216,12 +230,14 @@
         // statistics.
         resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
+        unansweredAtMs: undefined,
         percent: active.percent,
         availableSinceMs: active.percent >= 100 ? nowMs : undefined,
         recentLoad: active.recentLoad,
         speedLimitPercent: 100,
         stopCause: undefined,
         stopSentAtMs: undefined,
+        stopsSent: 0,
     };
     if (active.checkpoint !== "") {
         task.checkpoint = active.checkpoint;
@@ -229,7 +245,7 @@
     const isDuplicate = task.runs.length > 0 && !task.step.step.speculative;
     task.runs.push(run);
     executor.runs.set(task.id, run);
-    task.step.job.started = true;
+    markStarted(task.step.job);
     if (isDuplicate) {
         markForStop(run, "duplicate");
     }
@@ -237,10 +253,19 @@
 
 const addOrphanedRun = (executor: Executor, { task, run }: RunReport["active"][number]): void => {
     if (!executor.orphanedRuns.some(orphan => orphan.task === task && orphan.number === run)) {
-        executor.orphanedRuns = [...executor.orphanedRuns, { task, number: run, stopSentAtMs: undefined }];
+        executor.orphanedRuns = [
+            ...executor.orphanedRuns,
+            { task, number: run, stopSentAtMs: undefined, stopsSent: 0 },
+        ];
     }
 };
 
+// The runs that the report lists are no longer unsettled when this is called.
+const markMissingRuns = (executor: Executor, { sentAtMs }: ReportTimes): void =>
+    [...executor.runs.values()]
+        .filter(({ phase, unansweredAtMs }) => phase === "unsettled" && (unansweredAtMs ?? Infinity) <= sentAtMs)
+        .forEach(run => (run.phase = "missing"));
+
 // A report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer exists.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => runOf(executor, task, run)));
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,4 +1,5 @@
 import { clockWentBack, recordClockReading } from "./lease-time.js";
+import { markStarted } from "./job-progress.js";
 import { forgetRun, type Executor, type PoolTables, type Run } from "./pool-tables.js";
 
 /** What a response of an executor says about its incarnation, which lasts from the start to the end of its process. */
@@ -53,9 +54,16 @@
         executor.leaseUntilMs = executor.clock.clockMs + tables.maxLeaseMs;
     }
     run.confirmedAtMs = nowMs;
+    markStarted(run.task.step.job);
     run.phase = run.phase === "starting" ? "running" : run.phase;
 };
 
+/** Records that the start request of a run was given up without a response, so that the run may or may not exist. */
+export const markUnanswered = (run: Run, nowMs: number): void => {
+    run.unansweredAtMs = nowMs;
+    run.phase = run.phase === "starting" ? "unsettled" : run.phase;
+};
+
 /**
  * Begins an incarnation whose start time is not known yet. Confirmed runs ended with the previous incarnation. Runs
  * with an unanswered start request are kept, since the request may have reached the new one.
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -4,6 +4,7 @@
 import type { ExecutorId, JobId, QueueName, StepId, TaskId } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
 import type { RunTimeTable } from "./run-times.js";
+import type { StopSchedule } from "./stop-schedule.js";
 
 /** A task and its known runs. */
 export interface Task {
@@ -54,7 +55,7 @@
     | "gang-incomplete";
 
 /** A run that is or may be present on an executor. It occupies resources until its end is known. */
-export interface Run {
+export interface Run extends StopSchedule {
     readonly task: Task;
     readonly number: number;
     readonly executor: Executor;
@@ -70,6 +71,8 @@
      * reports requested later must list the run until it has ended.
      */
     confirmedAtMs: number | undefined;
+    /** When the start request was given up without a response; undefined if it was answered or still may be. */
+    unansweredAtMs: number | undefined;
     /** Last reported progress. */
     percent: number;
     /** When 100% progress was first reported, which means that a long-running task is in service; undefined before. */
@@ -79,12 +82,13 @@
     /** Speed limit of the run, in percent of its full speed. */
     speedLimitPercent: number;
     stopCause: StopCause | undefined;
-    /** When a stop request was last sent. */
-    stopSentAtMs: number | undefined;
 }
 
-/** `unsettled` is a start request without a response: the run may or may not exist. */
-type RunPhase = "starting" | "running" | "stopping" | "unsettled";
+/**
+ * `unsettled` is a start request without a response: the run may or may not exist. `missing` is one that a later report
+ * does not list: the request may still arrive.
+ */
+type RunPhase = "starting" | "running" | "stopping" | "unsettled" | "missing";
 
 /** A job with remaining work, or whose final state is not stored yet. */
 export interface OpenJob {
@@ -95,8 +99,8 @@
     readonly arrivedAtMs: number;
     /** Occurrences that are due, by number. */
     readonly occurrences: Map<number, readonly OpenStep[]>;
+    /** `queued` until an executor is known to have begun a task. */
     state: JobState;
-    started: boolean;
     /** Accepted before the current pool lease was taken, so the job may have runs that are not in the tables yet. */
     readonly inherited: boolean;
     /**
@@ -143,6 +147,8 @@
     /** Listed in the stored row of the pool lease, so that the next holder reads the executor's runs. */
     listedInLease: boolean;
     reachable: boolean;
+    /** When the last poll that got no answer was sent, in milliseconds of the monotonic clock. */
+    unansweredPollSentAtMs: number;
     /** Present in the registry. */
     registered: boolean;
     /** Highest number of a run end that was applied. */
@@ -165,10 +171,9 @@
 }
 
 /** An orphaned run: its job or task is finished or unknown. Its executor gets no starts until the run is gone. */
-export interface OrphanedRun {
+export interface OrphanedRun extends StopSchedule {
     readonly task: TaskId;
     readonly number: number;
-    stopSentAtMs: number | undefined;
 }
 
 /** In-memory state of the scheduler of one pool. */
--- a/programs/dispatcher/src/bounded-output.ts
+++ b/programs/dispatcher/src/bounded-output.ts
@@ -16,18 +16,19 @@
 }
 
 const FLUSH_POLL_INTERVAL_MS = 10;
-// Lines are collected for this long or up to this size, since one system call for each line would cost more processor
-// time than the rest of the logging.
-const COLLECT_MS = 10;
-const COLLECT_CHARACTERS = 4096;
+// Maximum size of a write of several lines. A pipe takes a write of up to this size whole (PIPE_BUF), and some readers
+// discard the rest of a larger one.
+const MAX_WRITE_BYTES = 4096;
 
 /** Creates an output that drops lines while its reader is stalled. Writes do not block the main thread. */
 export const createBoundedOutput = ({ descriptor, maxBuffered }: BoundedOutputOptions): BoundedOutput => {
     let pendingLines: string[] = [];
+    /** Lines that are written before the pending ones, from the index `next` on. */
+    let batch: string[] = [];
+    let next = 0;
     let buffered = 0;
     let dropped = 0;
     let writing = false;
-    let timer: NodeJS.Timeout | undefined;
     const writeAll = (chunk: Buffer): void => {
         write(descriptor, chunk, (error, written) => {
             if (!(error instanceof Error) && written < chunk.length) {
@@ -35,27 +36,32 @@
                 return;
             }
             writing = false;
-            scheduleWrite();
+            writePending();
         });
     };
-    const writePending = (): void => {
-        clearTimeout(timer);
-        timer = undefined;
-        writing = true;
-        const chunk = Buffer.from(pendingLines.join(""));
-        pendingLines = [];
-        buffered = 0;
-        writeAll(chunk);
+    const hasLines = (): boolean => next < batch.length || pendingLines.length > 0;
+    const takeChunk = (): Buffer => {
+        if (next === batch.length) {
+            batch = pendingLines;
+            pendingLines = [];
+            next = 0;
+        }
+        const first = next;
+        let bytes = 0;
+        do {
+            bytes += Buffer.byteLength(batch[next] ?? "");
+            next++;
+        } while (next < batch.length && bytes + Buffer.byteLength(batch[next] ?? "") <= MAX_WRITE_BYTES);
+        const chunk = batch.slice(first, next).join("");
+        buffered -= chunk.length;
+        return Buffer.from(chunk);
     };
-    const scheduleWrite = (): void => {
-        if (writing || pendingLines.length === 0) {
+    const writePending = (): void => {
+        if (writing || !hasLines()) {
             return;
         }
-        if (buffered >= COLLECT_CHARACTERS) {
-            writePending();
-        } else {
-            timer ??= setTimeout(writePending, COLLECT_MS);
-        }
+        writing = true;
+        writeAll(takeChunk());
     };
     return {
         dropped: () => dropped,
@@ -66,11 +72,11 @@
             }
             pendingLines.push(line);
             buffered += line.length;
-            scheduleWrite();
+            writePending();
         },
         flush: async timeoutMs => {
             const endMs = performance.now() + timeoutMs;
-            while ((writing || pendingLines.length > 0) && performance.now() < endMs) {
+            while ((writing || hasLines()) && performance.now() < endMs) {
                 await new Promise(resolve => setTimeout(resolve, FLUSH_POLL_INTERVAL_MS));
             }
         },
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -4,6 +4,7 @@
     acknowledgedEnd,
     confirmStart,
     endIncarnation,
+    markUnanswered,
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
 import { leaseUntil } from "@almondusher/scheduler/lease-time";
@@ -16,6 +17,7 @@
 } from "@almondusher/platform-adapter/executor-client";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
+import type { OrderWindow } from "./order-window.js";
 
 /** Connection from a pool's scheduler to one executor: sends orders and polls the executor's reports. */
 export interface ExecutorConnection {
@@ -38,7 +40,7 @@
     readonly mayExtendLeases: () => boolean;
     /** Called with the run ends that a report contains for the first time. */
     readonly ended: (executor: Executor, ends: readonly AppliedEnd[]) => void;
-    /** Called when the executor's state has changed, so that a scheduling pass may have orders to send. */
+    /** Called when the executor's state has changed or an order has ended, so that a pass may have orders to send. */
     readonly changed: () => void;
     /** Called when the executor has rejected the ticket of a start. */
     readonly ticketRejected: (run: Run) => void;
@@ -51,6 +53,7 @@
     readonly owner: ExecutorConnectionOwner;
     readonly executor: Executor;
     readonly orderLoad: OrderLoad;
+    readonly orderWindow: OrderWindow;
     /** Time for which each start or extension of a run grants a lease, in milliseconds. */
     readonly leaseMs: number;
 }
@@ -75,6 +78,7 @@
     owner,
     executor,
     orderLoad,
+    orderWindow,
     leaseMs,
 }: ExecutorConnectionOptions): ExecutorConnection => {
     const { tables } = owner;
@@ -122,6 +126,11 @@
         executor.leaseUntilMs = Math.max(executor.leaseUntilMs, until ?? 0);
         return until;
     };
+    const isReportUrgent = (): boolean =>
+        !executor.reconciled ||
+        failedPolls > 0 ||
+        executor.lastStoredEnd < executor.lastAppliedEnd ||
+        [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
     const pollReport = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         context.metrics.count("executor_reports");
@@ -130,10 +139,7 @@
             // have read the stored progress before they were added, and still needs the executor to report them.
             acknowledged: owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0,
             leaseUntilMs: extendRunLeases(),
-            waitMs:
-                executor.reconciled && failedPolls === 0 && executor.lastStoredEnd >= executor.lastAppliedEnd
-                    ? REPORT_LONG_POLL_MS
-                    : 0,
+            waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
         });
         if (closed) {
             return;
@@ -153,6 +159,7 @@
                 return;
             case "unreachable":
                 failedPolls++;
+                executor.unansweredPollSentAtMs = sentAtMs;
                 if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
                     markUnreachable(result.reason);
                     await sleep(RETRY_DELAY_MS);
@@ -248,7 +255,7 @@
                 logStartNotAccepted(run, result.reason);
                 return;
             case "unknown":
-                run.phase = run.phase === "starting" ? "unsettled" : run.phase;
+                markUnanswered(run, nowMs);
                 executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
                 logStartNotAccepted(run, result.reason);
                 return;
@@ -268,6 +275,8 @@
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
     };
+    const track = (send: () => Promise<OrderResult>): Promise<OrderResult> =>
+        orderWindow.track(executor.id, () => orderLoad.track(send));
     void pollWhileOpen();
     return {
         pollNow,
@@ -280,7 +289,7 @@
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
             context.metrics.count("starts");
             const sentAtMs = context.monotonicMs();
-            const result = await orderLoad.track(() =>
+            const result = await track(() =>
                 currentClient().start({
                     task: run.task.id,
                     run: run.number,
@@ -297,7 +306,7 @@
         stop: async run => {
             context.metrics.count("stops");
             const sentAtMs = context.monotonicMs();
-            const result = await orderLoad.track(() => currentClient().stop(run.task.id, run.number));
+            const result = await track(() => currentClient().stop(run.task.id, run.number));
             if (result.kind === "accepted") {
                 recordClock(result.clockMs, sentAtMs);
                 run.confirmedAtMs = context.monotonicMs();
@@ -305,16 +314,18 @@
                 owner.fenced();
             }
             pollNow();
+            owner.changed();
         },
         stopOrphanedRun: async orphanedRun => {
-            await orderLoad.track(() => currentClient().stop(orphanedRun.task, orphanedRun.number));
+            await track(() => currentClient().stop(orphanedRun.task, orphanedRun.number));
             pollNow();
+            owner.changed();
         },
         setPace: async (run, percent) => {
             const before = run.speedLimitPercent;
             // Set before the answer arrives, so that the next scheduling pass does not send the same order again.
             run.speedLimitPercent = percent;
-            const result = await orderLoad.track(() => currentClient().pace(run.task.id, run.number, percent));
+            const result = await track(() => currentClient().pace(run.task.id, run.number, percent));
             if (result.kind !== "accepted" && run.speedLimitPercent === percent) {
                 run.speedLimitPercent = before;
             }
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -13,6 +13,7 @@
 } from "@almondusher/scheduler/pool-tables";
 import { endJob, isJobEnded, expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
+import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
@@ -21,6 +22,7 @@
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createOrderLoad } from "./order-load.js";
+import { createOrderWindow } from "./order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { placeholderRecord, pendingCounts, completedEvacuations } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
@@ -72,6 +74,7 @@
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
     let jobsLoaded = false;
+    let jobsAsOf = lease.predecessor?.pendingAsOf;
     let reloadingProgress = false;
     let lastCompletedEvacuations = "";
     const demandHistory = createDemandHistory();
@@ -150,8 +153,13 @@
     };
     const tickets = createStepTickets({ context, client: options.advice, tables, changed: requestPass });
     const orderLoad = createOrderLoad(context);
-    const connections = createExecutorConnections({ context, owner, orderLoad, leaseMs });
-    const orders = createRunOrders({ context, tables, connections, tickets });
+    const orderWindow = createOrderWindow({
+        monotonicMs: context.monotonicMs,
+        timeoutMs: ORDER_TIMEOUT_MS,
+        maxSize: () => tables.executors.size * MAX_ORDER_CONNECTIONS,
+    });
+    const connections = createExecutorConnections({ context, owner, orderLoad, orderWindow, leaseMs });
+    const orders = createRunOrders({ context, tables, connections, orderWindow, tickets });
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
         // Until the jobs are loaded, runs that executors report cannot be told from orphaned ones.
@@ -179,6 +187,9 @@
         if (openJob === undefined) {
             return;
         }
+        if (openJob.dirty) {
+            writer.request();
+        }
         recordArrival(tables, demandHistory, openJob, context.monotonicMs());
         context.log("job-admitted", {
             job: job.id,
@@ -204,7 +215,7 @@
     };
     const expireLostRuns = (): void =>
         tables.executors.forEach(executor => {
-            const expired = expireRuns(tables, executor, context.monotonicMs());
+            const expired = expireRuns(tables, executor);
             expired.forEach(run => {
                 context.metrics.count("runs_lapsed_unseen");
                 context.log("run-lapsed", { task: run.task.id, run: run.number, executor: executor.id });
@@ -230,6 +241,7 @@
         void reloadProgress(context, tables).then(read => {
             reloadingProgress = false;
             tables.isProgressCurrent = read;
+            writer.request();
             requestPass();
         });
     };
@@ -276,14 +288,19 @@
         .observe(() => {
             const sample = orderLoad.takeSample();
             if (sample !== undefined) {
-                context.log("order-load", { pool, ...sample });
+                context.log("order-load", { pool, ...sample, window: orderWindow.size() });
             }
         });
     void followJobs({
         context,
         pool,
         isActive,
-        sink: { job: admitStoredJob, cancelled: cancelJob, changed: onJobsChanged },
+        sink: {
+            job: admitStoredJob,
+            cancelled: cancelJob,
+            changed: onJobsChanged,
+            readUpTo: point => (jobsAsOf = point),
+        },
     });
 
     return {
@@ -292,6 +309,7 @@
             ...emptyLeaseContent,
             executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
             pending: jobsLoaded ? pendingCounts(tables) : (lease.predecessor?.pending ?? []),
+            pendingAsOf: jobsAsOf,
             vacated: jobsLoaded ? completedEvacuations(tables) : [],
             demand,
         }),
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -13,8 +13,12 @@
     | { readonly kind: "slow"; readonly answerMs: number }
     /** Carries out writes but closes the connection instead of answering. */
     | { readonly kind: "lost-answers" }
+    /** Carries out writes at once but answers them only after the delay. */
+    | { readonly kind: "late-answers"; readonly delayMs: number }
     /** Closes the connection instead of answering a write, and carries the write out after the delay. */
-    | { readonly kind: "late-writes"; readonly delayMs: number };
+    | { readonly kind: "late-writes"; readonly delayMs: number }
+    /** Answers no request for changes that may wait; all other calls are answered. */
+    | { readonly kind: "silent-long-polls" };
 
 /** In-memory stand-in for the platform's store: transactions, reads and the change feed. */
 export interface StoreStandIn {
@@ -148,8 +152,14 @@
             case "slow":
                 await delayAnswer(request, fault.answerMs);
                 break;
+            case "silent-long-polls":
+                if (Number(request.query.get("wait_ms") ?? 0) > 0) {
+                    return { kind: "no-reply" };
+                }
+                break;
             case "none":
             case "lost-answers":
+            case "late-answers":
             case "late-writes":
                 break;
         }
@@ -164,17 +174,23 @@
                 return reply(404);
         }
     };
-    const commitWithFault = (body: unknown): JsonReply => {
+    const commitWithFault = async (body: unknown): Promise<JsonReply> => {
         switch (fault.kind) {
             case "lost-answers":
                 commit(body);
                 return { kind: "disconnect" };
+            case "late-answers": {
+                const answer = commit(body);
+                await sleep(fault.delayMs);
+                return answer;
+            }
             case "late-writes":
                 setTimeout(() => commit(body), fault.delayMs);
                 return { kind: "disconnect" };
             case "none":
             case "busy":
             case "silent":
+            case "silent-long-polls":
             case "slow":
                 return commit(body);
         }
