--- a/programs/dispatcher/src/acquisition-order.ts
+++ b/programs/dispatcher/src/acquisition-order.ts
@@ -1,7 +1,7 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import { relativeCapacity, type VmCapacity } from "./vm-capacity.js";
 
-interface RankedVm {
+export interface RankedVm {
     readonly vm: VmId;
     readonly capacity: VmCapacity;
     /** Number of leases that its process holds. */
@@ -38,6 +38,12 @@
     return vms.map(({ capacity, heldLeases }) => (heldLeases + 1) / relativeCapacity(capacity, capacities));
 };
 
+/** True if the VM has a clearly larger capacity than another one. */
+export const isClearlyLarger = (vm: RankedVm, than: RankedVm): boolean => {
+    const capacities = [vm.capacity, than.capacity];
+    return isClearlySmaller(relativeCapacity(than.capacity, capacities), relativeCapacity(vm.capacity, capacities));
+};
+
 const isClearlySmaller = (load: number, than: number): boolean => load * CLEAR_DIFFERENCE_FACTOR <= than;
 
 /** Returns the VMs that should acquire an available lease rather than this one. */
@@ -79,8 +85,11 @@
  * Returns which of several available leases a process tries first, so that VMs of the same rank try different ones;
  * undefined if there is none.
  */
-export const chooseLease = <Lease>(leases: readonly Lease[], { self, others }: Ranking): Lease | undefined => {
+export const chooseLease = <Lease>(leases: readonly Lease[], ranking: Ranking): Lease | undefined =>
+    leases[positionAmongEquals(ranking) % leases.length];
+
+/** Returns how many VMs of the same rank come before this one. */
+export const positionAmongEquals = ({ self, others }: Ranking): number => {
     const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
-    const position = others.filter(({ vm }, index) => loads[index] === ownLoad && vm < self.vm).length;
-    return leases[position % leases.length];
+    return others.filter(({ vm }, index) => loads[index] === ownLoad && vm < self.vm).length;
 };
--- a/programs/dispatcher/src/candidate-rows.ts
+++ b/programs/dispatcher/src/candidate-rows.ts
@@ -9,7 +9,25 @@
 export const CANDIDATE_PART = "candidates";
 const KEY_PREFIX = "vm/";
 
-const schema = z.object({ processorCores: z.number().positive(), linkMbps: z.number().positive() });
+/** The request of a VM without a lease to take over one that a smaller VM holds. */
+export interface HandoverRequest {
+    /** Key of the lease. */
+    readonly lease: string;
+    /** Time of the request on the store's clock, in milliseconds. */
+    readonly atMs: number;
+}
+
+/** Stored content of a candidate. */
+export interface CandidateContent {
+    readonly capacity: VmCapacity;
+    /** The last request; undefined if there was none since the process was started. */
+    readonly request: HandoverRequest | undefined;
+}
+
+const schema = z.object({
+    capacity: z.object({ processorCores: z.number().positive(), linkMbps: z.number().positive() }),
+    request: z.object({ lease: z.string(), atMs: z.number() }).optional(),
+});
 
 /**
  * Returns the row of a VM whose process may acquire leases. It is in the table of the leases, so that the change feed
@@ -25,8 +43,11 @@
 export const candidateVm = (key: string): VmId | undefined =>
     key.startsWith(KEY_PREFIX) ? (key.slice(KEY_PREFIX.length) as VmId) : undefined;
 
-export const encodeCandidate = ({ processorCores, linkMbps }: VmCapacity): string =>
-    JSON.stringify({ processorCores, linkMbps });
+export const encodeCandidate = ({ capacity, request }: CandidateContent): string =>
+    JSON.stringify({ capacity, request });
 
-/** Decodes the stored capacity of a candidate; undefined if it is malformed. */
-export const decodeCandidate = (text: string): VmCapacity | undefined => schema.safeParse(parseJson(text)).data;
+/** Decodes a stored candidate; undefined if it is malformed. */
+export const decodeCandidate = (text: string): CandidateContent | undefined => {
+    const content = schema.safeParse(parseJson(text)).data;
+    return content === undefined ? undefined : { capacity: content.capacity, request: content.request };
+};
--- a/programs/dispatcher/src/candidate-view.ts
+++ b/programs/dispatcher/src/candidate-view.ts
@@ -1,13 +1,18 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
-import { CANDIDATE_PART, candidateRow, candidateVm, decodeCandidate, encodeCandidate } from "./candidate-rows.js";
+import {
+    CANDIDATE_PART,
+    candidateRow,
+    candidateVm,
+    decodeCandidate,
+    encodeCandidate,
+    type CandidateContent,
+} from "./candidate-rows.js";
 import { LEASE_TABLE } from "./lease-rows.js";
 import { readAll } from "./read-all.js";
-import type { VmCapacity } from "./vm-capacity.js";
 
-interface Candidate {
+interface Candidate extends CandidateContent {
     readonly vm: VmId;
-    readonly capacity: VmCapacity;
 }
 
 /** The candidates for leases as this process has read them. */
@@ -19,8 +24,8 @@
     readonly invalidate: () => void;
     /** Reads all rows unless changes of earlier ones are followed; resolves to false if the store failed. */
     readonly load: () => Promise<boolean>;
-    /** Stores the capacity of a VM unless its row already has it; resolves to true if a write was tried. */
-    readonly announce: (vm: VmId, capacity: VmCapacity) => Promise<boolean>;
+    /** Stores the content of a VM's row unless the row already has it; resolves to true if a write was tried. */
+    readonly announce: (vm: VmId, content: CandidateContent) => Promise<boolean>;
     /** Removes the rows of VMs, unless they have changed since they were read. */
     readonly remove: (vms: readonly VmId[]) => Promise<void>;
 }
@@ -30,13 +35,22 @@
 /** Creates the view; nothing is read before `load`. */
 export const createCandidateView = (store: CandidateViewOptions): CandidateView => {
     const rows = new Map<VmId, Row>();
+    const candidates = new Map<VmId, Candidate>();
     let loaded = false;
 
+    const setCandidate = (vm: VmId, content: CandidateContent | undefined): void => {
+        if (content === undefined) {
+            candidates.delete(vm);
+        } else {
+            candidates.set(vm, { vm, ...content });
+        }
+    };
     const observe = (changed: readonly Row[]): void =>
         changed.forEach(row => {
             const vm = candidateVm(row.key);
             if (vm !== undefined && (rows.get(vm)?.version ?? 0) < row.version) {
                 rows.set(vm, row);
+                setCandidate(vm, row.deleted ? undefined : decodeCandidate(row.value));
             }
         });
     const versionOf = (vm: VmId): number => {
@@ -70,11 +84,7 @@
         }
     };
     return {
-        all: () =>
-            [...rows].flatMap(([vm, { value, deleted }]) => {
-                const capacity = deleted ? undefined : decodeCandidate(value);
-                return capacity === undefined ? [] : [{ vm, capacity }];
-            }),
+        all: () => [...candidates.values()],
         observe,
         invalidate: () => {
             loaded = false;
@@ -88,12 +98,13 @@
                 return false;
             }
             rows.clear();
+            candidates.clear();
             observe(range.rows);
             loaded = true;
             return true;
         },
-        announce: async (vm, capacity) => {
-            const value = encodeCandidate(capacity);
+        announce: async (vm, content) => {
+            const value = encodeCandidate(content);
             if (versionOf(vm) > 0 && rows.get(vm)?.value === value) {
                 return false;
             }
--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -1,8 +1,11 @@
 import type { VmId } from "@almondusher/fleet/ids";
-import { acquisitionDelayMs, chooseLease, precedingVms, type Ranking } from "./acquisition-order.js";
+import { acquisitionDelayMs, chooseLease, precedingVms, type RankedVm, type Ranking } from "./acquisition-order.js";
+import type { CandidateContent, HandoverRequest } from "./candidate-rows.js";
 import type { CandidateView } from "./candidate-view.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
+import { leaseToRequest, REQUEST_VALIDITY_MS, shouldHandOver } from "./lease-handover.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
+import { createLeaseTenures } from "./lease-tenures.js";
 import type { LeaseView } from "./lease-view.js";
 import { vmCapacity } from "./vm-capacity.js";
 
@@ -21,7 +24,12 @@
     readonly nextDue: (tried: ReadonlySet<string>) => DueLease | undefined;
     /** Starts all waiting times again; called when the leases could not be read. */
     readonly interrupt: () => void;
-    /** Time until the next available lease is due, in milliseconds; infinite if none is available. */
+    /** True if a VM with clearly more capacity has recently requested a lease of this process. */
+    readonly isRequested: (subject: LeaseSubject) => boolean;
+    /**
+     * Time until the leases have to be read again for the next available one, or for one that was requested, in
+     * milliseconds; infinite if there is none.
+     */
     readonly untilDueMs: () => number;
     /** Makes known that this process acquires no more leases. */
     readonly withdraw: () => Promise<void>;
@@ -51,17 +59,25 @@
     readonly sinceMs: number;
 }
 
+interface CandidateRanking extends Ranking {
+    readonly others: readonly (RankedVm & CandidateContent)[];
+}
+
 const ANNOUNCE_RETRY_INTERVAL_MS = 2000;
+const REQUEST_INTERVAL_MS = 10_000;
+const REQUESTED_POLL_INTERVAL_MS = 100;
 
 /** Creates the candidacy of this process; it starts with the first `refresh`. */
 export const createLeaseCandidacy = (options: LeaseCandidacyOptions): LeaseCandidacy => {
     const { context, candidates, view, subjects, isAvailable } = options;
     const capacity = vmCapacity(context.settings);
     const availabilities = new Map<string, Availability>();
+    const tenures = createLeaseTenures({ context, view });
     let announcedAtMs = Number.NEGATIVE_INFINITY;
+    let request: HandoverRequest | undefined;
 
     const holderOf = (subject: LeaseSubject): VmId | undefined => view.observation(leaseKey(subject))?.record?.holder;
-    const rank = (): Ranking => {
+    const rank = (): CandidateRanking => {
         const holders = subjects().map(holderOf);
         // The holder of an expired lease has probably failed.
         const expired = new Set(subjects().filter(isAvailable).map(holderOf));
@@ -107,16 +123,34 @@
             return { subject, dueInMs: sinceMs + delayMs - context.monotonicMs() };
         });
     };
+    const requestHandover = (): void => {
+        const atMs = context.store.nowMs();
+        if (subjects().some(isAvailable) || (request !== undefined && atMs - request.atMs < REQUEST_INTERVAL_MS)) {
+            return;
+        }
+        const lease = leaseToRequest(
+            rank(),
+            subjects()
+                .map(tenures.heldBy)
+                .filter(lease => lease !== undefined),
+        );
+        if (lease !== undefined) {
+            request = { lease, atMs };
+            context.log("lease-requested", { lease });
+        }
+    };
     const announce = async (): Promise<void> => {
         const atMs = context.monotonicMs();
-        if (await candidates.announce(context.vm, capacity)) {
+        if (await candidates.announce(context.vm, { capacity, request })) {
             announcedAtMs = atMs;
         }
     };
     return {
         refresh: async () => {
             await candidates.load();
+            tenures.track(subjects());
             if (context.monotonicMs() - announcedAtMs >= ANNOUNCE_RETRY_INTERVAL_MS) {
+                requestHandover();
                 await announce();
             }
         },
@@ -132,7 +166,22 @@
             return subject === undefined ? undefined : { subject, unresponsive: unresponsiveVms(subject, ranked) };
         },
         interrupt: () => availabilities.clear(),
-        untilDueMs: () => Math.min(Infinity, ...availableLeases().map(({ dueInMs }) => dueInMs)),
+        isRequested: subject => {
+            const { self: holder, others } = rank();
+            const lease = tenures.heldBy(subject);
+            const storeNowMs = context.store.nowMs();
+            return (
+                lease !== undefined &&
+                others.some(requester => shouldHandOver({ holder, requester, lease, storeNowMs }))
+            );
+        },
+        untilDueMs: () =>
+            Math.min(
+                request !== undefined && context.store.nowMs() - request.atMs < REQUEST_VALIDITY_MS
+                    ? REQUESTED_POLL_INTERVAL_MS
+                    : Infinity,
+                ...availableLeases().map(({ dueInMs }) => dueInMs),
+            ),
         withdraw: () => candidates.remove([context.vm]),
     };
 };
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -260,6 +260,7 @@
             } else if (!closed) {
                 await candidacy.refresh();
                 await acquireDue();
+                await handOverRequested();
             }
             await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
         }
@@ -284,6 +285,16 @@
         }
     };
 
+    // The renewal shows that the store answers and which version the release has to expect.
+    const handOverRequested = async (): Promise<void> => {
+        const lease = [...heldLeases.values()].find(({ subject }) => candidacy.isRequested(subject));
+        if (lease === undefined || !(await renew(lease)) || closed || lease.lost) {
+            return;
+        }
+        heldLeases.delete(leaseKey(lease.subject));
+        await releaseLease(lease);
+    };
+
     const renewPeriodically = async (): Promise<void> => {
         while (!closed) {
             await Promise.all([...heldLeases.values()].map(renew));
--- a/programs/dispatcher/test/candidate-view.test.ts
+++ b/programs/dispatcher/test/candidate-view.test.ts
@@ -5,9 +5,9 @@
 import { createTableStore, type TableStore } from "@almondusher/platform-adapter/table-store";
 import { createCandidateView, type CandidateView } from "../src/candidate-view.js";
 import { LEASE_TABLE } from "../src/lease-rows.js";
-import type { VmCapacity } from "../src/vm-capacity.js";
+import type { CandidateContent } from "../src/candidate-rows.js";
 
-const capacity: VmCapacity = { processorCores: 1.35, linkMbps: 140 };
+const content: CandidateContent = { capacity: { processorCores: 1.35, linkMbps: 140 }, request: undefined };
 const vmA = toId<VmId>("vm-a");
 const vmB = toId<VmId>("vm-b");
 
@@ -28,29 +28,32 @@
 test("a restarted process writes nothing if its row is already stored, and reads those of the others", async context => {
     const store = await startStore(context);
     const first = createCandidateView(store);
-    assert.ok(await first.announce(vmA, capacity), "the first announcement");
-    assert.ok(await first.announce(vmB, capacity), "another VM");
+    assert.ok(await first.announce(vmA, content), "the first announcement");
+    assert.ok(await first.announce(vmB, content), "another VM");
     const second = createCandidateView(store);
     assert.ok(await second.load(), "the rows are read");
     assert.deepEqual(vmsIn(second), [vmA, vmB]);
-    assert.deepEqual(second.all()[0]?.capacity, capacity);
+    assert.deepEqual(second.all()[0]?.capacity, content.capacity);
     const { writes } = store.calls;
-    assert.equal(await second.announce(vmA, capacity), false);
+    assert.equal(await second.announce(vmA, content), false);
     assert.equal(store.calls.writes, writes);
-    assert.ok(await second.announce(vmA, { ...capacity, linkMbps: 7 }), "a changed capacity");
+    assert.ok(
+        await second.announce(vmA, { ...content, capacity: { processorCores: 1.35, linkMbps: 7 } }),
+        "a changed capacity",
+    );
 });
 
 test("a live VM whose row another process removed is known again after its next announcement", async context => {
     const store = await startStore(context);
     const owner = createCandidateView(store);
-    await owner.announce(vmA, capacity);
+    await owner.announce(vmA, content);
     const other = createCandidateView(store);
     await other.load();
     await other.remove([vmA]);
     assert.deepEqual(vmsIn(other), []);
     await followAll(store, owner);
     assert.deepEqual(vmsIn(owner), []);
-    assert.ok(await owner.announce(vmA, capacity), "the row is written again");
+    assert.ok(await owner.announce(vmA, content), "the row is written again");
     await followAll(store, other);
     assert.deepEqual(vmsIn(other), [vmA]);
 });
@@ -59,10 +62,10 @@
     const store = await startStore(context);
     const owner = createCandidateView(store);
     const late = createCandidateView(store);
-    await owner.announce(vmA, capacity);
+    await owner.announce(vmA, content);
     await late.load();
     await owner.remove([vmA]);
-    await owner.announce(vmA, capacity);
+    await owner.announce(vmA, content);
     await late.remove([vmA]);
     const reader = createCandidateView(store);
     await reader.load();
@@ -72,7 +75,7 @@
 test("rows removed while the history was lost are no candidates after the next load", async context => {
     const store = await startStore(context);
     const view = createCandidateView(store);
-    await view.announce(vmA, capacity);
+    await view.announce(vmA, content);
     await view.load();
     const other = createCandidateView(store);
     await other.load();
--- a/programs/dispatcher/test/lease-placement.test.ts
+++ b/programs/dispatcher/test/lease-placement.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
+import { mock, test, type TestContext } from "node:test";
 import { toId, type PoolName, type ProcessId, type VmId } from "@almondusher/fleet/ids";
 import { startStoreStandIn } from "@almondusher/job-platform-stand-in/store";
 import { createTableStore, type TableStore } from "@almondusher/platform-adapter/table-store";
-import { sleep, type DispatcherContext } from "../src/dispatcher-context.js";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
 import type { DispatcherSettings } from "../src/dispatcher-settings.js";
 import { createLeaseManager, type LeaseManager } from "../src/lease-manager.js";
@@ -13,6 +13,9 @@
 const LARGE: VmCapacity = { processorCores: 1.35, linkMbps: 140 };
 const SMALL: VmCapacity = { processorCores: 0.324, linkMbps: 7 };
 const ACQUISITION_TIMEOUT_MS = 8000;
+// Longer than any process waits before it acquires or requests a lease.
+const SETTLING_MS = 3000;
+const TENURE_MS = 20_000;
 
 const subjects: readonly LeaseSubject[] = [
     ...["a", "b", "c", "d"].map((name): LeaseSubject => ({ kind: "pool", pool: toId<PoolName>(name) })),
@@ -30,23 +33,61 @@
     readonly start: (vm: string, capacity: VmCapacity) => Member;
     /** Returns the VM that holds each lease, by the lease's key. */
     readonly holders: () => ReadonlyMap<string, VmId>;
+    readonly pass: (ms: number) => Promise<void>;
     /** Waits until every lease is held by one of the VMs that are neither closed nor cut off. */
-    readonly allHeld: (live: readonly Member[]) => Promise<void>;
+    readonly allHeld: (live: readonly Member[], timeoutMs?: number) => Promise<void>;
 }
 
-const severable = (store: TableStore): { readonly store: TableStore; readonly cutOff: () => void } => {
+/** Time that passes only while no call of a store is outstanding, so that a test does not depend on the machine's load. */
+interface SimulatedTime {
+    nowMs: number;
+    outstandingCalls: number;
+}
+
+const TICK_MS = 10;
+
+// For the whole file, since the HTTP client keeps a timer of its own from one test to the next.
+mock.timers.enable({ apis: ["setTimeout"] });
+
+const nextEvent = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
+
+const passTime = async (time: SimulatedTime, ms: number): Promise<void> => {
+    const endMs = time.nowMs + ms;
+    while (time.nowMs < endMs) {
+        await nextEvent();
+        while (time.outstandingCalls > 0) {
+            await nextEvent();
+        }
+        time.nowMs += TICK_MS;
+        mock.timers.tick(TICK_MS);
+    }
+};
+
+const severable = (
+    store: TableStore,
+    time: SimulatedTime,
+): { readonly store: TableStore; readonly cutOff: () => void } => {
     let cut = false;
-    const failed = { kind: "failed", reason: "cut off" } as const;
+    const callUnlessCut = async <Result>(call: () => Promise<Result>, failure: Result): Promise<Result> => {
+        if (cut) {
+            return failure;
+        }
+        time.outstandingCalls++;
+        const result = await call();
+        time.outstandingCalls--;
+        return result;
+    };
     return {
         cutOff: () => {
             cut = true;
         },
         store: {
-            ...store,
+            calls: store.calls,
+            nowMs: () => time.nowMs,
             transact: transaction =>
-                cut ? Promise.resolve({ kind: "not-run", reason: "cut off" }) : store.transact(transaction),
-            read: range => (cut ? Promise.resolve(failed) : store.read(range)),
-            changes: request => (cut ? Promise.resolve(failed) : store.changes(request)),
+                callUnlessCut(() => store.transact(transaction), { kind: "not-run", reason: "cut off" }),
+            read: range => callUnlessCut(() => store.read(range), { kind: "failed", reason: "cut off" }),
+            changes: request => callUnlessCut(() => store.changes(request), { kind: "failed", reason: "cut off" }),
         },
     };
 };
@@ -58,7 +99,8 @@
         await Promise.all(members.map(({ leases }) => leases.close()));
         await platform.close();
     });
-    const monotonicMs = (): number => performance.now();
+    const time: SimulatedTime = { nowMs: 0, outstandingCalls: 0 };
+    const monotonicMs = (): number => time.nowMs;
     const holders = (): ReadonlyMap<string, VmId> =>
         new Map(
             platform.rows("leases").flatMap(({ key, value }) => {
@@ -68,9 +110,10 @@
         );
     return {
         holders,
+        pass: ms => passTime(time, ms),
         start: (name, { processorCores, linkMbps }) => {
             const vm = toId<VmId>(name);
-            const { store, cutOff } = severable(createTableStore({ address: platform.address, monotonicMs }));
+            const { store, cutOff } = severable(createTableStore({ address: platform.address, monotonicMs }), time);
             const dispatcher: DispatcherContext = {
                 settings: { processorShare: processorCores / 2, processorSpeed: 2, linkMbps } as DispatcherSettings,
                 vm,
@@ -94,16 +137,16 @@
             members.push(member);
             return member;
         },
-        allHeld: async live => {
-            const endMs = performance.now() + ACQUISITION_TIMEOUT_MS;
+        allHeld: async (live, timeoutMs = ACQUISITION_TIMEOUT_MS) => {
+            const endMs = time.nowMs + timeoutMs;
             const vms = new Set(live.map(({ vm }) => vm));
             const isHeld = (subject: LeaseSubject): boolean => {
                 const holder = holders().get(leaseKey(subject));
                 return holder !== undefined && vms.has(holder);
             };
             while (!subjects.every(isHeld)) {
-                assert.ok(performance.now() < endMs, `not all leases are held: ${[...holders()].join(" ")}`);
-                await sleep(20);
+                assert.ok(time.nowMs < endMs, `not all leases are held: ${[...holders()].join(" ")}`);
+                await passTime(time, TICK_MS);
             }
         },
     };
@@ -122,7 +165,7 @@
 const startMixedCluster = async (context: TestContext): Promise<MixedCluster> => {
     const cluster = await startCluster(context);
     const small = startMany(cluster, "a-small", 10, SMALL);
-    await sleep(200);
+    await cluster.pass(200);
     const large = startMany(cluster, "large", 6, LARGE);
     await cluster.allHeld([...small, ...large]);
     return { cluster, large, small };
@@ -181,3 +224,27 @@
     large.forEach(({ cutOff }) => cutOff());
     await cluster.allHeld(small);
 });
+
+test("leases that small VMs had to take go to the large VMs that start later, one each", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    await cluster.allHeld(small);
+    const large = startMany(cluster, "large", 6, LARGE);
+    await cluster.pass(SETTLING_MS);
+    assert.ok(
+        [...cluster.holders().values()].every(holder => small.some(({ vm }) => vm === holder)),
+        "no lease is moved soon after it was taken",
+    );
+    await cluster.allHeld(large, TENURE_MS);
+    assertOneEach({ cluster, large, small });
+});
+
+test("no lease is moved between equal VMs, so that a restart of every process does not move all leases", async context => {
+    const cluster = await startCluster(context);
+    await cluster.allHeld(startMany(cluster, "a", 2, LARGE));
+    const before = [...cluster.holders()];
+    startMany(cluster, "b", 3, LARGE);
+    await cluster.pass(SETTLING_MS);
+    await cluster.pass(TENURE_MS);
+    assert.deepEqual([...cluster.holders()], before);
+});
