Count a task as available after a takeover only once its predecessor's stops are over

An executor rejects the old holder from the first report on. A run that was learned from a report counts as available only if a report that was requested after the longest duration of a stop (a setting that nothing used) lists it.

The new test fails with the rule of before.

--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -60,7 +60,10 @@
         markStarted(run.task.step.job);
         run.percent = active.percent;
         run.recentLoad = active.recentLoad;
-        run.availableSinceMs = active.percent >= 100 ? (run.availableSinceMs ?? times.receivedAtMs) : undefined;
+        run.availableSinceMs =
+            active.percent >= 100 && !mayBeStopping(tables, run, times)
+                ? (run.availableSinceMs ?? times.receivedAtMs)
+                : undefined;
         if (active.checkpoint !== "") {
             run.task.checkpoint = active.checkpoint;
         }
@@ -231,8 +234,9 @@
         resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
         unansweredAtMs: undefined,
+        adoptedAtMs: nowMs,
         percent: active.percent,
-        availableSinceMs: active.percent >= 100 ? nowMs : undefined,
+        availableSinceMs: undefined,
         recentLoad: active.recentLoad,
         speedLimitPercent: 100,
         stopCause: undefined,
@@ -260,6 +264,11 @@
     }
 };
 
+// The previous scheduler may have ordered a stop just before the executor rejected it. An executor lists a run until its
+// stop is complete.
+const mayBeStopping = (tables: PoolTables, { adoptedAtMs }: Run, { sentAtMs }: ReportTimes): boolean =>
+    adoptedAtMs !== undefined && sentAtMs < adoptedAtMs + tables.stopTimeMs;
+
 // The runs that the report lists are no longer unsettled when this is called.
 const markMissingRuns = (executor: Executor, { sentAtMs }: ReportTimes): void =>
     [...executor.runs.values()]
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -255,6 +255,7 @@
         resumedFrom: task.checkpoint,
         confirmedAtMs: undefined,
         unansweredAtMs: undefined,
+        adoptedAtMs: undefined,
         percent: 0,
         availableSinceMs: undefined,
         recentLoad: undefined,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -75,6 +75,8 @@
     unansweredAtMs: number | undefined;
     /** Last reported progress. */
     percent: number;
+    /** When the run was learned from a report; undefined for runs that this scheduler started. */
+    readonly adoptedAtMs: number | undefined;
     /** When 100% progress was first reported, which means that a long-running task is in service; undefined before. */
     availableSinceMs: number | undefined;
     /** Last reported tail latency in milliseconds of a task that serves users; CPU usage of other tasks. */
@@ -189,6 +191,8 @@
     readonly token: number;
     /** Longest run lease that executors grant, in milliseconds. */
     readonly maxLeaseMs: number;
+    /** Longest time that an executor takes to stop a run, in milliseconds. */
+    readonly stopTimeMs: number;
     /** Number of runs started with this token; the source of run numbers. */
     runCounter: number;
     /** Inherited jobs start no runs before this monotonic time, unless the runs of every executor were read. */
@@ -206,9 +210,11 @@
     pool,
     token,
     maxLeaseMs,
-}: Pick<PoolTables, "pool" | "token" | "maxLeaseMs">): PoolTables => ({
+    stopTimeMs,
+}: Pick<PoolTables, "pool" | "token" | "maxLeaseMs" | "stopTimeMs">): PoolTables => ({
     pool,
     maxLeaseMs,
+    stopTimeMs,
     jobs: new Map(),
     finished: new Set(),
     executors: new Map(),
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -50,6 +50,23 @@
     assert.equal(run.phase, "running");
 });
 
+test("a new scheduler does not count a task as available that its predecessor may have ordered to stop", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 2, longRunning: true, disruptionBudget: 1 })], inherited: true }],
+    });
+    const activeRun = (index: number) => ({
+        active: [{ task: `j1.0.0.${index}` as never, run: 5, checkpoint: "", percent: 100, recentLoad: undefined }],
+    });
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    receiveReport(tables, "a", activeRun(0), 100);
+    receiveReport(tables, "b", activeRun(1), 100);
+    receiveReport(tables, "b", activeRun(1), 200);
+    assert.equal(stops(tables, 1000).length, 0, "the report was requested before a stop would be complete");
+    receiveReport(tables, "b", activeRun(1), 1000);
+    assert.equal(stops(tables, 1400).length, 1);
+});
+
 test("an unanswered start of a long-running task is stopped once a report that was requested later does not list it", () => {
     const tables = createPool({
         executors: [record("a")],
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -69,8 +69,8 @@
 /** Starts scheduling a pool under a lease that was just acquired. */
 export const startPoolScheduler = (options: PoolSchedulerOptions): PoolScheduler => {
     const { context, pool, lease, registry, operator } = options;
-    const { maxLeaseMs } = context.settings;
-    const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs });
+    const { maxLeaseMs, stopTimeMs } = context.settings;
+    const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs, stopTimeMs });
     const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
     let active = true;
     let stopping = false;
