Wait for a handover under way before a planned stop ends

A review by reading found that a stop during a handover did not wait for it, as its lease is no longer among the held ones: the process could exit while the last ends were being stored and before the lease was released, so that the next holder waits for its expiry. The stop now waits for it. No test brings about this interleaving; the tests of planned stops and handovers pass.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -107,6 +107,7 @@
     const events = new EventEmitter();
     let closed = false;
     let runningAcquisition: Promise<void> | undefined;
+    let runningHandover: Promise<void> | undefined;
 
     const handleLostLease = async (lease: HeldLease, reason: string): Promise<void> => {
         if (lease.lost) {
@@ -283,7 +284,8 @@
             } else if (!closed) {
                 await candidacy.refresh();
                 await acquireDue();
-                await handOverRequested();
+                runningHandover = handOverRequested();
+                await runningHandover;
             }
             await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
         }
@@ -388,7 +390,12 @@
         },
         close: async () => {
             closed = true;
-            await Promise.all([candidacy.withdraw(), releaseAll(), runningAcquisition?.then(releaseAll)]);
+            await Promise.all([
+                candidacy.withdraw(),
+                releaseAll(),
+                runningAcquisition?.then(releaseAll),
+                runningHandover,
+            ]);
         },
     };
 };
