Hand over no fleet lease

A review by reading found that a handover of the fleet lease can break ONE: the successor may order a VM about a second after the former holder's last order, whose answer was lost, while both are in touch. The platform requires 3 s between the orders of two holders. After an expiry 3.3 s pass; a planned stop ends the former holder.

Only the leases of pools are handed over. The test of the handover now expects that the fleet's holder stays; it expects the same as before of the pools.

--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -131,6 +131,7 @@
         const lease = leaseToRequest(
             rank(),
             subjects()
+                .filter(mayBeHandedOver)
                 .map(tenures.heldBy)
                 .filter(lease => lease !== undefined),
         );
@@ -171,6 +172,7 @@
             const lease = tenures.heldBy(subject);
             const storeNowMs = context.store.nowMs();
             return (
+                mayBeHandedOver(subject) &&
                 lease !== undefined &&
                 others.some(requester => shouldHandOver({ holder, requester, lease, storeNowMs }))
             );
@@ -185,3 +187,6 @@
         withdraw: () => candidates.remove([context.vm]),
     };
 };
+
+// Orders for a VM from two successive holders of the fleet lease must be further apart than a handover takes.
+const mayBeHandedOver = ({ kind }: LeaseSubject): boolean => kind === "pool";
