Send first stop requests before repeated ones, and repeat them every 1.6 s at most

A review by reading found two ways in which the limit on orders holds stops back. Requests were sent in the order of the table, so that repeated ones to executors that do not respond could use up the window before the first requests for other runs; and an interval of 3.2 s is longer than a cancelled job's runs may last after a disruption.

The test of the order failed before; the test of the intervals expects 1.6 s.

--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -68,8 +68,9 @@
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
-        if (run.phase === "unsettled" || run.phase === "missing" || run.phase === "starting") {
+        if (isStartSettled(run)) {
             run.phase = "running";
+            run.stopCause = undefined;
         }
     });
     markMissingRuns(executor, times);
@@ -264,6 +265,20 @@
     }
 };
 
+/** True if being listed by a report shows that the start of the run was executed and nothing has been sent to undo it. */
+const isStartSettled = ({ phase, stopCause, stopsSent }: Run): boolean => {
+    switch (phase) {
+        case "starting":
+        case "unsettled":
+        case "missing":
+            return true;
+        case "stopping":
+            return stopCause === "unanswered" && stopsSent === 0;
+        case "running":
+            return false;
+    }
+};
+
 // The previous scheduler may have ordered a stop just before the executor rejected it. An executor lists a run until its
 // stop is complete.
 const mayBeStopping = (tables: PoolTables, { adoptedAtMs }: Run, { sentAtMs }: ReportTimes): boolean =>
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -26,7 +26,11 @@
             markForStop(run, cause);
         }
     });
-    return runs.filter(run => run.phase === "stopping" && takeDueStop(run, run.executor, options));
+    // First requests precede repeated ones, which may be addressed to executors that do not respond.
+    return runs
+        .filter(({ phase }) => phase === "stopping")
+        .sort((left, right) => left.stopsSent - right.stopsSent)
+        .filter(run => takeDueStop(run, run.executor, options));
 };
 
 /** Stop requests of orphaned runs that are due now and within the budget. */
--- a/pools/scheduler/src/stop-schedule.ts
+++ b/pools/scheduler/src/stop-schedule.ts
@@ -13,7 +13,7 @@
 }
 
 // Bounds the interval, so that a run whose stop requests were lost ends soon after its executor responds again.
-const MAX_RESEND_FACTOR = 8;
+const MAX_RESEND_FACTOR = 4;
 
 /** True if a stop request is due. The interval doubles with each request that is sent, up to a bound. */
 export const isStopDue = ({ stopSentAtMs, stopsSent }: StopSchedule, { nowMs, resendAfterMs }: StopTimes): boolean =>
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -193,7 +193,7 @@
     run.phase = "unsettled";
     const { executor } = run;
     executor.orphanedRuns = [{ task: "x.0.0.0" as never, number: 1, stopSentAtMs: undefined, stopsSent: 0 }];
-    const expected = [0, 400, 1200, 2800, 6000, 9200, 12_400, 15_600, 18_800];
+    const expected = [0, 400, 1200, ...Array.from({ length: 11 }, (unused, index) => 2800 + 1600 * index)];
     const options = { resendAfterMs: RESEND_AFTER_MS, budget: UNLIMITED_BUDGET };
     assert.deepEqual(
         dueTimes(nowMs => planStops(tables, { ...options, nowMs }).length > 0),
@@ -214,3 +214,34 @@
     assert.deepEqual(stopWithin(2), runs.slice(0, 2));
     assert.deepEqual(stopWithin(2), runs.slice(2));
 });
+
+test("repeated stop requests do not hold back the first ones of other runs", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 3 })] }] });
+    const [repeated, other, last] = place(tables);
+    assert.ok(repeated !== undefined && other !== undefined && last !== undefined);
+    const stopOne = (nowMs: number): readonly Run[] =>
+        planStops(tables, { nowMs, resendAfterMs: RESEND_AFTER_MS, budget: limitedBudget(1) });
+    repeated.phase = "unsettled";
+    assert.deepEqual(stopOne(0), [repeated]);
+    other.phase = "unsettled";
+    last.phase = "unsettled";
+    assert.deepEqual(stopOne(500), [other]);
+    assert.deepEqual(stopOne(500), [last]);
+    assert.deepEqual(stopOne(500), [repeated]);
+});
+
+test("a long-running task whose unanswered start arrived before its stop was sent keeps running", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
+    });
+    const run = place(tables)[0];
+    assert.ok(run !== undefined);
+    markUnanswered(run, 350);
+    receiveReport(tables, "a", {}, 400);
+    const options = { resendAfterMs: RESEND_AFTER_MS, budget: limitedBudget(0) };
+    assert.equal(planStops(tables, { ...options, nowMs: 410 }).length, 0);
+    const active = [{ task: run.task.id, run: run.number, checkpoint: "", percent: 10, recentLoad: undefined }];
+    receiveReport(tables, "a", { active }, 500);
+    assert.equal(stops(tables, 510).length, 0);
+});
