Let a start that got no answer be delivered within the prolonged time limit

A stall of the event loop prolongs the time limit of a request to twice its length, 700 ms for a start. The time after which the run of an unanswered start is given up allowed 500 ms. Found in a review by reading.

--- a/pools/scheduler/src/lease-time.ts
+++ b/pools/scheduler/src/lease-time.ts
@@ -3,8 +3,9 @@
 /** Lowest rate at which an executor's clock may run, relative to the clock of this process. */
 export const SLOWEST_CLOCK_RATE = 0.98;
 const EXPIRY_MARGIN_MS = 100;
-// An unanswered start request may have reached the executor this long after it was sent.
-const MAX_START_DELIVERY_MS = 500;
+// An unanswered start request may have reached the executor this long after it was sent. Covers the time limit of a
+// request, which a stall of the event loop doubles at most.
+const MAX_START_DELIVERY_MS = 800;
 // Clock readings are rounded to whole milliseconds.
 const CLOCK_ROUNDING_MS = 2;
 
