--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -35,7 +35,8 @@
     assert.equal(place(tables, 400).length, 0, "the task does not start elsewhere in the meantime");
 });
 
-test("a long-running task whose start was not answered keeps running if the executor reports it", () => {
+/** A long-running task whose start was given up at 350 ms without an answer. */
+const startUnanswered = (): { readonly tables: PoolTables; readonly run: Run } => {
     const tables = createPool({
         executors: [record("a")],
         jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
@@ -43,6 +44,11 @@
     const run = place(tables)[0];
     assert.ok(run !== undefined);
     markUnanswered(run, 350);
+    return { tables, run };
+};
+
+test("a long-running task whose start was not answered keeps running if the executor reports it", () => {
+    const { tables, run } = startUnanswered();
     assert.equal(stops(tables, 360).length, 0);
     const active = [{ task: run.task.id, run: run.number, checkpoint: "", percent: 10, recentLoad: undefined }];
     receiveReport(tables, "a", { active }, 400);
@@ -68,13 +74,7 @@
 });
 
 test("an unanswered start of a long-running task is stopped once a report that was requested later does not list it", () => {
-    const tables = createPool({
-        executors: [record("a")],
-        jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
-    });
-    const run = place(tables)[0];
-    assert.ok(run !== undefined);
-    markUnanswered(run, 350);
+    const { tables, run } = startUnanswered();
     receiveReport(tables, "a", {}, 300);
     assert.equal(stops(tables, 360).length, 0, "the report was requested before the start could have been executed");
     receiveReport(tables, "a", {}, 400);
@@ -231,13 +231,7 @@
 });
 
 test("a long-running task whose unanswered start arrived before its stop was sent keeps running", () => {
-    const tables = createPool({
-        executors: [record("a")],
-        jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
-    });
-    const run = place(tables)[0];
-    assert.ok(run !== undefined);
-    markUnanswered(run, 350);
+    const { tables, run } = startUnanswered();
     receiveReport(tables, "a", {}, 400);
     const options = { resendAfterMs: RESEND_AFTER_MS, budget: limitedBudget(0) };
     assert.equal(planStops(tables, { ...options, nowMs: 410 }).length, 0);
--- a/programs/dispatcher/src/order-window.ts
+++ b/programs/dispatcher/src/order-window.ts
@@ -63,7 +63,7 @@
     const paths = new Map<ExecutorId, ExecutorPath>();
     let size = INITIAL_SIZE;
     // Up to this size the window grows by one with each prompt response, above it by one with each full window of them.
-    let linearGrowthSize = Number.POSITIVE_INFINITY;
+    let slowStartThreshold = Number.POSITIVE_INFINITY;
     let decreasedAtMs = Number.NEGATIVE_INFINITY;
     let grownSinceDecrease = true;
     let outstanding = 0;
@@ -111,7 +111,7 @@
         // A window that is not in use must not grow, as nothing shows that the path could carry more.
         if (outstanding * 2 >= size) {
             grownSinceDecrease = true;
-            size = Math.min(Math.max(MIN_SIZE, maxSize()), size + (size < linearGrowthSize ? 1 : 1 / size));
+            size = Math.min(Math.max(MIN_SIZE, maxSize()), size + (size < slowStartThreshold ? 1 : 1 / size));
         }
     };
     const adaptToCongestion = (): void => {
@@ -122,12 +122,12 @@
             .filter(last => last !== undefined)
             .filter(({ endedAtMs, sentAtMs }) => endedAtMs >= nowMs - timeoutMs && sentAtMs >= decreasedAtMs);
         if (grownSinceDecrease && areMostDelayed(recent, promptMs)) {
-            linearGrowthSize = size;
+            slowStartThreshold = size;
         }
         if (areMostDelayed(recent, lateMs)) {
             size = Math.max(MIN_SIZE, size * DECREASE_FACTOR);
             // After consecutive decreases, as in a stall of the process, the window soon grows to the first of them.
-            linearGrowthSize = grownSinceDecrease ? size : linearGrowthSize;
+            slowStartThreshold = grownSinceDecrease ? size : slowStartThreshold;
             grownSinceDecrease = false;
             decreasedAtMs = nowMs;
         }
