--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -60,13 +60,17 @@
         markStarted(run.task.step.job);
         run.percent = active.percent;
         run.recentLoad = active.recentLoad;
-        run.availableSinceMs = active.percent >= 100 ? (run.availableSinceMs ?? times.receivedAtMs) : undefined;
+        run.availableSinceMs =
+            active.percent >= 100 && !mayBeStopping(tables, run, times)
+                ? (run.availableSinceMs ?? times.receivedAtMs)
+                : undefined;
         if (active.checkpoint !== "") {
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
-        if (run.phase === "unsettled" || run.phase === "missing" || run.phase === "starting") {
+        if (isStartSettled(run)) {
             run.phase = "running";
+            run.stopCause = undefined;
         }
     });
     markMissingRuns(executor, times);
@@ -231,8 +235,9 @@
         resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
         unansweredAtMs: undefined,
+        adoptedAtMs: nowMs,
         percent: active.percent,
-        availableSinceMs: active.percent >= 100 ? nowMs : undefined,
+        availableSinceMs: undefined,
         recentLoad: active.recentLoad,
         speedLimitPercent: 100,
         stopCause: undefined,
@@ -260,6 +265,25 @@
     }
 };
 
+/** True if being listed by a report shows that the start of the run was executed and nothing has been sent to undo it. */
+const isStartSettled = ({ phase, stopCause, stopsSent }: Run): boolean => {
+    switch (phase) {
+        case "starting":
+        case "unsettled":
+        case "missing":
+            return true;
+        case "stopping":
+            return stopCause === "unanswered" && stopsSent === 0;
+        case "running":
+            return false;
+    }
+};
+
+// The previous scheduler may have ordered a stop just before the executor rejected it. An executor lists a run until its
+// stop is complete.
+const mayBeStopping = (tables: PoolTables, { adoptedAtMs }: Run, { sentAtMs }: ReportTimes): boolean =>
+    adoptedAtMs !== undefined && sentAtMs < adoptedAtMs + tables.stopTimeMs;
+
 // The runs that the report lists are no longer unsettled when this is called.
 const markMissingRuns = (executor: Executor, { sentAtMs }: ReportTimes): void =>
     [...executor.runs.values()]
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -35,7 +35,8 @@
     assert.equal(place(tables, 400).length, 0, "the task does not start elsewhere in the meantime");
 });
 
-test("a long-running task whose start was not answered keeps running if the executor reports it", () => {
+/** A long-running task whose start was given up at 350 ms without an answer. */
+const startUnanswered = (): { readonly tables: PoolTables; readonly run: Run } => {
     const tables = createPool({
         executors: [record("a")],
         jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
@@ -43,6 +44,11 @@
     const run = place(tables)[0];
     assert.ok(run !== undefined);
     markUnanswered(run, 350);
+    return { tables, run };
+};
+
+test("a long-running task whose start was not answered keeps running if the executor reports it", () => {
+    const { tables, run } = startUnanswered();
     assert.equal(stops(tables, 360).length, 0);
     const active = [{ task: run.task.id, run: run.number, checkpoint: "", percent: 10, recentLoad: undefined }];
     receiveReport(tables, "a", { active }, 400);
@@ -50,14 +56,25 @@
     assert.equal(run.phase, "running");
 });
 
-test("an unanswered start of a long-running task is stopped once a report that was requested later does not list it", () => {
+test("a new scheduler does not count a task as available that its predecessor may have ordered to stop", () => {
     const tables = createPool({
-        executors: [record("a")],
-        jobs: [{ id: "j1", steps: [step({ longRunning: true, disruptionBudget: 0 })] }],
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 2, longRunning: true, disruptionBudget: 1 })], inherited: true }],
     });
-    const run = place(tables)[0];
-    assert.ok(run !== undefined);
-    markUnanswered(run, 350);
+    const activeRun = (index: number) => ({
+        active: [{ task: `j1.0.0.${index}` as never, run: 5, checkpoint: "", percent: 100, recentLoad: undefined }],
+    });
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    receiveReport(tables, "a", activeRun(0), 100);
+    receiveReport(tables, "b", activeRun(1), 100);
+    receiveReport(tables, "b", activeRun(1), 200);
+    assert.equal(stops(tables, 1000).length, 0, "the report was requested before a stop would be complete");
+    receiveReport(tables, "b", activeRun(1), 1000);
+    assert.equal(stops(tables, 1400).length, 1);
+});
+
+test("an unanswered start of a long-running task is stopped once a report that was requested later does not list it", () => {
+    const { tables, run } = startUnanswered();
     receiveReport(tables, "a", {}, 300);
     assert.equal(stops(tables, 360).length, 0, "the report was requested before the start could have been executed");
     receiveReport(tables, "a", {}, 400);
@@ -176,7 +193,7 @@
     run.phase = "unsettled";
     const { executor } = run;
     executor.orphanedRuns = [{ task: "x.0.0.0" as never, number: 1, stopSentAtMs: undefined, stopsSent: 0 }];
-    const expected = [0, 400, 1200, 2800, 6000, 9200, 12_400, 15_600, 18_800];
+    const expected = [0, 400, 1200, ...Array.from({ length: 11 }, (unused, index) => 2800 + 1600 * index)];
     const options = { resendAfterMs: RESEND_AFTER_MS, budget: UNLIMITED_BUDGET };
     assert.deepEqual(
         dueTimes(nowMs => planStops(tables, { ...options, nowMs }).length > 0),
@@ -197,3 +214,28 @@
     assert.deepEqual(stopWithin(2), runs.slice(0, 2));
     assert.deepEqual(stopWithin(2), runs.slice(2));
 });
+
+test("repeated stop requests do not hold back the first ones of other runs", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step({ count: 3 })] }] });
+    const [repeated, other, last] = place(tables);
+    assert.ok(repeated !== undefined && other !== undefined && last !== undefined);
+    const stopOne = (nowMs: number): readonly Run[] =>
+        planStops(tables, { nowMs, resendAfterMs: RESEND_AFTER_MS, budget: limitedBudget(1) });
+    repeated.phase = "unsettled";
+    assert.deepEqual(stopOne(0), [repeated]);
+    other.phase = "unsettled";
+    last.phase = "unsettled";
+    assert.deepEqual(stopOne(500), [other]);
+    assert.deepEqual(stopOne(500), [last]);
+    assert.deepEqual(stopOne(500), [repeated]);
+});
+
+test("a long-running task whose unanswered start arrived before its stop was sent keeps running", () => {
+    const { tables, run } = startUnanswered();
+    receiveReport(tables, "a", {}, 400);
+    const options = { resendAfterMs: RESEND_AFTER_MS, budget: limitedBudget(0) };
+    assert.equal(planStops(tables, { ...options, nowMs: 410 }).length, 0);
+    const active = [{ task: run.task.id, run: run.number, checkpoint: "", percent: 10, recentLoad: undefined }];
+    receiveReport(tables, "a", { active }, 500);
+    assert.equal(stops(tables, 510).length, 0);
+});
