--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -4,6 +4,7 @@
 import { learnRunTime } from "./run-times.js";
 import { isCompleted, markStarted } from "./job-progress.js";
 import {
+    addRun,
     findTask,
     forgetRun,
     type Executor,
@@ -129,16 +130,15 @@
 
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
     const task = findTask(tables, end.task);
-    const run = executor.runs.get(end.task);
-    const currentRun = run?.number === end.run ? run : undefined;
-    if (currentRun !== undefined) {
-        forgetRun(currentRun);
+    const run = runOf(executor, end.task, end.run);
+    if (run !== undefined) {
+        forgetRun(run);
     }
     if (task !== undefined) {
-        applyEndToTask(tables, executor, task, end, currentRun, nowMs);
+        applyEndToTask(tables, executor, task, end, run, nowMs);
     }
     updateFailureStreak(executor, end, nowMs);
-    return { end, task, run: currentRun };
+    return { end, task, run };
 };
 
 const applyEndToTask = (
@@ -224,7 +224,8 @@
         addOrphanedRun(executor, active);
         return;
     }
-    const run: Run = {
+    const isDuplicate = task.runs.length > 0 && !task.step.step.speculative;
+    const run = addRun({
         task,
         number: active.run,
         executor,
@@ -234,22 +235,13 @@
         // statistics.
         resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
-        unansweredAtMs: undefined,
         adoptedAtMs: nowMs,
         percent: active.percent,
-        availableSinceMs: undefined,
         recentLoad: active.recentLoad,
-        speedLimitPercent: 100,
-        stopCause: undefined,
-        stopSentAtMs: undefined,
-        stopsSent: 0,
-    };
+    });
     if (active.checkpoint !== "") {
         task.checkpoint = active.checkpoint;
     }
-    const isDuplicate = task.runs.length > 0 && !task.step.step.speculative;
-    task.runs.push(run);
-    executor.runs.set(task.id, run);
     markStarted(task.step.job);
     if (isDuplicate) {
         markForStop(run, "duplicate");
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,4 +1,4 @@
-import { stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
+import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
 import { estimateRunTime } from "./run-times.js";
 import { isReady } from "./job-progress.js";
 import { isJobEnded } from "./apply-report.js";
@@ -30,12 +30,10 @@
 ): readonly RankedStep[] =>
     [...tables.jobs.values()]
         .filter(job => !isJobEnded(job))
-        .flatMap(job => stepsOf(job).filter(step => accepts(step) && isReady(step) && hasWaitingTask(step)))
+        .flatMap(job => stepsOf(job).filter(step => accepts(step) && isReady(step) && step.tasks.some(isWaiting)))
         .map(step => rankStep(tables, step, nowMs))
         .sort(compareSteps);
 
-const hasWaitingTask = ({ tasks }: OpenStep): boolean => tasks.some(({ done, runs }) => !done && runs.length === 0);
-
 const CLASS_ORDER: Readonly<Record<RankedStep["class"], number>> = { longRunning: 0, "on-time": 1, late: 2 };
 
 const compareSteps = (left: RankedStep, right: RankedStep): number =>
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -1,7 +1,15 @@
 import type { Resources, Step } from "@almondusher/jobs/job";
 import type { OrderBudget } from "./order-budget.js";
 import { orderSteps } from "./order-steps.js";
-import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
+import {
+    addRun,
+    isWaiting,
+    type Executor,
+    type OpenStep,
+    type PoolTables,
+    type Run,
+    type Task,
+} from "./pool-tables.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
@@ -95,7 +103,7 @@
     freeByExecutor: FreeByExecutor,
     options: PlacementOptions,
 ): readonly Run[] => {
-    const waiting = step.tasks.filter(task => !task.done && task.runs.length === 0);
+    const waiting = step.tasks.filter(isWaiting);
     const runs: Run[] = [];
     // Tasks of a step differ only in the executors on which they failed, so if one does not fit, no other one does.
     // Searching again for each task of a large step would exhaust the CPU when the pool is full.
@@ -119,7 +127,7 @@
     const executor = chooseExecutor(task, freeByExecutor, options, undefined);
     return executor === undefined
         ? undefined
-        : addRun(tables, task, executor, nextRunNumber(tables), freeByExecutor, options);
+        : startRun(task, executor, nextRunNumber(tables), freeByExecutor, options);
 };
 
 const placeGang = (
@@ -142,7 +150,7 @@
     }
     const run = nextRunNumber(tables);
     // The members start together, so the last gang of a pass may exceed the budget.
-    return plan.map(({ task, executor }) => addRun(tables, task, executor, run, freeByExecutor, options));
+    return plan.map(({ task, executor }) => startRun(task, executor, run, freeByExecutor, options));
 };
 
 interface PlannedMember {
@@ -237,8 +245,7 @@
     return tables.token * RUNS_PER_TOKEN + tables.runCounter;
 };
 
-const addRun = (
-    tables: PoolTables,
+const startRun = (
     task: Task,
     executor: Executor,
     number: number,
@@ -246,31 +253,11 @@
     { nowMs, budget }: PlacementOptions,
 ): Run => {
     budget.spend(executor.id);
-    const run: Run = {
-        task,
-        number,
-        executor,
-        phase: "starting",
-        startedAtMs: nowMs,
-        resumedFrom: task.checkpoint,
-        confirmedAtMs: undefined,
-        unansweredAtMs: undefined,
-        adoptedAtMs: undefined,
-        percent: 0,
-        availableSinceMs: undefined,
-        recentLoad: undefined,
-        speedLimitPercent: 100,
-        stopCause: undefined,
-        stopSentAtMs: undefined,
-        stopsSent: 0,
-    };
-    task.runs.push(run);
-    executor.runs.set(task.id, run);
     freeByExecutor.set(
         executor,
         subtract(freeByExecutor.get(executor) ?? executor.record.capacity, demandOf(task.step.step)),
     );
-    return run;
+    return addRun({ task, number, executor, phase: "starting", startedAtMs: nowMs, resumedFrom: task.checkpoint });
 };
 
 const isNotOvercommitted = ({ cpu, memoryMb, gpu }: Resources): boolean => cpu >= 0 && memoryMb >= 0 && gpu >= 0;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -22,6 +22,9 @@
     readonly failedOn: Set<ExecutorId>;
 }
 
+/** True for a task that is not done and has no run. */
+export const isWaiting = ({ done, runs }: Task): boolean => !done && runs.length === 0;
+
 /** A step of one occurrence of a job. */
 export interface OpenStep {
     readonly id: StepId;
@@ -241,6 +244,30 @@
 export const allRuns = (tables: PoolTables): readonly Run[] =>
     [...tables.executors.values()].flatMap(executor => [...executor.runs.values()]);
 
+/** What is known of a run when it is added. */
+type AddedRun = Pick<Run, "task" | "number" | "executor" | "phase" | "startedAtMs" | "resumedFrom"> &
+    Partial<Pick<Run, "confirmedAtMs" | "adoptedAtMs" | "percent" | "recentLoad">>;
+
+/** Adds a run to its task and executor. */
+export const addRun = (added: AddedRun): Run => {
+    const run: Run = {
+        confirmedAtMs: undefined,
+        unansweredAtMs: undefined,
+        adoptedAtMs: undefined,
+        percent: 0,
+        availableSinceMs: undefined,
+        recentLoad: undefined,
+        speedLimitPercent: 100,
+        stopCause: undefined,
+        stopSentAtMs: undefined,
+        stopsSent: 0,
+        ...added,
+    };
+    run.task.runs.push(run);
+    run.executor.runs.set(run.task.id, run);
+    return run;
+};
+
 /** Removes a run from its task and executor. */
 export const forgetRun = (run: Run): void => {
     const { runs } = run.task;
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -4,10 +4,24 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import { mergeProgress, markLeaseVerified } from "@almondusher/scheduler/admit-job";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import { forgetRun } from "@almondusher/scheduler/pool-tables";
+import { forgetRun, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import { markForStop } from "../src/apply-report.js";
 import { UNLIMITED_BUDGET, createPool, executorOf, limitedBudget, place, record, step } from "./fixture.js";
 
+/** Places tasks and counts the searches for an executor. */
+const placeCountingSearches = (tables: PoolTables): { readonly runs: readonly Run[]; readonly searches: number } => {
+    let searches = 0;
+    const runs = placeTasks(tables, {
+        nowMs: 0,
+        budget: UNLIMITED_BUDGET,
+        executorsWithTicket: () => {
+            searches++;
+            return undefined;
+        },
+    });
+    return { runs, searches };
+};
+
 test("resources of a run that is being stopped or has an unanswered start are not reassigned", () => {
     const tables = createPool({
         executors: [record("a")],
@@ -143,15 +157,7 @@
             { id: "second", ...wide },
         ],
     });
-    let searches = 0;
-    const runs = placeTasks(tables, {
-        nowMs: 0,
-        budget: UNLIMITED_BUDGET,
-        executorsWithTicket: () => {
-            searches++;
-            return undefined;
-        },
-    });
+    const { runs, searches } = placeCountingSearches(tables);
     assert.equal(runs.length, 2);
     assert.ok(searches <= 4, `${searches} searches`);
 });
@@ -202,15 +208,7 @@
             steps: [step({ demand: { cpu: 3000, memoryMb: 1, gpu: 0 } })],
         })),
     });
-    let searches = 0;
-    const runs = placeTasks(tables, {
-        nowMs: 0,
-        budget: UNLIMITED_BUDGET,
-        executorsWithTicket: () => {
-            searches++;
-            return undefined;
-        },
-    });
+    const { runs, searches } = placeCountingSearches(tables);
     assert.equal(runs.length, 2);
     assert.equal(searches, 2);
 });
--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -3,7 +3,7 @@
 import { MAX_ADVISED_EXECUTORS, type AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { isReady } from "@almondusher/scheduler/job-progress";
 import { isJobEnded } from "@almondusher/scheduler/apply-report";
-import { stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { isWaiting, stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "./dispatcher-context.js";
 
 /** Tickets from the advice service, which decides for some queues on which executors a step may run. */
@@ -76,7 +76,7 @@
             .filter(job => !isJobEnded(job))
             .flatMap(stepsOf)
             .filter(step => timingOf(step) !== undefined && valid(step) === undefined)
-            .filter(step => step.tasks.some(task => !task.done && task.runs.length === 0));
+            .filter(step => step.tasks.some(isWaiting));
         return waiting.find(isReady) ?? waiting[0];
     };
     const dropExpired = (): void => {
