--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -228,9 +228,7 @@
         if (jobsLoaded && mayAct()) {
             reloadProgressAfterTakeover();
             tickets.prefetch();
-            orders.sendStops();
-            orders.sendStarts();
-            orders.sendPace();
+            orders.send();
             publishCompletedEvacuations();
         }
     };
--- a/programs/dispatcher/src/run-orders.ts
+++ b/programs/dispatcher/src/run-orders.ts
@@ -1,5 +1,5 @@
 import { planSpeedLimits, type SpeedLimitHistory } from "@almondusher/scheduler/plan-speed-limits";
-import { placeTasks } from "@almondusher/scheduler/place-tasks";
+import { placeTasks, type PlacementOptions } from "@almondusher/scheduler/place-tasks";
 import { planOrphanStops, planStops, type StopOptions } from "@almondusher/scheduler/plan-stops";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "./dispatcher-context.js";
@@ -7,11 +7,10 @@
 import type { OrderWindow } from "./order-window.js";
 import type { StepTickets } from "./step-tickets.js";
 
-/** Plans and sends the orders of a scheduling pass to executors. */
+/** Plans and sends orders to executors. */
 export interface RunOrders {
-    readonly sendStops: () => void;
-    readonly sendStarts: () => void;
-    readonly sendPace: () => void;
+    /** Sends the orders of a scheduling pass: stops, then starts, then changed speed limits. */
+    readonly send: () => void;
 }
 
 export interface RunOrdersOptions {
@@ -46,30 +45,26 @@
                 void connections.get(executor.id)?.stopOrphanedRun(orphanedRun);
             }),
         );
+    const startRuns = (options: Pick<PlacementOptions, "nowMs" | "budget">): void =>
+        placeTasks(tables, { ...options, executorsWithTicket: tickets.executorsFor }).forEach(run => {
+            const { step } = run.task;
+            context.log("run-placed", { ...logFieldsOf(run), queue: step.job.queue });
+            void connections.get(run.executor.id)?.start(run, tickets.ticketFor(step, run.executor.id));
+        });
+    const setPace = (nowMs: number): void =>
+        planSpeedLimits(tables, speedLimitHistory, nowMs).forEach(({ run, percent }) => {
+            context.log("run-pace-changed", { ...logFieldsOf(run), from: run.speedLimitPercent, percent });
+            void connections.get(run.executor.id)?.setPace(run, percent);
+        });
     return {
-        sendStops: () => {
-            const options = {
-                nowMs: context.monotonicMs(),
-                resendAfterMs: STOP_RESEND_INTERVAL_MS,
-                budget: orderWindow.createBudget(),
-            };
-            stopRuns(options);
-            stopOrphanedRuns(options);
+        send: () => {
+            // Starts get what the stops have left of the budget.
+            const budget = orderWindow.createBudget();
+            const stopOptions = { nowMs: context.monotonicMs(), resendAfterMs: STOP_RESEND_INTERVAL_MS, budget };
+            stopRuns(stopOptions);
+            stopOrphanedRuns(stopOptions);
+            startRuns({ nowMs: context.monotonicMs(), budget });
+            setPace(context.monotonicMs());
         },
-        sendStarts: () =>
-            placeTasks(tables, {
-                nowMs: context.monotonicMs(),
-                budget: orderWindow.createBudget(),
-                executorsWithTicket: tickets.executorsFor,
-            }).forEach(run => {
-                const { step } = run.task;
-                context.log("run-placed", { ...logFieldsOf(run), queue: step.job.queue });
-                void connections.get(run.executor.id)?.start(run, tickets.ticketFor(step, run.executor.id));
-            }),
-        sendPace: () =>
-            planSpeedLimits(tables, speedLimitHistory, context.monotonicMs()).forEach(({ run, percent }) => {
-                context.log("run-pace-changed", { ...logFieldsOf(run), from: run.speedLimitPercent, percent });
-                void connections.get(run.executor.id)?.setPace(run, percent);
-            }),
     };
 };
--- a/programs/dispatcher/test/order-load.test.ts
+++ b/programs/dispatcher/test/order-load.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { OrderResult } from "@almondusher/platform-adapter/executor-client";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
 import { createOrderLoad } from "../src/order-load.js";
 
@@ -7,13 +8,14 @@
     let nowMs = 0;
     const metrics = createDispatcherMetrics();
     const load = createOrderLoad({ metrics, monotonicMs: () => nowMs });
-    let answer: (result: { readonly kind: string }) => void = () => undefined;
-    const outstanding = load.track(() => new Promise<{ readonly kind: string }>(resolve => (answer = resolve)));
+    const accepted: OrderResult = { kind: "accepted", clockMs: undefined };
+    let answer: (result: OrderResult) => void = () => undefined;
+    const outstanding = load.track(() => new Promise<OrderResult>(resolve => (answer = resolve)));
     await load.track(() => {
         nowMs += 20;
-        return Promise.resolve({ kind: "accepted" });
+        return Promise.resolve(accepted);
     });
-    await load.track(() => Promise.resolve({ kind: "unknown" }));
+    await load.track(() => Promise.resolve({ kind: "unknown", reason: "no answer" }));
     assert.deepEqual(load.takeSample(), {
         sent: 3,
         answered: 1,
@@ -23,7 +25,7 @@
         responseP99Ms: 20,
     });
     assert.equal(load.takeSample()?.outstanding, 1);
-    answer({ kind: "accepted" });
+    answer(accepted);
     await outstanding;
     assert.equal(load.takeSample()?.answered, 1);
     assert.equal(load.takeSample(), undefined);
