Keep the transactions of leases in a module, and compute each load and period once

The transactions that repeat until their outcome is known are in lease-transactions.ts now. A renewal's conflict recognises its own row with versionIfOwn, which stood beside the same check, and a handover no longer removes the lease that its release removes.

The order of VMs computed the loads in three places with the same code. How long a lease was available and how long it was held were two maps with the same rule, now one record. The choice of a lease to request returns early when there is none in place of relying on a remainder by zero.

--- a/programs/dispatcher/src/acquisition-order.ts
+++ b/programs/dispatcher/src/acquisition-order.ts
@@ -32,10 +32,22 @@
 // Time in which all VMs of a system that starts for the first time make themselves known.
 const FIRST_START_MS = 800;
 
-/** Returns the number of leases per capacity that a VM would have after acquiring another lease, for each VM. */
-const loadsAfterAcquisition = (vms: readonly RankedVm[]): readonly number[] => {
-    const capacities = vms.map(({ capacity }) => capacity);
-    return vms.map(({ capacity, heldLeases }) => (heldLeases + 1) / relativeCapacity(capacity, capacities));
+interface VmLoad {
+    readonly vm: VmId;
+    /** Number of leases per capacity that the VM would have after acquiring another lease. */
+    readonly load: number;
+}
+
+interface Loads {
+    readonly own: number;
+    readonly others: readonly VmLoad[];
+}
+
+const loadsOf = ({ self, others }: Ranking): Loads => {
+    const capacities = [self, ...others].map(({ capacity }) => capacity);
+    const loadOf = ({ capacity, heldLeases }: RankedVm): number =>
+        (heldLeases + 1) / relativeCapacity(capacity, capacities);
+    return { own: loadOf(self), others: others.map(other => ({ vm: other.vm, load: loadOf(other) })) };
 };
 
 /** True if the VM has a clearly larger capacity than another one. */
@@ -46,17 +58,18 @@
 
 const isClearlySmaller = (load: number, than: number): boolean => load * CLEAR_DIFFERENCE_FACTOR <= than;
 
-/** Returns the VMs that should acquire an available lease rather than this one. */
-export const precedingVms = ({ self, others }: Ranking): readonly VmId[] => {
-    const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
-    return others.filter((unused, index) => isClearlySmaller(loads[index] ?? ownLoad, ownLoad)).map(({ vm }) => vm);
+const precedingLoads = (ranking: Ranking): readonly VmLoad[] => {
+    const { own, others } = loadsOf(ranking);
+    return others.filter(({ load }) => isClearlySmaller(load, own));
 };
 
+/** Returns the VMs that should acquire an available lease rather than this one. */
+export const precedingVms = (ranking: Ranking): readonly VmId[] => precedingLoads(ranking).map(({ vm }) => vm);
+
 // Each group has clearly smaller loads than the next one.
-const countPrecedingGroups = ({ self, others }: Ranking): number => {
-    const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
-    const groupStarts = loads
-        .filter(load => isClearlySmaller(load, ownLoad))
+const countPrecedingGroups = (ranking: Ranking): number => {
+    const groupStarts = precedingLoads(ranking)
+        .map(({ load }) => load)
         .sort((left, right) => left - right)
         .reduce<readonly number[]>((starts, load) => {
             const last = starts.at(-1);
@@ -89,7 +102,7 @@
     leases[positionAmongEquals(ranking) % leases.length];
 
 /** Returns how many VMs of the same rank come before this one. */
-export const positionAmongEquals = ({ self, others }: Ranking): number => {
-    const [ownLoad = 0, ...loads] = loadsAfterAcquisition([self, ...others]);
-    return others.filter(({ vm }, index) => loads[index] === ownLoad && vm < self.vm).length;
+export const positionAmongEquals = (ranking: Ranking): number => {
+    const { own, others } = loadsOf(ranking);
+    return others.filter(({ vm, load }) => load === own && vm < ranking.self.vm).length;
 };
--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -7,6 +7,7 @@
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import { createLeaseTenures } from "./lease-tenures.js";
 import type { LeaseView } from "./lease-view.js";
+import { createValuePeriods } from "./value-periods.js";
 import { vmCapacity } from "./vm-capacity.js";
 
 /** A lease that this process should acquire now. */
@@ -51,14 +52,6 @@
     readonly dueInMs: number;
 }
 
-/** A period in which a lease can be acquired. */
-interface Availability {
-    /** Version of the lease's row in this period. */
-    readonly version: number;
-    /** Monotonic time at which the period was first observed. */
-    readonly sinceMs: number;
-}
-
 interface CandidateRanking extends Ranking {
     readonly others: readonly (RankedVm & CandidateContent)[];
 }
@@ -71,7 +64,8 @@
 export const createLeaseCandidacy = (options: LeaseCandidacyOptions): LeaseCandidacy => {
     const { context, candidates, view, subjects, isAvailable } = options;
     const capacity = vmCapacity(context.settings);
-    const availabilities = new Map<string, Availability>();
+    /** Versions of the rows of available leases; the waiting time for a lease starts again when its row changes. */
+    const availableVersions = createValuePeriods<number>(context.monotonicMs);
     const tenures = createLeaseTenures({ context, view });
     let announcedAtMs = Number.NEGATIVE_INFINITY;
     let request: HandoverRequest | undefined;
@@ -99,12 +93,7 @@
     const trackAvailability = (): void =>
         subjects().forEach(subject => {
             const key = leaseKey(subject);
-            const version = view.observation(key)?.version ?? 0;
-            if (!isAvailable(subject)) {
-                availabilities.delete(key);
-            } else if (availabilities.get(key)?.version !== version) {
-                availabilities.set(key, { version, sinceMs: context.monotonicMs() });
-            }
+            availableVersions.observe(key, isAvailable(subject) ? (view.observation(key)?.version ?? 0) : undefined);
         });
     const availableLeases = (): readonly AvailableLease[] => {
         trackAvailability();
@@ -119,8 +108,9 @@
                 previousHolder: holderOf(subject),
                 neverHeld: view.observation(leaseKey(subject))?.record === undefined,
             });
-            const sinceMs = availabilities.get(leaseKey(subject))?.sinceMs ?? context.monotonicMs();
-            return { subject, dueInMs: sinceMs + delayMs - context.monotonicMs() };
+            const nowMs = context.monotonicMs();
+            const sinceMs = availableVersions.sinceMs(leaseKey(subject)) ?? nowMs;
+            return { subject, dueInMs: sinceMs + delayMs - nowMs };
         });
     };
     const requestHandover = (): void => {
@@ -166,7 +156,7 @@
             const subject = chooseLease(due, ranked);
             return subject === undefined ? undefined : { subject, unresponsive: unresponsiveVms(subject, ranked) };
         },
-        interrupt: () => availabilities.clear(),
+        interrupt: availableVersions.clear,
         isRequested: subject => {
             const { self: holder, others } = rank();
             const lease = tenures.heldBy(subject);
--- a/programs/dispatcher/src/lease-handover.ts
+++ b/programs/dispatcher/src/lease-handover.ts
@@ -36,6 +36,9 @@
         const holderVm = others.find(({ vm }) => vm === holder);
         return holderVm !== undefined && isClearlyLarger(self, holderVm);
     });
+    if (misplaced.length === 0) {
+        return undefined;
+    }
     const position = positionAmongEquals(ranking);
     const chosen = misplaced[position % misplaced.length];
     const minHeldMs = MIN_TENURE_MS + Math.floor(position / misplaced.length) * TURN_MS;
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,10 +1,9 @@
 import { EventEmitter } from "node:events";
-import type { Row, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
+import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
 import { createLeaseCandidacy, type DueLease } from "./lease-candidacy.js";
 import {
-    decodeLease,
     emptyLeaseContent,
     encodeLease,
     leaseKey,
@@ -13,6 +12,7 @@
     type LeaseRecord,
     type LeaseSubject,
 } from "./lease-rows.js";
+import { transactUntilKnown, versionIfOwn, writeRelease } from "./lease-transactions.js";
 import { createLeaseView, type LeaseObservation } from "./lease-view.js";
 
 /** A lease that this process holds. */
@@ -81,7 +81,6 @@
 const RENEW_INTERVAL_MS = 500;
 // A pool lease that has not changed for this long may be acquired by another process.
 export const POOL_LEASE_DURATION_MS = 2000;
-const REPEAT_DELAY_MS = 50;
 // The platform requires at least this much time between orders for a VM from two successive holders.
 const FLEET_LEASE_DURATION_MS = 3300;
 
@@ -170,9 +169,9 @@
     // A conflict does not always mean that the lease is lost: an earlier renewal that was not answered may have been
     // applied, in which case the row still names this process.
     const resolveConflict = async (lease: HeldLease, row: Row | undefined): Promise<boolean> => {
-        const record = row === undefined ? undefined : decodeLease(row.value);
-        if (row !== undefined && record?.process === context.process && record.epoch === lease.epoch) {
-            lease.version = Math.max(lease.version, row.version);
+        const ownVersion = versionIfOwn(context, row, lease.epoch);
+        if (ownVersion !== undefined) {
+            lease.version = Math.max(lease.version, ownVersion);
             return false;
         }
         await handleLostLease(lease, "another process holds the lease");
@@ -190,17 +189,6 @@
         return observation === undefined || holder === undefined || ownPrevious || hasExpired(subject, observation);
     };
 
-    // Repeats a transaction with an unknown outcome unchanged. If an earlier attempt was applied, a later one conflicts
-    // with the row that it wrote.
-    const transactUntilKnown = async (transaction: Transaction, endMs: number): Promise<TransactionResult> => {
-        const commit = await store.transact(transaction);
-        if (commit.kind !== "unknown" || monotonicMs() >= endMs) {
-            return commit;
-        }
-        await sleep(REPEAT_DELAY_MS);
-        return transactUntilKnown(transaction, endMs);
-    };
-
     const candidacy = createLeaseCandidacy({
         context,
         candidates,
@@ -223,13 +211,14 @@
             process: context.process,
             epoch,
         };
-        const commit = await transactUntilKnown(
-            {
+        const commit = await transactUntilKnown({
+            writer: context,
+            transaction: {
                 expect: [{ ...leaseRow(key), version: lastObservation?.version ?? 0 }],
                 writes: [{ ...leaseRow(key), value: encodeLease(record) }],
             },
-            sentAtMs + POOL_LEASE_DURATION_MS,
-        );
+            endMs: sentAtMs + POOL_LEASE_DURATION_MS,
+        });
         const version =
             commit.kind === "committed"
                 ? commit.version
@@ -317,7 +306,6 @@
         if (lease === undefined || !(await renew(lease)) || closed || lease.lost) {
             return;
         }
-        heldLeases.delete(leaseKey(lease.subject));
         await releaseLease(lease);
     };
 
@@ -339,37 +327,15 @@
         // A renewal under way changes the version of the row.
         await runningRenewals.get(key);
         const record: LeaseRecord = { ...content, holder: undefined, process: undefined, epoch: lease.epoch };
-        const released = await writeRelease(lease, encodeLease(record));
-        context.log(released ? "lease-given-up" : "lease-not-released", { lease: key, epoch: lease.epoch });
-    };
-
-    // Repeated until the outcome is known or another process may take the lease over anyway.
-    const writeRelease = async (lease: HeldLease, value: string): Promise<boolean> => {
-        const row = leaseRow(leaseKey(lease.subject));
-        const commit = await store.transact({
-            expect: [{ ...row, version: lease.version }],
-            writes: [{ ...row, value }],
+        const released = await writeRelease({
+            writer: context,
+            key,
+            epoch: lease.epoch,
+            version: lease.version,
+            value: encodeLease(record),
+            mayBeTakenOver: () => leaseAgeMs(lease, context) >= POOL_LEASE_DURATION_MS,
         });
-        switch (commit.kind) {
-            case "committed":
-                return true;
-            case "conflict": {
-                const [current] = commit.rows;
-                const ownVersion = versionIfOwn(context, current, lease.epoch);
-                if (ownVersion === undefined) {
-                    return current?.value === value;
-                }
-                lease.version = Math.max(lease.version, ownVersion);
-                return writeRelease(lease, value);
-            }
-            case "not-run":
-            case "unknown":
-                if (leaseAgeMs(lease, context) >= POOL_LEASE_DURATION_MS) {
-                    return false;
-                }
-                await sleep(REPEAT_DELAY_MS);
-                return writeRelease(lease, value);
-        }
+        context.log(released ? "lease-given-up" : "lease-not-released", { lease: key, epoch: lease.epoch });
     };
 
     const releaseAll = (): Promise<unknown> => Promise.all([...heldLeases.values()].map(releaseLease));
@@ -399,8 +365,3 @@
         },
     };
 };
-
-const versionIfOwn = (context: DispatcherContext, row: Row | undefined, epoch: number): number | undefined => {
-    const record = row === undefined ? undefined : decodeLease(row.value);
-    return row !== undefined && record?.process === context.process && record.epoch === epoch ? row.version : undefined;
-};
--- a/programs/dispatcher/src/lease-tenures.ts
+++ b/programs/dispatcher/src/lease-tenures.ts
@@ -2,6 +2,7 @@
 import type { HeldBy } from "./lease-handover.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import type { LeaseView } from "./lease-view.js";
+import { createValuePeriods } from "./value-periods.js";
 
 /** Observes for how long each lease has had the same holder. */
 export interface LeaseTenures {
@@ -16,30 +17,23 @@
     readonly view: Pick<LeaseView, "observation">;
 }
 
-/** A period in which a lease has the same holder. */
-interface Tenure {
-    readonly epoch: number;
-    /** Monotonic time at which the period was first observed. */
-    readonly sinceMs: number;
-}
-
 export const createLeaseTenures = ({ context, view }: LeaseTenuresOptions): LeaseTenures => {
-    const tenures = new Map<string, Tenure>();
+    const epochs = createValuePeriods<number>(context.monotonicMs);
     return {
         track: subjects =>
             subjects.map(leaseKey).forEach(key => {
                 const epoch = view.observation(key)?.record?.epoch;
-                if (epoch !== undefined && tenures.get(key)?.epoch !== epoch) {
-                    tenures.set(key, { epoch, sinceMs: context.monotonicMs() });
+                if (epoch !== undefined) {
+                    epochs.observe(key, epoch);
                 }
             }),
         heldBy: subject => {
             const lease = leaseKey(subject);
             const holder = view.observation(lease)?.record?.holder;
-            const tenure = tenures.get(lease);
-            return holder === undefined || tenure === undefined
+            const sinceMs = epochs.sinceMs(lease);
+            return holder === undefined || sinceMs === undefined
                 ? undefined
-                : { lease, holder, heldMs: context.monotonicMs() - tenure.sinceMs };
+                : { lease, holder, heldMs: context.monotonicMs() - sinceMs };
         },
     };
 };
