--- a/programs/dispatcher/test/wave-status-publisher.test.ts
+++ b/programs/dispatcher/test/wave-status-publisher.test.ts
@@ -11,6 +11,14 @@
 
 const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
+/** Options of a fleet manager that holds a confirmed lease. */
+const CONFIRMED: Omit<WaveStatusPublisherOptions, "store"> = {
+    log: () => undefined,
+    isActive: () => true,
+    mayPublish: () => true,
+    sleep: nextTurn,
+};
+
 test("a wave completed during a store outage is never published as running afterwards", async () => {
     const stored: string[] = [];
     let down = true;
@@ -24,10 +32,7 @@
                 return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
             },
         },
-        log: () => undefined,
-        isActive: () => true,
-        mayPublish: () => true,
-        sleep: nextTurn,
+        ...CONFIRMED,
     });
     publisher.publish(1, "running");
     await nextTurn();
@@ -49,10 +54,7 @@
                 return { kind: "committed", version: 1, nowMs: 0 };
             },
         },
-        log: () => undefined,
-        isActive: () => true,
-        mayPublish: () => true,
-        sleep: nextTurn,
+        ...CONFIRMED,
     });
     publisher.publish(1, "running");
     publisher.publish(1, "completed");
@@ -68,10 +70,9 @@
     const holder = { isActive: true, mayPublish: false };
     const publisher = createWaveStatusPublisher({
         store: recordingStore(stored),
-        log: () => undefined,
+        ...CONFIRMED,
         isActive: () => holder.isActive,
         mayPublish: () => holder.mayPublish,
-        sleep: nextTurn,
     });
     publisher.publish(1, "running");
     await nextTurn();
@@ -86,10 +87,8 @@
     const holder = { mayPublish: false };
     const publisher = createWaveStatusPublisher({
         store: recordingStore(stored),
-        log: () => undefined,
-        isActive: () => true,
+        ...CONFIRMED,
         mayPublish: () => holder.mayPublish,
-        sleep: nextTurn,
     });
     publisher.publish(1, "running");
     await nextTurn();
@@ -123,10 +122,7 @@
                 );
             },
         },
-        log: () => undefined,
-        isActive: () => true,
-        mayPublish: () => true,
-        sleep: nextTurn,
+        ...CONFIRMED,
     });
     publisher.publish(1, "running");
     publisher.publish(1, "completed");
