--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -62,7 +62,9 @@
 /** Path prefix of the deployment's queue. */
 export const JOB_PREFIX = "/queue/";
 
-const POOL = "pool-a";
+/** Name of the deployment's only pool that is not a spare pool. */
+export const JOB_POOL = "pool-a";
+
 const MAIN = fileURLToPath(new URL("../../../programs/dispatcher/src/main.ts", import.meta.url));
 const TSX = import.meta.resolve("tsx");
 const STOP_TIMEOUT_MS = 5000;
@@ -74,10 +76,18 @@
     store.put("op", "config", configuration());
     const executors = await Promise.all(
         Array.from({ length: options.executors }, (unused, index) =>
-            startExecutorStandIn({ store, id: `i-${index}`, service: POOL, runMs: options.runMs, path: options.path }),
+            startExecutorStandIn({
+                store,
+                id: `i-${index}`,
+                service: JOB_POOL,
+                runMs: options.runMs,
+                path: options.path,
+            }),
         ),
     );
-    const vms = await startVmServiceStandIn(executors.map(({ id }) => ({ id: `vm-${id}`, pool: POOL, executor: id })));
+    const vms = await startVmServiceStandIn(
+        executors.map(({ id }) => ({ id: `vm-${id}`, pool: JOB_POOL, executor: id })),
+    );
     const dispatchers: DeployedDispatcher[] = [];
     const command = [...(options.nodeFlags ?? []), ...programArguments(options.program)];
     const startDispatcher = async (vm: string): Promise<DeployedDispatcher> => {
@@ -190,13 +200,13 @@
             timeout_ms: 3000,
             target_duration_ms: 600,
             priority: 0,
-            service: POOL,
+            service: JOB_POOL,
             max_attempts: 2,
             stretch: 1.6,
         },
     ],
     services: [
-        { name: POOL, enforces_capacity: false, spare: false },
+        { name: JOB_POOL, enforces_capacity: false, spare: false },
         { name: "pool-spare", enforces_capacity: false, spare: true },
     ],
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -4,6 +4,7 @@
 import { createAdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { createTableStore } from "@almondusher/platform-adapter/table-store";
 import { createBoundedOutput, type BoundedOutput } from "./bounded-output.js";
+import { containErrors, createErrorReporter } from "./contain-errors.js";
 import { createDecisionLog } from "./decision-log.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { createDispatcherMetrics, serveMetrics } from "./dispatcher-metrics.js";
@@ -42,10 +43,7 @@
             outcome: "ignored: settings are read only at startup; restart the process to apply changes",
         }),
     );
-    process.on("uncaughtException", error => {
-        context.metrics.count("internal_errors");
-        context.log("internal-error", { reason: error.stack ?? error.message });
-    });
+    process.on("uncaughtException", createErrorReporter({ context, part: "process" }));
     context.log("started", { settings });
     monitorLateness({ context });
     const operator = followOperatorTable(context);
@@ -73,7 +71,10 @@
             }
         }),
     });
-    leases.events.on("change", () => forwardEvacuations(context, leases, services));
+    leases.events.on(
+        "change",
+        containErrors({ context, part: "evacuations" }, () => forwardEvacuations(context, leases, services)),
+    );
     const entryServer = createEntryServer({
         context,
         operator,
--- a/programs/dispatcher/src/entry-server.ts
+++ b/programs/dispatcher/src/entry-server.ts
@@ -2,6 +2,7 @@
 import { findQueue, type QueueMatch } from "@almondusher/jobs/configuration";
 import { isJobId } from "@almondusher/jobs/ids";
 import { encodeJobState, encodePending } from "@almondusher/platform-adapter/job-responses";
+import { createErrorReporter } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { cancelJob, readJobState, submitJob, type JobCallResult, type JobCall } from "./job-api.js";
 import type { OperatorFeed } from "./operator-feed.js";
@@ -24,13 +25,11 @@
 /** Creates the HTTP server through which clients submit, query and cancel jobs. */
 export const createEntryServer = (options: EntryServerOptions): Server => {
     const { context } = options;
+    const reportError = createErrorReporter({ context, part: "entry" });
     const server = createServer((request, response) => {
         const startedMs = context.monotonicMs();
         handleRequest(options, request, response, startedMs).catch((error: unknown) => {
-            context.metrics.count("internal_errors");
-            context.log("internal-error", {
-                reason: error instanceof Error ? (error.stack ?? error.message) : String(error),
-            });
+            reportError(error);
             if (!response.headersSent) {
                 sendJson(response, 500, { error: "internal" });
             }
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -15,6 +15,7 @@
     type OrderRejection,
     type OrderResult,
 } from "@almondusher/platform-adapter/executor-client";
+import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
 import type { OrderWindow } from "./order-window.js";
@@ -219,15 +220,13 @@
         }
         return executor.reachable ? IDLE_POLL_MS : UNREACHABLE_POLL_MS;
     };
-    const pollWhileOpen = async (): Promise<void> => {
-        while (!closed) {
-            const pauseMs = pollDelayMs();
-            if (pauseMs > 0) {
-                await waitForPollRequest(pauseMs);
-            }
-            if (!closed && (needsPolling() || !executor.reachable)) {
-                await pollReport();
-            }
+    const poll = async (): Promise<void> => {
+        const pauseMs = pollDelayMs();
+        if (pauseMs > 0) {
+            await waitForPollRequest(pauseMs);
+        }
+        if (!closed && (needsPolling() || !executor.reachable)) {
+            await pollReport();
         }
     };
     const applyStartResult = (run: Run, result: OrderResult, sentAtMs: number): void => {
@@ -277,7 +276,7 @@
     };
     const track = (send: () => Promise<OrderResult>): Promise<OrderResult> =>
         orderWindow.track(executor.id, () => orderLoad.track(send));
-    void pollWhileOpen();
+    void repeatWhileActive({ context, part: "executor-reports", isActive: () => !closed, step: poll });
     return {
         pollNow,
         start: async (run, ticket) => {
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executor-connections.ts
@@ -2,7 +2,8 @@
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import type { VmEvacuation } from "@almondusher/scheduler/pool-tables";
+import type { Executor, VmEvacuation } from "@almondusher/scheduler/pool-tables";
+import { containErrors } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import {
     openExecutorConnection,
@@ -47,27 +48,29 @@
                 connections.delete(id);
                 orderWindow.forget(id);
             });
+    const syncExecutor = (executor: Executor, evacuations: ReadonlyMap<VmId, VmEvacuation>): void => {
+        if (!connections.has(executor.id)) {
+            connections.set(
+                executor.id,
+                openExecutorConnection({ context, owner, executor, orderLoad, orderWindow, leaseMs }),
+            );
+        }
+        const { vm } = executor.record;
+        const evacuation = vm === undefined ? undefined : evacuations.get(vm);
+        // The VM may have restarted during the evacuation, and the registry may still list an executor that ended with
+        // it. The executor gets no starts until its runs have been read again.
+        if (executor.evacuation !== undefined && evacuation === undefined) {
+            executor.reconciled = false;
+            connections.get(executor.id)?.pollNow();
+        }
+        executor.evacuation = evacuation;
+    };
+    const trySyncExecutor = containErrors({ context, part: "executor-connection" }, syncExecutor);
     return {
         sync: (records, evacuations) => {
             applyRegistry(tables, records, context.monotonicMs());
             closeRemoved();
-            tables.executors.forEach(executor => {
-                if (!connections.has(executor.id)) {
-                    connections.set(
-                        executor.id,
-                        openExecutorConnection({ context, owner, executor, orderLoad, orderWindow, leaseMs }),
-                    );
-                }
-                const { vm } = executor.record;
-                const evacuation = vm === undefined ? undefined : evacuations.get(vm);
-                // The VM may have restarted during the evacuation, and the registry may still list an executor that ended
-                // with it. The executor gets no starts until its runs have been read again.
-                if (executor.evacuation !== undefined && evacuation === undefined) {
-                    executor.reconciled = false;
-                    connections.get(executor.id)?.pollNow();
-                }
-                executor.evacuation = evacuation;
-            });
+            tables.executors.forEach(executor => trySyncExecutor(executor, evacuations));
         },
         get: id => connections.get(id),
         close: () => connections.forEach(connection => connection.close()),
--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -5,6 +5,7 @@
 import { decodeExecutor } from "@almondusher/platform-adapter/decode-executor";
 import { EXECUTOR_TABLE, PLATFORM_PART } from "@almondusher/platform-adapter/platform-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
+import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { readAll } from "./read-all.js";
 
@@ -25,18 +26,29 @@
 // Live executors register again within about two seconds after an outage of the store, so entries that are missing are
 // kept for this long after the last failed read.
 const REREGISTRATION_GRACE_MS = 2500;
+const MAX_LOGGED_UNREADABLE = 100;
+const MAX_LOGGED_ID_LENGTH = 200;
 
 export const createExecutorRegistry = (context: DispatcherContext): ExecutorRegistry => {
     const events = new EventEmitter();
     events.setMaxListeners(0);
     const records = new Map<ExecutorId, ExecutorRecord>();
     const missingIds = new Set<ExecutorId>();
+    /** Rows whose malformed content was logged. */
+    const unreadableIds = new Set<ExecutorId>();
     let subscribers = 0;
     let closed = false;
     let after: number | undefined;
     let loaded = false;
     let failedAtMs = Number.NEGATIVE_INFINITY;
 
+    const reportUnreadable = (id: ExecutorId): void => {
+        context.metrics.count("unreadable_executors");
+        if (!unreadableIds.has(id) && unreadableIds.size < MAX_LOGGED_UNREADABLE) {
+            unreadableIds.add(id);
+            context.log("executor-unreadable", { executor: id.slice(0, MAX_LOGGED_ID_LENGTH) });
+        }
+    };
     const apply = ({ key, value, deleted, part }: Row): void => {
         const id = key as ExecutorId;
         const record = deleted || part !== PLATFORM_PART ? undefined : decodeExecutor(key, value);
@@ -47,7 +59,7 @@
             missingIds.add(id);
         }
         if (!deleted && record === undefined) {
-            context.metrics.count("unreadable_executors");
+            reportUnreadable(id);
         }
     };
     const applyAll = (rows: readonly Row[]): void => {
@@ -85,19 +97,17 @@
         dropMissing();
         events.emit("change");
     };
-    const follow = async (): Promise<void> => {
-        while (!closed) {
-            if (subscribers > 0) {
-                await refresh();
-                await sleep(POLL_INTERVAL_MS);
-            } else {
-                after = undefined;
-                loaded = false;
-                await sleep(IDLE_CHECK_INTERVAL_MS);
-            }
+    const poll = async (): Promise<void> => {
+        if (subscribers > 0) {
+            await refresh();
+            await sleep(POLL_INTERVAL_MS);
+        } else {
+            after = undefined;
+            loaded = false;
+            await sleep(IDLE_CHECK_INTERVAL_MS);
         }
     };
-    void follow();
+    void repeatWhileActive({ context, part: "executor-registry", isActive: () => !closed, step: poll });
     return {
         events,
         executorsOf: pool => (loaded ? [...records.values()].filter(record => record.pool === pool) : undefined),
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -4,6 +4,7 @@
 import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
 import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
 import { createSurgeForecast, forecastNeeds, type ReportedPoolNeed } from "@almondusher/upkeep/surge-forecast";
+import { containErrors, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { leaseAgeMs, type HeldLease, type LeaseManager } from "./lease-manager.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
@@ -104,17 +105,15 @@
             ? Number.NEGATIVE_INFINITY
             : (lastLists[0]?.sentAtMs ?? Number.NEGATIVE_INFINITY);
     const pollVms = async (): Promise<void> => {
-        while (active) {
-            const sentAtMs = context.monotonicMs();
-            const listing = await client.list();
-            if (listing.kind === "listed") {
-                vms = new Map(
-                    listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
-                );
-                lastLists = [...lastLists, { vms: [...vms.keys()], sentAtMs }].slice(-LISTS_TO_TELL_A_DEPARTURE);
-            }
-            await sleep(LIST_INTERVAL_MS);
+        const sentAtMs = context.monotonicMs();
+        const listing = await client.list();
+        if (listing.kind === "listed") {
+            vms = new Map(
+                listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
+            );
+            lastLists = [...lastLists, { vms: [...vms.keys()], sentAtMs }].slice(-LISTS_TO_TELL_A_DEPARTURE);
         }
+        await sleep(LIST_INTERVAL_MS);
     };
     const sparePools = (): readonly PoolName[] =>
         (operator.configuration()?.pools ?? []).filter(pool => pool.spare).map(({ name }) => name);
@@ -301,8 +300,8 @@
     };
     void periodic(TICK_INTERVAL_MS)
         .takeWhile(() => active)
-        .observe(tick);
-    void pollVms();
+        .observe(containErrors({ context, part: "fleet-manager" }, tick));
+    void repeatWhileActive({ context, part: "vm-list", isActive: () => active, step: pollVms });
     return {
         kind: "fleet",
         leaseContent: () => ({
--- a/programs/dispatcher/src/job-api.ts
+++ b/programs/dispatcher/src/job-api.ts
@@ -3,7 +3,7 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Job, JobState } from "@almondusher/jobs/job";
 import { initialProgress } from "@almondusher/jobs/progress";
-import { decodeProgress, encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
+import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
@@ -16,6 +16,7 @@
     progressRow,
     type JobTables,
 } from "./job-rows.js";
+import { readStoredProgress } from "./read-stored-rows.js";
 
 /** Outcome of a client's request for a job. */
 export type JobCallResult =
@@ -132,7 +133,7 @@
     for (;;) {
         const reading = await context.store.read(progressRange(tables, id));
         if (reading.kind === "rows") {
-            return stateOfRows(reading.rows, tables, id);
+            return stateOfRows(context, reading.rows, { tables, id });
         }
         if (context.monotonicMs() + RETRY_DELAY_MS >= deadlineMs) {
             return { kind: "failed", reason: reading.kind === "failed" ? reading.reason : reading.kind };
@@ -141,12 +142,20 @@
     }
 };
 
-const stateOfRows = (rows: readonly Row[], tables: JobTables, id: JobId): FoundProgress => {
+interface JobAddress {
+    readonly tables: JobTables;
+    readonly id: JobId;
+}
+
+const stateOfRows = (context: DispatcherContext, rows: readonly Row[], { tables, id }: JobAddress): FoundProgress => {
     const progress = rows.find(({ key }) => key === id);
     if (progress === undefined) {
         return { kind: "absent" };
     }
-    const { state } = decodeProgress(progress.value);
+    const state = readStoredProgress(context, progress)?.state;
+    if (state === undefined) {
+        return { kind: "failed", reason: "the stored progress cannot be read" };
+    }
     const cancelled = rows.length > 1 && (state === "queued" || state === "running");
     return { kind: "found", state: cancelled ? "cancelled" : state, tables };
 };
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -2,10 +2,11 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Job } from "@almondusher/jobs/job";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
-import { decodeJob, decodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
+import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
+import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
 import { readAll, type StorePoint } from "./read-all.js";
 
 /** A job with its progress as read from the store. */
@@ -45,21 +46,20 @@
     const tables = jobTablesOf(pool);
     let asOf: StorePoint | undefined;
     let inherited = true;
-    while (isActive()) {
+    const load = async (): Promise<void> => {
+        asOf = await loadJobs(options, inherited);
         if (asOf === undefined) {
-            asOf = await loadJobs(options, inherited);
-            if (asOf === undefined) {
-                await sleep(RETRY_DELAY_MS);
-            } else {
-                inherited = false;
-                sink.readUpTo(asOf);
-                sink.changed();
-            }
-            continue;
+            await sleep(RETRY_DELAY_MS);
+            return;
         }
+        inherited = false;
+        sink.readUpTo(asOf);
+        sink.changed();
+    };
+    const followFrom = async (known: StorePoint): Promise<void> => {
         const reading = await context.store.changes({
             table: tables.jobs,
-            after: asOf.version,
+            after: known.version,
             waitMs: LONG_POLL_MS,
         });
         if (!isActive()) {
@@ -68,7 +68,7 @@
         switch (reading.kind) {
             case "rows":
                 reading.rows.forEach(row => applyChange(options, row));
-                asOf = { version: reading.version, atMs: reading.truncated ? asOf.atMs : reading.nowMs };
+                asOf = { version: reading.version, atMs: reading.truncated ? known.atMs : reading.nowMs };
                 sink.readUpTo(asOf);
                 if (reading.rows.length > 0) {
                     sink.changed();
@@ -81,7 +81,13 @@
                 await sleep(RETRY_DELAY_MS);
                 break;
         }
-    }
+    };
+    await repeatWhileActive({
+        context,
+        part: "job-feed",
+        isActive,
+        step: () => (asOf === undefined ? load() : followFrom(asOf)),
+    });
 };
 
 // Jobs are read before progress. A job that is accepted between the two reads is missing in the first one and is
@@ -98,8 +104,8 @@
     jobs.rows.forEach(row => {
         const progressRow = progressById.get(row.key);
         const job = readJob(options, row);
-        if (job !== undefined && progressRow !== undefined) {
-            const stored = decodeProgress(progressRow.value);
+        const stored = progressRow === undefined ? undefined : readStoredProgress(context, progressRow);
+        if (job !== undefined && progressRow !== undefined && stored !== undefined) {
             sink.job({ job, progress: stored, progressVersion: progressRow.version, inherited });
         }
     });
@@ -129,16 +135,7 @@
     return cancelled !== undefined;
 };
 
-const readJob = ({ context, pool }: JobFeedOptions, { key, value }: Row): Job | undefined => {
-    if (cancelledJobId(key) !== undefined) {
-        return undefined;
-    }
-    try {
-        const job = decodeJob(value);
-        return job.pool === pool ? job : undefined;
-    } catch (error) {
-        context.metrics.count("unreadable_jobs");
-        context.log("job-unreadable", { job: key, reason: error instanceof Error ? error.message : String(error) });
-        return undefined;
-    }
+const readJob = ({ context, pool }: JobFeedOptions, row: Row): Job | undefined => {
+    const job = cancelledJobId(row.key) === undefined ? readStoredJob(context, row) : undefined;
+    return job?.pool === pool ? job : undefined;
 };
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,5 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
+import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
 import { createLeaseCandidacy, type DueLease } from "./lease-candidacy.js";
@@ -263,21 +264,19 @@
     };
 
     const poll = async (): Promise<void> => {
-        while (!closed) {
-            const refreshed = await view.refresh(subjects().map(leaseKey));
-            if (refreshed === "changed") {
-                events.emit("change");
-            }
-            if (refreshed === "failed") {
-                candidacy.interrupt();
-            } else if (!closed) {
-                await candidacy.refresh();
-                await acquireDue();
-                runningHandover = handOverRequested();
-                await runningHandover;
-            }
-            await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
+        const refreshed = await view.refresh(subjects().map(leaseKey));
+        if (refreshed === "changed") {
+            events.emit("change");
         }
+        if (refreshed === "failed") {
+            candidacy.interrupt();
+        } else if (!closed) {
+            await candidacy.refresh();
+            await acquireDue();
+            runningHandover = handOverRequested();
+            await runningHandover;
+        }
+        await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
     };
 
     const pollIntervalMs = (): number => {
@@ -309,11 +308,9 @@
         await releaseLease(lease);
     };
 
-    const renewPeriodically = async (): Promise<void> => {
-        while (!closed) {
-            await Promise.all([...heldLeases.values()].map(renew));
-            await sleep(RENEW_INTERVAL_MS);
-        }
+    const renewAll = async (): Promise<void> => {
+        await Promise.all([...heldLeases.values()].map(renew));
+        await sleep(RENEW_INTERVAL_MS);
     };
 
     const releaseLease = async (lease: HeldLease): Promise<void> => {
@@ -340,8 +337,9 @@
 
     const releaseAll = (): Promise<unknown> => Promise.all([...heldLeases.values()].map(releaseLease));
 
-    void poll();
-    void renewPeriodically();
+    const isOpen = (): boolean => !closed;
+    void repeatWhileActive({ context, part: "lease-poll", isActive: isOpen, step: poll });
+    void repeatWhileActive({ context, part: "lease-renewal", isActive: isOpen, step: renewAll });
     return {
         events,
         renew,
--- a/programs/dispatcher/src/operator-feed.ts
+++ b/programs/dispatcher/src/operator-feed.ts
@@ -9,6 +9,7 @@
     WAVE_KEY_PREFIX,
 } from "@almondusher/platform-adapter/platform-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
+import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { readAll } from "./read-all.js";
 
@@ -52,7 +53,7 @@
                 events.emit("configuration");
             }
         } else if (key.startsWith(WAVE_KEY_PREFIX)) {
-            const wave = decodeWave(value);
+            const wave = readWave(context, key, value);
             if (wave !== undefined && !waves.has(wave.wave)) {
                 waves.set(wave.wave, { request: wave, firstReadAtMs: context.monotonicMs() });
                 context.log("wave-requested", { ...wave, vms: wave.vms.length });
@@ -60,29 +61,31 @@
             }
         }
     };
-    const follow = async (): Promise<void> => {
-        let after: number | undefined;
-        while (!closed) {
-            if (after === undefined) {
-                const all = await readAll(context.store, { table: OPERATOR_TABLE, part: PLATFORM_PART });
-                all?.rows.forEach(apply);
-                after = all?.asOf.version;
-                if (after !== undefined) {
-                    continue;
-                }
-            } else {
-                const reading = await context.store.changes({ table: OPERATOR_TABLE, after, waitMs: LONG_POLL_MS });
-                if (reading.kind === "rows") {
-                    reading.rows.forEach(apply);
-                    after = reading.version;
-                    continue;
-                }
-                after = reading.kind === "history-lost" ? undefined : after;
-            }
+    let after: number | undefined;
+    const load = async (): Promise<void> => {
+        const all = await readAll(context.store, { table: OPERATOR_TABLE, part: PLATFORM_PART });
+        all?.rows.forEach(apply);
+        after = all?.asOf.version;
+        if (after === undefined) {
             await sleep(RETRY_DELAY_MS);
         }
     };
-    void follow();
+    const followFrom = async (version: number): Promise<void> => {
+        const reading = await context.store.changes({ table: OPERATOR_TABLE, after: version, waitMs: LONG_POLL_MS });
+        if (reading.kind === "rows") {
+            reading.rows.forEach(apply);
+            after = reading.version;
+            return;
+        }
+        after = reading.kind === "history-lost" ? undefined : after;
+        await sleep(RETRY_DELAY_MS);
+    };
+    void repeatWhileActive({
+        context,
+        part: "operator-feed",
+        isActive: () => !closed,
+        step: () => (after === undefined ? load() : followFrom(after)),
+    });
     return {
         events,
         configuration: () => configuration,
@@ -100,3 +103,12 @@
         return undefined;
     }
 };
+
+const readWave = (context: DispatcherContext, key: string, text: string): WaveRequest | undefined => {
+    const wave = decodeWave(text);
+    if (wave === undefined) {
+        context.metrics.count("unreadable_waves");
+        context.log("wave-unreadable", { key });
+    }
+    return wave;
+};
--- a/programs/dispatcher/src/pending-count.ts
+++ b/programs/dispatcher/src/pending-count.ts
@@ -1,10 +1,10 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import type { Queue } from "@almondusher/jobs/configuration";
-import { decodeJob, decodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
 import type { LeaseRecord } from "./lease-rows.js";
+import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
 import { readAll, type StorePoint } from "./read-all.js";
 
 // Clients may get a count of up to this age.
@@ -32,7 +32,7 @@
     | { readonly kind: "store" };
 
 export interface PendingCountOptions {
-    readonly context: Pick<DispatcherContext, "store">;
+    readonly context: Pick<DispatcherContext, "store" | "log" | "metrics">;
     /** Lease of the queue's pool as last read; undefined if it is not known. */
     readonly published: LeaseRecord | undefined;
     readonly queue: Queue;
@@ -62,7 +62,7 @@
             return changes.truncated
                 ? countStored(context, queue)
                 : {
-                      jobs: jobs + selectJobs(changes.rows, queue).length,
+                      jobs: jobs + selectJobs(context, changes.rows, queue).length,
                       ageMs: 0,
                       source: { kind: "lease-and-store", holder, epoch, publishedAgeMs: ageMs },
                   };
@@ -83,20 +83,20 @@
     const startedIds = new Set(
         progress.rows
             .filter(({ key }) => cancelledJobId(key) === undefined)
-            .filter(({ value }) => decodeProgress(value).state !== "queued")
+            .filter(row => readStoredProgress(context, row)?.state !== "queued")
             .map(({ key }) => key),
     );
-    const counted = selectJobs(jobs.rows, queue).filter(({ key }) => !startedIds.has(key));
+    const counted = selectJobs(context, jobs.rows, queue).filter(({ key }) => !startedIds.has(key));
     return { jobs: counted.length, ageMs: ageOf(context, jobs.asOf), source: { kind: "store" } };
 };
 
 /** Returns the rows of the queue's jobs, without those that a later row cancels. */
-const selectJobs = (rows: readonly Row[], queue: Queue): readonly Row[] => {
+const selectJobs = (context: PendingCountOptions["context"], rows: readonly Row[], queue: Queue): readonly Row[] => {
     const present = rows.filter(({ deleted }) => !deleted);
     const cancelledIds = new Set<string>(present.map(({ key }) => cancelledJobId(key)).filter(id => id !== undefined));
     return present
         .filter(({ key }) => cancelledJobId(key) === undefined && !cancelledIds.has(key))
-        .filter(({ value }) => decodeJob(value).queue === queue.name);
+        .filter(row => readStoredJob(context, row)?.queue === queue.name);
 };
 
 const ageOf = ({ store }: PendingCountOptions["context"], { atMs }: StorePoint): number =>
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -14,6 +14,7 @@
 import { endJob, isJobEnded, expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
+import { containErrors, createErrorReporter } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
@@ -95,11 +96,11 @@
             sinceFencedMs: context.monotonicMs() - lastFencedAtMs,
         });
     const passThrottle = createPassThrottle({
-        pass: () => {
+        pass: containErrors({ context, part: "scheduling-pass" }, () => {
             if (isActive() && !stopping) {
                 runPass();
             }
-        },
+        }),
         monotonicMs: context.monotonicMs,
         after: scheduleCallback,
     });
@@ -117,6 +118,7 @@
                 cause: run?.stopCause,
             });
         });
+    const reportReloadError = createErrorReporter({ context, part: "progress-reload" });
     const writer = createProgressWriter({
         context,
         tables,
@@ -237,12 +239,17 @@
             return;
         }
         reloadingProgress = true;
-        void reloadProgress(context, tables).then(read => {
-            reloadingProgress = false;
-            tables.isProgressCurrent = read;
-            writer.request();
-            requestPass();
-        });
+        void reloadProgress(context, tables)
+            .catch((error: unknown) => {
+                reportReloadError(error);
+                return false;
+            })
+            .then(read => {
+                reloadingProgress = false;
+                tables.isProgressCurrent = read;
+                writer.request();
+                requestPass();
+            });
     };
     const publishCompletedEvacuations = (): void => {
         const completed = completedEvacuations(tables).join();
@@ -267,21 +274,23 @@
     };
 
     const unsubscribeRegistry = registry.subscribe();
-    const onRegistryChange = (): void => {
+    const onRegistryChange = containErrors({ context, part: "executor-sync" }, () => {
         syncExecutors();
         requestPass();
-    };
+    });
     registry.events.on("change", onRegistryChange);
     operator.events.on("configuration", syncQueues);
     syncQueues();
     void periodic(TICK_INTERVAL_MS)
         .takeWhile(() => active)
-        .observe(() => {
-            passThrottle.run();
-            if (jobsLoaded && mayAct()) {
-                updateDemand();
-            }
-        });
+        .observe(
+            containErrors({ context, part: "demand" }, () => {
+                passThrottle.run();
+                if (jobsLoaded && mayAct()) {
+                    updateDemand();
+                }
+            }),
+        );
     void periodic(ORDER_LOAD_LOG_INTERVAL_MS)
         .takeWhile(() => active)
         .observe(() => {
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -1,11 +1,13 @@
-import { decodeProgress, encodeProgress } from "@almondusher/jobs/stored-rows";
+import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
 import { isJobEnded } from "@almondusher/scheduler/apply-report";
+import { createErrorReporter } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf, progressRow, type JobTables } from "./job-rows.js";
+import { readStoredProgress } from "./read-stored-rows.js";
 
 /** Stores the progress of jobs. Run ends are acknowledged to executors only after they are stored. */
 export interface ProgressWriter {
@@ -34,6 +36,7 @@
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
     const { context, tables } = options;
     const jobTables = jobTablesOf(tables.pool);
+    const reportError = createErrorReporter({ context, part: "progress-writer" });
     let writing = false;
     let requested = false;
 
@@ -61,11 +64,16 @@
             });
         return true;
     };
+    const tryWriteAll = (): Promise<boolean> =>
+        writeAll().catch((error: unknown) => {
+            reportError(error);
+            return false;
+        });
     const run = async (): Promise<void> => {
         writing = true;
         while (requested && options.isActive()) {
             requested = false;
-            if (!options.mayStore() || !(await writeAll())) {
+            if (!options.mayStore() || !(await tryWriteAll())) {
                 requested = true;
                 await sleep(RETRY_DELAY_MS);
             }
@@ -139,8 +147,9 @@
         return;
     }
     job.dirty = true;
-    if (row !== undefined) {
-        mergeProgress(options.tables, job, { progress: decodeProgress(row.value), version: row.version });
+    const progress = row === undefined ? undefined : readStoredProgress(options.context, row);
+    if (row !== undefined && progress !== undefined) {
+        mergeProgress(options.tables, job, { progress, version: row.version });
         options.context.log("progress-conflict", { job: job.id, version: row.version });
     }
 };
--- a/programs/dispatcher/test/pending-count.test.ts
+++ b/programs/dispatcher/test/pending-count.test.ts
@@ -62,6 +62,8 @@
         published: lease,
         queue: QUEUE,
         context: {
+            log: () => undefined,
+            metrics: { count: () => undefined, record: () => undefined, text: () => "" },
             store: {
                 nowMs: () => NOW_MS,
                 changes: ({ after }: { readonly after: number }) => {
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -26,6 +26,8 @@
     setFault: (fault: StoreFault) => void;
     /** Writes a row in the part "", as an operator or an executor would. */
     readonly put: (table: string, key: string, value: object) => void;
+    /** Writes a row in the part "" whose value is the given text, which need not be JSON. */
+    readonly putText: (table: string, key: string, text: string) => void;
     readonly remove: (table: string, key: string) => void;
     /** Returns the rows of a table with decoded values. */
     readonly rows: (table: string) => readonly StoredRow[];
@@ -206,15 +208,17 @@
         partQueues.set(part, partDelay);
         await partDelay;
     };
+    const putText = (table: string, key: string, text: string): void => {
+        version++;
+        write({ table, part: "", key }, Buffer.from(text).toString("base64"));
+        wakeFollowers();
+    };
     const server: JsonServer = await startJsonServer(handle);
     return {
         address: server.address,
         setFault: next => (fault = next),
-        put: (table, key, value) => {
-            version++;
-            write({ table, part: "", key }, Buffer.from(JSON.stringify(value)).toString("base64"));
-            wakeFollowers();
-        },
+        put: (table, key, value) => putText(table, key, JSON.stringify(value)),
+        putText,
         remove: (table, key) => {
             version++;
             write({ table, part: "", key }, undefined);
