--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -7,7 +7,11 @@
 import { startExecutorStandIn, type ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
 import type { NarrowPath } from "@almondusher/job-platform-stand-in/narrow-path";
 import { startStoreStandIn, type StoreStandIn } from "@almondusher/job-platform-stand-in/store";
-import { startVmServiceStandIn, type VmServiceStandIn } from "@almondusher/job-platform-stand-in/vm-service";
+import {
+    startVmServiceStandIn,
+    type VmServiceStandIn,
+    type VmServiceStandInOptions,
+} from "@almondusher/job-platform-stand-in/vm-service";
 import { freePorts } from "./free-ports.js";
 
 export interface DeployedDispatcher {
@@ -44,6 +48,9 @@
     readonly runMs: (task: string) => number;
     /** Path that carries the requests to all executors; unlimited if undefined. */
     readonly path?: NarrowPath;
+    /** Pool in which the VM service lists all VMs; `JOB_POOL` if undefined. */
+    readonly vmPool?: string;
+    readonly vmService?: Pick<VmServiceStandInOptions, "enforcesFencing" | "answerDelayMs">;
     /** Additional Node.js flags for the dispatchers, for example for the profiler. */
     readonly nodeFlags?: readonly string[];
     /** File of a bundled dispatcher to run; the sources are run if undefined. */
@@ -64,6 +71,8 @@
 
 /** Name of the deployment's only pool that is not a spare pool. */
 export const JOB_POOL = "pool-a";
+/** Name of the deployment's spare pool. */
+export const SPARE_POOL = "pool-spare";
 
 const MAIN = fileURLToPath(new URL("../../../programs/dispatcher/src/main.ts", import.meta.url));
 const TSX = import.meta.resolve("tsx");
@@ -85,13 +94,21 @@
             }),
         ),
     );
-    const vms = await startVmServiceStandIn(
-        executors.map(({ id }) => ({ id: `vm-${id}`, pool: JOB_POOL, executor: id })),
-    );
+    const vms = await startVmServiceStandIn({
+        ...options.vmService,
+        vms: executors.map(({ id }) => ({ id: `vm-${id}`, pool: options.vmPool ?? JOB_POOL, executor: id })),
+    });
     const dispatchers: DeployedDispatcher[] = [];
     const command = [...(options.nodeFlags ?? []), ...programArguments(options.program)];
     const startDispatcher = async (vm: string): Promise<DeployedDispatcher> => {
-        const started = await spawnDispatcher(command, directory, vm, store.address, vms.address);
+        const started = await spawnDispatcher({
+            command,
+            directory,
+            vm,
+            storeAddress: store.address,
+            vmServiceAddress: vms.address,
+            enforcesFencing: options.vmService?.enforcesFencing ?? true,
+        });
         dispatchers.push(started);
         return started;
     };
@@ -207,7 +224,7 @@
     ],
     services: [
         { name: JOB_POOL, enforces_capacity: false, spare: false },
-        { name: "pool-spare", enforces_capacity: false, spare: true },
+        { name: SPARE_POOL, enforces_capacity: false, spare: true },
     ],
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
 });
@@ -215,13 +232,23 @@
 const programArguments = (program: string | undefined): readonly string[] =>
     program === undefined ? ["--conditions=source", "--import", TSX, MAIN] : [program];
 
-const spawnDispatcher = async (
-    command: readonly string[],
-    directory: string,
-    vm: string,
-    storeAddress: string,
-    vmServiceAddress: string,
-): Promise<DeployedDispatcher> => {
+interface DispatcherSpawn {
+    readonly command: readonly string[];
+    readonly directory: string;
+    readonly vm: string;
+    readonly storeAddress: string;
+    readonly vmServiceAddress: string;
+    readonly enforcesFencing: boolean;
+}
+
+const spawnDispatcher = async ({
+    command,
+    directory,
+    vm,
+    storeAddress,
+    vmServiceAddress,
+    enforcesFencing,
+}: DispatcherSpawn): Promise<DeployedDispatcher> => {
     const [entryPort, readyPort, metricsPort] = await freePorts(3);
     const file = join(directory, `${vm}.json`);
     const metricsAddress = `127.0.0.1:${metricsPort}`;
@@ -233,6 +260,7 @@
         metricsAddress,
         storeAddress,
         vmServiceAddress,
+        vmOrderFencing: enforcesFencing ? "enforced" : "not-enforced",
         adviceAddress: "",
         processorShare: 1,
         processorSpeed: 1,
--- a/programs/dispatcher/src/dispatcher-settings.ts
+++ b/programs/dispatcher/src/dispatcher-settings.ts
@@ -1,7 +1,8 @@
 import { z } from "zod";
+import { isSocketAddress } from "@almondusher/jobs/socket-address";
 import { loadSettings } from "@almondusher/settings/load-settings";
 
-const address = z.string().regex(/^[\d.]+:\d+$/, "expected IP:port");
+const address = z.string().refine(isSocketAddress, "expected IP:port");
 
 const schema = z.object({
     /** Name of the VM that this process runs on. */
@@ -13,6 +14,8 @@
     metricsAddress: address.optional(),
     storeAddress: address,
     vmServiceAddress: address,
+    /** Whether the VM service rejects orders with a fencing token lower than one it has received for the VM. */
+    vmOrderFencing: z.enum(["enforced", "not-enforced"]).transform(kind => ({ kind })),
     /** Address of the advice service; empty if no queue needs advice. */
     adviceAddress: z.string(),
     /** Share of a core that the process gets. */
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -11,6 +11,7 @@
 import type { OperatorFeed, RequestedWave } from "./operator-feed.js";
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
 import { createWaveStatusPublisher } from "./wave-status-publisher.js";
+import { orderTimeoutMs } from "./vm-order-limits.js";
 import { sendOrder, type OrderOutcome, type OrderPurpose, type VmOrder } from "./vm-orders.js";
 
 /** Maintains VMs and moves them between pools while this process holds the fleet lease. */
@@ -47,8 +48,6 @@
 // stay empty, and its demand is outdated.
 const MAX_POOL_RECORD_AGE_MS = 2500;
 const ORDER_RETRY_DELAY_MS = 400;
-// A fleet manager that could not renew its lease for this long sends no orders, because another may have taken over.
-const MAX_LEASE_AGE_MS = 2500;
 // Added to the configured duration of a move before the list of VMs is expected to show the VM in its new pool.
 const MOVE_MARGIN_MS = 300;
 const MS_PER_SECOND = 1000;
@@ -71,7 +70,8 @@
     const forecast = createSurgeForecast();
 
     const isActive = (): boolean => active && !lease.lost;
-    const mayAct = (): boolean => isActive() && leaseAgeMs(lease, context) < MAX_LEASE_AGE_MS;
+    const timeoutMs = (): number => orderTimeoutMs(context.settings.vmOrderFencing, leaseAgeMs(lease, context));
+    const mayAct = (): boolean => isActive() && timeoutMs() > 0;
     const waveStatus = createWaveStatusPublisher({
         store: context.store,
         log: context.log,
@@ -135,7 +135,7 @@
         applyOutcome(
             vm,
             order,
-            await sendOrder({ context, client, vm, order, mayAct, isActive, retryDelayMs: ORDER_RETRY_DELAY_MS }),
+            await sendOrder({ context, client, vm, order, timeoutMs, isActive, retryDelayMs: ORDER_RETRY_DELAY_MS }),
         );
     };
     const applyOutcome = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -1,5 +1,5 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import type { VmClient, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
+import type { VmClient, VmOrderLimits, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 
 export type OrderPurpose =
@@ -20,8 +20,11 @@
     readonly client: VmClient;
     readonly vm: VmId;
     readonly order: VmOrder;
-    /** False while the process must send no orders, because its lease was not renewed for too long. */
-    readonly mayAct: () => boolean;
+    /**
+     * Returns the time limit of an order that is sent now, in milliseconds; 0 while the process must send none, because its
+     * lease was not renewed for too long.
+     */
+    readonly timeoutMs: () => number;
     /** False once the lease is lost. */
     readonly isActive: () => boolean;
     /** Pause before an order is sent again, in milliseconds. */
@@ -30,23 +33,26 @@
 
 /**
  * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, until the lease is lost. While
- * `mayAct` returns false, it waits. Orders are idempotent.
+ * `timeoutMs` returns 0, it waits, also if an order already waits for a connection. Orders are idempotent.
  */
 export const sendOrder = async ({
     context,
     client,
     vm,
     order,
-    mayAct,
+    timeoutMs,
     isActive,
     retryDelayMs,
 }: SendOrderOptions): Promise<OrderOutcome> => {
     while (isActive()) {
-        if (!mayAct()) {
+        const limitMs = timeoutMs();
+        if (limitMs <= 0) {
             await sleep(retryDelayMs);
             continue;
         }
-        const result = await send(client, vm, order.purpose);
+        // The process may have been suspended since the lease was checked.
+        const mayStart = (): boolean => isActive() && timeoutMs() > 0;
+        const result = await send(client, vm, order.purpose, { timeoutMs: limitMs, mayStart });
         context.metrics.count(`vm_orders_${order.purpose.kind}`);
         context.log("vm-order", { vm, ...order.purpose, outcome: result });
         const outcome = outcomeOf(result, order.purpose);
@@ -58,12 +64,12 @@
     return "given-up";
 };
 
-const send = (client: VmClient, vm: VmId, purpose: OrderPurpose): Promise<VmOrderResult> => {
+const send = (client: VmClient, vm: VmId, purpose: OrderPurpose, limits: VmOrderLimits): Promise<VmOrderResult> => {
     switch (purpose.kind) {
         case "maintenance":
-            return client.maintain(vm, purpose.wave);
+            return client.maintain(vm, purpose.wave, limits);
         case "move":
-            return client.move(vm, purpose.to);
+            return client.move(vm, purpose.to, limits);
     }
 };
 
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -13,7 +13,7 @@
         client: { move: answer, maintain: answer } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
         order: { purpose, sentAtMs: 0, confirmedAtMs: undefined },
-        mayAct: () => true,
+        timeoutMs: () => 1000,
         isActive: () => remaining.length > 0,
         retryDelayMs: 1,
     });
@@ -51,7 +51,7 @@
         } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
         order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
-        mayAct: () => renewals.shift() ?? true,
+        timeoutMs: () => ((renewals.shift() ?? true) ? 1000 : 0),
         isActive: () => true,
         retryDelayMs: 1,
     });
--- a/stand-ins/job-platform/src/vm-service.ts
+++ b/stand-ins/job-platform/src/vm-service.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
 import { reply, startJsonServer, type JsonReply, type JsonRequest, type JsonServer } from "./json-server.js";
 
@@ -17,6 +18,14 @@
     readonly fence: number;
 }
 
+export interface VmServiceStandInOptions {
+    readonly vms: readonly StandInVm[];
+    /** False if orders with a lower fencing token than one received before are carried out nevertheless. */
+    readonly enforcesFencing?: boolean;
+    /** Delay of the answer to an order in milliseconds; the order is carried out at once. */
+    readonly answerDelayMs?: () => number;
+}
+
 /** Stand-in for the platform's VM service: the list of VMs and the orders to move and maintain them. */
 export interface VmServiceStandIn {
     readonly address: string;
@@ -28,7 +37,11 @@
 const upkeepSchema = z.object({ machine: z.string(), wave: z.number() });
 
 /** Starts the VM service. Orders take effect at once, and a VM under maintenance stays `up`. */
-export const startVmServiceStandIn = async (vms: readonly StandInVm[]): Promise<VmServiceStandIn> => {
+export const startVmServiceStandIn = async ({
+    vms,
+    enforcesFencing = true,
+    answerDelayMs = () => 0,
+}: VmServiceStandInOptions): Promise<VmServiceStandIn> => {
     const orders: VmOrderRecord[] = [];
     const pools = new Map(vms.map(({ id, pool }) => [id, pool]));
     /** Highest fencing token accepted for each VM. */
@@ -38,14 +51,14 @@
         if (!pools.has(record.vm)) {
             return reply(400);
         }
-        if (fencingToken < (highestTokens.get(record.vm) ?? 0)) {
+        if (enforcesFencing && fencingToken < (highestTokens.get(record.vm) ?? 0)) {
             return reply(409, { reason: "fence" });
         }
         highestTokens.set(record.vm, fencingToken);
         orders.push({ ...record, fence: fencingToken });
         return reply(200);
     };
-    const handle = (request: JsonRequest): JsonReply => {
+    const carryOut = (request: JsonRequest): JsonReply => {
         switch (request.path) {
             case "/-/machines":
                 return reply(200, {
@@ -72,6 +85,13 @@
                 return reply(404);
         }
     };
+    const handle = async (request: JsonRequest): Promise<JsonReply> => {
+        const answer = carryOut(request);
+        if (request.method === "POST") {
+            await sleep(answerDelayMs());
+        }
+        return answer;
+    };
     const server: JsonServer = await startJsonServer(handle);
     return { address: server.address, orders, close: server.close };
 };
