--- a/domain/jobs/src/progress.ts
+++ b/domain/jobs/src/progress.ts
@@ -16,8 +16,13 @@
 export interface TaskFailures {
     readonly index: number;
     readonly attempts: number;
-    /** Run number of the last failed run; a report on this run or an earlier one is not counted again. */
+    /** Highest run number of a failed run. */
     readonly lastRun: number;
+    /**
+     * Run numbers of the failed runs, whose reports are not counted again. Undefined for a long-running task and in rows
+     * of earlier versions, where all runs up to `lastRun` are counted.
+     */
+    readonly runs?: readonly number[] | undefined;
 }
 
 /** The newest stored checkpoint of one task. */
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -49,7 +49,14 @@
                 occurrence: z.int(),
                 step: z.int(),
                 done: z.array(z.int()),
-                failures: z.array(z.object({ index: z.int(), attempts: z.int(), lastRun: z.number() })),
+                failures: z.array(
+                    z.object({
+                        index: z.int(),
+                        attempts: z.int(),
+                        lastRun: z.number(),
+                        runs: z.array(z.int()).optional(),
+                    }),
+                ),
                 checkpoints: z.array(z.object({ index: z.int(), checkpoint: z.string() })),
             }),
         ),
--- a/domain/jobs/test/stored-rows.test.ts
+++ b/domain/jobs/test/stored-rows.test.ts
@@ -17,7 +17,10 @@
                     step: index,
                     done: fc.array(index),
                     failures: fc.array(
-                        fc.record({ index, attempts: index, lastRun: index }, { noNullPrototype: true }),
+                        fc.record(
+                            { index, attempts: index, lastRun: index, runs: fc.array(index) },
+                            { noNullPrototype: true, requiredKeys: ["index", "attempts", "lastRun"] },
+                        ),
                     ),
                     checkpoints: fc.array(fc.record({ index, checkpoint: fc.string() }, { noNullPrototype: true })),
                 },
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -1,5 +1,5 @@
 import { occurrencesOf, stepIdOf, taskIdOf, type Job, type Step } from "@almondusher/jobs/job";
-import type { Progress, StepProgress } from "@almondusher/jobs/progress";
+import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
 import type { ExecutorId, JobId } from "@almondusher/jobs/ids";
 import { completeIfDone } from "./apply-report.js";
 import { markStarted } from "./job-progress.js";
@@ -116,7 +116,8 @@
             index: taskIndex,
             done: false,
             failures: 0,
-            lastFailedRun: 0,
+            failedRuns: new Set<number>(),
+            countedUpToRun: 0,
             checkpoint: "",
             runs: [],
             failedOn: new Set<ExecutorId>(),
@@ -137,11 +138,10 @@
             step.remaining--;
         }
     });
-    progress.failures.forEach(({ index, attempts, lastRun }) => {
-        const task = step.tasks[index];
+    progress.failures.forEach(failures => {
+        const task = step.tasks[failures.index];
         if (task !== undefined) {
-            task.failures = Math.max(task.failures, attempts);
-            task.lastFailedRun = Math.max(task.lastFailedRun, lastRun);
+            restoreFailures(task, failures);
         }
     });
     progress.checkpoints.forEach(({ index, checkpoint }) => {
@@ -152,6 +152,15 @@
     });
 };
 
+const restoreFailures = (task: Task, { attempts, lastRun, runs }: TaskFailures): void => {
+    if (runs === undefined) {
+        task.countedUpToRun = Math.max(task.countedUpToRun, lastRun);
+    }
+    const uncounted = (runs ?? []).filter(run => !task.failedRuns.has(run));
+    uncounted.forEach(run => task.failedRuns.add(run));
+    task.failures = Math.max(task.failures + uncounted.length, attempts);
+};
+
 // Stored progress of an occurrence shows that it was due, even if this process's clock is behind.
 const addOccurrence = (job: OpenJob, occurrence: number): readonly OpenStep[] => {
     const steps = openSteps(job, occurrence);
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -177,9 +177,10 @@
 };
 
 const recordFailure = (task: Task, executor: Executor, run: number): void => {
-    if (!task.done && run > task.lastFailedRun) {
+    // After a takeover the failures of a task are read from several executors, in any order.
+    if (!task.done && run > task.countedUpToRun && !task.failedRuns.has(run)) {
         task.failures++;
-        task.lastFailedRun = run;
+        task.failedRuns.add(run);
         task.failedOn.add(executor.id);
     }
 };
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -17,10 +17,12 @@
     checkpoints: step.tasks.filter(isResumable).map(({ index, checkpoint }) => ({ index, checkpoint })),
 });
 
-const toTaskFailures = ({ index, failures, lastFailedRun }: Task): TaskFailures => ({
+const toTaskFailures = ({ index, failures, failedRuns, countedUpToRun, step }: Task): TaskFailures => ({
     index,
     attempts: failures,
-    lastRun: lastFailedRun,
+    lastRun: Math.max(countedUpToRun, ...failedRuns),
+    // Long-running tasks may fail any number of times, and their failures are not limited.
+    ...(step.step.longRunning ? {} : { runs: [...failedRuns] }),
 });
 
 const hasCountedFailures = ({ done, failures }: Task): boolean => !done && failures > 0;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -13,8 +13,10 @@
     readonly index: number;
     done: boolean;
     failures: number;
-    /** Highest run number whose failure was counted, so that a repeated report counts once. */
-    lastFailedRun: number;
+    /** Runs whose failure was counted, so that a repeated report counts once. */
+    readonly failedRuns: Set<number>;
+    /** Failures of this run and earlier ones were counted by an earlier version, which stored no more than its number. */
+    countedUpToRun: number;
     checkpoint: string;
     /** Runs that may be present on an executor. Only speculative steps keep several; other duplicates are stopped. */
     readonly runs: Run[];
--- a/pools/scheduler/test/apply-report.test.ts
+++ b/pools/scheduler/test/apply-report.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { closeJob } from "@almondusher/scheduler/admit-job";
+import type { Progress } from "@almondusher/jobs/progress";
+import { closeJob, mergeProgress } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { findTask } from "@almondusher/scheduler/pool-tables";
 import { confirmStart } from "../src/executor-incarnation.js";
@@ -25,6 +26,37 @@
     assert.equal(successor.jobs.get("j1" as never)?.state, "running");
 });
 
+test("a successor counts the failures of a task in whatever order the executors report them", () => {
+    const earlier = [{ number: 1, task: TASK, run: 7, how: "failed", checkpoint: "" }] as const;
+    const later = [{ number: 1, task: TASK, run: 9, how: "failed", checkpoint: "" }] as const;
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step()], inherited: true }],
+    });
+    receiveReport(tables, "b", { ended: later });
+    receiveReport(tables, "a", { ended: earlier });
+    assert.equal(findTask(tables, TASK)?.failures, 2);
+    assert.equal(tables.jobs.get("j1" as never)?.state, "failed");
+});
+
+test("failures that were counted by two holders of the lease are counted once each", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    receiveReport(tables, "a", { ended: [{ number: 1, task: TASK, run: 9, how: "failed", checkpoint: "" }] });
+    const job = tables.jobs.get("j1" as never);
+    assert.ok(job !== undefined);
+    const failures = (runs: readonly number[]) => [
+        { index: 0, attempts: runs.length, lastRun: Math.max(...runs), runs },
+    ];
+    const stored = (runs: readonly number[]): Progress => ({
+        state: "running",
+        steps: [{ occurrence: 0, step: 0, done: [], failures: failures(runs), checkpoints: [] }],
+    });
+    mergeProgress(tables, job, { progress: stored([9]), version: job.progressVersion + 1 });
+    assert.equal(findTask(tables, TASK)?.failures, 1);
+    mergeProgress(tables, job, { progress: stored([7]), version: job.progressVersion + 1 });
+    assert.equal(findTask(tables, TASK)?.failures, 2);
+});
+
 test("a job fails after its last attempt and completes only when every task is done", () => {
     const tables = createPool({
         executors: [record("a")],
