--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -109,5 +109,9 @@
 const countUnavailableTasks = (step: OpenStep, except: Run, nowMs: number): number =>
     step.tasks.filter(task => task !== except.task && !task.runs.some(run => isAvailable(run, nowMs))).length;
 
+// A run on an executor that does not respond may have ended.
 const isAvailable = (run: Run, nowMs: number): boolean =>
-    run.phase === "running" && run.availableSinceMs !== undefined && nowMs - run.availableSinceMs >= MIN_AVAILABLE_MS;
+    run.phase === "running" &&
+    run.executor.reachable &&
+    run.availableSinceMs !== undefined &&
+    nowMs - run.availableSinceMs >= MIN_AVAILABLE_MS;
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -116,6 +116,20 @@
     assert.equal(stops(tables, 2400).length, 1);
 });
 
+test("a long-running task on an executor that does not respond uses up the disruption budget of its step", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 2, maxPerExecutor: 1, longRunning: true, disruptionBudget: 1 })] }],
+    });
+    const runs = place(tables);
+    markAvailable(runs);
+    executorOf(tables, "b").reachable = false;
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 1000 };
+    assert.equal(stops(tables, 1000).length, 0);
+    executorOf(tables, "b").reachable = true;
+    assert.equal(stops(tables, 1100).length, 1);
+});
+
 test("a task that ends in time may finish on an executor that drains", () => {
     const tables = createPool({
         executors: [record("a")],
