--- a/bench/system/test/order-congestion.test.ts
+++ b/bench/system/test/order-congestion.test.ts
@@ -42,7 +42,8 @@
     const count = (event: string): number => dispatcher.log.filter(line => line.event === event).length;
     context.diagnostic(
         `${Math.round(tookMs)} ms, ${startedTasks(deployment, JOB).length} starts, ` +
-            `${count("start-not-accepted")} not accepted, ${count("run-stopping")} stops`,
+            `${count("start-not-accepted")} not accepted, ${count("run-stopping")} stops, ` +
+            `${count("process-late")} seconds in which the dispatcher was late`,
     );
     assert.ok(count("start-not-accepted") <= TASKS / 20, `${count("start-not-accepted")} starts were not accepted`);
     assert.ok(tookMs <= 1.5 * NEEDED_MS, `${Math.round(tookMs)} ms for ${TASKS} tasks`);
--- a/observe/telemetry/src/log-event.ts
+++ b/observe/telemetry/src/log-event.ts
@@ -31,7 +31,12 @@
     | { readonly kind: "domain-failed"; readonly dataCentre: DataCentreName; readonly vms: number }
     | { readonly kind: "grantor-changed"; readonly pool: PoolName; readonly grantor: ProcessId | undefined }
     | { readonly kind: "settings-invalid"; readonly message: string; readonly details: readonly string[] }
-    | { readonly kind: "internal-error"; readonly message: string; readonly stack?: string | undefined };
+    | {
+          readonly kind: "internal-error";
+          readonly message: string;
+          readonly stack?: string | undefined;
+          readonly unlogged?: number;
+      };
 
 /** Log level of each event. */
 export const logLevels: Readonly<Record<LogEvent["kind"], Extract<LogLevel, string>>> = {
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -102,11 +102,14 @@
     }
     const progressById = new Map(progress.rows.map(row => [row.key, row]));
     jobs.rows.forEach(row => {
-        const progressRow = progressById.get(row.key);
         const job = readJob(options, row);
-        const stored = progressRow === undefined ? undefined : readStoredProgress(context, progressRow);
-        if (job !== undefined && progressRow !== undefined && stored !== undefined) {
-            sink.job({ job, progress: stored, progressVersion: progressRow.version, inherited });
+        const progressRow = progressById.get(row.key);
+        if (job === undefined || progressRow === undefined) {
+            return;
+        }
+        const progress = readStoredProgress(context, progressRow);
+        if (progress !== undefined) {
+            sink.job({ job, progress, progressVersion: progressRow.version, inherited });
         }
     });
     jobs.rows.forEach(row => applyCancellation(sink, row));
--- a/programs/entry/src/entry-events.ts
+++ b/programs/entry/src/entry-events.ts
@@ -2,7 +2,9 @@
 import { retrySettlements } from "@almondusher/platform/claims";
 import { removeRegistration } from "@almondusher/platform/registrations";
 import { count } from "@almondusher/telemetry/counters";
+import { containErrors } from "@almondusher/telemetry/error-reporter";
 import { tickStream } from "@almondusher/telemetry/event-stream";
+import { createInternalErrorReporter } from "@almondusher/telemetry/internal-error-reporter";
 import { logEvent } from "@almondusher/telemetry/logger";
 import type { CallerServer } from "./caller-server.js";
 import type { EntryContext } from "./entry-context.js";
@@ -52,17 +54,21 @@
     callerServer: CallerServer,
     signals: Stream<NodeJS.Signals>,
 ): Promise<void> => {
+    const reportError = createInternalErrorReporter(entry);
     const running = new Set<string>();
     const runExclusively = (name: string, task: () => Promise<void>): void => {
         if (!running.has(name)) {
             running.add(name);
-            void task().finally(() => running.delete(name));
+            void task()
+                .catch(reportError)
+                .finally(() => running.delete(name));
         }
     };
     const urlsInExchange = new Set<string>();
     await new Promise<void>((resolve, reject) => {
         const subscription = eventStream(entry.settings, signals).subscribe({
-            next: event => {
+            // An error in `next` would end the stream, and with it the process.
+            next: containErrors(reportError, (event: EntryEvent) => {
                 switch (event.kind) {
                     case "tick":
                         runTick(entry);
@@ -91,7 +97,7 @@
                         }
                         return;
                 }
-            },
+            }),
             error: reject,
             complete: () => resolve(),
         });
--- a/programs/entry/src/entry-process.ts
+++ b/programs/entry/src/entry-process.ts
@@ -5,6 +5,7 @@
 import { loadSecret } from "@almondusher/settings/load-settings";
 import { signalStream } from "@almondusher/telemetry/event-stream";
 import { summarizeLatencies } from "@almondusher/telemetry/latencies";
+import { createInternalErrorReporter } from "@almondusher/telemetry/internal-error-reporter";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { startOperatorServer } from "@almondusher/telemetry/operator-server";
 import { statusRoute } from "@almondusher/telemetry/status-report";
@@ -21,6 +22,7 @@
 export const runEntry = async ({ settings, settingsFile }: EntryOptions): Promise<void> => {
     const signals = signalStream(["SIGTERM", "SIGINT"]);
     const entry = await createEntry({ settings, settingsFile });
+    process.on("uncaughtException", createInternalErrorReporter(entry));
     const operatorSecret = loadSecret(settingsFile, settings.operatorSecretFile);
     const peerServer = await startPeerServer({
         listen: settings.peerListen,
@@ -43,11 +45,7 @@
             gauges: [{ name: "requests-in-flight", labels: {}, value: entry.tables.requests.size }],
         }),
         routes: [trafficRoute(entry.trafficLog, entry.revisionUse), statusRoute(() => entryStatus(entry))],
-        onError: error =>
-            logEvent(entry.logger, {
-                kind: "internal-error",
-                message: error instanceof Error ? error.message : "unknown error",
-            }),
+        onError: createInternalErrorReporter(entry),
     });
     const callerServer = await startCallerServer(entry);
     entry.tables.phase = "serving";
--- a/programs/manager/src/manager-context.ts
+++ b/programs/manager/src/manager-context.ts
@@ -10,6 +10,7 @@
 import type { LeaseObservation } from "@almondusher/platform/observe-lease";
 import type { Registration } from "@almondusher/platform/registrations";
 import type { Counters } from "@almondusher/telemetry/counters";
+import type { ErrorReporter } from "@almondusher/telemetry/error-reporter";
 import type { Logger } from "@almondusher/telemetry/logger";
 import type { PoolDemandAverage } from "./demand-average.js";
 import type { ManagerSettings } from "./manager-settings.js";
@@ -63,6 +64,8 @@
     readonly peerClients: PeerClients;
     readonly counters: Counters;
     readonly logger: Logger;
+    /** Counts and logs an unexpected error. */
+    readonly reportError: ErrorReporter;
     readonly tables: ManagerTables;
 }
 
--- a/programs/manager/src/manager-process.ts
+++ b/programs/manager/src/manager-process.ts
@@ -12,7 +12,9 @@
 import { readVms } from "@almondusher/platform/vm-list";
 import { loadSecret } from "@almondusher/settings/load-settings";
 import { createCounters, listCounters } from "@almondusher/telemetry/counters";
+import { containErrors } from "@almondusher/telemetry/error-reporter";
 import { signalStream, tickStream } from "@almondusher/telemetry/event-stream";
+import { createInternalErrorReporter } from "@almondusher/telemetry/internal-error-reporter";
 import { createLogger, logEvent } from "@almondusher/telemetry/logger";
 import { startOperatorServer } from "@almondusher/telemetry/operator-server";
 import { statusRoute } from "@almondusher/telemetry/status-report";
@@ -39,6 +41,7 @@
 export const runManager = async ({ settings, settingsFile }: ManagerOptions): Promise<void> => {
     const signals = signalStream(["SIGTERM", "SIGINT"]);
     const manager = createManager({ settings, settingsFile });
+    process.on("uncaughtException", manager.reportError);
     const dumper = startManagerStateDumper(manager);
     const operatorServer = await startOperatorServer({
         listen: settings.operatorListen,
@@ -62,19 +65,22 @@
 const createManager = ({ settings, settingsFile }: ManagerOptions): ManagerContext => {
     const processId = toId<ProcessId>(randomBytes(PROCESS_ID_BYTES).toString("hex"));
     const secret = loadSecret(settingsFile, settings.peerSecretFile);
+    const counters = createCounters();
+    const logger = createLogger({
+        program: "almondusher-manager",
+        processId,
+        vm: settings.vmId,
+        level: settings.logLevel,
+        secrets: [secret],
+    });
     return {
         settings,
         processId,
         platform: createPlatform({ settings: settings.platform, settingsFile }),
         peerClients: createPeerClients({ secret, timeoutMs: settings.timing.callTimeoutMs }),
-        counters: createCounters(),
-        logger: createLogger({
-            program: "almondusher-manager",
-            processId,
-            vm: settings.vmId,
-            level: settings.logLevel,
-            secrets: [secret],
-        }),
+        counters,
+        logger,
+        reportError: createInternalErrorReporter({ counters, logger }),
         tables: {
             role: { kind: "standby", observation: undefined },
             state: emptyFleetState,
@@ -132,7 +138,7 @@
     new Promise((resolve, reject) => {
         let runningTick: Promise<void> | undefined;
         const subscription = eventStream(manager.settings, signals).subscribe({
-            next: event => {
+            next: containErrors(manager.reportError, (event: ManagerEvent) => {
                 switch (event.kind) {
                     case "tick":
                         runningTick ??= tick(manager).finally(() => (runningTick = undefined));
@@ -144,7 +150,7 @@
                         void (runningTick ?? Promise.resolve()).then(resolve);
                         return;
                 }
-            },
+            }),
             error: reject,
             complete: () => resolve(),
         });
@@ -198,11 +204,7 @@
         }
         tables.isPlatformAvailable = true;
     } else if (!(error instanceof FleetError)) {
-        logEvent(manager.logger, {
-            kind: "internal-error",
-            message: error instanceof Error ? error.message : "unknown error",
-            stack: error instanceof Error ? error.stack : undefined,
-        });
+        manager.reportError(error);
     } else if (tables.isPlatformAvailable) {
         tables.isPlatformAvailable = false;
         logEvent(manager.logger, { kind: "platform-down", operation: "tick", reason: error.message });
