--- a/observe/telemetry/src/error-reporter.ts
+++ b/observe/telemetry/src/error-reporter.ts
@@ -2,7 +2,7 @@
 export type ErrorReporter = (error: unknown) => void;
 
 /** An unexpected error to log, and how many errors were not logged since the line before. */
-export interface ReportedError {
+interface ReportedError {
     readonly message: string;
     readonly stack: string | undefined;
     readonly unlogged: number;
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -180,11 +180,20 @@
     // After a takeover the failures of a task are read from several executors, in any order.
     if (!task.done && run > task.countedUpToRun && !task.failedRuns.has(run)) {
         task.failures++;
-        task.failedRuns.add(run);
+        countRun(task, run);
         task.failedOn.add(executor.id);
     }
 };
 
+// A long-running task may fail any number of times, so its runs are not kept one by one.
+const countRun = (task: Task, run: number): void => {
+    if (task.step.step.longRunning) {
+        task.countedUpToRun = run;
+    } else {
+        task.failedRuns.add(run);
+    }
+};
+
 const applyCompletion = (tables: PoolTables, task: Task, run: Run | undefined, nowMs: number): void => {
     // A gang completes as a whole: the end of one member completes all of them.
     const completed = task.step.step.gang ? task.step.tasks : [task];
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -21,7 +21,6 @@
     index,
     attempts: failures,
     lastRun: Math.max(countedUpToRun, ...failedRuns),
-    // Long-running tasks may fail any number of times, and their failures are not limited.
     ...(step.step.longRunning ? {} : { runs: [...failedRuns] }),
 });
 
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -13,9 +13,9 @@
     readonly index: number;
     done: boolean;
     failures: number;
-    /** Runs whose failure was counted, so that a repeated report counts once. */
+    /** Numbers of the runs whose failure was counted, so that a repeated report counts once. */
     readonly failedRuns: Set<number>;
-    /** Failures of this run and earlier ones were counted by an earlier version, which stored no more than its number. */
+    /** Failures of this run and earlier ones were counted, although their numbers are not in `failedRuns`. */
     countedUpToRun: number;
     checkpoint: string;
     /** Runs that may be present on an executor. Only speculative steps keep several; other duplicates are stopped. */
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,6 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { repeatWhileActive } from "./contain-errors.js";
+import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
 import { createLeaseCandidacy, type DueLease } from "./lease-candidacy.js";
@@ -83,7 +83,7 @@
 // A pool lease that has not changed for this long may be acquired by another process.
 export const POOL_LEASE_DURATION_MS = 2000;
 // The platform requires at least this much time between orders for a VM from two successive holders.
-const FLEET_LEASE_DURATION_MS = 3300;
+export const FLEET_LEASE_DURATION_MS = 3300;
 
 /**
  * Returns the time since this process last certainly held the lease, in milliseconds.
@@ -105,6 +105,7 @@
     const runningRenewals = new Map<string, Promise<boolean>>();
     const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
+    const reportRenewalError = createErrorReporter({ context, part: "lease-renewal" });
     let closed = false;
     let runningAcquisition: Promise<void> | undefined;
     let runningHandover: Promise<void> | undefined;
@@ -159,7 +160,10 @@
         }
         const next = (runningRenewals.get(key) ?? Promise.resolve(false)).then(() => {
             waitingRenewals.delete(key);
-            const running = renewOnce(lease);
+            const running = renewOnce(lease).catch((error: unknown) => {
+                reportRenewalError(error);
+                return false;
+            });
             runningRenewals.set(key, running);
             return running;
         });
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -6,7 +6,14 @@
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
 import { createLeaseManager, type HeldLease, type LeaseManager } from "../src/lease-manager.js";
-import { decodeLease, emptyLeaseContent, type LeaseRecord, leaseRow, type LeaseSubject } from "../src/lease-rows.js";
+import {
+    decodeLease,
+    emptyLeaseContent,
+    type LeaseContent,
+    type LeaseRecord,
+    leaseRow,
+    type LeaseSubject,
+} from "../src/lease-rows.js";
 
 const SUBJECT: LeaseSubject = { kind: "pool", pool: "pool-a" as PoolName };
 const LEASE_KEY = "pool/pool-a";
@@ -71,6 +78,7 @@
     readonly begun: readonly HeldLease[];
     readonly events: readonly string[];
     end: (lease: HeldLease) => Promise<void>;
+    content: () => LeaseContent;
 }
 
 const startManager = (context: TestContext, { store }: LeaseStore): StartedManager => {
@@ -80,6 +88,7 @@
         begun,
         events,
         end: () => Promise.resolve(),
+        content: () => emptyLeaseContent,
         manager: createLeaseManager({
             context: {
                 settings: { processorShare: 1, processorSpeed: 1.5, linkMbps: 100 } as DispatcherContext["settings"],
@@ -94,7 +103,7 @@
             holder: {
                 begin: lease => void begun.push(lease),
                 end: lease => started.end(lease),
-                content: () => emptyLeaseContent,
+                content: () => started.content(),
                 renewed: () => undefined,
             },
         }),
@@ -193,3 +202,18 @@
     assert.deepEqual(lost, [false]);
     assert.ok(started.begun[0]?.lost, "the lease counts as held after its release");
 });
+
+test("an unexpected error while the content of a lease is built fails one renewal and not those that follow", async context => {
+    const store = createLeaseStore();
+    const started = startManager(context, store);
+    await waitUntil("the holder to begin", () => started.begun.length > 0);
+    const [lease] = started.begun;
+    assert.ok(lease !== undefined);
+    started.content = () => {
+        throw new Error("odd content");
+    };
+    assert.equal(await started.manager.renew(lease), false);
+    started.content = () => emptyLeaseContent;
+    assert.equal(await started.manager.renew(lease), true);
+    assert.ok(started.events.includes("internal-error"));
+});
--- a/programs/dispatcher/test/vm-order-limits.test.ts
+++ b/programs/dispatcher/test/vm-order-limits.test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { FLEET_LEASE_DURATION_MS } from "../src/lease-manager.js";
 import { orderTimeoutMs } from "../src/vm-order-limits.js";
 
-// From this age on, another process may take the fleet lease over and send its first order.
-const TAKEOVER_AGE_MS = 3300;
 const AGES_MS = Array.from({ length: 400 }, (unused, index) => index * 10);
 
 test("no order is sent under a lease that was not renewed for 2.5 s", () => {
@@ -15,7 +14,7 @@
 test("where the VM service checks no tokens, every order ends before another process may take the lease over", () =>
     AGES_MS.forEach(ageMs => {
         const timeoutMs = orderTimeoutMs({ kind: "not-enforced" }, ageMs);
-        assert.ok(ageMs + timeoutMs < TAKEOVER_AGE_MS || timeoutMs === 0, `${ageMs} ms + ${timeoutMs} ms`);
+        assert.ok(ageMs + timeoutMs < FLEET_LEASE_DURATION_MS || timeoutMs === 0, `${ageMs} ms + ${timeoutMs} ms`);
     }));
 
 test("under a fresh lease an order has the same time with and without token checks", () =>
--- a/stand-ins/job-platform/src/vm-service.ts
+++ b/stand-ins/job-platform/src/vm-service.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import { reply, startJsonServer, type JsonReply, type JsonRequest, type JsonServer } from "./json-server.js";
 
-export interface StandInVm {
+interface StandInVm {
     readonly id: string;
     readonly pool: string;
     /** Id of the executor on the VM. */
