--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -17,11 +17,12 @@
     checkpoints: step.tasks.filter(isResumable).map(({ index, checkpoint }) => ({ index, checkpoint })),
 });
 
-const toTaskFailures = ({ index, failures, failedRuns, countedUpToRun, step }: Task): TaskFailures => ({
+const toTaskFailures = ({ index, failures, failedRuns, countedUpToRun }: Task): TaskFailures => ({
     index,
     attempts: failures,
     lastRun: Math.max(countedUpToRun, ...failedRuns),
-    ...(step.step.longRunning ? {} : { runs: [...failedRuns] }),
+    // Without a list, all runs up to `lastRun` are counted.
+    ...(countedUpToRun > 0 ? {} : { runs: [...failedRuns] }),
 });
 
 const hasCountedFailures = ({ done, failures }: Task): boolean => !done && failures > 0;
--- a/pools/scheduler/test/apply-report.test.ts
+++ b/pools/scheduler/test/apply-report.test.ts
@@ -57,6 +57,27 @@
     assert.equal(findTask(tables, TASK)?.failures, 2);
 });
 
+test("a failure counted in a row of an earlier version is not counted again by the second holder that reads it", () => {
+    const ended = [{ number: 1, task: TASK, run: 7, how: "failed", checkpoint: "" }] as const;
+    const failures = [{ index: 0, attempts: 1, lastRun: 7 }];
+    const earlier: Progress = {
+        state: "running",
+        steps: [{ occurrence: 0, step: 0, done: [], failures, checkpoints: [] }],
+    };
+    const first = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step()], progress: earlier }],
+    });
+    const job = first.jobs.get("j1" as never);
+    assert.ok(job !== undefined);
+    const second = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step()], progress: progressOf(job) }],
+    });
+    receiveReport(second, "a", { ended });
+    assert.equal(findTask(second, TASK)?.failures, 1);
+});
+
 test("a job fails after its last attempt and completes only when every task is done", () => {
     const tables = createPool({
         executors: [record("a")],
