--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -50,6 +50,7 @@
     readonly path?: NarrowPath;
     /** Pool in which the VM service lists all VMs; `JOB_POOL` if undefined. */
     readonly vmPool?: string;
+    /** Faults of the VM service; none if undefined. */
     readonly vmService?: Pick<VmServiceStandInOptions, "enforcesFencing" | "answerDelayMs">;
     /** Additional Node.js flags for the dispatchers, for example for the profiler. */
     readonly nodeFlags?: readonly string[];
@@ -164,16 +165,38 @@
         call.end(body === undefined ? undefined : JSON.stringify(body));
     });
 
+/** Returns a job id made from a number. */
+export const jobId = (number: number): string => number.toString(16).padStart(16, "0");
+
+/** Returns a job with one step of the given number of tasks. */
+export const jobOfTasks = (count: number): object => ({
+    spec: "text",
+    steps: [{ count, cpu: 1000, mem_mb: 100, est_duration_ms: 150 }],
+});
+
 /** Returns the dispatcher that holds the pool's lease; undefined if none does. */
-export const findScheduler = ({
-    store,
-    dispatchers,
-}: Pick<JobDeployment, "store" | "dispatchers">): DeployedDispatcher | undefined => {
-    const lease = store.rows("leases").find(({ key }) => key.startsWith("pool/"))?.value as
+export const findScheduler = (
+    deployment: Pick<JobDeployment, "store" | "dispatchers">,
+): DeployedDispatcher | undefined => findHolder(deployment, key => key.startsWith("pool/"));
+
+/** Returns the dispatcher that holds the fleet lease; undefined if none does. */
+export const findFleetManager = (
+    deployment: Pick<JobDeployment, "store" | "dispatchers">,
+): DeployedDispatcher | undefined => findHolder(deployment, key => key === "fleet");
+
+const findHolder = (
+    { store, dispatchers }: Pick<JobDeployment, "store" | "dispatchers">,
+    isLease: (key: string) => boolean,
+): DeployedDispatcher | undefined => {
+    const lease = store.rows("leases").find(({ key }) => isLease(key))?.value as
         { readonly holder?: string } | undefined;
     return dispatchers.find(({ vm }) => vm === lease?.holder);
 };
 
+/** True once the dispatcher's process has ended. */
+export const hasEnded = ({ process: child }: Pick<DeployedDispatcher, "process">): boolean =>
+    typeof child.exitCode === "number" || typeof child.signalCode === "string";
+
 /** Ids of the job's tasks that executors have started; a task that was started twice is listed twice. */
 export const startedTasks = ({ executors }: Pick<JobDeployment, "executors">, job: string): readonly string[] =>
     executors.flatMap(({ started }) => started.map(({ task }) => task)).filter(task => task.startsWith(job));
@@ -304,8 +327,9 @@
         call.end();
     });
 
-const stopDispatcher = async ({ process: child, ended }: DeployedDispatcher): Promise<void> => {
-    if (typeof child.exitCode === "number" || typeof child.signalCode === "string") {
+const stopDispatcher = async (dispatcher: DeployedDispatcher): Promise<void> => {
+    const { process: child, ended } = dispatcher;
+    if (hasEnded(dispatcher)) {
         return;
     }
     child.kill("SIGTERM");
--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -4,6 +4,8 @@
 import {
     sendJobRequest,
     findScheduler,
+    jobId,
+    jobOfTasks,
     startJobDeployment,
     startedTasks,
     waitForState,
@@ -27,13 +29,6 @@
     return deployment;
 };
 
-const jobId = (number: number): string => number.toString(16).padStart(16, "0");
-
-const jobOfTasks = (count: number): object => ({
-    spec: "text",
-    steps: [{ count, cpu: 1000, mem_mb: 100, est_duration_ms: 150 }],
-});
-
 const countOverlappingRuns = ({ executors }: JobDeployment): number => {
     const runs = executors.flatMap(({ started }) => started);
     return runs.filter(left =>
--- a/bench/system/test/odd-entries.test.ts
+++ b/bench/system/test/odd-entries.test.ts
@@ -3,6 +3,9 @@
 import { startExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
 import {
     findScheduler,
+    hasEnded,
+    jobId,
+    jobOfTasks,
     JOB_POOL,
     sendJobRequest,
     startJobDeployment,
@@ -17,13 +20,6 @@
 // Covers several polls of the registered executors.
 const REGISTRY_POLLS_MS = 1000;
 
-const jobId = (number: number): string => number.toString(16).padStart(16, "0");
-
-const jobOfTasks = (count: number): object => ({
-    spec: "text",
-    steps: [{ count, cpu: 1000, mem_mb: 100, est_duration_ms: 150 }],
-});
-
 const nested = (depth: number): string => "[".repeat(depth) + "]".repeat(depth);
 
 const entry = (fields: object): string =>
@@ -61,9 +57,6 @@
 const putOddEntries = ({ store }: JobDeployment): void =>
     ODD_ENTRIES.forEach((text, index) => store.putText("servers", `odd-${index}`, text));
 
-const hasEnded = ({ process }: JobDeployment["dispatchers"][number]): boolean =>
-    typeof process.exitCode === "number" || typeof process.signalCode === "string";
-
 const assertNoneEnded = ({ dispatchers }: JobDeployment): void =>
     assert.deepEqual(
         dispatchers.filter(hasEnded).map(({ vm }) => vm),
@@ -122,7 +115,7 @@
     assertNoneEnded(deployment);
 });
 
-test("an unreadable row of a job's progress or of a wave stops neither the pool nor the operator's table", async context => {
+test("an unreadable wave or configuration stops neither the pool nor the operator's table", async context => {
     const deployment = await startJobDeployment({ dispatchers: 1, executors: 1, runMs: () => 150 });
     context.after(deployment.close);
     const [dispatcher] = deployment.dispatchers;
--- a/bench/system/test/pending-count.test.ts
+++ b/bench/system/test/pending-count.test.ts
@@ -1,6 +1,13 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { sendJobRequest, findScheduler, startJobDeployment, waitUntil } from "@almondusher/system-bench/job-deployment";
+import {
+    findScheduler,
+    jobId,
+    jobOfTasks,
+    sendJobRequest,
+    startJobDeployment,
+    waitUntil,
+} from "@almondusher/system-bench/job-deployment";
 
 const START_TIMEOUT_MS = 15_000;
 // Longer than the longest wait of a request for changes, so that each one that is answered was sent before.
@@ -8,8 +15,6 @@
 // Clients may get a count of up to this age.
 const MAX_COUNT_AGE_MS = 2000;
 
-const jobId = (number: number): string => number.toString(16).padStart(16, "0");
-
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
 test("a scheduler that renews its lease but reads no new jobs does not hide the pending ones", async context => {
@@ -26,12 +31,7 @@
     const [entry] = deployment.dispatchers;
     assert.ok(entry !== undefined);
     const answers = await Promise.all(
-        Array.from({ length: 10 }, (unused, index) =>
-            sendJobRequest(entry, "POST", jobId(index), {
-                spec: "text",
-                steps: [{ count: 1, cpu: 1000, mem_mb: 100, est_duration_ms: 150 }],
-            }),
-        ),
+        Array.from({ length: 10 }, (unused, index) => sendJobRequest(entry, "POST", jobId(index), jobOfTasks(1))),
     );
     assert.deepEqual([...new Set(answers.map(({ status }) => status))], [200]);
     await sleep(MAX_COUNT_AGE_MS);
--- a/bench/system/test/unfenced-orders.test.ts
+++ b/bench/system/test/unfenced-orders.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import {
+    findFleetManager,
     SPARE_POOL,
     startJobDeployment,
     waitUntil,
@@ -15,12 +16,6 @@
 
 const sleep = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
 
-const fleetHolder = ({ store, dispatchers }: JobDeployment): JobDeployment["dispatchers"][number] | undefined => {
-    const lease = store.rows("leases").find(({ key }) => key === "fleet")?.value as
-        { readonly holder?: string } | undefined;
-    return dispatchers.find(({ vm }) => vm === lease?.holder);
-};
-
 /** Orders that follow an order with a higher fencing token for the same VM. */
 const ordersOutOfTurn = ({ vms }: JobDeployment): readonly string[] =>
     vms.orders
@@ -41,8 +36,8 @@
     });
     context.after(deployment.close);
     const { store, vms } = deployment;
-    await waitUntil("a fleet manager", START_TIMEOUT_MS, () => fleetHolder(deployment) !== undefined);
-    const suspended = fleetHolder(deployment);
+    await waitUntil("a fleet manager", START_TIMEOUT_MS, () => findFleetManager(deployment) !== undefined);
+    const suspended = findFleetManager(deployment);
     assert.ok(suspended !== undefined);
     const machines = Array.from({ length: VMS }, (unused, index) => `vm-i-${index}`);
     store.put("op", "wave/1", { wave: 1, machines, within_s: 20, cap: VMS });
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -1,9 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { toId, type PoolName } from "@almondusher/fleet/ids";
-import type { TableStore } from "@almondusher/platform-adapter/table-store";
+import type { JobId, QueueName } from "@almondusher/jobs/ids";
+import type { Job } from "@almondusher/jobs/job";
+import { initialProgress } from "@almondusher/jobs/progress";
+import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
+import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { followJobs } from "../src/job-feed.js";
+import { jobTablesOf } from "../src/job-rows.js";
 import type { StorePoint } from "../src/read-all.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
@@ -62,3 +67,58 @@
     ]);
     assert.deepEqual(points[3], { version: 99, atMs: 99 }, "the load after the failed one");
 });
+
+test("unreadable rows of jobs and of progress are skipped, and the other jobs are delivered", async () => {
+    const pool = toId<PoolName>("pool-a");
+    const tables = jobTablesOf(pool);
+    const job = (id: string): Job => ({
+        id: id as JobId,
+        queue: "queue-1" as QueueName,
+        pool,
+        spec: "text",
+        steps: [],
+        schedule: undefined,
+        acceptedAtMs: 0,
+    });
+    const row = (table: string, key: string, value: string): Row => ({
+        table,
+        part: tables.part,
+        key,
+        value,
+        version: 1,
+        deleted: false,
+    });
+    const stored: Readonly<Record<string, readonly Row[]>> = {
+        [tables.jobs]: [
+            row(tables.jobs, "odd-progress", encodeJob(job("odd-progress"))),
+            row(tables.jobs, "odd-job", "[".repeat(10_000)),
+            row(tables.jobs, "good", encodeJob(job("good"))),
+        ],
+        [tables.progress]: ["odd-job", "good"]
+            .map(key => row(tables.progress, key, encodeProgress(initialProgress)))
+            .concat(row(tables.progress, "odd-progress", '{"format":1}')),
+    };
+    const delivered: string[] = [];
+    const unreadable: unknown[] = [];
+    await followJobs({
+        context: {
+            store: {
+                read: ({ table }: { readonly table: string }) =>
+                    Promise.resolve({ ...rows(5, 100), rows: stored[table] ?? [] }),
+            },
+            log: (unusedEvent: string, { key }: { readonly key?: unknown }) => unreadable.push(key),
+            metrics: { count: () => undefined },
+            monotonicMs: () => 0,
+        } as unknown as DispatcherContext,
+        pool,
+        isActive: () => delivered.length === 0,
+        sink: {
+            job: read => delivered.push(read.job.id),
+            cancelled: () => undefined,
+            changed: () => undefined,
+            readUpTo: () => undefined,
+        },
+    });
+    assert.deepEqual(delivered, ["good"]);
+    assert.deepEqual(unreadable, ["odd-progress", "odd-job"]);
+});
--- a/programs/entry/src/create-entry.ts
+++ b/programs/entry/src/create-entry.ts
@@ -15,6 +15,7 @@
 import { createCounters } from "@almondusher/telemetry/counters";
 import { createTrafficLog } from "@almondusher/telemetry/traffic-log";
 import { createLatencies } from "@almondusher/telemetry/latencies";
+import { createInternalErrorReporter } from "@almondusher/telemetry/internal-error-reporter";
 import { createLogger } from "@almondusher/telemetry/logger";
 import { createRevisionUseLog } from "@almondusher/telemetry/revision-use";
 import type { EntryContext, EntryTables } from "./entry-context.js";
@@ -35,6 +36,14 @@
     const processId = toId<ProcessId>(randomBytes(PROCESS_ID_BYTES).toString("hex"));
     const { timing } = settings;
     const peerSecret = loadSecret(settingsFile, settings.peerSecretFile);
+    const counters = createCounters();
+    const logger = createLogger({
+        program: "almondusher-entry",
+        processId,
+        vm: settings.vmId,
+        level: settings.logLevel,
+        secrets: [peerSecret],
+    });
     return {
         settings,
         peerSecret,
@@ -49,20 +58,15 @@
         }),
         peerClients: createPeerClients({ secret: peerSecret, timeoutMs: timing.peerTimeoutMs }),
         rendezvous: await createRendezvous(),
-        counters: createCounters(),
+        counters,
         latencies: createLatencies(),
         health: createVmHealth(),
         runTimes: createRunTimes(),
         random: xoroshiro128plus(randomBytes(SEED_BYTES).readInt32LE()),
         trafficLog: createTrafficLog({ process: processId }),
         revisionUse: createRevisionUseLog(),
-        logger: createLogger({
-            program: "almondusher-entry",
-            processId,
-            vm: settings.vmId,
-            level: settings.logLevel,
-            secrets: [peerSecret],
-        }),
+        logger,
+        reportError: createInternalErrorReporter({ counters, logger }),
         tables: createTables(settings),
     };
 };
--- a/programs/entry/src/entry-context.ts
+++ b/programs/entry/src/entry-context.ts
@@ -12,6 +12,7 @@
 import type { Counters } from "@almondusher/telemetry/counters";
 import type { TrafficLog } from "@almondusher/telemetry/traffic-log";
 import type { Latencies } from "@almondusher/telemetry/latencies";
+import type { ErrorReporter } from "@almondusher/telemetry/error-reporter";
 import type { Logger } from "@almondusher/telemetry/logger";
 import type { RevisionUseLog } from "@almondusher/telemetry/revision-use";
 import type { GrantorState } from "./grantor-state.js";
@@ -84,5 +85,7 @@
     readonly trafficLog: TrafficLog;
     readonly revisionUse: RevisionUseLog;
     readonly logger: Logger;
+    /** Counts and logs an unexpected error. */
+    readonly reportError: ErrorReporter;
     readonly tables: EntryTables;
 }
--- a/programs/entry/src/entry-events.ts
+++ b/programs/entry/src/entry-events.ts
@@ -4,7 +4,6 @@
 import { count } from "@almondusher/telemetry/counters";
 import { containErrors } from "@almondusher/telemetry/error-reporter";
 import { tickStream } from "@almondusher/telemetry/event-stream";
-import { createInternalErrorReporter } from "@almondusher/telemetry/internal-error-reporter";
 import { logEvent } from "@almondusher/telemetry/logger";
 import type { CallerServer } from "./caller-server.js";
 import type { EntryContext } from "./entry-context.js";
@@ -54,13 +53,12 @@
     callerServer: CallerServer,
     signals: Stream<NodeJS.Signals>,
 ): Promise<void> => {
-    const reportError = createInternalErrorReporter(entry);
     const running = new Set<string>();
     const runExclusively = (name: string, task: () => Promise<void>): void => {
         if (!running.has(name)) {
             running.add(name);
             void task()
-                .catch(reportError)
+                .catch(entry.reportError)
                 .finally(() => running.delete(name));
         }
     };
@@ -68,7 +66,7 @@
     await new Promise<void>((resolve, reject) => {
         const subscription = eventStream(entry.settings, signals).subscribe({
             // An error in `next` would end the stream, and with it the process.
-            next: containErrors(reportError, (event: EntryEvent) => {
+            next: containErrors(entry.reportError, (event: EntryEvent) => {
                 switch (event.kind) {
                     case "tick":
                         runTick(entry);
--- a/programs/entry/src/entry-process.ts
+++ b/programs/entry/src/entry-process.ts
@@ -5,7 +5,6 @@
 import { loadSecret } from "@almondusher/settings/load-settings";
 import { signalStream } from "@almondusher/telemetry/event-stream";
 import { summarizeLatencies } from "@almondusher/telemetry/latencies";
-import { createInternalErrorReporter } from "@almondusher/telemetry/internal-error-reporter";
 import { logEvent } from "@almondusher/telemetry/logger";
 import { startOperatorServer } from "@almondusher/telemetry/operator-server";
 import { statusRoute } from "@almondusher/telemetry/status-report";
@@ -22,7 +21,7 @@
 export const runEntry = async ({ settings, settingsFile }: EntryOptions): Promise<void> => {
     const signals = signalStream(["SIGTERM", "SIGINT"]);
     const entry = await createEntry({ settings, settingsFile });
-    process.on("uncaughtException", createInternalErrorReporter(entry));
+    process.on("uncaughtException", entry.reportError);
     const operatorSecret = loadSecret(settingsFile, settings.operatorSecretFile);
     const peerServer = await startPeerServer({
         listen: settings.peerListen,
@@ -45,7 +44,7 @@
             gauges: [{ name: "requests-in-flight", labels: {}, value: entry.tables.requests.size }],
         }),
         routes: [trafficRoute(entry.trafficLog, entry.revisionUse), statusRoute(() => entryStatus(entry))],
-        onError: createInternalErrorReporter(entry),
+        onError: entry.reportError,
     });
     const callerServer = await startCallerServer(entry);
     entry.tables.phase = "serving";
