--- a/domain/jobs/src/executor.ts
+++ b/domain/jobs/src/executor.ts
@@ -45,12 +45,15 @@
     readonly checkpoint: string;
 }
 
-/** Report of an executor on all its runs. */
+/** Report of an executor on all its active runs and on those that have ended since the last acknowledged end. */
 export interface RunReport {
     readonly clockMs: number;
     readonly startedAtMs: number | undefined;
     readonly active: readonly ActiveRun[];
+    /** The oldest ends that were not acknowledged, in the order of their numbers. */
     readonly ended: readonly EndedRun[];
+    /** True if the executor may have more ends, which it lists only once those in `ended` are acknowledged. */
+    readonly endsTruncated: boolean;
 }
 
 const RACK_LABEL = /^r\d+-\d+$/;
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -75,8 +75,12 @@
         }
     });
     markMissingRuns(executor, times);
-    dropMissingRuns(executor, report, times);
-    executor.reconciled = true;
+    dropMissingOrphans(executor, report);
+    executor.hasUnreadEnds = report.endsTruncated;
+    if (!report.endsTruncated) {
+        dropMissingRuns(executor, report, times);
+        executor.reconciled = true;
+    }
     return applied;
 };
 
@@ -292,7 +296,8 @@
         .filter(({ phase, unansweredAtMs }) => phase === "unsettled" && (unansweredAtMs ?? Infinity) <= sentAtMs)
         .forEach(run => (run.phase = "missing"));
 
-// A report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer exists.
+// A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
+// exists.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => runOf(executor, task, run)));
     executor.runs.forEach(run => {
@@ -300,6 +305,9 @@
             forgetRun(run);
         }
     });
+};
+
+const dropMissingOrphans = (executor: Executor, report: RunReport): void => {
     executor.orphanedRuns = executor.orphanedRuns.filter(({ task, number }) =>
         report.active.some(active => active.task === task && active.run === number),
     );
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -98,6 +98,7 @@
     executor.failureStreak = 0;
     executor.orphanedRuns = [];
     executor.reconciled = false;
+    executor.hasUnreadEnds = false;
 };
 
 /**
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -62,6 +62,7 @@
     clock: undefined,
     leaseUntilMs: 0,
     reconciled: false,
+    hasUnreadEnds: false,
     listedInLease: false,
     reachable: true,
     unansweredPollSentAtMs: Number.NEGATIVE_INFINITY,
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -10,6 +10,7 @@
     type Run,
     type Task,
 } from "./pool-tables.js";
+import { mayListUnreadEnds } from "./unread-ends.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
@@ -81,11 +82,15 @@
     executor.backoffUntilMs <= nowMs;
 
 /**
- * True once no run that a previous holder of the pool lease started can be missing from the tables: the runs of every
- * executor were read, or the wait until the leases of such runs have expired is over.
+ * True once no run that a previous holder of the pool lease started, and no end of one, can be missing from the tables:
+ * the runs and ends of every executor were read, or the wait until the leases of such runs have expired is over. The wait
+ * does not replace reading the ends of an executor that lists more of them than one report holds: this scheduler has
+ * extended its leases since.
  */
 export const areInheritedRunsKnown = (tables: PoolTables, nowMs: number): boolean =>
-    nowMs >= tables.inheritedWaitUntilMs || [...tables.executors.values()].every(executor => executor.reconciled);
+    [...tables.executors.values()].every(
+        executor => executor.reconciled || (nowMs >= tables.inheritedWaitUntilMs && !mayListUnreadEnds(executor)),
+    );
 
 const placeStep = (
     tables: PoolTables,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -147,10 +147,12 @@
     /** Latest end of a run lease that was sent, on the executor's clock. */
     leaseUntilMs: number;
     /**
-     * The runs of the executor have been read since the current pool lease was taken, and since its current incarnation
-     * was detected and its last evacuation ended.
+     * The runs of the executor and all ends of runs that it lists have been read since the current pool lease was taken,
+     * and since its current incarnation was detected and its last evacuation ended.
      */
     reconciled: boolean;
+    /** The last report listed only some of the run ends, so a run that it does not contain may have ended. */
+    hasUnreadEnds: boolean;
     /** Listed in the stored row of the pool lease, so that the next holder reads the executor's runs. */
     listedInLease: boolean;
     reachable: boolean;
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -157,6 +157,7 @@
     startedAtMs: 1,
     active: [],
     ended: [],
+    endsTruncated: false,
     ...change,
 });
 
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -117,10 +117,12 @@
         cancelWait = undefined;
         pollRequested = false;
     };
+    // True if all active runs are known, though not all ends of runs may be.
+    const areRunsRead = (): boolean => executor.reconciled || executor.hasUnreadEnds;
     // Extends the leases of all runs and returns their new end, which is sent with a report request; undefined if none
     // is extended.
     const extendRunLeases = (): number | undefined => {
-        if (!owner.mayExtendLeases() || !executor.reconciled || failedPolls > 0 || executor.runs.size === 0) {
+        if (!owner.mayExtendLeases() || !areRunsRead() || failedPolls > 0 || executor.runs.size === 0) {
             return undefined;
         }
         const until = leaseUntil(executor, context.monotonicMs(), leaseMs);
@@ -129,6 +131,7 @@
     };
     const isReportUrgent = (): boolean =>
         !executor.reconciled ||
+        executor.hasUnreadEnds ||
         failedPolls > 0 ||
         executor.lastStoredEnd < executor.lastAppliedEnd ||
         [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
@@ -207,6 +210,7 @@
     };
     const needsPolling = (): boolean =>
         !executor.reconciled ||
+        executor.hasUnreadEnds ||
         executor.runs.size > 0 ||
         executor.orphanedRuns.length > 0 ||
         executor.lastStoredEnd < executor.lastAppliedEnd;
@@ -216,7 +220,7 @@
         acknowledgedEnd(executor) < executor.lastAppliedEnd || !owner.mayExtendLeases();
     const pollDelayMs = (): number => {
         if (needsPolling()) {
-            return executor.reconciled && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
+            return areRunsRead() && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
         }
         return executor.reachable ? IDLE_POLL_MS : UNREACHABLE_POLL_MS;
     };
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -80,6 +80,8 @@
 // CPU demand of each task in the tests.
 const TASK_CPU = 1000;
 const LEASE_CHECK_MS = 20;
+// Number of ends that a response lists at most.
+const ENDS_PER_RESPONSE = 500;
 
 /** Starts an executor, registers it in the store and keeps renewing the registration. */
 export const startExecutorStandIn = async (options: ExecutorStandInOptions): Promise<ExecutorStandIn> => {
@@ -207,7 +209,7 @@
         return reply(200, {
             ...clockFields(),
             active: [...active.values()].map(run => [run.task, run.run, "", progressPercent(run, runMs), 0]),
-            ended: ends.map(({ number, run }) => [number, run.task, run.run, run.how, ""]),
+            ended: ends.slice(0, ENDS_PER_RESPONSE).map(({ number, run }) => [number, run.task, run.run, run.how, ""]),
         });
     };
     const handle = (request: JsonRequest): Promise<JsonReply> | JsonReply => {
