--- a/programs/dispatcher/src/lease-view.ts
+++ b/programs/dispatcher/src/lease-view.ts
@@ -72,7 +72,10 @@
         const reading = await store.changes({ table: LEASE_TABLE, after: version, waitMs: 0 });
         switch (reading.kind) {
             case "rows":
-                extendUnchangedTimes(monotonicMs());
+                // The changes that are missing in a truncated list may be renewals.
+                if (!reading.truncated) {
+                    extendUnchangedTimes(monotonicMs());
+                }
                 observe(reading.rows.filter(({ deleted }) => !deleted));
                 candidates.observe(reading.rows);
                 after = reading.version;
--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -13,7 +13,7 @@
     readonly asOf: StorePoint;
 }
 
-/** Reads all pages of a range; undefined if the store failed. */
+/** Reads all pages of a range; undefined if the store failed or the range cannot be read to its end. */
 export const readAll = async (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> => {
     const rows: Row[] = [];
     let asOf: StorePoint | undefined;
@@ -27,9 +27,13 @@
         asOf ??= { version: reading.version, atMs: reading.nowMs };
         rows.push(...reading.rows);
         const last = reading.rows.at(-1);
-        if (!reading.truncated || last === undefined) {
+        if (!reading.truncated) {
             return { rows, asOf };
         }
+        // The next page cannot be found without a row that can be read.
+        if (last === undefined) {
+            return undefined;
+        }
         // The smallest key that is greater than the last one.
         from = `${last.key}\u0000`;
     }
--- a/programs/dispatcher/test/lease-view.test.ts
+++ b/programs/dispatcher/test/lease-view.test.ts
@@ -99,3 +99,20 @@
     assert.equal(new Set(parts.map(({ part }) => part)).size, parts.length);
     assert.ok(parts.every(({ table }) => table === LEASE_TABLE));
 });
+
+// Between two polls of the leases, the rows of candidates and leases can exceed one answer.
+test("a truncated list of changes does not make a lease look unchanged whose renewal it does not contain", async () => {
+    const { script, view } = scripted();
+    script.reading = rows(5, [row("a", 5), row("b", 5)]);
+    script.changes = rows(5, []);
+    await view.refresh(["a", "b"]);
+    script.nowMs = 1000;
+    script.changes = { ...rows(6, [row("b", 6)]), truncated: true } as Reading;
+    assert.equal(await view.refresh(["a", "b"]), "changed");
+    assert.equal(view.observation("a")?.unchangedMs, 0);
+    assert.equal(view.observation("b")?.version, 6);
+    script.nowMs = 1200;
+    script.changes = rows(7, []);
+    await view.refresh(["a", "b"]);
+    assert.equal(view.observation("a")?.unchangedMs, 1200, "now all changes since the first read are known");
+});
