--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -9,6 +9,7 @@
 } from "@almondusher/scheduler/executor-incarnation";
 import { leaseUntil } from "@almondusher/scheduler/lease-time";
 import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { areRunsRead } from "@almondusher/scheduler/unread-ends";
 import {
     createExecutorClient,
     type ExecutorClient,
@@ -117,12 +118,10 @@
         cancelWait = undefined;
         pollRequested = false;
     };
-    // True if all active runs are known, though not all ends of runs may be.
-    const areRunsRead = (): boolean => executor.reconciled || executor.hasUnreadEnds;
     // Extends the leases of all runs and returns their new end, which is sent with a report request; undefined if none
     // is extended.
     const extendRunLeases = (): number | undefined => {
-        if (!owner.mayExtendLeases() || !areRunsRead() || failedPolls > 0 || executor.runs.size === 0) {
+        if (!owner.mayExtendLeases() || !areRunsRead(executor) || failedPolls > 0 || executor.runs.size === 0) {
             return undefined;
         }
         const until = leaseUntil(executor, context.monotonicMs(), leaseMs);
@@ -220,7 +219,7 @@
         acknowledgedEnd(executor) < executor.lastAppliedEnd || !owner.mayExtendLeases();
     const pollDelayMs = (): number => {
         if (needsPolling()) {
-            return areRunsRead() && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
+            return areRunsRead(executor) && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
         }
         return executor.reachable ? IDLE_POLL_MS : UNREACHABLE_POLL_MS;
     };
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executor-connections.ts
@@ -3,6 +3,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, VmEvacuation } from "@almondusher/scheduler/pool-tables";
+import { areRunsRead } from "@almondusher/scheduler/unread-ends";
 import { containErrors } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import {
@@ -61,9 +62,13 @@
         // it. The executor gets no starts until its runs have been read again.
         if (executor.evacuation !== undefined && evacuation === undefined) {
             executor.reconciled = false;
-            connections.get(executor.id)?.pollNow();
         }
         executor.evacuation = evacuation;
+        // The wait before the next poll was chosen for the state in which the executor was then. The registry may have shown
+        // since that it has restarted.
+        if (!areRunsRead(executor)) {
+            connections.get(executor.id)?.pollNow();
+        }
     };
     const trySyncExecutor = containErrors({ context, part: "executor-connection" }, syncExecutor);
     return {
