--- a/bench/system/test/executor-restarts.test.ts
+++ b/bench/system/test/executor-restarts.test.ts
@@ -47,3 +47,19 @@
     await sleep(REGISTRY_POLLS_MS);
     await assertStartsInTime(deployment, jobId(2));
 });
+
+// Tasks fail on the executor until it restarts: the pause that follows their failures belongs to the process that ended.
+test("an executor on which tasks failed in a row gets work at once after it has restarted", async context => {
+    const deployment = await startJobDeployment({ dispatchers: 1, executors: 1, runMs: () => 150 });
+    context.after(deployment.close);
+    const [entry] = deployment.dispatchers;
+    const [executor] = deployment.executors;
+    assert.ok(entry !== undefined && executor !== undefined);
+    executor.setFault({ kind: "fails" });
+    await sendJobRequest(entry, "POST", jobId(1), jobOfTasks(4));
+    await waitForState(entry, jobId(1), "failed", JOB_TIMEOUT_MS);
+    executor.setFault({ kind: "none" });
+    executor.restart();
+    await sleep(REGISTRY_POLLS_MS);
+    await assertStartsInTime(deployment, jobId(2));
+});
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -96,6 +96,7 @@
     executor.lastAppliedEnd = 0;
     executor.lastStoredEnd = 0;
     executor.failureStreak = 0;
+    executor.backoffUntilMs = 0;
     executor.orphanedRuns = [];
     executor.reconciled = false;
     executor.hasUnreadEnds = false;
