--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -37,7 +37,8 @@
     readonly vms: VmServiceStandIn;
     readonly executors: readonly ExecutorStandIn[];
     readonly dispatchers: readonly DeployedDispatcher[];
-    readonly startDispatcher: (vm: string) => Promise<DeployedDispatcher>;
+    /** Starts a dispatcher. It reaches the store at the given address instead of the store's own, for example at a relay. */
+    readonly startDispatcher: (vm: string, storeAddress?: string) => Promise<DeployedDispatcher>;
     readonly close: () => Promise<void>;
 }
 
@@ -101,12 +102,12 @@
     });
     const dispatchers: DeployedDispatcher[] = [];
     const command = [...(options.nodeFlags ?? []), ...programArguments(options.program)];
-    const startDispatcher = async (vm: string): Promise<DeployedDispatcher> => {
+    const startDispatcher = async (vm: string, storeAddress = store.address): Promise<DeployedDispatcher> => {
         const started = await spawnDispatcher({
             command,
             directory,
             vm,
-            storeAddress: store.address,
+            storeAddress,
             vmServiceAddress: vms.address,
             enforcesFencing: options.vmService?.enforcesFencing ?? true,
         });
@@ -201,6 +202,20 @@
 export const startedTasks = ({ executors }: Pick<JobDeployment, "executors">, job: string): readonly string[] =>
     executors.flatMap(({ started }) => started.map(({ task }) => task)).filter(task => task.startsWith(job));
 
+/** Number of runs during which another run of the same task was active. */
+export const countOverlappingRuns = ({ executors }: Pick<JobDeployment, "executors">): number => {
+    const runs = executors.flatMap(({ started }) => started);
+    return runs.filter(left =>
+        runs.some(
+            right =>
+                right !== left &&
+                right.task === left.task &&
+                right.startedAtMs < (left.endedAtMs ?? Infinity) &&
+                left.startedAtMs < (right.endedAtMs ?? Infinity),
+        ),
+    ).length;
+};
+
 /** Polls until the check returns true; throws on timeout. */
 export const waitUntil = async (
     what: string,
--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -2,6 +2,7 @@
 import { get } from "node:http";
 import test, { type TestContext } from "node:test";
 import {
+    countOverlappingRuns,
     sendJobRequest,
     findScheduler,
     jobId,
@@ -29,19 +30,6 @@
     return deployment;
 };
 
-const countOverlappingRuns = ({ executors }: JobDeployment): number => {
-    const runs = executors.flatMap(({ started }) => started);
-    return runs.filter(left =>
-        runs.some(
-            right =>
-                right !== left &&
-                right.task === left.task &&
-                right.startedAtMs < (left.endedAtMs ?? Infinity) &&
-                left.startedAtMs < (right.endedAtMs ?? Infinity),
-        ),
-    ).length;
-};
-
 const waitForScheduler = async (deployment: JobDeployment): Promise<JobDeployment["dispatchers"][number]> => {
     await waitUntil("a holder of the pool's lease", START_TIMEOUT_MS, () => findScheduler(deployment) !== undefined);
     const found = findScheduler(deployment);
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -2,6 +2,7 @@
 import { beginIncarnation, setIncarnationStart } from "./executor-incarnation.js";
 import { recordClockReading } from "./lease-time.js";
 import type { Executor, PoolTables } from "./pool-tables.js";
+import { areInheritedRunsOver } from "./unread-ends.js";
 
 /** Updates the executor table from the registry records of the pool. */
 export const applyRegistry = (tables: PoolTables, records: readonly ExecutorRecord[], nowMs: number): void => {
@@ -9,7 +10,7 @@
     records.forEach(record => applyRecord(tables, record, nowMs));
     tables.executors.forEach(executor => {
         executor.registered = present.has(executor.id);
-        if (canBeRemoved(executor)) {
+        if (!executor.registered && canBeForgotten(tables, executor, nowMs)) {
             tables.executors.delete(executor.id);
         }
     });
@@ -74,5 +75,14 @@
     evacuation: undefined,
 });
 
-const canBeRemoved = ({ registered, reachable, runs }: Executor): boolean =>
-    !registered && !reachable && runs.size === 0;
+// An executor without a registration may still be up and have runs, since its row is also missing if only its path to the
+// store is disturbed.
+const canBeForgotten = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
+    executor.runs.size === 0 && (executor.reachable ? isIdle(executor) : areInheritedRunsOver(tables, executor, nowMs));
+
+const isIdle = (executor: Executor): boolean =>
+    executor.reconciled &&
+    !executor.hasUnreadEnds &&
+    executor.lastStoredEnd >= executor.lastAppliedEnd &&
+    executor.orphanedRuns.length === 0 &&
+    executor.evacuation === undefined;
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -10,7 +10,7 @@
     type Run,
     type Task,
 } from "./pool-tables.js";
-import { mayListUnreadEnds } from "./unread-ends.js";
+import { areInheritedRunsOver } from "./unread-ends.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
@@ -82,15 +82,11 @@
     executor.backoffUntilMs <= nowMs;
 
 /**
- * True once no run that a previous holder of the pool lease started, and no end of one, can be missing from the tables:
- * the runs and ends of every executor were read, or the wait until the leases of such runs have expired is over. The wait
- * does not replace reading the ends of an executor that lists more of them than one report holds: this scheduler has
- * extended its leases since.
+ * True once no run that a previous holder of the pool lease started, and no end of one, can be missing from the tables of
+ * any executor.
  */
 export const areInheritedRunsKnown = (tables: PoolTables, nowMs: number): boolean =>
-    [...tables.executors.values()].every(
-        executor => executor.reconciled || (nowMs >= tables.inheritedWaitUntilMs && !mayListUnreadEnds(executor)),
-    );
+    [...tables.executors.values()].every(executor => areInheritedRunsOver(tables, executor, nowMs));
 
 const placeStep = (
     tables: PoolTables,
--- a/pools/scheduler/src/unread-ends.ts
+++ b/pools/scheduler/src/unread-ends.ts
@@ -1,12 +1,22 @@
 import { haveLeasesExpired } from "./lease-time.js";
-import type { Executor } from "./pool-tables.js";
+import type { Executor, PoolTables } from "./pool-tables.js";
 
 /** True if all active runs of the executor are known, although not all ends of its runs may be. */
 export const areRunsRead = ({ reconciled, hasUnreadEnds }: Executor): boolean => reconciled || hasUnreadEnds;
 
 /**
- * True if the executor may still list run ends that this scheduler has not read. Ends that it has not listed before the
- * leases of its runs expired no longer count as known to the system, so their tasks may run again.
+ * True once no run of the executor that a previous holder of the pool lease started, and no end of one, can be missing from
+ * the tables: its runs and ends were read, or the wait until the leases of such runs have expired is over. The wait does
+ * not replace reading the ends of an executor that lists more of them than one report holds, because this scheduler has
+ * extended its leases since.
  */
-export const mayListUnreadEnds = (executor: Executor): boolean =>
+export const areInheritedRunsOver = (
+    { inheritedWaitUntilMs }: PoolTables,
+    executor: Executor,
+    nowMs: number,
+): boolean => executor.reconciled || (nowMs >= inheritedWaitUntilMs && !mayListUnreadEnds(executor));
+
+// Ends that the executor has not listed before the leases of its runs expired no longer count as known to the system, so
+// their tasks may run again.
+const mayListUnreadEnds = (executor: Executor): boolean =>
     executor.hasUnreadEnds && (executor.reachable || !haveLeasesExpired(executor, executor.unansweredPollSentAtMs));
--- a/programs/dispatcher/src/pool-lease-content.ts
+++ b/programs/dispatcher/src/pool-lease-content.ts
@@ -20,6 +20,15 @@
     return [...ids].filter(id => !incompleteIds.has(id));
 };
 
+/**
+ * Executors that may get runs or have some, to be stored in the lease. Those that were evacuated have none: their VMs are
+ * moved or maintained next, and a successor would wait for executors that have ended with their VMs.
+ */
+export const executorsToList = (tables: PoolTables): readonly Executor[] =>
+    [...tables.executors.values()].filter(
+        executor => executor.evacuation === undefined || !executor.reconciled || !isEvacuated(executor),
+    );
+
 const isEvacuated = (executor: Executor): boolean =>
     executor.runs.size === 0 && executor.orphanedRuns.length === 0 && (executor.reconciled || !executor.reachable);
 
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -25,7 +25,7 @@
 import { createOrderLoad } from "./order-load.js";
 import { createOrderWindow } from "./order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
-import { placeholderRecord, pendingCounts, completedEvacuations } from "./pool-lease-content.js";
+import { completedEvacuations, executorsToList, pendingCounts, placeholderRecord } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
 import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs } from "./run-leases.js";
@@ -170,10 +170,18 @@
             return;
         }
         connections.sync(records, evacuations);
-        if ([...tables.executors.values()].some(executor => !executor.listedInLease)) {
+        if (executorsToList(tables).some(executor => !executor.listedInLease)) {
             options.requestRenewal();
         }
     };
+    // An executor that the next renewal does not list gets no runs before a later one lists it again.
+    const listExecutors = (): readonly Executor[] => {
+        const listed = executorsToList(tables);
+        const unlisted = new Set(tables.executors.values());
+        listed.forEach(executor => unlisted.delete(executor));
+        unlisted.forEach(executor => (executor.listedInLease = false));
+        return listed;
+    };
     const syncQueues = (): void => {
         operator.configuration()?.queues.forEach(queue => tables.queues.set(queue.name, queue));
     };
@@ -315,7 +323,7 @@
         kind: "pool",
         leaseContent: () => ({
             ...emptyLeaseContent,
-            executors: [...tables.executors.values()].map(({ id, record }) => ({ id, address: record.address })),
+            executors: listExecutors().map(({ id, record }) => ({ id, address: record.address })),
             pending: jobsLoaded ? pendingCounts(tables) : (lease.predecessor?.pending ?? []),
             pendingAsOf: jobsAsOf,
             vacated: jobsLoaded ? completedEvacuations(tables) : [],
--- /dev/null
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { ExecutorRecord } from "@almondusher/jobs/executor";
+import type { ExecutorId } from "@almondusher/jobs/ids";
+import { applyRegistry } from "@almondusher/scheduler/executor-table";
+import { createPoolTables, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { executorsToList } from "../src/pool-lease-content.js";
+
+const POOL = toId<PoolName>("pool-a");
+
+const recordOf = (id: string): ExecutorRecord => ({
+    id: toId<ExecutorId>(id),
+    vm: toId<VmId>(`vm-${id}`),
+    pool: POOL,
+    address: "127.0.0.1:1",
+    dataCentre: toId<DataCentreName>("dc"),
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
+    labels: [],
+    startedAtMs: 1,
+    clockMs: 0,
+});
+
+const tablesWithEvacuation = (change: Partial<Executor>): PoolTables => {
+    const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: 6000, stopTimeMs: 200 });
+    applyRegistry(tables, [recordOf("a"), recordOf("b")], 0);
+    tables.executors.forEach(executor => (executor.reconciled = true));
+    Object.assign(tables.executors.get("b" as ExecutorId) as Executor, {
+        evacuation: { id: "1-1", byMs: 0 },
+        ...change,
+    });
+    return tables;
+};
+
+const listedIds = (tables: PoolTables): readonly string[] => executorsToList(tables).map(({ id }) => id);
+
+// The VM is moved next, and its executor ends: a successor would wait for the runs of an executor that is gone.
+test("an evacuated executor is not listed in the lease", () => {
+    assert.deepEqual(listedIds(tablesWithEvacuation({})), ["a"]);
+});
+
+test("an executor that is being evacuated is listed while it has runs or its runs are not known", () => {
+    const orphanedRuns = [{ task: "j.0.0.0" as never, number: 1, stopSentAtMs: undefined, stopsSent: 0 }];
+    assert.deepEqual(listedIds(tablesWithEvacuation({ orphanedRuns })), ["a", "b"]);
+    assert.deepEqual(listedIds(tablesWithEvacuation({ reconciled: false })), ["a", "b"]);
+    assert.deepEqual(listedIds(tablesWithEvacuation({ reconciled: false, reachable: false })), ["a", "b"]);
+});
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -13,7 +13,9 @@
     /** Each run fails after 1 ms. */
     | { readonly kind: "fails" }
     /** Answers no requests. */
-    | { readonly kind: "silent" };
+    | { readonly kind: "silent" }
+    /** Closes the connection of each request with this fencing token or a higher one, and carries none of them out. */
+    | { readonly kind: "cut-off"; readonly fromToken: number };
 
 /** Record of a run, which is kept after the run has ended. */
 interface StartedRun {
@@ -36,6 +38,8 @@
     readonly peakCpu: () => number;
     /** Simulates a crash and restart: all runs end, the state is lost, and the executor registers again under its id. */
     readonly restart: () => void;
+    /** Removes the registration for good. Runs go on. */
+    readonly unregister: () => void;
     readonly close: () => Promise<void>;
 }
 
@@ -66,6 +70,7 @@
     until_ms: z.number(),
     fence_token: z.number(),
 });
+const tokenSchema = z.object({ fence_token: z.number() });
 const stopSchema = z.object({ task: z.string(), run: z.number(), fence_token: z.number() });
 const holdSchema = z.object({
     fence_token: z.number(),
@@ -168,6 +173,7 @@
             case "none":
             case "fails":
             case "silent":
+            case "cut-off":
                 return handleStart(body);
         }
     };
@@ -216,6 +222,9 @@
         if (fault.kind === "silent") {
             return { kind: "no-reply" };
         }
+        if (fault.kind === "cut-off" && tokenSchema.parse(request.body).fence_token >= fault.fromToken) {
+            return { kind: "disconnect" };
+        }
         if ((request.headers["expect-instance"] ?? id) !== id) {
             return reply(421);
         }
@@ -282,6 +291,10 @@
             register();
             wakeHolds();
         },
+        unregister: () => {
+            clearInterval(heartbeat);
+            store.remove("servers", id);
+        },
         close: async () => {
             clearInterval(heartbeat);
             clearInterval(leaseCheck);
