--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -239,6 +239,7 @@
         return;
     }
     const isDuplicate = task.runs.length > 0 && !task.step.step.speculative;
+    keepInheritedLease(tables, executor);
     const run = addRun({
         task,
         number: active.run,
@@ -262,6 +263,13 @@
     }
 };
 
+// The previous holder may have extended the lease of the run just before the executor rejected it.
+const keepInheritedLease = ({ runLeaseMs }: PoolTables, executor: Executor): void => {
+    if (executor.clock !== undefined) {
+        executor.leaseUntilMs = Math.max(executor.leaseUntilMs, executor.clock.clockMs + runLeaseMs);
+    }
+};
+
 const addOrphanedRun = (executor: Executor, { task, run }: RunReport["active"][number]): void => {
     if (!executor.orphanedRuns.some(orphan => orphan.task === task && orphan.number === run)) {
         executor.orphanedRuns = [
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -198,6 +198,8 @@
     readonly token: number;
     /** Longest run lease that executors grant, in milliseconds. */
     readonly maxLeaseMs: number;
+    /** Length of the run leases that holders of the pool lease request, in milliseconds. */
+    readonly runLeaseMs: number;
     /** Longest time that an executor takes to stop a run, in milliseconds. */
     readonly stopTimeMs: number;
     /** Number of runs started with this token; the source of run numbers. */
@@ -217,10 +219,12 @@
     pool,
     token,
     maxLeaseMs,
+    runLeaseMs,
     stopTimeMs,
-}: Pick<PoolTables, "pool" | "token" | "maxLeaseMs" | "stopTimeMs">): PoolTables => ({
+}: Pick<PoolTables, "pool" | "token" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs">): PoolTables => ({
     pool,
     maxLeaseMs,
+    runLeaseMs,
     stopTimeMs,
     jobs: new Map(),
     finished: new Set(),
--- a/pools/scheduler/test/apply-report.test.ts
+++ b/pools/scheduler/test/apply-report.test.ts
@@ -5,7 +5,17 @@
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { findTask } from "@almondusher/scheduler/pool-tables";
 import { confirmStart } from "../src/executor-incarnation.js";
-import { addJob, createPool, executorOf, expireAfterPoll, receiveReport, place, record, step } from "./fixture.js";
+import {
+    addJob,
+    createPool,
+    executorOf,
+    expireAfterPoll,
+    receiveReport,
+    place,
+    record,
+    RUN_LEASE_MS,
+    step,
+} from "./fixture.js";
 
 const TASK = "j1.0.0.0" as never;
 
@@ -150,6 +160,24 @@
     assert.equal(place(tables, 4250).length, 1);
 });
 
+// A successor that may not extend leases yet, or whose first extension is not sent, knows no end of a lease that it has granted.
+test("a run adopted from the previous holder is kept on an unreachable executor until that holder's lease has expired", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step()], inherited: true }],
+    });
+    receiveReport(tables, "a", {
+        active: [{ task: TASK, run: 5, checkpoint: "", percent: 40, recentLoad: undefined }],
+    });
+    const executor = executorOf(tables, "a");
+    executor.reachable = false;
+    assert.equal(expireAfterPoll(tables, executor, 300).length, 0);
+    assert.equal(place(tables, 300).length, 0, "the run is still active");
+    assert.equal(expireAfterPoll(tables, executor, 105 + RUN_LEASE_MS).length, 0, "the clock may be slow");
+    assert.equal(expireAfterPoll(tables, executor, 105 + RUN_LEASE_MS * 1.1).length, 1);
+    assert.equal(place(tables, 6000).length, 1);
+});
+
 test("a scheduler that was suspended does not start a task again before it has asked for the end of its run", () => {
     const tables = createPool({ executors: [record("a"), record("b")], jobs: [{ id: "j1", steps: [step()] }] });
     const run = place(tables)[0];
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -13,6 +13,8 @@
 const POOL = toId<PoolName>("pool");
 /** Longest lease of runs in milliseconds. */
 export const MAX_LEASE_MS = 6000;
+/** Length of the leases that schedulers grant to runs, in milliseconds. */
+export const RUN_LEASE_MS = 4000;
 const STOP_TIME_MS = 200;
 export const QUEUE = toId<QueueName>("queue");
 
@@ -85,7 +87,13 @@
 
 /** Creates the tables of a pool whose executors can start runs. */
 export const createPool = ({ executors, jobs = [] }: PoolFixture): PoolTables => {
-    const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: MAX_LEASE_MS, stopTimeMs: STOP_TIME_MS });
+    const tables = createPoolTables({
+        pool: POOL,
+        token: 1,
+        maxLeaseMs: MAX_LEASE_MS,
+        runLeaseMs: RUN_LEASE_MS,
+        stopTimeMs: STOP_TIME_MS,
+    });
     tables.queues.set(QUEUE, {
         name: QUEUE,
         host: "host",
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -56,8 +56,6 @@
     readonly executor: Executor;
     readonly orderLoad: OrderLoad;
     readonly orderWindow: OrderWindow;
-    /** Time for which each start or extension of a run grants a lease, in milliseconds. */
-    readonly leaseMs: number;
 }
 
 const REPORT_LONG_POLL_MS = 700;
@@ -81,7 +79,6 @@
     executor,
     orderLoad,
     orderWindow,
-    leaseMs,
 }: ExecutorConnectionOptions): ExecutorConnection => {
     const { tables } = owner;
     let client: ExecutorClient = createClient(executor, tables.token);
@@ -124,7 +121,7 @@
         if (!owner.mayExtendLeases() || !areRunsRead(executor) || failedPolls > 0 || executor.runs.size === 0) {
             return undefined;
         }
-        const until = leaseUntil(executor, context.monotonicMs(), leaseMs);
+        const until = leaseUntil(executor, context.monotonicMs(), tables.runLeaseMs);
         executor.leaseUntilMs = Math.max(executor.leaseUntilMs, until ?? 0);
         return until;
     };
@@ -283,7 +280,7 @@
     return {
         pollNow,
         start: async (run, ticket) => {
-            const leaseUntilMs = leaseUntil(executor, context.monotonicMs(), leaseMs);
+            const leaseUntilMs = leaseUntil(executor, context.monotonicMs(), tables.runLeaseMs);
             if (leaseUntilMs === undefined) {
                 forgetRun(run);
                 return;
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executor-connections.ts
@@ -27,8 +27,6 @@
     readonly owner: ExecutorConnectionOwner;
     readonly orderLoad: OrderLoad;
     readonly orderWindow: OrderWindow;
-    /** Time for which each start or extension of a run grants a lease, in milliseconds. */
-    readonly leaseMs: number;
 }
 
 /** Creates the set of connections; none is opened before the first `sync`. */
@@ -37,7 +35,6 @@
     owner,
     orderLoad,
     orderWindow,
-    leaseMs,
 }: ExecutorConnectionsOptions): ExecutorConnections => {
     const { tables } = owner;
     const connections = new Map<ExecutorId, ExecutorConnection>();
@@ -51,10 +48,7 @@
             });
     const syncExecutor = (executor: Executor, evacuations: ReadonlyMap<VmId, VmEvacuation>): void => {
         if (!connections.has(executor.id)) {
-            connections.set(
-                executor.id,
-                openExecutorConnection({ context, owner, executor, orderLoad, orderWindow, leaseMs }),
-            );
+            connections.set(executor.id, openExecutorConnection({ context, owner, executor, orderLoad, orderWindow }));
         }
         const { vm } = executor.record;
         const evacuation = vm === undefined ? undefined : evacuations.get(vm);
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -71,8 +71,8 @@
 export const startPoolScheduler = (options: PoolSchedulerOptions): PoolScheduler => {
     const { context, pool, lease, registry, operator } = options;
     const { maxLeaseMs, stopTimeMs } = context.settings;
-    const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs, stopTimeMs });
-    const leaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
+    const runLeaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
+    const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs, runLeaseMs, stopTimeMs });
     let active = true;
     let stopping = false;
     let jobsLoaded = false;
@@ -163,7 +163,7 @@
         timeoutMs: ORDER_TIMEOUT_MS,
         maxSize: () => tables.executors.size * MAX_ORDER_CONNECTIONS,
     });
-    const connections = createExecutorConnections({ context, owner, orderLoad, orderWindow, leaseMs });
+    const connections = createExecutorConnections({ context, owner, orderLoad, orderWindow });
     const orders = createRunOrders({ context, tables, connections, orderWindow, tickets });
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -24,7 +24,7 @@
 });
 
 const tablesWithEvacuation = (change: Partial<Executor>): PoolTables => {
-    const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: 6000, stopTimeMs: 200 });
+    const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: 6000, runLeaseMs: 4000, stopTimeMs: 200 });
     applyRegistry(tables, [recordOf("a"), recordOf("b")], 0);
     tables.executors.forEach(executor => (executor.reconciled = true));
     Object.assign(tables.executors.get("b" as ExecutorId) as Executor, {
