--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -15,6 +15,8 @@
     readonly progressVersion: number;
     /** When the job was accepted, in milliseconds of the monotonic clock. */
     readonly arrivedAtMs: number;
+    /** When the job was read from the store, in milliseconds of the monotonic clock. */
+    readonly readAtMs: number;
     /** The job was accepted before the current pool lease was taken. */
     readonly inherited: boolean;
     /** The pool lease was certainly held when the job was read. */
@@ -32,6 +34,7 @@
         id: job.id,
         queue: job.queue,
         arrivedAtMs: admitted.arrivedAtMs,
+        readAtMs: admitted.readAtMs,
         occurrences: new Map(),
         state: progress.state,
         inherited: admitted.inherited,
@@ -45,8 +48,14 @@
     completeIfDone(open);
 };
 
-/** Allows all known jobs to start runs, after a renewal has shown that the pool lease was held when they were read. */
-export const markLeaseVerified = (tables: PoolTables): void => tables.jobs.forEach(job => (job.leaseVerified = true));
+/**
+ * Allows jobs to start runs after a renewal has shown that the pool lease was held when they were read: those that were
+ * read before the renewal was sent, at a time of the monotonic clock in milliseconds.
+ */
+export const markLeaseVerified = (tables: PoolTables, renewalSentAtMs: number): void =>
+    [...tables.jobs.values()]
+        .filter(({ readAtMs }) => readAtMs <= renewalSentAtMs)
+        .forEach(job => (job.leaseVerified = true));
 
 // Merges stored progress into the state of a job.
 const restoreProgress = (open: OpenJob, progress: Progress): void => {
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -104,6 +104,8 @@
     readonly queue: QueueName;
     /** When the job was accepted, in milliseconds of the monotonic clock. */
     readonly arrivedAtMs: number;
+    /** When the job was read from the store, in milliseconds of the monotonic clock. */
+    readonly readAtMs: number;
     /** Occurrences that are due, by number. */
     readonly occurrences: Map<number, readonly OpenStep[]>;
     /** `queued` until an executor is known to have begun a task. */
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -82,6 +82,7 @@
     readonly progress?: Progress;
     readonly inherited?: boolean;
     readonly leaseVerified?: boolean;
+    readonly readAtMs?: number;
     readonly arrivedAtMs?: number;
 }
 
@@ -118,7 +119,7 @@
 
 export const addJob = (
     tables: PoolTables,
-    { id, steps, progress, inherited, leaseVerified: isLeaseVerified, arrivedAtMs }: JobFixture,
+    { id, steps, progress, inherited, leaseVerified: isLeaseVerified, arrivedAtMs, readAtMs }: JobFixture,
 ): void => {
     const job: Job = {
         id: toId<JobId>(id),
@@ -136,6 +137,7 @@
             progress: progress ?? initialProgress,
             progressVersion: 1,
             arrivedAtMs: arrivedAtMs ?? 0,
+            readAtMs: readAtMs ?? 0,
             inherited: inherited ?? false,
             leaseVerified: isLeaseVerified ?? true,
         },
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -144,7 +144,19 @@
         jobs: [{ id: "j1", steps: [step()], leaseVerified: false }],
     });
     assert.equal(place(tables).length, 0);
-    markLeaseVerified(tables);
+    markLeaseVerified(tables, 1);
+    assert.equal(place(tables).length, 1);
+});
+
+// The answer to a renewal may come seconds after the store has applied it, and another process may hold the lease by then.
+test("a renewal that was sent before a job was read does not show that the lease was held when it was read", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step()], leaseVerified: false, readAtMs: 2300 }],
+    });
+    markLeaseVerified(tables, 100);
+    assert.equal(place(tables).length, 0);
+    markLeaseVerified(tables, 2310);
     assert.equal(place(tables).length, 1);
 });
 
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -189,9 +189,14 @@
     };
     const admitStoredJob = ({ job, progress, progressVersion, inherited }: StoredJob): void => {
         const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
-        const arrivedAtMs = context.monotonicMs() - ageMs;
+        const readAtMs = context.monotonicMs();
+        const arrivedAtMs = readAtMs - ageMs;
         const leaseVerified = leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
-        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, inherited, leaseVerified }, Date.now());
+        admitJob(
+            tables,
+            { job, progress, progressVersion, arrivedAtMs, readAtMs, inherited, leaseVerified },
+            Date.now(),
+        );
         if (!leaseVerified) {
             options.requestRenewal();
         }
@@ -335,7 +340,7 @@
             demand,
         }),
         onLeaseRenewed: ({ executors }) => {
-            markLeaseVerified(tables);
+            markLeaseVerified(tables, lease.renewedAtMs);
             executors.forEach(({ id }) => {
                 const executor = tables.executors.get(id);
                 if (executor !== undefined) {
