--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -3,6 +3,7 @@
 import type { QueueMatch } from "@almondusher/jobs/configuration";
 import { createAdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { createTableStore } from "@almondusher/platform-adapter/table-store";
+import type { VmEvacuation } from "@almondusher/scheduler/pool-tables";
 import { createBoundedOutput, type BoundedOutput } from "./bounded-output.js";
 import { containErrors, createErrorReporter } from "./contain-errors.js";
 import { createDecisionLog } from "./decision-log.js";
@@ -59,15 +60,18 @@
                 case "fleet":
                     return startFleetManager({ context, lease, operator, leases, requestRenewal });
                 case "pool":
-                    return startPoolScheduler({
-                        context,
-                        pool: lease.subject.pool,
-                        lease,
-                        registry,
-                        operator,
-                        advice,
-                        requestRenewal,
-                    });
+                    return withEvacuations(
+                        startPoolScheduler({
+                            context,
+                            pool: lease.subject.pool,
+                            lease,
+                            registry,
+                            operator,
+                            advice,
+                            requestRenewal,
+                        }),
+                        readEvacuations(context, leases),
+                    );
             }
         }),
     });
@@ -162,23 +166,33 @@
     },
 });
 
-// Passes the VMs to evacuate to the pool schedulers of this process. The fleet manager stores them in its lease, which
-// every process reads.
+// Passes the VMs to evacuate to the pool schedulers of this process.
 const forwardEvacuations = (
     context: DispatcherContext,
     leases: LeaseManager,
     services: ReadonlyMap<string, LeaseService>,
 ): void => {
-    const evacuations = leases.lastRecord({ kind: "fleet" })?.evacuations ?? [];
-    const offsetMs = context.store.nowMs() - context.monotonicMs();
-    const byVm = new Map(evacuations.map(({ vm, id, byMs }) => [vm, { id, byMs: byMs - offsetMs }]));
+    const evacuations = readEvacuations(context, leases);
     services.forEach(service => {
         if (service.kind === "pool") {
-            service.setEvacuations(byVm);
+            service.setEvacuations(evacuations);
         }
     });
 };
 
+// A scheduler that starts knows the evacuations before it starts any run.
+const withEvacuations = (scheduler: PoolScheduler, evacuations: ReadonlyMap<VmId, VmEvacuation>): PoolScheduler => {
+    scheduler.setEvacuations(evacuations);
+    return scheduler;
+};
+
+// The fleet manager stores the VMs to evacuate in its lease, which every process reads.
+const readEvacuations = (context: DispatcherContext, leases: LeaseManager): ReadonlyMap<VmId, VmEvacuation> => {
+    const evacuations = leases.lastRecord({ kind: "fleet" })?.evacuations ?? [];
+    const offsetMs = context.store.nowMs() - context.monotonicMs();
+    return new Map(evacuations.map(({ vm, id, byMs }) => [vm, { id, byMs: byMs - offsetMs }]));
+};
+
 const trackReadiness = (context: DispatcherContext, isServing: () => boolean): (() => boolean) => {
     let lastSuccessAtMs = context.monotonicMs();
     let lastCalls = { ...context.store.calls };
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -216,6 +216,8 @@
         const runsUntilMs = inheritedRunsUntilMs(takeover, store.nowMs());
         const record: LeaseRecord = {
             ...(predecessor ?? emptyLeaseContent),
+            // Nothing keeps the VMs empty until this holder has read which ones are being evacuated.
+            vacated: [],
             inheritedRunsUntilMs: runsUntilMs,
             holder: context.vm,
             process: context.process,
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -9,6 +9,7 @@
 import {
     decodeLease,
     emptyLeaseContent,
+    encodeLease,
     type LeaseContent,
     type LeaseRecord,
     leaseRow,
@@ -26,6 +27,7 @@
 interface LeaseStore {
     readonly store: TableStore;
     readonly lease: () => LeaseRecord | undefined;
+    readonly put: (record: LeaseRecord) => void;
     answer: (result: TransactionResult) => Promise<TransactionResult>;
     /** True if transactions are refused without being carried out. */
     busy: boolean;
@@ -57,6 +59,10 @@
     const leaseStore: LeaseStore = {
         answer: result => Promise.resolve(result),
         busy: false,
+        put: record => {
+            version++;
+            row = { ...leaseRow(LEASE_KEY), version, value: encodeLease(record), deleted: false };
+        },
         lease: () => (row === undefined ? undefined : decodeLease(row.value)),
         store: {
             // Rows of candidates are in the same table; they are accepted and not kept.
@@ -155,6 +161,19 @@
     assert.equal(store.lease()?.holder, undefined);
 });
 
+// The fleet manager orders the VMs of completed evacuations. The new holder of the pool does not know of them yet and may start
+// runs there.
+test("an acquisition withdraws the completed evacuations of the previous holder", async context => {
+    const store = createLeaseStore();
+    store.put({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: 3, vacated: ["1-1"] });
+    const release = holdAnswers(store);
+    startManager(context, store);
+    await waitUntil("the acquisition", () => store.lease()?.holder === VM);
+    const vacated = store.lease()?.vacated;
+    release();
+    assert.deepEqual(vacated, []);
+});
+
 test("a planned stop during a renewal releases the lease", async context => {
     const store = createLeaseStore();
     const { manager, begun } = startManager(context, store);
