--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -2,16 +2,16 @@
 import { isFromPastIncarnation, observeIncarnation } from "./executor-incarnation.js";
 import { haveLeasesExpired, hasLongestLeaseExpired } from "./lease-time.js";
 import { learnRunTime } from "./run-times.js";
-import { isCompleted, markStarted } from "./job-progress.js";
+import { adoptRun } from "./adopt-run.js";
+import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
 import {
-    addRun,
     findTask,
     forgetRun,
+    markForStop,
     type Executor,
     type OpenJob,
     type PoolTables,
     type Run,
-    type StopCause,
     type Task,
 } from "./pool-tables.js";
 
@@ -123,15 +123,6 @@
     }
 };
 
-/** True for a job in a final state, which must not start further runs. */
-export const isJobEnded = ({ state }: OpenJob): boolean => state !== "queued" && state !== "running";
-
-/** Marks a run to be stopped; the first cause is kept. */
-export const markForStop = (run: Run, cause: StopCause): void => {
-    run.phase = "stopping";
-    run.stopCause ??= cause;
-};
-
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
     const task = findTask(tables, end.task);
     const run = runOf(executor, end.task, end.run);
@@ -232,53 +223,6 @@
     }
 };
 
-const adoptRun = (tables: PoolTables, executor: Executor, active: RunReport["active"][number], nowMs: number): void => {
-    const task = findTask(tables, active.task);
-    if (task === undefined || task.done || isJobEnded(task.step.job)) {
-        addOrphanedRun(executor, active);
-        return;
-    }
-    const isDuplicate = task.runs.length > 0 && !task.step.step.speculative;
-    keepInheritedLease(tables, executor);
-    const run = addRun({
-        task,
-        number: active.run,
-        executor,
-        phase: "running",
-        startedAtMs: nowMs,
-        // The start was not observed, so the duration is unknown. A non-empty value keeps the run out of the run time
-        // statistics.
-        resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
-        confirmedAtMs: nowMs,
-        adoptedAtMs: nowMs,
-        percent: active.percent,
-        recentLoad: active.recentLoad,
-    });
-    if (active.checkpoint !== "") {
-        task.checkpoint = active.checkpoint;
-    }
-    markStarted(task.step.job);
-    if (isDuplicate) {
-        markForStop(run, "duplicate");
-    }
-};
-
-// The previous holder may have extended the lease of the run just before the executor rejected it.
-const keepInheritedLease = ({ runLeaseMs }: PoolTables, executor: Executor): void => {
-    if (executor.clock !== undefined) {
-        executor.leaseUntilMs = Math.max(executor.leaseUntilMs, executor.clock.clockMs + runLeaseMs);
-    }
-};
-
-const addOrphanedRun = (executor: Executor, { task, run }: RunReport["active"][number]): void => {
-    if (!executor.orphanedRuns.some(orphan => orphan.task === task && orphan.number === run)) {
-        executor.orphanedRuns = [
-            ...executor.orphanedRuns,
-            { task, number: run, stopSentAtMs: undefined, stopsSent: 0 },
-        ];
-    }
-};
-
 /** True if being listed by a report shows that the start of the run was executed and nothing has been sent to undo it. */
 const isStartSettled = ({ phase, stopCause, stopsSent }: Run): boolean => {
     switch (phase) {
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -58,3 +58,6 @@
     );
     return counts;
 };
+
+/** True for a job in a final state, which must not start further runs. */
+export const isJobEnded = ({ state }: OpenJob): boolean => state !== "queued" && state !== "running";
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,7 +1,6 @@
 import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
 import { estimateRunTime } from "./run-times.js";
-import { isReady } from "./job-progress.js";
-import { isJobEnded } from "./apply-report.js";
+import { isJobEnded, isReady } from "./job-progress.js";
 
 /** A step that may start tasks now, with its sort criteria. */
 export interface RankedStep {
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -1,9 +1,10 @@
 import type { OrderBudget } from "./order-budget.js";
 import { isStopDue, recordStop, type StopSchedule, type StopTimes } from "./stop-schedule.js";
-import { markForStop, isJobEnded } from "./apply-report.js";
+import { isJobEnded } from "./job-progress.js";
 import { remainingRunMs } from "./remaining-time.js";
 import {
     allRuns,
+    markForStop,
     type Executor,
     type OpenStep,
     type OrphanedRun,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -289,3 +289,9 @@
         run.executor.runs.delete(run.task.id);
     }
 };
+
+/** Marks a run to be stopped; the first cause is kept. */
+export const markForStop = (run: Run, cause: StopCause): void => {
+    run.phase = "stopping";
+    run.stopCause ??= cause;
+};
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -4,8 +4,7 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import { mergeProgress, markLeaseVerified } from "@almondusher/scheduler/admit-job";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import { forgetRun, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
-import { markForStop } from "../src/apply-report.js";
+import { forgetRun, markForStop, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import { UNLIMITED_BUDGET, createPool, executorOf, limitedBudget, place, record, step } from "./fixture.js";
 
 /** Places tasks and counts the searches for an executor. */
--- a/programs/dispatcher/src/pool-lease-content.ts
+++ b/programs/dispatcher/src/pool-lease-content.ts
@@ -29,6 +29,18 @@
         executor => executor.evacuation === undefined || !executor.reconciled || !isEvacuated(executor),
     );
 
+/**
+ * Returns the executors to store in the lease with a renewal. Those that it leaves out get no runs until a later renewal
+ * lists them again.
+ */
+export const listExecutors = (tables: PoolTables): readonly ListedExecutor[] => {
+    const listed = new Set(executorsToList(tables));
+    [...tables.executors.values()]
+        .filter(executor => !listed.has(executor))
+        .forEach(executor => (executor.listedInLease = false));
+    return [...listed].map(({ id, record }) => ({ id, address: record.address }));
+};
+
 const isEvacuated = (executor: Executor): boolean =>
     executor.runs.size === 0 && executor.orphanedRuns.length === 0 && (executor.reconciled || !executor.reachable);
 
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -11,7 +11,8 @@
     type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
-import { endJob, isJobEnded, expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { endJob, expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { isJobEnded } from "@almondusher/scheduler/job-progress";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
 import { containErrors, createErrorReporter } from "./contain-errors.js";
@@ -25,7 +26,13 @@
 import { createOrderLoad } from "./order-load.js";
 import { createOrderWindow } from "./order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
-import { completedEvacuations, executorsToList, pendingCounts, placeholderRecord } from "./pool-lease-content.js";
+import {
+    completedEvacuations,
+    executorsToList,
+    listExecutors,
+    pendingCounts,
+    placeholderRecord,
+} from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
 import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs } from "./run-leases.js";
@@ -176,14 +183,6 @@
             options.requestRenewal();
         }
     };
-    // An executor that the next renewal does not list gets no runs before a later one lists it again.
-    const listExecutors = (): readonly Executor[] => {
-        const listed = executorsToList(tables);
-        const unlisted = new Set(tables.executors.values());
-        listed.forEach(executor => unlisted.delete(executor));
-        unlisted.forEach(executor => (executor.listedInLease = false));
-        return listed;
-    };
     const syncQueues = (): void => {
         operator.configuration()?.queues.forEach(queue => tables.queues.set(queue.name, queue));
     };
@@ -330,7 +329,7 @@
         kind: "pool",
         leaseContent: () => ({
             ...emptyLeaseContent,
-            executors: listExecutors().map(({ id, record }) => ({ id, address: record.address })),
+            executors: listExecutors(tables),
             pending: jobsLoaded ? pendingCounts(tables) : (lease.predecessor?.pending ?? []),
             pendingAsOf: jobsAsOf,
             inheritedRunsUntilMs: areInheritedRunsKnown(tables, context.monotonicMs())
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -1,9 +1,8 @@
 import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
-import { progressOf } from "@almondusher/scheduler/job-progress";
+import { isJobEnded, progressOf } from "@almondusher/scheduler/job-progress";
 import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
-import { isJobEnded } from "@almondusher/scheduler/apply-report";
 import { createErrorReporter } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf, progressRow, type JobTables } from "./job-rows.js";
--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -1,8 +1,7 @@
 import type { AdviceTiming } from "@almondusher/jobs/configuration";
 import type { ExecutorId, StepId } from "@almondusher/jobs/ids";
 import { MAX_ADVISED_EXECUTORS, type AdviceClient } from "@almondusher/platform-adapter/advice-client";
-import { isReady } from "@almondusher/scheduler/job-progress";
-import { isJobEnded } from "@almondusher/scheduler/apply-report";
+import { isJobEnded, isReady } from "@almondusher/scheduler/job-progress";
 import { isWaiting, stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "./dispatcher-context.js";
 
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -5,7 +5,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { createPoolTables, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { executorsToList } from "../src/pool-lease-content.js";
+import { listExecutors } from "../src/pool-lease-content.js";
 
 const POOL = toId<PoolName>("pool-a");
 
@@ -34,7 +34,7 @@
     return tables;
 };
 
-const listedIds = (tables: PoolTables): readonly string[] => executorsToList(tables).map(({ id }) => id);
+const listedIds = (tables: PoolTables): readonly string[] => listExecutors(tables).map(({ id }) => id);
 
 // The VM is moved next, and its executor ends: a successor would wait for the runs of an executor that is gone.
 test("an evacuated executor is not listed in the lease", () => {
@@ -47,3 +47,9 @@
     assert.deepEqual(listedIds(tablesWithEvacuation({ reconciled: false })), ["a", "b"]);
     assert.deepEqual(listedIds(tablesWithEvacuation({ reconciled: false, reachable: false })), ["a", "b"]);
 });
+
+test("an executor that a renewal leaves out gets no runs before a later one has listed it", () => {
+    const tables = tablesWithEvacuation({ listedInLease: true });
+    listExecutors(tables);
+    assert.equal(tables.executors.get("b" as ExecutorId)?.listedInLease, false);
+});
