--- a/bench/system/test/unread-ends.test.ts
+++ b/bench/system/test/unread-ends.test.ts
@@ -3,6 +3,7 @@
 import {
     findScheduler,
     jobId,
+    jobOfTasks,
     sendJobRequest,
     startJobDeployment,
     startedTasks,
@@ -12,6 +13,8 @@
 } from "@almondusher/system-bench/job-deployment";
 
 const START_TIMEOUT_MS = 15_000;
+// An end counts as acknowledged in time within the 4 s in which calls to change a job must take effect.
+const ACKNOWLEDGEMENT_LIMIT_MS = 4000;
 // More than an executor lists in one report.
 const TASKS = 700;
 const RUN_MS = 3500;
@@ -67,3 +70,16 @@
     await waitForState(entry, jobId(1), "completed", START_TIMEOUT_MS);
     assert.equal(startedTasks(deployment, jobId(1)).length, TASKS, "tasks were started again after they had ended");
 });
+
+// An executor keeps its ends until they are acknowledged, and a successor reads them all again.
+test("the ends of a job's last runs are acknowledged as soon as they are stored", async context => {
+    const deployment = await startJobDeployment({ dispatchers: 1, executors: 2, runMs: () => 150 });
+    context.after(deployment.close);
+    const [entry] = deployment.dispatchers;
+    assert.ok(entry !== undefined);
+    assert.equal((await sendJobRequest(entry, "POST", jobId(1), jobOfTasks(6))).status, 200);
+    await waitForState(entry, jobId(1), "completed", START_TIMEOUT_MS);
+    await waitUntil("all ends to be acknowledged", ACKNOWLEDGEMENT_LIMIT_MS, () =>
+        deployment.executors.every(executor => executor.unacknowledgedEnds() === 0),
+    );
+});
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -95,6 +95,7 @@
     executor.leaseUntilMs = 0;
     executor.lastAppliedEnd = 0;
     executor.lastStoredEnd = 0;
+    executor.lastAcknowledgedEnd = 0;
     executor.failureStreak = 0;
     executor.backoffUntilMs = 0;
     executor.orphanedRuns = [];
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -70,6 +70,7 @@
     registered: true,
     lastAppliedEnd: 0,
     lastStoredEnd: 0,
+    lastAcknowledgedEnd: 0,
     backoffUntilMs: 0,
     failureStreak: 0,
     evacuation: undefined,
@@ -83,6 +84,6 @@
 const isIdle = (executor: Executor): boolean =>
     executor.reconciled &&
     !executor.hasUnreadEnds &&
-    executor.lastStoredEnd >= executor.lastAppliedEnd &&
+    executor.lastAcknowledgedEnd >= executor.lastAppliedEnd &&
     executor.orphanedRuns.length === 0 &&
     executor.evacuation === undefined;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -166,6 +166,8 @@
     lastAppliedEnd: number;
     /** Highest number of a run end that is stored, so that the executor may discard it. */
     lastStoredEnd: number;
+    /** Highest number of a run end that was acknowledged in an answered request, so that the executor has discarded it. */
+    lastAcknowledgedEnd: number;
     /** No runs are started here before this time of the monotonic clock, because runs failed here. */
     backoffUntilMs: number;
     /** Number of consecutive failed runs. */
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -71,7 +71,7 @@
 
 /**
  * Opens the connection. It reads the executor's runs immediately, and keeps polling while there are any, while run ends
- * are not stored yet and while the executor is unreachable.
+ * are not acknowledged yet and while the executor is unreachable.
  */
 export const openExecutorConnection = ({
     context,
@@ -133,11 +133,13 @@
         [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
     const pollReport = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
+        const { incarnation } = executor;
+        // Once another process may have acquired the lease, run ends are not acknowledged: the new scheduler may have read
+        // the stored progress before they were added, and still needs the executor to report them.
+        const acknowledged = owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
         context.metrics.count("executor_reports");
         const result = await currentClient().report({
-            // Once another process may have acquired the lease, run ends are not acknowledged: the new scheduler may
-            // have read the stored progress before they were added, and still needs the executor to report them.
-            acknowledged: owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0,
+            acknowledged,
             leaseUntilMs: extendRunLeases(),
             waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
         });
@@ -148,6 +150,9 @@
             case "report": {
                 const receivedAtMs = context.monotonicMs();
                 failedPolls = 0;
+                if (executor.incarnation === incarnation) {
+                    executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
+                }
                 const ends = applyReport(tables, executor, result.report, { sentAtMs, receivedAtMs });
                 owner.ended(executor, ends);
                 owner.changed();
@@ -209,7 +214,7 @@
         executor.hasUnreadEnds ||
         executor.runs.size > 0 ||
         executor.orphanedRuns.length > 0 ||
-        executor.lastStoredEnd < executor.lastAppliedEnd;
+        executor.lastAcknowledgedEnd < executor.lastAppliedEnd;
     // An executor reports run ends until they are acknowledged, so while some are not stored yet or must not be
     // acknowledged, it would answer every poll at once with the same ends.
     const wouldRepeatEnds = (): boolean =>
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -34,6 +34,8 @@
     setFault: (fault: ExecutorFault) => void;
     /** All runs in the order of their starts, also those from before a restart. */
     readonly started: readonly StartedRun[];
+    /** Number of run ends that no scheduler has acknowledged. */
+    readonly unacknowledgedEnds: () => number;
     /** Highest CPU capacity that was in use at one time. */
     readonly peakCpu: () => number;
     /** Simulates a crash and restart: all runs end, the state is lost, and the executor registers again under its id. */
@@ -273,6 +275,7 @@
         address: server.address,
         started,
         setFault: next => (fault = next),
+        unacknowledgedEnds: () => ends.length,
         peakCpu: () => peakCapacity,
         restart: () => {
             active.forEach(run => {
