--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -2,7 +2,7 @@
 import { beginIncarnation, setIncarnationStart } from "./executor-incarnation.js";
 import { recordClockReading } from "./lease-time.js";
 import type { Executor, PoolTables } from "./pool-tables.js";
-import { areInheritedRunsOver } from "./unread-ends.js";
+import { areInheritedRunsOver } from "./inherited-runs.js";
 
 /** Updates the executor table from the registry records of the pool. */
 export const applyRegistry = (tables: PoolTables, records: readonly ExecutorRecord[], nowMs: number): void => {
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -10,7 +10,7 @@
     type Run,
     type Task,
 } from "./pool-tables.js";
-import { areInheritedRunsOver } from "./unread-ends.js";
+import { areInheritedRunsOver } from "./inherited-runs.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -9,7 +9,7 @@
 } from "@almondusher/scheduler/executor-incarnation";
 import { leaseUntil } from "@almondusher/scheduler/lease-time";
 import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
-import { areRunsRead } from "@almondusher/scheduler/unread-ends";
+import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import {
     createExecutorClient,
     type ExecutorClient,
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executor-connections.ts
@@ -3,7 +3,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, VmEvacuation } from "@almondusher/scheduler/pool-tables";
-import { areRunsRead } from "@almondusher/scheduler/unread-ends";
+import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import { containErrors } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import {
