--- a/programs/dispatcher/src/pool-lease-content.ts
+++ b/programs/dispatcher/src/pool-lease-content.ts
@@ -1,5 +1,6 @@
 import type { DataCentreName, PoolName } from "@almondusher/fleet/ids";
 import { countPendingJobs } from "@almondusher/scheduler/job-progress";
+import { areInheritedRunsOver } from "@almondusher/scheduler/inherited-runs";
 import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { ListedExecutor, PendingCount } from "./lease-rows.js";
 
@@ -21,20 +22,25 @@
 };
 
 /**
- * Executors that may get runs or have some, to be stored in the lease. Those that were evacuated have none: their VMs are
- * moved or maintained next, and a successor would wait for executors that have ended with their VMs.
+ * Executors that may have runs or get some, to be stored in the lease. A successor waits for those that it cannot reach, so
+ * executors that ended with their VMs must not be among them: evacuated ones, which are moved or maintained next, and
+ * unreachable ones without runs.
  */
-export const executorsToList = (tables: PoolTables): readonly Executor[] =>
-    [...tables.executors.values()].filter(
-        executor => executor.evacuation === undefined || !executor.reconciled || !isEvacuated(executor),
-    );
+export const executorsToList = (tables: PoolTables, nowMs: number): readonly Executor[] =>
+    [...tables.executors.values()].filter(executor => mayGetRuns(executor) || mayHaveRuns(tables, executor, nowMs));
+
+const mayGetRuns = ({ registered, reachable, evacuation }: Executor): boolean =>
+    registered && reachable && evacuation === undefined;
+
+const mayHaveRuns = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
+    executor.runs.size > 0 || executor.orphanedRuns.length > 0 || !areInheritedRunsOver(tables, executor, nowMs);
 
 /**
  * Returns the executors to store in the lease with a renewal. Those that it leaves out get no runs until a later renewal
  * lists them again.
  */
-export const listExecutors = (tables: PoolTables): readonly ListedExecutor[] => {
-    const listed = new Set(executorsToList(tables));
+export const listExecutors = (tables: PoolTables, nowMs: number): readonly ListedExecutor[] => {
+    const listed = new Set(executorsToList(tables, nowMs));
     [...tables.executors.values()]
         .filter(executor => !listed.has(executor))
         .forEach(executor => (executor.listedInLease = false));
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -179,7 +179,7 @@
             return;
         }
         connections.sync(records, evacuations);
-        if (executorsToList(tables).some(executor => !executor.listedInLease)) {
+        if (executorsToList(tables, context.monotonicMs()).some(executor => !executor.listedInLease)) {
             options.requestRenewal();
         }
     };
@@ -329,7 +329,7 @@
         kind: "pool",
         leaseContent: () => ({
             ...emptyLeaseContent,
-            executors: listExecutors(tables),
+            executors: listExecutors(tables, context.monotonicMs()),
             pending: jobsLoaded ? pendingCounts(tables) : (lease.predecessor?.pending ?? []),
             pendingAsOf: jobsAsOf,
             inheritedRunsUntilMs: areInheritedRunsKnown(tables, context.monotonicMs())
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -9,6 +9,8 @@
 
 const POOL = toId<PoolName>("pool-a");
 
+const NOW_MS = 1000;
+
 const recordOf = (id: string): ExecutorRecord => ({
     id: toId<ExecutorId>(id),
     vm: toId<VmId>(`vm-${id}`),
@@ -25,6 +27,8 @@
 
 const tablesWithEvacuation = (change: Partial<Executor>): PoolTables => {
     const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: 6000, runLeaseMs: 4000, stopTimeMs: 200 });
+    // Runs of earlier holders may still be active.
+    tables.inheritedWaitUntilMs = NOW_MS + 1;
     applyRegistry(tables, [recordOf("a"), recordOf("b")], 0);
     tables.executors.forEach(executor => (executor.reconciled = true));
     Object.assign(tables.executors.get("b" as ExecutorId) as Executor, {
@@ -34,7 +38,7 @@
     return tables;
 };
 
-const listedIds = (tables: PoolTables): readonly string[] => listExecutors(tables).map(({ id }) => id);
+const listedIds = (tables: PoolTables): readonly string[] => listExecutors(tables, NOW_MS).map(({ id }) => id);
 
 // The VM is moved next, and its executor ends: a successor would wait for the runs of an executor that is gone.
 test("an evacuated executor is not listed in the lease", () => {
@@ -50,6 +54,14 @@
 
 test("an executor that a renewal leaves out gets no runs before a later one has listed it", () => {
     const tables = tablesWithEvacuation({ listedInLease: true });
-    listExecutors(tables);
+    listExecutors(tables, NOW_MS);
     assert.equal(tables.executors.get("b" as ExecutorId)?.listedInLease, false);
 });
+
+// After its VM was moved, the registration of the executor that ended with it lasts for some seconds.
+test("an executor that ended with its VM is not listed again once its evacuation is over", () => {
+    const tables = tablesWithEvacuation({ evacuation: undefined, reconciled: false, reachable: false });
+    assert.deepEqual(listedIds(tables), ["a", "b"], "runs of earlier holders may be active on it");
+    tables.inheritedWaitUntilMs = NOW_MS;
+    assert.deepEqual(listedIds(tables), ["a"]);
+});
