--- a/bench/system/test/inherited-runs.test.ts
+++ b/bench/system/test/inherited-runs.test.ts
@@ -85,3 +85,22 @@
     await waitForScheduler(deployment, [third]);
     await assertNeverTwice(deployment, third);
 });
+
+// The first holder gave the runs up 4 s after it had last extended them, and started their tasks again on the other executor
+// at 5.7 s. Its last renewal was less than 6 s old, so that it could act, but the second one had adopted the runs.
+test("a holder without a path to the store starts no task again whose runs its successor may have adopted", async context => {
+    const deployment = await start(context, 0);
+    const relay = await startTcpRelay({ target: deployment.store.address });
+    context.after(relay.close);
+    const first = await deployment.startDispatcher("entry-0", relay.address);
+    const executor = await startJob(deployment, first);
+    const second = await deployment.startDispatcher("entry-1");
+    // The first holder reaches only the free executor, the second one only the other.
+    deployment.executors
+        .filter(other => other !== executor)
+        .forEach(other => other.setFault({ kind: "cut-off", fromToken: 2 }));
+    executor.setFault({ kind: "cut-off", fromToken: 0, toToken: 1 });
+    await relay.close();
+    await waitForScheduler(deployment, [second]);
+    await assertNeverTwice(deployment, second);
+});
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -19,8 +19,6 @@
     readonly readAtMs: number;
     /** The job was accepted before the current pool lease was taken. */
     readonly inherited: boolean;
-    /** The pool lease was certainly held when the job was read. */
-    readonly leaseVerified: boolean;
 }
 
 /** Adds a job to the tables unless it is finished or already known. */
@@ -38,7 +36,6 @@
         occurrences: new Map(),
         state: progress.state,
         inherited: admitted.inherited,
-        leaseVerified: admitted.leaseVerified,
         dirty: false,
         progressVersion: admitted.progressVersion,
     };
@@ -48,15 +45,6 @@
     completeIfDone(open);
 };
 
-/**
- * Allows jobs to start runs after a renewal has shown that the pool lease was held when they were read: those that were
- * read before the renewal was sent, at a time of the monotonic clock in milliseconds.
- */
-export const markLeaseVerified = (tables: PoolTables, renewalSentAtMs: number): void =>
-    [...tables.jobs.values()]
-        .filter(({ readAtMs }) => readAtMs <= renewalSentAtMs)
-        .forEach(job => (job.leaseVerified = true));
-
 // Merges stored progress into the state of a job.
 const restoreProgress = (open: OpenJob, progress: Progress): void => {
     if (progress.state === "running") {
@@ -128,6 +116,7 @@
             failedRuns: new Set<number>(),
             countedUpToRun: 0,
             checkpoint: "",
+            givenUpAtMs: Number.NEGATIVE_INFINITY,
             runs: [],
             failedOn: new Set<ExecutorId>(),
         })),
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -7,6 +7,7 @@
 import {
     findTask,
     forgetRun,
+    giveUpRun,
     markForStop,
     type Executor,
     type OpenJob,
@@ -85,22 +86,20 @@
 };
 
 /**
- * Removes from an unreachable executor the runs whose leases had certainly expired when the last unanswered poll was
- * sent, and returns them. A scheduler that was late or suspended has not asked since, and the runs may have ended as
- * done.
+ * Gives up the runs of an unreachable executor whose leases had certainly expired when the last unanswered poll was sent.
+ * A scheduler that was late or suspended has not asked since, and the runs may have ended as done.
  */
-export const expireRuns = (tables: PoolTables, executor: Executor): readonly Run[] => {
+export const expireRuns = (tables: PoolTables, executor: Executor, nowMs: number): void => {
     if (executor.reachable) {
-        return [];
+        return;
     }
     const expired = [...executor.runs.values()].filter(run =>
         hasLeaseExpired(tables, run, executor.unansweredPollSentAtMs),
     );
-    expired.forEach(forgetRun);
+    expired.forEach(run => giveUpRun(run, "lease-expired", nowMs));
     if (expired.some(({ confirmedAtMs }) => confirmedAtMs === undefined)) {
         executor.hasUnresolvedStart = true;
     }
-    return expired;
 };
 
 // The request to start an unconfirmed run may have reached a new incarnation of the executor. That one grants up to the
@@ -250,11 +249,11 @@
 
 // A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
 // exists.
-const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs }: ReportTimes): void => {
+const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => runOf(executor, task, run)));
     executor.runs.forEach(run => {
         if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs && !listed.has(run)) {
-            forgetRun(run);
+            giveUpRun(run, "not-listed", receivedAtMs);
         }
     });
 };
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,6 +1,6 @@
 import { clockWentBack, recordClockReading } from "./lease-time.js";
 import { markStarted } from "./job-progress.js";
-import { forgetRun, type Executor, type PoolTables, type Run } from "./pool-tables.js";
+import { giveUpRun, type Executor, type PoolTables, type Run } from "./pool-tables.js";
 
 /** What a response of an executor says about its incarnation, which lasts from the start to the end of its process. */
 interface IncarnationEvidence {
@@ -69,7 +69,9 @@
  * with an unanswered start request are kept, since the request may have reached the new one.
  */
 export const beginIncarnation = (executor: Executor, nowMs: number): void => {
-    [...executor.runs.values()].filter(({ confirmedAtMs }) => confirmedAtMs !== undefined).forEach(forgetRun);
+    [...executor.runs.values()]
+        .filter(({ confirmedAtMs }) => confirmedAtMs !== undefined)
+        .forEach(run => giveUpRun(run, "executor-restarted", nowMs));
     resetIncarnationState(executor, nowMs);
     executor.isIncarnationStartKnown = false;
 };
@@ -84,7 +86,7 @@
 
 /** Removes all runs of an executor that is gone, which is known because another executor uses its address. */
 export const endIncarnation = (executor: Executor, nowMs: number): void => {
-    [...executor.runs.values()].forEach(forgetRun);
+    [...executor.runs.values()].forEach(run => giveUpRun(run, "executor-replaced", nowMs));
     resetIncarnationState(executor, nowMs);
 };
 
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -60,6 +60,7 @@
     hasUnresolvedStart: false,
     runs: new Map(),
     orphanedRuns: [],
+    givenUpRuns: [],
     clock: undefined,
     leaseUntilMs: 0,
     reconciled: false,
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -37,7 +37,7 @@
         return [];
     }
     const executors = [...tables.executors.values()].filter(
-        executor => isSchedulable(executor, options.nowMs) && options.budget.allows(executor.id),
+        executor => isSchedulable(tables, executor, options.nowMs) && options.budget.allows(executor.id),
     );
     const freeByExecutor = new Map(
         executors
@@ -51,7 +51,9 @@
     let largestFree = maxOfEach([...freeByExecutor.values()]);
     // In a full pool most steps fit nowhere; they are neither ranked nor searched an executor for.
     const mayBePlaced = ({ step, job }: OpenStep): boolean =>
-        fits(demandOf(step), largestFree) && job.leaseVerified && (!job.inherited || mayStartInherited);
+        fits(demandOf(step), largestFree) &&
+        isLeaseHeldSince(tables, job.readAtMs) &&
+        (!job.inherited || mayStartInherited);
     return orderSteps(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
         if (options.budget.isExhausted() || !mayBePlaced(step)) {
             return [];
@@ -71,16 +73,28 @@
 
 type FreeByExecutor = Map<Executor, Resources>;
 
-const isSchedulable = (executor: Executor, nowMs: number): boolean =>
+const isSchedulable = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
     executor.registered &&
     executor.reachable &&
     executor.reconciled &&
     executor.listedInLease &&
+    // A new incarnation has forgotten the fencing token of a successor.
+    isLeaseHeldSince(tables, executor.incarnationSinceMs) &&
     executor.evacuation === undefined &&
     !executor.record.draining &&
     executor.orphanedRuns.length === 0 &&
     executor.backoffUntilMs <= nowMs;
 
+/**
+ * True if this process certainly held the pool lease at or after a time of the monotonic clock, in milliseconds. What it
+ * learned until then is not outdated: a successor reads, or waits for, all runs that this process starts.
+ */
+const isLeaseHeldSince = ({ leaseHeldAtMs }: PoolTables, timeMs: number): boolean => timeMs <= leaseHeldAtMs;
+
+/** True for a waiting task of which no successor can have adopted a run. */
+const mayStart = (tables: PoolTables, task: Task): boolean =>
+    isWaiting(task) && isLeaseHeldSince(tables, task.givenUpAtMs);
+
 /**
  * True once no run that a previous holder of the pool lease started, and no end of one, can be missing from the tables of
  * any executor.
@@ -104,7 +118,7 @@
     freeByExecutor: FreeByExecutor,
     options: PlacementOptions,
 ): readonly Run[] => {
-    const waiting = step.tasks.filter(isWaiting);
+    const waiting = step.tasks.filter(task => mayStart(tables, task));
     const runs: Run[] = [];
     // Tasks of a step differ only in the executors on which they failed, so if one does not fit, no other one does.
     // Searching again for each task of a large step would exhaust the CPU when the pool is full.
@@ -138,7 +152,7 @@
     options: PlacementOptions,
 ): readonly Run[] => {
     // All members of a gang run together, so the gang is not started again until its last remaining run has ended.
-    if (step.tasks.some(task => task.done || task.runs.length > 0)) {
+    if (!step.tasks.every(task => mayStart(tables, task))) {
         return [];
     }
     const racks = step.step.sameRack ? [...new Set([...freeByExecutor.keys()].map(({ rack }) => rack))] : [];
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -18,6 +18,11 @@
     /** Failures of this run and earlier ones were counted, although their numbers are not in `failedRuns`. */
     countedUpToRun: number;
     checkpoint: string;
+    /**
+     * When a run of the task was last given up without a reported end, in milliseconds of the monotonic clock; a successor
+     * may have adopted that run.
+     */
+    givenUpAtMs: number;
     /** Runs that may be present on an executor. Only speculative steps keep several; other duplicates are stopped. */
     readonly runs: Run[];
     /** Executors on which the task failed; others are preferred for the next attempt. */
@@ -112,11 +117,6 @@
     state: JobState;
     /** Accepted before the current pool lease was taken, so the job may have runs that are not in the tables yet. */
     readonly inherited: boolean;
-    /**
-     * False for a job that was read after the pool lease may have been lost. A new holder would not know that this
-     * process may start runs of it, so no run is started until a renewal shows that the lease is still held.
-     */
-    leaseVerified: boolean;
     /** The job has changed since its progress was last stored. */
     dirty: boolean;
     /** Version of the stored progress row. */
@@ -145,6 +145,8 @@
     readonly rack: string | undefined;
     readonly runs: Map<TaskId, Run>;
     orphanedRuns: readonly OrphanedRun[];
+    /** Runs that were given up since the last call of `takeGivenUpRuns`. */
+    givenUpRuns: readonly GivenUpRun[];
     clock: ClockReading | undefined;
     /** Latest end of a run lease that was sent, on the executor's clock. */
     leaseUntilMs: number;
@@ -176,6 +178,15 @@
     evacuation: VmEvacuation | undefined;
 }
 
+/** Why a run was given up although its end was not reported. */
+export type GiveUpCause = "lease-expired" | "executor-restarted" | "executor-replaced" | "not-listed";
+
+/** A run that was given up although its end was not reported. */
+export interface GivenUpRun {
+    readonly run: Run;
+    readonly cause: GiveUpCause;
+}
+
 /** A request to evacuate a VM. */
 export interface VmEvacuation {
     readonly id: string;
@@ -216,6 +227,11 @@
      * is already done could run again.
      */
     isProgressCurrent: boolean;
+    /**
+     * Latest known time at which this process certainly held the pool lease, in milliseconds of the monotonic clock. What it
+     * has learned since may be outdated by what a successor has done.
+     */
+    leaseHeldAtMs: number;
 }
 
 /** Creates the empty tables of a pool. */
@@ -239,8 +255,14 @@
     runCounter: 0,
     inheritedWaitUntilMs: 0,
     isProgressCurrent: false,
+    leaseHeldAtMs: Number.NEGATIVE_INFINITY,
 });
 
+/** Records that this process certainly held the pool lease at a time of the monotonic clock in milliseconds. */
+export const recordLeaseHeld = (tables: PoolTables, heldAtMs: number): void => {
+    tables.leaseHeldAtMs = Math.max(tables.leaseHeldAtMs, heldAtMs);
+};
+
 /** Steps of all occurrences of a job that are due. */
 export const stepsOf = ({ occurrences }: OpenJob): readonly OpenStep[] =>
     // Nearly all jobs have one occurrence, and each pass lists the steps of every job.
@@ -292,6 +314,24 @@
     }
 };
 
+/**
+ * Removes a run that must have ended although its end was not reported. Its task waits for a proof that the pool lease was
+ * held at this time of the monotonic clock, in milliseconds.
+ */
+export const giveUpRun = (run: Run, cause: GiveUpCause, nowMs: number): void => {
+    forgetRun(run);
+    run.task.givenUpAtMs = nowMs;
+    run.executor.givenUpRuns = [...run.executor.givenUpRuns, { run, cause }];
+};
+
+/** Returns the runs that were given up since the last call. */
+export const takeGivenUpRuns = (tables: PoolTables): readonly GivenUpRun[] =>
+    [...tables.executors.values()].flatMap(executor => {
+        const { givenUpRuns } = executor;
+        executor.givenUpRuns = [];
+        return givenUpRuns;
+    });
+
 /** Marks a run to be stopped; the first cause is kept. */
 export const markForStop = (run: Run, cause: StopCause): void => {
     run.phase = "stopping";
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -6,7 +6,14 @@
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { OrderBudget } from "@almondusher/scheduler/order-budget";
-import { createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import {
+    createPoolTables,
+    recordLeaseHeld,
+    takeGivenUpRuns,
+    type Executor,
+    type PoolTables,
+    type Run,
+} from "@almondusher/scheduler/pool-tables";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { applyReport, expireRuns } from "../src/apply-report.js";
 
@@ -74,6 +81,8 @@
 export interface PoolFixture {
     readonly executors: readonly ExecutorRecord[];
     readonly jobs?: readonly JobFixture[];
+    /** When the lease was certainly held, in milliseconds of the monotonic clock; at any time if undefined. */
+    readonly leaseHeldAtMs?: number;
 }
 
 export interface JobFixture {
@@ -81,13 +90,12 @@
     readonly steps: readonly Step[];
     readonly progress?: Progress;
     readonly inherited?: boolean;
-    readonly leaseVerified?: boolean;
     readonly readAtMs?: number;
     readonly arrivedAtMs?: number;
 }
 
 /** Creates the tables of a pool whose executors can start runs. */
-export const createPool = ({ executors, jobs = [] }: PoolFixture): PoolTables => {
+export const createPool = ({ executors, jobs = [], leaseHeldAtMs = Infinity }: PoolFixture): PoolTables => {
     const tables = createPoolTables({
         pool: POOL,
         token: 1,
@@ -108,6 +116,7 @@
         advice: undefined,
     });
     tables.isProgressCurrent = true;
+    recordLeaseHeld(tables, leaseHeldAtMs);
     applyRegistry(tables, executors, 0);
     tables.executors.forEach(executor => {
         executor.reconciled = true;
@@ -119,7 +128,7 @@
 
 export const addJob = (
     tables: PoolTables,
-    { id, steps, progress, inherited, leaseVerified: isLeaseVerified, arrivedAtMs, readAtMs }: JobFixture,
+    { id, steps, progress, inherited, arrivedAtMs, readAtMs }: JobFixture,
 ): void => {
     const job: Job = {
         id: toId<JobId>(id),
@@ -139,7 +148,6 @@
             arrivedAtMs: arrivedAtMs ?? 0,
             readAtMs: readAtMs ?? 0,
             inherited: inherited ?? false,
-            leaseVerified: isLeaseVerified ?? true,
         },
         0,
     );
@@ -159,7 +167,8 @@
 /** Gives up runs after a poll that was sent at the given time got no answer. */
 export const expireAfterPoll = (tables: PoolTables, executor: Executor, pollSentAtMs: number): readonly Run[] => {
     executor.unansweredPollSentAtMs = pollSentAtMs;
-    return expireRuns(tables, executor);
+    expireRuns(tables, executor, pollSentAtMs);
+    return takeGivenUpRuns(tables).map(({ run }) => run);
 };
 
 const report = (change: Partial<RunReport> = {}): RunReport => ({
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -2,9 +2,17 @@
 import test from "node:test";
 import { toId } from "@almondusher/fleet/ids";
 import type { JobId } from "@almondusher/jobs/ids";
-import { mergeProgress, markLeaseVerified } from "@almondusher/scheduler/admit-job";
+import { mergeProgress } from "@almondusher/scheduler/admit-job";
+import { beginIncarnation } from "@almondusher/scheduler/executor-incarnation";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import { forgetRun, markForStop, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import {
+    forgetRun,
+    giveUpRun,
+    markForStop,
+    recordLeaseHeld,
+    type PoolTables,
+    type Run,
+} from "@almondusher/scheduler/pool-tables";
 import { UNLIMITED_BUDGET, createPool, executorOf, limitedBudget, place, record, step } from "./fixture.js";
 
 /** Places tasks and counts the searches for an executor. */
@@ -140,10 +148,11 @@
 test("a job that was read after the lease may have been lost starts only after a renewal shows that the lease is held", () => {
     const tables = createPool({
         executors: [record("a")],
-        jobs: [{ id: "j1", steps: [step()], leaseVerified: false }],
+        jobs: [{ id: "j1", steps: [step()], readAtMs: 1 }],
+        leaseHeldAtMs: 0,
     });
     assert.equal(place(tables).length, 0);
-    markLeaseVerified(tables, 1);
+    recordLeaseHeld(tables, 1);
     assert.equal(place(tables).length, 1);
 });
 
@@ -151,14 +160,61 @@
 test("a renewal that was sent before a job was read does not show that the lease was held when it was read", () => {
     const tables = createPool({
         executors: [record("a")],
-        jobs: [{ id: "j1", steps: [step()], leaseVerified: false, readAtMs: 2300 }],
+        jobs: [{ id: "j1", steps: [step()], readAtMs: 2300 }],
+        leaseHeldAtMs: 0,
     });
-    markLeaseVerified(tables, 100);
+    recordLeaseHeld(tables, 100);
     assert.equal(place(tables).length, 0);
-    markLeaseVerified(tables, 2310);
+    recordLeaseHeld(tables, 2310);
     assert.equal(place(tables).length, 1);
 });
 
+// The holder gave the run up by time alone, and a successor that reached the executor had adopted it.
+test("a task whose run was given up starts again only after a renewal that was sent later", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step()] }],
+        leaseHeldAtMs: 300,
+    });
+    const [run] = place(tables);
+    assert.ok(run !== undefined);
+    giveUpRun(run, "lease-expired", 4400);
+    recordLeaseHeld(tables, 4399);
+    assert.equal(place(tables, 4500).length, 0);
+    recordLeaseHeld(tables, 4400);
+    assert.equal(place(tables, 4600).length, 1);
+});
+
+test("a gang of which one run was given up starts again only after a renewal that was sent later", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ gang: true, count: 2 })] }],
+        leaseHeldAtMs: 300,
+    });
+    const [first, second] = place(tables);
+    assert.ok(first !== undefined && second !== undefined);
+    giveUpRun(first, "lease-expired", 4400);
+    forgetRun(second);
+    assert.equal(place(tables, 4500).length, 0);
+    recordLeaseHeld(tables, 4400);
+    assert.equal(place(tables, 4600).length, 2);
+});
+
+// The executor has forgotten the fencing token of a successor, which may have read it before and started the tasks elsewhere.
+test("an executor that has restarted gets no starts until a renewal that was sent later", () => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step()] }],
+        leaseHeldAtMs: 300,
+    });
+    const executor = executorOf(tables, "a");
+    beginIncarnation(executor, 2000);
+    executor.reconciled = true;
+    assert.equal(place(tables, 2100).length, 0);
+    recordLeaseHeld(tables, 2000);
+    assert.equal(place(tables, 2200).length, 1);
+});
+
 test("a full pool is searched once per step, not once per task, so that a burst does not exhaust the CPU", () => {
     const wide = { steps: [step({ count: 50, demand: { cpu: 3000, memoryMb: 1, gpu: 0 } })] };
     const tables = createPool({
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -1,12 +1,15 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import { admitJob, closeJob, openDueOccurrences, markLeaseVerified } from "@almondusher/scheduler/admit-job";
+import { admitJob, closeJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand, recordArrival } from "@almondusher/scheduler/demand";
 import { addUnregistered } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/place-tasks";
 import {
     createPoolTables,
+    recordLeaseHeld,
+    takeGivenUpRuns,
     type Executor,
+    type GivenUpRun,
     type OpenJob,
     type Run,
     type VmEvacuation,
@@ -69,8 +72,7 @@
 
 const TICK_INTERVAL_MS = 100;
 const ORDER_LOAD_LOG_INTERVAL_MS = 1000;
-// Jobs read later than this fraction of the lease duration after the last renewal start only once another renewal has
-// been confirmed, because another process may have taken over the pool.
+// From this fraction of the lease duration after the last renewal, another process may hold the lease.
 const SAFE_LEASE_FRACTION = 0.8;
 const FLUSH_TIMEOUT_MS = 1000;
 
@@ -97,6 +99,8 @@
         context.monotonicMs() + Math.max(takeoverWaitMs(lease), predecessorUntilMs - context.store.nowMs());
 
     const isActive = (): boolean => active && !lease.lost;
+    const isLeaseSafe = (): boolean =>
+        !lease.lost && leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
     let lastFencedAtMs = Number.NEGATIVE_INFINITY;
     const mayAct = (): boolean =>
         isActive() &&
@@ -190,13 +194,8 @@
         const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
         const readAtMs = context.monotonicMs();
         const arrivedAtMs = readAtMs - ageMs;
-        const leaseVerified = leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
-        admitJob(
-            tables,
-            { job, progress, progressVersion, arrivedAtMs, readAtMs, inherited, leaseVerified },
-            Date.now(),
-        );
-        if (!leaseVerified) {
+        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, readAtMs, inherited }, Date.now());
+        if (!isLeaseSafe()) {
             options.requestRenewal();
         }
         const openJob = tables.jobs.get(job.id);
@@ -230,16 +229,30 @@
             .filter(({ job }) => job.schedule !== undefined)
             .forEach(job => openDueOccurrences(job, wallMs));
     };
-    const expireLostRuns = (): void =>
-        tables.executors.forEach(executor => {
-            const expired = expireRuns(tables, executor);
-            expired.forEach(run => {
-                context.metrics.count("runs_lapsed_unseen");
-                context.log("run-lapsed", { task: run.task.id, run: run.number, executor: executor.id });
-            });
+    const logGivenUpRun = ({ run, cause }: GivenUpRun): void => {
+        const isExpired = cause === "lease-expired";
+        context.metrics.count(isExpired ? "runs_lapsed_unseen" : "runs_given_up");
+        context.log(isExpired ? "run-lapsed" : "run-given-up", {
+            task: run.task.id,
+            run: run.number,
+            executor: run.executor.id,
+            cause,
+            leaseAgeMs: Math.round(leaseAgeMs(lease, context)),
         });
+    };
+    const expireLostRuns = (): void => {
+        tables.executors.forEach(executor => expireRuns(tables, executor, context.monotonicMs()));
+        const givenUp = takeGivenUpRuns(tables);
+        givenUp.forEach(logGivenUpRun);
+        if (givenUp.length > 0 && !isLeaseSafe()) {
+            options.requestRenewal();
+        }
+    };
     const runPass = (): void => {
         expireLostRuns();
+        if (isLeaseSafe()) {
+            recordLeaseHeld(tables, context.monotonicMs());
+        }
         openOccurrences();
         if (jobsLoaded && mayAct()) {
             reloadProgressAfterTakeover();
@@ -339,7 +352,7 @@
             demand,
         }),
         onLeaseRenewed: ({ executors }) => {
-            markLeaseVerified(tables, lease.renewedAtMs);
+            recordLeaseHeld(tables, lease.renewedAtMs);
             executors.forEach(({ id }) => {
                 const executor = tables.executors.get(id);
                 if (executor !== undefined) {
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -14,8 +14,16 @@
     | { readonly kind: "fails" }
     /** Answers no requests. */
     | { readonly kind: "silent" }
-    /** Closes the connection of each request with this fencing token or a higher one, and carries none of them out. */
-    | { readonly kind: "cut-off"; readonly fromToken: number };
+    /** Closes the connection of each request whose fencing token is in this range, and carries none of them out. */
+    | CutOff;
+
+/** Range of fencing tokens, both ends included. */
+interface CutOff {
+    readonly kind: "cut-off";
+    readonly fromToken: number;
+    /** No upper end if undefined. */
+    readonly toToken?: number;
+}
 
 /** Record of a run, which is kept after the run has ended. */
 interface StartedRun {
@@ -224,7 +232,7 @@
         if (fault.kind === "silent") {
             return { kind: "no-reply" };
         }
-        if (fault.kind === "cut-off" && tokenSchema.parse(request.body).fence_token >= fault.fromToken) {
+        if (fault.kind === "cut-off" && isCutOff(fault, tokenSchema.parse(request.body).fence_token)) {
             return { kind: "disconnect" };
         }
         if ((request.headers["expect-instance"] ?? id) !== id) {
@@ -308,5 +316,8 @@
     };
 };
 
+const isCutOff = ({ fromToken, toToken = Infinity }: CutOff, token: number): boolean =>
+    token >= fromToken && token <= toToken;
+
 const progressPercent = (run: StartedRun, runMs: (task: string) => number): number =>
     Math.min(100, Math.round(((performance.now() - run.startedAtMs) / runMs(run.task)) * 100));
