--- /dev/null
+++ b/programs/dispatcher/src/job-admission.ts
@@ -0,0 +1,67 @@
+import { admitJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { recordArrival, type DemandHistory } from "@almondusher/scheduler/demand";
+import { endJob } from "@almondusher/scheduler/apply-report";
+import { isJobEnded } from "@almondusher/scheduler/job-progress";
+import type { OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
+import type { DispatcherContext } from "./dispatcher-context.js";
+import type { StoredJob } from "./job-feed.js";
+
+/** Opens the stored jobs of a pool in its tables, and ends those that are cancelled. */
+export interface JobAdmission {
+    readonly admit: (stored: StoredJob) => void;
+    readonly cancel: (id: OpenJob["id"]) => void;
+    /** Opens the occurrences of scheduled jobs that are due. */
+    readonly openOccurrences: () => void;
+}
+
+export interface JobAdmissionOptions {
+    readonly context: DispatcherContext;
+    readonly tables: PoolTables;
+    readonly demandHistory: DemandHistory;
+    /** Requests that changed jobs are stored. */
+    readonly requestWrite: () => void;
+}
+
+export const createJobAdmission = ({
+    context,
+    tables,
+    demandHistory,
+    requestWrite,
+}: JobAdmissionOptions): JobAdmission => ({
+    admit: ({ job, progress, progressVersion, inherited }) => {
+        const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
+        const readAtMs = context.monotonicMs();
+        const arrivedAtMs = readAtMs - ageMs;
+        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, readAtMs, inherited }, Date.now());
+        const openJob = tables.jobs.get(job.id);
+        // Finished jobs are read as well after a takeover, until their rows are deleted, but they are not opened.
+        if (openJob === undefined) {
+            return;
+        }
+        if (openJob.dirty) {
+            requestWrite();
+        }
+        recordArrival(tables, demandHistory, openJob, context.monotonicMs());
+        context.log("job-admitted", {
+            job: job.id,
+            queue: job.queue,
+            ageMs: Math.round(ageMs),
+            inherited,
+            steps: job.steps,
+        });
+    },
+    cancel: id => {
+        const job = tables.jobs.get(id);
+        if (job !== undefined && !isJobEnded(job)) {
+            endJob(job, "cancelled");
+            context.log("job-cancelled", { job: id, queue: job.queue });
+            requestWrite();
+        }
+    },
+    openOccurrences: () => {
+        const wallMs = Date.now();
+        [...tables.jobs.values()]
+            .filter(({ job }) => job.schedule !== undefined)
+            .forEach(job => openDueOccurrences(job, wallMs));
+    },
+});
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -1,7 +1,7 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import { admitJob, closeJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
-import { createDemandHistory, estimateDemand, recordArrival } from "@almondusher/scheduler/demand";
+import { closeJob } from "@almondusher/scheduler/admit-job";
+import { createDemandHistory, estimateDemand } from "@almondusher/scheduler/demand";
 import { addUnregistered } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/place-tasks";
 import {
@@ -9,19 +9,17 @@
     recordLeaseHeld,
     takeGivenUpRuns,
     type Executor,
-    type GivenUpRun,
-    type OpenJob,
     type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
-import { endJob, expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
-import { isJobEnded } from "@almondusher/scheduler/job-progress";
+import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
 import { containErrors, createErrorReporter } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
+import { createJobAdmission } from "./job-admission.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
 import { POOL_LEASE_DURATION_MS, leaseAgeMs, type HeldLease } from "./lease-manager.js";
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
@@ -39,6 +37,7 @@
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
 import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs } from "./run-leases.js";
+import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
 
@@ -118,19 +117,7 @@
         after: scheduleCallback,
     });
     const requestPass = passThrottle.request;
-    const logRunEnds = (executor: Executor, ends: readonly AppliedEnd[]): void =>
-        ends.forEach(({ end, run }) => {
-            context.metrics.count(`runs_ended_${end.how}`);
-            context.log("run-ended", {
-                task: end.task,
-                run: end.run,
-                executor: executor.id,
-                how: end.how,
-                end: end.number,
-                tookMs: run === undefined ? undefined : Math.round(context.monotonicMs() - run.startedAtMs),
-                cause: run?.stopCause,
-            });
-        });
+    const runLog = createRunLog(context);
     const reportReloadError = createErrorReporter({ context, part: "progress-reload" });
     const writer = createProgressWriter({
         context,
@@ -161,7 +148,7 @@
         },
         ticketRejected: (run: Run): void => tickets.discard(run.task.step),
         ended: (executor: Executor, ends: readonly AppliedEnd[]): void => {
-            logRunEnds(executor, ends);
+            runLog.ends(executor, ends);
             if (executor.lastStoredEnd < executor.lastAppliedEnd) {
                 writer.request();
             }
@@ -190,60 +177,17 @@
     const syncQueues = (): void => {
         operator.configuration()?.queues.forEach(queue => tables.queues.set(queue.name, queue));
     };
-    const admitStoredJob = ({ job, progress, progressVersion, inherited }: StoredJob): void => {
-        const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
-        const readAtMs = context.monotonicMs();
-        const arrivedAtMs = readAtMs - ageMs;
-        admitJob(tables, { job, progress, progressVersion, arrivedAtMs, readAtMs, inherited }, Date.now());
+    const admission = createJobAdmission({ context, tables, demandHistory, requestWrite: writer.request });
+    const admitStoredJob = (stored: StoredJob): void => {
+        admission.admit(stored);
         if (!isLeaseSafe()) {
             options.requestRenewal();
         }
-        const openJob = tables.jobs.get(job.id);
-        // Finished jobs are read as well after a takeover, until their rows are deleted, but they are not opened.
-        if (openJob === undefined) {
-            return;
-        }
-        if (openJob.dirty) {
-            writer.request();
-        }
-        recordArrival(tables, demandHistory, openJob, context.monotonicMs());
-        context.log("job-admitted", {
-            job: job.id,
-            queue: job.queue,
-            ageMs: Math.round(ageMs),
-            inherited,
-            steps: job.steps,
-        });
-    };
-    const cancelJob = (id: OpenJob["id"]): void => {
-        const job = tables.jobs.get(id);
-        if (job !== undefined && !isJobEnded(job)) {
-            endJob(job, "cancelled");
-            context.log("job-cancelled", { job: id, queue: job.queue });
-            writer.request();
-        }
-    };
-    const openOccurrences = (): void => {
-        const wallMs = Date.now();
-        [...tables.jobs.values()]
-            .filter(({ job }) => job.schedule !== undefined)
-            .forEach(job => openDueOccurrences(job, wallMs));
-    };
-    const logGivenUpRun = ({ run, cause }: GivenUpRun): void => {
-        const isExpired = cause === "lease-expired";
-        context.metrics.count(isExpired ? "runs_lapsed_unseen" : "runs_given_up");
-        context.log(isExpired ? "run-lapsed" : "run-given-up", {
-            task: run.task.id,
-            run: run.number,
-            executor: run.executor.id,
-            cause,
-            leaseAgeMs: Math.round(leaseAgeMs(lease, context)),
-        });
     };
     const expireLostRuns = (): void => {
         tables.executors.forEach(executor => expireRuns(tables, executor, context.monotonicMs()));
         const givenUp = takeGivenUpRuns(tables);
-        givenUp.forEach(logGivenUpRun);
+        runLog.givenUp(givenUp, leaseAgeMs(lease, context));
         if (givenUp.length > 0 && !isLeaseSafe()) {
             options.requestRenewal();
         }
@@ -253,7 +197,7 @@
         if (isLeaseSafe()) {
             recordLeaseHeld(tables, context.monotonicMs());
         }
-        openOccurrences();
+        admission.openOccurrences();
         if (jobsLoaded && mayAct()) {
             reloadProgressAfterTakeover();
             tickets.prefetch();
@@ -332,7 +276,7 @@
         isActive,
         sink: {
             job: admitStoredJob,
-            cancelled: cancelJob,
+            cancelled: admission.cancel,
             changed: onJobsChanged,
             readUpTo: point => (jobsAsOf = point),
         },
--- /dev/null
+++ b/programs/dispatcher/src/run-log.ts
@@ -0,0 +1,38 @@
+import type { AppliedEnd } from "@almondusher/scheduler/apply-report";
+import type { Executor, GivenUpRun } from "@almondusher/scheduler/pool-tables";
+import type { DispatcherContext } from "./dispatcher-context.js";
+
+/** Logs and counts the runs that have ended. */
+export interface RunLog {
+    readonly ends: (executor: Executor, ends: readonly AppliedEnd[]) => void;
+    /** `leaseAgeMs` is the time since this process last certainly held the pool lease, in milliseconds. */
+    readonly givenUp: (runs: readonly GivenUpRun[], leaseAgeMs: number) => void;
+}
+
+export const createRunLog = (context: DispatcherContext): RunLog => ({
+    ends: (executor, ends) =>
+        ends.forEach(({ end, run }) => {
+            context.metrics.count(`runs_ended_${end.how}`);
+            context.log("run-ended", {
+                task: end.task,
+                run: end.run,
+                executor: executor.id,
+                how: end.how,
+                end: end.number,
+                tookMs: run === undefined ? undefined : Math.round(context.monotonicMs() - run.startedAtMs),
+                cause: run?.stopCause,
+            });
+        }),
+    givenUp: (runs, leaseAgeMs) =>
+        runs.forEach(({ run, cause }) => {
+            const isExpired = cause === "lease-expired";
+            context.metrics.count(isExpired ? "runs_lapsed_unseen" : "runs_given_up");
+            context.log(isExpired ? "run-lapsed" : "run-given-up", {
+                task: run.task.id,
+                run: run.number,
+                executor: run.executor.id,
+                cause,
+                leaseAgeMs: Math.round(leaseAgeMs),
+            });
+        }),
+});
