--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,9 +1,9 @@
-import { clockWentBack, recordClockReading } from "./lease-time.js";
+import { clockWentBack, isReadingAmbiguous, recordClockReading } from "./lease-time.js";
 import { markStarted } from "./job-progress.js";
 import { giveUpRun, type Executor, type PoolTables, type Run } from "./pool-tables.js";
 
 /** What a response of an executor says about its incarnation, which lasts from the start to the end of its process. */
-interface IncarnationEvidence {
+export interface IncarnationEvidence {
     /** Reading of the executor's clock. */
     readonly clockMs: number;
     /** Unix time of the executor's start; undefined if not included, as in responses to start and stop requests. */
@@ -32,10 +32,12 @@
     recordClockReading(executor, evidence.clockMs, evidence.receivedAtMs);
 };
 
-const isNewIncarnation = (executor: Executor, { startedAtMs, clockMs, sentAtMs }: IncarnationEvidence): boolean =>
-    startedAtMs === undefined
-        ? clockWentBack(executor, clockMs, sentAtMs)
+const isNewIncarnation = (executor: Executor, evidence: IncarnationEvidence): boolean => {
+    const { startedAtMs } = evidence;
+    return startedAtMs === undefined
+        ? clockWentBack(executor, evidence)
         : executor.isIncarnationStartKnown && startedAtMs !== executor.record.startedAtMs;
+};
 
 /** True for a response to a call sent before the current incarnation was detected, unless it names that incarnation. */
 export const isFromPastIncarnation = (
@@ -45,6 +47,20 @@
     sentAtMs < executor.incarnationSinceMs &&
     (startedAtMs === undefined || executor.isIncarnationStartKnown !== (startedAtMs === executor.record.startedAtMs));
 
+/**
+ * Applies the acceptance of a start. If the response may come from a new incarnation, the start counts as unanswered, and the
+ * next report shows whether the run exists.
+ */
+export const applyAcceptedStart = (tables: PoolTables, run: Run, evidence: IncarnationEvidence): void => {
+    const isAmbiguous = isReadingAmbiguous(run.executor, evidence);
+    observeIncarnation(run.executor, evidence);
+    if (isAmbiguous) {
+        markUnanswered(run, evidence.receivedAtMs);
+    } else {
+        confirmStart(tables, run, evidence.receivedAtMs);
+    }
+};
+
 /** Marks a run as accepted by its executor. Call it after the clock reading in the response was recorded. */
 export const confirmStart = (tables: PoolTables, run: Run, nowMs: number): void => {
     const { executor } = run;
--- a/pools/scheduler/src/lease-time.ts
+++ b/pools/scheduler/src/lease-time.ts
@@ -29,12 +29,33 @@
         ? undefined
         : Math.floor(executor.clock.clockMs + (nowMs - executor.clock.heardAtMs) + lengthMs);
 
-/** True if a clock read after `sentAtMs` cannot belong to the incarnation of the known reading. */
-export const clockWentBack = (executor: Executor, clockMs: number, sentAtMs: number): boolean => {
+/** A reading of an executor's clock in the response to a request, and when the request was sent on the monotonic clock. */
+export interface ClockEvidence {
+    readonly clockMs: number;
+    readonly sentAtMs: number;
+}
+
+/**
+ * True if a reading cannot belong to the incarnation of the known one. Only a request that was sent after the known reading
+ * was received proves this: responses on different connections overtake each other.
+ */
+export const clockWentBack = (executor: Executor, { clockMs, sentAtMs }: ClockEvidence): boolean => {
     const earliest = minClockMs(executor, sentAtMs);
-    return earliest !== undefined && clockMs + CLOCK_ROUNDING_MS < earliest;
+    return earliest !== undefined && !wasOvertaken(executor, sentAtMs) && clockMs + CLOCK_ROUNDING_MS < earliest;
 };
 
+/**
+ * True if a reading in an overtaken response is earlier than the time between the two explains. Either the response comes
+ * from a new incarnation, or this process was suspended in between and its clock with it.
+ */
+export const isReadingAmbiguous = (executor: Executor, { clockMs, sentAtMs }: ClockEvidence): boolean =>
+    executor.clock !== undefined &&
+    wasOvertaken(executor, sentAtMs) &&
+    clockMs + CLOCK_ROUNDING_MS < executor.clock.clockMs - (executor.clock.heardAtMs - sentAtMs);
+
+const wasOvertaken = ({ clock }: Executor, sentAtMs: number): boolean =>
+    clock !== undefined && sentAtMs < clock.heardAtMs;
+
 /** True once the longest possible lease of a start request has expired, even on the clock of a new incarnation. */
 export const hasLongestLeaseExpired = (startedAtMs: number, maxLeaseMs: number, nowMs: number): boolean =>
     nowMs > startedAtMs + MAX_START_DELIVERY_MS + maxLeaseMs / SLOWEST_CLOCK_RATE + EXPIRY_MARGIN_MS;
--- a/pools/scheduler/test/executor-incarnation.test.ts
+++ b/pools/scheduler/test/executor-incarnation.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { acknowledgedEnd, confirmStart, observeIncarnation } from "../src/executor-incarnation.js";
+import { acknowledgedEnd, applyAcceptedStart, confirmStart, observeIncarnation } from "../src/executor-incarnation.js";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import {
     createPool,
@@ -123,3 +123,28 @@
     observeIncarnation(run.executor, { ...next, startedAtMs: undefined });
     assert.deepEqual(run.task.runs, [run]);
 });
+
+// Responses on different connections may overtake each other; a late one took the executor for restarted, and its runs were
+// started again on another one.
+[60, 150, 250, 350].forEach(delayMs =>
+    test(`a response that another one overtook by ${delayMs} ms is not taken for a restart`, () => {
+        const { run } = startAfterRestart();
+        const overtaking = { sentAtMs: delayMs, receivedAtMs: delayMs + 2, clockMs: OLD_CLOCK_MS + delayMs + 1 };
+        const late = { sentAtMs: 0, receivedAtMs: delayMs + 4, clockMs: OLD_CLOCK_MS + 1 };
+        observeIncarnation(run.executor, { ...overtaking, startedAtMs: undefined });
+        observeIncarnation(run.executor, { ...late, startedAtMs: undefined });
+        assert.equal(run.executor.incarnation, 0);
+    }),
+);
+
+// The monotonic clock of a suspended VM stands still, so the time between two readings on it proves nothing.
+test("a response that was overtaken while the VM was suspended does not end runs, and its start counts as unanswered", () => {
+    const { tables, before, run } = startAfterRestart();
+    const report = { sentAtMs: 0, receivedAtMs: 20, clockMs: OLD_CLOCK_MS + 5000 };
+    observeIncarnation(run.executor, { ...report, startedAtMs: undefined });
+    const start = { sentAtMs: 10, receivedAtMs: 22, clockMs: OLD_CLOCK_MS + 11 };
+    applyAcceptedStart(tables, run, { ...start, startedAtMs: undefined });
+    assert.equal(run.executor.incarnation, 0);
+    assert.deepEqual(before.task.runs, [before]);
+    assert.equal(run.phase, "unsettled");
+});
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -2,10 +2,12 @@
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
 import {
     acknowledgedEnd,
+    applyAcceptedStart,
     confirmStart,
     endIncarnation,
     markUnanswered,
     observeIncarnation,
+    type IncarnationEvidence,
 } from "@almondusher/scheduler/executor-incarnation";
 import { leaseUntil } from "@almondusher/scheduler/lease-time";
 import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
@@ -238,8 +240,7 @@
         const nowMs = context.monotonicMs();
         switch (result.kind) {
             case "accepted":
-                recordClock(result.clockMs, sentAtMs);
-                confirmStart(tables, run, nowMs);
+                acceptStart(run, result.clockMs, sentAtMs);
                 return;
             case "rejected":
                 recordClock(result.clockMs, sentAtMs);
@@ -265,16 +266,24 @@
                 return;
         }
     };
+    const acceptStart = (run: Run, clockMs: number | undefined, sentAtMs: number): void => {
+        if (clockMs === undefined) {
+            confirmStart(tables, run, context.monotonicMs());
+        } else {
+            applyAcceptedStart(tables, run, evidenceOf(clockMs, sentAtMs));
+        }
+    };
     const recordClock = (clockMs: number | undefined, sentAtMs: number): void => {
         if (clockMs !== undefined) {
-            observeIncarnation(executor, {
-                clockMs,
-                startedAtMs: undefined,
-                sentAtMs,
-                receivedAtMs: context.monotonicMs(),
-            });
+            observeIncarnation(executor, evidenceOf(clockMs, sentAtMs));
         }
     };
+    const evidenceOf = (clockMs: number, sentAtMs: number): IncarnationEvidence => ({
+        clockMs,
+        startedAtMs: undefined,
+        sentAtMs,
+        receivedAtMs: context.monotonicMs(),
+    });
     const logStartNotAccepted = (run: Run, reason: string): void => {
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -10,6 +10,8 @@
     | { readonly kind: "lost-answers" }
     /** Closes the connection instead of answering a start, and carries the start out after the delay. */
     | { readonly kind: "late-starts"; readonly delayMs: number }
+    /** Carries out the next start at once and answers it after the delay; later requests are answered at once. */
+    | { readonly kind: "held-answer"; readonly delayMs: number }
     /** Each run fails after 1 ms. */
     | { readonly kind: "fails" }
     /** Answers no requests. */
@@ -33,6 +35,8 @@
     endedAtMs: number | undefined;
     /** `done`, `failed`, `stopped`, `lapsed` or `crashed`; undefined while the run is active. */
     how: string | undefined;
+    /** A scheduler has acknowledged the end, and the executor's lease has not expired between the two. */
+    endAcknowledged: boolean;
 }
 
 /** Simulated executor whose runs are timers. */
@@ -110,6 +114,8 @@
     let endCount = 0;
     let highestToken = 0;
     let leaseEndMs = 0;
+    /** When the lease was last seen to have expired. */
+    let lastExpiryMs = 0;
     let born = Date.now();
     let clockStartMs = performance.now();
     let sequenceNumber = 0;
@@ -141,6 +147,7 @@
             startedAtMs: performance.now(),
             endedAtMs: undefined,
             how: undefined,
+            endAcknowledged: false,
             timer: undefined,
         };
         run.timer = setTimeout(
@@ -172,8 +179,14 @@
         beginRun(task, run);
         return reply(200, clockFields());
     };
-    const handleStartWithFault = (body: unknown): JsonReply => {
+    const handleStartWithFault = (body: unknown): Promise<JsonReply> | JsonReply => {
         switch (fault.kind) {
+            case "held-answer": {
+                const { delayMs } = fault;
+                fault = { kind: "none" };
+                const answer = handleStart(body);
+                return new Promise(resolve => setTimeout(() => resolve(answer), delayMs));
+            }
             case "lost-answers":
                 handleStart(body);
                 return { kind: "disconnect" };
@@ -200,6 +213,12 @@
         }
         return reply(200, clockFields());
     };
+    const acknowledgeEnds = (lastSeen: number): void => {
+        ends.filter(({ number }) => number <= lastSeen).forEach(({ run }) => {
+            run.endAcknowledged = (run.endedAtMs ?? 0) > lastExpiryMs;
+        });
+        ends = ends.filter(({ number }) => number > lastSeen);
+    };
     const handleHold = async (body: unknown): Promise<JsonReply> => {
         const {
             fence_token: fencingToken,
@@ -212,7 +231,7 @@
         }
         highestToken = fencingToken;
         leaseEndMs = Math.max(leaseEndMs, untilMs ?? 0);
-        ends = ends.filter(({ number }) => number > lastSeen);
+        acknowledgeEnds(lastSeen);
         if (ends.length === 0 && waitMs > 0) {
             await new Promise<void>(resolve => {
                 const timer = setTimeout(resolve, waitMs);
@@ -275,6 +294,7 @@
     const heartbeat = setInterval(register, HEARTBEAT_MS);
     const leaseCheck = setInterval(() => {
         if (clock() > leaseEndMs) {
+            lastExpiryMs = performance.now();
             [...active.values()].forEach(run => endRun(run, "lapsed"));
         }
     }, LEASE_CHECK_MS);
