--- a/pools/scheduler/test/executor-incarnation.test.ts
+++ b/pools/scheduler/test/executor-incarnation.test.ts
@@ -126,7 +126,7 @@
 
 // Responses on different connections may overtake each other; a late one took the executor for restarted, and its runs were
 // started again on another one.
-[60, 150, 250, 350].forEach(delayMs =>
+[60, 150, 250, 350].forEach(delayMs => {
     test(`a response that another one overtook by ${delayMs} ms is not taken for a restart`, () => {
         const { run } = startAfterRestart();
         const overtaking = { sentAtMs: delayMs, receivedAtMs: delayMs + 2, clockMs: OLD_CLOCK_MS + delayMs + 1 };
@@ -134,8 +134,8 @@
         observeIncarnation(run.executor, { ...overtaking, startedAtMs: undefined });
         observeIncarnation(run.executor, { ...late, startedAtMs: undefined });
         assert.equal(run.executor.incarnation, 0);
-    }),
-);
+    });
+});
 
 // The monotonic clock of a suspended VM stands still, so the time between two readings on it proves nothing.
 test("a response that was overtaken while the VM was suspended does not end runs, and its start counts as unanswered", () => {
