--- a/pools/scheduler/src/lease-time.ts
+++ b/pools/scheduler/src/lease-time.ts
@@ -23,11 +23,18 @@
         ? undefined
         : executor.clock.clockMs + SLOWEST_CLOCK_RATE * (nowMs - executor.clock.heardAtMs);
 
-/** End, on the executor's clock, of a lease of the given length; undefined while no reading of the clock is known. */
-export const leaseUntil = (executor: Executor, nowMs: number, lengthMs: number): number | undefined =>
-    executor.clock === undefined
-        ? undefined
-        : Math.floor(executor.clock.clockMs + (nowMs - executor.clock.heardAtMs) + lengthMs);
+/**
+ * End, on the executor's clock, of a lease of at most the given length; undefined while no reading of the clock is known.
+ * A lease computed from an old reading may be shorter, but never longer: a successor waits only for the given length.
+ */
+export const leaseUntil = (executor: Executor, nowMs: number, lengthMs: number): number | undefined => {
+    const clockMs = minClockMs(executor, nowMs);
+    return clockMs === undefined ? undefined : Math.floor(clockMs + lengthMs);
+};
+
+/** True if the known reading of the clock is so old that less than half of a lease of the given length may be granted. */
+export const isClockReadingOld = ({ clock }: Executor, nowMs: number, lengthMs: number): boolean =>
+    clock === undefined || (1 - SLOWEST_CLOCK_RATE) * (nowMs - clock.heardAtMs) > lengthMs / 2;
 
 /** True if a clock read after `sentAtMs` cannot belong to the incarnation of the known reading. */
 export const clockWentBack = (executor: Executor, clockMs: number, sentAtMs: number): boolean => {
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -7,7 +7,7 @@
     markUnanswered,
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
-import { leaseUntil } from "@almondusher/scheduler/lease-time";
+import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
 import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import {
@@ -61,7 +61,7 @@
 const REPORT_LONG_POLL_MS = 700;
 const RETRY_DELAY_MS = 250;
 const IDLE_POLL_MS = 60_000;
-// An unreachable executor is polled, because it can be used again once it answers; an idle reachable one is not.
+// An unreachable executor is polled, because it can be used again once it answers; an idle reachable one only for its clock.
 const UNREACHABLE_POLL_MS = 1000;
 const BACKOFF_AFTER_REJECTION_MS = 700;
 const BACKOFF_AFTER_UNANSWERED_START_MS = 1500;
@@ -225,12 +225,15 @@
         }
         return executor.reachable ? IDLE_POLL_MS : UNREACHABLE_POLL_MS;
     };
+    // An idle executor is asked for its clock if the registry has not told it for long.
+    const isClockReadingOldSoon = (): boolean =>
+        isClockReadingOld(executor, context.monotonicMs() + IDLE_POLL_MS, tables.runLeaseMs);
     const poll = async (): Promise<void> => {
         const pauseMs = pollDelayMs();
         if (pauseMs > 0) {
             await waitForPollRequest(pauseMs);
         }
-        if (!closed && (needsPolling() || !executor.reachable)) {
+        if (!closed && (needsPolling() || !executor.reachable || isClockReadingOldSoon())) {
             await pollReport();
         }
     };
@@ -241,18 +244,23 @@
                 recordClock(result.clockMs, sentAtMs);
                 confirmStart(tables, run, nowMs);
                 return;
-            case "rejected":
+            case "rejected": {
+                const isOwnReadingOld = isClockReadingOld(executor, sentAtMs, tables.runLeaseMs);
                 recordClock(result.clockMs, sentAtMs);
                 forgetRun(run);
                 logStartNotAccepted(run, result.reason);
                 if (result.reason === "ticket") {
                     owner.ticketRejected(run);
+                } else if (result.reason === "expired" && isOwnReadingOld && result.clockMs !== undefined) {
+                    // The lease was too short because of the old reading. The answer has a new one for the next start.
+                    return;
                 } else if (result.reason === "no-room") {
                     executor.backoffUntilMs = nowMs + BACKOFF_AFTER_NO_ROOM_MS;
                 } else {
                     handleRejection(result.reason);
                 }
                 return;
+            }
             case "not-sent":
                 forgetRun(run);
                 executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
--- /dev/null
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -0,0 +1,203 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { toId, type DataCentreName, type PoolName } from "@almondusher/fleet/ids";
+import { initialProgress } from "@almondusher/jobs/progress";
+import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
+import {
+    reply,
+    startJsonServer,
+    type JsonReply,
+    type JsonRequest,
+} from "@almondusher/job-platform-stand-in/json-server";
+import { admitJob } from "@almondusher/scheduler/admit-job";
+import { applyRegistry } from "@almondusher/scheduler/executor-table";
+import { addRun, createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
+
+const ID = "i-0" as ExecutorId;
+const JOB = "0000000000000001" as JobId;
+const POOL = toId<PoolName>("pool-a");
+const RUN_LEASE_MS = 4000;
+// Older than the age at which half of a lease may be missing.
+const OLD_READING_MS = 300_000;
+const STARTED_AT_MS = 1;
+const TIMEOUT_MS = 3000;
+
+interface Connected {
+    readonly tables: PoolTables;
+    readonly executor: Executor;
+    readonly connection: ExecutorConnection;
+    /** Requests that the executor has received. */
+    readonly requests: readonly JsonRequest[];
+    mayExtendLeases: boolean;
+}
+
+/** Connects to an idle executor whose clock is 0 at the start of this process, and which answers as given. */
+const connect = async (
+    context: TestContext,
+    answer: (request: JsonRequest) => JsonReply | Promise<JsonReply>,
+): Promise<Connected> => {
+    const requests: JsonRequest[] = [];
+    const server = await startJsonServer(request => {
+        requests.push(request);
+        return answer(request);
+    });
+    const tables = createPoolTables({
+        pool: POOL,
+        token: 1,
+        maxLeaseMs: 6000,
+        runLeaseMs: RUN_LEASE_MS,
+        stopTimeMs: 200,
+    });
+    applyRegistry(
+        tables,
+        [
+            {
+                id: ID,
+                vm: undefined,
+                pool: POOL,
+                address: server.address,
+                dataCentre: "dc-1" as DataCentreName,
+                draining: false,
+                remainingMs: undefined,
+                capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
+                labels: [],
+                startedAtMs: STARTED_AT_MS,
+                clockMs: undefined,
+            },
+        ],
+        performance.now(),
+    );
+    const executor = tables.executors.get(ID);
+    assert.ok(executor !== undefined);
+    executor.reconciled = true;
+    const state = { mayExtendLeases: true };
+    const connection = openExecutorConnection({
+        context: {
+            monotonicMs: () => performance.now(),
+            log: () => undefined,
+            metrics: { count: () => undefined, record: () => undefined },
+        } as unknown as DispatcherContext,
+        owner: {
+            tables,
+            mayExtendLeases: () => state.mayExtendLeases,
+            ended: () => undefined,
+            changed: () => undefined,
+            ticketRejected: () => undefined,
+            fenced: () => undefined,
+        },
+        executor,
+        orderLoad: { track: send => send(), takeSample: () => undefined },
+        orderWindow: {
+            track: (id, send) => send(),
+            createBudget: () => assert.fail("no orders are planned"),
+            size: () => 1,
+            forget: () => undefined,
+        },
+    });
+    context.after(async () => {
+        connection.close();
+        await server.close();
+    });
+    return Object.assign(state, { tables, executor, connection, requests });
+};
+
+const addTaskRun = (tables: PoolTables, executor: Executor, number: number): Run => {
+    admitJob(
+        tables,
+        {
+            job: {
+                id: JOB,
+                queue: toId<QueueName>("queue-1"),
+                pool: POOL,
+                spec: "",
+                steps: [
+                    {
+                        count: 1,
+                        demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
+                        estimateMs: 1000,
+                        after: [],
+                        checkpointing: false,
+                        gang: false,
+                        sameRack: false,
+                        requiredLabel: undefined,
+                        dataRack: undefined,
+                        maxPerExecutor: undefined,
+                        speculative: false,
+                        longRunning: false,
+                        image: undefined,
+                        latencyTargetMs: undefined,
+                        backfill: false,
+                        disruptionBudget: undefined,
+                    },
+                ],
+                schedule: undefined,
+                acceptedAtMs: 0,
+            },
+            progress: initialProgress,
+            progressVersion: 1,
+            arrivedAtMs: 0,
+            readAtMs: 0,
+            inherited: false,
+        },
+        0,
+    );
+    const task = tables.jobs.get(JOB)?.occurrences.get(0)?.[0]?.tasks[0];
+    assert.ok(task !== undefined);
+    return addRun({ task, number, executor, phase: "starting", startedAtMs: performance.now(), resumedFrom: "" });
+};
+
+const waitUntil = async (condition: () => boolean): Promise<void> => {
+    const endMs = performance.now() + TIMEOUT_MS;
+    while (!condition()) {
+        assert.ok(performance.now() < endMs, "the condition does not become true");
+        await sleep(5);
+    }
+};
+
+const setOldReading = (executor: Executor): void => {
+    executor.clock = { clockMs: 0, heardAtMs: performance.now() - OLD_READING_MS };
+};
+
+test("an executor that rejects a start because the known reading of its clock is old gets the next one at once", async context => {
+    const { tables, executor, connection } = await connect(context, ({ path, body }) => {
+        const { until_ms: untilMs } = body as { readonly until_ms: number };
+        return path === "/-/run-start" && untilMs > OLD_READING_MS
+            ? reply(200, { clock_ms: OLD_READING_MS })
+            : reply(409, { clock_ms: OLD_READING_MS, reason: "late" });
+    });
+    setOldReading(executor);
+    const first = addTaskRun(tables, executor, 1);
+    await connection.start(first, undefined);
+    assert.equal(executor.runs.size, 0);
+    assert.ok(executor.backoffUntilMs <= performance.now(), "the executor is not at fault");
+    const second = addTaskRun(tables, executor, 2);
+    await connection.start(second, undefined);
+    assert.equal(second.phase, "running");
+});
+
+test("an executor that rejects a start as late despite a recent reading of its clock gets no starts for a while", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(409, { clock_ms: 10, reason: "late" }));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    await connection.start(addTaskRun(tables, executor, 1), undefined);
+    assert.ok(executor.backoffUntilMs > performance.now());
+});
+
+test("an idle executor is asked for its clock before the known reading is so old that leases become short", async context => {
+    const { executor, connection, requests } = await connect(context, () =>
+        reply(200, { clock_ms: OLD_READING_MS, born: STARTED_AT_MS, active: [], ended: [] }),
+    );
+    executor.clock = { clockMs: 0, heardAtMs: performance.now() };
+    connection.pollNow();
+    await sleep(50);
+    assert.equal(requests.length, 0, "the reading is recent");
+    setOldReading(executor);
+    connection.pollNow();
+    await waitUntil(() => executor.clock?.clockMs === OLD_READING_MS);
+    assert.deepEqual(
+        requests.map(({ path }) => path),
+        ["/-/hold"],
+    );
+});
