--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -38,7 +38,7 @@
 } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
-import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs } from "./run-leases.js";
+import { inheritedWaitMs, mayActOnLease, RUN_LEASE_MS } from "./run-leases.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
 
@@ -94,9 +94,7 @@
 
     const previousExecutors = lease.predecessor?.executors ?? [];
     previousExecutors.forEach(executor => addUnregistered(tables, placeholderRecord(pool, executor)));
-    const predecessorUntilMs = lease.predecessor?.inheritedRunsUntilMs ?? Number.NEGATIVE_INFINITY;
-    tables.inheritedWaitUntilMs =
-        context.monotonicMs() + Math.max(takeoverWaitMs(lease), predecessorUntilMs - context.store.nowMs());
+    tables.inheritedWaitUntilMs = context.monotonicMs() + inheritedWaitMs(lease, context.store.nowMs());
 
     const isActive = (): boolean => active && !lease.lost;
     const isLeaseSafe = (): boolean =>
--- a/programs/dispatcher/src/run-leases.ts
+++ b/programs/dispatcher/src/run-leases.ts
@@ -47,13 +47,23 @@
 
 // Two processes know the store's clock to within the time that its responses take.
 const STORE_CLOCK_MARGIN_MS = 500;
+// All earlier holders have renewed for the last time when the lease is taken over, so no wait in a lease row is longer.
+const MAX_INHERITED_WAIT_MS = MAX_LEASE_AGE_MS + RUN_LEASE_MS / SLOWEST_CLOCK_RATE + STORE_CLOCK_MARGIN_MS;
 
 /**
- * Returns, on the store's clock, until when runs of any earlier holder may be active after a takeover. A predecessor that
- * held the lease for a short time may itself have waited for runs of those before it.
+ * Returns how long after a takeover runs of any earlier holder may still be active. A predecessor that held the lease for a
+ * short time may itself have waited for runs of those before it. A longer wait than possible, after the store's clock was set
+ * back or in a row of another writer, is shortened.
  */
-export const inheritedRunsUntilMs = (takeover: Takeover, storeNowMs: number): number =>
+export const inheritedWaitMs = (takeover: Takeover, storeNowMs: number): number =>
     Math.max(
-        storeNowMs + takeoverWaitMs(takeover) + STORE_CLOCK_MARGIN_MS,
-        takeover.predecessor?.inheritedRunsUntilMs ?? Number.NEGATIVE_INFINITY,
+        takeoverWaitMs(takeover),
+        Math.min(
+            (takeover.predecessor?.inheritedRunsUntilMs ?? Number.NEGATIVE_INFINITY) - storeNowMs,
+            MAX_INHERITED_WAIT_MS,
+        ),
     );
+
+/** Returns, on the store's clock, until when a successor has to wait for the runs of any earlier holder. */
+export const inheritedRunsUntilMs = (takeover: Takeover, storeNowMs: number): number =>
+    storeNowMs + Math.max(inheritedWaitMs(takeover, storeNowMs), takeoverWaitMs(takeover) + STORE_CLOCK_MARGIN_MS);
--- a/programs/dispatcher/test/run-leases.test.ts
+++ b/programs/dispatcher/test/run-leases.test.ts
@@ -3,6 +3,7 @@
 import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
 import {
     inheritedRunsUntilMs,
+    inheritedWaitMs,
     mayActOnLease,
     MAX_LEASE_AGE_MS,
     RUN_LEASE_MS,
@@ -56,3 +57,26 @@
     const later = untilMs + 60_000;
     assert.ok(inheritedRunsUntilMs(second, later) >= later + takeoverWaitMs(second), "the earlier wait is over");
 });
+
+// A store whose clock is set back, or a row of another writer, kept the tasks of earlier jobs waiting without end, and each
+// holder passed the time on to the next one.
+test("a time in the lease row that is later than any run can end does not prolong the wait", () => {
+    const storeNowMs = 100_000;
+    const longestMs = MAX_LEASE_AGE_MS + RUN_LEASE_MS / SLOWEST_CLOCK_RATE;
+    const odd = recordWith({ inheritedRunsUntilMs: storeNowMs + 3_600_000 });
+    const takeover = { predecessor: odd, predecessorEnded: true, unrenewedMs: 0 };
+    const waitMs = inheritedWaitMs(takeover, storeNowMs);
+    assert.ok(waitMs >= longestMs && waitMs <= longestMs + 1000);
+    const untilMs = inheritedRunsUntilMs(takeover, storeNowMs);
+    assert.ok(untilMs >= storeNowMs + longestMs && untilMs <= storeNowMs + longestMs + 1000);
+});
+
+test("a holder waits as long as its predecessor would have, also if that one has released the lease", () => {
+    const storeNowMs = 100_000;
+    const first = { predecessor: recordWith({}), predecessorEnded: false, unrenewedMs: 0 };
+    const untilMs = inheritedRunsUntilMs(first, storeNowMs);
+    const released = recordWith({ inheritedRunsUntilMs: untilMs });
+    const second = { predecessor: released, predecessorEnded: true, unrenewedMs: 0 };
+    assert.equal(inheritedWaitMs(second, storeNowMs + 300), untilMs - storeNowMs - 300);
+    assert.equal(inheritedWaitMs(second, untilMs + 1), takeoverWaitMs(second));
+});
