--- a/pools/scheduler/src/inherited-runs.ts
+++ b/pools/scheduler/src/inherited-runs.ts
@@ -1,5 +1,5 @@
 import { haveLeasesExpired } from "./lease-time.js";
-import type { Executor, PoolTables } from "./pool-tables.js";
+import { isLeaseHeldSince, type Executor, type PoolTables } from "./pool-tables.js";
 
 /** True if all active runs of the executor are known, although not all ends of its runs may be. */
 export const areRunsRead = ({ reconciled, hasUnreadEnds }: Executor): boolean => reconciled || hasUnreadEnds;
@@ -8,15 +8,19 @@
  * True once no run of the executor that a previous holder of the pool lease started, and no end of one, can be missing from
  * the tables: its runs and ends were read, or the wait until the leases of such runs have expired is over. The wait does
  * not replace reading the ends of an executor that lists more of them than one report holds, because this scheduler has
- * extended its leases since.
+ * extended its leases since. What follows from time alone needs a proof that the pool lease was held then: a successor may
+ * have adopted the runs and extended their leases.
  */
-export const areInheritedRunsOver = (
-    { inheritedWaitUntilMs }: PoolTables,
-    executor: Executor,
-    nowMs: number,
-): boolean => executor.reconciled || (nowMs >= inheritedWaitUntilMs && !mayListUnreadEnds(executor));
+export const areInheritedRunsOver = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
+    executor.reconciled ||
+    (nowMs >= tables.inheritedWaitUntilMs &&
+        isLeaseHeldSince(tables, tables.inheritedWaitUntilMs) &&
+        !mayListUnreadEnds(tables, executor));
 
 // Ends that the executor has not listed before the leases of its runs expired no longer count as known to the system, so
 // their tasks may run again.
-const mayListUnreadEnds = (executor: Executor): boolean =>
-    executor.hasUnreadEnds && (executor.reachable || !haveLeasesExpired(executor, executor.unansweredPollSentAtMs));
+const mayListUnreadEnds = (tables: PoolTables, executor: Executor): boolean =>
+    executor.hasUnreadEnds &&
+    (executor.reachable ||
+        !haveLeasesExpired(executor, executor.unansweredPollSentAtMs) ||
+        !isLeaseHeldSince(tables, executor.unansweredPollSentAtMs));
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -3,6 +3,7 @@
 import { orderSteps } from "./order-steps.js";
 import {
     addRun,
+    isLeaseHeldSince,
     isWaiting,
     type Executor,
     type OpenStep,
@@ -85,12 +86,6 @@
     executor.orphanedRuns.length === 0 &&
     executor.backoffUntilMs <= nowMs;
 
-/**
- * True if this process certainly held the pool lease at or after a time of the monotonic clock, in milliseconds. What it
- * learned until then is not outdated: a successor reads, or waits for, all runs that this process starts.
- */
-const isLeaseHeldSince = ({ leaseHeldAtMs }: PoolTables, timeMs: number): boolean => timeMs <= leaseHeldAtMs;
-
 /** True for a waiting task of which no successor can have adopted a run. */
 const mayStart = (tables: PoolTables, task: Task): boolean =>
     isWaiting(task) && isLeaseHeldSince(tables, task.givenUpAtMs);
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -263,6 +263,12 @@
     tables.leaseHeldAtMs = Math.max(tables.leaseHeldAtMs, heldAtMs);
 };
 
+/**
+ * True if this process certainly held the pool lease at or after a time of the monotonic clock, in milliseconds. What it
+ * learned until then is not outdated: a successor reads, or waits for, all runs that this process starts.
+ */
+export const isLeaseHeldSince = ({ leaseHeldAtMs }: PoolTables, timeMs: number): boolean => timeMs <= leaseHeldAtMs;
+
 /** Steps of all occurrences of a job that are due. */
 export const stepsOf = ({ occurrences }: OpenJob): readonly OpenStep[] =>
     // Nearly all jobs have one occurrence, and each pass lists the steps of every job.
--- a/pools/scheduler/test/inherited-runs.test.ts
+++ b/pools/scheduler/test/inherited-runs.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import type { EndedRun } from "@almondusher/jobs/executor";
-import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
+import { recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { confirmStart } from "../src/executor-incarnation.js";
 import { areInheritedRunsKnown } from "../src/place-tasks.js";
 import { planStops } from "../src/plan-stops.js";
@@ -19,8 +19,9 @@
     place(tables).forEach(run => confirmStart(tables, run, run.startedAtMs));
 
 /** Tables of a new holder that has read nothing of its executors yet and has a job of two tasks from before. */
-const takenOver = (executors: readonly string[] = ["a"]): PoolTables => {
+const takenOver = (executors: readonly string[] = ["a"], leaseHeldAtMs = Infinity): PoolTables => {
     const tables = createPool({
+        leaseHeldAtMs,
         executors: executors.map(id => record(id)),
         jobs: [{ id: "j1", steps: [step({ count: 2 })], inherited: true }],
     });
@@ -87,6 +88,33 @@
     assert.equal(areInheritedRunsKnown(tables, 14_600), true);
 });
 
+// The holder that waited lost its path to the store before the end of the wait. The next one reached the executor, had adopted
+// the runs of the first one and extended them.
+test("the wait for an unreachable executor ends only with a proof that no successor has adopted its runs", () => {
+    const tables = takenOver(["a", "b"], 6000);
+    receiveReport(tables, "b", {});
+    loseContact(executorOf(tables, "a"), 9900);
+    assert.equal(areInheritedRunsKnown(tables, 10_100), false);
+    assert.equal(place(tables, 10_100).length, 0);
+    recordLeaseHeld(tables, 9999);
+    assert.equal(place(tables, 10_200).length, 0, "the wait was not over then");
+    recordLeaseHeld(tables, 10_000);
+    assert.equal(place(tables, 10_300).length, 2);
+});
+
+test("unread ends of an executor that fell silent count as unknown only with a proof that no successor has read them", () => {
+    const tables = takenOver(["a", "b"], 12_000);
+    receiveReport(tables, "a", { ended: [done(0, 7)], endsTruncated: true });
+    receiveReport(tables, "b", {});
+    const executor = executorOf(tables, "a");
+    executor.clock = { clockMs: 1000, heardAtMs: 0 };
+    executor.leaseUntilMs = 13_000;
+    loseContact(executor, 14_500);
+    assert.equal(place(tables, 14_600).length, 0);
+    recordLeaseHeld(tables, 14_600);
+    assert.equal(place(tables, 14_600).length, 1);
+});
+
 test("a new incarnation of an executor has no unread ends of the one before", () => {
     const tables = takenOver();
     receiveReport(tables, "a", { ended: [done(0, 7)], endsTruncated: true });
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -4,7 +4,7 @@
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { createPoolTables, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { createPoolTables, recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { listExecutors } from "../src/pool-lease-content.js";
 
 const POOL = toId<PoolName>("pool-a");
@@ -63,5 +63,7 @@
     const tables = tablesWithEvacuation({ evacuation: undefined, reconciled: false, reachable: false });
     assert.deepEqual(listedIds(tables), ["a", "b"], "runs of earlier holders may be active on it");
     tables.inheritedWaitUntilMs = NOW_MS;
+    assert.deepEqual(listedIds(tables), ["a", "b"], "a successor may have adopted such runs before the wait was over");
+    recordLeaseHeld(tables, NOW_MS);
     assert.deepEqual(listedIds(tables), ["a"]);
 });
