--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -1,9 +1,10 @@
-import { occurrencesOf, stepIdOf, taskIdOf, type Job, type Step } from "@almondusher/jobs/job";
+import type { Job } from "@almondusher/jobs/job";
 import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
-import type { ExecutorId, JobId } from "@almondusher/jobs/ids";
+import type { JobId } from "@almondusher/jobs/ids";
 import { completeIfDone } from "./apply-report.js";
 import { markStarted } from "./job-progress.js";
-import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
+import { addOccurrence, openDueOccurrences } from "./open-occurrences.js";
+import type { OpenJob, PoolTables, Task } from "./pool-tables.js";
 
 // Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows.
 const MAX_FINISHED_JOBS = 20_000;
@@ -86,45 +87,8 @@
 /** True for the progress of a job in a final state. */
 const isFinal = ({ state }: Progress): boolean => state === "completed" || state === "failed" || state === "cancelled";
 
-/** Creates the steps of the occurrences that are due; returns true if there is a new one. */
-export const openDueOccurrences = (open: OpenJob, wallMs: number): boolean => {
-    const due = Array.from({ length: occurrencesOf(open.job) }, (unused, occurrence) => occurrence)
-        .filter(occurrence => !open.occurrences.has(occurrence))
-        .filter(occurrence => dueAtMs(open.job, occurrence) <= wallMs);
-    due.forEach(occurrence => open.occurrences.set(occurrence, openSteps(open, occurrence)));
-    return due.length > 0;
-};
-
-/** Unix time in milliseconds at which an occurrence may start; 0 for a job without a schedule. */
-const dueAtMs = ({ schedule }: Job, occurrence: number): number =>
-    schedule === undefined ? 0 : schedule.firstRunMs + occurrence * schedule.intervalMs;
-
-const openSteps = (job: OpenJob, occurrence: number): readonly OpenStep[] =>
-    job.job.steps.map((step, index) => openStep(job, occurrence, step, index));
-
-const openStep = (job: OpenJob, occurrence: number, step: Step, index: number): OpenStep => {
-    const id = stepIdOf(job.id, occurrence, index);
-    const tasks: Task[] = [];
-    const open: OpenStep = { id, job, occurrence, index, step, tasks, remaining: step.count, criticalPath: undefined };
-    tasks.push(
-        ...Array.from({ length: step.count }, (unused, taskIndex) => ({
-            id: taskIdOf(id, taskIndex),
-            step: open,
-            index: taskIndex,
-            done: false,
-            failures: 0,
-            failedRuns: new Set<number>(),
-            countedUpToRun: 0,
-            checkpoint: "",
-            givenUpAtMs: Number.NEGATIVE_INFINITY,
-            runs: [],
-            failedOn: new Set<ExecutorId>(),
-        })),
-    );
-    return open;
-};
-
 const restoreStep = (job: OpenJob, progress: StepProgress): void => {
+    // Stored progress of an occurrence shows that it was due, even if this process's clock is behind.
     const step = (job.occurrences.get(progress.occurrence) ?? addOccurrence(job, progress.occurrence))[progress.step];
     if (step === undefined) {
         return;
@@ -158,10 +122,3 @@
     uncounted.forEach(run => task.failedRuns.add(run));
     task.failures = Math.max(task.failures + uncounted.length, attempts);
 };
-
-// Stored progress of an occurrence shows that it was due, even if this process's clock is behind.
-const addOccurrence = (job: OpenJob, occurrence: number): readonly OpenStep[] => {
-    const steps = openSteps(job, occurrence);
-    job.occurrences.set(occurrence, steps);
-    return steps;
-};
--- a/pools/scheduler/src/adopt-run.ts
+++ b/pools/scheduler/src/adopt-run.ts
@@ -1,13 +1,14 @@
 import type { ActiveRun } from "@almondusher/jobs/executor";
 import { isJobEnded, markStarted } from "./job-progress.js";
-import { addRun, findTask, markForStop, type Executor, type PoolTables } from "./pool-tables.js";
+import { findReportedTask } from "./open-occurrences.js";
+import { addRun, markForStop, type Executor, type PoolTables } from "./pool-tables.js";
 
 /**
  * Adds a run that an executor reports and that is not in the tables: the previous holder of the pool lease started it, or
  * its task is finished or unknown.
  */
 export const adoptRun = (tables: PoolTables, executor: Executor, active: ActiveRun, nowMs: number): void => {
-    const task = findTask(tables, active.task);
+    const task = findReportedTask(tables, active.task);
     if (task === undefined || task.done || isJobEnded(task.step.job)) {
         addOrphanedRun(executor, active);
         return;
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -3,9 +3,9 @@
 import { haveLeasesExpired, hasLongestLeaseExpired } from "./lease-time.js";
 import { learnRunTime } from "./run-times.js";
 import { adoptRun } from "./adopt-run.js";
+import { findReportedTask } from "./open-occurrences.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
 import {
-    findTask,
     forgetRun,
     giveUpRun,
     markForStop,
@@ -123,7 +123,7 @@
 };
 
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
-    const task = findTask(tables, end.task);
+    const task = findReportedTask(tables, end.task);
     const run = runOf(executor, end.task, end.run);
     if (run !== undefined) {
         forgetRun(run);
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -1,7 +1,7 @@
 import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
 import type { ExecutorRecord, RunReport } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
-import type { Job, Step } from "@almondusher/jobs/job";
+import type { Job, Schedule, Step } from "@almondusher/jobs/job";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
@@ -92,6 +92,7 @@
     readonly inherited?: boolean;
     readonly readAtMs?: number;
     readonly arrivedAtMs?: number;
+    readonly schedule?: Schedule;
 }
 
 /** Creates the tables of a pool whose executors can start runs. */
@@ -128,7 +129,7 @@
 
 export const addJob = (
     tables: PoolTables,
-    { id, steps, progress, inherited, arrivedAtMs, readAtMs }: JobFixture,
+    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule }: JobFixture,
 ): void => {
     const job: Job = {
         id: toId<JobId>(id),
@@ -136,7 +137,7 @@
         pool: POOL,
         spec: "text",
         steps,
-        schedule: undefined,
+        schedule,
         acceptedAtMs: 0,
     };
     admitJob(
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -1,8 +1,9 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import { admitJob, closeJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { admitJob, closeJob } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand, recordArrival } from "@almondusher/scheduler/demand";
 import { addUnregistered } from "@almondusher/scheduler/executor-table";
+import { openDueOccurrences } from "@almondusher/scheduler/open-occurrences";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/place-tasks";
 import {
     createPoolTables,
