--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -5,7 +5,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { createPoolTables, recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { listExecutors } from "../src/pool-lease-content.js";
+import { completedEvacuations, listExecutors } from "../src/pool-lease-content.js";
 
 const POOL = toId<PoolName>("pool-a");
 
@@ -67,3 +67,19 @@
     recordLeaseHeld(tables, NOW_MS);
     assert.deepEqual(listedIds(tables), ["a"]);
 });
+
+// The executor was out of reach for the new holder only, and the VM would be moved with the runs on it.
+test("an evacuation is not reported as complete while an executor that a new holder cannot reach may have earlier runs", () => {
+    const tables = tablesWithEvacuation({ reconciled: false, reachable: false });
+    assert.deepEqual(completedEvacuations(tables, NOW_MS), []);
+    tables.inheritedWaitUntilMs = NOW_MS;
+    recordLeaseHeld(tables, NOW_MS);
+    assert.deepEqual(completedEvacuations(tables, NOW_MS), ["1-1"]);
+});
+
+test("an evacuation is complete once the runs of its executor were read, also if it does not respond any more", () => {
+    [true, false].forEach(reachable =>
+        assert.deepEqual(completedEvacuations(tablesWithEvacuation({ reachable }), NOW_MS), ["1-1"]),
+    );
+    assert.deepEqual(completedEvacuations(tablesWithEvacuation({ reconciled: false }), NOW_MS), []);
+});
