--- a/programs/dispatcher/src/job-admission.ts
+++ b/programs/dispatcher/src/job-admission.ts
@@ -1,4 +1,5 @@
-import { admitJob, openDueOccurrences } from "@almondusher/scheduler/admit-job";
+import { admitJob } from "@almondusher/scheduler/admit-job";
+import { openDueOccurrences } from "@almondusher/scheduler/open-occurrences";
 import { recordArrival, type DemandHistory } from "@almondusher/scheduler/demand";
 import { endJob } from "@almondusher/scheduler/apply-report";
 import { isJobEnded } from "@almondusher/scheduler/job-progress";
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -36,7 +36,7 @@
 } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
-import { mayActOnLease, RUN_LEASE_MS, takeoverWaitMs } from "./run-leases.js";
+import { inheritedWaitMs, mayActOnLease, RUN_LEASE_MS } from "./run-leases.js";
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
@@ -93,9 +93,7 @@
 
     const previousExecutors = lease.predecessor?.executors ?? [];
     previousExecutors.forEach(executor => addUnregistered(tables, placeholderRecord(pool, executor)));
-    const predecessorUntilMs = lease.predecessor?.inheritedRunsUntilMs ?? Number.NEGATIVE_INFINITY;
-    tables.inheritedWaitUntilMs =
-        context.monotonicMs() + Math.max(takeoverWaitMs(lease), predecessorUntilMs - context.store.nowMs());
+    tables.inheritedWaitUntilMs = context.monotonicMs() + inheritedWaitMs(lease, context.store.nowMs());
 
     const isActive = (): boolean => active && !lease.lost;
     const isLeaseSafe = (): boolean =>
@@ -223,7 +221,7 @@
             });
     };
     const publishCompletedEvacuations = (): void => {
-        const completed = completedEvacuations(tables).join();
+        const completed = completedEvacuations(tables, context.monotonicMs()).join();
         if (completed !== lastCompletedEvacuations) {
             lastCompletedEvacuations = completed;
             options.requestRenewal();
@@ -292,7 +290,7 @@
             inheritedRunsUntilMs: areInheritedRunsKnown(tables, context.monotonicMs())
                 ? undefined
                 : lease.inheritedRunsUntilMs,
-            vacated: jobsLoaded ? completedEvacuations(tables) : [],
+            vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
         }),
         onLeaseRenewed: ({ executors }) => {
