--- a/programs/dispatcher/src/pool-lease-content.ts
+++ b/programs/dispatcher/src/pool-lease-content.ts
@@ -10,12 +10,15 @@
 export const pendingCounts = (tables: PoolTables): readonly PendingCount[] =>
     [...countPendingJobs(tables)].map(([queue, jobs]) => ({ queue, jobs }));
 
-/** Returns the IDs of the evacuations whose VMs have no runs left. */
-export const completedEvacuations = (tables: PoolTables): readonly string[] => {
+/**
+ * Returns the IDs of the evacuations whose VMs have no runs left. On an executor that cannot be reached runs of an earlier
+ * holder may be active until their leases have expired.
+ */
+export const completedEvacuations = (tables: PoolTables, nowMs: number): readonly string[] => {
     const executors = [...tables.executors.values()].filter(({ evacuation }) => evacuation !== undefined);
     // A VM may have an entry for an earlier executor in addition to that of its current one.
     const incompleteIds = new Set(
-        executors.filter(executor => !isEvacuated(executor)).map(({ evacuation }) => evacuation?.id),
+        executors.filter(executor => !isEvacuated(tables, executor, nowMs)).map(({ evacuation }) => evacuation?.id),
     );
     const ids = new Set(executors.map(({ evacuation }) => evacuation?.id).filter(id => id !== undefined));
     return [...ids].filter(id => !incompleteIds.has(id));
@@ -47,8 +50,10 @@
     return [...listed].map(({ id, record }) => ({ id, address: record.address }));
 };
 
-const isEvacuated = (executor: Executor): boolean =>
-    executor.runs.size === 0 && executor.orphanedRuns.length === 0 && (executor.reconciled || !executor.reachable);
+const isEvacuated = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
+    executor.runs.size === 0 &&
+    executor.orphanedRuns.length === 0 &&
+    (executor.reconciled || (!executor.reachable && areInheritedRunsOver(tables, executor, nowMs)));
 
 /** Returns a placeholder for an executor of which only the address is known until its registry entry has been read. */
 export const placeholderRecord = (pool: PoolName, { id, address }: ListedExecutor): Executor["record"] => ({
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -279,7 +279,7 @@
             });
     };
     const publishCompletedEvacuations = (): void => {
-        const completed = completedEvacuations(tables).join();
+        const completed = completedEvacuations(tables, context.monotonicMs()).join();
         if (completed !== lastCompletedEvacuations) {
             lastCompletedEvacuations = completed;
             options.requestRenewal();
@@ -348,7 +348,7 @@
             inheritedRunsUntilMs: areInheritedRunsKnown(tables, context.monotonicMs())
                 ? undefined
                 : lease.inheritedRunsUntilMs,
-            vacated: jobsLoaded ? completedEvacuations(tables) : [],
+            vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
         }),
         onLeaseRenewed: ({ executors }) => {
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -5,7 +5,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { createPoolTables, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { listExecutors } from "../src/pool-lease-content.js";
+import { completedEvacuations, listExecutors } from "../src/pool-lease-content.js";
 
 const POOL = toId<PoolName>("pool-a");
 
@@ -65,3 +65,16 @@
     tables.inheritedWaitUntilMs = NOW_MS;
     assert.deepEqual(listedIds(tables), ["a"]);
 });
+
+// The fleet manager moves or maintains the VM next, which ends everything on it. A former holder that reaches the executor may
+// extend its runs there and start more.
+test("an evacuation is not over while runs of an earlier holder may be active on an executor that was never reached", () => {
+    const tables = tablesWithEvacuation({ reconciled: false, reachable: false });
+    assert.deepEqual(completedEvacuations(tables, NOW_MS), []);
+    assert.deepEqual(completedEvacuations(tables, NOW_MS + 1), ["1-1"]);
+});
+
+test("an evacuation is over once an executor that was read has no runs, whether it can be reached or not", () => {
+    assert.deepEqual(completedEvacuations(tablesWithEvacuation({}), NOW_MS), ["1-1"]);
+    assert.deepEqual(completedEvacuations(tablesWithEvacuation({ reachable: false }), NOW_MS), ["1-1"]);
+});
