--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -122,6 +122,16 @@
             pool: name,
             record: leases.freshRecord({ kind: "pool", pool: name }, MAX_POOL_RECORD_AGE_MS),
         }));
+    // Only the pool that a VM belongs to knows its runs. The pool that it was moved from may still list an executor that ended
+    // with the move, and so report the VM as evacuated.
+    const vacatedVms = (records: readonly PoolRecord[]): ReadonlySet<VmId> => {
+        const idsByPool = new Map(records.map(({ pool, record }) => [pool, new Set(record?.vacated ?? [])]));
+        const isVacated = ([vm, { id }]: readonly [VmId, FleetEvacuation]): boolean => {
+            const pool = vms.get(vm)?.pool;
+            return pool !== undefined && (idsByPool.get(pool)?.has(id) ?? false);
+        };
+        return new Set([...evacuations.entries].filter(isVacated).map(([vm]) => vm));
+    };
     const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
         const order: VmOrder = { purpose, sentAtMs: context.monotonicMs(), confirmedAtMs: undefined };
         orders.set(vm, order);
@@ -286,8 +296,7 @@
             return;
         }
         const records = poolRecords();
-        const vacatedIds = new Set(records.flatMap(({ record }) => record?.vacated ?? []));
-        const vacated = new Set([...evacuations.entries].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
+        const vacated = vacatedVms(records);
         dropCompletedMoves();
         const needs = forecastPoolNeeds(records);
         applyMaintenancePlan({
--- /dev/null
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -0,0 +1,153 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test, type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { toId, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import { startFleetManager, type FleetManager } from "../src/fleet-manager.js";
+import type { HeldLease, LeaseManager } from "../src/lease-manager.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
+import type { OperatorFeed, RequestedWave } from "../src/operator-feed.js";
+
+const POOL_A = toId<PoolName>("pool-a");
+const POOL_B = toId<PoolName>("pool-b");
+const SPARE_POOL = toId<PoolName>("pool-spare");
+const VM = toId<VmId>("vm-1");
+const EPOCH = 5;
+const TIMEOUT_MS = 5000;
+// Longer than several ticks of the fleet manager.
+const SEVERAL_TICKS_MS = 500;
+
+interface StartedFleet {
+    readonly manager: FleetManager;
+    /** Paths of the orders that the VM service has received. */
+    readonly orders: readonly string[];
+    readonly lists: () => number;
+    /** Pool in which the VM is listed; the list fails if undefined. */
+    listedPool: PoolName | undefined;
+    /** Pool leases as the fleet manager reads them. */
+    readonly records: Map<PoolName, LeaseRecord>;
+    readonly waves: RequestedWave[];
+    /** Adds to the monotonic clock. */
+    advance: (ms: number) => void;
+}
+
+const recordOf = (change: Partial<LeaseRecord>): LeaseRecord => ({
+    ...emptyLeaseContent,
+    holder: toId<VmId>("entry-2"),
+    process: undefined,
+    epoch: 1,
+    ...change,
+});
+
+/** Starts a fleet manager whose lease is always held, with one VM. */
+const startFleet = async (
+    context: TestContext,
+    { listedPool, predecessor }: { readonly listedPool: PoolName; readonly predecessor?: LeaseRecord },
+): Promise<StartedFleet> => {
+    const orders: string[] = [];
+    let lists = 0;
+    let advancedMs = 0;
+    const server = createServer((request, response) => {
+        const answer = (status: number, body: object): void => {
+            response.writeHead(status);
+            response.end(JSON.stringify(body));
+        };
+        request.resume().on("end", () => {
+            if (request.method === "POST") {
+                orders.push(request.url ?? "");
+                answer(200, {});
+                return;
+            }
+            lists++;
+            const pool = started.listedPool;
+            answer(
+                pool === undefined ? 503 : 200,
+                pool === undefined ? {} : { machines: [{ machine: VM, pool, state: "up", zone: "dc", id: "i-1" }] },
+            );
+        });
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const lease: HeldLease = {
+        subject: { kind: "fleet" },
+        epoch: EPOCH,
+        predecessor,
+        predecessorEnded: false,
+        unrenewedMs: 0,
+        inheritedRunsUntilMs: 0,
+        renewedAtMs: Infinity,
+        renewedWallMs: Infinity,
+        version: 1,
+        lost: false,
+    };
+    const records = new Map<PoolName, LeaseRecord>();
+    const waves: RequestedWave[] = [];
+    const pools = [POOL_A, POOL_B, SPARE_POOL].map(name => ({ name, spare: name === SPARE_POOL }));
+    const manager = startFleetManager({
+        context: {
+            settings: {
+                vmServiceAddress: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+                vmOrderFencing: { kind: "enforced" },
+                moveSeconds: 1,
+                maintenanceSeconds: 1,
+            },
+            vm: toId<VmId>("entry-1"),
+            monotonicMs: () => performance.now() + advancedMs,
+            log: () => undefined,
+            metrics: { count: () => undefined },
+            store: {
+                nowMs: () => 0,
+                transact: () => Promise.resolve({ kind: "committed", version: 1, nowMs: 0 }),
+            },
+        } as unknown as DispatcherContext,
+        lease,
+        operator: { configuration: () => ({ pools }), waves: () => waves } as unknown as OperatorFeed,
+        leases: {
+            freshRecord: ({ pool }: { readonly pool: PoolName }) => records.get(pool),
+            renew: () => Promise.resolve(true),
+        } as unknown as LeaseManager,
+        requestRenewal: () => undefined,
+    });
+    context.after(async () => {
+        await manager.stop();
+        server.closeAllConnections();
+        server.close();
+    });
+    const started: StartedFleet = {
+        manager,
+        orders,
+        lists: () => lists,
+        listedPool,
+        records,
+        waves,
+        advance: ms => (advancedMs += ms),
+    };
+    return started;
+};
+
+const waitUntil = async (what: string, check: () => boolean): Promise<void> => {
+    const endMs = performance.now() + TIMEOUT_MS;
+    while (!check()) {
+        assert.ok(performance.now() < endMs, `${what}: not within ${TIMEOUT_MS} ms`);
+        await sleep(5);
+    }
+};
+
+// The registration of the executor that ended with the move lasts for some seconds, so the former pool still has an entry for
+// the VM, without runs.
+test("a VM is not maintained because the pool that it was moved from reports it as evacuated", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_B });
+    const request = { wave: 1, vms: [VM], withinMs: 60_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    await waitUntil("the evacuation", () => fleet.manager.leaseContent().evacuations.length > 0);
+    const [evacuation] = fleet.manager.leaseContent().evacuations;
+    assert.ok(evacuation !== undefined);
+    fleet.records.set(POOL_A, recordOf({ vacated: [evacuation.id] }));
+    fleet.records.set(POOL_B, recordOf({}));
+    await sleep(SEVERAL_TICKS_MS);
+    assert.deepEqual(fleet.orders, [], "ordered while the VM's own pool has runs there");
+    fleet.records.set(POOL_B, recordOf({ vacated: [evacuation.id] }));
+    await waitUntil("the order", () => fleet.orders.length > 0);
+    assert.deepEqual(fleet.orders, ["/-/machine-upkeep"]);
+});
