--- a/programs/dispatcher/src/fleet-evacuations.ts
+++ b/programs/dispatcher/src/fleet-evacuations.ts
@@ -21,8 +21,11 @@
     readonly add: (vm: VmId, purpose: FleetEvacuation["purpose"]) => FleetEvacuation;
     /** Returns false if the VM was not being evacuated. */
     readonly remove: (vm: VmId) => boolean;
-    /** VMs that an order sent by the previous fleet manager may still reach. */
-    readonly withPendingInheritedOrder: () => readonly VmId[];
+    /**
+     * VMs on which an order sent by the previous fleet manager may have had an effect that a list of VMs does not show, or may
+     * still have one. `listedAtMs` is the monotonic time at which the list was requested, in milliseconds.
+     */
+    readonly withPendingInheritedOrder: (listedAtMs: number) => readonly VmId[];
     /** Content for the fleet lease. */
     readonly stored: () => LeaseContent["evacuations"];
 }
@@ -39,7 +42,7 @@
 
 /**
  * Starts with the evacuations of the previous fleet manager. Those with an order stay for a while even if no wave needs
- * them any more, since the order may still arrive.
+ * them any more, since the order may still arrive, and until a later list shows what it has done.
  */
 export const createFleetEvacuations = ({ context, lease }: FleetEvacuationsOptions): FleetEvacuations => {
     const entries = new Map<VmId, FleetEvacuation>(
@@ -65,8 +68,8 @@
             return evacuation;
         },
         remove: vm => entries.delete(vm),
-        withPendingInheritedOrder: () =>
-            context.monotonicMs() < inheritedOrdersUntilMs ? [...inheritedOrders].filter(vm => entries.has(vm)) : [],
+        withPendingInheritedOrder: listedAtMs =>
+            listedAtMs < inheritedOrdersUntilMs ? [...inheritedOrders].filter(vm => entries.has(vm)) : [],
         stored: () => [...entries].map(([vm, { id, byMs, ordered }]) => ({ vm, id, byMs, ordered })),
     };
 };
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -193,7 +193,9 @@
                 evacuations: new Set(evacuations.entries.keys()),
                 vacated,
                 losing,
-                possiblyDown: new Set(evacuations.withPendingInheritedOrder().filter(vm => !orders.has(vm))),
+                possiblyDown: new Set(
+                    evacuations.withPendingInheritedOrder(listedAtMs()).filter(vm => !orders.has(vm)),
+                ),
             },
             {
                 nowMs: context.monotonicMs(),
@@ -285,7 +287,7 @@
             .forEach(([vm]) => releaseVm(vm));
     };
     const dropUnneededEvacuations = (): void => {
-        const waiting = new Set([...vmsAwaitingMaintenance(), ...evacuations.withPendingInheritedOrder()]);
+        const waiting = new Set([...vmsAwaitingMaintenance(), ...evacuations.withPendingInheritedOrder(listedAtMs())]);
         [...evacuations.entries]
             .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
             .forEach(([vm]) => releaseVm(vm));
--- a/programs/dispatcher/test/fleet-evacuations.test.ts
+++ b/programs/dispatcher/test/fleet-evacuations.test.ts
@@ -31,17 +31,14 @@
     assert.equal(evacuations.stored().length, 3);
 });
 
-test("a VM that an inherited order may still reach counts as such until it is released or the order cannot arrive", () => {
-    let nowMs = 0;
+test("a VM that an inherited order may still reach counts as such until it is released or a list shows what the order has done", () => {
     const evacuations = createFleetEvacuations({
-        context: { monotonicMs: () => nowMs, store: { nowMs: () => 1000 } },
+        context: { monotonicMs: () => 0, store: { nowMs: () => 1000 } },
         lease: { epoch: 4, predecessor },
     });
-    assert.deepEqual(evacuations.withPendingInheritedOrder(), [ORDERED]);
-    nowMs = LATE_ORDER_MS;
-    assert.deepEqual(evacuations.withPendingInheritedOrder(), []);
-    nowMs = 0;
+    assert.deepEqual(evacuations.withPendingInheritedOrder(0), [ORDERED]);
+    assert.deepEqual(evacuations.withPendingInheritedOrder(LATE_ORDER_MS), []);
     assert.equal(evacuations.remove(ORDERED), true);
-    assert.deepEqual(evacuations.withPendingInheritedOrder(), []);
+    assert.deepEqual(evacuations.withPendingInheritedOrder(0), []);
     assert.equal(evacuations.remove(ORDERED), false);
 });
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -18,6 +18,10 @@
 const TIMEOUT_MS = 5000;
 // Longer than several ticks of the fleet manager.
 const SEVERAL_TICKS_MS = 500;
+// Longer than several intervals between lists.
+const SEVERAL_LISTS_MS = 1500;
+// Longer than an unanswered order may take to be carried out.
+const LATE_ORDER_MS = 60_000;
 
 interface StartedFleet {
     readonly manager: FleetManager;
@@ -151,3 +155,27 @@
     await waitUntil("the order", () => fleet.orders.length > 0);
     assert.deepEqual(fleet.orders, ["/-/machine-upkeep"]);
 });
+
+// The order of the former fleet manager may have moved the VM into a pool since that list was read. Without the evacuation the
+// pool starts tasks there, and a VM that the old list shows as spare counts as empty.
+test("an evacuation with an order of the former fleet manager is not dropped on a list from before the order's last time", async context => {
+    const fleet = await startFleet(context, {
+        listedPool: SPARE_POOL,
+        predecessor: recordOf({ evacuations: [{ vm: VM, id: "4-1", byMs: 0, ordered: true }] }),
+    });
+    await waitUntil("the first list", () => fleet.lists() > 0);
+    await sleep(SEVERAL_TICKS_MS / 2);
+    fleet.listedPool = undefined;
+    fleet.advance(LATE_ORDER_MS);
+    const demand = { neededVms: 1, wantedVms: 1, removable: [], losing: [] };
+    fleet.records.set(POOL_A, recordOf({ demand }));
+    await sleep(SEVERAL_LISTS_MS);
+    assert.deepEqual(
+        fleet.manager.leaseContent().evacuations.map(({ id }) => id),
+        ["4-1"],
+    );
+    assert.deepEqual(fleet.orders, [], "moved a VM that an old list shows as spare");
+    fleet.listedPool = POOL_A;
+    await waitUntil("the end of the evacuation", () => fleet.manager.leaseContent().evacuations.length === 0);
+    assert.deepEqual(fleet.orders, []);
+});
