--- a/programs/dispatcher/src/fleet-evacuations.ts
+++ b/programs/dispatcher/src/fleet-evacuations.ts
@@ -3,6 +3,7 @@
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { HeldLease } from "./lease-manager.js";
 import type { LeaseContent } from "./lease-rows.js";
+import { MAX_ORDER_DELAY_MS } from "./vm-order-limits.js";
 import type { OrderPurpose } from "./vm-orders.js";
 
 /** A request of the fleet manager to the schedulers to evacuate a VM. */
@@ -37,9 +38,6 @@
     readonly lease: Pick<HeldLease, "epoch" | "predecessor">;
 }
 
-// An order that was not answered may still be carried out up to this much later.
-const MAX_ORDER_DELAY_MS = 13_000;
-
 /**
  * Starts with the evacuations of the previous fleet manager. Those with an order stay for a while even if no wave needs
  * them any more, since the order may still arrive, and until a later list shows what it has done.
--- a/programs/dispatcher/src/vm-order-limits.ts
+++ b/programs/dispatcher/src/vm-order-limits.ts
@@ -3,6 +3,8 @@
 
 /** Time limit of an order that may use it in full, in milliseconds. */
 const ORDER_TIMEOUT_MS = 1000;
+/** An order that was not answered may still be carried out up to this much later, in milliseconds. */
+export const MAX_ORDER_DELAY_MS = 13_000;
 // A fleet manager whose lease was renewed longer ago sends no orders, because another may have taken over.
 const MAX_LEASE_AGE_MS = 2500;
 // Where nothing rejects late orders, the connection of an order is reset at this age of the lease at the latest, before
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -1,6 +1,7 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { VmClient, VmOrderLimits, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { MAX_ORDER_DELAY_MS } from "./vm-order-limits.js";
 
 export type OrderPurpose =
     { readonly kind: "maintenance"; readonly wave: number } | { readonly kind: "move"; readonly to: PoolName };
@@ -33,7 +34,8 @@
 
 /**
  * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, until the lease is lost. While
- * `timeoutMs` returns 0, it waits, also if an order already waits for a connection. Orders are idempotent.
+ * `timeoutMs` returns 0, it waits, also if an order already waits for a connection. Orders are idempotent. An order for a busy
+ * VM is repeated while an earlier attempt may still be carried out, and is refused afterwards.
  */
 export const sendOrder = async ({
     context,
@@ -44,6 +46,7 @@
     isActive,
     retryDelayMs,
 }: SendOrderOptions): Promise<OrderOutcome> => {
+    let unansweredAtMs = Number.NEGATIVE_INFINITY;
     while (isActive()) {
         const limitMs = timeoutMs();
         if (limitMs <= 0) {
@@ -55,8 +58,13 @@
         const result = await send(client, vm, order.purpose, { timeoutMs: limitMs, mayStart });
         context.metrics.count(`vm_orders_${order.purpose.kind}`);
         context.log("vm-order", { vm, ...order.purpose, outcome: result });
+        if (result.kind === "unknown") {
+            unansweredAtMs = context.monotonicMs();
+        }
         const outcome = outcomeOf(result, order.purpose);
-        if (outcome !== undefined) {
+        const isBusy = result.kind === "rejected" && result.reason === "busy";
+        const mayTakeEffect = context.monotonicMs() - unansweredAtMs < MAX_ORDER_DELAY_MS;
+        if (outcome !== undefined && !(isBusy && mayTakeEffect)) {
             return outcome;
         }
         await sleep(retryDelayMs);
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -9,7 +9,11 @@
     const remaining = [...results];
     const answer = (): Promise<VmOrderResult> => Promise.resolve(remaining.shift() ?? { kind: "done" });
     return sendOrder({
-        context: { metrics: { count: () => undefined }, log: () => undefined } as unknown as DispatcherContext,
+        context: {
+            metrics: { count: () => undefined },
+            log: () => undefined,
+            monotonicMs: () => 0,
+        } as unknown as DispatcherContext,
         client: { move: answer, maintain: answer } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
         order: { purpose, sentAtMs: 0, confirmedAtMs: undefined },
@@ -19,6 +23,9 @@
     });
 };
 
+/** Time for which an order that was not answered may still be carried out, in milliseconds. */
+const LATE_ORDER_MS = 13_000;
+
 const MAINTENANCE: OrderPurpose = { kind: "maintenance", wave: 1 };
 const MOVE: OrderPurpose = { kind: "move", to: toId<PoolName>("pool-a") };
 
@@ -42,7 +49,11 @@
     const renewals = [true, false, false, true];
     let sent = 0;
     const outcome = await sendOrder({
-        context: { metrics: { count: () => undefined }, log: () => undefined } as unknown as DispatcherContext,
+        context: {
+            metrics: { count: () => undefined },
+            log: () => undefined,
+            monotonicMs: () => 0,
+        } as unknown as DispatcherContext,
         client: {
             maintain: () => {
                 sent++;
@@ -58,3 +69,33 @@
     assert.equal(outcome, "confirmed");
     assert.equal(sent, 2);
 });
+
+// The evacuation of a VM may be dropped once its order is refused. The attempt without an answer would then end the runs that
+// the pool has started since.
+test("an order is not given up as refused while an earlier attempt may still be carried out", async () => {
+    const results: VmOrderResult[] = [
+        { kind: "unknown", reason: "no answer" },
+        { kind: "rejected", reason: "busy" },
+        { kind: "rejected", reason: "busy" },
+        { kind: "rejected", reason: "busy" },
+    ];
+    const times = [0, LATE_ORDER_MS - 1, LATE_ORDER_MS, LATE_ORDER_MS + 1];
+    let sent = 0;
+    const outcome = await sendOrder({
+        context: {
+            metrics: { count: () => undefined },
+            log: () => undefined,
+            monotonicMs: () => times[Math.max(0, sent - 1)] ?? 0,
+        } as unknown as DispatcherContext,
+        client: {
+            move: () => Promise.resolve(results[sent++] ?? { kind: "done" }),
+        } as unknown as VmClient,
+        vm: toId<VmId>("vm-1"),
+        order: { purpose: MOVE, sentAtMs: 0, confirmedAtMs: undefined },
+        timeoutMs: () => 1000,
+        isActive: () => true,
+        retryDelayMs: 1,
+    });
+    assert.equal(outcome, "refused");
+    assert.equal(sent, 3, "attempts until the first one cannot be carried out any more");
+});
