--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -186,9 +186,16 @@
             return false;
         }
         const observation = view.observation(key);
-        const holder = observation?.record?.holder;
-        const ownPrevious = holder === context.vm && observation?.record?.process !== context.process;
-        return observation === undefined || holder === undefined || ownPrevious || hasExpired(subject, observation);
+        if (observation === undefined || hasExpired(subject, observation)) {
+            return true;
+        }
+        const { record } = observation;
+        // The holder of a lease whose row is unreadable may be alive.
+        if (record === undefined) {
+            return false;
+        }
+        const ownPrevious = record.holder === context.vm && record.process !== context.process;
+        return record.holder === undefined || ownPrevious;
     };
 
     const candidacy = createLeaseCandidacy({
@@ -204,13 +211,15 @@
         const key = leaseKey(subject);
         const lastObservation = view.observation(key);
         const predecessor = lastObservation?.record;
-        const epoch = (predecessor?.epoch ?? 0) + 1;
+        // Each acquisition increases the version of the row, so that no token higher than the version was used.
+        const epoch = (predecessor?.epoch ?? lastObservation?.version ?? 0) + 1;
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
         const takeover: Takeover = {
             predecessor,
             predecessorEnded:
-                predecessor === undefined || predecessor.holder === undefined || predecessor.holder === context.vm,
+                lastObservation === undefined ||
+                (predecessor !== undefined && (predecessor.holder === undefined || predecessor.holder === context.vm)),
             unrenewedMs: lastObservation?.unchangedMs ?? 0,
         };
         const runsUntilMs = inheritedRunsUntilMs(takeover, store.nowMs());
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -28,6 +28,8 @@
     readonly store: TableStore;
     readonly lease: () => LeaseRecord | undefined;
     readonly put: (record: LeaseRecord) => void;
+    /** Stores a row that may be unreadable. */
+    readonly putText: (value: string) => void;
     answer: (result: TransactionResult) => Promise<TransactionResult>;
     /** True if transactions are refused without being carried out. */
     busy: boolean;
@@ -59,9 +61,10 @@
     const leaseStore: LeaseStore = {
         answer: result => Promise.resolve(result),
         busy: false,
-        put: record => {
+        put: record => leaseStore.putText(encodeLease(record)),
+        putText: value => {
             version++;
-            row = { ...leaseRow(LEASE_KEY), version, value: encodeLease(record), deleted: false };
+            row = { ...leaseRow(LEASE_KEY), version, value, deleted: false };
         },
         lease: () => (row === undefined ? undefined : decodeLease(row.value)),
         store: {
@@ -236,3 +239,20 @@
     assert.equal(await started.manager.renew(lease), true);
     assert.ok(started.events.includes("internal-error"));
 });
+
+// Its holder may be alive, and an executor rejects a token that is lower than one it has seen.
+test("a lease whose row is unreadable is not taken before it has expired, nor with a token that may have been used", async context => {
+    const nested = "[".repeat(100_000) + "]".repeat(100_000);
+    for (const text of [nested, '{"holder":"entry-2","epoch":1e400}']) {
+        const store = createLeaseStore();
+        const holder = "entry-2" as VmId;
+        [1, 2].forEach(epoch => store.put({ ...emptyLeaseContent, holder, process: undefined, epoch }));
+        store.putText(text);
+        const { begun } = startManager(context, store);
+        await sleep(NOTICED_WITHIN_MS);
+        assert.equal(begun.length, 0, "taken while its holder may act");
+        await waitUntil("the holder to begin", () => begun.length > 0);
+        assert.ok((begun[0]?.epoch ?? 0) > 2, `taken with token ${begun[0]?.epoch}`);
+        assert.equal(begun[0]?.predecessorEnded, false);
+    }
+});
