--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -87,8 +87,26 @@
  * The monotonic clock stops while a VM is suspended, so the wall clock is used as well. If the wall clock jumps ahead,
  * the holder only has to wait for its next renewal.
  */
-export const leaseAgeMs = ({ renewedAtMs, renewedWallMs }: HeldLease, context: DispatcherContext): number =>
-    Math.max(context.monotonicMs() - renewedAtMs, Date.now() - renewedWallMs);
+export const leaseAgeMs = (
+    { renewedAtMs, renewedWallMs }: HeldLease,
+    context: Pick<DispatcherContext, "monotonicMs">,
+): number => Math.max(context.monotonicMs() - renewedAtMs, Date.now() - renewedWallMs);
+
+// From this fraction of the lease duration after the last renewal, another process may hold the lease.
+const SAFE_LEASE_FRACTION = 0.8;
+
+/** True if no other process can have acquired the pool lease. */
+export const isPoolLeaseSafe = (lease: HeldLease, context: Pick<DispatcherContext, "monotonicMs">): boolean =>
+    !lease.lost && leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
+
+/**
+ * Returns the latest known time at which this process certainly held the pool lease, in milliseconds of the monotonic clock.
+ */
+export const poolLeaseHeldAtMs = (lease: HeldLease, context: Pick<DispatcherContext, "monotonicMs">): number => {
+    // Read before the check, since the process may be paused after it.
+    const nowMs = context.monotonicMs();
+    return isPoolLeaseSafe(lease, context) ? nowMs : lease.renewedAtMs;
+};
 
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -23,7 +23,7 @@
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
-import { POOL_LEASE_DURATION_MS, leaseAgeMs, type HeldLease } from "./lease-manager.js";
+import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./lease-manager.js";
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createOrderLoad } from "./order-load.js";
@@ -72,8 +72,6 @@
 
 const TICK_INTERVAL_MS = 100;
 const ORDER_LOAD_LOG_INTERVAL_MS = 1000;
-// From this fraction of the lease duration after the last renewal, another process may hold the lease.
-const SAFE_LEASE_FRACTION = 0.8;
 const FLUSH_TIMEOUT_MS = 1000;
 
 /** Starts scheduling a pool under a lease that was just acquired. */
@@ -99,8 +97,7 @@
         context.monotonicMs() + Math.max(takeoverWaitMs(lease), predecessorUntilMs - context.store.nowMs());
 
     const isActive = (): boolean => active && !lease.lost;
-    const isLeaseSafe = (): boolean =>
-        !lease.lost && leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
+    const isLeaseSafe = (): boolean => isPoolLeaseSafe(lease, context);
     let lastFencedAtMs = Number.NEGATIVE_INFINITY;
     const mayAct = (): boolean =>
         isActive() &&
@@ -250,9 +247,7 @@
     };
     const runPass = (): void => {
         expireLostRuns();
-        if (isLeaseSafe()) {
-            recordLeaseHeld(tables, context.monotonicMs());
-        }
+        recordLeaseHeld(tables, poolLeaseHeldAtMs(lease, context));
         openOccurrences();
         if (jobsLoaded && mayAct()) {
             reloadProgressAfterTakeover();
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -5,7 +5,7 @@
 import type { Row, TableStore, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import { createLeaseManager, type HeldLease, type LeaseManager } from "../src/lease-manager.js";
+import { createLeaseManager, poolLeaseHeldAtMs, type HeldLease, type LeaseManager } from "../src/lease-manager.js";
 import {
     decodeLease,
     emptyLeaseContent,
@@ -256,3 +256,22 @@
         assert.equal(begun[0]?.predecessorEnded, false);
     }
 });
+
+// A run that is given up after the pause may have been adopted by a successor.
+test("a process that is paused while it checks its lease does not count the time after the pause as time with the lease", () => {
+    const lease: HeldLease = {
+        subject: SUBJECT,
+        epoch: 1,
+        predecessor: undefined,
+        predecessorEnded: true,
+        unrenewedMs: 0,
+        inheritedRunsUntilMs: 0,
+        renewedAtMs: 1000,
+        renewedWallMs: Date.now(),
+        version: 1,
+        lost: false,
+    };
+    const clock = (...times: number[]) => ({ monotonicMs: () => times.shift() ?? Number.NaN });
+    assert.equal(poolLeaseHeldAtMs(lease, clock(1100, 1100)), 1100);
+    assert.equal(poolLeaseHeldAtMs(lease, clock(1100, 21_100)), 1000, "held after a pause of 20 s");
+});
