--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -115,13 +115,19 @@
         cancelWait = undefined;
         pollRequested = false;
     };
+    // End of a lease that is granted now; undefined if none may be granted. The clock is read before the check, since the
+    // process may be paused after it: then a lease ends as if it had been granted before the pause.
+    const permittedLeaseUntil = (): number | undefined => {
+        const until = leaseUntil(executor, context.monotonicMs(), tables.runLeaseMs);
+        return owner.mayExtendLeases() ? until : undefined;
+    };
     // Extends the leases of all runs and returns their new end, which is sent with a report request; undefined if none
     // is extended.
     const extendRunLeases = (): number | undefined => {
-        if (!owner.mayExtendLeases() || !areRunsRead(executor) || failedPolls > 0 || executor.runs.size === 0) {
+        if (!areRunsRead(executor) || failedPolls > 0 || executor.runs.size === 0) {
             return undefined;
         }
-        const until = leaseUntil(executor, context.monotonicMs(), tables.runLeaseMs);
+        const until = permittedLeaseUntil();
         executor.leaseUntilMs = Math.max(executor.leaseUntilMs, until ?? 0);
         return until;
     };
@@ -285,7 +291,8 @@
     return {
         pollNow,
         start: async (run, ticket) => {
-            const leaseUntilMs = leaseUntil(executor, context.monotonicMs(), tables.runLeaseMs);
+            // The process may have been paused since the start was planned.
+            const leaseUntilMs = permittedLeaseUntil();
             if (leaseUntilMs === undefined) {
                 forgetRun(run);
                 return;
