--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -122,6 +122,16 @@
             pool: name,
             record: leases.freshRecord({ kind: "pool", pool: name }, MAX_POOL_RECORD_AGE_MS),
         }));
+    // Only the pool that a VM belongs to knows its runs. The pool that it was moved from may still list an executor that ended
+    // with the move, and so report the VM as evacuated.
+    const vacatedVms = (records: readonly PoolRecord[]): ReadonlySet<VmId> => {
+        const idsByPool = new Map(records.map(({ pool, record }) => [pool, new Set(record?.vacated ?? [])]));
+        const isVacated = ([vm, { id }]: readonly [VmId, FleetEvacuation]): boolean => {
+            const pool = vms.get(vm)?.pool;
+            return pool !== undefined && (idsByPool.get(pool)?.has(id) ?? false);
+        };
+        return new Set([...evacuations.entries].filter(isVacated).map(([vm]) => vm));
+    };
     const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
         const order: VmOrder = { purpose, sentAtMs: context.monotonicMs(), confirmedAtMs: undefined };
         orders.set(vm, order);
@@ -183,7 +193,9 @@
                 evacuations: new Set(evacuations.entries.keys()),
                 vacated,
                 losing,
-                possiblyDown: new Set(evacuations.withPendingInheritedOrder().filter(vm => !orders.has(vm))),
+                possiblyDown: new Set(
+                    evacuations.withPendingInheritedOrder(listedAtMs()).filter(vm => !orders.has(vm)),
+                ),
             },
             {
                 nowMs: context.monotonicMs(),
@@ -275,7 +287,7 @@
             .forEach(([vm]) => releaseVm(vm));
     };
     const dropUnneededEvacuations = (): void => {
-        const waiting = new Set([...vmsAwaitingMaintenance(), ...evacuations.withPendingInheritedOrder()]);
+        const waiting = new Set([...vmsAwaitingMaintenance(), ...evacuations.withPendingInheritedOrder(listedAtMs())]);
         [...evacuations.entries]
             .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
             .forEach(([vm]) => releaseVm(vm));
@@ -286,8 +298,7 @@
             return;
         }
         const records = poolRecords();
-        const vacatedIds = new Set(records.flatMap(({ record }) => record?.vacated ?? []));
-        const vacated = new Set([...evacuations.entries].filter(([, { id }]) => vacatedIds.has(id)).map(([vm]) => vm));
+        const vacated = vacatedVms(records);
         dropCompletedMoves();
         const needs = forecastPoolNeeds(records);
         applyMaintenancePlan({
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -21,7 +21,7 @@
 import { createExecutorConnections } from "./executor-connections.js";
 import { createJobAdmission } from "./job-admission.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
-import { POOL_LEASE_DURATION_MS, leaseAgeMs, type HeldLease } from "./lease-manager.js";
+import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./lease-manager.js";
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createOrderLoad } from "./order-load.js";
@@ -71,8 +71,6 @@
 
 const TICK_INTERVAL_MS = 100;
 const ORDER_LOAD_LOG_INTERVAL_MS = 1000;
-// From this fraction of the lease duration after the last renewal, another process may hold the lease.
-const SAFE_LEASE_FRACTION = 0.8;
 const FLUSH_TIMEOUT_MS = 1000;
 
 /** Starts scheduling a pool under a lease that was just acquired. */
@@ -96,8 +94,7 @@
     tables.inheritedWaitUntilMs = context.monotonicMs() + inheritedWaitMs(lease, context.store.nowMs());
 
     const isActive = (): boolean => active && !lease.lost;
-    const isLeaseSafe = (): boolean =>
-        !lease.lost && leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
+    const isLeaseSafe = (): boolean => isPoolLeaseSafe(lease, context);
     let lastFencedAtMs = Number.NEGATIVE_INFINITY;
     const mayAct = (): boolean =>
         isActive() &&
@@ -192,9 +189,7 @@
     };
     const runPass = (): void => {
         expireLostRuns();
-        if (isLeaseSafe()) {
-            recordLeaseHeld(tables, context.monotonicMs());
-        }
+        recordLeaseHeld(tables, poolLeaseHeldAtMs(lease, context));
         admission.openOccurrences();
         if (jobsLoaded && mayAct()) {
             reloadProgressAfterTakeover();
