--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -11,6 +11,7 @@
     type Task,
 } from "./pool-tables.js";
 import { areInheritedRunsOver } from "./inherited-runs.js";
+import { takeRunNumber } from "./run-numbers.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
@@ -24,13 +25,9 @@
     readonly executorsWithTicket: (step: OpenStep) => ReadonlySet<Executor["id"]> | undefined;
 }
 
-// Size of the run number range of each fencing token. Tokens increase, so run numbers assigned by a later lease holder
-// are always higher.
-const RUNS_PER_TOKEN = 65_536;
-
 /**
- * Assigns executors to the tasks that can start and records the new runs in the tables. Tasks beyond the budget keep
- * waiting in the order of their steps.
+ * Assigns executors to the tasks that can start and records the new runs in the tables. Tasks beyond the budget, or beyond
+ * the reserved run numbers, keep waiting in the order of their steps.
  */
 export const placeTasks = (tables: PoolTables, options: PlacementOptions): readonly Run[] => {
     if (options.budget.isExhausted()) {
@@ -140,9 +137,10 @@
     options: PlacementOptions,
 ): Run | undefined => {
     const executor = chooseExecutor(task, freeByExecutor, options, undefined);
-    return executor === undefined
+    const number = executor === undefined ? undefined : takeRunNumber(tables.runNumbers);
+    return executor === undefined || number === undefined
         ? undefined
-        : startRun(task, executor, nextRunNumber(tables), freeByExecutor, options);
+        : startRun(task, executor, number, freeByExecutor, options);
 };
 
 const placeGang = (
@@ -160,10 +158,10 @@
         ...racks.map(rack => planGang(step, freeByExecutor, options, rack)),
         planGang(step, freeByExecutor, options, undefined),
     ].find(candidate => candidate !== undefined);
-    if (plan === undefined) {
+    const run = plan === undefined ? undefined : takeRunNumber(tables.runNumbers);
+    if (plan === undefined || run === undefined) {
         return [];
     }
-    const run = nextRunNumber(tables);
     // The members start together, so the last gang of a pass may exceed the budget.
     return plan.map(({ task, executor }) => startRun(task, executor, run, freeByExecutor, options));
 };
@@ -255,11 +253,6 @@
     return INTERFERENCE_PENALTY * interfering.length;
 };
 
-const nextRunNumber = (tables: PoolTables): number => {
-    tables.runCounter++;
-    return tables.token * RUNS_PER_TOKEN + tables.runCounter;
-};
-
 const startRun = (
     task: Task,
     executor: Executor,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -3,6 +3,7 @@
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
+import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
 import type { StopSchedule } from "./stop-schedule.js";
 
@@ -217,8 +218,7 @@
     readonly runLeaseMs: number;
     /** Longest time that an executor takes to stop a run, in milliseconds. */
     readonly stopTimeMs: number;
-    /** Number of runs started with this token; the source of run numbers. */
-    runCounter: number;
+    readonly runNumbers: RunNumbers;
     /** Inherited jobs start no runs before this monotonic time, unless the runs of every executor were read. */
     inheritedWaitUntilMs: number;
     /**
@@ -238,10 +238,11 @@
 export const createPoolTables = ({
     pool,
     token,
+    runNumbers,
     maxLeaseMs,
     runLeaseMs,
     stopTimeMs,
-}: Pick<PoolTables, "pool" | "token" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs">): PoolTables => ({
+}: Pick<PoolTables, "pool" | "token" | "runNumbers" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs">): PoolTables => ({
     pool,
     maxLeaseMs,
     runLeaseMs,
@@ -252,7 +253,7 @@
     queues: new Map(),
     runTimes: new Map(),
     token,
-    runCounter: 0,
+    runNumbers,
     inheritedWaitUntilMs: 0,
     isProgressCurrent: false,
     leaseHeldAtMs: Number.NEGATIVE_INFINITY,
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -15,6 +15,7 @@
     type Run,
 } from "@almondusher/scheduler/pool-tables";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import { applyReport, expireRuns } from "../src/apply-report.js";
 
 const POOL = toId<PoolName>("pool");
@@ -99,6 +100,7 @@
     const tables = createPoolTables({
         pool: POOL,
         token: 1,
+        runNumbers: initialRunNumbers(1),
         maxLeaseMs: MAX_LEASE_MS,
         runLeaseMs: RUN_LEASE_MS,
         stopTimeMs: STOP_TIME_MS,
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,5 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
+import { initialRunNumbers, nextReservation, nextToken, type RunNumbers } from "@almondusher/scheduler/run-numbers";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
@@ -22,6 +23,8 @@
     readonly subject: LeaseSubject;
     /** Fencing token. */
     readonly epoch: number;
+    /** The run numbers that this process may give; unused for the lease of the fleet. */
+    readonly runNumbers: RunNumbers;
     /**
      * Time on the store's clock until which runs of earlier holders may be active on executors that this one has not asked,
      * in milliseconds; stored in the lease for the next holder.
@@ -93,6 +96,16 @@
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
+const nextEpoch = (subject: LeaseSubject, predecessor: LeaseRecord | undefined): number => {
+    if (predecessor === undefined) {
+        return 1;
+    }
+    return subject.kind === "pool" ? nextToken(predecessor) : predecessor.epoch + 1;
+};
+
+const storedReservation = ({ kind }: LeaseSubject, reservedUpTo: number): number | undefined =>
+    kind === "pool" ? reservedUpTo : undefined;
+
 /** Starts acquiring, renewing and observing leases. */
 export const createLeaseManager = ({ context, subjects, holder }: LeaseManagerOptions): LeaseManager => {
     const { store, monotonicMs } = context;
@@ -126,7 +139,14 @@
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
         const content = holder.content(lease);
-        const record: LeaseRecord = { ...content, holder: context.vm, process: context.process, epoch: lease.epoch };
+        const reservation = nextReservation(lease.runNumbers);
+        const record: LeaseRecord = {
+            ...content,
+            holder: context.vm,
+            process: context.process,
+            epoch: lease.epoch,
+            runNumbersUpTo: storedReservation(lease.subject, reservation),
+        };
         const value = encodeLease(record);
         const commit = await store.transact({
             expect: [{ ...leaseRow(key), version: lease.version }],
@@ -137,6 +157,7 @@
                 lease.version = Math.max(lease.version, commit.version);
                 lease.renewedAtMs = sentAtMs;
                 lease.renewedWallMs = sentWallMs;
+                lease.runNumbers.reservedUpTo = reservation;
                 holder.renewed(lease, content);
                 return true;
             case "conflict":
@@ -204,7 +225,8 @@
         const key = leaseKey(subject);
         const lastObservation = view.observation(key);
         const predecessor = lastObservation?.record;
-        const epoch = (predecessor?.epoch ?? 0) + 1;
+        const epoch = nextEpoch(subject, predecessor);
+        const runNumbers = initialRunNumbers(epoch);
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
         const takeover: Takeover = {
@@ -222,6 +244,7 @@
             holder: context.vm,
             process: context.process,
             epoch,
+            runNumbersUpTo: storedReservation(subject, runNumbers.reservedUpTo),
         };
         const commit = await transactUntilKnown({
             writer: context,
@@ -246,6 +269,7 @@
         const lease: HeldLease = {
             subject,
             epoch,
+            runNumbers,
             ...takeover,
             inheritedRunsUntilMs: runsUntilMs,
             renewedAtMs: sentAtMs,
@@ -332,7 +356,13 @@
         lease.lost = true;
         // A renewal under way changes the version of the row.
         await runningRenewals.get(key);
-        const record: LeaseRecord = { ...content, holder: undefined, process: undefined, epoch: lease.epoch };
+        const record: LeaseRecord = {
+            ...content,
+            holder: undefined,
+            process: undefined,
+            epoch: lease.epoch,
+            runNumbersUpTo: storedReservation(lease.subject, lease.runNumbers.reservedUpTo),
+        };
         const released = await writeRelease({
             writer: context,
             key,
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -45,6 +45,11 @@
     readonly process: ProcessId | undefined;
     /** Fencing token; increases whenever the lease is acquired. */
     readonly epoch: number;
+    /**
+     * Used only in the leases of pools: no holder up to this one has given a higher run number. Undefined in rows written by
+     * earlier versions.
+     */
+    readonly runNumbersUpTo: number | undefined;
     readonly executors: readonly ListedExecutor[];
     readonly pending: readonly PendingCount[];
     /** The stored jobs that `pending` covers; undefined if it covers none, as in rows written by earlier versions. */
@@ -72,6 +77,7 @@
     holder: z.string().optional(),
     process: z.string().optional(),
     epoch: z.int(),
+    runNumbersUpTo: z.int().optional(),
     executors: z.array(z.object({ id: z.string(), address: z.string() })),
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     pendingAsOf: z.object({ version: z.number(), atMs: z.number() }).optional(),
@@ -90,8 +96,8 @@
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
 });
 
-/** Content that a holder stores in its lease, without the fields that identify the holder. */
-export type LeaseContent = Omit<LeaseRecord, "holder" | "process" | "epoch">;
+/** Content that a holder stores in its lease, without the fields that identify the holder and its run numbers. */
+export type LeaseContent = Omit<LeaseRecord, "holder" | "process" | "epoch" | "runNumbersUpTo">;
 
 /** Content of a lease that was never held. */
 export const emptyLeaseContent: LeaseContent = {
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -81,7 +81,14 @@
     const { context, pool, lease, registry, operator } = options;
     const { maxLeaseMs, stopTimeMs } = context.settings;
     const runLeaseMs = Math.min(RUN_LEASE_MS, maxLeaseMs);
-    const tables = createPoolTables({ pool, token: lease.epoch, maxLeaseMs, runLeaseMs, stopTimeMs });
+    const tables = createPoolTables({
+        pool,
+        token: lease.epoch,
+        runNumbers: lease.runNumbers,
+        maxLeaseMs,
+        runLeaseMs,
+        stopTimeMs,
+    });
     let active = true;
     let stopping = false;
     let jobsLoaded = false;
--- a/programs/dispatcher/test/fleet-evacuations.test.ts
+++ b/programs/dispatcher/test/fleet-evacuations.test.ts
@@ -14,6 +14,7 @@
     holder: "entry-1" as VmId,
     process: undefined,
     epoch: 3,
+    runNumbersUpTo: undefined,
     evacuations: [
         { vm: ORDERED, id: "3-1", byMs: 500, ordered: true },
         { vm: REQUESTED, id: "3-2", byMs: 600, ordered: false },
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -165,7 +165,14 @@
 // runs there.
 test("an acquisition withdraws the completed evacuations of the previous holder", async context => {
     const store = createLeaseStore();
-    store.put({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: 3, vacated: ["1-1"] });
+    store.put({
+        ...emptyLeaseContent,
+        holder: undefined,
+        process: undefined,
+        epoch: 3,
+        runNumbersUpTo: undefined,
+        vacated: ["1-1"],
+    });
     const release = holdAnswers(store);
     startManager(context, store);
     await waitUntil("the acquisition", () => store.lease()?.holder === VM);
@@ -236,3 +243,53 @@
     assert.equal(await started.manager.renew(lease), true);
     assert.ok(started.events.includes("internal-error"));
 });
+
+const FIRST_NUMBER_OF_TOKEN_3 = 3 * 65_536;
+
+test("a successor does not number its runs below those of a holder that started 70,000 under one token", async context => {
+    const store = createLeaseStore();
+    const runNumbersUpTo = FIRST_NUMBER_OF_TOKEN_3 + 70_000;
+    store.put({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: 3, runNumbersUpTo });
+    const { begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    assert.ok(lease.epoch * 65_536 >= runNumbersUpTo, `numbers start at ${lease.epoch * 65_536}`);
+    assert.ok(lease.runNumbers.last >= runNumbersUpTo);
+    assert.ok((store.lease()?.runNumbersUpTo ?? 0) >= lease.runNumbers.reservedUpTo, "more reserved than stored");
+});
+
+test("a renewal without an answer reserves no run numbers for its holder, and none that was stored is dropped", async context => {
+    const store = createLeaseStore();
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    const before = lease.runNumbers.reservedUpTo;
+    store.answer = () => Promise.resolve({ kind: "unknown", reason: "no answer" });
+    lease.runNumbers.last = before - 10;
+    await manager.renew(lease);
+    assert.equal(lease.runNumbers.reservedUpTo, before, "a reservation that is not known to be stored");
+    store.answer = result => Promise.resolve(result);
+    await waitUntil("a confirmed renewal", () => lease.runNumbers.reservedUpTo > before);
+    assert.equal(store.lease()?.runNumbersUpTo, lease.runNumbers.reservedUpTo);
+    const reserved = lease.runNumbers.reservedUpTo;
+    await manager.close();
+    assert.equal(store.lease()?.holder, undefined);
+    assert.ok((store.lease()?.runNumbersUpTo ?? 0) >= reserved, "the released lease has lost the reservation");
+});
+
+test("a lease row of an earlier version, whose run numbers have no stored bound, is followed by higher ones", async context => {
+    const store = createLeaseStore();
+    store.put({
+        ...emptyLeaseContent,
+        holder: undefined,
+        process: undefined,
+        epoch: 3,
+        runNumbersUpTo: undefined,
+    });
+    const { begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    assert.ok((begun[0]?.runNumbers.last ?? 0) > FIRST_NUMBER_OF_TOKEN_3 + 1e9);
+    assert.ok(store.lease()?.runNumbersUpTo !== undefined);
+});
--- a/programs/dispatcher/test/lease-view.test.ts
+++ b/programs/dispatcher/test/lease-view.test.ts
@@ -10,7 +10,13 @@
     ...leaseRow(key),
     version,
     deleted: false,
-    value: encodeLease({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: version }),
+    value: encodeLease({
+        ...emptyLeaseContent,
+        holder: undefined,
+        process: undefined,
+        epoch: version,
+        runNumbersUpTo: undefined,
+    }),
 });
 
 const rows = (version: number, changed: readonly Row[]): Reading => ({
--- a/programs/dispatcher/test/pending-count.test.ts
+++ b/programs/dispatcher/test/pending-count.test.ts
@@ -49,6 +49,7 @@
     holder: toId<VmId>("vm-1"),
     process: "vm-1/1" as ProcessId,
     epoch: 3,
+    runNumbersUpTo: undefined,
     ...change,
 });
 
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -5,6 +5,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { createPoolTables, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import { listExecutors } from "../src/pool-lease-content.js";
 
 const POOL = toId<PoolName>("pool-a");
@@ -26,7 +27,14 @@
 });
 
 const tablesWithEvacuation = (change: Partial<Executor>): PoolTables => {
-    const tables = createPoolTables({ pool: POOL, token: 1, maxLeaseMs: 6000, runLeaseMs: 4000, stopTimeMs: 200 });
+    const tables = createPoolTables({
+        pool: POOL,
+        token: 1,
+        runNumbers: initialRunNumbers(1),
+        maxLeaseMs: 6000,
+        runLeaseMs: 4000,
+        stopTimeMs: 200,
+    });
     // Runs of earlier holders may still be active.
     tables.inheritedWaitUntilMs = NOW_MS + 1;
     applyRegistry(tables, [recordOf("a"), recordOf("b")], 0);
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -7,6 +7,7 @@
 import { initialProgress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import type { ExecutorRegistry } from "../src/executor-registry.js";
 import { jobRow, jobTablesOf, progressRow } from "../src/job-rows.js";
@@ -51,6 +52,7 @@
     const lease: HeldLease = {
         subject: { kind: "pool", pool: POOL },
         epoch: predecessor.epoch + 1,
+        runNumbers: initialRunNumbers(predecessor.epoch + 1),
         predecessor,
         predecessorEnded: false,
         unrenewedMs: 2000,
@@ -91,6 +93,7 @@
     holder: toId<VmId>("vm-1"),
     process: "vm-1/1" as ProcessId,
     epoch: 3,
+    runNumbersUpTo: undefined,
     pending: [{ queue: QUEUE, jobs: 7 }],
     pendingAsOf: { version: 40, atMs: 1000 },
 };
--- a/programs/dispatcher/test/run-leases.test.ts
+++ b/programs/dispatcher/test/run-leases.test.ts
@@ -42,6 +42,7 @@
     holder: undefined,
     process: undefined,
     epoch: 2,
+    runNumbersUpTo: undefined,
     ...change,
 });
 
