--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,5 +1,6 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
+import { initialRunNumbers, nextReservation, nextToken, type RunNumbers } from "@almondusher/scheduler/run-numbers";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
@@ -22,6 +23,8 @@
     readonly subject: LeaseSubject;
     /** Fencing token. */
     readonly epoch: number;
+    /** The run numbers that this process may give; unused for the lease of the fleet. */
+    readonly runNumbers: RunNumbers;
     /**
      * Time on the store's clock until which runs of earlier holders may be active on executors that this one has not asked,
      * in milliseconds; stored in the lease for the next holder.
@@ -111,6 +114,19 @@
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
+const nextEpoch = (subject: LeaseSubject, observation: LeaseObservation | undefined): number => {
+    if (observation === undefined) {
+        return 1;
+    }
+    // Each acquisition and each reservation of run numbers increases the version of the row, so the version of an unreadable
+    // row stands for the token.
+    const { record = { epoch: observation.version, runNumbersUpTo: undefined } } = observation;
+    return subject.kind === "pool" ? nextToken(record) : record.epoch + 1;
+};
+
+const storedReservation = ({ kind }: LeaseSubject, reservedUpTo: number): number | undefined =>
+    kind === "pool" ? reservedUpTo : undefined;
+
 /** Starts acquiring, renewing and observing leases. */
 export const createLeaseManager = ({ context, subjects, holder }: LeaseManagerOptions): LeaseManager => {
     const { store, monotonicMs } = context;
@@ -144,7 +160,14 @@
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
         const content = holder.content(lease);
-        const record: LeaseRecord = { ...content, holder: context.vm, process: context.process, epoch: lease.epoch };
+        const reservation = nextReservation(lease.runNumbers);
+        const record: LeaseRecord = {
+            ...content,
+            holder: context.vm,
+            process: context.process,
+            epoch: lease.epoch,
+            runNumbersUpTo: storedReservation(lease.subject, reservation),
+        };
         const value = encodeLease(record);
         const commit = await store.transact({
             expect: [{ ...leaseRow(key), version: lease.version }],
@@ -155,6 +178,7 @@
                 lease.version = Math.max(lease.version, commit.version);
                 lease.renewedAtMs = sentAtMs;
                 lease.renewedWallMs = sentWallMs;
+                lease.runNumbers.reservedUpTo = reservation;
                 holder.renewed(lease, content);
                 return true;
             case "conflict":
@@ -229,8 +253,8 @@
         const key = leaseKey(subject);
         const lastObservation = view.observation(key);
         const predecessor = lastObservation?.record;
-        // Each acquisition increases the version of the row, so that no token higher than the version was used.
-        const epoch = (predecessor?.epoch ?? lastObservation?.version ?? 0) + 1;
+        const epoch = nextEpoch(subject, lastObservation);
+        const runNumbers = initialRunNumbers(epoch);
         const sentAtMs = monotonicMs();
         const sentWallMs = Date.now();
         const takeover: Takeover = {
@@ -249,6 +273,7 @@
             holder: context.vm,
             process: context.process,
             epoch,
+            runNumbersUpTo: storedReservation(subject, runNumbers.reservedUpTo),
         };
         const commit = await transactUntilKnown({
             writer: context,
@@ -273,6 +298,7 @@
         const lease: HeldLease = {
             subject,
             epoch,
+            runNumbers,
             ...takeover,
             inheritedRunsUntilMs: runsUntilMs,
             renewedAtMs: sentAtMs,
@@ -359,7 +385,13 @@
         lease.lost = true;
         // A renewal under way changes the version of the row.
         await runningRenewals.get(key);
-        const record: LeaseRecord = { ...content, holder: undefined, process: undefined, epoch: lease.epoch };
+        const record: LeaseRecord = {
+            ...content,
+            holder: undefined,
+            process: undefined,
+            epoch: lease.epoch,
+            runNumbersUpTo: storedReservation(lease.subject, lease.runNumbers.reservedUpTo),
+        };
         const released = await writeRelease({
             writer: context,
             key,
--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -7,6 +7,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { createPoolTables, type Executor, type Run } from "@almondusher/scheduler/pool-tables";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
 import { createOrderLoad } from "../src/order-load.js";
@@ -48,6 +49,7 @@
     const tables = createPoolTables({
         pool: POOL,
         token: 1,
+        runNumbers: initialRunNumbers(1),
         maxLeaseMs: 6000,
         runLeaseMs: RUN_LEASE_MS,
         stopTimeMs: 200,
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -13,6 +13,7 @@
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { addRun, createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
 
@@ -47,6 +48,7 @@
     const tables = createPoolTables({
         pool: POOL,
         token: 1,
+        runNumbers: initialRunNumbers(1),
         maxLeaseMs: 6000,
         runLeaseMs: RUN_LEASE_MS,
         stopTimeMs: 200,
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -4,6 +4,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { toId, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { startFleetManager, type FleetManager } from "../src/fleet-manager.js";
 import type { HeldLease, LeaseManager } from "../src/lease-manager.js";
@@ -42,6 +43,7 @@
     holder: toId<VmId>("entry-2"),
     process: undefined,
     epoch: 1,
+    runNumbersUpTo: undefined,
     ...change,
 });
 
@@ -76,6 +78,7 @@
     const lease: HeldLease = {
         subject: { kind: "fleet" },
         epoch: EPOCH,
+        runNumbers: initialRunNumbers(EPOCH),
         predecessor,
         predecessorEnded: false,
         unrenewedMs: 0,
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
 import type { Row, TableStore, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
 import { createLeaseManager, poolLeaseHeldAtMs, type HeldLease, type LeaseManager } from "../src/lease-manager.js";
@@ -168,7 +169,14 @@
 // runs there.
 test("an acquisition withdraws the completed evacuations of the previous holder", async context => {
     const store = createLeaseStore();
-    store.put({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: 3, vacated: ["1-1"] });
+    store.put({
+        ...emptyLeaseContent,
+        holder: undefined,
+        process: undefined,
+        epoch: 3,
+        runNumbersUpTo: undefined,
+        vacated: ["1-1"],
+    });
     const release = holdAnswers(store);
     startManager(context, store);
     await waitUntil("the acquisition", () => store.lease()?.holder === VM);
@@ -246,7 +254,9 @@
     for (const text of [nested, '{"holder":"entry-2","epoch":1e400}']) {
         const store = createLeaseStore();
         const holder = "entry-2" as VmId;
-        [1, 2].forEach(epoch => store.put({ ...emptyLeaseContent, holder, process: undefined, epoch }));
+        [1, 2].forEach(epoch =>
+            store.put({ ...emptyLeaseContent, holder, process: undefined, epoch, runNumbersUpTo: undefined }),
+        );
         store.putText(text);
         const { begun } = startManager(context, store);
         await sleep(NOTICED_WITHIN_MS);
@@ -262,6 +272,7 @@
     const lease: HeldLease = {
         subject: SUBJECT,
         epoch: 1,
+        runNumbers: initialRunNumbers(1),
         predecessor: undefined,
         predecessorEnded: true,
         unrenewedMs: 0,
@@ -275,3 +286,53 @@
     assert.equal(poolLeaseHeldAtMs(lease, clock(1100, 1100)), 1100);
     assert.equal(poolLeaseHeldAtMs(lease, clock(1100, 21_100)), 1000, "held after a pause of 20 s");
 });
+
+const FIRST_NUMBER_OF_TOKEN_3 = 3 * 65_536;
+
+test("a successor does not number its runs below those of a holder that started 70,000 under one token", async context => {
+    const store = createLeaseStore();
+    const runNumbersUpTo = FIRST_NUMBER_OF_TOKEN_3 + 70_000;
+    store.put({ ...emptyLeaseContent, holder: undefined, process: undefined, epoch: 3, runNumbersUpTo });
+    const { begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    assert.ok(lease.epoch * 65_536 >= runNumbersUpTo, `numbers start at ${lease.epoch * 65_536}`);
+    assert.ok(lease.runNumbers.last >= runNumbersUpTo);
+    assert.ok((store.lease()?.runNumbersUpTo ?? 0) >= lease.runNumbers.reservedUpTo, "more reserved than stored");
+});
+
+test("a renewal without an answer reserves no run numbers for its holder, and none that was stored is dropped", async context => {
+    const store = createLeaseStore();
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    const before = lease.runNumbers.reservedUpTo;
+    store.answer = () => Promise.resolve({ kind: "unknown", reason: "no answer" });
+    lease.runNumbers.last = before - 10;
+    await manager.renew(lease);
+    assert.equal(lease.runNumbers.reservedUpTo, before, "a reservation that is not known to be stored");
+    store.answer = result => Promise.resolve(result);
+    await waitUntil("a confirmed renewal", () => lease.runNumbers.reservedUpTo > before);
+    assert.equal(store.lease()?.runNumbersUpTo, lease.runNumbers.reservedUpTo);
+    const reserved = lease.runNumbers.reservedUpTo;
+    await manager.close();
+    assert.equal(store.lease()?.holder, undefined);
+    assert.ok((store.lease()?.runNumbersUpTo ?? 0) >= reserved, "the released lease has lost the reservation");
+});
+
+test("a lease row of an earlier version, whose run numbers have no stored bound, is followed by higher ones", async context => {
+    const store = createLeaseStore();
+    store.put({
+        ...emptyLeaseContent,
+        holder: undefined,
+        process: undefined,
+        epoch: 3,
+        runNumbersUpTo: undefined,
+    });
+    const { begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    assert.ok((begun[0]?.runNumbers.last ?? 0) > FIRST_NUMBER_OF_TOKEN_3 + 1e9);
+    assert.ok(store.lease()?.runNumbersUpTo !== undefined);
+});
