--- a/bench/system/test/inherited-runs.test.ts
+++ b/bench/system/test/inherited-runs.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test, { type TestContext } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { startTcpRelay } from "@almondusher/endpoint-stand-in/tcp-relay";
 import type { ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
 import {
@@ -22,6 +23,13 @@
 // Longer than any takeover, so that the runs are active throughout unless their leases expire.
 const RUN_MS = 12_000;
 const TASKS = 2;
+// Longer than the rest of a successor's wait when the first holder may last start a task.
+const RUN_AFTER_RESTART_MS = 8000;
+const CUT_DELAY_MS = 4000;
+// Before the first holder stops acting, 6 s after its last renewal.
+const DUE_AFTER_CUT_MS = 5200;
+// Enough for a new holder to read executors that respond.
+const READ_BY_SUCCESSOR_MS = 600;
 
 const start = async (context: TestContext, dispatchers: number): Promise<JobDeployment> => {
     const deployment = await startJobDeployment({ dispatchers, executors: 2, runMs: () => RUN_MS });
@@ -104,3 +112,26 @@
     await waitForScheduler(deployment, [second]);
     await assertNeverTwice(deployment, second);
 });
+
+// The executor restarted after the second holder had read it, and so had forgotten the token that rejects the first one, which
+// does not poll idle executors. The second holder, cut off from it, started the task elsewhere while the first run was active.
+test("a former holder starts no task on an executor whose restart it has not noticed", async context => {
+    const deployment = await startJobDeployment({ dispatchers: 0, executors: 2, runMs: () => RUN_AFTER_RESTART_MS });
+    context.after(deployment.close);
+    const relay = await startTcpRelay({ target: deployment.store.address });
+    context.after(relay.close);
+    const first = await deployment.startDispatcher("entry-0", relay.address);
+    await waitForScheduler(deployment, [first]);
+    const second = await deployment.startDispatcher("entry-1");
+    const cutAtMs = Date.now() + CUT_DELAY_MS;
+    const job = { ...jobOfTasks(1), repeat_count: 1, first_run_ms: cutAtMs + DUE_AFTER_CUT_MS, interval_ms: 1000 };
+    assert.equal((await sendJobRequest(first, "POST", jobId(1), job)).status, 200);
+    await sleep(cutAtMs - Date.now());
+    await relay.close();
+    await waitForScheduler(deployment, [second]);
+    await sleep(READ_BY_SUCCESSOR_MS);
+    const [executor] = deployment.executors;
+    executor?.setFault({ kind: "cut-off", fromToken: 2 });
+    executor?.restart();
+    await assertNeverTwice(deployment, second);
+});
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -30,6 +30,7 @@
         setIncarnationStart(executor, evidence.startedAtMs);
     }
     recordClockReading(executor, evidence.clockMs, evidence.receivedAtMs);
+    executor.answeredRequestAtMs = Math.max(executor.answeredRequestAtMs, evidence.sentAtMs);
 };
 
 const isNewIncarnation = (executor: Executor, evidence: IncarnationEvidence): boolean => {
@@ -109,6 +110,7 @@
 const resetIncarnationState = (executor: Executor, nowMs: number): void => {
     executor.incarnation++;
     executor.incarnationSinceMs = nowMs;
+    executor.answeredRequestAtMs = Number.NEGATIVE_INFINITY;
     executor.clock = undefined;
     executor.leaseUntilMs = 0;
     executor.lastAppliedEnd = 0;
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -67,6 +67,7 @@
     hasUnreadEnds: false,
     listedInLease: false,
     reachable: true,
+    answeredRequestAtMs: Number.NEGATIVE_INFINITY,
     unansweredPollSentAtMs: Number.NEGATIVE_INFINITY,
     registered: true,
     lastAppliedEnd: 0,
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -76,13 +76,26 @@
     executor.reachable &&
     executor.reconciled &&
     executor.listedInLease &&
-    // A new incarnation has forgotten the fencing token of a successor.
-    isLeaseHeldSince(tables, executor.incarnationSinceMs) &&
+    hasFencingToken(tables, executor, nowMs) &&
     executor.evacuation === undefined &&
     !executor.record.draining &&
     executor.orphanedRuns.length === 0 &&
     executor.backoffUntilMs <= nowMs;
 
+// Time after which a successor may exist, counted from the last known time at which the lease was certainly held.
+const SUCCESSOR_POSSIBLE_AFTER_MS = 400;
+// Covers a report that the executor holds back for a while and the one before.
+const MAX_ANSWER_AGE_MS = 2000;
+
+/**
+ * True if the executor rejects the starts of this process should a successor have read it. One that has restarted since has
+ * forgotten the successor's token, so once there may be a successor, the executor must have shown lately that it has not.
+ */
+const hasFencingToken = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
+    isLeaseHeldSince(tables, executor.incarnationSinceMs) &&
+    (isLeaseHeldSince(tables, nowMs - SUCCESSOR_POSSIBLE_AFTER_MS) ||
+        nowMs - executor.answeredRequestAtMs < MAX_ANSWER_AGE_MS);
+
 /** True for a waiting task of which no successor can have adopted a run. */
 const mayStart = (tables: PoolTables, task: Task): boolean =>
     isWaiting(task) && isLeaseHeldSince(tables, task.givenUpAtMs);
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -161,6 +161,8 @@
     /** Listed in the stored row of the pool lease, so that the next holder reads the executor's runs. */
     listedInLease: boolean;
     reachable: boolean;
+    /** When the last answered request was sent to the current incarnation, in milliseconds of the monotonic clock. */
+    answeredRequestAtMs: number;
     /** When the last poll that got no answer was sent, in milliseconds of the monotonic clock. */
     unansweredPollSentAtMs: number;
     /** Present in the registry. */
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -215,6 +215,25 @@
     assert.equal(place(tables, 2200).length, 1);
 });
 
+// It may have restarted since, and forgotten the token of a successor that had read it.
+test("an executor that has not answered lately gets no starts while a successor may exist", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 8 })] }],
+        leaseHeldAtMs: 1000,
+    });
+    executorOf(tables, "b").answeredRequestAtMs = 4000;
+    const runs = place(tables, 5000);
+    assert.ok(runs.length > 0);
+    assert.deepEqual(
+        runs.filter(({ executor }) => executor.id !== "b"),
+        [],
+    );
+    assert.equal(place(tables, 8000).length, 0);
+    recordLeaseHeld(tables, 8000);
+    assert.ok(place(tables, 8010).length > 0);
+});
+
 test("a full pool is searched once per step, not once per task, so that a burst does not exhaust the CPU", () => {
     const wide = { steps: [step({ count: 50, demand: { cpu: 3000, memoryMb: 1, gpu: 0 } })] };
     const tables = createPool({
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -42,6 +42,11 @@
      * fencing token; run leases must not be extended then.
      */
     readonly mayExtendLeases: () => boolean;
+    /**
+     * True while this scheduler may act although a successor may exist. Idle executors are polled then too: one that the
+     * successor has read rejects the poll, and one that has restarted is noticed.
+     */
+    readonly mayHaveSuccessor: () => boolean;
     /** Called with the run ends that a report contains for the first time. */
     readonly ended: (executor: Executor, ends: readonly AppliedEnd[]) => void;
     /** Called when the executor's state has changed or an order has ended, so that a pass may have orders to send. */
@@ -218,6 +223,7 @@
         }
     };
     const needsPolling = (): boolean =>
+        owner.mayHaveSuccessor() ||
         !executor.reconciled ||
         executor.hasUnreadEnds ||
         executor.runs.size > 0 ||
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executor-connections.ts
@@ -18,6 +18,8 @@
 export interface ExecutorConnections {
     /** Updates executors and connections to match the registry and the evacuations. */
     readonly sync: (records: readonly ExecutorRecord[], evacuations: ReadonlyMap<VmId, VmEvacuation>) => void;
+    /** Polls all executors now that have to be polled. */
+    readonly pollNow: () => void;
     readonly get: (id: ExecutorId) => ExecutorConnection | undefined;
     readonly close: () => void;
 }
@@ -71,6 +73,7 @@
             closeRemoved();
             tables.executors.forEach(executor => trySyncExecutor(executor, evacuations));
         },
+        pollNow: () => connections.forEach(connection => connection.pollNow()),
         get: id => connections.get(id),
         close: () => connections.forEach(connection => connection.close()),
     };
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -109,6 +109,8 @@
             leaseAgeMs: leaseAgeMs(lease, context),
             sinceFencedMs: context.monotonicMs() - lastFencedAtMs,
         });
+    const mayHaveSuccessor = (): boolean => mayAct() && !isLeaseSafe();
+    let successorWasPossible = false;
     const passThrottle = createPassThrottle({
         pass: containErrors({ context, part: "scheduling-pass" }, () => {
             if (isActive() && !stopping) {
@@ -142,6 +144,7 @@
     const owner = {
         tables,
         mayExtendLeases: mayAct,
+        mayHaveSuccessor,
         changed: requestPass,
         // The executor has seen a newer fencing token; the outcome of a renewal shows whether the lease is lost.
         fenced: (): void => {
@@ -194,8 +197,16 @@
             options.requestRenewal();
         }
     };
+    const pollOnceSuccessorIsPossible = (): void => {
+        const before = successorWasPossible;
+        successorWasPossible = mayHaveSuccessor();
+        if (successorWasPossible && !before) {
+            connections.pollNow();
+        }
+    };
     const runPass = (): void => {
         expireLostRuns();
+        pollOnceSuccessorIsPossible();
         recordLeaseHeld(tables, poolLeaseHeldAtMs(lease, context));
         admission.openOccurrences();
         if (jobsLoaded && mayAct()) {
--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -76,6 +76,7 @@
         context: { monotonicMs, log: () => undefined, metrics } as unknown as DispatcherContext,
         owner: {
             tables,
+            mayHaveSuccessor: () => false,
             mayExtendLeases: () => connected.mayExtendLeases(),
             ended: () => undefined,
             changed: () => undefined,
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -84,6 +84,7 @@
         } as unknown as DispatcherContext,
         owner: {
             tables,
+            mayHaveSuccessor: () => false,
             mayExtendLeases: () => state.mayExtendLeases,
             ended: () => undefined,
             changed: () => undefined,
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -99,6 +99,8 @@
 // CPU demand of each task in the tests.
 const TASK_CPU = 1000;
 const LEASE_CHECK_MS = 20;
+// A longer lease is shortened to this length.
+const MAX_LEASE_MS = 6000;
 // Number of ends that a response lists at most.
 const ENDS_PER_RESPONSE = 500;
 
@@ -126,6 +128,9 @@
 
     const clock = (): number => Math.round(performance.now() - clockStartMs);
     const clockFields = (): object => ({ clock_ms: clock(), born });
+    const extendLease = (untilMs: number): void => {
+        leaseEndMs = Math.max(leaseEndMs, Math.min(untilMs, clock() + MAX_LEASE_MS));
+    };
     const wakeHolds = (): void => {
         const pending = waitingHolds;
         waitingHolds = [];
@@ -169,7 +174,7 @@
         if (untilMs <= clock()) {
             return reject("late");
         }
-        leaseEndMs = Math.max(leaseEndMs, untilMs);
+        extendLease(untilMs);
         if (active.get(task)?.run === run) {
             return reply(200, clockFields());
         }
@@ -230,7 +235,7 @@
             return reject("fence");
         }
         highestToken = fencingToken;
-        leaseEndMs = Math.max(leaseEndMs, untilMs ?? 0);
+        extendLease(untilMs ?? 0);
         acknowledgeEnds(lastSeen);
         if (ends.length === 0 && waitMs > 0) {
             await new Promise<void>(resolve => {
