--- a/bench/system/test/odd-entries.test.ts
+++ b/bench/system/test/odd-entries.test.ts
@@ -42,6 +42,8 @@
     entry({ labels: "#" }).replace('"#"', nested(10_000)),
     entry({ capacity: "#" }).replace('"#"', nested(10_000)),
     nested(30_000),
+    nested(100_000),
+    entry({ labels: "#" }).replace('"#"', nested(100_000)),
     entry({ capacity: { cpu: "#", mem_mb: 8000 } }).replace('"#"', "1e400"),
     entry({ born: "#" }).replace('"#"', "123456789012345678901234567890"),
     entry({ born: -1.5 }),
