--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -42,7 +42,7 @@
 
 const TICK_INTERVAL_MS = 100;
 const LIST_INTERVAL_MS = 500;
-// A VM has left the fleet if this many successive lists lack it.
+// A VM has left the fleet if this many successive complete lists lack it.
 const LISTS_TO_TELL_A_DEPARTURE = 2;
 // Pool leases that were renewed longer ago are ignored: without a scheduler, VMs that the pool has evacuated may not
 // stay empty, and its demand is outdated.
@@ -64,7 +64,9 @@
     const orders = new Map<VmId, VmOrder>();
     const evacuations = createFleetEvacuations({ context, lease });
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
-    let lastLists: readonly VmList[] = [];
+    let lastListedAtMs = Number.NEGATIVE_INFINITY;
+    /** The last lists without rows that could not be read; one that has some does not show that a VM has left. */
+    let lastCompleteLists: readonly VmList[] = [];
     let active = true;
     let lastLoggedNeeds = "";
     const forecast = createSurgeForecast();
@@ -99,11 +101,11 @@
         }
     };
     const openWaves = (): readonly Wave[] => [...waves.values()].filter(({ completed }) => !completed);
-    const listedAtMs = (): number => lastLists.at(-1)?.sentAtMs ?? Number.NEGATIVE_INFINITY;
+    const listedAtMs = (): number => lastListedAtMs;
     const listsSinceMs = (): number =>
-        lastLists.length < LISTS_TO_TELL_A_DEPARTURE
+        lastCompleteLists.length < LISTS_TO_TELL_A_DEPARTURE
             ? Number.NEGATIVE_INFINITY
-            : (lastLists[0]?.sentAtMs ?? Number.NEGATIVE_INFINITY);
+            : (lastCompleteLists[0]?.sentAtMs ?? Number.NEGATIVE_INFINITY);
     const pollVms = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         const listing = await client.list();
@@ -111,7 +113,12 @@
             vms = new Map(
                 listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
             );
-            lastLists = [...lastLists, { vms: [...vms.keys()], sentAtMs }].slice(-LISTS_TO_TELL_A_DEPARTURE);
+            lastListedAtMs = sentAtMs;
+            if (listing.complete) {
+                lastCompleteLists = [...lastCompleteLists, { vms: [...vms.keys()], sentAtMs }].slice(
+                    -LISTS_TO_TELL_A_DEPARTURE,
+                );
+            }
         }
         await sleep(LIST_INTERVAL_MS);
     };
@@ -184,7 +191,7 @@
             {
                 vms,
                 listedAtMs: listedAtMs(),
-                recentlyListed: new Set(lastLists.flatMap(list => list.vms)),
+                recentlyListed: new Set(lastCompleteLists.flatMap(list => list.vms)),
                 listsSinceMs: listsSinceMs(),
                 spare: new Set(sparePools()),
                 waves: [...waves.values()],
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -14,6 +14,8 @@
 const POOL_B = toId<PoolName>("pool-b");
 const SPARE_POOL = toId<PoolName>("pool-spare");
 const VM = toId<VmId>("vm-1");
+/** A VM that is always listed with the first one, in `POOL_B`, and about which nothing is decided. */
+const OTHER_VM = toId<VmId>("vm-2");
 const EPOCH = 5;
 const TIMEOUT_MS = 5000;
 // Longer than several ticks of the fleet manager.
@@ -30,6 +32,10 @@
     readonly lists: () => number;
     /** Pool in which the VM is listed; the list fails if undefined. */
     listedPool: PoolName | undefined;
+    /** State in which the VM is listed. */
+    listedState: string;
+    /** Rows that the fleet manager has stored, other than its lease. */
+    readonly stored: readonly string[];
     /** Pool leases as the fleet manager reads them. */
     readonly records: Map<PoolName, LeaseRecord>;
     readonly waves: RequestedWave[];
@@ -51,6 +57,7 @@
     { listedPool, predecessor }: { readonly listedPool: PoolName; readonly predecessor?: LeaseRecord },
 ): Promise<StartedFleet> => {
     const orders: string[] = [];
+    const stored: string[] = [];
     let lists = 0;
     let advancedMs = 0;
     const server = createServer((request, response) => {
@@ -68,7 +75,14 @@
             const pool = started.listedPool;
             answer(
                 pool === undefined ? 503 : 200,
-                pool === undefined ? {} : { machines: [{ machine: VM, pool, state: "up", zone: "dc", id: "i-1" }] },
+                pool === undefined
+                    ? {}
+                    : {
+                          machines: [
+                              { machine: VM, pool, state: started.listedState, zone: "dc", id: "i-1" },
+                              { machine: OTHER_VM, pool: POOL_B, state: "up", zone: "dc", id: "i-2" },
+                          ],
+                      },
             );
         });
     });
@@ -102,7 +116,10 @@
             metrics: { count: () => undefined },
             store: {
                 nowMs: () => 0,
-                transact: () => Promise.resolve({ kind: "committed", version: 1, nowMs: 0 }),
+                transact: ({ writes }: { readonly writes: readonly { readonly value: string }[] }) => {
+                    stored.push(...writes.map(({ value }) => value));
+                    return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
+                },
             },
         } as unknown as DispatcherContext,
         lease,
@@ -123,6 +140,8 @@
         orders,
         lists: () => lists,
         listedPool,
+        listedState: "up",
+        stored,
         records,
         waves,
         advance: ms => (advancedMs += ms),
@@ -179,3 +198,17 @@
     await waitUntil("the end of the evacuation", () => fleet.manager.leaseContent().evacuations.length === 0);
     assert.deepEqual(fleet.orders, []);
 });
+
+test("a VM whose row in the list cannot be read has not left the fleet, so that its wave is not completed without it", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_A });
+    fleet.listedState = "resting";
+    const request = { wave: 1, vms: [VM], withinMs: 60_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    const listsBefore = fleet.lists();
+    await waitUntil("several lists", () => fleet.lists() >= listsBefore + 4);
+    await sleep(SEVERAL_TICKS_MS);
+    assert.deepEqual(
+        fleet.stored.filter(value => value.includes("completed")),
+        [],
+    );
+});
