--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -65,6 +65,15 @@
 const freeResources = ({ record, runs }: Executor): Resources =>
     [...runs.values()].reduce((free, run) => subtract(free, demandOf(run.task.step.step)), record.capacity);
 
+/** True if an executor gets starts now and its free capacity and labels suffice for a task of the step. */
+export const hasRoomFor = (tables: PoolTables, executor: Executor, { step }: OpenStep, nowMs: number): boolean =>
+    isSchedulable(tables, executor, nowMs) &&
+    hasRequiredLabel(step, executor) &&
+    fits(demandOf(step), freeResources(executor));
+
+const hasRequiredLabel = ({ requiredLabel }: Step, { record }: Executor): boolean =>
+    requiredLabel === undefined || record.labels.includes(requiredLabel);
+
 /** Resources that a task reserves on its executor. Backfill tasks reserve no CPU. */
 export const demandOf = ({ demand, backfill }: Step): Resources => (backfill ? { ...demand, cpu: 0 } : demand);
 
@@ -206,7 +215,7 @@
         .filter(([, free]) => fits(demand, free))
         .map(([executor]) => executor)
         .filter(executor => tickets === undefined || tickets.has(executor.id))
-        .filter(({ record }) => step.requiredLabel === undefined || record.labels.includes(step.requiredLabel))
+        .filter(executor => hasRequiredLabel(step, executor))
         .filter(
             executor =>
                 step.maxPerExecutor === undefined ||
--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -2,7 +2,8 @@
 import type { ExecutorId, StepId } from "@almondusher/jobs/ids";
 import { MAX_ADVISED_EXECUTORS, type AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { isJobEnded, isReady } from "@almondusher/scheduler/job-progress";
-import { isWaiting, stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { hasRoomFor } from "@almondusher/scheduler/place-tasks";
+import { isWaiting, stepsOf, type Executor, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "./dispatcher-context.js";
 
 /** Tickets from the advice service, which decides for some queues on which executors a step may run. */
@@ -13,8 +14,8 @@
     /** Discards the tickets of a step after an executor has rejected one. */
     readonly discard: (step: OpenStep) => void;
     /**
-     * Requests tickets for one step that has no valid ones, preferably a step that can start now. Must be called
-     * regularly.
+     * Asks about one step and those executors on which it needs an answer, first the ones with room for a task. Must be
+     * called regularly.
      */
     readonly prefetch: () => void;
 }
@@ -28,66 +29,177 @@
     readonly changed: () => void;
 }
 
-interface ValidTickets {
+/** Answer of the advice service for one step and one life of an executor. */
+interface ExecutorAnswer {
+    /** When the life of the executor began, as far as it is known, in milliseconds of the monotonic clock. */
+    readonly incarnationSinceMs: number;
+    /** Undefined if the executor may not run the step. */
+    readonly ticket: string | undefined;
     readonly validUntilMs: number;
-    readonly tickets: ReadonlyMap<ExecutorId, string>;
+}
+
+/** What the advice service has answered for a step; bounded by the executors of the pool. */
+interface StepAnswers {
+    readonly byExecutor: Map<ExecutorId, ExecutorAnswer>;
+    /** When the service was last asked, in milliseconds of the monotonic clock. */
+    askedAtMs: number;
+    /** Executors with valid tickets, and until when the set holds; undefined if it has to be determined. */
+    valid: ValidExecutors | undefined;
+}
+
+interface ValidExecutors {
+    readonly executors: ReadonlySet<ExecutorId>;
+    readonly untilMs: number;
+}
+
+interface AdviceCall {
+    readonly step: OpenStep;
+    readonly executors: readonly Executor[];
 }
 
 // Part of a ticket's validity that is reserved for sending the start.
 const START_MARGIN_MS = 300;
 const TIMEOUT_SLACK_MS = 1000;
 const RETRY_DELAY_MS = 200;
+// Looking for an executor without an answer costs time in each pass while all of them have one.
+const SEARCH_INTERVAL_MS = 100;
 
 export const createStepTickets = ({ context, client, tables, changed }: StepTicketsOptions): StepTickets => {
-    const ticketsByStep = new Map<StepId, ValidTickets>();
+    const answersByStep = new Map<StepId, StepAnswers>();
     let requestInFlight = false;
     let retryAtMs = 0;
+    let searchAtMs = Number.NEGATIVE_INFINITY;
 
     const timingOf = (step: OpenStep): AdviceTiming | undefined => tables.queues.get(step.job.queue)?.advice;
     const isAnyQueueAdvised = (): boolean => [...tables.queues.values()].some(({ advice }) => advice !== undefined);
-    const valid = (step: OpenStep): ValidTickets | undefined => {
-        const tickets = ticketsByStep.get(step.id);
-        return tickets !== undefined && tickets.validUntilMs > context.monotonicMs() ? tickets : undefined;
+    const answersFor = (step: OpenStep): StepAnswers => {
+        const known = answersByStep.get(step.id);
+        if (known !== undefined) {
+            return known;
+        }
+        const answers: StepAnswers = { byExecutor: new Map(), askedAtMs: Number.NEGATIVE_INFINITY, valid: undefined };
+        answersByStep.set(step.id, answers);
+        return answers;
     };
-    const requestTickets = async (step: OpenStep, timing: AdviceTiming, service: AdviceClient): Promise<void> => {
-        const executors = [...tables.executors.values()]
-            .filter(({ registered, record }) => registered && !record.draining)
-            .map(({ id }) => id)
-            .slice(0, MAX_ADVISED_EXECUTORS);
+    const validExecutors = (step: OpenStep): ReadonlySet<ExecutorId> => {
+        const answers = answersByStep.get(step.id);
+        if (answers === undefined) {
+            return NO_EXECUTORS;
+        }
+        if (answers.valid === undefined || answers.valid.untilMs <= context.monotonicMs()) {
+            answers.valid = findValid(answers, context.monotonicMs());
+        }
+        return answers.valid.executors;
+    };
+    const requestTickets = async (
+        { step, executors }: AdviceCall,
+        timing: AdviceTiming,
+        service: AdviceClient,
+    ): Promise<void> => {
+        const asked = executors.map(({ id, incarnationSinceMs }) => ({ id, incarnationSinceMs }));
         const sentAtMs = context.monotonicMs();
-        const timeoutMs = timing.decideMs + timing.perExecutorMs * executors.length + TIMEOUT_SLACK_MS;
-        const advice = await service.advise(step.id, executors, timeoutMs);
+        const timeoutMs = timing.decideMs + timing.perExecutorMs * asked.length + TIMEOUT_SLACK_MS;
+        answersFor(step).askedAtMs = sentAtMs;
+        const advice = await service.advise(
+            step.id,
+            asked.map(({ id }) => id),
+            timeoutMs,
+        );
         context.metrics.count(`advice_${advice.kind}`);
         if (advice.kind === "failed") {
             context.log("advice-failed", { step: step.id, reason: advice.reason });
             retryAtMs = context.monotonicMs() + RETRY_DELAY_MS;
             return;
         }
-        ticketsByStep.set(step.id, {
-            validUntilMs: sentAtMs + advice.validMs - START_MARGIN_MS,
-            tickets: new Map(advice.tickets.map(({ executor, ticket }) => [executor, ticket])),
-        });
+        const tickets = new Map(advice.tickets.map(({ executor, ticket }) => [executor, ticket]));
+        const answers = answersFor(step);
+        const validUntilMs = sentAtMs + advice.validMs - START_MARGIN_MS;
+        asked.forEach(({ id, incarnationSinceMs }) =>
+            answers.byExecutor.set(id, { incarnationSinceMs, ticket: tickets.get(id), validUntilMs }),
+        );
+        answers.valid = undefined;
         changed();
     };
-    // Steps that are ready to start take precedence over those that depend on other steps.
-    const nextStepWithoutTickets = (): OpenStep | undefined => {
-        const waiting = [...tables.jobs.values()]
+    // A step has the same executors for as long as it exists, so only tickets are asked for again.
+    const needsAnswer = (step: OpenStep, { id, incarnationSinceMs }: Executor): boolean => {
+        const answer = answersByStep.get(step.id)?.byExecutor.get(id);
+        return (
+            answer === undefined ||
+            answer.incarnationSinceMs !== incarnationSinceMs ||
+            (answer.ticket !== undefined && answer.validUntilMs <= context.monotonicMs())
+        );
+    };
+    const advisedSteps = (): readonly OpenStep[] =>
+        [...tables.jobs.values()]
             .filter(job => !isJobEnded(job))
             .flatMap(stepsOf)
-            .filter(step => timingOf(step) !== undefined && valid(step) === undefined)
-            .filter(step => step.tasks.some(isWaiting));
-        return waiting.find(isReady) ?? waiting[0];
-    };
-    const dropExpired = (): void => {
+            .filter(step => step.remaining > 0 && timingOf(step) !== undefined);
+    // Steps that are ready to start take precedence over those that depend on other steps, executors with room over others,
+    // and then the step that has waited longest for an answer.
+    const nextCall = (steps: readonly OpenStep[]): AdviceCall | undefined => {
+        const executors = [...tables.executors.values()].filter(
+            ({ registered, record }) => registered && !record.draining,
+        );
+        const waiting = steps
+            .filter(step => step.tasks.some(isWaiting))
+            .map(step => ({ step, askedAtMs: answersByStep.get(step.id)?.askedAtMs ?? Number.NEGATIVE_INFINITY }))
+            .sort((left, right) => compareTimes(left.askedAtMs, right.askedAtMs))
+            .map(({ step }) => step);
+        const isNew = !waiting.every(({ id }) => answersByStep.has(id));
+        if (executors.length === 0 || (!isNew && context.monotonicMs() < searchAtMs)) {
+            return undefined;
+        }
+        const ready = waiting.filter(isReady);
+        const dependent = waiting.filter(step => !isReady(step));
         const nowMs = context.monotonicMs();
-        [...ticketsByStep]
-            .filter(([, { validUntilMs }]) => validUntilMs <= nowMs)
-            .forEach(([step]) => ticketsByStep.delete(step));
+        const withRoom = (step: OpenStep, executor: Executor): boolean => hasRoomFor(tables, executor, step, nowMs);
+        const call =
+            findCall(ready, executors, withRoom) ??
+            findCall(ready, executors, () => true) ??
+            findCall(dependent, executors, () => true);
+        searchAtMs = call === undefined ? nowMs + SEARCH_INTERVAL_MS : Number.NEGATIVE_INFINITY;
+        return call;
+    };
+    const findCall = (
+        steps: readonly OpenStep[],
+        executors: readonly Executor[],
+        isConsidered: (step: OpenStep, executor: Executor) => boolean,
+    ): AdviceCall | undefined => {
+        for (const step of steps) {
+            const toAsk = executors.filter(executor => needsAnswer(step, executor) && isConsidered(step, executor));
+            if (toAsk.length > 0) {
+                return { step, executors: toAsk.slice(0, MAX_ADVISED_EXECUTORS) };
+            }
+        }
+        return undefined;
+    };
+    // Answers are kept only for open steps and present executors.
+    const dropOutdated = (steps: readonly OpenStep[]): void => {
+        const open = new Set(steps.map(({ id }) => id));
+        answersByStep.forEach(({ byExecutor }, step) => {
+            if (!open.has(step)) {
+                answersByStep.delete(step);
+                return;
+            }
+            [...byExecutor.keys()].filter(id => !tables.executors.has(id)).forEach(id => byExecutor.delete(id));
+        });
     };
     return {
-        executorsFor: step => (timingOf(step) === undefined ? undefined : new Set(valid(step)?.tickets.keys() ?? [])),
-        ticketFor: (step, executor) => valid(step)?.tickets.get(executor),
-        discard: step => ticketsByStep.delete(step.id),
+        executorsFor: step => (timingOf(step) === undefined ? undefined : validExecutors(step)),
+        ticketFor: (step, executor) =>
+            validExecutors(step).has(executor)
+                ? answersByStep.get(step.id)?.byExecutor.get(executor)?.ticket
+                : undefined,
+        discard: step => {
+            const answers = answersByStep.get(step.id);
+            if (answers !== undefined) {
+                [...answers.byExecutor]
+                    .filter(([, { ticket }]) => ticket !== undefined)
+                    .forEach(([executor]) => answers.byExecutor.delete(executor));
+                answers.valid = undefined;
+                searchAtMs = Number.NEGATIVE_INFINITY;
+            }
+        },
         prefetch: () => {
             if (
                 client === undefined ||
@@ -98,16 +210,31 @@
             ) {
                 return;
             }
-            dropExpired();
-            const step = nextStepWithoutTickets();
-            const timing = step === undefined ? undefined : timingOf(step);
-            if (step === undefined || timing === undefined) {
+            const steps = advisedSteps();
+            dropOutdated(steps);
+            const call = nextCall(steps);
+            const timing = call === undefined ? undefined : timingOf(call.step);
+            if (call === undefined || timing === undefined) {
                 return;
             }
             requestInFlight = true;
-            void requestTickets(step, timing, client).finally(() => {
+            void requestTickets(call, timing, client).finally(() => {
                 requestInFlight = false;
             });
         },
     };
 };
+
+const NO_EXECUTORS: ReadonlySet<ExecutorId> = new Set();
+
+const findValid = ({ byExecutor }: StepAnswers, nowMs: number): ValidExecutors => {
+    const valid = [...byExecutor].filter(
+        ([, { ticket, validUntilMs }]) => ticket !== undefined && validUntilMs > nowMs,
+    );
+    return {
+        executors: new Set(valid.map(([executor]) => executor)),
+        untilMs: Math.min(...valid.map(([, { validUntilMs }]) => validUntilMs)),
+    };
+};
+
+const compareTimes = (left: number, right: number): number => (left === right ? 0 : left - right);
--- /dev/null
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -0,0 +1,291 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { ExecutorRecord } from "@almondusher/jobs/executor";
+import type { ExecutorId, JobId, QueueName, StepId } from "@almondusher/jobs/ids";
+import type { Step } from "@almondusher/jobs/job";
+import { initialProgress } from "@almondusher/jobs/progress";
+import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
+import { admitJob } from "@almondusher/scheduler/admit-job";
+import { applyRegistry } from "@almondusher/scheduler/executor-table";
+import { beginIncarnation } from "@almondusher/scheduler/executor-incarnation";
+import { placeTasks } from "@almondusher/scheduler/place-tasks";
+import {
+    createPoolTables,
+    recordLeaseHeld,
+    stepsOf,
+    type OpenStep,
+    type PoolTables,
+} from "@almondusher/scheduler/pool-tables";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import type { DispatcherContext } from "../src/dispatcher-context.js";
+import { createStepTickets, type StepTickets } from "../src/step-tickets.js";
+
+const POOL = toId<PoolName>("pool-a");
+const QUEUE = toId<QueueName>("queue-1");
+const VALID_MS = 3000;
+const CALL_MS = 120;
+const MAX_IDS = 100;
+const STEP: Step = {
+    count: 1,
+    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
+    estimateMs: 1000,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerExecutor: undefined,
+    speculative: false,
+    longRunning: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    backfill: false,
+    disruptionBudget: undefined,
+};
+
+const executorId = (index: number): ExecutorId => toId<ExecutorId>(`i-${index}`);
+
+const record = (index: number): ExecutorRecord => ({
+    id: executorId(index),
+    vm: toId<VmId>(`vm-${index}`),
+    pool: POOL,
+    address: "127.0.0.1:1",
+    dataCentre: toId<DataCentreName>("dc"),
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 1000, memoryMb: 1000, gpu: 0 },
+    labels: [],
+    startedAtMs: 1,
+    clockMs: 0,
+});
+
+interface AdvisedPool {
+    readonly tables: PoolTables;
+    readonly tickets: StepTickets;
+    /** The executors of each call, in the order of the calls. */
+    readonly calls: readonly { readonly step: StepId; readonly executors: readonly ExecutorId[] }[];
+    readonly nowMs: () => number;
+    /** Makes the calls that are due, one after another, each of which takes the same time. */
+    readonly ask: (calls: number) => Promise<void>;
+    readonly pass: (ms: number) => void;
+}
+
+/** A pool of executors whose policy allows those with the given indexes, with a job of one task for each id. */
+const createAdvisedPool = (
+    executors: number,
+    allowed: (index: number) => boolean,
+    jobs: readonly string[] = ["j1"],
+): AdvisedPool => {
+    const tables = createPoolTables({
+        pool: POOL,
+        token: 1,
+        runNumbers: initialRunNumbers(1),
+        maxLeaseMs: 6000,
+        runLeaseMs: 4000,
+        stopTimeMs: 200,
+    });
+    tables.queues.set(QUEUE, {
+        name: QUEUE,
+        host: "host",
+        prefix: "/q/",
+        pool: POOL,
+        priority: 0,
+        maxAttempts: 2,
+        stretch: 2,
+        graceMs: 500,
+        timeoutMs: 3000,
+        advice: { decideMs: 20, perExecutorMs: 1, validMs: VALID_MS },
+    });
+    tables.isProgressCurrent = true;
+    recordLeaseHeld(tables, Infinity);
+    applyRegistry(
+        tables,
+        Array.from({ length: executors }, (unused, index) => record(index)),
+        0,
+    );
+    tables.executors.forEach(executor => {
+        executor.reconciled = true;
+        executor.listedInLease = true;
+    });
+    jobs.forEach(id => {
+        const job = {
+            id: toId<JobId>(id),
+            queue: QUEUE,
+            pool: POOL,
+            spec: "",
+            steps: [STEP],
+            schedule: undefined,
+            acceptedAtMs: 0,
+        };
+        admitJob(
+            tables,
+            { job, progress: initialProgress, progressVersion: 1, arrivedAtMs: 0, readAtMs: 0, inherited: false },
+            0,
+        );
+    });
+    let nowMs = 0;
+    let inFlight = 0;
+    const calls: AdvisedPool["calls"][number][] = [];
+    const client: AdviceClient = {
+        advise: (step, ids) => {
+            inFlight++;
+            assert.equal(inFlight, 1, "more than one call at a time");
+            assert.ok(ids.length > 0 && ids.length <= MAX_IDS, `${ids.length} executors in one call`);
+            calls.push({ step, executors: ids });
+            const good = ids.filter(id => allowed(Number(id.slice(2))));
+            return Promise.resolve({
+                kind: "tickets",
+                tickets: good.map(executor => ({ executor, ticket: `${step}/${executor}/${nowMs}` })),
+                validMs: VALID_MS,
+            } as const).finally(() => {
+                nowMs += CALL_MS;
+                inFlight--;
+            });
+        },
+    };
+    const tickets = createStepTickets({
+        context: {
+            monotonicMs: () => nowMs,
+            metrics: { count: () => undefined },
+            log: () => undefined,
+        } as unknown as DispatcherContext,
+        client,
+        tables,
+        changed: () => undefined,
+    });
+    return {
+        tables,
+        tickets,
+        calls,
+        nowMs: () => nowMs,
+        pass: ms => void (nowMs += ms),
+        ask: async count => {
+            for (let index = 0; index < count; index++) {
+                tickets.prefetch();
+                await new Promise(resolve => setImmediate(resolve));
+            }
+        },
+    };
+};
+
+const firstStep = ({ tables }: AdvisedPool): OpenStep => {
+    const [step] = [...tables.jobs.values()].flatMap(stepsOf);
+    assert.ok(step !== undefined);
+    return step;
+};
+
+const place = ({ tables, tickets, nowMs }: AdvisedPool): readonly string[] =>
+    placeTasks(tables, {
+        nowMs: nowMs(),
+        budget: { isExhausted: () => false, allows: () => true, spend: () => undefined },
+        executorsWithTicket: tickets.executorsFor,
+    }).map(run => run.executor.id);
+
+test("a job whose policy allows only the last of 102 executors is started", async () => {
+    const pool = createAdvisedPool(102, index => index === 101);
+    await pool.ask(2);
+    assert.deepEqual(place(pool), ["i-101"]);
+});
+
+test("executors with room are asked about before those without", async () => {
+    const pool = createAdvisedPool(150, () => true);
+    pool.tables.executors.forEach(executor => {
+        executor.reachable = Number(executor.id.slice(2)) >= 140;
+    });
+    await pool.ask(2);
+    assert.deepEqual(
+        pool.calls[0]?.executors,
+        Array.from({ length: 10 }, (unused, index) => executorId(140 + index)),
+    );
+    assert.equal(pool.calls[1]?.executors.length, MAX_IDS);
+});
+
+test("executors that were refused for a step are not asked about again, and expired tickets are", async () => {
+    const pool = createAdvisedPool(250, index => index === 5 || index === 240);
+    await pool.ask(6);
+    assert.deepEqual(
+        pool.calls.map(({ executors }) => executors.length),
+        [100, 100, 50],
+    );
+    assert.deepEqual([...(pool.tickets.executorsFor(firstStep(pool)) ?? [])], ["i-5", "i-240"]);
+    pool.pass(VALID_MS);
+    assert.equal(pool.tickets.executorsFor(firstStep(pool))?.size, 0, "an expired ticket");
+    assert.equal(pool.tickets.ticketFor(firstStep(pool), executorId(5)), undefined);
+    await pool.ask(2);
+    assert.deepEqual(
+        pool.calls.slice(3).map(({ executors }) => executors),
+        [["i-5", "i-240"]],
+    );
+    assert.deepEqual(place(pool).length, 1);
+});
+
+test("a ticket that an executor has rejected is not used again", async () => {
+    const pool = createAdvisedPool(3, index => index === 1);
+    await pool.ask(2);
+    const before = pool.tickets.ticketFor(firstStep(pool), executorId(1));
+    assert.ok(before !== undefined);
+    pool.tickets.discard(firstStep(pool));
+    assert.equal(pool.tickets.ticketFor(firstStep(pool), executorId(1)), undefined);
+    await pool.ask(1);
+    assert.deepEqual(pool.calls[1]?.executors, ["i-1"]);
+    assert.notEqual(pool.tickets.ticketFor(firstStep(pool), executorId(1)), before);
+});
+
+test("an executor that has joined, or restarted under its id, is asked about", async () => {
+    const pool = createAdvisedPool(3, index => index === 3);
+    await pool.ask(3);
+    assert.equal(pool.calls.length, 1);
+    applyRegistry(pool.tables, [0, 1, 2, 3].map(record), pool.nowMs());
+    const restarted = pool.tables.executors.get(executorId(2));
+    assert.ok(restarted !== undefined);
+    beginIncarnation(restarted, pool.nowMs());
+    pool.pass(1000);
+    await pool.ask(2);
+    assert.deepEqual(
+        pool.calls
+            .slice(1)
+            .flatMap(({ executors }) => executors)
+            .sort(),
+        ["i-2", "i-3"],
+    );
+});
+
+test("a step without any permitted executor does not keep the others from being asked about", async () => {
+    const pool = createAdvisedPool(300, () => false, ["j1", "j2"]);
+    await pool.ask(2);
+    assert.equal(new Set(pool.calls.map(({ step }) => step)).size, 2);
+    await pool.ask(10);
+    assert.equal(pool.calls.length, 6);
+});
+
+test("answers about steps that are over and executors that have left are dropped, and none is asked for", async () => {
+    const pool = createAdvisedPool(5, () => true);
+    await pool.ask(1);
+    const step = firstStep(pool);
+    pool.tables.executors.delete(executorId(4));
+    await pool.ask(1);
+    assert.ok(pool.tickets.ticketFor(step, executorId(3)) !== undefined);
+    pool.tables.jobs.clear();
+    await pool.ask(1);
+    assert.equal(pool.tickets.ticketFor(step, executorId(3)), undefined);
+    assert.equal(pool.calls.length, 1);
+});
+
+test("every executor is asked about once for each step, whatever the size of the pool and the number of jobs", async () => {
+    await fc.assert(
+        fc.asyncProperty(fc.integer({ min: 1, max: 350 }), fc.integer({ min: 1, max: 3 }), async (executors, jobs) => {
+            const ids = Array.from({ length: jobs }, (unused, index) => `j${index}`);
+            const pool = createAdvisedPool(executors, () => false, ids);
+            const expected = jobs * Math.ceil(executors / MAX_IDS);
+            await pool.ask(expected + 3);
+            assert.equal(pool.calls.length, expected);
+            const asked = pool.calls.flatMap(call => call.executors.map(executor => `${call.step} ${executor}`));
+            assert.equal(asked.length, jobs * executors);
+            assert.equal(new Set(asked).size, asked.length);
+        }),
+        { numRuns: 30 },
+    );
+});
