--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -81,7 +81,7 @@
 const UNCONFIGURED_POLL_INTERVAL_MS = 20;
 const RENEW_INTERVAL_MS = 500;
 // A pool lease that has not changed for this long may be acquired by another process.
-export const POOL_LEASE_DURATION_MS = 2000;
+const POOL_LEASE_DURATION_MS = 2000;
 // The platform requires at least this much time between orders for a VM from two successive holders.
 export const FLEET_LEASE_DURATION_MS = 3300;
 
