--- a/model/specification/src/run-state.ts
+++ b/model/specification/src/run-state.ts
@@ -9,6 +9,7 @@
     "announce-executor",
     "store-end-before-acknowledging",
     "confirm-lease-after-giving-up",
+    "confirm-lease-after-restart",
 ] as const;
 export type RunGuard = (typeof runGuards)[number];
 
@@ -40,6 +41,10 @@
     readonly listedInLease: readonly ExecutorIndex[];
     /** It gave up a run without a reported end, and has not confirmed since that it holds the lease. */
     readonly mustConfirmLease: boolean;
+    /** Number of restarts of each executor that it knows of. */
+    readonly knownRestarts: readonly [number, number];
+    /** Executors whose restart it noticed, without having confirmed since that it holds the lease. */
+    readonly noticedRestarts: readonly ExecutorIndex[];
 }
 
 /** An executor as far as the task is concerned. */
@@ -52,6 +57,11 @@
     readonly leaseToken: number;
     /** Highest run number that was stopped. Runs up to this number are no longer started. */
     readonly stopped: number;
+    readonly restarts: number;
+    /** Highest fencing token that it had received before a restart, and has forgotten. */
+    readonly forgottenToken: number;
+    /** Highest run number that was stopped before a restart. */
+    readonly forgottenStop: number;
     /** The task ended on this executor, and the end was not acknowledged yet. */
     readonly ended: boolean;
     /** Scheduler processes that cannot reach the executor, in ascending order. */
@@ -63,6 +73,8 @@
     readonly executor: ExecutorIndex;
     readonly run: number;
     readonly epoch: number;
+    /** Number of restarts of the executor that the sender knew of. */
+    readonly knownRestarts: number;
 }
 
 /** State of the protocol. */
@@ -101,13 +113,19 @@
           readonly executor: ExecutorIndex;
       }
     | { readonly type: "deliver"; readonly index: number }
-    | { readonly type: "finish"; readonly executor: ExecutorIndex }
+    | { readonly type: "finish" | "restart"; readonly executor: ExecutorIndex }
     | { readonly type: "pass-time" };
 
+/** Faults that count towards the bound of the exploration. */
+export const runFaults = ["take-over", "cut", "restart"] as const;
+export type RunFault = (typeof runFaults)[number];
+
 /** Bounds of the exploration, and the guard that is left out. */
 export interface RunOptions {
     readonly disabledGuard?: RunGuard;
     readonly maxFaults: number;
+    /** Kinds of faults that occur; all if undefined. */
+    readonly faults?: readonly RunFault[];
     readonly maxStarts: number;
 }
 
@@ -123,12 +141,17 @@
     isProgressStale: false,
     listedInLease: [0],
     mustConfirmLease: false,
+    knownRestarts: [0, 0],
+    noticedRestarts: [],
 };
 const newExecutor: Executor = {
     highestToken: 0,
     run: 0,
     leaseToken: 0,
     stopped: 0,
+    restarts: 0,
+    forgottenToken: 0,
+    forgottenStop: 0,
     ended: false,
     cutFrom: [],
 };
@@ -147,7 +170,8 @@
     broken: [],
 };
 
-const replaceAt = <Item>(pair: readonly [Item, Item], index: 0 | 1, item: Item): readonly [Item, Item] =>
+/** Returns the pair with one item replaced. */
+export const replaceAt = <Item>(pair: readonly [Item, Item], index: 0 | 1, item: Item): readonly [Item, Item] =>
     index === 0 ? [item, pair[1]] : [pair[0], item];
 
 /** Returns the state with one scheduler changed. */
