--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -6,7 +6,8 @@
 import { createSurgeForecast, forecastNeeds, type ReportedPoolNeed } from "@almondusher/upkeep/surge-forecast";
 import { containErrors, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { leaseAgeMs, type HeldLease, type LeaseManager } from "./lease-manager.js";
+import { leaseAgeMs, type HeldLease } from "./held-lease.js";
+import type { LeaseManager } from "./lease-manager.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
 import type { OperatorFeed, RequestedWave } from "./operator-feed.js";
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,44 +1,23 @@
 import { EventEmitter } from "node:events";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { initialRunNumbers, nextReservation, nextToken, type RunNumbers } from "@almondusher/scheduler/run-numbers";
+import { nextReservation } from "@almondusher/scheduler/run-numbers";
+import { acquireLease } from "./acquire-lease.js";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
+import { FLEET_LEASE_DURATION_MS, POOL_LEASE_DURATION_MS, leaseAgeMs, type HeldLease } from "./held-lease.js";
 import { createLeaseCandidacy, type DueLease } from "./lease-candidacy.js";
 import {
-    emptyLeaseContent,
     encodeLease,
     leaseKey,
     leaseRow,
+    storedReservation,
     type LeaseContent,
     type LeaseRecord,
     type LeaseSubject,
 } from "./lease-rows.js";
-import { transactUntilKnown, versionIfOwn, writeRelease } from "./lease-transactions.js";
+import { versionIfOwn, writeRelease } from "./lease-transactions.js";
 import { createLeaseView, type LeaseObservation } from "./lease-view.js";
-import { inheritedRunsUntilMs, type Takeover } from "./run-leases.js";
-
-/** A lease that this process holds. */
-export interface HeldLease extends Takeover {
-    readonly subject: LeaseSubject;
-    /** Fencing token. */
-    readonly epoch: number;
-    /** The run numbers that this process may give; unused for the lease of the fleet. */
-    readonly runNumbers: RunNumbers;
-    /**
-     * Time on the store's clock until which runs of earlier holders may be active on executors that this one has not asked,
-     * in milliseconds; stored in the lease for the next holder.
-     */
-    readonly inheritedRunsUntilMs: number;
-    /** Monotonic time at which the last confirmed renewal was sent, in milliseconds. */
-    renewedAtMs: number;
-    /** Unix time at which the last confirmed renewal was sent, in milliseconds. */
-    renewedWallMs: number;
-    /** Version of the lease row that the next renewal expects. */
-    version: number;
-    /** Set when another process has acquired the lease, or when this one has ended its work to release it. */
-    lost: boolean;
-}
 
 /** Callbacks for the leases that this process acquires. */
 export interface LeaseHolder {
@@ -80,53 +59,10 @@
 // Used until the configuration is known, so that a restarted process finds its own leases at once.
 const UNCONFIGURED_POLL_INTERVAL_MS = 20;
 const RENEW_INTERVAL_MS = 500;
-// A pool lease that has not changed for this long may be acquired by another process.
-const POOL_LEASE_DURATION_MS = 2000;
-// The platform requires at least this much time between orders for a VM from two successive holders.
-export const FLEET_LEASE_DURATION_MS = 3300;
-
-/**
- * Returns the time since this process last certainly held the lease, in milliseconds.
- * The monotonic clock stops while a VM is suspended, so the wall clock is used as well. If the wall clock jumps ahead,
- * the holder only has to wait for its next renewal.
- */
-export const leaseAgeMs = (
-    { renewedAtMs, renewedWallMs }: HeldLease,
-    context: Pick<DispatcherContext, "monotonicMs">,
-): number => Math.max(context.monotonicMs() - renewedAtMs, Date.now() - renewedWallMs);
-
-// From this fraction of the lease duration after the last renewal, another process may hold the lease.
-const SAFE_LEASE_FRACTION = 0.8;
-
-/** True if no other process can have acquired the pool lease. */
-export const isPoolLeaseSafe = (lease: HeldLease, context: Pick<DispatcherContext, "monotonicMs">): boolean =>
-    !lease.lost && leaseAgeMs(lease, context) < POOL_LEASE_DURATION_MS * SAFE_LEASE_FRACTION;
-
-/**
- * Returns the latest known time at which this process certainly held the pool lease, in milliseconds of the monotonic clock.
- */
-export const poolLeaseHeldAtMs = (lease: HeldLease, context: Pick<DispatcherContext, "monotonicMs">): number => {
-    // Read before the check, since the process may be paused after it.
-    const nowMs = context.monotonicMs();
-    return isPoolLeaseSafe(lease, context) ? nowMs : lease.renewedAtMs;
-};
 
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
-const nextEpoch = (subject: LeaseSubject, observation: LeaseObservation | undefined): number => {
-    if (observation === undefined) {
-        return 1;
-    }
-    // Each acquisition and each reservation of run numbers increases the version of the row, so the version of an unreadable
-    // row stands for the token.
-    const { record = { epoch: observation.version, runNumbersUpTo: undefined } } = observation;
-    return subject.kind === "pool" ? nextToken(record) : record.epoch + 1;
-};
-
-const storedReservation = ({ kind }: LeaseSubject, reservedUpTo: number): number | undefined =>
-    kind === "pool" ? reservedUpTo : undefined;
-
 /** Starts acquiring, renewing and observing leases. */
 export const createLeaseManager = ({ context, subjects, holder }: LeaseManagerOptions): LeaseManager => {
     const { store, monotonicMs } = context;
@@ -250,72 +186,18 @@
     });
 
     const acquire = async ({ subject, unresponsive }: DueLease): Promise<void> => {
-        const key = leaseKey(subject);
-        const lastObservation = view.observation(key);
-        const predecessor = lastObservation?.record;
-        const epoch = nextEpoch(subject, lastObservation);
-        const runNumbers = initialRunNumbers(epoch);
-        const sentAtMs = monotonicMs();
-        const sentWallMs = Date.now();
-        const takeover: Takeover = {
-            predecessor,
-            predecessorEnded:
-                lastObservation === undefined ||
-                (predecessor !== undefined && (predecessor.holder === undefined || predecessor.holder === context.vm)),
-            unrenewedMs: lastObservation?.unchangedMs ?? 0,
-        };
-        const runsUntilMs = inheritedRunsUntilMs(takeover, store.nowMs());
-        const record: LeaseRecord = {
-            ...(predecessor ?? emptyLeaseContent),
-            // Nothing keeps the VMs empty until this holder has read which ones are being evacuated.
-            vacated: [],
-            inheritedRunsUntilMs: runsUntilMs,
-            holder: context.vm,
-            process: context.process,
-            epoch,
-            runNumbersUpTo: storedReservation(subject, runNumbers.reservedUpTo),
-        };
-        const commit = await transactUntilKnown({
-            writer: context,
-            transaction: {
-                expect: [{ ...leaseRow(key), version: lastObservation?.version ?? 0 }],
-                writes: [{ ...leaseRow(key), value: encodeLease(record) }],
-            },
-            endMs: sentAtMs + POOL_LEASE_DURATION_MS,
-        });
-        const version =
-            commit.kind === "committed"
-                ? commit.version
-                : commit.kind === "conflict"
-                  ? versionIfOwn(context, commit.rows[0], epoch)
-                  : undefined;
-        if (commit.kind === "conflict") {
-            view.observe(commit.rows);
-        }
-        if (version === undefined) {
-            return;
-        }
-        const lease: HeldLease = {
-            subject,
-            epoch,
-            runNumbers,
-            ...takeover,
-            inheritedRunsUntilMs: runsUntilMs,
-            renewedAtMs: sentAtMs,
-            renewedWallMs: sentWallMs,
-            version,
-            lost: false,
-        };
+        const lease = await acquireLease({ context, view, subject });
         // During a stop the lease is released at once, unless its previous holder may still act: releasing it would tell the
         // next holder that there is no such process.
-        if (closed && !lease.predecessorEnded) {
+        if (lease === undefined || (closed && !lease.predecessorEnded)) {
             return;
         }
+        const key = leaseKey(subject);
         heldLeases.set(key, lease);
         context.log("lease-taken", {
             lease: key,
-            epoch,
-            predecessor: predecessor?.holder,
+            epoch: lease.epoch,
+            predecessor: lease.predecessor?.holder,
             unchangedMs: lease.unrenewedMs,
         });
         context.metrics.count("leases_taken");
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -121,6 +121,10 @@
  */
 export const leaseRow = (key: string): RowKey => ({ table: LEASE_TABLE, part: `lease/${key}`, key });
 
+/** Returns the reservation of run numbers to store in a lease; the lease of the fleet has none. */
+export const storedReservation = ({ kind }: LeaseSubject, reservedUpTo: number): number | undefined =>
+    kind === "pool" ? reservedUpTo : undefined;
+
 export const encodeLease = (record: LeaseRecord): string => JSON.stringify(record);
 
 /** Decodes a stored lease; undefined if it is malformed. */
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -21,7 +21,7 @@
 import { createExecutorConnections } from "./executor-connections.js";
 import { createJobAdmission } from "./job-admission.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
-import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./lease-manager.js";
+import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./held-lease.js";
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createOrderLoad } from "./order-load.js";
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -7,7 +7,8 @@
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { startFleetManager, type FleetManager } from "../src/fleet-manager.js";
-import type { HeldLease, LeaseManager } from "../src/lease-manager.js";
+import type { HeldLease } from "../src/held-lease.js";
+import type { LeaseManager } from "../src/lease-manager.js";
 import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
 import type { OperatorFeed, RequestedWave } from "../src/operator-feed.js";
 
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -6,7 +6,8 @@
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import { createLeaseManager, poolLeaseHeldAtMs, type HeldLease, type LeaseManager } from "../src/lease-manager.js";
+import { poolLeaseHeldAtMs, type HeldLease } from "../src/held-lease.js";
+import { createLeaseManager, type LeaseManager } from "../src/lease-manager.js";
 import {
     decodeLease,
     emptyLeaseContent,
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -11,7 +11,7 @@
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import type { ExecutorRegistry } from "../src/executor-registry.js";
 import { jobRow, jobTablesOf, progressRow } from "../src/job-rows.js";
-import type { HeldLease } from "../src/lease-manager.js";
+import type { HeldLease } from "../src/held-lease.js";
 import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
 import type { OperatorFeed } from "../src/operator-feed.js";
 import { startPoolScheduler, type PoolScheduler } from "../src/pool-scheduler.js";
--- a/programs/dispatcher/test/vm-order-limits.test.ts
+++ b/programs/dispatcher/test/vm-order-limits.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { FLEET_LEASE_DURATION_MS } from "../src/lease-manager.js";
+import { FLEET_LEASE_DURATION_MS } from "../src/held-lease.js";
 import { orderTimeoutMs } from "../src/vm-order-limits.js";
 
 const AGES_MS = Array.from({ length: 400 }, (unused, index) => index * 10);
