Use one fixture for the tests of the dispatcher's scheduler and connections

Five test files wrote out the same executor record, step and empty tables. They are in test/fixture.ts now; no assertion changes.

--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -3,19 +3,17 @@
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import { toId } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { createPoolTables, type Executor, type Run } from "@almondusher/scheduler/pool-tables";
-import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import { type Executor, type Run } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
 import { createOrderLoad } from "../src/order-load.js";
 import { createOrderWindow } from "../src/order-window.js";
+import { RUN_LEASE_MS, emptyTables, executorRecord } from "./fixture.js";
 
-const POOL = toId<PoolName>("pool-a");
 const EXECUTOR = toId<ExecutorId>("i-1");
-const RUN_LEASE_MS = 4000;
 const PAUSE_MS = 20_000;
 const TIMEOUT_MS = 5000;
 // Longer than an order to a server on this machine takes.
@@ -46,27 +44,9 @@
         });
     });
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-    const tables = createPoolTables({
-        pool: POOL,
-        token: 1,
-        runNumbers: initialRunNumbers(1),
-        maxLeaseMs: 6000,
-        runLeaseMs: RUN_LEASE_MS,
-        stopTimeMs: 200,
-    });
-    const record = {
-        id: EXECUTOR,
-        vm: toId<VmId>("vm-1"),
-        pool: POOL,
-        address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
-        dataCentre: toId<DataCentreName>("dc"),
-        draining: false,
-        remainingMs: undefined,
-        capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
-        labels: [],
-        startedAtMs: 1,
-        clockMs: undefined,
-    };
+    const tables = emptyTables();
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const record = executorRecord(EXECUTOR, { address, clockMs: undefined });
     applyRegistry(tables, [record], 0);
     const executor = tables.executors.get(EXECUTOR);
     assert.ok(executor !== undefined);
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { toId, type DataCentreName, type PoolName } from "@almondusher/fleet/ids";
+import { toId } from "@almondusher/fleet/ids";
 import { initialProgress } from "@almondusher/jobs/progress";
 import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
 import {
@@ -12,15 +12,13 @@
 } from "@almondusher/job-platform-stand-in/json-server";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { addRun, createPoolTables, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
-import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import { addRun, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
+import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 const ID = "i-0" as ExecutorId;
 const JOB = "0000000000000001" as JobId;
-const POOL = toId<PoolName>("pool-a");
-const RUN_LEASE_MS = 4000;
 // Older than the age at which half of a lease may be missing.
 const OLD_READING_MS = 300_000;
 const STARTED_AT_MS = 1;
@@ -45,31 +43,10 @@
         requests.push(request);
         return answer(request);
     });
-    const tables = createPoolTables({
-        pool: POOL,
-        token: 1,
-        runNumbers: initialRunNumbers(1),
-        maxLeaseMs: 6000,
-        runLeaseMs: RUN_LEASE_MS,
-        stopTimeMs: 200,
-    });
+    const tables = emptyTables();
     applyRegistry(
         tables,
-        [
-            {
-                id: ID,
-                vm: undefined,
-                pool: POOL,
-                address: server.address,
-                dataCentre: "dc-1" as DataCentreName,
-                draining: false,
-                remainingMs: undefined,
-                capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
-                labels: [],
-                startedAtMs: STARTED_AT_MS,
-                clockMs: undefined,
-            },
-        ],
+        [executorRecord(ID, { address: server.address, startedAtMs: STARTED_AT_MS, clockMs: undefined })],
         performance.now(),
     );
     const executor = tables.executors.get(ID);
@@ -116,26 +93,7 @@
                 queue: toId<QueueName>("queue-1"),
                 pool: POOL,
                 spec: "",
-                steps: [
-                    {
-                        count: 1,
-                        demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
-                        estimateMs: 1000,
-                        after: [],
-                        checkpointing: false,
-                        gang: false,
-                        sameRack: false,
-                        requiredLabel: undefined,
-                        dataRack: undefined,
-                        maxPerExecutor: undefined,
-                        speculative: false,
-                        longRunning: false,
-                        image: undefined,
-                        latencyTargetMs: undefined,
-                        backfill: false,
-                        disruptionBudget: undefined,
-                    },
-                ],
+                steps: [STEP],
                 schedule: undefined,
                 acceptedAtMs: 0,
             },
--- /dev/null
+++ b/programs/dispatcher/test/fixture.ts
@@ -0,0 +1,57 @@
+import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { ExecutorRecord } from "@almondusher/jobs/executor";
+import type { ExecutorId } from "@almondusher/jobs/ids";
+import type { Step } from "@almondusher/jobs/job";
+import { createPoolTables, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+
+export const POOL = toId<PoolName>("pool-a");
+/** Length of the leases that the scheduler grants to runs, in milliseconds. */
+export const RUN_LEASE_MS = 4000;
+
+/** A step of one task without requirements. */
+export const STEP: Step = {
+    count: 1,
+    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
+    estimateMs: 1000,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    maxPerExecutor: undefined,
+    speculative: false,
+    longRunning: false,
+    image: undefined,
+    latencyTargetMs: undefined,
+    backfill: false,
+    disruptionBudget: undefined,
+};
+
+/** Registry record of an executor on a VM of its own. */
+export const executorRecord = (id: string, change: Partial<ExecutorRecord> = {}): ExecutorRecord => ({
+    id: toId<ExecutorId>(id),
+    vm: toId<VmId>(`vm-${id}`),
+    pool: POOL,
+    address: "127.0.0.1:1",
+    dataCentre: toId<DataCentreName>("dc"),
+    draining: false,
+    remainingMs: undefined,
+    capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
+    labels: [],
+    startedAtMs: 1,
+    clockMs: 0,
+    ...change,
+});
+
+/** Empty tables of the pool under the first token. */
+export const emptyTables = (): PoolTables =>
+    createPoolTables({
+        pool: POOL,
+        token: 1,
+        runNumbers: initialRunNumbers(1),
+        maxLeaseMs: 6000,
+        runLeaseMs: RUN_LEASE_MS,
+        stopTimeMs: 200,
+    });
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -1,43 +1,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
-import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { createPoolTables, recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import { recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { completedEvacuations, listExecutors } from "../src/pool-lease-content.js";
-
-const POOL = toId<PoolName>("pool-a");
+import { emptyTables, executorRecord } from "./fixture.js";
 
 const NOW_MS = 1000;
 
-const recordOf = (id: string): ExecutorRecord => ({
-    id: toId<ExecutorId>(id),
-    vm: toId<VmId>(`vm-${id}`),
-    pool: POOL,
-    address: "127.0.0.1:1",
-    dataCentre: toId<DataCentreName>("dc"),
-    draining: false,
-    remainingMs: undefined,
-    capacity: { cpu: 4000, memoryMb: 4000, gpu: 0 },
-    labels: [],
-    startedAtMs: 1,
-    clockMs: 0,
-});
-
 const tablesWithEvacuation = (change: Partial<Executor>): PoolTables => {
-    const tables = createPoolTables({
-        pool: POOL,
-        token: 1,
-        runNumbers: initialRunNumbers(1),
-        maxLeaseMs: 6000,
-        runLeaseMs: 4000,
-        stopTimeMs: 200,
-    });
+    const tables = emptyTables();
     // Runs of earlier holders may still be active.
     tables.inheritedWaitUntilMs = NOW_MS + 1;
-    applyRegistry(tables, [recordOf("a"), recordOf("b")], 0);
+    applyRegistry(tables, [executorRecord("a"), executorRecord("b")], 0);
     tables.executors.forEach(executor => (executor.reconciled = true));
     Object.assign(tables.executors.get("b" as ExecutorId) as Executor, {
         evacuation: { id: "1-1", byMs: 0 },
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { EventEmitter } from "node:events";
 import { test } from "node:test";
-import { toId, type PoolName, type ProcessId, type VmId } from "@almondusher/fleet/ids";
+import { toId, type ProcessId, type VmId } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
-import type { Step } from "@almondusher/jobs/job";
 import { initialProgress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
@@ -15,31 +14,13 @@
 import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
 import type { OperatorFeed } from "../src/operator-feed.js";
 import { startPoolScheduler, type PoolScheduler } from "../src/pool-scheduler.js";
+import { POOL, STEP } from "./fixture.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
 
-const POOL = toId<PoolName>("pool-a");
 const QUEUE = toId<QueueName>("queue-1");
 const TABLES = jobTablesOf(POOL);
 const ID = "0000000000000001" as JobId;
-const STEP: Step = {
-    count: 1,
-    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
-    estimateMs: 1000,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: undefined,
-    dataRack: undefined,
-    maxPerExecutor: undefined,
-    speculative: false,
-    longRunning: false,
-    image: undefined,
-    latencyTargetMs: undefined,
-    backfill: false,
-    disruptionBudget: undefined,
-};
 
 const never = <Value>(): Promise<Value> => new Promise(() => undefined);
 const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -1,66 +1,29 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import { toId } from "@almondusher/fleet/ids";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId } from "@almondusher/jobs/ids";
-import type { Step } from "@almondusher/jobs/job";
 import { initialProgress } from "@almondusher/jobs/progress";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { beginIncarnation } from "@almondusher/scheduler/executor-incarnation";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import {
-    createPoolTables,
-    recordLeaseHeld,
-    stepsOf,
-    type OpenStep,
-    type PoolTables,
-} from "@almondusher/scheduler/pool-tables";
-import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import { recordLeaseHeld, stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createStepTickets, type StepTickets } from "../src/step-tickets.js";
+import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
 
-const POOL = toId<PoolName>("pool-a");
 const QUEUE = toId<QueueName>("queue-1");
 const VALID_MS = 3000;
 const CALL_MS = 120;
 const MAX_IDS = 100;
-const STEP: Step = {
-    count: 1,
-    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
-    estimateMs: 1000,
-    after: [],
-    checkpointing: false,
-    gang: false,
-    sameRack: false,
-    requiredLabel: undefined,
-    dataRack: undefined,
-    maxPerExecutor: undefined,
-    speculative: false,
-    longRunning: false,
-    image: undefined,
-    latencyTargetMs: undefined,
-    backfill: false,
-    disruptionBudget: undefined,
-};
 
 const executorId = (index: number): ExecutorId => toId<ExecutorId>(`i-${index}`);
 
-const record = (index: number): ExecutorRecord => ({
-    id: executorId(index),
-    vm: toId<VmId>(`vm-${index}`),
-    pool: POOL,
-    address: "127.0.0.1:1",
-    dataCentre: toId<DataCentreName>("dc"),
-    draining: false,
-    remainingMs: undefined,
-    capacity: { cpu: 1000, memoryMb: 1000, gpu: 0 },
-    labels: [],
-    startedAtMs: 1,
-    clockMs: 0,
-});
+const record = (index: number): ExecutorRecord =>
+    executorRecord(executorId(index), { capacity: { cpu: 1000, memoryMb: 1000, gpu: 0 } });
 
 interface AdvisedPool {
     readonly tables: PoolTables;
@@ -79,14 +42,7 @@
     allowed: (index: number) => boolean,
     jobs: readonly string[] = ["j1"],
 ): AdvisedPool => {
-    const tables = createPoolTables({
-        pool: POOL,
-        token: 1,
-        runNumbers: initialRunNumbers(1),
-        maxLeaseMs: 6000,
-        runLeaseMs: 4000,
-        stopTimeMs: 200,
-    });
+    const tables = emptyTables();
     tables.queues.set(QUEUE, {
         name: QUEUE,
         host: "host",
