--- a/bench/system/test/partition-soak.test.ts
+++ b/bench/system/test/partition-soak.test.ts
@@ -2,7 +2,8 @@
 import test from "node:test";
 import { runPartitionSoak } from "@almondusher/system-bench/partition-soak";
 
-const SEEDS = [1, 2];
+// Seeds that failed while holders started tasks again whose runs a successor had adopted.
+const SEEDS = [8, 19];
 const FAULTS = 3;
 
 SEEDS.forEach(seed => {
