--- a/pools/scheduler/src/adopt-run.ts
+++ b/pools/scheduler/src/adopt-run.ts
@@ -1,7 +1,8 @@
 import type { ActiveRun } from "@almondusher/jobs/executor";
 import { isJobEnded, markStarted } from "./job-progress.js";
 import { findReportedTask } from "./open-occurrences.js";
-import { addRun, markForStop, type Executor, type PoolTables } from "./pool-tables.js";
+import type { Executor, PoolTables } from "./pool-tables.js";
+import { addRun, markForStop } from "./run-table.js";
 
 /**
  * Adds a run that an executor reports and that is not in the tables: the previous holder of the pool lease started it, or
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -5,16 +5,8 @@
 import { adoptRun } from "./adopt-run.js";
 import { findReportedTask } from "./open-occurrences.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
-import {
-    forgetRun,
-    giveUpRun,
-    markForStop,
-    type Executor,
-    type OpenJob,
-    type PoolTables,
-    type Run,
-    type Task,
-} from "./pool-tables.js";
+import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
+import { findRun, forgetRun, giveUpRun, markForStop } from "./run-table.js";
 
 /** A reported run end and, for logging, the task and the run that it belongs to, if they are in the tables. */
 export interface AppliedEnd {
@@ -54,7 +46,7 @@
     const applied = newEnds.map(end => applyEnd(tables, executor, end, times.receivedAtMs));
     executor.lastAppliedEnd = Math.max(executor.lastAppliedEnd, ...report.ended.map(end => end.number));
     report.active.forEach(active => {
-        const run = runOf(executor, active.task, active.run);
+        const run = findRun(executor, active.task, active.run);
         if (run === undefined) {
             adoptRun(tables, executor, active, times.receivedAtMs);
             return;
@@ -124,7 +116,7 @@
 
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
     const task = findReportedTask(tables, end.task);
-    const run = runOf(executor, end.task, end.run);
+    const run = findRun(executor, end.task, end.run);
     if (run !== undefined) {
         forgetRun(run);
     }
@@ -250,7 +242,7 @@
 // A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
 // exists.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
-    const listed = new Set(report.active.map(({ task, run }) => runOf(executor, task, run)));
+    const listed = new Set(report.active.map(({ task, run }) => findRun(executor, task, run)));
     executor.runs.forEach(run => {
         if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs && !listed.has(run)) {
             giveUpRun(run, "not-listed", receivedAtMs);
@@ -263,8 +255,3 @@
         report.active.some(active => active.task === task && active.run === number),
     );
 };
-
-const runOf = ({ runs }: Executor, task: Task["id"], number: number): Run | undefined => {
-    const run = runs.get(task);
-    return run?.number === number ? run : undefined;
-};
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,6 +1,7 @@
 import { clockWentBack, isReadingAmbiguous, recordClockReading } from "./lease-time.js";
 import { markStarted } from "./job-progress.js";
-import { giveUpRun, type Executor, type PoolTables, type Run } from "./pool-tables.js";
+import type { Executor, PoolTables, Run } from "./pool-tables.js";
+import { giveUpRun } from "./run-table.js";
 
 /** What a response of an executor says about its incarnation, which lasts from the start to the end of its process. */
 export interface IncarnationEvidence {
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -2,7 +2,6 @@
 import type { OrderBudget } from "./order-budget.js";
 import { orderSteps } from "./order-steps.js";
 import {
-    addRun,
     isLeaseHeldSince,
     isWaiting,
     type Executor,
@@ -11,6 +10,7 @@
     type Run,
     type Task,
 } from "./pool-tables.js";
+import { addRun } from "./run-table.js";
 import { areInheritedRunsOver } from "./inherited-runs.js";
 import { takeRunNumber } from "./run-numbers.js";
 
@@ -229,7 +229,7 @@
                 step.maxPerExecutor === undefined ||
                 countTasksOfStep(task.step, executor, planned) < step.maxPerExecutor,
         )
-        .filter(executor => !executor.runs.has(task.id));
+        .filter(executor => !task.runs.some(run => run.executor === executor));
     return candidates.reduce<Executor | undefined>(
         (best, candidate) => (best === undefined || isBetter(task, candidate, best, freeByExecutor) ? candidate : best),
         undefined,
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -2,16 +2,8 @@
 import { isStopDue, recordStop, type StopSchedule, type StopTimes } from "./stop-schedule.js";
 import { isJobEnded } from "./job-progress.js";
 import { remainingRunMs } from "./remaining-time.js";
-import {
-    allRuns,
-    markForStop,
-    type Executor,
-    type OpenStep,
-    type OrphanedRun,
-    type PoolTables,
-    type Run,
-    type StopCause,
-} from "./pool-tables.js";
+import type { Executor, OpenStep, OrphanedRun, PoolTables, Run, StopCause } from "./pool-tables.js";
+import { allRuns, markForStop } from "./run-table.js";
 
 /** Times of a stop planning pass, and the orders that it may send. */
 export interface StopOptions extends StopTimes {
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -1,4 +1,4 @@
-import type { PoolName } from "@almondusher/fleet/ids";
+import type { Brand, PoolName } from "@almondusher/fleet/ids";
 import type { Queue } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId } from "@almondusher/jobs/ids";
@@ -24,8 +24,11 @@
      * may have adopted that run.
      */
     givenUpAtMs: number;
-    /** Runs that may be present on an executor. Only speculative steps keep several; other duplicates are stopped. */
-    readonly runs: Run[];
+    /**
+     * Runs that may be present on an executor, several only of speculative steps and while duplicates are being stopped.
+     * Changed only by the functions of `run-table`.
+     */
+    readonly runs: readonly Run[];
     /** Executors on which the task failed; others are preferred for the next attempt. */
     readonly failedOn: Set<ExecutorId>;
 }
@@ -103,6 +106,9 @@
  */
 type RunPhase = "starting" | "running" | "stopping" | "unsettled" | "missing";
 
+/** Identifies a run on its executor, which may have several runs of one task: its task and its number. */
+export type RunKey = Brand<"RunKey">;
+
 /** A job with remaining work, or whose final state is not stored yet. */
 export interface OpenJob {
     readonly job: Job;
@@ -144,7 +150,8 @@
     hasUnresolvedStart: boolean;
     readonly id: ExecutorId;
     readonly rack: string | undefined;
-    readonly runs: Map<TaskId, Run>;
+    /** Runs that are or may be present. Changed only by the functions of `run-table`. */
+    readonly runs: ReadonlyMap<RunKey, Run>;
     orphanedRuns: readonly OrphanedRun[];
     /** Runs that were given up since the last call of `takeGivenUpRuns`. */
     givenUpRuns: readonly GivenUpRun[];
@@ -282,67 +289,3 @@
     const [jobId, occurrence, step, index] = id.split(".");
     return tables.jobs.get(jobId as JobId)?.occurrences.get(Number(occurrence))?.[Number(step)]?.tasks[Number(index)];
 };
-
-/** All runs that are or may be present on an executor. */
-export const allRuns = (tables: PoolTables): readonly Run[] =>
-    [...tables.executors.values()].flatMap(executor => [...executor.runs.values()]);
-
-/** What is known of a run when it is added. */
-type AddedRun = Pick<Run, "task" | "number" | "executor" | "phase" | "startedAtMs" | "resumedFrom"> &
-    Partial<Pick<Run, "confirmedAtMs" | "adoptedAtMs" | "percent" | "recentLoad">>;
-
-/** Adds a run to its task and executor. */
-export const addRun = (added: AddedRun): Run => {
-    const run: Run = {
-        confirmedAtMs: undefined,
-        unansweredAtMs: undefined,
-        adoptedAtMs: undefined,
-        percent: 0,
-        availableSinceMs: undefined,
-        recentLoad: undefined,
-        speedLimitPercent: 100,
-        stopCause: undefined,
-        stopSentAtMs: undefined,
-        stopsSent: 0,
-        ...added,
-    };
-    run.task.runs.push(run);
-    run.executor.runs.set(run.task.id, run);
-    return run;
-};
-
-/** Removes a run from its task and executor. */
-export const forgetRun = (run: Run): void => {
-    const { runs } = run.task;
-    const at = runs.indexOf(run);
-    if (at >= 0) {
-        runs.splice(at, 1);
-    }
-    if (run.executor.runs.get(run.task.id) === run) {
-        run.executor.runs.delete(run.task.id);
-    }
-};
-
-/**
- * Removes a run that must have ended although its end was not reported. Its task waits for a proof that the pool lease was
- * held at this time of the monotonic clock, in milliseconds.
- */
-export const giveUpRun = (run: Run, cause: GiveUpCause, nowMs: number): void => {
-    forgetRun(run);
-    run.task.givenUpAtMs = nowMs;
-    run.executor.givenUpRuns = [...run.executor.givenUpRuns, { run, cause }];
-};
-
-/** Returns the runs that were given up since the last call. */
-export const takeGivenUpRuns = (tables: PoolTables): readonly GivenUpRun[] =>
-    [...tables.executors.values()].flatMap(executor => {
-        const { givenUpRuns } = executor;
-        executor.givenUpRuns = [];
-        return givenUpRuns;
-    });
-
-/** Marks a run to be stopped; the first cause is kept. */
-export const markForStop = (run: Run, cause: StopCause): void => {
-    run.phase = "stopping";
-    run.stopCause ??= cause;
-};
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -9,11 +9,11 @@
 import {
     createPoolTables,
     recordLeaseHeld,
-    takeGivenUpRuns,
     type Executor,
     type PoolTables,
     type Run,
 } from "@almondusher/scheduler/pool-tables";
+import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import { applyReport, expireRuns } from "../src/apply-report.js";
--- a/pools/scheduler/test/given-up-runs.test.ts
+++ b/pools/scheduler/test/given-up-runs.test.ts
@@ -2,13 +2,8 @@
 import test from "node:test";
 import { confirmStart, endIncarnation } from "@almondusher/scheduler/executor-incarnation";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import {
-    recordLeaseHeld,
-    takeGivenUpRuns,
-    type Executor,
-    type GiveUpCause,
-    type PoolTables,
-} from "@almondusher/scheduler/pool-tables";
+import { recordLeaseHeld, type Executor, type GiveUpCause, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { createPool, executorOf, expireAfterPoll, place, receiveReport, record, step } from "./fixture.js";
 
 const LEASE_HELD_AT_MS = 300;
--- a/pools/scheduler/test/job-progress.test.ts
+++ b/pools/scheduler/test/job-progress.test.ts
@@ -3,7 +3,8 @@
 import { endJob } from "@almondusher/scheduler/apply-report";
 import { confirmStart } from "@almondusher/scheduler/executor-incarnation";
 import { countPendingJobs } from "@almondusher/scheduler/job-progress";
-import { forgetRun, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import type { PoolTables } from "@almondusher/scheduler/pool-tables";
+import { forgetRun } from "@almondusher/scheduler/run-table";
 import { createPool, place, QUEUE, receiveReport, record, step } from "./fixture.js";
 
 const poolWithJobs = (...ids: readonly string[]): PoolTables =>
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -5,14 +5,8 @@
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
 import { beginIncarnation } from "@almondusher/scheduler/executor-incarnation";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import {
-    forgetRun,
-    giveUpRun,
-    markForStop,
-    recordLeaseHeld,
-    type PoolTables,
-    type Run,
-} from "@almondusher/scheduler/pool-tables";
+import { recordLeaseHeld, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import { forgetRun, giveUpRun, markForStop } from "@almondusher/scheduler/run-table";
 import { UNLIMITED_BUDGET, createPool, executorOf, limitedBudget, place, record, step } from "./fixture.js";
 
 /** Places tasks and counts the searches for an executor. */
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -4,6 +4,7 @@
 import { endJob } from "../src/apply-report.js";
 import { markUnanswered } from "../src/executor-incarnation.js";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
+import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
     UNLIMITED_BUDGET,
     createPool,
@@ -105,8 +106,8 @@
     assert.equal(stops(tables, 1000).length, 1, "the second task waits until the first is available elsewhere");
     const [first] = runs;
     assert.equal(stops(tables, 1200).length, 0);
-    first?.executor.runs.delete(first.task.id);
-    first?.task.runs.splice(0);
+    assert.ok(first !== undefined);
+    forgetRun(first);
     const replacement = place(tables, 1300)[0];
     assert.ok(replacement !== undefined);
     assert.equal(replacement.executor.id, executorOf(tables, "c").id);
@@ -154,8 +155,7 @@
     });
     const [first] = place(tables);
     assert.ok(first !== undefined);
-    first.executor.runs.delete(first.task.id);
-    first.task.runs.splice(0);
+    forgetRun(first);
     assert.deepEqual(
         stops(tables, 0).map(run => run.stopCause),
         ["gang-incomplete"],
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,5 +1,5 @@
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
-import { forgetRun } from "@almondusher/scheduler/pool-tables";
+import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
     acknowledgedEnd,
     applyAcceptedStart,
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -7,11 +7,11 @@
 import {
     createPoolTables,
     recordLeaseHeld,
-    takeGivenUpRuns,
     type Executor,
     type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
+import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -6,7 +6,8 @@
 import { toId } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { type Executor, type Run } from "@almondusher/scheduler/pool-tables";
+import type { Executor, Run, Task } from "@almondusher/scheduler/pool-tables";
+import { addRun } from "@almondusher/scheduler/run-table";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
 import { createOrderLoad } from "../src/order-load.js";
@@ -85,13 +86,17 @@
     const task = {
         id: "0000000000000001.0.0.0",
         checkpoint: "",
-        runs: [] as Run[],
+        runs: [],
         step: { job: { job: { spec: "text" } } },
     };
-    const run = { task, executor, number: 1, phase: "starting", speedLimitPercent: 100 } as unknown as Run;
-    task.runs.push(run);
-    executor.runs.set(run.task.id, run);
-    return run;
+    return addRun({
+        task: task as unknown as Task,
+        executor,
+        number: 1,
+        phase: "starting",
+        startedAtMs: 0,
+        resumedFrom: "",
+    });
 };
 
 const startsOf = ({ requests }: ConnectedExecutor): ConnectedExecutor["requests"] =>
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -12,7 +12,8 @@
 } from "@almondusher/job-platform-stand-in/json-server";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { addRun, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
+import type { Executor, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
+import { addRun } from "@almondusher/scheduler/run-table";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
 import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
