--- a/pools/scheduler/src/adopt-run.ts
+++ b/pools/scheduler/src/adopt-run.ts
@@ -26,6 +26,7 @@
         // statistics.
         resumedFrom: active.checkpoint === "" ? "unknown" : active.checkpoint,
         confirmedAtMs: nowMs,
+        isStartDelivered: true,
         adoptedAtMs: nowMs,
         percent: active.percent,
         recentLoad: active.recentLoad,
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -62,9 +62,9 @@
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
+        run.isStartDelivered = true;
         if (isStartSettled(run)) {
-            run.phase = "running";
-            run.stopCause = undefined;
+            settleStart(run);
         }
     });
     markMissingRuns(executor, times);
@@ -228,6 +228,16 @@
     }
 };
 
+// The task may have been started again since the start request was sent.
+const settleStart = (run: Run): void => {
+    const { task } = run;
+    run.phase = "running";
+    run.stopCause = undefined;
+    if (!task.step.step.speculative && task.runs.some(other => other !== run && other.phase !== "stopping")) {
+        markForStop(run, "duplicate");
+    }
+};
+
 // The previous scheduler may have ordered a stop just before the executor rejected it. An executor lists a run until its
 // stop is complete.
 const mayBeStopping = (tables: PoolTables, { adoptedAtMs }: Run, { sentAtMs }: ReportTimes): boolean =>
@@ -244,7 +254,10 @@
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => findRun(executor, task, run)));
     executor.runs.forEach(run => {
-        if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs && !listed.has(run)) {
+        if (listed.has(run)) {
+            return;
+        }
+        if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs) {
             giveUpRun(run, "not-listed", receivedAtMs);
         }
     });
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,7 +1,8 @@
 import { clockWentBack, isReadingAmbiguous, recordClockReading } from "./lease-time.js";
 import { markStarted } from "./job-progress.js";
 import type { Executor, PoolTables, Run } from "./pool-tables.js";
-import { giveUpRun } from "./run-table.js";
+import { giveUpRun, restoreRun } from "./run-table.js";
+import { takeUndeliveredStarts } from "./undelivered-starts.js";
 
 /** What a response of an executor says about its incarnation, which lasts from the start to the end of its process. */
 export interface IncarnationEvidence {
@@ -72,10 +73,33 @@
         executor.leaseUntilMs = executor.clock.clockMs + tables.maxLeaseMs;
     }
     run.confirmedAtMs = nowMs;
+    run.isStartDelivered = true;
     markStarted(run.task.step.job);
     run.phase = run.phase === "starting" ? "running" : run.phase;
 };
 
+/** The acceptance of a stop; `clockMs` is undefined if the response contains no reading of the clock. */
+export interface AcceptedStop extends Omit<IncarnationEvidence, "clockMs" | "startedAtMs"> {
+    readonly clockMs: number | undefined;
+}
+
+/**
+ * Applies the acceptance of a stop, which also makes a late start of the run fail for as long as the executor's current
+ * incarnation lasts. If the response may come from another one, the stop is sent again.
+ */
+export const applyAcceptedStop = (run: Run, { clockMs, sentAtMs, receivedAtMs }: AcceptedStop): void => {
+    const { executor } = run;
+    if (clockMs !== undefined) {
+        if (isReadingAmbiguous(executor, { clockMs, sentAtMs })) {
+            return;
+        }
+        observeIncarnation(executor, { clockMs, startedAtMs: undefined, sentAtMs, receivedAtMs });
+    }
+    if (!isFromPastIncarnation(executor, { startedAtMs: undefined, sentAtMs })) {
+        run.confirmedAtMs = receivedAtMs;
+    }
+};
+
 /** Records that the start request of a run was given up without a response, so that the run may or may not exist. */
 export const markUnanswered = (run: Run, nowMs: number): void => {
     run.unansweredAtMs = nowMs;
@@ -83,17 +107,27 @@
 };
 
 /**
- * Begins an incarnation whose start time is not known yet. Confirmed runs ended with the previous incarnation. Runs
- * with an unanswered start request are kept, since the request may have reached the new one.
+ * Begins an incarnation whose start time is not known yet. Runs that the previous one has listed or accepted ended with
+ * it. Those whose start request got no response are kept or restored, since the request may still reach the new one, which
+ * knows of no stop.
  */
 export const beginIncarnation = (executor: Executor, nowMs: number): void => {
     [...executor.runs.values()]
-        .filter(({ confirmedAtMs }) => confirmedAtMs !== undefined)
+        .filter(({ isStartDelivered }) => isStartDelivered)
         .forEach(run => giveUpRun(run, "executor-restarted", nowMs));
+    takeUndeliveredStarts(executor, nowMs).forEach(restoreRun);
+    executor.runs.forEach(forgetStops);
     resetIncarnationState(executor, nowMs);
     executor.isIncarnationStartKnown = false;
 };
 
+const forgetStops = (run: Run): void => {
+    run.confirmedAtMs = undefined;
+    run.stopSentAtMs = undefined;
+    run.stopsSent = 0;
+    run.phase = run.phase === "stopping" ? "missing" : run.phase;
+};
+
 /** Records when the current incarnation of an executor started, in Unix milliseconds. */
 export const setIncarnationStart = (executor: Executor, startedAtMs: number): void => {
     if (executor.record.startedAtMs !== startedAtMs) {
@@ -105,6 +139,7 @@
 /** Removes all runs of an executor that is gone, which is known because another executor uses its address. */
 export const endIncarnation = (executor: Executor, nowMs: number): void => {
     [...executor.runs.values()].forEach(run => giveUpRun(run, "executor-replaced", nowMs));
+    executor.undeliveredStarts = [];
     resetIncarnationState(executor, nowMs);
 };
 
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -3,6 +3,7 @@
 import { recordClockReading } from "./lease-time.js";
 import type { Executor, PoolTables } from "./pool-tables.js";
 import { areInheritedRunsOver } from "./inherited-runs.js";
+import { hasUndeliveredStart } from "./undelivered-starts.js";
 
 /** Updates the executor table from the registry records of the pool. */
 export const applyRegistry = (tables: PoolTables, records: readonly ExecutorRecord[], nowMs: number): void => {
@@ -60,6 +61,7 @@
     hasUnresolvedStart: false,
     runs: new Map(),
     orphanedRuns: [],
+    undeliveredStarts: [],
     givenUpRuns: [],
     clock: undefined,
     leaseUntilMs: 0,
@@ -81,7 +83,9 @@
 // An executor without a registration may still be up and have runs, since its row is also missing if only its path to the
 // store is disturbed.
 const canBeForgotten = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
-    executor.runs.size === 0 && (executor.reachable ? isIdle(executor) : areInheritedRunsOver(tables, executor, nowMs));
+    executor.runs.size === 0 &&
+    !hasUndeliveredStart(executor, nowMs) &&
+    (executor.reachable ? isIdle(executor) : areInheritedRunsOver(tables, executor, nowMs));
 
 const isIdle = (executor: Executor): boolean =>
     executor.reconciled &&
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -85,6 +85,8 @@
      * reports requested later must list the run until it has ended.
      */
     confirmedAtMs: number | undefined;
+    /** The executor has accepted or listed the run, so its start request cannot take effect later. */
+    isStartDelivered: boolean;
     /** When the start request was given up without a response; undefined if it was answered or still may be. */
     unansweredAtMs: number | undefined;
     /** Last reported progress. */
@@ -153,6 +155,8 @@
     /** Runs that are or may be present. Changed only by the functions of `run-table`. */
     readonly runs: ReadonlyMap<RunKey, Run>;
     orphanedRuns: readonly OrphanedRun[];
+    /** Runs that are no longer known, but whose start requests may still reach a later incarnation. */
+    undeliveredStarts: readonly Run[];
     /** Runs that were given up since the last call of `takeGivenUpRuns`. */
     givenUpRuns: readonly GivenUpRun[];
     clock: ClockReading | undefined;
--- a/pools/scheduler/src/run-table.ts
+++ b/pools/scheduler/src/run-table.ts
@@ -1,9 +1,10 @@
 import type { TaskId } from "@almondusher/jobs/ids";
+import { keepUndeliveredStart } from "./undelivered-starts.js";
 import type { Executor, GivenUpRun, GiveUpCause, PoolTables, Run, RunKey, StopCause } from "./pool-tables.js";
 
 /** What is known of a run when it is added. */
 type AddedRun = Pick<Run, "task" | "number" | "executor" | "phase" | "startedAtMs" | "resumedFrom"> &
-    Partial<Pick<Run, "confirmedAtMs" | "adoptedAtMs" | "percent" | "recentLoad">>;
+    Partial<Pick<Run, "confirmedAtMs" | "isStartDelivered" | "adoptedAtMs" | "percent" | "recentLoad">>;
 
 const keyOf = (task: TaskId, number: number): RunKey => `${task}#${number}` as RunKey;
 
@@ -19,6 +20,7 @@
 export const addRun = (added: AddedRun): Run => {
     const run: Run = {
         confirmedAtMs: undefined,
+        isStartDelivered: false,
         unansweredAtMs: undefined,
         adoptedAtMs: undefined,
         percent: 0,
@@ -34,6 +36,9 @@
     return run;
 };
 
+/** Adds a run again that was removed. */
+export const restoreRun = (run: Run): void => insertRun(run);
+
 /** Removes a run from its task and executor. */
 export const forgetRun = (run: Run): void => {
     const key = keyOf(run.task.id, run.number);
@@ -50,6 +55,7 @@
  */
 export const giveUpRun = (run: Run, cause: GiveUpCause, nowMs: number): void => {
     forgetRun(run);
+    keepUndeliveredStart(run, nowMs);
     run.task.givenUpAtMs = nowMs;
     run.executor.givenUpRuns = [...run.executor.givenUpRuns, { run, cause }];
 };
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -3,6 +3,7 @@
 import {
     acknowledgedEnd,
     applyAcceptedStart,
+    applyAcceptedStop,
     confirmStart,
     endIncarnation,
     markUnanswered,
@@ -342,8 +343,11 @@
             const sentAtMs = context.monotonicMs();
             const result = await track(() => currentClient().stop(run.task.id, run.number));
             if (result.kind === "accepted") {
-                recordClock(result.clockMs, sentAtMs);
-                run.confirmedAtMs = context.monotonicMs();
+                applyAcceptedStop(run, {
+                    clockMs: result.clockMs,
+                    sentAtMs,
+                    receivedAtMs: context.monotonicMs(),
+                });
             } else if (result.kind === "rejected" && result.reason === "fenced") {
                 owner.fenced();
             }
