--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -250,7 +250,7 @@
         .forEach(run => (run.phase = "missing"));
 
 // A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
-// exists.
+// exists. One that does not list a run whose start request has expired shows that the executor will not execute it.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => findRun(executor, task, run)));
     executor.runs.forEach(run => {
@@ -259,10 +259,18 @@
         }
         if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs) {
             giveUpRun(run, "not-listed", receivedAtMs);
+        } else if (hasStartExpired(run, report.clockMs)) {
+            giveUpRun(run, "start-expired", receivedAtMs);
         }
     });
 };
 
+const hasStartExpired = ({ confirmedAtMs, unansweredAtMs, startValidUntilMs }: Run, clockMs: number): boolean =>
+    confirmedAtMs === undefined &&
+    unansweredAtMs !== undefined &&
+    startValidUntilMs !== undefined &&
+    clockMs > startValidUntilMs;
+
 const dropMissingOrphans = (executor: Executor, report: RunReport): void => {
     executor.orphanedRuns = executor.orphanedRuns.filter(({ task, number }) =>
         report.active.some(active => active.task === task && active.run === number),
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -87,6 +87,11 @@
     confirmedAtMs: number | undefined;
     /** The executor has accepted or listed the run, so its start request cannot take effect later. */
     isStartDelivered: boolean;
+    /**
+     * End of the lease in the start request, on the executor's clock: the executor rejects a start that arrives later.
+     * Undefined before the request is sent, and for runs learned from a report.
+     */
+    startValidUntilMs: number | undefined;
     /** When the start request was given up without a response; undefined if it was answered or still may be. */
     unansweredAtMs: number | undefined;
     /** Last reported progress. */
@@ -193,7 +198,7 @@
 }
 
 /** Why a run was given up although its end was not reported. */
-export type GiveUpCause = "lease-expired" | "executor-restarted" | "executor-replaced" | "not-listed";
+export type GiveUpCause = "lease-expired" | "executor-restarted" | "executor-replaced" | "not-listed" | "start-expired";
 
 /** A run that was given up although its end was not reported. */
 export interface GivenUpRun {
--- a/pools/scheduler/src/run-table.ts
+++ b/pools/scheduler/src/run-table.ts
@@ -21,6 +21,7 @@
     const run: Run = {
         confirmedAtMs: undefined,
         isStartDelivered: false,
+        startValidUntilMs: undefined,
         unansweredAtMs: undefined,
         adoptedAtMs: undefined,
         percent: 0,
--- a/pools/scheduler/test/undelivered-starts.test.ts
+++ b/pools/scheduler/test/undelivered-starts.test.ts
@@ -8,6 +8,7 @@
 
 const TASK = "j1.0.0.0" as never;
 const ANSWER_TIME_MS = 5;
+const START_VALID_UNTIL_MS = 5000;
 const RESTARTED_AT_MS = 1000;
 /** Later than any delay of an order. */
 const LONG_AFTER_MS = 60_000;
@@ -26,6 +27,7 @@
     const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
     const [run] = place(tables);
     assert.ok(run !== undefined);
+    run.startValidUntilMs = START_VALID_UNTIL_MS;
     markUnanswered(run, 90);
     receiveReport(tables, "a", { clockMs: 100 }, 100);
     assert.deepEqual(stop(tables, 110), [run]);
@@ -95,3 +97,13 @@
     assert.ok(task !== undefined);
     assert.ok(isWaiting(task));
 });
+
+// An unhealthy executor may reject each stop and answer reports.
+test("a task waits no longer than its start is valid for an executor that accepts no stop", () => {
+    const { tables, run } = startWithoutAnswer();
+    receiveReport(tables, "a", { clockMs: START_VALID_UNTIL_MS }, START_VALID_UNTIL_MS);
+    assert.equal(place(tables, START_VALID_UNTIL_MS).length, 0, "the executor may still execute the start");
+    receiveReport(tables, "a", { clockMs: START_VALID_UNTIL_MS + 1 }, START_VALID_UNTIL_MS + 1);
+    assert.equal(place(tables, START_VALID_UNTIL_MS + 2).length, 1);
+    assert.equal(run.executor.runs.size, 1);
+});
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -322,6 +322,7 @@
                 return;
             }
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
+            run.startValidUntilMs = leaseUntilMs;
             context.metrics.count("starts");
             const sentAtMs = context.monotonicMs();
             const result = await track(() =>
