--- a/programs/dispatcher/src/order-window.ts
+++ b/programs/dispatcher/src/order-window.ts
@@ -98,8 +98,11 @@
                 recordNoResponse(path, sentAtMs);
                 return;
             case "not-sent":
-                // A refused connection says nothing about the load of the path.
                 path.silent = true;
+                // A refused connection says nothing about the load of the path, one that takes too long does.
+                if (monotonicMs() - sentAtMs >= timeoutMs) {
+                    recordNoResponse(path, sentAtMs);
+                }
                 return;
             case "accepted":
             case "rejected":
