Split the placement of tasks by what decides it

resources.ts has the arithmetic of free resources, executor-usability.ts why an executor gets no starts, start-gates.ts why a job or task may not start, choose-executor.ts why an executor cannot take a task, plan-gang.ts the choice for a gang. No behaviour changes.

--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -1,6 +1,6 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import { expectedRunMs, completionObjective } from "./order-steps.js";
-import { demandOf } from "./place-tasks.js";
+import { demandOf } from "./resources.js";
 import { remainingRunMs } from "./remaining-time.js";
 import { isJobEnded } from "./job-progress.js";
 import { stepsOf, type Executor, type OpenJob, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
--- a/pools/scheduler/src/inherited-runs.ts
+++ b/pools/scheduler/src/inherited-runs.ts
@@ -17,6 +17,13 @@
         isLeaseHeldSince(tables, tables.inheritedWaitUntilMs) &&
         !mayListUnreadEnds(tables, executor));
 
+/**
+ * True once no run that a previous holder of the pool lease started, and no end of one, can be missing from the tables of
+ * any executor.
+ */
+export const areInheritedRunsKnown = (tables: PoolTables, nowMs: number): boolean =>
+    [...tables.executors.values()].every(executor => areInheritedRunsOver(tables, executor, nowMs));
+
 // Ends that the executor has not listed before the leases of its runs expired no longer count as known to the system, so
 // their tasks may run again.
 const mayListUnreadEnds = (tables: PoolTables, executor: Executor): boolean =>
--- a/pools/scheduler/test/executor-table.test.ts
+++ b/pools/scheduler/test/executor-table.test.ts
@@ -2,7 +2,7 @@
 import test from "node:test";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
-import { areInheritedRunsKnown } from "../src/place-tasks.js";
+import { areInheritedRunsKnown } from "../src/inherited-runs.js";
 import { createPool, executorOf, place, receiveReport, record, step } from "./fixture.js";
 
 const WAIT_UNTIL_MS = 8000;
--- a/pools/scheduler/test/inherited-runs.test.ts
+++ b/pools/scheduler/test/inherited-runs.test.ts
@@ -3,7 +3,7 @@
 import type { EndedRun } from "@almondusher/jobs/executor";
 import { recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { confirmStart } from "../src/executor-incarnation.js";
-import { areInheritedRunsKnown } from "../src/place-tasks.js";
+import { areInheritedRunsKnown } from "../src/inherited-runs.js";
 import { planStops } from "../src/plan-stops.js";
 import { createPool, executorOf, place, receiveReport, record, step, UNLIMITED_BUDGET } from "./fixture.js";
 
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -3,7 +3,7 @@
 import { closeJob } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand } from "@almondusher/scheduler/demand";
 import { addUnregistered } from "@almondusher/scheduler/executor-table";
-import { areInheritedRunsKnown } from "@almondusher/scheduler/place-tasks";
+import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import {
     createPoolTables,
     recordLeaseHeld,
--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -2,7 +2,7 @@
 import type { ExecutorId, StepId } from "@almondusher/jobs/ids";
 import { MAX_ADVISED_EXECUTORS, type AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { isJobEnded, isReady } from "@almondusher/scheduler/job-progress";
-import { hasRoomFor } from "@almondusher/scheduler/place-tasks";
+import { hasRoomFor } from "@almondusher/scheduler/executor-usability";
 import { isWaiting, stepsOf, type Executor, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "./dispatcher-context.js";
 
