Log and count why a task waits although there is room for it

The scheduler of a pool surveys its waiting tasks once a second: - task-waiting, after 3 s with room on a registered executor that is not draining, then at doubled times; at most five lines a second for a pool, one for each step first; - tasks_waiting_<reason> adds the number of such tasks each second; - pool-waiting and pools_waiting_<reason> if the scheduler may not act, or has not read the jobs or executors; - job explain reports the longest wait by reason, phase and executor.

--- a/pools/scheduler/src/choose-executor.ts
+++ b/pools/scheduler/src/choose-executor.ts
@@ -20,8 +20,8 @@
     readonly planned: readonly PlannedMember[];
 }
 
-/** Why a usable executor cannot take a task, in the order of the checks. */
-export const refusals = ["no-label", "no-room", "no-ticket", "max-per-executor", "run-present"] as const;
+/** Reasons of refusal in the order of the checks. */
+export const refusals = ["no-label", "no-room", "no-ticket", "max-per-executor"] as const;
 
 /** Why a usable executor cannot take a task. */
 export type Refusal = (typeof refusals)[number];
@@ -39,13 +39,10 @@
     if (choice.tickets !== undefined && !choice.tickets.has(executor.id)) {
         return "no-ticket";
     }
-    if (
-        step.maxPerExecutor !== undefined &&
-        countTasksOfStep(task.step, executor, choice.planned) >= step.maxPerExecutor
-    ) {
-        return "max-per-executor";
-    }
-    return task.runs.some(run => run.executor === executor) ? "run-present" : undefined;
+    return step.maxPerExecutor === undefined ||
+        countTasksOfStep(task.step, executor, choice.planned) < step.maxPerExecutor
+        ? undefined
+        : "max-per-executor";
 };
 
 /** Returns the best executor that can take the task; undefined if there is none. */
--- a/pools/scheduler/src/run-numbers.ts
+++ b/pools/scheduler/src/run-numbers.ts
@@ -51,9 +51,12 @@
 export const nextReservation = ({ last, reservedUpTo }: RunNumbers): number =>
     Math.max(reservedUpTo, reservationAfter(last));
 
+/** False if all reserved numbers are given. */
+export const hasRunNumber = ({ last, reservedUpTo }: RunNumbers): boolean => last < reservedUpTo;
+
 /** Gives the next run number; undefined if all reserved ones are given. */
 export const takeRunNumber = (numbers: RunNumbers): number | undefined => {
-    if (numbers.last >= numbers.reservedUpTo) {
+    if (!hasRunNumber(numbers)) {
         return undefined;
     }
     numbers.last++;
--- a/programs/cli/src/explain-job.ts
+++ b/programs/cli/src/explain-job.ts
@@ -14,6 +14,8 @@
     how: z.string().optional(),
     cause: z.string().optional(),
     reason: z.string().optional(),
+    phase: z.string().optional(),
+    waitedMs: z.number().optional(),
 });
 
 /** A log line of a dispatcher about a job. */
@@ -39,7 +41,7 @@
         })
         .toSorted((left, right) => Date.parse(left.time) - Date.parse(right.time));
 
-/** Summarises the log events of a job: acceptance, first start, scheduler takeovers, unsuccessful runs and the end. */
+/** Summarises the log events of a job: acceptance, first start, scheduler takeovers, waits, unsuccessful runs and the end. */
 export const explainJob = (job: string, events: readonly JobEvent[]): JobExplanation => {
     const finished = events.findLast(({ event }) => event === "job-finished");
     return {
@@ -49,6 +51,7 @@
             describeAcceptance(events),
             describeFirstStart(events),
             ...describeTakeovers(events),
+            ...describeWaits(eventsOfKind(events, "task-waiting")),
             ...describeRunCountsBy(runsEndedAs(events, "stopped"), "cause", "stopped"),
             ...describeRunCountsBy(runsEndedAs(events, "failed"), "executor", "failed on executor"),
             ...describeRunCountsBy(runsEndedAs(events, "lapsed"), "executor", "lost their lease on executor"),
@@ -103,6 +106,22 @@
         .slice(1)
         .map(({ vm, time }) => `taken over by the scheduler on ${vm ?? "a VM"} at ${time}`);
 
+// Each line of a task reports the whole time for which it has waited.
+const describeWaits = (events: readonly JobEvent[]): string[] =>
+    [...new Set(events.map(describeReason))].map(reason => {
+        const waits = events.filter(event => describeReason(event) === reason);
+        const tasks = new Set(waits.map(({ task }) => task)).size;
+        const longestMs = Math.max(...waits.map(({ waitedMs }) => waitedMs ?? 0));
+        return `${tasks} task(s) waited for up to ${longestMs} ms although there was room: ${reason}`;
+    });
+
+const describeReason = ({ reason, phase, executor }: JobEvent): string =>
+    [
+        reason ?? "unknown",
+        ...(phase === undefined ? [] : [phase]),
+        ...(executor === undefined ? [] : [`on executor ${executor}`]),
+    ].join(", ");
+
 const describeRunCountsBy = (
     events: readonly JobEvent[],
     field: "cause" | "executor" | "reason",
--- a/programs/cli/test/explain-job.test.ts
+++ b/programs/cli/test/explain-job.test.ts
@@ -44,3 +44,22 @@
         "no log line reports the end of the job",
     ]);
 });
+
+test("explainJob reports what tasks waited for, and for how long, by reason and executor", () => {
+    const task = `${JOB}.0.2.4`;
+    const waiting = { event: "task-waiting", job: JOB, task, waitedMs: 3000 };
+    const held = { ...waiting, reason: "run-not-ended", phase: "stopping", executor: "i-1" };
+    const events = findJobEvents(
+        [
+            line(3, held),
+            line(6, { ...held, waitedMs: 6000 }),
+            line(6, { ...held, task: `${JOB}.0.2.5` }),
+            line(9, { ...waiting, reason: "no-usable-executor", unusable: { unreachable: 3 } }),
+        ],
+        JOB,
+    );
+    assert.deepEqual(explainJob(JOB, events).findings.slice(2, -1), [
+        "2 task(s) waited for up to 6000 ms although there was room: run-not-ended, stopping, on executor i-1",
+        "1 task(s) waited for up to 3000 ms although there was room: no-usable-executor",
+    ]);
+});
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -36,10 +36,11 @@
 } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
-import { inheritedWaitMs, mayActOnLease, RUN_LEASE_MS } from "./run-leases.js";
+import { inheritedWaitMs, leaseGateOf, mayActOnLease, RUN_LEASE_MS, type LeaseStatus } from "./run-leases.js";
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
+import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "./waiting-log.js";
 
 /** Schedules the jobs of one pool while this process holds the pool's lease. */
 export interface PoolScheduler {
@@ -103,12 +104,11 @@
     const isActive = (): boolean => active && !lease.lost;
     const isLeaseSafe = (): boolean => isPoolLeaseSafe(lease, context);
     let lastFencedAtMs = Number.NEGATIVE_INFINITY;
-    const mayAct = (): boolean =>
-        isActive() &&
-        mayActOnLease({
-            leaseAgeMs: leaseAgeMs(lease, context),
-            sinceFencedMs: context.monotonicMs() - lastFencedAtMs,
-        });
+    const leaseStatus = (): LeaseStatus => ({
+        leaseAgeMs: leaseAgeMs(lease, context),
+        sinceFencedMs: context.monotonicMs() - lastFencedAtMs,
+    });
+    const mayAct = (): boolean => isActive() && mayActOnLease(leaseStatus());
     const mayHaveSuccessor = (): boolean => mayAct() && !isLeaseSafe();
     let successorWasPossible = false;
     const passThrottle = createPassThrottle({
@@ -168,6 +168,21 @@
     });
     const connections = createExecutorConnections({ context, owner, orderLoad, orderWindow });
     const orders = createRunOrders({ context, tables, connections, orderWindow, tickets });
+    const waitingLog = createWaitingLog({
+        context,
+        tables,
+        surveyOptions: () => ({
+            nowMs: context.monotonicMs(),
+            budget: orderWindow.createBudget(),
+            executorsWithTicket: tickets.executorsFor,
+        }),
+    });
+    const poolGate = (): PoolGate | undefined => {
+        if (!jobsLoaded) {
+            return "jobs-not-read";
+        }
+        return registry.executorsOf(pool) === undefined ? "executors-not-read" : leaseGateOf(leaseStatus());
+    };
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
         // Until the jobs are loaded, runs that executors report cannot be told from orphaned ones.
@@ -281,6 +296,15 @@
                 context.log("order-load", { pool, ...sample, window: orderWindow.size() });
             }
         });
+    void periodic(WAITING_CHECK_INTERVAL_MS)
+        .takeWhile(() => active)
+        .observe(
+            containErrors({ context, part: "waiting-log" }, () => {
+                if (isActive() && !stopping) {
+                    waitingLog.check(poolGate(), leaseStatus());
+                }
+            }),
+        );
     void followJobs({
         context,
         pool,
--- a/programs/dispatcher/src/run-leases.ts
+++ b/programs/dispatcher/src/run-leases.ts
@@ -33,9 +33,22 @@
     readonly sinceFencedMs: number;
 }
 
-/** True if the lease was renewed recently, and after the last rejection because of a higher fencing token. */
-export const mayActOnLease = ({ leaseAgeMs, sinceFencedMs }: LeaseStatus): boolean =>
-    leaseAgeMs < MAX_LEASE_AGE_MS && leaseAgeMs < sinceFencedMs;
+/** Why a pool scheduler may not start and extend runs. */
+export type LeaseGate = "lease-too-old" | "fenced";
+
+/**
+ * Returns why a pool scheduler may not start and extend runs; undefined if the lease was renewed recently, and after the last
+ * rejection because of a higher fencing token.
+ */
+export const leaseGateOf = ({ leaseAgeMs, sinceFencedMs }: LeaseStatus): LeaseGate | undefined => {
+    if (leaseAgeMs >= MAX_LEASE_AGE_MS) {
+        return "lease-too-old";
+    }
+    return leaseAgeMs < sinceFencedMs ? undefined : "fenced";
+};
+
+/** True if a pool scheduler may start and extend runs. */
+export const mayActOnLease = (status: LeaseStatus): boolean => leaseGateOf(status) === undefined;
 
 /** Returns how long after a takeover runs that the previous holder started or extended may still be active. */
 export const takeoverWaitMs = ({
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { EventEmitter } from "node:events";
+import { EventEmitter, once } from "node:events";
 import { test } from "node:test";
 import { toId, type ProcessId, type VmId } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
@@ -7,6 +7,7 @@
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import type { DecisionLog } from "../src/decision-log.js";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import type { ExecutorRegistry } from "../src/executor-registry.js";
 import { jobRow, jobTablesOf, progressRow } from "../src/job-rows.js";
@@ -29,6 +30,7 @@
 const takeOver = (
     predecessor: LeaseRecord,
     read: (table: string) => Promise<Reading>,
+    log: DecisionLog = () => undefined,
 ): { readonly scheduler: PoolScheduler; readonly lease: HeldLease } => {
     const lease: HeldLease = {
         subject: { kind: "pool", pool: POOL },
@@ -47,7 +49,7 @@
         context: {
             settings: { maxLeaseMs: 6000 },
             monotonicMs: () => performance.now(),
-            log: () => undefined,
+            log,
             metrics: { count: () => undefined, record: () => undefined },
             store: {
                 nowMs: () => performance.now(),
@@ -120,3 +122,13 @@
     assert.deepEqual(content.pending, [{ queue: QUEUE, jobs: 1 }]);
     assert.deepEqual(content.pendingAsOf, { version: 60, atMs: 2000 });
 });
+
+test("a holder that cannot read the jobs of its pool names that after 3 s, since it starts nothing until then", async () => {
+    const logged = new EventEmitter();
+    const waiting = once(logged, "pool-waiting");
+    const { scheduler } = takeOver(PREDECESSOR, never, (event, fields) => void logged.emit(event, fields));
+    const [line] = (await waiting) as [{ readonly reason: string; readonly waitedMs: number }];
+    await scheduler.stop();
+    assert.equal(line.reason, "jobs-not-read");
+    assert(line.waitedMs >= 3000);
+});
