--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -3,7 +3,7 @@
 import type { OrderBudget } from "./order-budget.js";
 import { orderSteps } from "./order-steps.js";
 import { planGang } from "./plan-gang.js";
-import { addRun, type Executor, type OpenStep, type PoolTables, type Run, type Task } from "./pool-tables.js";
+import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
 import {
     demandOf,
     fits,
@@ -14,6 +14,7 @@
     type FreeByExecutor,
 } from "./resources.js";
 import { takeRunNumber } from "./run-numbers.js";
+import { addRun } from "./run-table.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
--- a/pools/scheduler/test/waiting-reason.test.ts
+++ b/pools/scheduler/test/waiting-reason.test.ts
@@ -5,7 +5,8 @@
 import type { Step } from "@almondusher/jobs/job";
 import { beginIncarnation } from "../src/executor-incarnation.js";
 import type { UnusableCause } from "../src/executor-usability.js";
-import { giveUpRun, type Executor, type PoolTables, type Task } from "../src/pool-tables.js";
+import type { Executor, PoolTables, Task } from "../src/pool-tables.js";
+import { giveUpRun } from "../src/run-table.js";
 import { isHeldUp, surveyWaiting, type SurveyOptions, type WaitingReason } from "../src/waiting-reason.js";
 import {
     UNLIMITED_BUDGET,
