Estimate the critical path of a job without recursion

A job whose steps form a chain of 6,000 is accepted with 200, within the body limit of the test deployment. From then on each scheduling pass of its pool fails with a stack overflow, and no task of any job of the pool starts.

Cause: criticalPathMs called itself for the steps that depend on a step.

Change: steps depend only on earlier ones, so one walk from the last step to the first estimates all paths of an occurrence. It also replaces a search through all steps for the dependents of each.

Evidence: with a real dispatcher, a job that is sent after such a chain was not completed within 8 s before, and is now (odd-entries.test.ts, 5 of 5 pass). The test of the tables failed before with 'Maximum call stack size exceeded', with 3,000 steps as with 20,000 (not with 2,000). 43 tests of the order, of placement and of plans pass.

--- a/bench/system/test/odd-entries.test.ts
+++ b/bench/system/test/odd-entries.test.ts
@@ -130,3 +130,23 @@
     assert.ok(dispatcher.log.some(({ event }) => event === "configuration-unreadable"));
     assertNoneEnded(deployment);
 });
+
+// More steps than the call stack had room for, in a body below the limit of the configuration.
+const CHAIN_LENGTH = 6000;
+
+test("a job whose steps form a long chain does not keep other jobs of its pool from being started", async context => {
+    const deployment = await startJobDeployment({ dispatchers: 1, executors: 1, runMs: () => 150 });
+    context.after(deployment.close);
+    await waitUntil("a scheduler", START_TIMEOUT_MS, () => findScheduler(deployment) !== undefined);
+    const [dispatcher] = deployment.dispatchers;
+    assert.ok(dispatcher !== undefined);
+    const steps = Array.from({ length: CHAIN_LENGTH }, (unused, index) => ({
+        count: 1,
+        after: index === 0 ? [] : [index - 1],
+    }));
+    const { status } = await sendJobRequest(dispatcher, "POST", jobId(1), { spec: "chain", steps });
+    assert.equal(status, 200);
+    await sendJobRequest(dispatcher, "POST", jobId(2), jobOfTasks(2));
+    await waitForState(dispatcher, jobId(2), "completed", JOB_TIMEOUT_MS);
+    assertNoneEnded(deployment);
+});
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -70,13 +70,20 @@
     if (known !== undefined && nowMs - known.estimatedAtMs < PATH_REFRESH_MS) {
         return known.pathMs;
     }
-    const dependents = (step.job.occurrences.get(step.occurrence) ?? []).filter(candidate =>
-        candidate.step.after.includes(step.index),
-    );
-    const dependentPathsMs = dependents.map(dependent => criticalPathMs(tables, dependent, nowMs));
-    const pathMs = expectedStepMs(tables, step) + Math.max(0, ...dependentPathsMs);
-    step.criticalPath = { pathMs, estimatedAtMs: nowMs };
-    return pathMs;
+    estimateCriticalPaths(tables, step.job.occurrences.get(step.occurrence) ?? [], nowMs);
+    return step.criticalPath?.pathMs ?? 0;
+};
+
+// Steps depend only on earlier ones, so the path of a step is complete before that of a step on which it depends.
+const estimateCriticalPaths = (tables: PoolTables, steps: readonly OpenStep[], nowMs: number): void => {
+    const longestAfterMs = new Map<number, number>();
+    steps.toReversed().forEach(step => {
+        const pathMs = expectedStepMs(tables, step) + (longestAfterMs.get(step.index) ?? 0);
+        step.criticalPath = { pathMs, estimatedAtMs: nowMs };
+        step.step.after.forEach(earlier =>
+            longestAfterMs.set(earlier, Math.max(longestAfterMs.get(earlier) ?? 0, pathMs)),
+        );
+    });
 };
 
 // Expected run time of the longest task of the step.
--- a/pools/scheduler/test/order-steps.test.ts
+++ b/pools/scheduler/test/order-steps.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { orderSteps } from "@almondusher/scheduler/order-steps";
-import { createPool, record, step } from "./fixture.js";
+import { createPool, place, record, step } from "./fixture.js";
 
 const order = (nowMs: number, jobs: Parameters<typeof createPool>[0]["jobs"]): readonly string[] =>
     orderSteps(createPool({ executors: [record("a")], jobs: jobs ?? [] }), nowMs, () => true).map(
@@ -55,3 +55,25 @@
     orderSteps(counted, 1000, () => true);
     assert.ok(lookups > first);
 });
+
+// More steps than the call stack has room for.
+const CHAIN_LENGTH = 20_000;
+
+test("a job whose steps form a long chain is ordered, and does not keep other jobs from being started", () => {
+    const chain = Array.from({ length: CHAIN_LENGTH }, (unused, index) =>
+        step({ after: index === 0 ? [] : [index - 1] }),
+    );
+    const tables = createPool({
+        executors: [record("e1")],
+        jobs: [
+            { id: "chain", steps: chain },
+            { id: "other", steps: [step()] },
+        ],
+    });
+    assert.deepEqual(
+        place(tables)
+            .map(({ task }) => task.id)
+            .toSorted(),
+        ["chain.0.0.0", "other.0.0.0"],
+    );
+});
