--- /dev/null
+++ b/pools/scheduler/test/random-faults.test.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { brokenInvariants } from "./run-invariants.js";
+import { openGoals, unsafeRuns } from "./simulation-outcome.js";
+import { endOfFault } from "./simulated-fault.js";
+import { REGISTRATION_MS } from "./simulated-fleet.js";
+import { GANG_TIMEOUT_MS } from "./simulated-gangs.js";
+import { EXECUTOR_MAX_LEASE_MS, STOP_MS } from "./simulated-executor.js";
+import { createSimulatedPool, type SimulatedPool, type SimulationPlan, type Trace } from "./simulated-pool.js";
+import { simulationPlans } from "./simulation-plans.js";
+
+const CASES = Number(process.env["CASES"] ?? 300);
+const SEED = Number(process.env["SEED"] ?? 20_261_206);
+const PATH = process.env["FAST_CHECK_PATH"];
+
+const SLOWEST_CLOCK_RATE = 0.98;
+// Time for which an executor that failed several runs gets no starts, at most.
+const MAX_BACKOFF_MS = 16_000;
+// Detection of a lost executor, and orders that are sent again, in milliseconds.
+const DETECTION_MS = 5000;
+/** Longest work of the steps of all jobs, one after another, in milliseconds. */
+const MAX_WORK_MS = 4 * 3 * 2500;
+
+/** Time within which the pool has to reach its goal once no fault has an effect any more. */
+const RECOVERY_MS =
+    REGISTRATION_MS +
+    DETECTION_MS +
+    EXECUTOR_MAX_LEASE_MS / SLOWEST_CLOCK_RATE +
+    GANG_TIMEOUT_MS +
+    STOP_MS +
+    MAX_BACKOFF_MS +
+    MAX_WORK_MS;
+
+const lastFaultEndsAtMs = ({ faults, jobs }: SimulationPlan): number =>
+    Math.max(...faults.map(endOfFault), ...jobs.map(({ atMs }) => atMs));
+
+type Property = (plan: SimulationPlan, trace?: Trace) => void;
+
+/** Plays a plan up to its goal or the end of the time for it, and calls the check after each event. */
+const play = (
+    plan: SimulationPlan,
+    trace: Trace | undefined,
+    check: (pool: SimulatedPool) => readonly string[],
+): SimulatedPool => {
+    const pool = createSimulatedPool(plan, trace);
+    const faultsEndAtMs = lastFaultEndsAtMs(plan);
+    const isAtGoal = (): boolean => pool.time.nowMs() > faultsEndAtMs && openGoals(pool).length === 0;
+    while (!isAtGoal() && pool.time.runNext(faultsEndAtMs + RECOVERY_MS)) {
+        const broken = check(pool);
+        assert.ok(broken.length === 0, `at ${pool.time.nowMs()} ms: ${broken.join("\n")}`);
+    }
+    return pool;
+};
+
+const MAX_TRACE_LINES = 200;
+
+const traceOf = (plan: SimulationPlan, property: Property): string => {
+    const lines: string[] = [];
+    try {
+        property(plan, line => lines.push(line));
+    } catch (error) {
+        lines.push(String(error));
+    }
+    return lines.slice(0, MAX_TRACE_LINES).concat(lines.slice(MAX_TRACE_LINES).slice(-5)).join("\n");
+};
+
+const assertAll = (plans: fc.Arbitrary<SimulationPlan>, property: Property): void => {
+    const details = fc.check(
+        fc.property(plans, plan => property(plan)),
+        {
+            seed: SEED,
+            numRuns: CASES,
+            ...(PATH === undefined ? {} : { path: PATH }),
+        },
+    );
+    const [plan] = details.counterexample ?? [];
+    if (details.failed && plan !== undefined) {
+        assert.fail(`${fc.defaultReportMessage(details)}\n${traceOf(plan, property)}`);
+    }
+};
+
+test(`a task never waits for a run that no executor has (seed ${SEED})`, () =>
+    assertAll(simulationPlans({ callsOutlastIncarnations: true }), (plan, trace) => {
+        play(plan, trace, brokenInvariants);
+    }));
+
+test(`every task is started again after the last fault (seed ${SEED})`, () =>
+    assertAll(simulationPlans({ callsOutlastIncarnations: true }), (plan, trace) => {
+        const open = openGoals(play(plan, trace, () => []));
+        assert.ok(open.length === 0, `${RECOVERY_MS} ms after the last fault: ${open.join("\n")}`);
+    }));
+
+// A late start that reaches the next incarnation of its executor can take effect after the task was started elsewhere; see
+// docs/unproved.md. So calls end with the incarnation that they were sent to.
+test(`no task runs twice at once, and no executor runs more than its capacity (seed ${SEED})`, () =>
+    assertAll(simulationPlans({ callsOutlastIncarnations: false }), (plan, trace) => {
+        play(plan, trace, unsafeRuns);
+    }));
--- /dev/null
+++ b/pools/scheduler/test/simulated-connection.ts
@@ -0,0 +1,319 @@
+import { applyReport } from "@almondusher/scheduler/apply-report";
+import {
+    acknowledgedEnd,
+    applyAcceptedStart,
+    endIncarnation,
+    markUnanswered,
+    observeIncarnation,
+} from "@almondusher/scheduler/executor-incarnation";
+import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
+import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
+import {
+    forgetRun,
+    type Executor,
+    type OrphanedRun,
+    type PoolTables,
+    type Run,
+} from "@almondusher/scheduler/pool-tables";
+import { runsOfExecutor } from "./run-relation.js";
+import type { SimulatedWork } from "./simulated-executor.js";
+import type { CallResult, SimulatedNetwork } from "./simulated-network.js";
+import type { SimulatedTime } from "./simulated-time.js";
+
+/** Connection to one executor, which calls the functions of the scheduler as the dispatcher does. */
+export interface SimulatedConnection {
+    readonly start: (run: Run) => void;
+    readonly stop: (run: Run) => void;
+    readonly stopOrphanedRun: (orphanedRun: OrphanedRun) => void;
+    readonly pollNow: () => void;
+    readonly close: () => void;
+    /** True while the start request of the run may still be answered. */
+    readonly isStartOutstanding: (run: Run) => boolean;
+}
+
+export interface SimulatedConnectionOptions {
+    readonly time: SimulatedTime;
+    readonly network: SimulatedNetwork;
+    readonly tables: PoolTables;
+    readonly executor: Executor;
+    readonly vm: number;
+    readonly mayHaveSuccessor: () => boolean;
+    readonly onEnds: (executor: Executor) => void;
+    readonly onChange: () => void;
+}
+
+/** Time after which an order without a response ends as unknown, in milliseconds. */
+export const ORDER_TIMEOUT_MS = 350;
+const REPORT_TIMEOUT_MARGIN_MS = 450;
+const REPORT_LONG_POLL_MS = 700;
+const RETRY_DELAY_MS = 250;
+const IDLE_POLL_MS = 60_000;
+const UNREACHABLE_POLL_MS = 1000;
+const BACKOFF_AFTER_REJECTION_MS = 700;
+const BACKOFF_AFTER_UNANSWERED_START_MS = 1500;
+const FAILED_POLLS_UNTIL_UNREACHABLE = 2;
+
+/** Opens the connection and polls the executor for as long as the dispatcher would. */
+export const openSimulatedConnection = (options: SimulatedConnectionOptions): SimulatedConnection => {
+    const { time, network, tables, executor, vm } = options;
+    const { id } = executor;
+    const outstandingStarts = new Set<Run>();
+    let closed = false;
+    let failedPolls = 0;
+    let pollRequested = false;
+    let cancelWait: (() => void) | undefined;
+
+    const pollNow = (): void => {
+        pollRequested = true;
+        cancelWait?.();
+    };
+    const waitForPollRequest = (delayMs: number, next: () => void): void => {
+        if (pollRequested) {
+            pollRequested = false;
+            next();
+            return;
+        }
+        let isOver = false;
+        const resume = (): void => {
+            if (!isOver) {
+                isOver = true;
+                cancelWait = undefined;
+                pollRequested = false;
+                next();
+            }
+        };
+        cancelWait = resume;
+        time.after(delayMs, resume);
+    };
+    const permittedLeaseUntil = (): number | undefined => leaseUntil(executor, time.nowMs(), tables.runLeaseMs);
+    const extendRunLeases = (): number | undefined => {
+        if (!areRunsRead(executor) || failedPolls > 0 || runsOfExecutor(executor).length === 0) {
+            return undefined;
+        }
+        const until = permittedLeaseUntil();
+        executor.leaseUntilMs = Math.max(executor.leaseUntilMs, until ?? 0);
+        return until;
+    };
+    const isReportUrgent = (): boolean =>
+        !executor.reconciled ||
+        executor.hasUnreadEnds ||
+        failedPolls > 0 ||
+        executor.lastStoredEnd < executor.lastAppliedEnd ||
+        runsOfExecutor(executor).some(({ phase }) => phase === "unsettled");
+    const pollReport = (): void => {
+        const sentAtMs = time.nowMs();
+        const { incarnation } = executor;
+        const acknowledged = acknowledgedEnd(executor);
+        const untilMs = extendRunLeases();
+        const waitMs = isReportUrgent() ? 0 : REPORT_LONG_POLL_MS;
+        network.send({
+            kind: "report",
+            label: `report of ${id}`,
+            vm,
+            id,
+            timeoutMs: waitMs + REPORT_TIMEOUT_MARGIN_MS,
+            execute: (simulated, respond) =>
+                simulated.report({ token: tables.token, acknowledged, untilMs, waitMs }, respond),
+            done: result => {
+                if (closed) {
+                    return;
+                }
+                switch (result.kind) {
+                    case "report": {
+                        failedPolls = 0;
+                        if (executor.incarnation === incarnation) {
+                            executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
+                        }
+                        applyReport(tables, executor, result.report, { sentAtMs, receivedAtMs: time.nowMs() });
+                        options.onEnds(executor);
+                        options.onChange();
+                        poll();
+                        return;
+                    }
+                    case "rejected":
+                        handleRejection(result.reason);
+                        time.after(RETRY_DELAY_MS, poll);
+                        return;
+                    case "accepted":
+                        throw new Error("a report request is not answered as an order");
+                    case "not-sent":
+                    case "unknown":
+                        failedPolls++;
+                        executor.unansweredPollSentAtMs = sentAtMs;
+                        if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
+                            executor.reachable = false;
+                            options.onChange();
+                            time.after(RETRY_DELAY_MS, poll);
+                            return;
+                        }
+                        poll();
+                }
+            },
+        });
+    };
+    const handleRejection = (reason: (CallResult & { kind: "rejected" })["reason"]): void => {
+        if (reason === "other-life") {
+            endIncarnation(executor, time.nowMs());
+            executor.reachable = false;
+            executor.reconciled = !executor.registered;
+        } else if (reason !== "fence") {
+            executor.backoffUntilMs = Math.max(executor.backoffUntilMs, time.nowMs() + BACKOFF_AFTER_REJECTION_MS);
+        }
+    };
+    const needsPolling = (): boolean =>
+        options.mayHaveSuccessor() ||
+        !executor.reconciled ||
+        executor.hasUnreadEnds ||
+        runsOfExecutor(executor).length > 0 ||
+        executor.orphanedRuns.length > 0 ||
+        executor.lastAcknowledgedEnd < executor.lastAppliedEnd;
+    const wouldRepeatEnds = (): boolean => acknowledgedEnd(executor) < executor.lastAppliedEnd;
+    const pollDelayMs = (): number => {
+        if (needsPolling()) {
+            return areRunsRead(executor) && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
+        }
+        return executor.reachable ? IDLE_POLL_MS : UNREACHABLE_POLL_MS;
+    };
+    const pollIfNeeded = (): void => {
+        const isReadingOldSoon = isClockReadingOld(executor, time.nowMs() + IDLE_POLL_MS, tables.runLeaseMs);
+        if (!closed && (needsPolling() || !executor.reachable || isReadingOldSoon)) {
+            pollReport();
+        } else {
+            poll();
+        }
+    };
+    const poll = (): void => {
+        if (closed) {
+            return;
+        }
+        const delayMs = pollDelayMs();
+        if (delayMs > 0) {
+            waitForPollRequest(delayMs, pollIfNeeded);
+        } else {
+            pollIfNeeded();
+        }
+    };
+    const observeClock = (clockMs: number | undefined, sentAtMs: number): void => {
+        if (clockMs !== undefined) {
+            observeIncarnation(executor, { clockMs, startedAtMs: undefined, sentAtMs, receivedAtMs: time.nowMs() });
+        }
+    };
+    const applyStartResult = (run: Run, result: CallResult, sentAtMs: number): void => {
+        const nowMs = time.nowMs();
+        switch (result.kind) {
+            case "accepted":
+                applyAcceptedStart(tables, run, {
+                    clockMs: result.clockMs,
+                    startedAtMs: undefined,
+                    sentAtMs,
+                    receivedAtMs: nowMs,
+                });
+                return;
+            case "rejected": {
+                const isOwnReadingOld = isClockReadingOld(executor, sentAtMs, tables.runLeaseMs);
+                observeClock(result.clockMs, sentAtMs);
+                forgetRun(run);
+                if (!(result.reason === "late" && isOwnReadingOld)) {
+                    handleRejection(result.reason);
+                }
+                return;
+            }
+            case "not-sent":
+                forgetRun(run);
+                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                return;
+            case "unknown":
+                markUnanswered(run, nowMs);
+                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                return;
+            case "report":
+                throw new Error("an order is not answered with a report");
+        }
+    };
+    time.after(0, poll);
+    return {
+        start: run => {
+            const untilMs = permittedLeaseUntil();
+            if (untilMs === undefined) {
+                forgetRun(run);
+                return;
+            }
+            executor.leaseUntilMs = Math.max(executor.leaseUntilMs, untilMs);
+            const sentAtMs = time.nowMs();
+            outstandingStarts.add(run);
+            network.send({
+                kind: "start",
+                label: `start of run ${run.number} of ${run.task.id} on ${id}`,
+                vm,
+                id,
+                timeoutMs: ORDER_TIMEOUT_MS,
+                execute: (simulated, respond) =>
+                    respond(
+                        simulated.start({
+                            token: tables.token,
+                            task: run.task.id,
+                            run: run.number,
+                            untilMs,
+                            work: workOf(run),
+                        }),
+                    ),
+                done: result => {
+                    outstandingStarts.delete(run);
+                    applyStartResult(run, result, sentAtMs);
+                    pollNow();
+                    options.onChange();
+                },
+            });
+        },
+        stop: run => {
+            const sentAtMs = time.nowMs();
+            network.send({
+                kind: "stop",
+                label: `stop of run ${run.number} of ${run.task.id} on ${id}`,
+                vm,
+                id,
+                timeoutMs: ORDER_TIMEOUT_MS,
+                execute: (simulated, respond) =>
+                    respond(simulated.stop({ token: tables.token, task: run.task.id, run: run.number })),
+                done: result => {
+                    if (result.kind === "accepted") {
+                        observeClock(result.clockMs, sentAtMs);
+                        run.confirmedAtMs = time.nowMs();
+                    }
+                    pollNow();
+                    options.onChange();
+                },
+            });
+        },
+        stopOrphanedRun: ({ task, number }) =>
+            network.send({
+                kind: "stop",
+                label: `stop of orphaned run ${number} of ${task} on ${id}`,
+                vm,
+                id,
+                timeoutMs: ORDER_TIMEOUT_MS,
+                execute: (simulated, respond) => respond(simulated.stop({ token: tables.token, task, run: number })),
+                done: () => {
+                    pollNow();
+                    options.onChange();
+                },
+            }),
+        pollNow,
+        close: () => {
+            closed = true;
+            pollNow();
+        },
+        isStartOutstanding: run => outstandingStarts.has(run),
+    };
+};
+
+const workOf = ({ task }: Run): SimulatedWork => {
+    const { step, id } = task.step;
+    return {
+        demand: step.demand,
+        kind: step.gang ? "gang" : step.longRunning ? "long-running" : "plain",
+        workMs: step.estimateMs,
+        size: step.count,
+        stepId: id,
+    };
+};
