--- a/pools/scheduler/test/simulated-connection.ts
+++ b/pools/scheduler/test/simulated-connection.ts
@@ -2,19 +2,15 @@
 import {
     acknowledgedEnd,
     applyAcceptedStart,
+    applyAcceptedStop,
     endIncarnation,
     markUnanswered,
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
-import {
-    forgetRun,
-    type Executor,
-    type OrphanedRun,
-    type PoolTables,
-    type Run,
-} from "@almondusher/scheduler/pool-tables";
+import type { Executor, OrphanedRun, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
+import { forgetRun } from "@almondusher/scheduler/run-table";
 import { runsOfExecutor } from "./run-relation.js";
 import type { SimulatedWork } from "./simulated-executor.js";
 import type { CallResult, SimulatedNetwork } from "./simulated-network.js";
@@ -239,6 +235,7 @@
                 return;
             }
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, untilMs);
+            run.startValidUntilMs = untilMs;
             const sentAtMs = time.nowMs();
             outstandingStarts.add(run);
             network.send({
@@ -277,8 +274,7 @@
                     respond(simulated.stop({ token: tables.token, task: run.task.id, run: run.number })),
                 done: result => {
                     if (result.kind === "accepted") {
-                        observeClock(result.clockMs, sentAtMs);
-                        run.confirmedAtMs = time.nowMs();
+                        applyAcceptedStop(run, { clockMs: result.clockMs, sentAtMs, receivedAtMs: time.nowMs() });
                     }
                     pollNow();
                     options.onChange();
--- a/pools/scheduler/test/simulated-pool.ts
+++ b/pools/scheduler/test/simulated-pool.ts
@@ -9,13 +9,8 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import { planOrphanStops, planStops } from "@almondusher/scheduler/plan-stops";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
-import {
-    recordLeaseHeld,
-    takeGivenUpRuns,
-    type Executor,
-    type PoolTables,
-    type VmEvacuation,
-} from "@almondusher/scheduler/pool-tables";
+import { recordLeaseHeld, type Executor, type PoolTables, type VmEvacuation } from "@almondusher/scheduler/pool-tables";
+import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { addJob, createPool, QUEUE, UNLIMITED_BUDGET } from "./fixture.js";
 import { runsOfExecutor } from "./run-relation.js";
 import { openSimulatedConnection, type SimulatedConnection } from "./simulated-connection.js";
