--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -17,8 +17,10 @@
     type ExecutorClient,
     type OrderRejection,
     type OrderResult,
+    type ReportRequest,
+    type ReportResult,
 } from "@almondusher/platform-adapter/executor-client";
-import { repeatWhileActive } from "./contain-errors.js";
+import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
 import type { OrderWindow } from "./order-window.js";
@@ -95,11 +97,13 @@
     let cancelWait: (() => void) | undefined;
     let pollRequested = false;
 
+    const reportError = createErrorReporter({ context, part: "executor-calls" });
     const currentClient = (): ExecutorClient => {
         if (clientAddress !== executor.record.address) {
+            const replacement = createClient(executor, tables.token);
             client.close();
+            client = replacement;
             clientAddress = executor.record.address;
-            client = createClient(executor, tables.token);
         }
         return client;
     };
@@ -144,6 +148,15 @@
         failedPolls > 0 ||
         executor.lastStoredEnd < executor.lastAppliedEnd ||
         [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
+    // A request that fails in this process counts as one without an answer.
+    const requestReport = async (request: ReportRequest): Promise<ReportResult> => {
+        try {
+            return await currentClient().report(request);
+        } catch (error) {
+            reportError(error);
+            return { kind: "unreachable", reason: String(error) };
+        }
+    };
     const pollReport = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         const { incarnation } = executor;
@@ -151,7 +164,7 @@
         // the stored progress before they were added, and still needs the executor to report them.
         const acknowledged = owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
         context.metrics.count("executor_reports");
-        const result = await currentClient().report({
+        const result = await requestReport({
             acknowledged,
             leaseUntilMs: extendRunLeases(),
             waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
@@ -308,8 +321,15 @@
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
     };
-    const track = (send: () => Promise<OrderResult>): Promise<OrderResult> =>
-        orderWindow.track(executor.id, () => orderLoad.track(send));
+    // An order that fails in this process may have been sent.
+    const track = async (send: () => Promise<OrderResult>): Promise<OrderResult> => {
+        try {
+            return await orderWindow.track(executor.id, () => orderLoad.track(send));
+        } catch (error) {
+            reportError(error);
+            return { kind: "unknown", reason: String(error) };
+        }
+    };
     void repeatWhileActive({ context, part: "executor-reports", isActive: () => !closed, step: poll });
     return {
         pollNow,
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -162,3 +162,23 @@
         ["/-/hold"],
     );
 });
+
+// Any error in the sending code, here one for an address to which no connection can be opened.
+test("a start that fails in this process does not leave its run starting for good", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    executor.record = { ...executor.record, address: "256.0.0.1:1" };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "unsettled", "the start may have been sent");
+    assert.ok(executor.backoffUntilMs > performance.now());
+    await waitUntil(() => !executor.reachable);
+});
+
+test("a speed limit whose order fails in this process is set again", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    const run = addTaskRun(tables, executor, 1);
+    executor.record = { ...executor.record, address: "256.0.0.1:1" };
+    await connection.setPace(run, 50);
+    assert.equal(run.speedLimitPercent, 100);
+});
