--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -186,18 +186,28 @@
             }
             case "rejected":
                 handleRejection(result.reason);
+                // The leases of the runs on a fenced executor are extended by the successor.
+                if (result.reason !== "fenced") {
+                    recordFailedPoll(sentAtMs, result.reason);
+                }
                 await sleep(RETRY_DELAY_MS);
                 return;
             case "unreachable":
-                failedPolls++;
-                executor.unansweredPollSentAtMs = sentAtMs;
+                recordFailedPoll(sentAtMs, result.reason);
                 if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
-                    markUnreachable(result.reason);
                     await sleep(RETRY_DELAY_MS);
                 }
                 return;
         }
     };
+    // An executor that rejects a poll tells as little of its runs as one that does not respond.
+    const recordFailedPoll = (sentAtMs: number, reason: string): void => {
+        failedPolls++;
+        executor.unansweredPollSentAtMs = sentAtMs;
+        if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
+            markUnreachable(reason);
+        }
+    };
     const markUnreachable = (reason: string): void => {
         if (executor.reachable) {
             context.log("executor-unreachable", {
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -11,6 +11,7 @@
     type JsonRequest,
 } from "@almondusher/job-platform-stand-in/json-server";
 import { admitJob } from "@almondusher/scheduler/admit-job";
+import { expireRuns } from "@almondusher/scheduler/apply-report";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { addRun, type Executor, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
@@ -182,3 +183,22 @@
     await connection.setPace(run, 50);
     assert.equal(run.speedLimitPercent, 100);
 });
+
+test("a run whose executor rejects every poll is given up once its lease has expired", async context => {
+    const { tables, executor, connection, requests } = await connect(context, ({ path }) =>
+        path === "/-/hold" ? reply(503) : reply(200, { clock_ms: 10 }),
+    );
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "running");
+    await waitUntil(() => !executor.reachable);
+    const { leaseUntilMs } = executor;
+    const polls = requests.length;
+    await waitUntil(() => requests.length > polls + 1);
+    assert.equal(executor.leaseUntilMs, leaseUntilMs, "the lease of a rejected poll counts as extended");
+    // Longer ago than the longest lease.
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() - 2 * tables.maxLeaseMs };
+    expireRuns(tables, executor, performance.now());
+    assert.equal(executor.runs.size, 0);
+});
