--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -18,8 +18,10 @@
     type ExecutorClient,
     type OrderRejection,
     type OrderResult,
+    type ReportRequest,
+    type ReportResult,
 } from "@almondusher/platform-adapter/executor-client";
-import { repeatWhileActive } from "./contain-errors.js";
+import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
 import type { OrderWindow } from "./order-window.js";
@@ -96,11 +98,13 @@
     let cancelWait: (() => void) | undefined;
     let pollRequested = false;
 
+    const reportError = createErrorReporter({ context, part: "executor-calls" });
     const currentClient = (): ExecutorClient => {
         if (clientAddress !== executor.record.address) {
+            const replacement = createClient(executor, tables.token);
             client.close();
+            client = replacement;
             clientAddress = executor.record.address;
-            client = createClient(executor, tables.token);
         }
         return client;
     };
@@ -145,6 +149,15 @@
         failedPolls > 0 ||
         executor.lastStoredEnd < executor.lastAppliedEnd ||
         [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
+    // A request that fails in this process counts as one without an answer.
+    const requestReport = async (request: ReportRequest): Promise<ReportResult> => {
+        try {
+            return await currentClient().report(request);
+        } catch (error) {
+            reportError(error);
+            return { kind: "unreachable", reason: String(error) };
+        }
+    };
     const pollReport = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         const { incarnation } = executor;
@@ -152,7 +165,7 @@
         // the stored progress before they were added, and still needs the executor to report them.
         const acknowledged = owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
         context.metrics.count("executor_reports");
-        const result = await currentClient().report({
+        const result = await requestReport({
             acknowledged,
             leaseUntilMs: extendRunLeases(),
             waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
@@ -174,18 +187,28 @@
             }
             case "rejected":
                 handleRejection(result.reason);
+                // The leases of the runs on a fenced executor are extended by the successor.
+                if (result.reason !== "fenced") {
+                    recordFailedPoll(sentAtMs, result.reason);
+                }
                 await sleep(RETRY_DELAY_MS);
                 return;
             case "unreachable":
-                failedPolls++;
-                executor.unansweredPollSentAtMs = sentAtMs;
+                recordFailedPoll(sentAtMs, result.reason);
                 if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
-                    markUnreachable(result.reason);
                     await sleep(RETRY_DELAY_MS);
                 }
                 return;
         }
     };
+    // An executor that rejects a poll tells as little of its runs as one that does not respond.
+    const recordFailedPoll = (sentAtMs: number, reason: string): void => {
+        failedPolls++;
+        executor.unansweredPollSentAtMs = sentAtMs;
+        if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
+            markUnreachable(reason);
+        }
+    };
     const markUnreachable = (reason: string): void => {
         if (executor.reachable) {
             context.log("executor-unreachable", {
@@ -309,8 +332,15 @@
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
     };
-    const track = (send: () => Promise<OrderResult>): Promise<OrderResult> =>
-        orderWindow.track(executor.id, () => orderLoad.track(send));
+    // An order that fails in this process may have been sent.
+    const track = async (send: () => Promise<OrderResult>): Promise<OrderResult> => {
+        try {
+            return await orderWindow.track(executor.id, () => orderLoad.track(send));
+        } catch (error) {
+            reportError(error);
+            return { kind: "unknown", reason: String(error) };
+        }
+    };
     void repeatWhileActive({ context, part: "executor-reports", isActive: () => !closed, step: poll });
     return {
         pollNow,
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -11,6 +11,7 @@
     type JsonRequest,
 } from "@almondusher/job-platform-stand-in/json-server";
 import { admitJob } from "@almondusher/scheduler/admit-job";
+import { expireRuns } from "@almondusher/scheduler/apply-report";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import { addRun } from "@almondusher/scheduler/run-table";
@@ -163,3 +164,42 @@
         ["/-/hold"],
     );
 });
+
+// Any error in the sending code, here one for an address to which no connection can be opened.
+test("a start that fails in this process does not leave its run starting for good", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    executor.record = { ...executor.record, address: "256.0.0.1:1" };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "unsettled", "the start may have been sent");
+    assert.ok(executor.backoffUntilMs > performance.now());
+    await waitUntil(() => !executor.reachable);
+});
+
+test("a speed limit whose order fails in this process is set again", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    const run = addTaskRun(tables, executor, 1);
+    executor.record = { ...executor.record, address: "256.0.0.1:1" };
+    await connection.setPace(run, 50);
+    assert.equal(run.speedLimitPercent, 100);
+});
+
+test("a run whose executor rejects every poll is given up once its lease has expired", async context => {
+    const { tables, executor, connection, requests } = await connect(context, ({ path }) =>
+        path === "/-/hold" ? reply(503) : reply(200, { clock_ms: 10 }),
+    );
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "running");
+    await waitUntil(() => !executor.reachable);
+    const { leaseUntilMs } = executor;
+    const polls = requests.length;
+    await waitUntil(() => requests.length > polls + 1);
+    assert.equal(executor.leaseUntilMs, leaseUntilMs, "the lease of a rejected poll counts as extended");
+    // Longer ago than the longest lease.
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() - 2 * tables.maxLeaseMs };
+    expireRuns(tables, executor, performance.now());
+    assert.equal(executor.runs.size, 0);
+});
