--- a/pools/scheduler/test/simulated-connection.ts
+++ b/pools/scheduler/test/simulated-connection.ts
@@ -39,7 +39,7 @@
 }
 
 /** Time after which an order without a response ends as unknown, in milliseconds. */
-export const ORDER_TIMEOUT_MS = 350;
+const ORDER_TIMEOUT_MS = 350;
 const REPORT_TIMEOUT_MARGIN_MS = 450;
 const REPORT_LONG_POLL_MS = 700;
 const RETRY_DELAY_MS = 250;
--- a/pools/scheduler/test/simulated-executor.ts
+++ b/pools/scheduler/test/simulated-executor.ts
@@ -14,7 +14,7 @@
     readonly stepId: string;
 }
 
-export interface StartRequest {
+interface StartRequest {
     readonly token: number;
     readonly task: TaskId;
     readonly run: number;
@@ -22,13 +22,13 @@
     readonly work: SimulatedWork;
 }
 
-export interface StopRequest {
+interface StopRequest {
     readonly token: number;
     readonly task: TaskId;
     readonly run: number;
 }
 
-export interface ReportRequest {
+interface ReportRequest {
     readonly token: number;
     readonly acknowledged: number;
     readonly untilMs: number | undefined;
@@ -85,7 +85,7 @@
 /** Time that an executor takes to stop a run, in milliseconds. */
 export const STOP_MS = 200;
 /** Time after which a task that lasts is at work, in milliseconds. */
-export const STARTUP_MS = 300;
+const STARTUP_MS = 300;
 const FAILURE_MS = 50;
 // Clock readings are rounded down to whole milliseconds, also after errors of floating point numbers.
 const CLOCK_ROUNDING_MS = 2;
--- a/pools/scheduler/test/simulated-fleet.ts
+++ b/pools/scheduler/test/simulated-fleet.ts
@@ -20,7 +20,7 @@
     readonly drain: (vm: number, drainMs: number) => void;
 }
 
-export interface SimulatedRestart {
+interface SimulatedRestart {
     readonly downMs: number;
     readonly returns: Return;
     readonly firstHeartbeatMs: number;
@@ -65,7 +65,7 @@
 }
 
 /** Id of the executor that a VM starts with. */
-export const initialExecutorId = (vm: number): ExecutorId => toId<ExecutorId>(`e${vm}`);
+const initialExecutorId = (vm: number): ExecutorId => toId<ExecutorId>(`e${vm}`);
 
 /** Name of a VM. */
 export const vmName = (vm: number): VmId => toId<VmId>(`vm-${vm}`);
--- a/pools/scheduler/test/simulated-network.ts
+++ b/pools/scheduler/test/simulated-network.ts
@@ -10,7 +10,7 @@
 export type Endpoint =
     { readonly kind: "executor"; readonly executor: SimulatedExecutor } | { readonly kind: "refuses" | "silent" };
 
-export interface SimulatedCall {
+interface SimulatedCall {
     readonly kind: CallKind;
     /** Index of the VM that is called. */
     readonly vm: number;
