--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -43,6 +43,8 @@
 
 const TICK_INTERVAL_MS = 100;
 const LIST_INTERVAL_MS = 500;
+// While the last list is older, the VM service counts as silent. Longer than the interval and the time limit of a list.
+const MAX_LIST_AGE_MS = 2000;
 // A VM has left the fleet if this many successive complete lists lack it.
 const LISTS_TO_TELL_A_DEPARTURE = 2;
 // Pool leases that were renewed longer ago are ignored: without a scheduler, VMs that the pool has evacuated may not
@@ -66,6 +68,8 @@
     const evacuations = createFleetEvacuations({ context, lease });
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let lastListedAtMs = Number.NEGATIVE_INFINITY;
+    let lastListReceivedAtMs = Number.NEGATIVE_INFINITY;
+    let wasServiceSilent = false;
     /** The last lists without rows that could not be read; one that has some does not show that a VM has left. */
     let lastCompleteLists: readonly VmList[] = [];
     let active = true;
@@ -103,6 +107,7 @@
     };
     const openWaves = (): readonly Wave[] => [...waves.values()].filter(({ completed }) => !completed);
     const listedAtMs = (): number => lastListedAtMs;
+    const isServiceAnswering = (): boolean => context.monotonicMs() - lastListReceivedAtMs < MAX_LIST_AGE_MS;
     const listsSinceMs = (): number =>
         lastCompleteLists.length < LISTS_TO_TELL_A_DEPARTURE
             ? Number.NEGATIVE_INFINITY
@@ -115,6 +120,7 @@
                 listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
             );
             lastListedAtMs = sentAtMs;
+            lastListReceivedAtMs = context.monotonicMs();
             if (listing.complete) {
                 lastCompleteLists = [...lastCompleteLists, { vms: [...vms.keys()], sentAtMs }].slice(
                     -LISTS_TO_TELL_A_DEPARTURE,
@@ -153,7 +159,16 @@
         applyOutcome(
             vm,
             order,
-            await sendOrder({ context, client, vm, order, timeoutMs, isActive, retryDelayMs: ORDER_RETRY_DELAY_MS }),
+            await sendOrder({
+                context,
+                client,
+                vm,
+                order,
+                timeoutMs,
+                isActive,
+                isServiceAnswering,
+                retryDelayMs: ORDER_RETRY_DELAY_MS,
+            }),
         );
     };
     const applyOutcome = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
@@ -211,17 +226,21 @@
                 fleetShort,
             },
         );
-        plan.release.forEach(releaseVm);
-        plan.evacuate.forEach(vm => evacuateVm(vm, "maintenance"));
-        plan.order.forEach(({ vm, wave }) => void send(vm, { kind: "maintenance", wave }));
-        plan.completed.forEach(number => {
+        completeWaves(plan.completed);
+        if (isServiceAnswering()) {
+            plan.release.forEach(releaseVm);
+            plan.evacuate.forEach(vm => evacuateVm(vm, "maintenance"));
+            plan.order.forEach(({ vm, wave }) => void send(vm, { kind: "maintenance", wave }));
+        }
+    };
+    const completeWaves = (numbers: readonly number[]): void =>
+        numbers.forEach(number => {
             const wave = waves.get(number);
             if (wave !== undefined) {
                 wave.completed = true;
                 waveStatus.publish(number, "completed");
             }
         });
-    };
     const evacuateVm = (vm: VmId, purpose: FleetEvacuation["purpose"]): void => {
         evacuations.add(vm, purpose);
         context.log("vm-evacuate", { vm, pool: vms.get(vm)?.pool, purpose });
@@ -300,6 +319,16 @@
             .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
             .forEach(([vm]) => releaseVm(vm));
     };
+    // No order would be carried out now, so the room of VMs that are only evacuated serves their pools meanwhile.
+    const releaseWithoutOrders = (): void => {
+        const ordered = new Set([...orders.keys(), ...evacuations.withPendingInheritedOrder(listedAtMs())]);
+        const released = [...evacuations.entries.keys()].filter(vm => !ordered.has(vm));
+        released.forEach(releaseVm);
+        if (!wasServiceSilent) {
+            context.metrics.count("vm_service_silences");
+            context.log("vm-service-silent", { released: released.length, ordered: ordered.size });
+        }
+    };
     const tick = (): void => {
         operator.waves().forEach(addWave);
         if (!mayAct() || vms.size === 0) {
@@ -315,7 +344,12 @@
             fleetShort: isFleetShort(movePlanInput(needs, vacated)),
         });
         dropUnneededEvacuations();
-        applyMovePlan(movePlanInput(needs, vacated));
+        if (isServiceAnswering()) {
+            applyMovePlan(movePlanInput(needs, vacated));
+        } else {
+            releaseWithoutOrders();
+        }
+        wasServiceSilent = !isServiceAnswering();
     };
     void periodic(TICK_INTERVAL_MS)
         .takeWhile(() => active)
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -28,6 +28,8 @@
     readonly timeoutMs: () => number;
     /** False once the lease is lost. */
     readonly isActive: () => boolean;
+    /** False while the VM service answers no calls. */
+    readonly isServiceAnswering: () => boolean;
     /** Pause before an order is sent again, in milliseconds. */
     readonly retryDelayMs: number;
 }
@@ -35,7 +37,8 @@
 /**
  * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, until the lease is lost. While
  * `timeoutMs` returns 0, it waits, also if an order already waits for a connection. Orders are idempotent. An order for a busy
- * VM is repeated while an earlier attempt may still be carried out, and is refused afterwards.
+ * VM is repeated while an earlier attempt may still be carried out, and is refused afterwards. While the service answers no
+ * calls, nothing is sent, and the order is refused once no earlier attempt may be carried out.
  */
 export const sendOrder = async ({
     context,
@@ -44,11 +47,16 @@
     order,
     timeoutMs,
     isActive,
+    isServiceAnswering,
     retryDelayMs,
 }: SendOrderOptions): Promise<OrderOutcome> => {
     let unansweredAtMs = Number.NEGATIVE_INFINITY;
+    const mayTakeEffect = (): boolean => context.monotonicMs() - unansweredAtMs < MAX_ORDER_DELAY_MS;
     while (isActive()) {
-        const limitMs = timeoutMs();
+        if (!isServiceAnswering() && !mayTakeEffect()) {
+            return "refused";
+        }
+        const limitMs = isServiceAnswering() ? timeoutMs() : 0;
         if (limitMs <= 0) {
             await sleep(retryDelayMs);
             continue;
@@ -63,8 +71,7 @@
         }
         const outcome = outcomeOf(result, order.purpose);
         const isBusy = result.kind === "rejected" && result.reason === "busy";
-        const mayTakeEffect = context.monotonicMs() - unansweredAtMs < MAX_ORDER_DELAY_MS;
-        if (outcome !== undefined && !(isBusy && mayTakeEffect)) {
+        if (outcome !== undefined && !(isBusy && mayTakeEffect())) {
             return outcome;
         }
         await sleep(retryDelayMs);
@@ -85,6 +92,7 @@
     switch (result.kind) {
         case "done":
             return "confirmed";
+        case "not-sent":
         case "unknown":
             return undefined;
         case "rejected":
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -216,3 +216,19 @@
         [],
     );
 });
+
+// Tasks waited for as long as the service was silent, beside VMs that were empty and evacuated.
+test("VMs that were evacuated get work again while the VM service carries out no orders", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_B });
+    const request = { wave: 1, vms: [VM], withinMs: 60_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    const evacuated = (): number => fleet.manager.leaseContent().evacuations.length;
+    await waitUntil("the evacuation", () => evacuated() > 0);
+    fleet.listedPool = undefined;
+    await waitUntil("the end of the evacuation", () => evacuated() === 0);
+    await sleep(SEVERAL_LISTS_MS);
+    assert.equal(evacuated(), 0, "evacuated for an order that would not be carried out");
+    fleet.listedPool = POOL_B;
+    await waitUntil("the evacuation once the service answers again", () => evacuated() > 0);
+    assert.deepEqual(fleet.orders, []);
+});
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -18,6 +18,7 @@
         vm: toId<VmId>("vm-1"),
         order: { purpose, sentAtMs: 0, confirmedAtMs: undefined },
         timeoutMs: () => 1000,
+        isServiceAnswering: () => true,
         isActive: () => remaining.length > 0,
         retryDelayMs: 1,
     });
@@ -63,6 +64,7 @@
         vm: toId<VmId>("vm-1"),
         order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
         timeoutMs: () => ((renewals.shift() ?? true) ? 1000 : 0),
+        isServiceAnswering: () => true,
         isActive: () => true,
         retryDelayMs: 1,
     });
@@ -93,9 +95,49 @@
         vm: toId<VmId>("vm-1"),
         order: { purpose: MOVE, sentAtMs: 0, confirmedAtMs: undefined },
         timeoutMs: () => 1000,
+        isServiceAnswering: () => true,
         isActive: () => true,
         retryDelayMs: 1,
     });
     assert.equal(outcome, "refused");
     assert.equal(sent, 3, "attempts until the first one cannot be carried out any more");
 });
+
+/** Sends a maintenance order to a service that falls silent after these results; the clock advances with each check. */
+const outcomeInSilence = async (
+    results: readonly VmOrderResult[],
+    checkIntervalMs: number,
+): Promise<{ readonly outcome: OrderOutcome; readonly sent: number; readonly endedAtMs: number }> => {
+    let nowMs = 0;
+    let sent = 0;
+    const outcome = await sendOrder({
+        context: {
+            metrics: { count: () => undefined },
+            log: () => undefined,
+            monotonicMs: () => nowMs,
+        } as unknown as DispatcherContext,
+        client: {
+            maintain: () => Promise.resolve(results[sent++] ?? { kind: "done" }),
+        } as unknown as VmClient,
+        vm: toId<VmId>("vm-1"),
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        timeoutMs: () => 1000,
+        isActive: () => {
+            nowMs += checkIntervalMs;
+            return true;
+        },
+        isServiceAnswering: () => sent < results.length,
+        retryDelayMs: 1,
+    });
+    return { outcome, sent, endedAtMs: nowMs };
+};
+
+// Its VM would be out of use for as long as the service is silent.
+test("an order that a silent service has not received is given up at once, and another once it cannot arrive any more", async () => {
+    const notSent = await outcomeInSilence([{ kind: "not-sent", reason: "no connection" }], 1);
+    assert.deepEqual({ outcome: notSent.outcome, sent: notSent.sent }, { outcome: "refused", sent: 1 });
+    assert.ok(notSent.endedAtMs < LATE_ORDER_MS);
+    const unknown = await outcomeInSilence([{ kind: "unknown", reason: "no answer" }], 500);
+    assert.deepEqual({ outcome: unknown.outcome, sent: unknown.sent }, { outcome: "refused", sent: 1 });
+    assert.ok(unknown.endedAtMs >= LATE_ORDER_MS);
+});
