--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -1,6 +1,7 @@
 import type { OrderBudget } from "./order-budget.js";
 import { isStopDue, recordStop, type StopSchedule, type StopTimes } from "./stop-schedule.js";
 import { isJobEnded } from "./job-progress.js";
+import { createRelocationRoom, type RelocationRoom } from "./relocation-room.js";
 import { remainingRunMs } from "./remaining-time.js";
 import type { Executor, OpenStep, OrphanedRun, PoolTables, Run, StopCause } from "./pool-tables.js";
 import { allRuns, markForStop } from "./run-table.js";
@@ -13,8 +14,9 @@
 /** Marks the runs that must be stopped, and returns those for which a stop request is due now and within the budget. */
 export const planStops = (tables: PoolTables, options: StopOptions): readonly Run[] => {
     const runs = allRuns(tables);
+    const room = createRelocationRoom(tables, options.nowMs);
     runs.filter(run => run.phase !== "stopping").forEach(run => {
-        const cause = stopCauseOf(tables, run, options);
+        const cause = stopCauseOf(tables, run, room, options);
         if (cause !== undefined) {
             markForStop(run, cause);
         }
@@ -42,7 +44,12 @@
 
 const EVACUATION_GRACE_MS = 1500;
 
-const stopCauseOf = (tables: PoolTables, run: Run, options: StopOptions): StopCause | undefined => {
+const stopCauseOf = (
+    tables: PoolTables,
+    run: Run,
+    room: RelocationRoom,
+    options: StopOptions,
+): StopCause | undefined => {
     const { job } = run.task.step;
     if (job.state === "cancelled") {
         return "cancelled";
@@ -68,7 +75,8 @@
         const remainingMs = remainingRunMs(tables, run, options.nowMs);
         const untilMs = executor.evacuation.byMs + evacuationGraceMs(run, remainingMs, options.nowMs);
         return cannotFinishWithin(run, remainingMs, untilMs - options.nowMs) &&
-            isWithinDisruptionBudget(run, options.nowMs)
+            isWithinDisruptionBudget(run, options.nowMs) &&
+            (!run.task.step.step.longRunning || room.claim(run.task))
             ? "evacuation"
             : undefined;
     }
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import test from "node:test";
+import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { planOrphanStops, planStops } from "@almondusher/scheduler/plan-stops";
 import { endJob } from "../src/apply-report.js";
 import { markUnanswered } from "../src/executor-incarnation.js";
@@ -97,7 +98,7 @@
 
 test("evacuations stop no more long-running tasks of a step at once than its disruption budget allows", () => {
     const tables = createPool({
-        executors: [record("a"), record("b"), record("c")],
+        executors: [record("a"), record("b"), record("c"), record("d")],
         jobs: [{ id: "j1", steps: [step({ count: 2, maxPerExecutor: 1, longRunning: true, disruptionBudget: 1 })] }],
     });
     const runs = place(tables);
@@ -119,7 +120,7 @@
 
 test("a long-running task on an executor that does not respond uses up the disruption budget of its step", () => {
     const tables = createPool({
-        executors: [record("a"), record("b")],
+        executors: [record("a"), record("b"), record("c")],
         jobs: [{ id: "j1", steps: [step({ count: 2, maxPerExecutor: 1, longRunning: true, disruptionBudget: 1 })] }],
     });
     const runs = place(tables);
@@ -253,3 +254,43 @@
     receiveReport(tables, "a", { active }, 500);
     assert.equal(stops(tables, 510).length, 0);
 });
+
+// It used up the disruption budget of its step, so that the VM never became empty either.
+test("an evacuation stops a long-running task only once there is room for it on another executor", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ count: 3, maxPerExecutor: 2, longRunning: true, disruptionBudget: 1 })] }],
+    });
+    markAvailable(place(tables));
+    const [first] = [...executorOf(tables, "a").runs.values()];
+    assert.ok(first !== undefined);
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    executorOf(tables, "b").backoffUntilMs = 1500;
+    assert.equal(stops(tables, 1000).length, 0, "no other executor takes the task");
+    assert.deepEqual(stops(tables, 1500), [first], "room for one");
+    forgetRun(first);
+    const [replacement] = place(tables, 1600);
+    assert.equal(replacement?.executor, executorOf(tables, "b"));
+    markAvailable([replacement]);
+    assert.equal(stops(tables, 2600).length, 0, "the other executor has as many tasks of the step as it may");
+    applyRegistry(tables, [record("a"), record("b"), record("c")], 2600);
+    receiveReport(tables, "c", {}, 2600);
+    executorOf(tables, "c").listedInLease = true;
+    assert.equal(stops(tables, 2700).length, 1);
+});
+
+test("two long-running tasks are not stopped for the room of one", () => {
+    const longRunning = step({ longRunning: true, demand: { cpu: 2000, memoryMb: 100, gpu: 0 } });
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 3000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [
+            { id: "j1", steps: [longRunning] },
+            { id: "j2", steps: [longRunning] },
+        ],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    markAvailable(place(tables));
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.equal(executorOf(tables, "a").runs.size, 2);
+    assert.equal(stops(tables, 1000).length, 1);
+});
