--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -23,6 +23,8 @@
     readonly needs: readonly PoolNeed[];
     /** VMs with a pending maintenance or move request, and VMs that are being evacuated for maintenance. */
     readonly unavailableForMove: ReadonlySet<VmId>;
+    /** VMs of `unavailableForMove` that are being evacuated for maintenance and get no tasks until it is over. */
+    readonly evacuatingForMaintenance: ReadonlySet<VmId>;
     /** VMs that are being evacuated to leave their pool. */
     readonly leaving: ReadonlySet<VmId>;
     /** VMs of `leaving` that are empty. */
@@ -52,6 +54,8 @@
     readonly need: PoolNeed;
     /** Number of VMs that stay in the pool or are being moved to it. */
     readonly size: number;
+    /** Number of these without the ones that are being evacuated for maintenance. */
+    readonly usable: number;
     readonly leaving: readonly VmId[];
     readonly removable: readonly VmId[];
 }
@@ -69,7 +73,9 @@
     const targetOf = isShort(tables, balances)
         ? ({ neededVms }: PoolNeed): number => neededVms
         : ({ wantedVms }: PoolNeed): number => wantedVms;
-    const shortageOf = ({ need, size }: PoolBalance): number => Math.max(0, targetOf(need) - size);
+    // Tasks that leave a VM before its maintenance need room elsewhere.
+    const shortageOf = ({ need, size, usable }: PoolBalance): number =>
+        Math.max(0, targetOf(need) - size, need.neededVms - usable);
     const keep = balances.flatMap(balance => balance.leaving.slice(0, shortageOf(balance)));
     // One entry for each VM that a pool is short of.
     const short = balances.flatMap(balance => repeat(balance.need.pool, shortageOf(balance) - balance.leaving.length));
@@ -111,9 +117,11 @@
     const outgoing = new Set(tables.moving.filter(({ to }) => to !== need.pool).map(({ vm }) => vm));
     const staying = members.filter(({ id }) => !tables.leaving.has(id) && !outgoing.has(id)).length;
     const incoming = tables.moving.filter(({ to, vm }) => to === need.pool && !inPool.has(vm)).length;
+    const evacuating = members.filter(({ id }) => tables.evacuatingForMaintenance.has(id)).length;
     return {
         need,
         size: staying + incoming,
+        usable: staying + incoming - evacuating,
         leaving: members.map(({ id }) => id).filter(vm => tables.leaving.has(vm) && !outgoing.has(vm)),
         removable: need.removable.filter(
             vm => inPool.has(vm) && !tables.leaving.has(vm) && !tables.unavailableForMove.has(vm),
@@ -142,8 +150,8 @@
     return [...surplus, ...forShortage];
 };
 
-const surplusVms = ({ size, removable }: PoolBalance, keepVms: number): readonly VmId[] =>
-    removable.slice(0, Math.max(0, size - keepVms));
+const surplusVms = ({ usable, removable }: PoolBalance, keepVms: number): readonly VmId[] =>
+    removable.slice(0, Math.max(0, usable - keepVms));
 
 const repeat = (pool: PoolName, times: number): readonly PoolName[] =>
     Array.from({ length: Math.max(0, times) }, () => pool);
--- a/pools/upkeep/test/moves.test.ts
+++ b/pools/upkeep/test/moves.test.ts
@@ -17,6 +17,7 @@
     spare: poolName("spare"),
     needs: [],
     unavailableForMove: new Set(),
+    evacuatingForMaintenance: new Set(),
     leaving: new Set(),
     vacated: new Set(),
     moving: [],
@@ -106,3 +107,20 @@
     assert.deepEqual(ids(planMoves(tables({ needs: [need("p", 2, 2), surplus] })).evacuate), []);
     assert.deepEqual(ids(planMoves(tables({ needs: [need("p", 4, 4), surplus] })).evacuate), ["d"]);
 });
+
+// Its tasks had no room while the other VMs of the pool were empty or became empty.
+test("the last usable VM of a pool is not given away while its other VMs are evacuated for maintenance", () => {
+    const evacuating = new Set([vmId("a"), vmId("b")]);
+    const change = {
+        vms: fleet("a p", "b p", "c p", "s spare"),
+        unavailableForMove: evacuating,
+        evacuatingForMaintenance: evacuating,
+    };
+    assert.deepEqual(planMoves(tables({ ...change, needs: [need("p", 1, 2, ["c"])] })).evacuate, []);
+    const plan = planMoves(tables({ ...change, needs: [need("p", 2, 2, ["c"])] }));
+    assert.deepEqual(
+        plan.moves.map(({ vm, to }) => `${vm}>${to}`),
+        ["s>p"],
+        "tasks that leave a VM before its maintenance need room elsewhere",
+    );
+});
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -279,14 +279,13 @@
                 .filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm))
                 .map(([vm]) => vm),
         );
+        const evacuating = [...evacuations.entries.keys()].filter(vm => !leaving.has(vm));
         return {
             vms,
             spare: sparePools()[0],
             needs,
-            unavailableForMove: new Set([
-                ...orders.keys(),
-                ...[...evacuations.entries.keys()].filter(vm => !leaving.has(vm)),
-            ]),
+            unavailableForMove: new Set([...orders.keys(), ...evacuating]),
+            evacuatingForMaintenance: new Set(evacuating.filter(vm => !orders.has(vm))),
             leaving,
             vacated: new Set([...leaving].filter(vm => vacated.has(vm))),
             moving: movesOf(orders),
