--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -182,7 +182,8 @@
         .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.condition === "up")
         .sort((left, right) => Number(tables.losing.has(left)) - Number(tables.losing.has(right)))
         .forEach(vm => {
-            if (chosen.length < wanted && (lacksTime || isWithinPoolShare(tables, vm, chosen))) {
+            const leavesRoom = lacksTime ? leavesUsableVm : isWithinPoolShare;
+            if (chosen.length < wanted && leavesRoom(tables, vm, chosen)) {
                 chosen.push(vm);
             }
         });
@@ -190,10 +191,26 @@
 };
 
 const isWithinPoolShare = (tables: MaintenanceTables, vm: VmId, chosen: readonly VmId[]): boolean => {
-    const pool = tables.vms.get(vm)?.pool;
-    const members = [...tables.vms.values()].filter(other => other.pool === pool);
+    const { size, unavailable } = availabilityOf(tables, vm, chosen);
+    return unavailable + 1 <= Math.max(1, Math.floor(size * MAX_UNAVAILABLE_POOL_SHARE));
+};
+
+// A pool of one VM gets another one for its tasks.
+const leavesUsableVm = (tables: MaintenanceTables, vm: VmId, chosen: readonly VmId[]): boolean => {
+    const { size, unavailable } = availabilityOf(tables, vm, chosen);
+    return unavailable + 1 <= Math.max(1, size - 1);
+};
+
+/** Number of VMs in the pool of a VM, and of those that get no tasks. */
+const availabilityOf = (
+    { vms, evacuations }: MaintenanceTables,
+    vm: VmId,
+    chosen: readonly VmId[],
+): { readonly size: number; readonly unavailable: number } => {
+    const pool = vms.get(vm)?.pool;
+    const members = [...vms.values()].filter(other => other.pool === pool);
     const unavailable = members.filter(
-        other => other.condition !== "up" || tables.evacuations.has(other.id) || chosen.includes(other.id),
+        other => other.condition !== "up" || evacuations.has(other.id) || chosen.includes(other.id),
     ).length;
-    return unavailable + 1 <= Math.max(1, Math.floor(members.length * MAX_UNAVAILABLE_POOL_SHARE));
+    return { size: members.length, unavailable };
 };
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -85,6 +85,14 @@
     assert.equal(urgent.evacuate.length, 4);
 });
 
+test("a wave that is running out of time leaves each pool a VM for its tasks", () => {
+    const urgent = { maxConcurrent: 4, dueAtMs: 1000 };
+    const two = tables({ vms: fleet("a p", "b p"), waves: [wave(["a", "b"], urgent)] });
+    assert.equal(planMaintenance(two, OPTIONS).evacuate.length, 1);
+    const one = tables({ vms: fleet("a p"), waves: [wave(["a"], urgent)] });
+    assert.equal(planMaintenance(one, OPTIONS).evacuate.length, 1, "the only VM, which another one replaces");
+});
+
 test("a wave is completed once every VM that is still in the fleet was maintained", () => {
     const maintained = new Set(["a", "b"].map(vmId));
     assert.deepEqual(
