--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -51,11 +51,11 @@
     (startedAtMs === undefined || executor.isIncarnationStartKnown !== (startedAtMs === executor.record.startedAtMs));
 
 /**
- * Applies the acceptance of a start. If the response may come from a new incarnation, the start counts as unanswered, and the
- * next report shows whether the run exists.
+ * Applies the acceptance of a start. If the response may come from another incarnation than the current one, the start counts
+ * as unanswered, and the next report shows whether the run exists.
  */
 export const applyAcceptedStart = (tables: PoolTables, run: Run, evidence: IncarnationEvidence): void => {
-    const isAmbiguous = isReadingAmbiguous(run.executor, evidence);
+    const isAmbiguous = isReadingAmbiguous(run.executor, evidence) || isFromPastIncarnation(run.executor, evidence);
     observeIncarnation(run.executor, evidence);
     if (isAmbiguous) {
         markUnanswered(run, evidence.receivedAtMs);
--- a/pools/scheduler/test/executor-incarnation.test.ts
+++ b/pools/scheduler/test/executor-incarnation.test.ts
@@ -148,3 +148,20 @@
     assert.deepEqual(before.task.runs, [before]);
     assert.equal(run.phase, "unsettled");
 });
+
+test("a start that was answered while the registry showed a restart is given up when its executor does not respond again", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    const [run] = place(tables, STARTED_AT_MS);
+    assert.ok(run !== undefined);
+    applyRegistry(tables, [record("a", { startedAtMs: 2, clockMs: 20 })], STARTED_AT_MS + 10);
+    applyAcceptedStart(tables, run, {
+        clockMs: 30,
+        startedAtMs: undefined,
+        sentAtMs: STARTED_AT_MS,
+        receivedAtMs: STARTED_AT_MS + 20,
+    });
+    run.executor.reachable = false;
+    const expiredAtMs = STARTED_AT_MS + 2 * MAX_LEASE_MS;
+    assert.deepEqual(expireAfterPoll(tables, run.executor, STARTED_AT_MS + MAX_LEASE_MS), [], "it may be active");
+    assert.deepEqual(expireAfterPoll(tables, run.executor, expiredAtMs), [run]);
+});
