--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -96,7 +96,7 @@
         observeIncarnation(executor, { clockMs, startedAtMs: undefined, sentAtMs, receivedAtMs });
     }
     if (!isFromPastIncarnation(executor, { startedAtMs: undefined, sentAtMs })) {
-        run.confirmedAtMs = receivedAtMs;
+        run.confirmedAtMs ??= receivedAtMs;
     }
 };
 
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -81,7 +81,7 @@
      */
     readonly resumedFrom: string;
     /**
-     * When the executor confirmed the run by accepting its start or listing it in a report, or last accepted a stop of it;
+     * When the executor confirmed the run by accepting its start, listing it in a report or accepting a stop of it;
      * reports requested later must list the run until it has ended.
      */
     confirmedAtMs: number | undefined;
--- a/pools/scheduler/test/executor-incarnation.test.ts
+++ b/pools/scheduler/test/executor-incarnation.test.ts
@@ -1,7 +1,14 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import { acknowledgedEnd, applyAcceptedStart, confirmStart, observeIncarnation } from "../src/executor-incarnation.js";
+import {
+    acknowledgedEnd,
+    applyAcceptedStart,
+    applyAcceptedStop,
+    confirmStart,
+    markUnanswered,
+    observeIncarnation,
+} from "../src/executor-incarnation.js";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import {
     createPool,
@@ -165,3 +172,16 @@
     assert.deepEqual(expireAfterPoll(tables, run.executor, STARTED_AT_MS + MAX_LEASE_MS), [], "it may be active");
     assert.deepEqual(expireAfterPoll(tables, run.executor, expiredAtMs), [run]);
 });
+
+test("a stop that is repeated does not make a task wait longer for a start that never took effect", () => {
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
+    const [run] = place(tables);
+    assert.ok(run !== undefined);
+    markUnanswered(run, 350);
+    applyAcceptedStop(run, { clockMs: 360, sentAtMs: 355, receivedAtMs: 365 });
+    // A report that waits for an end is under way when the stop is sent again.
+    const reportSentAtMs = 400;
+    applyAcceptedStop(run, { clockMs: 760, sentAtMs: 755, receivedAtMs: 765 });
+    receiveReport(tables, "a", { clockMs: 1100 }, reportSentAtMs);
+    assert.deepEqual(run.task.runs, []);
+});
