--- a/pools/scheduler/test/random-faults.test.ts
+++ b/pools/scheduler/test/random-faults.test.ts
@@ -19,18 +19,15 @@
 const MAX_BACKOFF_MS = 16_000;
 // Detection of a lost executor, and orders that are sent again, in milliseconds.
 const DETECTION_MS = 5000;
-/** Longest work of the steps of all jobs, one after another, in milliseconds. */
-const MAX_WORK_MS = 4 * 3 * 2500;
+// Time without the work of tasks within which the pool recovers, if no runs failed.
+const RECOVERY_MS =
+    REGISTRATION_MS + DETECTION_MS + EXECUTOR_MAX_LEASE_MS / SLOWEST_CLOCK_RATE + GANG_TIMEOUT_MS + STOP_MS;
 
 /** Time within which the pool has to reach its goal once no fault has an effect any more. */
-const RECOVERY_MS =
-    REGISTRATION_MS +
-    DETECTION_MS +
-    EXECUTOR_MAX_LEASE_MS / SLOWEST_CLOCK_RATE +
-    GANG_TIMEOUT_MS +
-    STOP_MS +
-    MAX_BACKOFF_MS +
-    MAX_WORK_MS;
+const recoveryMsOf = ({ jobs, faults }: SimulationPlan): number => {
+    const workMs = jobs.flatMap(({ steps }) => steps).reduce((sum, { estimateMs }) => sum + estimateMs, 0);
+    return RECOVERY_MS + workMs + (faults.some(({ kind }) => kind === "failing") ? MAX_BACKOFF_MS : 0);
+};
 
 const lastFaultEndsAtMs = ({ faults, jobs }: SimulationPlan): number =>
     Math.max(...faults.map(endOfFault), ...jobs.map(({ atMs }) => atMs));
@@ -46,7 +43,7 @@
     const pool = createSimulatedPool(plan, trace);
     const faultsEndAtMs = lastFaultEndsAtMs(plan);
     const isAtGoal = (): boolean => pool.time.nowMs() > faultsEndAtMs && openGoals(pool).length === 0;
-    while (!isAtGoal() && pool.time.runNext(faultsEndAtMs + RECOVERY_MS)) {
+    while (!isAtGoal() && pool.time.runNext(faultsEndAtMs + recoveryMsOf(plan))) {
         const broken = check(pool);
         assert.ok(broken.length === 0, `at ${pool.time.nowMs()} ms: ${broken.join("\n")}`);
     }
@@ -88,7 +85,7 @@
 test(`every task is started again after the last fault (seed ${SEED})`, () =>
     assertAll(simulationPlans({ callsOutlastIncarnations: true }), (plan, trace) => {
         const open = openGoals(play(plan, trace, () => []));
-        assert.ok(open.length === 0, `${RECOVERY_MS} ms after the last fault: ${open.join("\n")}`);
+        assert.ok(open.length === 0, `${recoveryMsOf(plan)} ms after the last fault: ${open.join("\n")}`);
     }));
 
 // A late start that reaches the next incarnation of its executor can take effect after the task was started elsewhere; see
--- a/pools/scheduler/test/simulated-connection.ts
+++ b/pools/scheduler/test/simulated-connection.ts
@@ -34,6 +34,8 @@
     readonly executor: Executor;
     readonly vm: number;
     readonly mayHaveSuccessor: () => boolean;
+    /** False if the pool lease was not renewed for too long. */
+    readonly mayExtendLeases: () => boolean;
     readonly onEnds: (executor: Executor) => void;
     readonly onChange: () => void;
 }
@@ -81,7 +83,8 @@
         cancelWait = resume;
         time.after(delayMs, resume);
     };
-    const permittedLeaseUntil = (): number | undefined => leaseUntil(executor, time.nowMs(), tables.runLeaseMs);
+    const permittedLeaseUntil = (): number | undefined =>
+        options.mayExtendLeases() ? leaseUntil(executor, time.nowMs(), tables.runLeaseMs) : undefined;
     const extendRunLeases = (): number | undefined => {
         if (!areRunsRead(executor) || failedPolls > 0 || runsOfExecutor(executor).length === 0) {
             return undefined;
@@ -99,7 +102,7 @@
     const pollReport = (): void => {
         const sentAtMs = time.nowMs();
         const { incarnation } = executor;
-        const acknowledged = acknowledgedEnd(executor);
+        const acknowledged = options.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
         const untilMs = extendRunLeases();
         const waitMs = isReportUrgent() ? 0 : REPORT_LONG_POLL_MS;
         network.send({
@@ -128,17 +131,17 @@
                     }
                     case "rejected":
                         handleRejection(result.reason);
+                        if (result.reason !== "fence") {
+                            recordFailedPoll(sentAtMs);
+                        }
                         time.after(RETRY_DELAY_MS, poll);
                         return;
                     case "accepted":
                         throw new Error("a report request is not answered as an order");
                     case "not-sent":
                     case "unknown":
-                        failedPolls++;
-                        executor.unansweredPollSentAtMs = sentAtMs;
+                        recordFailedPoll(sentAtMs);
                         if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
-                            executor.reachable = false;
-                            options.onChange();
                             time.after(RETRY_DELAY_MS, poll);
                             return;
                         }
@@ -147,6 +150,14 @@
             },
         });
     };
+    const recordFailedPoll = (sentAtMs: number): void => {
+        failedPolls++;
+        executor.unansweredPollSentAtMs = sentAtMs;
+        if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
+            executor.reachable = false;
+            options.onChange();
+        }
+    };
     const handleRejection = (reason: (CallResult & { kind: "rejected" })["reason"]): void => {
         if (reason === "other-life") {
             endIncarnation(executor, time.nowMs());
@@ -163,7 +174,8 @@
         runsOfExecutor(executor).length > 0 ||
         executor.orphanedRuns.length > 0 ||
         executor.lastAcknowledgedEnd < executor.lastAppliedEnd;
-    const wouldRepeatEnds = (): boolean => acknowledgedEnd(executor) < executor.lastAppliedEnd;
+    const wouldRepeatEnds = (): boolean =>
+        acknowledgedEnd(executor) < executor.lastAppliedEnd || !options.mayExtendLeases();
     const pollDelayMs = (): number => {
         if (needsPolling()) {
             return areRunsRead(executor) && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
--- a/pools/scheduler/test/simulated-fault.ts
+++ b/pools/scheduler/test/simulated-fault.ts
@@ -7,8 +7,8 @@
 /** Calls to an executor that a fault concerns. */
 export type CallKind = "start" | "stop" | "report";
 
-/** Whether an executor comes back after its end: under its id or under a new one, which uses its address. */
-export type Return = "same-id" | "new-id";
+/** Whether an executor comes back after its end: under its id, under a new one, which uses its address, or never. */
+export type Return = "same-id" | "new-id" | "never";
 
 /** A fault on the path between the scheduler and an executor. */
 export type PathFault = FaultSpan & {
@@ -64,8 +64,10 @@
 
 /** A fault of the platform or a change by a user. */
 type PoolEvent =
-    | (FaultSpan & { readonly kind: "store-slow" })
-    | (FaultSpan & { readonly kind: "lease-not-renewed" })
+    | (FaultSpan & {
+          /** `paused`: the process of the scheduler. `registry-not-read`: its changes are read later. */
+          readonly kind: "store-slow" | "lease-not-renewed" | "registry-not-read" | "paused";
+      })
     | { readonly kind: "cancel"; readonly job: number; readonly atMs: number };
 
 /** A fault or change at a fixed time. */
@@ -89,6 +91,8 @@
         case "evacuated":
         case "store-slow":
         case "lease-not-renewed":
+        case "registry-not-read":
+        case "paused":
             return fault.fromMs + fault.durationMs;
         case "crash":
             return fault.atMs + fault.downMs + fault.firstHeartbeatMs;
--- a/pools/scheduler/test/simulated-fleet.ts
+++ b/pools/scheduler/test/simulated-fleet.ts
@@ -77,20 +77,23 @@
     const isFaulty = (vm: number, kind: "unhealthy" | "failing" | "unregistered"): boolean =>
         faults.some(fault => fault.kind === kind && fault.executor === vm && isWithin(fault, time.nowMs()));
     const notify = (): void => time.after(REGISTRY_DELAY_MS, options.onRegistryChange);
+    const writeRegistration = (vm: SimulatedVm, executor: SimulatedExecutor): void => {
+        registrations.set(executor.id, { record: recordOf(vm, executor), writtenAtMs: time.nowMs() });
+        time.after(REGISTRATION_MS, () => {
+            const known = registrations.get(executor.id);
+            if (known !== undefined && time.nowMs() - known.writtenAtMs >= REGISTRATION_MS) {
+                registrations.delete(executor.id);
+                notify();
+            }
+        });
+        notify();
+    };
     const register = (vm: SimulatedVm, executor: SimulatedExecutor): void => {
         if (vm.executor !== executor) {
             return;
         }
         if (!isFaulty(vm.index, "unregistered")) {
-            registrations.set(executor.id, { record: recordOf(vm, executor), writtenAtMs: time.nowMs() });
-            time.after(REGISTRATION_MS, () => {
-                const known = registrations.get(executor.id);
-                if (known !== undefined && time.nowMs() - known.writtenAtMs >= REGISTRATION_MS) {
-                    registrations.delete(executor.id);
-                    notify();
-                }
-            });
-            notify();
+            writeRegistration(vm, executor);
         }
         time.after(HEARTBEAT_MS, () => register(vm, executor));
     };
@@ -159,6 +162,9 @@
                 registrations.delete(executor.id);
                 notify();
             }
+            if (returns === "never") {
+                return;
+            }
             const id = returns === "same-id" ? executor.id : toId<ExecutorId>(`e${index}-${vm.starts}`);
             time.after(downMs, () => startExecutor(vm, id, firstHeartbeatMs));
         },
@@ -166,11 +172,7 @@
             const vm = vmAt(index);
             if (vm.executor !== undefined && vm.drainingUntilMs === undefined) {
                 vm.drainingUntilMs = time.nowMs() + drainMs;
-                registrations.set(vm.executor.id, {
-                    record: recordOf(vm, vm.executor),
-                    writtenAtMs: time.nowMs(),
-                });
-                notify();
+                writeRegistration(vm, vm.executor);
             }
         },
     };
--- a/pools/scheduler/test/simulated-network.ts
+++ b/pools/scheduler/test/simulated-network.ts
@@ -26,6 +26,8 @@
 
 export interface SimulatedNetworkOptions {
     readonly time: SimulatedTime;
+    /** Time of the scheduler's process, in which responses are received. */
+    readonly callerTime: SimulatedTime;
     readonly faults: readonly PathFault[];
     readonly endpointOf: (vm: number) => Endpoint;
     /** True if a late call may be executed by a later incarnation of the executor than the one that it was sent to. */
@@ -42,7 +44,7 @@
 
 /** Creates the paths between the scheduler and the executors. */
 export const createSimulatedNetwork = (options: SimulatedNetworkOptions): SimulatedNetwork => {
-    const { time, endpointOf } = options;
+    const { time, callerTime, endpointOf } = options;
     const activeFaults = ({ vm, kind }: SimulatedCall): readonly PathFault[] =>
         options.faults.filter(
             fault =>
@@ -95,7 +97,7 @@
             const slow = faults.find(fault => fault.kind === "slow-responses");
             const isLost = faults.some(({ kind }) => kind === "lost-responses");
             const isCut = faults.some(({ kind }) => kind === "unreachable");
-            time.after(call.timeoutMs, () => finish({ kind: "unknown" }));
+            callerTime.after(call.timeoutMs, () => finish({ kind: "unknown" }));
             if (isCut) {
                 return;
             }
@@ -105,7 +107,7 @@
             }
             const respond = (result: CallResult): void => {
                 if (!isLost || result.kind === "not-sent") {
-                    time.after(DELAY_MS + (slow?.delayMs ?? 0), () => finish(result));
+                    callerTime.after(DELAY_MS + (slow?.delayMs ?? 0), () => finish(result));
                 }
             };
             time.after(DELAY_MS, () => execute(call, sentTo, respond));
--- a/pools/scheduler/test/simulated-pool.ts
+++ b/pools/scheduler/test/simulated-pool.ts
@@ -11,14 +11,21 @@
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { recordLeaseHeld, type Executor, type PoolTables, type VmEvacuation } from "@almondusher/scheduler/pool-tables";
 import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
-import { addJob, createPool, QUEUE, UNLIMITED_BUDGET } from "./fixture.js";
+import { addJob, createPool, limitedBudget, QUEUE } from "./fixture.js";
+import { createPausableTime } from "./pausable-time.js";
 import { runsOfExecutor } from "./run-relation.js";
 import { openSimulatedConnection, type SimulatedConnection } from "./simulated-connection.js";
 import type { SimulatedExecutor } from "./simulated-executor.js";
-import { isWithin, MAINTENANCE_WAIT_MS, type PathFault, type SimulatedFault } from "./simulated-fault.js";
+import {
+    isWithin,
+    MAINTENANCE_WAIT_MS,
+    type FaultSpan,
+    type PathFault,
+    type SimulatedFault,
+} from "./simulated-fault.js";
 import { createSimulatedFleet, vmName } from "./simulated-fleet.js";
 import { createSimulatedGangs } from "./simulated-gangs.js";
-import { createSimulatedNetwork } from "./simulated-network.js";
+import { createSimulatedNetwork, type SimulatedNetwork } from "./simulated-network.js";
 import { createSimulatedTime, type SimulatedTime } from "./simulated-time.js";
 
 /** Jobs, faults and properties of the executors of one simulation. */
@@ -26,6 +33,8 @@
     readonly vmCount: number;
     readonly clockRate: number;
     readonly maxListedEnds: number;
+    /** Number of orders that may be outstanding. */
+    readonly orderWindow: number;
     readonly keepsRunsApart: boolean;
     readonly callsOutlastIncarnations: boolean;
     readonly jobs: readonly { readonly atMs: number; readonly steps: readonly Step[] }[];
@@ -44,6 +53,8 @@
 const MIN_PASS_INTERVAL_MS = 10;
 const STOP_RESEND_INTERVAL_MS = 400;
 const RENEWAL_INTERVAL_MS = 400;
+/** A scheduler acts for this time after the last renewal of the pool lease, in milliseconds. */
+const MAX_LEASE_AGE_MS = 6000;
 const SUCCESSOR_POSSIBLE_AFTER_MS = 1600;
 const WRITE_MS = 20;
 const SLOW_WRITE_MS = 1500;
@@ -56,7 +67,8 @@
 
 /** Creates the pool and schedules its jobs and faults. */
 export const createSimulatedPool = (plan: SimulationPlan, trace: Trace = () => undefined): SimulatedPool => {
-    const time = createSimulatedTime();
+    const worldTime = createSimulatedTime();
+    const time = createPausableTime(worldTime, plan.faults.filter(isPause));
     const traceNow: Trace = line => trace(`${time.nowMs()} ms: ${line}`);
     const tables = createPool({ executors: [], leaseHeldAtMs: 0 });
     const queue = tables.queues.get(QUEUE);
@@ -68,30 +80,53 @@
     let leaseRenewedAtMs = 0;
     let isPassRequested = false;
     let lastPassAtMs = Number.NEGATIVE_INFINITY;
+    let outstandingOrders = 0;
     let isWriting = false;
     let isWriteRequested = false;
 
     const isActive = (kind: "store-slow" | "lease-not-renewed"): boolean =>
         plan.faults.some(fault => fault.kind === kind && isWithin(fault, time.nowMs()));
     const mayHaveSuccessor = (): boolean => time.nowMs() - leaseRenewedAtMs > SUCCESSOR_POSSIBLE_AFTER_MS;
+    const mayAct = (): boolean => time.nowMs() - leaseRenewedAtMs < MAX_LEASE_AGE_MS;
     const fleet = createSimulatedFleet({
-        time,
-        gangs: createSimulatedGangs(time),
+        time: worldTime,
+        gangs: createSimulatedGangs(worldTime),
         faults: plan.faults,
         vmCount: plan.vmCount,
         clockRate: plan.clockRate,
         maxListedEnds: plan.maxListedEnds,
         keepsRunsApart: plan.keepsRunsApart,
-        onRegistryChange: () => syncExecutors(),
+        onRegistryChange: () => time.after(0, readRegistry),
         trace: traceNow,
     });
     const network = createSimulatedNetwork({
-        time,
+        time: worldTime,
+        callerTime: time,
         faults: plan.faults.filter(isPathFault),
         endpointOf: fleet.endpointOf,
         callsOutlastIncarnations: plan.callsOutlastIncarnations,
         trace: traceNow,
     });
+    const trackedNetwork: SimulatedNetwork = {
+        send: call => {
+            outstandingOrders += call.kind === "report" ? 0 : 1;
+            network.send({
+                ...call,
+                done: result => {
+                    outstandingOrders -= call.kind === "report" ? 0 : 1;
+                    call.done(result);
+                },
+            });
+        },
+    };
+    const readRegistry = (): void => {
+        const unread = plan.faults.find(fault => fault.kind === "registry-not-read" && isWithin(fault, time.nowMs()));
+        if (unread !== undefined && "fromMs" in unread) {
+            time.after(unread.fromMs + unread.durationMs - time.nowMs(), readRegistry);
+        } else {
+            syncExecutors();
+        }
+    };
     const syncExecutors = (): void => {
         applyRegistry(tables, fleet.registry(), time.nowMs());
         [...connections.keys()]
@@ -108,11 +143,12 @@
         if (!connections.has(executor.id)) {
             const connection = openSimulatedConnection({
                 time,
-                network,
+                network: trackedNetwork,
                 tables,
                 executor,
                 vm: Number(vm?.slice("vm-".length)),
                 mayHaveSuccessor,
+                mayExtendLeases: mayAct,
                 onEnds: () => requestWrite(),
                 onChange: () => requestPass(),
             });
@@ -172,14 +208,20 @@
             traceNow(`gives up run ${run.number} of ${run.task.id} on ${run.executor.id}, ${cause}`),
         );
         recordLeaseHeld(tables, leaseRenewedAtMs);
-        const stopOptions = { nowMs, resendAfterMs: STOP_RESEND_INTERVAL_MS, budget: UNLIMITED_BUDGET };
+        if (mayAct()) {
+            sendOrders(nowMs);
+        }
+    };
+    const sendOrders = (nowMs: number): void => {
+        const budget = limitedBudget(plan.orderWindow - outstandingOrders);
+        const stopOptions = { nowMs, resendAfterMs: STOP_RESEND_INTERVAL_MS, budget };
         planStops(tables, stopOptions).forEach(run => connections.get(run.executor.id)?.stop(run));
         tables.executors.forEach(executor =>
             planOrphanStops(executor, stopOptions).forEach(orphanedRun =>
                 connections.get(executor.id)?.stopOrphanedRun(orphanedRun),
             ),
         );
-        placeTasks(tables, { nowMs, budget: UNLIMITED_BUDGET, executorsWithTicket: () => undefined }).forEach(run =>
+        placeTasks(tables, { nowMs, budget, executorsWithTicket: () => undefined }).forEach(run =>
             connections.get(run.executor.id)?.start(run),
         );
     };
@@ -268,6 +310,8 @@
             case "unregistered":
             case "store-slow":
             case "lease-not-renewed":
+            case "registry-not-read":
+            case "paused":
                 return;
         }
     };
@@ -281,7 +325,7 @@
     time.after(0, renewLease);
     time.after(0, tick);
     return {
-        time,
+        time: worldTime,
         tables,
         executors: fleet.executors,
         connectionOf: executor => connections.get(executor.id),
@@ -290,6 +334,8 @@
 
 const jobName = (index: number): string => `job${index}`;
 
+const isPause = (fault: SimulatedFault): fault is SimulatedFault & FaultSpan => fault.kind === "paused";
+
 const isPathFault = (fault: SimulatedFault): fault is PathFault =>
     fault.kind === "late-calls" ||
     fault.kind === "slow-responses" ||
--- a/pools/scheduler/test/simulation-outcome.ts
+++ b/pools/scheduler/test/simulation-outcome.ts
@@ -37,6 +37,9 @@
             .filter(run => !isActive(run) || run.phase !== "running")
             .map(run => `not at work: ${describeRun(run)}`),
         ...pool.executors().flatMap(({ id }) => unusableBecause(pool, id)),
+        ...[...pool.tables.executors.values()]
+            .filter(({ id }) => !pool.executors().some(executor => executor.id === id))
+            .map(({ id }) => `${id} has ended and is still in the tables`),
     ];
 };
 
--- a/pools/scheduler/test/simulation-plans.ts
+++ b/pools/scheduler/test/simulation-plans.ts
@@ -113,11 +113,18 @@
                 kind: fc.constant("crash"),
                 address: fc.constantFrom("refuses", "silent"),
                 ...end,
+                returns: fc.constantFrom("same-id", "same-id", "new-id", "never"),
             }),
         },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("drain"), drainMs: timeBetween(500, 3000), ...end }) },
         { weight: 1, arbitrary: fc.record({ kind: fc.constant("maintenance"), ...end }) },
-        { weight: 1, arbitrary: fc.record({ kind: fc.constantFrom("store-slow", "lease-not-renewed"), ...span }) },
+        {
+            weight: 1,
+            arbitrary: fc.record({
+                kind: fc.constantFrom("store-slow", "lease-not-renewed", "registry-not-read", "paused"),
+                ...span,
+            }),
+        },
         {
             weight: 1,
             arbitrary: fc.record({
@@ -179,12 +186,29 @@
     ].join("\n");
 
 // A plan is drawn for the largest pool and then restricted to its VMs, so that each of its parts shrinks on its own.
-const fitToPool = ({ vmCount, jobs, faults, ...plan }: SimulationPlan): SimulationPlan => ({
-    ...plan,
-    vmCount,
-    jobs: jobs.map(job => ({ ...job, steps: job.steps.map(described => fitStep(described, vmCount)) })),
-    faults: faults.map(fault => ("executor" in fault ? { ...fault, executor: fault.executor % vmCount } : fault)),
-});
+const fitToPool = ({ vmCount, jobs, faults, ...plan }: SimulationPlan): SimulationPlan => {
+    const fitted = faults.map(fault => fitFault(fault, vmCount));
+    const lost = new Set(fitted.filter(isLoss).map(fault => ("executor" in fault ? fault.executor : undefined)));
+    return {
+        ...plan,
+        vmCount,
+        jobs: jobs.map(job => ({ ...job, steps: job.steps.map(described => fitStep(described, vmCount - lost.size)) })),
+        faults: fitted,
+    };
+};
+
+const isLoss = (fault: SimulatedFault): boolean => "returns" in fault && fault.returns === "never";
+
+// The first VM is never lost for good.
+const fitFault = (fault: SimulatedFault, vmCount: number): SimulatedFault => {
+    if (!("executor" in fault)) {
+        return fault;
+    }
+    const executor = fault.executor % vmCount;
+    return executor === 0 && "returns" in fault && fault.returns === "never"
+        ? { ...fault, executor, returns: "new-id" }
+        : { ...fault, executor };
+};
 
 // All tasks of a step must find room at once.
 const fitStep = (described: Step, vmCount: number): Step => ({
@@ -205,6 +229,7 @@
             jobs: fc.array(fc.record({ atMs: timeUpTo(JOBS_WITHIN_MS), steps }), { minLength: 1, maxLength: MAX_JOBS }),
             clockRate: fc.constantFrom(1, 0.99, 0.98),
             maxListedEnds: fc.constantFrom(500, 3, 1),
+            orderWindow: fc.constantFrom(32, 8, 2),
             keepsRunsApart: fc.boolean(),
             callsOutlastIncarnations: fc.constant(fixed.callsOutlastIncarnations),
             faults: fc
