--- a/programs/dispatcher/src/candidate-view.ts
+++ b/programs/dispatcher/src/candidate-view.ts
@@ -79,6 +79,7 @@
                 observe(result.rows);
                 break;
             case "not-run":
+            case "rejected":
             case "unknown":
                 break;
         }
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,3 +1,4 @@
+import type { RunReport } from "@almondusher/jobs/executor";
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
 import { forgetRun } from "@almondusher/scheduler/pool-tables";
 import {
@@ -10,7 +11,7 @@
     type IncarnationEvidence,
 } from "@almondusher/scheduler/executor-incarnation";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
-import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import {
     createExecutorClient,
@@ -179,8 +180,7 @@
                 if (executor.incarnation === incarnation) {
                     executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
                 }
-                const ends = applyReport(tables, executor, result.report, { sentAtMs, receivedAtMs });
-                owner.ended(executor, ends);
+                owner.ended(executor, applyEnds(result.report, { sentAtMs, receivedAtMs }));
                 owner.changed();
                 return;
             }
@@ -200,6 +200,16 @@
                 return;
         }
     };
+    // After an error, the ends count as not applied, so that they are passed to the owner with the next report.
+    const applyEnds = (report: RunReport, times: ReportTimes): readonly AppliedEnd[] => {
+        const { incarnation, lastAppliedEnd } = executor;
+        try {
+            return applyReport(tables, executor, report, times);
+        } catch (error) {
+            executor.lastAppliedEnd = executor.incarnation === incarnation ? lastAppliedEnd : 0;
+            throw error;
+        }
+    };
     // An executor that rejects a poll tells as little of its runs as one that does not respond.
     const recordFailedPoll = (sentAtMs: number, reason: string): void => {
         failedPolls++;
--- a/programs/dispatcher/src/job-api.ts
+++ b/programs/dispatcher/src/job-api.ts
@@ -70,6 +70,7 @@
                 unknown = true;
                 break;
             case "not-run":
+            case "rejected":
                 break;
         }
         if (context.monotonicMs() + RETRY_DELAY_MS >= call.deadlineMs) {
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -120,6 +120,7 @@
             case "conflict":
                 return resolveConflict(lease, commit.rows[0]);
             case "not-run":
+            case "rejected":
             case "unknown":
                 return false;
         }
--- a/programs/dispatcher/src/lease-transactions.ts
+++ b/programs/dispatcher/src/lease-transactions.ts
@@ -68,6 +68,7 @@
                 : writeRelease({ ...release, version: Math.max(version, ownVersion) });
         }
         case "not-run":
+        case "rejected":
         case "unknown":
             if (mayBeTakenOver()) {
                 return false;
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -153,6 +153,7 @@
         },
         ticketRejected: (run: Run): void => tickets.discard(run.task.step),
         ended: (executor: Executor, ends: readonly AppliedEnd[]): void => {
+            writer.addEnds(executor, ends);
             runLog.ends(executor, ends);
             if (executor.lastStoredEnd < executor.lastAppliedEnd) {
                 writer.request();
--- /dev/null
+++ b/programs/dispatcher/src/progress-batches.ts
@@ -0,0 +1,42 @@
+import { encodeProgress } from "@almondusher/jobs/stored-rows";
+import { isJobEnded, progressOf } from "@almondusher/scheduler/job-progress";
+import type { OpenJob } from "@almondusher/scheduler/pool-tables";
+
+/** The progress of a job to be stored. */
+export interface ProgressWrite {
+    readonly job: OpenJob;
+    readonly value: string;
+    readonly final: boolean;
+}
+
+const MAX_ROWS_PER_TRANSACTION = 40;
+// The store takes at most 1 MB in a transaction, in which values are a third longer and each row has its keys twice.
+const MAX_VALUE_BYTES_PER_TRANSACTION = 600_000;
+
+export const encodeWrite = (job: OpenJob): ProgressWrite => ({
+    job,
+    value: encodeProgress(progressOf(job)),
+    final: isJobEnded(job),
+});
+
+/** Divides writes into transactions that the store accepts by their number of rows and their size. */
+export const toBatches = (writes: readonly ProgressWrite[]): readonly (readonly ProgressWrite[])[] => {
+    const batches: ProgressWrite[][] = [];
+    let bytes = 0;
+    writes.forEach(write => {
+        const added = Buffer.byteLength(write.value);
+        const batch = batches.at(-1);
+        if (
+            batch === undefined ||
+            batch.length >= MAX_ROWS_PER_TRANSACTION ||
+            bytes + added > MAX_VALUE_BYTES_PER_TRANSACTION
+        ) {
+            batches.push([write]);
+            bytes = added;
+        } else {
+            batch.push(write);
+            bytes += added;
+        }
+    });
+    return batches;
+};
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -1,18 +1,21 @@
-import { encodeProgress } from "@almondusher/jobs/stored-rows";
-import type { Row } from "@almondusher/platform-adapter/table-store";
+import type { Row, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
-import { isJobEnded, progressOf } from "@almondusher/scheduler/job-progress";
+import type { AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
 import { createErrorReporter } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { jobTablesOf, progressRow, type JobTables } from "./job-rows.js";
+import { jobTablesOf, progressRow } from "./job-rows.js";
+import { encodeWrite, toBatches, type ProgressWrite } from "./progress-batches.js";
 import { readStoredProgress } from "./read-stored-rows.js";
+import { createUnstoredEndTracker, type UnstoredEnds } from "./unstored-ends.js";
 
 /** Stores the progress of jobs. Run ends are acknowledged to executors only after they are stored. */
 export interface ProgressWriter {
+    /** Records run ends that were applied. They are acknowledged once the jobs that they have changed are stored. */
+    readonly addEnds: (executor: Executor, ends: readonly AppliedEnd[]) => void;
     /** Requests that changed jobs are stored. Requests made during a write are merged into the next one. */
     readonly request: () => void;
-    /** Resolves once all changes are stored, or after the timeout. */
+    /** Resolves once all changes that the store accepts are stored, or after the timeout. */
     readonly flush: (timeoutMs: number) => Promise<void>;
 }
 
@@ -28,40 +31,169 @@
     readonly mayStore: () => boolean;
 }
 
-const MAX_ROWS_PER_TRANSACTION = 40;
+/** A job whose progress the store does not accept; it is written apart from the others, at growing intervals. */
+interface RejectedJob {
+    readonly rejections: number;
+    isRetryDue: boolean;
+}
+
+type OnStored = (write: ProgressWrite, version: number) => void;
+
 const RETRY_DELAY_MS = 50;
+const REJECTED_RETRY_DELAY_MS = 500;
+const MAX_REJECTED_RETRY_DELAY_MS = 8000;
 const FLUSH_POLL_INTERVAL_MS = 10;
 
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
     const { context, tables } = options;
     const jobTables = jobTablesOf(tables.pool);
     const reportError = createErrorReporter({ context, part: "progress-writer" });
+    const unstoredEnds = createUnstoredEndTracker(tables);
+    const rejectedJobs = new Map<OpenJob, RejectedJob>();
+    let running = false;
     let writing = false;
     let requested = false;
 
     const dirtyJobs = (): readonly OpenJob[] => [...tables.jobs.values()].filter(job => job.dirty);
+    const acknowledge = ({ executor, incarnation, lastEnd }: UnstoredEnds): void => {
+        if (executor.incarnation === incarnation && executor.lastStoredEnd < lastEnd) {
+            executor.lastStoredEnd = lastEnd;
+            options.onEndsStored(executor);
+        }
+    };
     const writeAll = async (): Promise<boolean> => {
-        const appliedEnds = [...tables.executors.values()].map(executor => ({
-            executor,
-            lastAppliedEnd: executor.lastAppliedEnd,
-            incarnation: executor.incarnation,
-        }));
+        const ends = unstoredEnds.takeAll();
+        const onStored: OnStored = ({ job, final }, version) => {
+            job.progressVersion = version;
+            rejectedJobs.delete(job);
+            ends.filter(({ jobs }) => jobs.delete(job) && jobs.size === 0).forEach(acknowledge);
+            if (final) {
+                options.onJobFinished(job);
+            }
+        };
+        ends.filter(({ jobs }) => jobs.size === 0).forEach(acknowledge);
         const jobs = dirtyJobs();
-        const batches = Array.from({ length: Math.ceil(jobs.length / MAX_ROWS_PER_TRANSACTION) }, (unused, index) =>
-            jobs.slice(index * MAX_ROWS_PER_TRANSACTION, (index + 1) * MAX_ROWS_PER_TRANSACTION),
-        );
-        const results = await Promise.all(batches.map(batch => writeBatch(options, jobTables, batch)));
-        if (!results.every(ok => ok)) {
-            return false;
+        const batches = [
+            ...toBatches(encodeAll(jobs.filter(job => !rejectedJobs.has(job)))),
+            ...encodeAll(jobs.filter(job => rejectedJobs.get(job)?.isRetryDue)).map(write => [write]),
+        ];
+        const results = await Promise.all(batches.map(batch => writeBatch(batch, onStored)));
+        ends.filter(({ jobs }) => jobs.size > 0).forEach(unstoredEnds.putBack);
+        return results.every(ok => ok);
+    };
+    const encodeAll = (jobs: readonly OpenJob[]): readonly ProgressWrite[] =>
+        jobs.flatMap(job => {
+            try {
+                return [encodeWrite(job)];
+            } catch (error) {
+                holdBack(job, String(error));
+                return [];
+            }
+        });
+    const writeBatch = async (batch: readonly ProgressWrite[], onStored: OnStored): Promise<boolean> => {
+        if (batch.length === 0) {
+            return true;
         }
-        appliedEnds
-            .filter(({ executor, lastAppliedEnd }) => executor.lastStoredEnd < lastAppliedEnd)
-            .filter(({ executor, incarnation }) => executor.incarnation === incarnation)
-            .forEach(({ executor, lastAppliedEnd }) => {
-                executor.lastStoredEnd = lastAppliedEnd;
-                options.onEndsStored(executor);
+        // Reset before the write, so that changes made during it mark the job as dirty again.
+        batch.forEach(({ job }) => (job.dirty = false));
+        try {
+            const commit = await context.store.transact({
+                expect: batch.map(({ job }) => ({ ...progressRow(jobTables, job.id), version: job.progressVersion })),
+                writes: batch.map(({ job, value }) => ({ ...progressRow(jobTables, job.id), value })),
             });
-        return true;
+            return await applyCommit(batch, commit, onStored);
+        } catch (error) {
+            reportError(error);
+            markDirty(batch);
+            return false;
+        }
+    };
+    const applyCommit = async (
+        batch: readonly ProgressWrite[],
+        commit: TransactionResult,
+        onStored: OnStored,
+    ): Promise<boolean> => {
+        switch (commit.kind) {
+            case "committed":
+                batch.forEach(write => onStored(write, commit.version));
+                return true;
+            case "conflict":
+                return applyConflict(batch, commit.rows, onStored);
+            case "rejected":
+                return writeApart(batch, commit.reason, onStored);
+            case "not-run":
+            case "unknown":
+                markDirty(batch);
+                context.metrics.count("progress_writes_failed");
+                return false;
+        }
+    };
+    const markDirty = (batch: readonly ProgressWrite[]): void => batch.forEach(({ job }) => (job.dirty = true));
+    const applyConflict = async (
+        batch: readonly ProgressWrite[],
+        rows: readonly Row[],
+        onStored: OnStored,
+    ): Promise<boolean> => {
+        if (!batch.some(({ job }) => conflictingRow(job, rows) !== undefined)) {
+            return writeApart(batch, "the stored progress is missing", onStored);
+        }
+        batch.forEach(write => resolveConflict(write, conflictingRow(write.job, rows), onStored));
+        return batch.every(({ job }) => !job.dirty);
+    };
+    // The store rejects a transaction as a whole, also if it does not accept only one of its rows.
+    const writeApart = async (
+        batch: readonly ProgressWrite[],
+        reason: string,
+        onStored: OnStored,
+    ): Promise<boolean> => {
+        markDirty(batch);
+        const [first, ...others] = batch;
+        if (first !== undefined && others.length === 0) {
+            holdBack(first.job, reason);
+            return true;
+        }
+        const middle = Math.ceil(batch.length / 2);
+        const halves = [batch.slice(0, middle), batch.slice(middle)];
+        // Encoded again, because a job may have changed since.
+        const results = await Promise.all(
+            halves.map(half => writeBatch(encodeAll(half.map(({ job }) => job)), onStored)),
+        );
+        return results.every(ok => ok);
+    };
+    const holdBack = (job: OpenJob, reason: string): void => {
+        const rejections = (rejectedJobs.get(job)?.rejections ?? 0) + 1;
+        const rejected: RejectedJob = { rejections, isRetryDue: false };
+        rejectedJobs.set(job, rejected);
+        context.metrics.count("progress_writes_rejected");
+        context.log("progress-rejected", { job: job.id, reason, rejections });
+        const delayMs = Math.min(REJECTED_RETRY_DELAY_MS * 2 ** (rejections - 1), MAX_REJECTED_RETRY_DELAY_MS);
+        setTimeout(() => retry(job, rejected), delayMs).unref();
+    };
+    const retry = (job: OpenJob, rejected: RejectedJob): void => {
+        if (tables.jobs.get(job.id) === job) {
+            rejected.isRetryDue = true;
+            request();
+        } else {
+            rejectedJobs.delete(job);
+        }
+    };
+    // The row has a different version than expected. It was written either by an earlier write of this process that was not
+    // answered, or by a late write of the previous scheduler, whose progress is merged into the job.
+    const resolveConflict = (write: ProgressWrite, row: Row | undefined, onStored: OnStored): void => {
+        const { job, value } = write;
+        if (row?.value === value) {
+            onStored(write, row.version);
+            return;
+        }
+        job.dirty = true;
+        const progress = row === undefined ? undefined : readStoredProgress(context, row);
+        if (row !== undefined && progress === undefined) {
+            holdBack(job, "the stored progress cannot be read");
+        }
+        if (row !== undefined && progress !== undefined) {
+            mergeProgress(tables, job, { progress, version: row.version });
+            context.log("progress-conflict", { job: job.id, version: row.version });
+        }
     };
     const tryWriteAll = (): Promise<boolean> =>
         writeAll().catch((error: unknown) => {
@@ -69,86 +201,37 @@
             return false;
         });
     const run = async (): Promise<void> => {
-        writing = true;
+        running = true;
         while (requested && options.isActive()) {
             requested = false;
-            if (!options.mayStore() || !(await tryWriteAll())) {
+            writing = options.mayStore();
+            const stored = writing && (await tryWriteAll());
+            writing = false;
+            if (!stored) {
                 requested = true;
                 await sleep(RETRY_DELAY_MS);
             }
         }
-        writing = false;
+        running = false;
     };
+    const request = (): void => {
+        requested = true;
+        if (!running) {
+            void run();
+        }
+    };
+    const isStoring = (): boolean => writing || dirtyJobs().some(job => !rejectedJobs.has(job));
     return {
-        request: () => {
-            requested = true;
-            if (!writing) {
-                void run();
-            }
-        },
+        addEnds: unstoredEnds.add,
+        request,
         flush: async timeoutMs => {
             const endMs = context.monotonicMs() + timeoutMs;
-            while ((writing || dirtyJobs().length > 0) && context.monotonicMs() < endMs) {
+            while (isStoring() && context.monotonicMs() < endMs) {
                 await sleep(FLUSH_POLL_INTERVAL_MS);
             }
         },
     };
 };
 
-interface Write {
-    readonly job: OpenJob;
-    readonly value: string;
-    readonly final: boolean;
-}
-
-const writeBatch = async (
-    options: ProgressWriterOptions,
-    jobTables: JobTables,
-    jobs: readonly OpenJob[],
-): Promise<boolean> => {
-    const { context } = options;
-    const writes = jobs.map((job): Write => ({ job, value: encodeProgress(progressOf(job)), final: isJobEnded(job) }));
-    // Reset before the write, so that changes made during it mark the job as dirty again.
-    jobs.forEach(job => (job.dirty = false));
-    const commit = await context.store.transact({
-        expect: writes.map(({ job }) => ({ ...progressRow(jobTables, job.id), version: job.progressVersion })),
-        writes: writes.map(({ job, value }) => ({ ...progressRow(jobTables, job.id), value })),
-    });
-    switch (commit.kind) {
-        case "committed":
-            writes.forEach(write => applyCommit(options, write, commit.version));
-            return true;
-        case "conflict":
-            writes.forEach(write => resolveConflict(options, write, commit.rows));
-            return writes.every(({ job }) => !job.dirty);
-        case "not-run":
-        case "unknown":
-            jobs.forEach(job => (job.dirty = true));
-            context.metrics.count("progress_writes_failed");
-            return false;
-    }
-};
-
-const applyCommit = (options: ProgressWriterOptions, { job, final }: Write, version: number): void => {
-    job.progressVersion = version;
-    if (final) {
-        options.onJobFinished(job);
-    }
-};
-
-// The row has a different version than expected. It was written either by an earlier write of this process that was not
-// answered, or by a late write of the previous scheduler, whose progress is merged into the job.
-const resolveConflict = (options: ProgressWriterOptions, write: Write, rows: readonly Row[]): void => {
-    const { job, value } = write;
-    const row = rows.find(({ key, version }) => key === job.id && version !== job.progressVersion);
-    if (row?.value === value) {
-        applyCommit(options, write, row.version);
-        return;
-    }
-    job.dirty = true;
-    const progress = row === undefined ? undefined : readStoredProgress(options.context, row);
-    if (row !== undefined && progress !== undefined) {
-        mergeProgress(options.tables, job, { progress, version: row.version });
-        options.context.log("progress-conflict", { job: job.id, version: row.version });
-    }
-};
+const conflictingRow = (job: OpenJob, rows: readonly Row[]): Row | undefined =>
+    rows.find(({ key, version }) => key === job.id && version !== job.progressVersion);
