--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -39,6 +39,7 @@
 
 const LONG_POLL_MS = 2000;
 const RETRY_DELAY_MS = 60;
+const MAX_LOGGED_JOBS = 20;
 
 /** Loads the stored jobs of a pool, then follows new jobs and cancellations while `isActive` returns true. */
 export const followJobs = async (options: JobFeedOptions): Promise<void> => {
@@ -101,10 +102,15 @@
         return undefined;
     }
     const progressById = new Map(progress.rows.map(row => [row.key, row]));
+    const withoutProgress: JobId[] = [];
     jobs.rows.forEach(row => {
         const job = readJob(options, row);
         const progressRow = progressById.get(row.key);
-        if (job === undefined || progressRow === undefined) {
+        if (job === undefined) {
+            return;
+        }
+        if (progressRow === undefined) {
+            withoutProgress.push(job.id);
             return;
         }
         const progress = readStoredProgress(context, progressRow);
@@ -113,9 +119,18 @@
         }
     });
     jobs.rows.forEach(row => applyCancellation(sink, row));
+    reportWithoutProgress(options, withoutProgress);
     return jobs.asOf;
 };
 
+// Such a job is not started, since tasks that are done could run again: its progress was stored together with it.
+const reportWithoutProgress = ({ context, pool }: JobFeedOptions, jobs: readonly JobId[]): void => {
+    if (jobs.length > 0) {
+        context.metrics.count("missing_progress_rows", jobs.length);
+        context.log("progress-missing", { pool, count: jobs.length, jobs: jobs.slice(0, MAX_LOGGED_JOBS) });
+    }
+};
+
 const applyChange = (options: JobFeedOptions, row: Row): void => {
     if (row.deleted) {
         return;
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -122,3 +122,53 @@
     assert.deepEqual(delivered, ["good"]);
     assert.deepEqual(unreadable, ["odd-progress", "odd-job"]);
 });
+
+test("a job whose progress is missing is not left out silently", async () => {
+    const pool = toId<PoolName>("pool-a");
+    const tables = jobTablesOf(pool);
+    const rowOf = (id: string, jobPool: PoolName): Row => ({
+        table: tables.jobs,
+        part: tables.part,
+        key: id,
+        value: encodeJob({
+            id: id as JobId,
+            queue: "queue-1" as QueueName,
+            pool: jobPool,
+            spec: "text",
+            steps: [],
+            schedule: undefined,
+            acceptedAtMs: 0,
+        }),
+        version: 1,
+        deleted: false,
+    });
+    const jobRows = [
+        ...Array.from({ length: 30 }, (unused, index) => rowOf(`job-${index}`, pool)),
+        rowOf("other", toId<PoolName>("pool-b")),
+    ];
+    const lines: Readonly<Record<string, unknown>>[] = [];
+    const counts: unknown[] = [];
+    let loaded = false;
+    await followJobs({
+        context: {
+            store: {
+                read: ({ table }: { readonly table: string }) =>
+                    Promise.resolve({ ...rows(5, 100), rows: table === tables.jobs ? jobRows : [] }),
+            },
+            log: (event: string, fields: Readonly<Record<string, unknown>>) => lines.push({ event, ...fields }),
+            metrics: { count: (...counted: readonly unknown[]) => counts.push(counted) },
+            monotonicMs: () => 0,
+        } as unknown as DispatcherContext,
+        pool,
+        isActive: () => !loaded,
+        sink: {
+            job: () => assert.fail("tasks that are done could run again"),
+            cancelled: () => undefined,
+            changed: () => undefined,
+            readUpTo: () => (loaded = true),
+        },
+    });
+    const ids = Array.from({ length: 20 }, (unused, index) => `job-${index}`);
+    assert.deepEqual(lines, [{ event: "progress-missing", pool, count: 30, jobs: ids }]);
+    assert.deepEqual(counts, [["missing_progress_rows", 30]]);
+});
