--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -76,6 +76,9 @@
 const BACKOFF_AFTER_REJECTION_MS = 700;
 const BACKOFF_AFTER_UNANSWERED_START_MS = 1500;
 const BACKOFF_AFTER_NO_ROOM_MS = 300;
+// The backoff doubles with each further start that is not accepted, up to this factor, so that it outlasts the time in which
+// the other members of a gang are stopped.
+const MAX_BACKOFF_FACTOR = 4;
 // The first failed poll is retried immediately before the executor is considered unreachable.
 const FAILED_POLLS_UNTIL_UNREACHABLE = 2;
 
@@ -95,6 +98,9 @@
     let clientAddress = executor.record.address;
     let closed = false;
     let failedPolls = 0;
+    /** Number of consecutive starts that were not accepted. */
+    let startsNotAccepted = 0;
+    let startNotAcceptedAtMs = Number.NEGATIVE_INFINITY;
     let cancelWait: (() => void) | undefined;
     let pollRequested = false;
 
@@ -248,13 +254,39 @@
             case "no-room":
             case "ticket":
             case "invalid":
-                executor.backoffUntilMs = Math.max(
-                    executor.backoffUntilMs,
-                    context.monotonicMs() + BACKOFF_AFTER_REJECTION_MS,
-                );
+                backOff(BACKOFF_AFTER_REJECTION_MS);
                 break;
         }
     };
+    const backOff = (ms: number): void => {
+        executor.backoffUntilMs = Math.max(executor.backoffUntilMs, context.monotonicMs() + ms);
+    };
+    const handleStartRejection = (reason: OrderRejection, sentAtMs: number): void => {
+        switch (reason) {
+            case "fenced":
+            case "other-life":
+                handleRejection(reason);
+                break;
+            case "no-room":
+                backOffAfterStart(BACKOFF_AFTER_NO_ROOM_MS, sentAtMs);
+                break;
+            case "unhealthy":
+            case "superseded":
+            case "expired":
+            case "ticket":
+            case "invalid":
+                backOffAfterStart(BACKOFF_AFTER_REJECTION_MS, sentAtMs);
+                break;
+        }
+    };
+    const backOffAfterStart = (initialMs: number, sentAtMs: number): void => {
+        // Starts that were sent together count once.
+        if (sentAtMs >= startNotAcceptedAtMs) {
+            startNotAcceptedAtMs = context.monotonicMs();
+            startsNotAccepted++;
+        }
+        backOff(initialMs * Math.min(2 ** (startsNotAccepted - 1), MAX_BACKOFF_FACTOR));
+    };
     const needsPolling = (): boolean =>
         owner.mayHaveSuccessor() ||
         !executor.reconciled ||
@@ -285,9 +317,9 @@
         }
     };
     const applyStartResult = (run: Run, result: OrderResult, sentAtMs: number): void => {
-        const nowMs = context.monotonicMs();
         switch (result.kind) {
             case "accepted":
+                startsNotAccepted = 0;
                 acceptStart(run, result.clockMs, sentAtMs);
                 return;
             case "rejected": {
@@ -300,21 +332,19 @@
                 } else if (result.reason === "expired" && isOwnReadingOld && result.clockMs !== undefined) {
                     // The lease was too short because of the old reading. The answer has a new one for the next start.
                     return;
-                } else if (result.reason === "no-room") {
-                    executor.backoffUntilMs = nowMs + BACKOFF_AFTER_NO_ROOM_MS;
                 } else {
-                    handleRejection(result.reason);
+                    handleStartRejection(result.reason, sentAtMs);
                 }
                 return;
             }
             case "not-sent":
                 forgetRun(run);
-                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
             case "unknown":
-                markUnanswered(run, nowMs);
-                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                markUnanswered(run, context.monotonicMs());
+                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
         }
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -202,3 +202,37 @@
     expireRuns(tables, executor, performance.now());
     assert.equal(executor.runs.size, 0);
 });
+
+// A gang would be placed on the same executor again as soon as its other members have been stopped.
+test("an executor that rejects each start gets them at growing intervals, until it accepts one", async context => {
+    let isHealthy = false;
+    const { tables, executor, connection } = await connect(context, ({ path }) =>
+        path === "/-/run-start" && !isHealthy
+            ? reply(503)
+            : reply(200, { clock_ms: 10, born: STARTED_AT_MS, active: [], ended: [] }),
+    );
+    const start = async (number: number): Promise<number> => {
+        executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+        executor.backoffUntilMs = 0;
+        await connection.start(addTaskRun(tables, executor, number), undefined);
+        return executor.backoffUntilMs - performance.now();
+    };
+    const [first, second, third] = [await start(1), await start(2), await start(3)];
+    assert.ok(first > 0 && second > first * 1.5 && third > second * 1.5, `${first}, ${second}, ${third} ms`);
+    isHealthy = true;
+    assert.ok((await start(4)) <= 0);
+    isHealthy = false;
+    assert.ok((await start(5)) < second);
+});
+
+test("starts that an executor rejects together count once", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(503));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    const startedAtMs = performance.now();
+    await Promise.all([1, 2, 3, 4].map(number => connection.start(addTaskRun(tables, executor, number), undefined)));
+    const onceMs = executor.backoffUntilMs - startedAtMs;
+    executor.backoffUntilMs = 0;
+    await connection.start(addTaskRun(tables, executor, 5), undefined);
+    assert.ok(executor.backoffUntilMs - performance.now() > onceMs * 1.5, "the next one doubles the backoff");
+    assert.ok(onceMs < 1400, `${onceMs} ms after starts that were sent together`);
+});
