--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/step-tickets.ts
@@ -31,6 +31,8 @@
 
 /** Answer of the advice service for one step and one life of an executor. */
 interface ExecutorAnswer {
+    /** The entry of the table; an executor that leaves and joins again under its id gets a new one. */
+    readonly executor: Executor;
     /** When the life of the executor began, as far as it is known, in milliseconds of the monotonic clock. */
     readonly incarnationSinceMs: number;
     /** Undefined if the executor may not run the step. */
@@ -96,13 +98,13 @@
         timing: AdviceTiming,
         service: AdviceClient,
     ): Promise<void> => {
-        const asked = executors.map(({ id, incarnationSinceMs }) => ({ id, incarnationSinceMs }));
+        const asked = executors.map(executor => ({ executor, incarnationSinceMs: executor.incarnationSinceMs }));
         const sentAtMs = context.monotonicMs();
-        const timeoutMs = timing.decideMs + timing.perExecutorMs * asked.length + TIMEOUT_SLACK_MS;
+        const timeoutMs = timing.decideMs + timing.perExecutorMs * executors.length + TIMEOUT_SLACK_MS;
         answersFor(step).askedAtMs = sentAtMs;
         const advice = await service.advise(
             step.id,
-            asked.map(({ id }) => id),
+            executors.map(({ id }) => id),
             timeoutMs,
         );
         context.metrics.count(`advice_${advice.kind}`);
@@ -114,18 +116,24 @@
         const tickets = new Map(advice.tickets.map(({ executor, ticket }) => [executor, ticket]));
         const answers = answersFor(step);
         const validUntilMs = sentAtMs + advice.validMs - START_MARGIN_MS;
-        asked.forEach(({ id, incarnationSinceMs }) =>
-            answers.byExecutor.set(id, { incarnationSinceMs, ticket: tickets.get(id), validUntilMs }),
+        asked.forEach(({ executor, incarnationSinceMs }) =>
+            answers.byExecutor.set(executor.id, {
+                executor,
+                incarnationSinceMs,
+                ticket: tickets.get(executor.id),
+                validUntilMs,
+            }),
         );
         answers.valid = undefined;
         changed();
     };
     // A step has the same executors for as long as it exists, so only tickets are asked for again.
-    const needsAnswer = (step: OpenStep, { id, incarnationSinceMs }: Executor): boolean => {
-        const answer = answersByStep.get(step.id)?.byExecutor.get(id);
+    const needsAnswer = (step: OpenStep, executor: Executor): boolean => {
+        const answer = answersByStep.get(step.id)?.byExecutor.get(executor.id);
         return (
             answer === undefined ||
-            answer.incarnationSinceMs !== incarnationSinceMs ||
+            answer.executor !== executor ||
+            answer.incarnationSinceMs !== executor.incarnationSinceMs ||
             (answer.ticket !== undefined && answer.validUntilMs <= context.monotonicMs())
         );
     };
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -245,3 +245,18 @@
         { numRuns: 30 },
     );
 });
+
+// It may be of another kind then. The time at which its life began is unknown for both entries.
+test("an executor that was refused is asked about again after it has left and joined under its id during a call", async () => {
+    let isAllowed = false;
+    const pool = createAdvisedPool(1, () => isAllowed);
+    await pool.ask(1);
+    assert.deepEqual(place(pool), []);
+    isAllowed = true;
+    applyRegistry(pool.tables, [], pool.nowMs());
+    assert.equal(pool.tables.executors.size, 0);
+    applyRegistry(pool.tables, [record(0)], pool.nowMs());
+    await pool.ask(1);
+    assert.equal(pool.calls.length, 2);
+    assert.equal(pool.tickets.executorsFor(firstStep(pool))?.size, 1);
+});
