--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -5,16 +5,8 @@
 import { adoptRun } from "./adopt-run.js";
 import { findReportedTask } from "./open-occurrences.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
-import {
-    forgetRun,
-    giveUpRun,
-    markForStop,
-    type Executor,
-    type OpenJob,
-    type PoolTables,
-    type Run,
-    type Task,
-} from "./pool-tables.js";
+import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
+import { findRun, forgetRun, giveUpRun, markForStop } from "./run-table.js";
 
 /** A reported run end and, for logging, the task and the run that it belongs to, if they are in the tables. */
 export interface AppliedEnd {
@@ -54,7 +46,7 @@
     const applied = newEnds.map(end => applyEnd(tables, executor, end, times.receivedAtMs));
     executor.lastAppliedEnd = Math.max(executor.lastAppliedEnd, ...report.ended.map(end => end.number));
     report.active.forEach(active => {
-        const run = runOf(executor, active.task, active.run);
+        const run = findRun(executor, active.task, active.run);
         if (run === undefined) {
             adoptRun(tables, executor, active, times.receivedAtMs);
             return;
@@ -70,9 +62,9 @@
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
+        run.isStartDelivered = true;
         if (isStartSettled(run)) {
-            run.phase = "running";
-            run.stopCause = undefined;
+            settleStart(run);
         }
     });
     markMissingRuns(executor, times);
@@ -124,7 +116,7 @@
 
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
     const task = findReportedTask(tables, end.task);
-    const run = runOf(executor, end.task, end.run);
+    const run = findRun(executor, end.task, end.run);
     if (run !== undefined) {
         forgetRun(run);
     }
@@ -236,6 +228,16 @@
     }
 };
 
+// The task may have been started again since the start request was sent.
+const settleStart = (run: Run): void => {
+    const { task } = run;
+    run.phase = "running";
+    run.stopCause = undefined;
+    if (!task.step.step.speculative && task.runs.some(other => other !== run && other.phase !== "stopping")) {
+        markForStop(run, "duplicate");
+    }
+};
+
 // The previous scheduler may have ordered a stop just before the executor rejected it. An executor lists a run until its
 // stop is complete.
 const mayBeStopping = (tables: PoolTables, { adoptedAtMs }: Run, { sentAtMs }: ReportTimes): boolean =>
@@ -248,23 +250,29 @@
         .forEach(run => (run.phase = "missing"));
 
 // A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
-// exists.
+// exists. One that does not list a run whose start request has expired shows that the executor will not execute it.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
-    const listed = new Set(report.active.map(({ task, run }) => runOf(executor, task, run)));
+    const listed = new Set(report.active.map(({ task, run }) => findRun(executor, task, run)));
     executor.runs.forEach(run => {
-        if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs && !listed.has(run)) {
+        if (listed.has(run)) {
+            return;
+        }
+        if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs) {
             giveUpRun(run, "not-listed", receivedAtMs);
+        } else if (hasStartExpired(run, report.clockMs)) {
+            giveUpRun(run, "start-expired", receivedAtMs);
         }
     });
 };
 
+const hasStartExpired = ({ confirmedAtMs, unansweredAtMs, startValidUntilMs }: Run, clockMs: number): boolean =>
+    confirmedAtMs === undefined &&
+    unansweredAtMs !== undefined &&
+    startValidUntilMs !== undefined &&
+    clockMs > startValidUntilMs;
+
 const dropMissingOrphans = (executor: Executor, report: RunReport): void => {
     executor.orphanedRuns = executor.orphanedRuns.filter(({ task, number }) =>
         report.active.some(active => active.task === task && active.run === number),
     );
 };
-
-const runOf = ({ runs }: Executor, task: Task["id"], number: number): Run | undefined => {
-    const run = runs.get(task);
-    return run?.number === number ? run : undefined;
-};
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,9 +1,10 @@
 import type { RunReport } from "@almondusher/jobs/executor";
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
-import { forgetRun } from "@almondusher/scheduler/pool-tables";
+import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
     acknowledgedEnd,
     applyAcceptedStart,
+    applyAcceptedStop,
     confirmStart,
     endIncarnation,
     markUnanswered,
@@ -391,6 +392,7 @@
                 return;
             }
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
+            run.startValidUntilMs = leaseUntilMs;
             context.metrics.count("starts");
             const sentAtMs = context.monotonicMs();
             const result = await track(() =>
@@ -412,8 +414,11 @@
             const sentAtMs = context.monotonicMs();
             const result = await track(() => currentClient().stop(run.task.id, run.number));
             if (result.kind === "accepted") {
-                recordClock(result.clockMs, sentAtMs);
-                run.confirmedAtMs = context.monotonicMs();
+                applyAcceptedStop(run, {
+                    clockMs: result.clockMs,
+                    sentAtMs,
+                    receivedAtMs: context.monotonicMs(),
+                });
             } else if (result.kind === "rejected" && result.reason === "fenced") {
                 owner.fenced();
             }
