--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -17,7 +17,7 @@
 import { addRun } from "@almondusher/scheduler/run-table";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
-import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
+import { POOL, RUN_LEASE_MS, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 const ID = "i-0" as ExecutorId;
 const JOB = "0000000000000001" as JobId;
@@ -237,3 +237,32 @@
     assert.ok(executor.backoffUntilMs - performance.now() > onceMs * 1.5, "the next one doubles the backoff");
     assert.ok(onceMs < 1400, `${onceMs} ms after starts that were sent together`);
 });
+
+test("a task whose start got no response waits no longer than the start is valid, although each stop is rejected", async context => {
+    const startedAtMs = performance.now();
+    // Ahead of the reading that the scheduler has, so that the start is valid for one second on it.
+    const clockMs = (): number => RUN_LEASE_MS - 1000 + Math.round(performance.now() - startedAtMs);
+    const { tables, executor, connection } = await connect(context, async ({ path }) => {
+        switch (path) {
+            case "/-/run-start":
+                return { kind: "no-reply" };
+            case "/-/run-stop":
+                return reply(503);
+            default:
+                await sleep(20);
+                return reply(200, { clock_ms: clockMs(), born: STARTED_AT_MS, active: [], ended: [] });
+        }
+    });
+    executor.clock = { clockMs: 0, heardAtMs: performance.now() };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "unsettled");
+    await connection.stop(run);
+    await sleep(startedAtMs + 800 - performance.now());
+    assert.equal(executor.runs.size, 1, "the start may still take effect");
+    await waitUntil(() => executor.runs.size === 0);
+    assert.ok(
+        performance.now() - startedAtMs < 2000,
+        "the task waits for more than a poll after the start has expired",
+    );
+});
