--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -40,10 +40,11 @@
         dirty: false,
         progressVersion: admitted.progressVersion,
     };
-    tables.jobs.set(job.id, open);
     openDueOccurrences(open, wallMs);
     restoreProgress(open, progress);
     completeIfDone(open);
+    // Last, so that a job that cannot be opened is not half open.
+    tables.jobs.set(job.id, open);
 };
 
 // Merges stored progress into the state of a job.
--- a/pools/scheduler/test/admit-job.test.ts
+++ b/pools/scheduler/test/admit-job.test.ts
@@ -3,7 +3,7 @@
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
 import type { Progress } from "@almondusher/jobs/progress";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
-import { createPool, receiveReport, record, step } from "./fixture.js";
+import { addJob, createPool, receiveReport, record, step } from "./fixture.js";
 
 const withDoneTask = (index: number): Progress => ({
     state: "running",
@@ -48,3 +48,12 @@
     assert.equal(tables.jobs.get("j1" as never)?.state, "completed");
     assert.equal(tables.jobs.get("j1" as never)?.dirty, true);
 });
+
+// It would be neither opened by a later attempt nor ever completed.
+test("a job that cannot be opened is not half open", () => {
+    const tables = createPool({ executors: [record("a")] });
+    assert.throws(() => addJob(tables, { id: "j1", steps: undefined as never }));
+    assert.equal(tables.jobs.size, 0);
+    addJob(tables, { id: "j1", steps: [step()] });
+    assert.equal(tables.jobs.get("j1" as never)?.occurrences.size, 1);
+});
--- a/programs/dispatcher/src/job-admission.ts
+++ b/programs/dispatcher/src/job-admission.ts
@@ -30,6 +30,9 @@
     requestWrite,
 }: JobAdmissionOptions): JobAdmission => ({
     admit: ({ job, progress, progressVersion, inherited }) => {
+        if (tables.jobs.has(job.id)) {
+            return;
+        }
         const ageMs = Math.max(0, context.store.nowMs() - job.acceptedAtMs);
         const readAtMs = context.monotonicMs();
         const arrivedAtMs = readAtMs - ageMs;
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -3,7 +3,7 @@
 import type { Job } from "@almondusher/jobs/job";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { repeatWhileActive } from "./contain-errors.js";
+import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
 import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
@@ -40,15 +40,41 @@
 const LONG_POLL_MS = 2000;
 const RETRY_DELAY_MS = 60;
 const MAX_LOGGED_JOBS = 20;
+const RELOAD_DELAY_MS = 1000;
+const MAX_RELOAD_DELAY_MS = 30_000;
 
-/** Loads the stored jobs of a pool, then follows new jobs and cancellations while `isActive` returns true. */
+/**
+ * Loads the stored jobs of a pool, then follows new jobs and cancellations while `isActive` returns true. A job whose delivery
+ * fails does not keep the others back: all jobs are loaded again after a while.
+ */
 export const followJobs = async (options: JobFeedOptions): Promise<void> => {
-    const { context, pool, sink, isActive } = options;
+    const { context, pool, isActive } = options;
     const tables = jobTablesOf(pool);
+    const reportError = createErrorReporter({ context, part: "job-delivery" });
     let asOf: StorePoint | undefined;
     let inherited = true;
+    let reloadAtMs: number | undefined;
+    let reloadDelayMs = RELOAD_DELAY_MS;
+    const contain =
+        <Value>(deliver: (value: Value) => void) =>
+        (value: Value): void => {
+            try {
+                deliver(value);
+            } catch (error) {
+                reportError(error);
+                reloadAtMs ??= context.monotonicMs() + reloadDelayMs;
+            }
+        };
+    const sink: JobFeedSink = {
+        ...options.sink,
+        job: contain(options.sink.job),
+        cancelled: contain(options.sink.cancelled),
+    };
+    const isReloadDue = (): boolean => reloadAtMs !== undefined && context.monotonicMs() >= reloadAtMs;
     const load = async (): Promise<void> => {
-        asOf = await loadJobs(options, inherited);
+        reloadAtMs = undefined;
+        asOf = await loadJobs({ ...options, sink }, inherited);
+        reloadDelayMs = reloadAtMs === undefined ? RELOAD_DELAY_MS : Math.min(2 * reloadDelayMs, MAX_RELOAD_DELAY_MS);
         if (asOf === undefined) {
             await sleep(RETRY_DELAY_MS);
             return;
@@ -68,7 +94,7 @@
         }
         switch (reading.kind) {
             case "rows":
-                reading.rows.forEach(row => applyChange(options, row));
+                reading.rows.forEach(row => applyChange({ ...options, sink }, row));
                 asOf = { version: reading.version, atMs: reading.truncated ? known.atMs : reading.nowMs };
                 sink.readUpTo(asOf);
                 if (reading.rows.length > 0) {
@@ -87,7 +113,7 @@
         context,
         part: "job-feed",
         isActive,
-        step: () => (asOf === undefined ? load() : followFrom(asOf)),
+        step: () => (asOf === undefined || isReloadDue() ? load() : followFrom(asOf)),
     });
 };
 
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { toId, type PoolName } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
 import type { Job } from "@almondusher/jobs/job";
@@ -172,3 +173,78 @@
     assert.deepEqual(lines, [{ event: "progress-missing", pool, count: 30, jobs: ids }]);
     assert.deepEqual(counts, [["missing_progress_rows", 30]]);
 });
+
+test("a job whose delivery fails does not keep later jobs back and is delivered again", async () => {
+    const pool = toId<PoolName>("pool-a");
+    const tables = jobTablesOf(pool);
+    const jobRow = (id: string, version: number): Row => ({
+        table: tables.jobs,
+        part: tables.part,
+        key: id,
+        value: encodeJob({
+            id: id as JobId,
+            queue: "queue-1" as QueueName,
+            pool,
+            spec: "text",
+            steps: [],
+            schedule: undefined,
+            acceptedAtMs: 0,
+        }),
+        version,
+        deleted: false,
+    });
+    const jobRows = [jobRow("bad", 6), jobRow("good", 7)];
+    const progressRows = jobRows.map(row => ({
+        ...row,
+        table: tables.progress,
+        value: encodeProgress(initialProgress),
+    }));
+    const rowsOf = (read: readonly Row[]): Reading => ({
+        kind: "rows",
+        rows: read,
+        version: 7,
+        nowMs: 200,
+        truncated: false,
+    });
+    const delivered: string[] = [];
+    let attempts = 0;
+    let loads = 0;
+    const read = (table: string): Reading => {
+        loads += table === tables.jobs ? 1 : 0;
+        // The jobs are accepted after the first load.
+        return loads === 1 ? rows(5, 100) : rowsOf(table === tables.jobs ? jobRows : progressRows);
+    };
+    const changes = async (after: number): Promise<Reading> => {
+        await sleep(20);
+        return rowsOf(jobRows.filter(({ version }) => version > after));
+    };
+    const endMs = performance.now() + 5000;
+    await followJobs({
+        context: {
+            store: {
+                read: ({ table }: { readonly table: string }) => Promise.resolve(read(table)),
+                changes: ({ after }: { readonly after: number }) => changes(after),
+            },
+            log: () => undefined,
+            metrics: { count: () => undefined },
+            monotonicMs: () => performance.now(),
+        } as unknown as DispatcherContext,
+        pool,
+        isActive: () => !delivered.includes("bad") && performance.now() < endMs,
+        sink: {
+            job: ({ job }) => {
+                attempts += job.id === "bad" ? 1 : 0;
+                if (job.id === "bad" && attempts < 3) {
+                    throw new Error("the job cannot be opened");
+                }
+                delivered.push(job.id);
+            },
+            cancelled: () => undefined,
+            changed: () => undefined,
+            readUpTo: () => undefined,
+        },
+    });
+    assert.equal(delivered[0], "good");
+    assert.ok(delivered.includes("bad"));
+    assert.equal(attempts, 3);
+});
