--- a/programs/dispatcher/src/progress-batches.ts
+++ b/programs/dispatcher/src/progress-batches.ts
@@ -1,3 +1,4 @@
+import type { Progress } from "@almondusher/jobs/progress";
 import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import { isJobEnded, progressOf } from "@almondusher/scheduler/job-progress";
 import type { OpenJob } from "@almondusher/scheduler/pool-tables";
@@ -13,12 +14,28 @@
 // The store takes at most 1 MB in a transaction, in which values are a third longer and each row has its keys twice.
 const MAX_VALUE_BYTES_PER_TRANSACTION = 600_000;
 
-export const encodeWrite = (job: OpenJob): ProgressWrite => ({
-    job,
-    value: encodeProgress(progressOf(job)),
-    final: isJobEnded(job),
+/** Encodes the progress of a job, without checkpoints if it is too large with them. */
+export const encodeWrite = (
+    job: OpenJob,
+    { withCheckpoints }: { readonly withCheckpoints: boolean },
+): ProgressWrite => {
+    const progress = progressOf(job);
+    return {
+        job,
+        value: encodeProgress(withCheckpoints ? progress : withoutCheckpoints(progress)),
+        final: isJobEnded(job),
+    };
+};
+
+const withoutCheckpoints = ({ state, steps }: Progress): Progress => ({
+    state,
+    steps: steps.map(step => ({ ...step, checkpoints: [] })),
 });
 
+/** True if a task of the job has a checkpoint that would be stored. */
+export const hasCheckpoints = (job: OpenJob): boolean =>
+    progressOf(job).steps.some(({ checkpoints }) => checkpoints.length > 0);
+
 /** Divides writes into transactions that the store accepts by their number of rows and their size. */
 export const toBatches = (writes: readonly ProgressWrite[]): readonly (readonly ProgressWrite[])[] => {
     const batches: ProgressWrite[][] = [];
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -5,7 +5,7 @@
 import { createErrorReporter } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf, progressRow } from "./job-rows.js";
-import { encodeWrite, toBatches, type ProgressWrite } from "./progress-batches.js";
+import { encodeWrite, hasCheckpoints, toBatches, type ProgressWrite } from "./progress-batches.js";
 import { readStoredProgress } from "./read-stored-rows.js";
 import { createUnstoredEndTracker, type UnstoredEnds } from "./unstored-ends.js";
 
@@ -50,6 +50,8 @@
     const reportError = createErrorReporter({ context, part: "progress-writer" });
     const unstoredEnds = createUnstoredEndTracker(tables);
     const rejectedJobs = new Map<OpenJob, RejectedJob>();
+    /** Jobs that are stored without checkpoints, since the store does not accept their progress with them. */
+    const jobsWithoutCheckpoints = new WeakSet<OpenJob>();
     let running = false;
     let writing = false;
     let requested = false;
@@ -84,7 +86,7 @@
     const encodeAll = (jobs: readonly OpenJob[]): readonly ProgressWrite[] =>
         jobs.flatMap(job => {
             try {
-                return [encodeWrite(job)];
+                return [encodeWrite(job, { withCheckpoints: !jobsWithoutCheckpoints.has(job) })];
             } catch (error) {
                 holdBack(job, String(error));
                 return [];
@@ -120,7 +122,9 @@
             case "conflict":
                 return applyConflict(batch, commit.rows, onStored);
             case "rejected":
-                return writeApart(batch, commit.reason, onStored);
+                return leaveOutCheckpoints(batch)
+                    ? writeBatch(encodeAll(batch.map(({ job }) => job)), onStored)
+                    : writeApart(batch, commit.reason, onStored);
             case "not-run":
             case "unknown":
                 markDirty(batch);
@@ -128,6 +132,22 @@
                 return false;
         }
     };
+    // A task without a stored checkpoint starts over after a takeover, while one whose end is not stored holds up its executor.
+    const leaveOutCheckpoints = (batch: readonly ProgressWrite[]): boolean => {
+        const [first, ...others] = batch;
+        if (
+            first === undefined ||
+            others.length > 0 ||
+            jobsWithoutCheckpoints.has(first.job) ||
+            !hasCheckpoints(first.job)
+        ) {
+            return false;
+        }
+        jobsWithoutCheckpoints.add(first.job);
+        context.metrics.count("progress_without_checkpoints");
+        context.log("progress-without-checkpoints", { job: first.job.id });
+        return true;
+    };
     const markDirty = (batch: readonly ProgressWrite[]): void => batch.forEach(({ job }) => (job.dirty = true));
     const applyConflict = async (
         batch: readonly ProgressWrite[],
--- a/programs/dispatcher/test/progress-writer.test.ts
+++ b/programs/dispatcher/test/progress-writer.test.ts
@@ -203,3 +203,20 @@
     await waitUntil(() => a.lastStoredEnd === 40);
     assert.ok(transactions.every(transaction => sizeOf(transaction) <= MAX_TRANSACTION_BYTES));
 });
+
+test("a job whose progress is too large with its checkpoints is stored without them", async context => {
+    const maxRowBytes = 65_536;
+    const { addJob, end, executors, transactions } = createWriting(context, ({ writes }) =>
+        writes.some(({ value }) => Buffer.byteLength(value) > maxRowBytes)
+            ? { kind: "rejected", reason: "status 400" }
+            : COMMITTED,
+    );
+    const [a] = executors;
+    const job = addJob(1, 2000);
+    job.occurrences.get(0)?.[0]?.tasks.forEach(task => (task.checkpoint = "00000bb87a21d94b"));
+    end(a, job);
+    await waitUntil(() => a.lastStoredEnd === 1);
+    end(a, job, { index: 1 });
+    await waitUntil(() => a.lastStoredEnd === 2);
+    assert.equal(transactions.length, 3, "the row that is too large is sent only once");
+});
