--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,3 +1,4 @@
+import type { RunReport } from "@almondusher/jobs/executor";
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
 import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
@@ -11,7 +12,7 @@
     type IncarnationEvidence,
 } from "@almondusher/scheduler/executor-incarnation";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
-import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import {
     createExecutorClient,
@@ -76,6 +77,9 @@
 const BACKOFF_AFTER_REJECTION_MS = 700;
 const BACKOFF_AFTER_UNANSWERED_START_MS = 1500;
 const BACKOFF_AFTER_NO_ROOM_MS = 300;
+// The backoff doubles with each further start that is not accepted, up to this factor, so that it outlasts the time in which
+// the other members of a gang are stopped.
+const MAX_BACKOFF_FACTOR = 4;
 // The first failed poll is retried immediately before the executor is considered unreachable.
 const FAILED_POLLS_UNTIL_UNREACHABLE = 2;
 
@@ -95,6 +99,9 @@
     let clientAddress = executor.record.address;
     let closed = false;
     let failedPolls = 0;
+    /** Number of consecutive starts that were not accepted. */
+    let startsNotAccepted = 0;
+    let startNotAcceptedAtMs = Number.NEGATIVE_INFINITY;
     let cancelWait: (() => void) | undefined;
     let pollRequested = false;
 
@@ -180,8 +187,7 @@
                 if (executor.incarnation === incarnation) {
                     executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
                 }
-                const ends = applyReport(tables, executor, result.report, { sentAtMs, receivedAtMs });
-                owner.ended(executor, ends);
+                owner.ended(executor, applyEnds(result.report, { sentAtMs, receivedAtMs }));
                 owner.changed();
                 return;
             }
@@ -201,6 +207,16 @@
                 return;
         }
     };
+    // After an error, the ends count as not applied, so that they are passed to the owner with the next report.
+    const applyEnds = (report: RunReport, times: ReportTimes): readonly AppliedEnd[] => {
+        const { incarnation, lastAppliedEnd } = executor;
+        try {
+            return applyReport(tables, executor, report, times);
+        } catch (error) {
+            executor.lastAppliedEnd = executor.incarnation === incarnation ? lastAppliedEnd : 0;
+            throw error;
+        }
+    };
     // An executor that rejects a poll tells as little of its runs as one that does not respond.
     const recordFailedPoll = (sentAtMs: number, reason: string): void => {
         failedPolls++;
@@ -239,12 +255,38 @@
             case "no-room":
             case "ticket":
             case "invalid":
-                executor.backoffUntilMs = Math.max(
-                    executor.backoffUntilMs,
-                    context.monotonicMs() + BACKOFF_AFTER_REJECTION_MS,
-                );
+                backOff(BACKOFF_AFTER_REJECTION_MS);
+                break;
+        }
+    };
+    const backOff = (ms: number): void => {
+        executor.backoffUntilMs = Math.max(executor.backoffUntilMs, context.monotonicMs() + ms);
+    };
+    const handleStartRejection = (reason: OrderRejection, sentAtMs: number): void => {
+        switch (reason) {
+            case "fenced":
+            case "other-life":
+                handleRejection(reason);
                 break;
+            case "no-room":
+                backOffAfterStart(BACKOFF_AFTER_NO_ROOM_MS, sentAtMs);
+                break;
+            case "unhealthy":
+            case "superseded":
+            case "expired":
+            case "ticket":
+            case "invalid":
+                backOffAfterStart(BACKOFF_AFTER_REJECTION_MS, sentAtMs);
+                break;
+        }
+    };
+    const backOffAfterStart = (initialMs: number, sentAtMs: number): void => {
+        // Starts that were sent together count once.
+        if (sentAtMs >= startNotAcceptedAtMs) {
+            startNotAcceptedAtMs = context.monotonicMs();
+            startsNotAccepted++;
         }
+        backOff(initialMs * Math.min(2 ** (startsNotAccepted - 1), MAX_BACKOFF_FACTOR));
     };
     const needsPolling = (): boolean =>
         owner.mayHaveSuccessor() ||
@@ -276,9 +318,9 @@
         }
     };
     const applyStartResult = (run: Run, result: OrderResult, sentAtMs: number): void => {
-        const nowMs = context.monotonicMs();
         switch (result.kind) {
             case "accepted":
+                startsNotAccepted = 0;
                 acceptStart(run, result.clockMs, sentAtMs);
                 return;
             case "rejected": {
@@ -291,21 +333,19 @@
                 } else if (result.reason === "expired" && isOwnReadingOld && result.clockMs !== undefined) {
                     // The lease was too short because of the old reading. The answer has a new one for the next start.
                     return;
-                } else if (result.reason === "no-room") {
-                    executor.backoffUntilMs = nowMs + BACKOFF_AFTER_NO_ROOM_MS;
                 } else {
-                    handleRejection(result.reason);
+                    handleStartRejection(result.reason, sentAtMs);
                 }
                 return;
             }
             case "not-sent":
                 forgetRun(run);
-                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
             case "unknown":
-                markUnanswered(run, nowMs);
-                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                markUnanswered(run, context.monotonicMs());
+                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
         }
