Reject stored jobs that would exhaust a scheduler or never become ready

The limits of a submitted job do not apply to a stored row: another writer's row may have 1,000,000,000 tasks or occurrences, steps that wait for each other, or a negative demand, which frees resources on its executor.

Cause: decodeJob and decodeProgress checked types only.

Progress of an occurrence that the job does not have is ignored; it opened tasks of its own and kept the job from completing. A job without steps is still read, as tests of the job feed store such jobs.

Evidence: the two tests of the rows and the test of the occurrence failed before. 28 tests of rows, decoding, admission, job feed and pool scheduler pass. That such a row ends a process was not run.

--- a/domain/jobs/src/job.ts
+++ b/domain/jobs/src/job.ts
@@ -75,5 +75,16 @@
 /** Id of a task of one occurrence. */
 export const taskIdOf = (step: StepId, index: number): TaskId => `${step}.${index}` as TaskId;
 
+/** Maximum number of tasks of all occurrences of a job: a scheduler keeps each of them in memory. */
+export const MAX_TASKS = 100_000;
+
+/** Number of tasks of all occurrences of a job. */
+export const countTasks = (steps: readonly Pick<Step, "count">[], schedule: Schedule | undefined): number =>
+    steps.reduce((sum, { count }) => sum + count, 0) * (schedule?.occurrences ?? 1);
+
+/** True for a step that depends only on earlier ones, so that it does not wait for itself. */
+export const dependsOnEarlierSteps = ({ after }: Pick<Step, "after">, index: number): boolean =>
+    after.every(earlier => earlier >= 0 && earlier < index);
+
 /** Occurrences of a job; 1 for a job without a schedule. */
 export const occurrencesOf = (job: Job): number => job.schedule?.occurrences ?? 1;
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -1,17 +1,19 @@
 import { z } from "zod";
 import { FleetError } from "@almondusher/fleet/fleet-error";
-import { jobStates, type Job } from "./job.js";
+import { countTasks, dependsOnEarlierSteps, jobStates, MAX_TASKS, type Job } from "./job.js";
 import type { Progress } from "./progress.js";
 import { parseJson } from "./json-text.js";
 
 const FORMAT = 1;
 
-const resources = z.object({ cpu: z.number(), memoryMb: z.number(), gpu: z.number() });
+const count = z.int().min(0);
+const amount = z.number().min(0);
+const resources = z.object({ cpu: amount, memoryMb: amount, gpu: amount });
 
 const step = z.object({
     count: z.int().min(1),
     demand: resources,
-    estimateMs: z.number(),
+    estimateMs: amount,
     after: z.array(z.int()),
     checkpointing: z.boolean(),
     gang: z.boolean(),
@@ -29,15 +31,21 @@
 
 const storedJob = z.object({
     format: z.literal(FORMAT),
-    job: z.object({
-        id: z.string(),
-        queue: z.string(),
-        pool: z.string(),
-        spec: z.string(),
-        steps: z.array(step),
-        schedule: z.object({ occurrences: z.int(), firstRunMs: z.number(), intervalMs: z.number() }).optional(),
-        acceptedAtMs: z.number(),
-    }),
+    job: z
+        .object({
+            id: z.string(),
+            queue: z.string(),
+            pool: z.string(),
+            spec: z.string(),
+            steps: z
+                .array(step)
+                .refine(steps => steps.every(dependsOnEarlierSteps), "a step waits for one that is not an earlier one"),
+            schedule: z
+                .object({ occurrences: z.int().min(1), firstRunMs: z.number(), intervalMs: z.number() })
+                .optional(),
+            acceptedAtMs: z.number(),
+        })
+        .refine(({ steps, schedule }) => countTasks(steps, schedule) <= MAX_TASKS, `more than ${MAX_TASKS} tasks`),
 });
 
 const storedProgress = z.object({
@@ -46,18 +54,18 @@
         state: z.enum(jobStates),
         steps: z.array(
             z.object({
-                occurrence: z.int(),
-                step: z.int(),
-                done: z.array(z.int()),
+                occurrence: count,
+                step: count,
+                done: z.array(count),
                 failures: z.array(
                     z.object({
-                        index: z.int(),
-                        attempts: z.int(),
-                        lastRun: z.number(),
-                        runs: z.array(z.int()).optional(),
+                        index: count,
+                        attempts: count,
+                        lastRun: count,
+                        runs: z.array(count).optional(),
                     }),
                 ),
-                checkpoints: z.array(z.object({ index: z.int(), checkpoint: z.string() })),
+                checkpoints: z.array(z.object({ index: count, checkpoint: z.string() })),
             }),
         ),
     }),
--- a/domain/jobs/test/stored-rows.test.ts
+++ b/domain/jobs/test/stored-rows.test.ts
@@ -46,3 +46,60 @@
         ),
     );
 });
+
+const STEP = {
+    count: 1,
+    demand: { cpu: 1000, memoryMb: 100, gpu: 0 },
+    estimateMs: 1000,
+    after: [],
+    checkpointing: false,
+    gang: false,
+    sameRack: false,
+    speculative: false,
+    longRunning: false,
+    backfill: false,
+};
+const JOB = { id: "j", queue: "q", pool: "p", spec: "s", steps: [STEP, STEP], acceptedAtMs: 0 };
+
+const jobText = (change: object): string => JSON.stringify({ format: 1, job: { ...JOB, ...change } });
+
+test("a stored job that would exhaust the memory, never become ready or free resources is rejected", () => {
+    assert.equal(decodeJob(jobText({})).steps.length, 2);
+    const odd: Readonly<Record<string, object>> = {
+        "too many tasks in a step": { steps: [{ ...STEP, count: 1_000_000_000 }] },
+        "too many tasks of all steps": { steps: [STEP, { ...STEP, count: 100_000 }] },
+        "too many occurrences": { schedule: { occurrences: 1_000_000_000, firstRunMs: 0, intervalMs: 0 } },
+        "no occurrence": { schedule: { occurrences: 0, firstRunMs: 0, intervalMs: 0 } },
+        "negative occurrences": { schedule: { occurrences: -1, firstRunMs: 0, intervalMs: 0 } },
+        "a step that waits for itself": { steps: [{ ...STEP, after: [0] }] },
+        "steps that wait for each other": { steps: [STEP, { ...STEP, after: [2] }, { ...STEP, after: [1] }] },
+        "a step that waits for a negative one": { steps: [STEP, { ...STEP, after: [-1] }] },
+        "a negative demand": { steps: [{ ...STEP, demand: { cpu: -1, memoryMb: 0, gpu: 0 } }] },
+        "a negative estimate": { steps: [{ ...STEP, estimateMs: -1 }] },
+    };
+    Object.entries(odd).forEach(([name, change]) =>
+        assert.throws(
+            () => decodeJob(jobText(change)),
+            (error: unknown) => hasCode(error, "bad-message"),
+            name,
+        ),
+    );
+});
+
+test("stored progress with negative numbers is rejected", () => {
+    const empty = { occurrence: 0, step: 0, done: [], failures: [], checkpoints: [] };
+    const odd: readonly object[] = [
+        { ...empty, occurrence: -1 },
+        { ...empty, step: -1 },
+        { ...empty, done: [-1] },
+        { ...empty, failures: [{ index: 0, attempts: -1, lastRun: 1 }] },
+        { ...empty, failures: [{ index: 0, attempts: 1, lastRun: 1e300 }] },
+    ];
+    odd.forEach(step =>
+        assert.throws(
+            () => decodeProgress(JSON.stringify({ format: 1, progress: { state: "running", steps: [step] } })),
+            (error: unknown) => hasCode(error, "bad-message"),
+            JSON.stringify(step),
+        ),
+    );
+});
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -3,7 +3,7 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import { completeIfDone } from "./apply-report.js";
 import { markStarted } from "./job-progress.js";
-import { addOccurrence, openDueOccurrences } from "./open-occurrences.js";
+import { addOccurrence, isOccurrenceOf, openDueOccurrences } from "./open-occurrences.js";
 import type { OpenJob, PoolTables, Task } from "./pool-tables.js";
 
 // Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows.
@@ -88,6 +88,9 @@
 const isFinal = ({ state }: Progress): boolean => state === "completed" || state === "failed" || state === "cancelled";
 
 const restoreStep = (job: OpenJob, progress: StepProgress): void => {
+    if (!isOccurrenceOf(job.job, progress.occurrence)) {
+        return;
+    }
     // Stored progress of an occurrence shows that it was due, even if this process's clock is behind.
     const step = (job.occurrences.get(progress.occurrence) ?? addOccurrence(job, progress.occurrence))[progress.step];
     if (step === undefined) {
--- a/pools/scheduler/src/open-occurrences.ts
+++ b/pools/scheduler/src/open-occurrences.ts
@@ -61,5 +61,6 @@
     return findTask(tables, id);
 };
 
-const isOccurrenceOf = (job: Job, occurrence: number): boolean =>
+/** True for the number of an occurrence that the job has. */
+export const isOccurrenceOf = (job: Job, occurrence: number): boolean =>
     Number.isInteger(occurrence) && occurrence >= 0 && occurrence < occurrencesOf(job);
--- a/pools/scheduler/test/admit-job.test.ts
+++ b/pools/scheduler/test/admit-job.test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
+import { toId } from "@almondusher/fleet/ids";
+import type { JobId } from "@almondusher/jobs/ids";
 import type { Progress } from "@almondusher/jobs/progress";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
-import { createPool, receiveReport, record, step } from "./fixture.js";
+import { createPool, place, receiveReport, record, step } from "./fixture.js";
 
 const withDoneTask = (index: number): Progress => ({
     state: "running",
@@ -48,3 +50,26 @@
     assert.equal(tables.jobs.get("j1" as never)?.state, "completed");
     assert.equal(tables.jobs.get("j1" as never)?.dirty, true);
 });
+
+test("progress of an occurrence that the job does not have opens no tasks, and does not keep the job from completing", () => {
+    const steps = [step()];
+    const done = { step: 0, done: [0], failures: [], checkpoints: [] };
+    const tables = createPool({
+        executors: [record("e1")],
+        jobs: [
+            {
+                id: "job",
+                steps,
+                progress: {
+                    state: "running",
+                    steps: [
+                        { ...done, occurrence: 0 },
+                        { ...done, occurrence: 7, done: [] },
+                    ],
+                },
+            },
+        ],
+    });
+    assert.deepEqual(place(tables), []);
+    assert.equal(tables.jobs.get(toId<JobId>("job"))?.state, "completed");
+});
