Log at most ten steps of an admitted job

What callers saw: nothing yet. The job-admitted line of a job with 6,000 steps has more than 800 KB. If the reader of the output is slow, the rest of such a line is lost and the next line follows in its middle, so that a reader of JSON lines fails.

Cause: the line had all steps of the job; the output gives up a line whose write fails, also when a part of it is written.

Change: the line has the first ten steps and their number, stepCount. That a line is given up in its middle remains; lines are small otherwise.

--- a/programs/dispatcher/src/job-admission.ts
+++ b/programs/dispatcher/src/job-admission.ts
@@ -23,6 +23,9 @@
     readonly requestWrite: () => void;
 }
 
+// A line must stay small: the rest of a long one is lost if the reader of the output stalls.
+const MAX_LOGGED_STEPS = 10;
+
 export const createJobAdmission = ({
     context,
     tables,
@@ -48,7 +51,8 @@
             queue: job.queue,
             ageMs: Math.round(ageMs),
             inherited,
-            steps: job.steps,
+            steps: job.steps.slice(0, MAX_LOGGED_STEPS),
+            stepCount: job.steps.length,
         });
     },
     cancel: id => {
