Keep an executor whose row becomes unreadable

Here an unreadable row under the id of a known executor, or a row of another part under the same id, took the executor off the list: it got no starts until a readable row followed, and was forgotten if it had no runs.

Cause: such a row was treated like a removed one.

Change: a row that cannot be read is counted and logged, and the last readable one stays valid until the row is removed; rows of other parts are ignored.

--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -49,18 +49,23 @@
             context.log("executor-unreadable", { executor: id.slice(0, MAX_LOGGED_ID_LENGTH) });
         }
     };
+    // A row that cannot be read, or of another part, says nothing about the executor, whose last readable one stays valid.
     const apply = ({ key, value, deleted, part }: Row): void => {
+        if (part !== PLATFORM_PART) {
+            return;
+        }
         const id = key as ExecutorId;
-        const record = deleted || part !== PLATFORM_PART ? undefined : decodeExecutor(key, value);
-        if (record !== undefined) {
-            records.set(id, record);
-            missingIds.delete(id);
-        } else if (records.has(id)) {
+        if (deleted) {
             missingIds.add(id);
+            return;
         }
-        if (!deleted && record === undefined) {
+        const record = decodeExecutor(key, value);
+        if (record === undefined) {
             reportUnreadable(id);
+            return;
         }
+        records.set(id, record);
+        missingIds.delete(id);
     };
     const applyAll = (rows: readonly Row[]): void => {
         const listed = new Set(rows.map(({ key }) => key));
