--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -62,9 +62,9 @@
             run.task.checkpoint = active.checkpoint;
         }
         run.confirmedAtMs ??= times.receivedAtMs;
+        run.isStartDelivered = true;
         if (isStartSettled(run)) {
-            run.phase = "running";
-            run.stopCause = undefined;
+            settleStart(run);
         }
     });
     markMissingRuns(executor, times);
@@ -228,6 +228,16 @@
     }
 };
 
+// The task may have been started again since the start request was sent.
+const settleStart = (run: Run): void => {
+    const { task } = run;
+    run.phase = "running";
+    run.stopCause = undefined;
+    if (!task.step.step.speculative && task.runs.some(other => other !== run && other.phase !== "stopping")) {
+        markForStop(run, "duplicate");
+    }
+};
+
 // The previous scheduler may have ordered a stop just before the executor rejected it. An executor lists a run until its
 // stop is complete.
 const mayBeStopping = (tables: PoolTables, { adoptedAtMs }: Run, { sentAtMs }: ReportTimes): boolean =>
@@ -240,16 +250,27 @@
         .forEach(run => (run.phase = "missing"));
 
 // A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
-// exists.
+// exists. One that does not list a run whose start request has expired shows that the executor will not execute it.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => findRun(executor, task, run)));
     executor.runs.forEach(run => {
-        if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs && !listed.has(run)) {
+        if (listed.has(run)) {
+            return;
+        }
+        if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs) {
             giveUpRun(run, "not-listed", receivedAtMs);
+        } else if (hasStartExpired(run, report.clockMs)) {
+            giveUpRun(run, "start-expired", receivedAtMs);
         }
     });
 };
 
+const hasStartExpired = ({ confirmedAtMs, unansweredAtMs, startValidUntilMs }: Run, clockMs: number): boolean =>
+    confirmedAtMs === undefined &&
+    unansweredAtMs !== undefined &&
+    startValidUntilMs !== undefined &&
+    clockMs > startValidUntilMs;
+
 const dropMissingOrphans = (executor: Executor, report: RunReport): void => {
     executor.orphanedRuns = executor.orphanedRuns.filter(({ task, number }) =>
         report.active.some(active => active.task === task && active.run === number),
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -81,10 +81,17 @@
      */
     readonly resumedFrom: string;
     /**
-     * When the executor confirmed the run by accepting its start or listing it in a report, or last accepted a stop of it;
+     * When the executor confirmed the run by accepting its start, listing it in a report or accepting a stop of it;
      * reports requested later must list the run until it has ended.
      */
     confirmedAtMs: number | undefined;
+    /** The executor has accepted or listed the run, so its start request cannot take effect later. */
+    isStartDelivered: boolean;
+    /**
+     * End of the lease in the start request, on the executor's clock: the executor rejects a start that arrives later.
+     * Undefined before the request is sent, and for runs learned from a report.
+     */
+    startValidUntilMs: number | undefined;
     /** When the start request was given up without a response; undefined if it was answered or still may be. */
     unansweredAtMs: number | undefined;
     /** Last reported progress. */
@@ -153,6 +160,8 @@
     /** Runs that are or may be present. Changed only by the functions of `run-table`. */
     readonly runs: ReadonlyMap<RunKey, Run>;
     orphanedRuns: readonly OrphanedRun[];
+    /** Runs that are no longer known, but whose start requests may still reach a later incarnation. */
+    undeliveredStarts: readonly Run[];
     /** Runs that were given up since the last call of `takeGivenUpRuns`. */
     givenUpRuns: readonly GivenUpRun[];
     clock: ClockReading | undefined;
@@ -189,7 +198,7 @@
 }
 
 /** Why a run was given up although its end was not reported. */
-export type GiveUpCause = "lease-expired" | "executor-restarted" | "executor-replaced" | "not-listed";
+export type GiveUpCause = "lease-expired" | "executor-restarted" | "executor-replaced" | "not-listed" | "start-expired";
 
 /** A run that was given up although its end was not reported. */
 export interface GivenUpRun {
--- a/pools/scheduler/test/admit-job.test.ts
+++ b/pools/scheduler/test/admit-job.test.ts
@@ -5,7 +5,7 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Progress } from "@almondusher/jobs/progress";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
-import { createPool, place, receiveReport, record, step } from "./fixture.js";
+import { addJob, createPool, place, receiveReport, record, step } from "./fixture.js";
 
 const withDoneTask = (index: number): Progress => ({
     state: "running",
@@ -73,3 +73,12 @@
     assert.deepEqual(place(tables), []);
     assert.equal(tables.jobs.get(toId<JobId>("job"))?.state, "completed");
 });
+
+// It would be neither opened by a later attempt nor ever completed.
+test("a job that cannot be opened is not half open", () => {
+    const tables = createPool({ executors: [record("a")] });
+    assert.throws(() => addJob(tables, { id: "j1", steps: undefined as never }));
+    assert.equal(tables.jobs.size, 0);
+    addJob(tables, { id: "j1", steps: [step()] });
+    assert.equal(tables.jobs.get("j1" as never)?.occurrences.size, 1);
+});
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,8 +1,10 @@
+import type { RunReport } from "@almondusher/jobs/executor";
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
 import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
     acknowledgedEnd,
     applyAcceptedStart,
+    applyAcceptedStop,
     confirmStart,
     endIncarnation,
     markUnanswered,
@@ -10,15 +12,17 @@
     type IncarnationEvidence,
 } from "@almondusher/scheduler/executor-incarnation";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
-import { applyReport, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import {
     createExecutorClient,
     type ExecutorClient,
     type OrderRejection,
     type OrderResult,
+    type ReportRequest,
+    type ReportResult,
 } from "@almondusher/platform-adapter/executor-client";
-import { repeatWhileActive } from "./contain-errors.js";
+import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
 import type { OrderWindow } from "./order-window.js";
@@ -73,6 +77,9 @@
 const BACKOFF_AFTER_REJECTION_MS = 700;
 const BACKOFF_AFTER_UNANSWERED_START_MS = 1500;
 const BACKOFF_AFTER_NO_ROOM_MS = 300;
+// The backoff doubles with each further start that is not accepted, up to this factor, so that it outlasts the time in which
+// the other members of a gang are stopped.
+const MAX_BACKOFF_FACTOR = 4;
 // The first failed poll is retried immediately before the executor is considered unreachable.
 const FAILED_POLLS_UNTIL_UNREACHABLE = 2;
 
@@ -92,14 +99,19 @@
     let clientAddress = executor.record.address;
     let closed = false;
     let failedPolls = 0;
+    /** Number of consecutive starts that were not accepted. */
+    let startsNotAccepted = 0;
+    let startNotAcceptedAtMs = Number.NEGATIVE_INFINITY;
     let cancelWait: (() => void) | undefined;
     let pollRequested = false;
 
+    const reportError = createErrorReporter({ context, part: "executor-calls" });
     const currentClient = (): ExecutorClient => {
         if (clientAddress !== executor.record.address) {
+            const replacement = createClient(executor, tables.token);
             client.close();
+            client = replacement;
             clientAddress = executor.record.address;
-            client = createClient(executor, tables.token);
         }
         return client;
     };
@@ -144,6 +156,15 @@
         failedPolls > 0 ||
         executor.lastStoredEnd < executor.lastAppliedEnd ||
         [...executor.runs.values()].some(({ phase }) => phase === "unsettled");
+    // A request that fails in this process counts as one without an answer.
+    const requestReport = async (request: ReportRequest): Promise<ReportResult> => {
+        try {
+            return await currentClient().report(request);
+        } catch (error) {
+            reportError(error);
+            return { kind: "unreachable", reason: String(error) };
+        }
+    };
     const pollReport = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         const { incarnation } = executor;
@@ -151,7 +172,7 @@
         // the stored progress before they were added, and still needs the executor to report them.
         const acknowledged = owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
         context.metrics.count("executor_reports");
-        const result = await currentClient().report({
+        const result = await requestReport({
             acknowledged,
             leaseUntilMs: extendRunLeases(),
             waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
@@ -166,25 +187,44 @@
                 if (executor.incarnation === incarnation) {
                     executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
                 }
-                const ends = applyReport(tables, executor, result.report, { sentAtMs, receivedAtMs });
-                owner.ended(executor, ends);
+                owner.ended(executor, applyEnds(result.report, { sentAtMs, receivedAtMs }));
                 owner.changed();
                 return;
             }
             case "rejected":
                 handleRejection(result.reason);
+                // The leases of the runs on a fenced executor are extended by the successor.
+                if (result.reason !== "fenced") {
+                    recordFailedPoll(sentAtMs, result.reason);
+                }
                 await sleep(RETRY_DELAY_MS);
                 return;
             case "unreachable":
-                failedPolls++;
-                executor.unansweredPollSentAtMs = sentAtMs;
+                recordFailedPoll(sentAtMs, result.reason);
                 if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
-                    markUnreachable(result.reason);
                     await sleep(RETRY_DELAY_MS);
                 }
                 return;
         }
     };
+    // After an error, the ends count as not applied, so that they are passed to the owner with the next report.
+    const applyEnds = (report: RunReport, times: ReportTimes): readonly AppliedEnd[] => {
+        const { incarnation, lastAppliedEnd } = executor;
+        try {
+            return applyReport(tables, executor, report, times);
+        } catch (error) {
+            executor.lastAppliedEnd = executor.incarnation === incarnation ? lastAppliedEnd : 0;
+            throw error;
+        }
+    };
+    // An executor that rejects a poll tells as little of its runs as one that does not respond.
+    const recordFailedPoll = (sentAtMs: number, reason: string): void => {
+        failedPolls++;
+        executor.unansweredPollSentAtMs = sentAtMs;
+        if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
+            markUnreachable(reason);
+        }
+    };
     const markUnreachable = (reason: string): void => {
         if (executor.reachable) {
             context.log("executor-unreachable", {
@@ -215,13 +255,39 @@
             case "no-room":
             case "ticket":
             case "invalid":
-                executor.backoffUntilMs = Math.max(
-                    executor.backoffUntilMs,
-                    context.monotonicMs() + BACKOFF_AFTER_REJECTION_MS,
-                );
+                backOff(BACKOFF_AFTER_REJECTION_MS);
                 break;
         }
     };
+    const backOff = (ms: number): void => {
+        executor.backoffUntilMs = Math.max(executor.backoffUntilMs, context.monotonicMs() + ms);
+    };
+    const handleStartRejection = (reason: OrderRejection, sentAtMs: number): void => {
+        switch (reason) {
+            case "fenced":
+            case "other-life":
+                handleRejection(reason);
+                break;
+            case "no-room":
+                backOffAfterStart(BACKOFF_AFTER_NO_ROOM_MS, sentAtMs);
+                break;
+            case "unhealthy":
+            case "superseded":
+            case "expired":
+            case "ticket":
+            case "invalid":
+                backOffAfterStart(BACKOFF_AFTER_REJECTION_MS, sentAtMs);
+                break;
+        }
+    };
+    const backOffAfterStart = (initialMs: number, sentAtMs: number): void => {
+        // Starts that were sent together count once.
+        if (sentAtMs >= startNotAcceptedAtMs) {
+            startNotAcceptedAtMs = context.monotonicMs();
+            startsNotAccepted++;
+        }
+        backOff(initialMs * Math.min(2 ** (startsNotAccepted - 1), MAX_BACKOFF_FACTOR));
+    };
     const needsPolling = (): boolean =>
         owner.mayHaveSuccessor() ||
         !executor.reconciled ||
@@ -252,9 +318,9 @@
         }
     };
     const applyStartResult = (run: Run, result: OrderResult, sentAtMs: number): void => {
-        const nowMs = context.monotonicMs();
         switch (result.kind) {
             case "accepted":
+                startsNotAccepted = 0;
                 acceptStart(run, result.clockMs, sentAtMs);
                 return;
             case "rejected": {
@@ -267,21 +333,19 @@
                 } else if (result.reason === "expired" && isOwnReadingOld && result.clockMs !== undefined) {
                     // The lease was too short because of the old reading. The answer has a new one for the next start.
                     return;
-                } else if (result.reason === "no-room") {
-                    executor.backoffUntilMs = nowMs + BACKOFF_AFTER_NO_ROOM_MS;
                 } else {
-                    handleRejection(result.reason);
+                    handleStartRejection(result.reason, sentAtMs);
                 }
                 return;
             }
             case "not-sent":
                 forgetRun(run);
-                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
             case "unknown":
-                markUnanswered(run, nowMs);
-                executor.backoffUntilMs = nowMs + BACKOFF_AFTER_UNANSWERED_START_MS;
+                markUnanswered(run, context.monotonicMs());
+                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
         }
@@ -308,8 +372,15 @@
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
     };
-    const track = (send: () => Promise<OrderResult>): Promise<OrderResult> =>
-        orderWindow.track(executor.id, () => orderLoad.track(send));
+    // An order that fails in this process may have been sent.
+    const track = async (send: () => Promise<OrderResult>): Promise<OrderResult> => {
+        try {
+            return await orderWindow.track(executor.id, () => orderLoad.track(send));
+        } catch (error) {
+            reportError(error);
+            return { kind: "unknown", reason: String(error) };
+        }
+    };
     void repeatWhileActive({ context, part: "executor-reports", isActive: () => !closed, step: poll });
     return {
         pollNow,
@@ -321,6 +392,7 @@
                 return;
             }
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
+            run.startValidUntilMs = leaseUntilMs;
             context.metrics.count("starts");
             const sentAtMs = context.monotonicMs();
             const result = await track(() =>
@@ -342,8 +414,11 @@
             const sentAtMs = context.monotonicMs();
             const result = await track(() => currentClient().stop(run.task.id, run.number));
             if (result.kind === "accepted") {
-                recordClock(result.clockMs, sentAtMs);
-                run.confirmedAtMs = context.monotonicMs();
+                applyAcceptedStop(run, {
+                    clockMs: result.clockMs,
+                    sentAtMs,
+                    receivedAtMs: context.monotonicMs(),
+                });
             } else if (result.kind === "rejected" && result.reason === "fenced") {
                 owner.fenced();
             }
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -11,12 +11,13 @@
     type JsonRequest,
 } from "@almondusher/job-platform-stand-in/json-server";
 import { admitJob } from "@almondusher/scheduler/admit-job";
+import { expireRuns } from "@almondusher/scheduler/apply-report";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import { addRun } from "@almondusher/scheduler/run-table";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
-import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
+import { POOL, RUN_LEASE_MS, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 const ID = "i-0" as ExecutorId;
 const JOB = "0000000000000001" as JobId;
@@ -163,3 +164,105 @@
         ["/-/hold"],
     );
 });
+
+// Any error in the sending code, here one for an address to which no connection can be opened.
+test("a start that fails in this process does not leave its run starting for good", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    executor.record = { ...executor.record, address: "256.0.0.1:1" };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "unsettled", "the start may have been sent");
+    assert.ok(executor.backoffUntilMs > performance.now());
+    await waitUntil(() => !executor.reachable);
+});
+
+test("a speed limit whose order fails in this process is set again", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    const run = addTaskRun(tables, executor, 1);
+    executor.record = { ...executor.record, address: "256.0.0.1:1" };
+    await connection.setPace(run, 50);
+    assert.equal(run.speedLimitPercent, 100);
+});
+
+test("a run whose executor rejects every poll is given up once its lease has expired", async context => {
+    const { tables, executor, connection, requests } = await connect(context, ({ path }) =>
+        path === "/-/hold" ? reply(503) : reply(200, { clock_ms: 10 }),
+    );
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "running");
+    await waitUntil(() => !executor.reachable);
+    const { leaseUntilMs } = executor;
+    const polls = requests.length;
+    await waitUntil(() => requests.length > polls + 1);
+    assert.equal(executor.leaseUntilMs, leaseUntilMs, "the lease of a rejected poll counts as extended");
+    // Longer ago than the longest lease.
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() - 2 * tables.maxLeaseMs };
+    expireRuns(tables, executor, performance.now());
+    assert.equal(executor.runs.size, 0);
+});
+
+// A gang would be placed on the same executor again as soon as its other members have been stopped.
+test("an executor that rejects each start gets them at growing intervals, until it accepts one", async context => {
+    let isHealthy = false;
+    const { tables, executor, connection } = await connect(context, ({ path }) =>
+        path === "/-/run-start" && !isHealthy
+            ? reply(503)
+            : reply(200, { clock_ms: 10, born: STARTED_AT_MS, active: [], ended: [] }),
+    );
+    const start = async (number: number): Promise<number> => {
+        executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+        executor.backoffUntilMs = 0;
+        await connection.start(addTaskRun(tables, executor, number), undefined);
+        return executor.backoffUntilMs - performance.now();
+    };
+    const [first, second, third] = [await start(1), await start(2), await start(3)];
+    assert.ok(first > 0 && second > first * 1.5 && third > second * 1.5, `${first}, ${second}, ${third} ms`);
+    isHealthy = true;
+    assert.ok((await start(4)) <= 0);
+    isHealthy = false;
+    assert.ok((await start(5)) < second);
+});
+
+test("starts that an executor rejects together count once", async context => {
+    const { tables, executor, connection } = await connect(context, () => reply(503));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    const startedAtMs = performance.now();
+    await Promise.all([1, 2, 3, 4].map(number => connection.start(addTaskRun(tables, executor, number), undefined)));
+    const onceMs = executor.backoffUntilMs - startedAtMs;
+    executor.backoffUntilMs = 0;
+    await connection.start(addTaskRun(tables, executor, 5), undefined);
+    assert.ok(executor.backoffUntilMs - performance.now() > onceMs * 1.5, "the next one doubles the backoff");
+    assert.ok(onceMs < 1400, `${onceMs} ms after starts that were sent together`);
+});
+
+test("a task whose start got no response waits no longer than the start is valid, although each stop is rejected", async context => {
+    const startedAtMs = performance.now();
+    // Ahead of the reading that the scheduler has, so that the start is valid for one second on it.
+    const clockMs = (): number => RUN_LEASE_MS - 1000 + Math.round(performance.now() - startedAtMs);
+    const { tables, executor, connection } = await connect(context, async ({ path }) => {
+        switch (path) {
+            case "/-/run-start":
+                return { kind: "no-reply" };
+            case "/-/run-stop":
+                return reply(503);
+            default:
+                await sleep(20);
+                return reply(200, { clock_ms: clockMs(), born: STARTED_AT_MS, active: [], ended: [] });
+        }
+    });
+    executor.clock = { clockMs: 0, heardAtMs: performance.now() };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(run.phase, "unsettled");
+    await connection.stop(run);
+    await sleep(startedAtMs + 800 - performance.now());
+    assert.equal(executor.runs.size, 1, "the start may still take effect");
+    await waitUntil(() => executor.runs.size === 0);
+    assert.ok(
+        performance.now() - startedAtMs < 2000,
+        "the task waits for more than a poll after the start has expired",
+    );
+});
