--- a/pools/scheduler/src/relocation-room.ts
+++ b/pools/scheduler/src/relocation-room.ts
@@ -1,7 +1,7 @@
 import { chooseExecutor, type PlannedMember } from "./choose-executor.js";
 import { isUsable } from "./executor-usability.js";
 import { isJobEnded, isReady } from "./job-progress.js";
-import { isWaiting, stepsOf, type PoolTables, type Task } from "./pool-tables.js";
+import { stepsOf, type PoolTables, type Task } from "./pool-tables.js";
 import { demandOf, freeResources, subtract, type FreeByExecutor } from "./resources.js";
 
 /** Room on other executors for long-running tasks that are stopped in one pass because their VMs are evacuated. */
@@ -10,7 +10,7 @@
     readonly claim: (task: Task) => boolean;
 }
 
-/** Finds the room at the first claim, after reserving it for the long-running tasks that wait already. */
+/** Finds the room at the first claim, after reserving it for the long-running tasks that wait or are being stopped. */
 export const createRelocationRoom = (tables: PoolTables, nowMs: number): RelocationRoom => {
     const planned: PlannedMember[] = [];
     let freeByExecutor: FreeByExecutor | undefined;
@@ -34,7 +34,7 @@
                 .filter(executor => isUsable(tables, executor, nowMs))
                 .map(executor => [executor, freeResources(executor)]),
         );
-        waitingLongRunningTasks(tables).forEach(task => void reserve(task, free));
+        displacedLongRunningTasks(tables).forEach(task => void reserve(task, free));
         return free;
     };
     return {
@@ -45,8 +45,11 @@
     };
 };
 
-const waitingLongRunningTasks = (tables: PoolTables): readonly Task[] =>
+const displacedLongRunningTasks = (tables: PoolTables): readonly Task[] =>
     [...tables.jobs.values()]
         .filter(job => !isJobEnded(job))
         .flatMap(job => stepsOf(job).filter(step => step.step.longRunning && isReady(step)))
-        .flatMap(step => step.tasks.filter(isWaiting));
+        .flatMap(step => step.tasks.filter(needsRoom));
+
+// A task that was stopped in an earlier pass waits once the end of its run is known.
+const needsRoom = ({ done, runs }: Task): boolean => !done && runs.every(({ phase }) => phase === "stopping");
--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -294,3 +294,21 @@
     assert.equal(executorOf(tables, "a").runs.size, 2);
     assert.equal(stops(tables, 1000).length, 1);
 });
+
+// The second task found no room, since the first one got it once its run had ended.
+test("the room for a long-running task that is being stopped for an evacuation is not counted again in the next pass", () => {
+    const longRunning = step({ longRunning: true, demand: { cpu: 2000, memoryMb: 100, gpu: 0 } });
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 3000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [
+            { id: "j1", steps: [longRunning] },
+            { id: "j2", steps: [longRunning] },
+        ],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    markAvailable(place(tables));
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    const [first] = stops(tables, 1000);
+    assert.equal(first?.stopCause, "evacuation");
+    assert.equal(stops(tables, 1100).length, 0, "the first task has not ended yet, and needs the room");
+});
