--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -195,22 +195,23 @@
     return unavailable + 1 <= Math.max(1, Math.floor(size * MAX_UNAVAILABLE_POOL_SHARE));
 };
 
-// A pool of one VM gets another one for its tasks.
+// A pool of one VM gets another one for its tasks. A VM that is down may never be back, so none waits for it.
 const leavesUsableVm = (tables: MaintenanceTables, vm: VmId, chosen: readonly VmId[]): boolean => {
-    const { size, unavailable } = availabilityOf(tables, vm, chosen);
-    return unavailable + 1 <= Math.max(1, size - 1);
+    const { size, unavailable, down } = availabilityOf(tables, vm, chosen);
+    return unavailable - down + 1 <= Math.max(1, size - down - 1);
 };
 
-/** Number of VMs in the pool of a VM, and of those that get no tasks. */
+/** Number of VMs in the pool of a VM, of those that get no tasks, and of those of them that are down. */
 const availabilityOf = (
     { vms, evacuations }: MaintenanceTables,
     vm: VmId,
     chosen: readonly VmId[],
-): { readonly size: number; readonly unavailable: number } => {
+): { readonly size: number; readonly unavailable: number; readonly down: number } => {
     const pool = vms.get(vm)?.pool;
     const members = [...vms.values()].filter(other => other.pool === pool);
     const unavailable = members.filter(
         other => other.condition !== "up" || evacuations.has(other.id) || chosen.includes(other.id),
     ).length;
-    return { size: members.length, unavailable };
+    const down = members.filter(({ condition }) => condition === "down").length;
+    return { size: members.length, unavailable, down };
 };
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -173,3 +173,10 @@
     );
     assert.deepEqual(plan.completed, []);
 });
+
+test("a VM that is down does not keep the other one of its pool from being maintained", () => {
+    const vms = fleet("a p down", "b p", "c q");
+    const late = { maxConcurrent: 2, dueAtMs: 1000 };
+    const plan = planMaintenance(tables({ vms, waves: [wave(["b"], late)] }), { ...OPTIONS, nowMs: 2000 });
+    assert.deepEqual(plan.evacuate.map(String), ["b"]);
+});
