--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -180,3 +180,16 @@
     const plan = planMaintenance(tables({ vms, waves: [wave(["b"], late)] }), { ...OPTIONS, nowMs: 2000 });
     assert.deepEqual(plan.evacuate.map(String), ["b"]);
 });
+
+// A long-running task without room elsewhere keeps its VM from becoming empty.
+test("VMs that do not become empty do not keep the rest of a wave that is out of time from being evacuated", () => {
+    const stuck = new Set(["a", "b"].map(vmId));
+    const vms = fleet("a p", "b p", "c p", "d p", "e p", "f p", "g q", "h q");
+    const late = { maxConcurrent: 2, dueAtMs: 20_000 };
+    const plan = planMaintenance(tables({ vms, waves: [wave(["a", "b", "c", "g", "h"], late)], evacuations: stuck }), {
+        ...OPTIONS,
+        nowMs: 19_000,
+        fleetShort: true,
+    });
+    assert.notEqual(plan.evacuate.length, 0);
+});
