--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -43,7 +43,8 @@
 
 const TICK_INTERVAL_MS = 100;
 const LIST_INTERVAL_MS = 500;
-// While the last list is older, the VM service counts as silent. Longer than the interval and the time limit of a list.
+// The VM service counts as silent if this many successive lists have failed and the last one is older than this age.
+const FAILED_LISTS_UNTIL_SILENT = 2;
 const MAX_LIST_AGE_MS = 2000;
 // A VM has left the fleet if this many successive complete lists lack it.
 const LISTS_TO_TELL_A_DEPARTURE = 2;
@@ -69,6 +70,7 @@
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let lastListedAtMs = Number.NEGATIVE_INFINITY;
     let lastListReceivedAtMs = Number.NEGATIVE_INFINITY;
+    let failedLists = 0;
     let wasServiceSilent = false;
     /** The last lists without rows that could not be read; one that has some does not show that a VM has left. */
     let lastCompleteLists: readonly VmList[] = [];
@@ -107,7 +109,8 @@
     };
     const openWaves = (): readonly Wave[] => [...waves.values()].filter(({ completed }) => !completed);
     const listedAtMs = (): number => lastListedAtMs;
-    const isServiceAnswering = (): boolean => context.monotonicMs() - lastListReceivedAtMs < MAX_LIST_AGE_MS;
+    const isServiceAnswering = (): boolean =>
+        failedLists < FAILED_LISTS_UNTIL_SILENT || context.monotonicMs() - lastListReceivedAtMs < MAX_LIST_AGE_MS;
     const listsSinceMs = (): number =>
         lastCompleteLists.length < LISTS_TO_TELL_A_DEPARTURE
             ? Number.NEGATIVE_INFINITY
@@ -115,6 +118,7 @@
     const pollVms = async (): Promise<void> => {
         const sentAtMs = context.monotonicMs();
         const listing = await client.list();
+        failedLists = listing.kind === "listed" ? 0 : failedLists + 1;
         if (listing.kind === "listed") {
             vms = new Map(
                 listing.vms.map(({ id, pool, condition }) => [id, { id, pool, condition: conditionOf(condition) }]),
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -20,6 +20,8 @@
 const OTHER_VM = toId<VmId>("vm-2");
 const EPOCH = 5;
 const TIMEOUT_MS = 5000;
+const LIST_TIMEOUT_MS = 1000;
+const TICK_MS = 100;
 // Longer than several ticks of the fleet manager.
 const SEVERAL_TICKS_MS = 500;
 // Longer than several intervals between lists.
@@ -34,6 +36,10 @@
     readonly lists: () => number;
     /** Pool in which the VM is listed; the list fails if undefined. */
     listedPool: PoolName | undefined;
+    /** Number of next lists that get no answer. */
+    unansweredLists: number;
+    /** Time that a list takes, in milliseconds. */
+    listMs: number;
     /** State in which the VM is listed. */
     listedState: string;
     /** Rows that the fleet manager has stored, other than its lease. */
@@ -75,17 +81,18 @@
                 return;
             }
             lists++;
+            if (started.unansweredLists > 0) {
+                started.unansweredLists--;
+                return;
+            }
             const pool = started.listedPool;
-            answer(
-                pool === undefined ? 503 : 200,
-                pool === undefined
-                    ? {}
-                    : {
-                          machines: [
-                              { machine: VM, pool, state: started.listedState, zone: "dc", id: "i-1" },
-                              { machine: OTHER_VM, pool: POOL_B, state: "up", zone: "dc", id: "i-2" },
-                          ],
-                      },
+            const machines = [
+                { machine: VM, pool, state: started.listedState, zone: "dc", id: "i-1" },
+                { machine: OTHER_VM, pool: POOL_B, state: "up", zone: "dc", id: "i-2" },
+            ];
+            setTimeout(
+                () => answer(pool === undefined ? 503 : 200, pool === undefined ? {} : { machines }),
+                started.listMs,
             );
         });
     });
@@ -144,6 +151,8 @@
         orders,
         lists: () => lists,
         listedPool,
+        unansweredLists: 0,
+        listMs: 0,
         listedState: "up",
         stored,
         records,
@@ -232,3 +241,21 @@
     await waitUntil("the evacuation once the service answers again", () => evacuated() > 0);
     assert.deepEqual(fleet.orders, []);
 });
+
+// Tasks that were stopped for the evacuation lost their work for nothing.
+test("a VM stays evacuated if one list of VMs gets no answer in time", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_B });
+    const request = { wave: 1, vms: [VM], withinMs: 60_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    const evacuationIds = (): readonly string[] => fleet.manager.leaseContent().evacuations.map(({ id }) => id);
+    await waitUntil("the evacuation", () => evacuationIds().length > 0);
+    const [id] = evacuationIds();
+    fleet.listMs = 2 * TICK_MS;
+    fleet.unansweredLists = 1;
+    await waitUntil("the list without an answer", () => fleet.unansweredLists === 0);
+    const endMs = performance.now() + LIST_TIMEOUT_MS + SEVERAL_LISTS_MS;
+    while (performance.now() < endMs) {
+        assert.deepEqual(evacuationIds(), [id]);
+        await sleep(5);
+    }
+});
