--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -331,10 +331,17 @@
             context.metrics.count("vm_service_silences");
             context.log("vm-service-silent", { released: released.length, ordered: ordered.size });
         }
+        wasServiceSilent = true;
     };
     const tick = (): void => {
         operator.waves().forEach(addWave);
-        if (!mayAct() || vms.size === 0) {
+        if (!mayAct()) {
+            return;
+        }
+        if (vms.size === 0) {
+            if (!isServiceAnswering()) {
+                releaseWithoutOrders();
+            }
             return;
         }
         const records = poolRecords();
@@ -348,11 +355,11 @@
         });
         dropUnneededEvacuations();
         if (isServiceAnswering()) {
+            wasServiceSilent = false;
             applyMovePlan(movePlanInput(needs, vacated));
         } else {
             releaseWithoutOrders();
         }
-        wasServiceSilent = !isServiceAnswering();
     };
     void periodic(TICK_INTERVAL_MS)
         .takeWhile(() => active)
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -63,7 +63,7 @@
 /** Starts a fleet manager whose lease is always held, with one VM. */
 const startFleet = async (
     context: TestContext,
-    { listedPool, predecessor }: { readonly listedPool: PoolName; readonly predecessor?: LeaseRecord },
+    { listedPool, predecessor }: { readonly listedPool: PoolName | undefined; readonly predecessor?: LeaseRecord },
 ): Promise<StartedFleet> => {
     const orders: string[] = [];
     const stored: string[] = [];
@@ -259,3 +259,14 @@
         await sleep(5);
     }
 });
+
+// The VMs stayed without work for as long as the service was silent.
+test("evacuations of the former fleet manager end while the VM service has answered none of its calls", async context => {
+    const fleet = await startFleet(context, {
+        listedPool: undefined,
+        predecessor: recordOf({ evacuations: [{ vm: VM, id: "4-1", byMs: 0, ordered: false }] }),
+    });
+    await waitUntil("several lists", () => fleet.lists() >= 3);
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the end of the evacuation", () => fleet.manager.leaseContent().evacuations.length === 0);
+});
