--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -141,3 +141,28 @@
     assert.deepEqual({ outcome: unknown.outcome, sent: unknown.sent }, { outcome: "refused", sent: 1 });
     assert.ok(unknown.endedAtMs >= LATE_ORDER_MS);
 });
+
+// The VM stays evacuated until its order has an outcome, so its pool lacks it for as long as the service is overloaded.
+test("an order that the service rejects as overloaded for long is given up, although it answers lists", async () => {
+    let nowMs = 0;
+    const outcome = await sendOrder({
+        context: {
+            metrics: { count: () => undefined },
+            log: () => undefined,
+            monotonicMs: () => nowMs,
+        } as unknown as DispatcherContext,
+        client: {
+            maintain: () => Promise.resolve({ kind: "rejected", reason: "overloaded" }),
+        } as unknown as VmClient,
+        vm: toId<VmId>("vm-1"),
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        timeoutMs: () => 1000,
+        isActive: () => {
+            nowMs += 500;
+            return nowMs < 60_000;
+        },
+        isServiceAnswering: () => true,
+        retryDelayMs: 1,
+    });
+    assert.equal(outcome, "refused");
+});
