--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -56,6 +56,8 @@
     readonly size: number;
     /** Number of these without the ones that are being evacuated for maintenance. */
     readonly usable: number;
+    /** Number of the VMs that stay and are not back yet from their maintenance or their move to the pool. */
+    readonly returning: number;
     readonly leaving: readonly VmId[];
     readonly removable: readonly VmId[];
 }
@@ -115,13 +117,14 @@
     const members = [...tables.vms.values()].filter(vm => vm.pool === need.pool && vm.condition !== "down");
     const inPool = new Set(members.map(({ id }) => id));
     const outgoing = new Set(tables.moving.filter(({ to }) => to !== need.pool).map(({ vm }) => vm));
-    const staying = members.filter(({ id }) => !tables.leaving.has(id) && !outgoing.has(id)).length;
+    const staying = members.filter(({ id }) => !tables.leaving.has(id) && !outgoing.has(id));
     const incoming = tables.moving.filter(({ to, vm }) => to === need.pool && !inPool.has(vm)).length;
     const evacuating = members.filter(({ id }) => tables.evacuatingForMaintenance.has(id)).length;
     return {
         need,
-        size: staying + incoming,
-        usable: staying + incoming - evacuating,
+        size: staying.length + incoming,
+        usable: staying.length + incoming - evacuating,
+        returning: staying.filter(({ condition }) => condition === "returning").length,
         leaving: members.map(({ id }) => id).filter(vm => tables.leaving.has(vm) && !outgoing.has(vm)),
         removable: need.removable.filter(
             vm => inPool.has(vm) && !tables.leaving.has(vm) && !tables.unavailableForMove.has(vm),
@@ -141,9 +144,10 @@
             ? []
             : balances.flatMap(balance =>
                   // No pool waits for these VMs, so those whose tasks would lose work stay until the tasks have ended.
-                  surplusVms(balance, Math.max(balance.need.wantedVms, balance.need.floorVms)).filter(
-                      vm => !balance.need.losing.includes(vm),
-                  ),
+                  surplusVms(
+                      balance,
+                      Math.max(balance.need.wantedVms, balance.need.floorVms) + balance.returning,
+                  ).filter(vm => !balance.need.losing.includes(vm)),
               );
     const aboveNeed = balances.flatMap(balance => surplusVms(balance, balance.need.neededVms));
     const forShortage = aboveNeed.filter(vm => !surplus.includes(vm)).slice(0, Math.max(0, lacking - surplus.length));
--- a/pools/upkeep/test/moves.test.ts
+++ b/pools/upkeep/test/moves.test.ts
@@ -124,3 +124,12 @@
         "tasks that leave a VM before its maintenance need room elsewhere",
     );
 });
+
+// The VM that a pool gets for the time of an evacuation would be taken away, or another one, once the maintenance begins.
+test("a pool does not release a VM to the spare pool while another one is down for maintenance", () => {
+    const change = { vms: fleet("a p returning", "b p", "c p", "s spare"), unavailableForMove: new Set([vmId("a")]) };
+    assert.deepEqual(ids(planMoves(tables({ ...change, needs: [need("p", 2, 2, ["b", "c"])] })).evacuate), []);
+    const back = fleet("a p", "b p", "c p", "s spare");
+    const plan = planMoves(tables({ vms: back, needs: [need("p", 2, 2, ["b", "c"])] }));
+    assert.deepEqual(ids(plan.evacuate), ["b"]);
+});
