--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -8,6 +8,7 @@
 import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
     UNLIMITED_BUDGET,
+    addJob,
     createPool,
     limitedBudget,
     executorOf,
@@ -312,3 +313,18 @@
     assert.equal(first?.stopCause, "evacuation");
     assert.equal(stops(tables, 1100).length, 0, "the first task has not ended yet, and needs the room");
 });
+
+test("the room for a long-running task that was stopped for an evacuation is not given to another task", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 1000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    const [run] = place(tables);
+    assert.ok(run !== undefined);
+    markAvailable([run]);
+    addJob(tables, { id: "j2", steps: [step({ estimateMs: 60_000 })] });
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.deepEqual(stops(tables, 1000), [run]);
+    assert.deepEqual(place(tables, 1000), [], "the room is that of the stopped task");
+});
