--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -328,3 +328,16 @@
     assert.deepEqual(stops(tables, 1000), [run]);
     assert.deepEqual(place(tables, 1000), [], "the room is that of the stopped task");
 });
+
+// The first stop breaks the gang, which then has no room as a whole.
+test("a long-running gang is not broken for an evacuation unless there is room for all its members on the VM", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 1000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [{ id: "j1", steps: [step({ count: 2, gang: true, longRunning: true })] }],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    markAvailable(place(tables));
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.equal(executorOf(tables, "a").runs.size, 2);
+    assert.equal(stops(tables, 1000).length, 0);
+});
