--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -341,3 +341,17 @@
     assert.equal(executorOf(tables, "a").runs.size, 2);
     assert.equal(stops(tables, 1000).length, 0);
 });
+
+test("a waiting gang without room as a whole does not keep the room that a long-running task needs", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 1000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    const [run] = place(tables);
+    assert.ok(run !== undefined);
+    markAvailable([run]);
+    addJob(tables, { id: "j2", steps: [step({ count: 9, gang: true, longRunning: true })] });
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.deepEqual(stops(tables, 1000), [run]);
+});
