--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -355,3 +355,17 @@
     executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
     assert.deepEqual(stops(tables, 1000), [run]);
 });
+
+test("a long-running task that needs a ticket is not stopped for an evacuation if only its own executor has one", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    const runs = place(tables);
+    markAvailable(runs);
+    const own = runs.map(({ executor }) => executor);
+    own.forEach(executor => (executor.evacuation = { id: "e", byMs: 0 }));
+    const tickets = { executorsWithTicket: () => new Set(own.map(({ id }) => id)) };
+    const options = { nowMs: 1000, resendAfterMs: RESEND_AFTER_MS, budget: UNLIMITED_BUDGET, ...tickets };
+    assert.deepEqual(planStops(tables, options), []);
+});
