--- a/pools/scheduler/test/demand.test.ts
+++ b/pools/scheduler/test/demand.test.ts
@@ -56,3 +56,12 @@
     long.percent = 80;
     assert.deepEqual(demandAt(7200)?.losing, [], "the task ends during the evacuation");
 });
+
+// The demand is all that brings VMs from the spare pool.
+test("a pool needs VMs for the memory of its long-running tasks, not only for their CPU", () => {
+    const large = step({ count: 6, longRunning: true, demand: { cpu: 100, memoryMb: 3000, gpu: 0 } });
+    const tables = createPool({ executors: [record("a"), record("b")], jobs: [{ id: "j1", steps: [large] }] });
+    place(tables);
+    const demand = estimateDemand(tables, createDemandHistory(), 0);
+    assert.ok(demand !== undefined && demand.neededVms >= 6, `each VM has memory for one of 6: ${demand?.neededVms}`);
+});
