--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -13,6 +13,7 @@
     subtract,
     type FreeByExecutor,
 } from "./resources.js";
+import { reserveForRelocation } from "./relocation-room.js";
 import { takeRunNumber } from "./run-numbers.js";
 import { addRun } from "./run-table.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
@@ -46,7 +47,12 @@
     // In a full pool most steps fit nowhere; they are neither ranked nor searched an executor for.
     const mayBePlaced = ({ step, job }: OpenStep): boolean =>
         fits(demandOf(step), largestFree) && jobGateOf(tables, job, inheritedGate) === undefined;
+    let isRelocationReserved = false;
     return orderSteps(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
+        if (!step.step.longRunning && !isRelocationReserved) {
+            isRelocationReserved = true;
+            reserveForRelocation(tables, freeByExecutor);
+        }
         if (options.budget.isExhausted() || !mayBePlaced(step)) {
             return [];
         }
