--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -369,3 +369,15 @@
     const options = { nowMs: 1000, resendAfterMs: RESEND_AFTER_MS, budget: UNLIMITED_BUDGET, ...tickets };
     assert.deepEqual(planStops(tables, options), []);
 });
+
+// Otherwise its VM is never maintained: the pool counts enough VMs, and each label stays with its VM.
+test("a long-running task that only its own VM can run is stopped for an evacuation in the end", () => {
+    const tables = createPool({
+        executors: [record("a", { labels: ["kind-x"] }), record("b"), record("c")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true, requiredLabel: "kind-x" })] }],
+    });
+    const runs = place(tables);
+    markAvailable(runs);
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 1000 };
+    assert.deepEqual(stops(tables, 600_000), runs);
+});
