--- a/pools/scheduler/test/plan-stops.test.ts
+++ b/pools/scheduler/test/plan-stops.test.ts
@@ -8,6 +8,7 @@
 import { forgetRun } from "@almondusher/scheduler/run-table";
 import {
     UNLIMITED_BUDGET,
+    addJob,
     createPool,
     limitedBudget,
     executorOf,
@@ -294,3 +295,89 @@
     assert.equal(executorOf(tables, "a").runs.size, 2);
     assert.equal(stops(tables, 1000).length, 1);
 });
+
+// The second task found no room, since the first one got it once its run had ended.
+test("the room for a long-running task that is being stopped for an evacuation is not counted again in the next pass", () => {
+    const longRunning = step({ longRunning: true, demand: { cpu: 2000, memoryMb: 100, gpu: 0 } });
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 3000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [
+            { id: "j1", steps: [longRunning] },
+            { id: "j2", steps: [longRunning] },
+        ],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    markAvailable(place(tables));
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    const [first] = stops(tables, 1000);
+    assert.equal(first?.stopCause, "evacuation");
+    assert.equal(stops(tables, 1100).length, 0, "the first task has not ended yet, and needs the room");
+});
+
+test("the room for a long-running task that was stopped for an evacuation is not given to another task", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 1000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    const [run] = place(tables);
+    assert.ok(run !== undefined);
+    markAvailable([run]);
+    addJob(tables, { id: "j2", steps: [step({ estimateMs: 60_000 })] });
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.deepEqual(stops(tables, 1000), [run]);
+    assert.deepEqual(place(tables, 1000), [], "the room is that of the stopped task");
+});
+
+// The first stop breaks the gang, which then has no room as a whole.
+test("a long-running gang is not broken for an evacuation unless there is room for all its members on the VM", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 1000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [{ id: "j1", steps: [step({ count: 2, gang: true, longRunning: true })] }],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    markAvailable(place(tables));
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.equal(executorOf(tables, "a").runs.size, 2);
+    assert.equal(stops(tables, 1000).length, 0);
+});
+
+test("a waiting gang without room as a whole does not keep the room that a long-running task needs", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b", { capacity: { cpu: 1000, memoryMb: 4000, gpu: 0 } })],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    executorOf(tables, "b").backoffUntilMs = 10;
+    const [run] = place(tables);
+    assert.ok(run !== undefined);
+    markAvailable([run]);
+    addJob(tables, { id: "j2", steps: [step({ count: 9, gang: true, longRunning: true })] });
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 0 };
+    assert.deepEqual(stops(tables, 1000), [run]);
+});
+
+test("a long-running task that needs a ticket is not stopped for an evacuation if only its own executor has one", () => {
+    const tables = createPool({
+        executors: [record("a"), record("b")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true })] }],
+    });
+    const runs = place(tables);
+    markAvailable(runs);
+    const own = runs.map(({ executor }) => executor);
+    own.forEach(executor => (executor.evacuation = { id: "e", byMs: 0 }));
+    const tickets = { executorsWithTicket: () => new Set(own.map(({ id }) => id)) };
+    const options = { nowMs: 1000, resendAfterMs: RESEND_AFTER_MS, budget: UNLIMITED_BUDGET, ...tickets };
+    assert.deepEqual(planStops(tables, options), []);
+});
+
+// Otherwise its VM is never maintained: the pool counts enough VMs, and each label stays with its VM.
+test("a long-running task that only its own VM can run is stopped for an evacuation in the end", () => {
+    const tables = createPool({
+        executors: [record("a", { labels: ["kind-x"] }), record("b"), record("c")],
+        jobs: [{ id: "j1", steps: [step({ longRunning: true, requiredLabel: "kind-x" })] }],
+    });
+    const runs = place(tables);
+    markAvailable(runs);
+    executorOf(tables, "a").evacuation = { id: "e", byMs: 1000 };
+    assert.deepEqual(stops(tables, 600_000), runs);
+});
