--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -51,7 +51,7 @@
     return orderSteps(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
         if (!step.step.longRunning && !isRelocationReserved) {
             isRelocationReserved = true;
-            reserveForRelocation(tables, freeByExecutor);
+            reserveForRelocation(tables, freeByExecutor, options.executorsWithTicket);
         }
         if (options.budget.isExhausted() || !mayBePlaced(step)) {
             return [];
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -1,20 +1,20 @@
 import type { OrderBudget } from "./order-budget.js";
 import { isStopDue, recordStop, type StopSchedule, type StopTimes } from "./stop-schedule.js";
 import { isJobEnded } from "./job-progress.js";
-import { createRelocationRoom, type RelocationRoom } from "./relocation-room.js";
+import { createRelocationRoom, type RelocationOptions, type RelocationRoom } from "./relocation-room.js";
 import { remainingRunMs } from "./remaining-time.js";
 import type { Executor, OpenStep, OrphanedRun, PoolTables, Run, StopCause } from "./pool-tables.js";
 import { allRuns, markForStop } from "./run-table.js";
 
 /** Times of a stop planning pass, and the orders that it may send. */
-export interface StopOptions extends StopTimes {
+export interface StopOptions extends StopTimes, Pick<RelocationOptions, "executorsWithTicket"> {
     readonly budget: OrderBudget;
 }
 
 /** Marks the runs that must be stopped, and returns those for which a stop request is due now and within the budget. */
 export const planStops = (tables: PoolTables, options: StopOptions): readonly Run[] => {
     const runs = allRuns(tables);
-    const room = createRelocationRoom(tables, options.nowMs);
+    const room = createRelocationRoom(tables, options);
     runs.filter(run => run.phase !== "stopping").forEach(run => {
         const cause = stopCauseOf(tables, run, room, options);
         if (cause !== undefined) {
@@ -76,7 +76,7 @@
         const untilMs = executor.evacuation.byMs + evacuationGraceMs(run, remainingMs, options.nowMs);
         return cannotFinishWithin(run, remainingMs, untilMs - options.nowMs) &&
             isWithinDisruptionBudget(run, options.nowMs) &&
-            (!run.task.step.step.longRunning || room.claim(run.task))
+            (!run.task.step.step.longRunning || room.claim(run.task) || mayStopWithoutRoom(executor, options.nowMs))
             ? "evacuation"
             : undefined;
     }
@@ -101,14 +101,35 @@
     if (!step.step.longRunning || step.step.disruptionBudget === undefined) {
         return true;
     }
-    return countUnavailableTasks(step, run, nowMs) < step.step.disruptionBudget;
+    return countUnavailableTasks(step, [run], nowMs) < step.step.disruptionBudget;
 };
 
+// Time after the deadline of an evacuation for which tasks are kept that have no room elsewhere, in milliseconds.
+const MAX_WAIT_FOR_ROOM_MS = 4000;
+
+/**
+ * True if all long-running tasks of an executor may be stopped although they have no room elsewhere, for instance because
+ * no other VM has a label. They start again on their VM after its maintenance. If only some of them may be stopped, they
+ * would wait for a VM that never becomes empty.
+ */
+const mayStopWithoutRoom = ({ evacuation, runs }: Executor, nowMs: number): boolean =>
+    evacuation !== undefined &&
+    nowMs > evacuation.byMs + MAX_WAIT_FOR_ROOM_MS &&
+    [...runs.values()]
+        .filter(({ task }) => task.step.step.longRunning)
+        .every(run => {
+            const { step } = run.task;
+            const budget = step.step.disruptionBudget;
+            const onExecutor = [...runs.values()].filter(other => other.task.step === step);
+            return budget === undefined || countUnavailableTasks(step, onExecutor, nowMs) + onExecutor.length <= budget;
+        });
+
 // A replacement counts as available only after this time at 100% progress, since it may fail right after its start.
 const MIN_AVAILABLE_MS = 300;
 
-const countUnavailableTasks = (step: OpenStep, except: Run, nowMs: number): number =>
-    step.tasks.filter(task => task !== except.task && !task.runs.some(run => isAvailable(run, nowMs))).length;
+const countUnavailableTasks = (step: OpenStep, except: readonly Run[], nowMs: number): number =>
+    step.tasks.filter(task => except.every(run => run.task !== task) && !task.runs.some(run => isAvailable(run, nowMs)))
+        .length;
 
 // A run on an executor that does not respond may have ended.
 const isAvailable = (run: Run, nowMs: number): boolean =>
--- a/pools/scheduler/src/relocation-room.ts
+++ b/pools/scheduler/src/relocation-room.ts
@@ -1,34 +1,52 @@
-import { chooseExecutor, type PlannedMember } from "./choose-executor.js";
+import { chooseExecutor, type PlannedMember, type TicketedExecutors } from "./choose-executor.js";
 import { isUsable } from "./executor-usability.js";
 import { isJobEnded, isReady } from "./job-progress.js";
-import { stepsOf, type PoolTables, type Task } from "./pool-tables.js";
+import { stepsOf, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
 import { demandOf, freeResources, subtract, type FreeByExecutor } from "./resources.js";
 
 /** Room on other executors for long-running tasks that are stopped in one pass because their VMs are evacuated. */
 export interface RelocationRoom {
-    /** Reserves room for a task; returns false if no executor can take it now. */
+    /**
+     * Reserves room for a task; returns false if no executor can take it now. The stop of one member of a gang ends all, so
+     * the members on evacuated VMs need room together.
+     */
     readonly claim: (task: Task) => boolean;
 }
 
+/** What the room in a pool depends on. */
+export interface RelocationOptions {
+    /** Current time of the monotonic clock in milliseconds. */
+    readonly nowMs: number;
+    /** Executors with a ticket for a step; undefined if none of the steps needs one. */
+    readonly executorsWithTicket?: (step: OpenStep) => TicketedExecutors;
+}
+
+/** Reserves room for tasks together, or for none of them. */
+type Reservation = (tasks: readonly Task[]) => boolean;
+
 /** Finds the room at the first claim, after reserving it for the long-running tasks that wait or are being stopped. */
-export const createRelocationRoom = (tables: PoolTables, nowMs: number): RelocationRoom => {
-    let reserve: ((task: Task) => boolean) | undefined;
-    const findRoom = (): ((task: Task) => boolean) => {
+export const createRelocationRoom = (tables: PoolTables, options: RelocationOptions): RelocationRoom => {
+    const gangs = new Map<OpenStep, boolean>();
+    let reserve: Reservation | undefined;
+    const findRoom = (): Reservation => {
         const free: FreeByExecutor = new Map(
             [...tables.executors.values()]
-                .filter(executor => isUsable(tables, executor, nowMs))
+                .filter(executor => isUsable(tables, executor, options.nowMs))
                 .map(executor => [executor, freeResources(executor)]),
         );
-        const reserveIn = createReservation(free);
-        longRunningTasks(tables)
-            .filter(needsRoom)
-            .forEach(task => void reserveIn(task));
+        const reserveIn = createReservation(free, options.executorsWithTicket);
+        reserveForSteps(tables, needsRoom, reserveIn);
         return reserveIn;
     };
     return {
         claim: task => {
             reserve ??= findRoom();
-            return reserve(task);
+            if (!task.step.step.gang) {
+                return reserve([task]);
+            }
+            const claimed = gangs.get(task.step) ?? reserve(task.step.tasks.filter(isOnEvacuatedVm));
+            gangs.set(task.step, claimed);
+            return claimed;
         },
     };
 };
@@ -37,36 +55,54 @@
  * Reserves room for the long-running tasks that are being stopped for an evacuation. They wait for it only once the ends of
  * their runs are known; until then, other tasks must not take it.
  */
-export const reserveForRelocation = (tables: PoolTables, free: FreeByExecutor): void => {
-    const reserve = createReservation(free);
-    longRunningTasks(tables)
-        .filter(isWaitingSoon)
-        .forEach(task => void reserve(task));
-};
+export const reserveForRelocation = (
+    tables: PoolTables,
+    free: FreeByExecutor,
+    executorsWithTicket: RelocationOptions["executorsWithTicket"],
+): void => reserveForSteps(tables, isWaitingSoon, createReservation(free, executorsWithTicket));
+
+const reserveForSteps = (tables: PoolTables, needs: (task: Task) => boolean, reserve: Reservation): void =>
+    longRunningSteps(tables).forEach(({ step, tasks }) => {
+        const chosen = tasks.filter(needs);
+        const groups = step.gang ? [chosen] : chosen.map(task => [task]);
+        groups.forEach(group => void reserve(group));
+    });
 
-/** Returns a function that reserves room for a task in the free resources; it returns false if no executor has any. */
-const createReservation = (free: FreeByExecutor): ((task: Task) => boolean) => {
-    const planned: PlannedMember[] = [];
-    return task => {
-        const executor = chooseExecutor(task, {
-            freeByExecutor: free,
-            tickets: undefined,
-            planned: planned.filter(member => member.task.step === task.step),
+const createReservation = (
+    free: FreeByExecutor,
+    executorsWithTicket: RelocationOptions["executorsWithTicket"],
+): Reservation => {
+    let planned: readonly PlannedMember[] = [];
+    return tasks => {
+        const trial: FreeByExecutor = new Map(free);
+        const members = [...planned];
+        const complete = tasks.every(task => {
+            const executor = chooseExecutor(task, {
+                freeByExecutor: trial,
+                tickets: executorsWithTicket?.(task.step),
+                planned: members.filter(member => member.task.step === task.step),
+            });
+            if (executor === undefined) {
+                return false;
+            }
+            trial.set(executor, subtract(trial.get(executor) ?? executor.record.capacity, demandOf(task.step.step)));
+            members.push({ task, executor });
+            return true;
         });
-        if (executor === undefined) {
-            return false;
+        if (complete) {
+            planned = members;
+            trial.forEach((resources, executor) => free.set(executor, resources));
         }
-        free.set(executor, subtract(free.get(executor) ?? executor.record.capacity, demandOf(task.step.step)));
-        planned.push({ task, executor });
-        return true;
+        return complete;
     };
 };
 
-const longRunningTasks = (tables: PoolTables): readonly Task[] =>
+const longRunningSteps = (tables: PoolTables): readonly OpenStep[] =>
     [...tables.jobs.values()]
         .filter(job => !isJobEnded(job))
-        .flatMap(job => stepsOf(job).filter(step => step.step.longRunning && isReady(step)))
-        .flatMap(step => step.tasks);
+        .flatMap(job => stepsOf(job).filter(step => step.step.longRunning && isReady(step)));
+
+const isOnEvacuatedVm = ({ runs }: Task): boolean => runs.some(({ executor }) => executor.evacuation !== undefined);
 
 // A task that was stopped in an earlier pass waits once the end of its run is known.
 const needsRoom = ({ done, runs }: Task): boolean => !done && runs.every(({ phase }) => phase === "stopping");
--- a/programs/dispatcher/src/run-orders.ts
+++ b/programs/dispatcher/src/run-orders.ts
@@ -60,7 +60,12 @@
         send: () => {
             // Starts get what the stops have left of the budget.
             const budget = orderWindow.createBudget();
-            const stopOptions = { nowMs: context.monotonicMs(), resendAfterMs: STOP_RESEND_INTERVAL_MS, budget };
+            const stopOptions = {
+                nowMs: context.monotonicMs(),
+                resendAfterMs: STOP_RESEND_INTERVAL_MS,
+                budget,
+                executorsWithTicket: tickets.executorsFor,
+            };
             stopRuns(stopOptions);
             stopOrphanedRuns(stopOptions);
             startRuns({ nowMs: context.monotonicMs(), budget });
