--- a/pools/upkeep/test/moves.test.ts
+++ b/pools/upkeep/test/moves.test.ts
@@ -133,3 +133,14 @@
     const plan = planMoves(tables({ vms: back, needs: [need("p", 2, 2, ["b", "c"])] }));
     assert.deepEqual(ids(plan.evacuate), ["b"]);
 });
+
+// The tasks that it stops lose their work, and the VM is not moved: the shortage ends with the order.
+test("a VM is not evacuated for a pool that is short only until a maintenance is ordered", () => {
+    const vms = fleet("a p", "b p", "c q", "d q");
+    const needs = [need("p", 2, 2), need("q", 1, 2, ["d"])];
+    const a = new Set([vmId("a")]);
+    const first = planMoves(tables({ vms, needs, unavailableForMove: a, evacuatingForMaintenance: a }));
+    const leaving = new Set(first.evacuate);
+    const ordered = planMoves(tables({ vms, needs, unavailableForMove: a, leaving }));
+    assert.deepEqual([ids(first.evacuate), ids(ordered.keep)], [[], []]);
+});
