--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -71,10 +71,14 @@
         }
         const outcome = outcomeOf(result, order.purpose);
         const isBusy = result.kind === "rejected" && result.reason === "busy";
-        if (outcome !== undefined && !(isBusy && mayTakeEffect())) {
+        if (outcome !== undefined && !isBusy) {
             return outcome;
         }
+        // A refused order may be planned again at once.
         await sleep(retryDelayMs);
+        if (outcome !== undefined && !mayTakeEffect()) {
+            return outcome;
+        }
     }
     return "given-up";
 };
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -40,6 +40,8 @@
     unansweredLists: number;
     /** Time that a list takes, in milliseconds. */
     listMs: number;
+    /** Orders are rejected, since the VM is busy. */
+    busy: boolean;
     /** State in which the VM is listed. */
     listedState: string;
     /** Rows that the fleet manager has stored, other than its lease. */
@@ -77,7 +79,7 @@
         request.resume().on("end", () => {
             if (request.method === "POST") {
                 orders.push(request.url ?? "");
-                answer(200, {});
+                answer(started.busy ? 409 : 200, started.busy ? { reason: "busy" } : {});
                 return;
             }
             lists++;
@@ -153,6 +155,7 @@
         listedPool,
         unansweredLists: 0,
         listMs: 0,
+        busy: false,
         listedState: "up",
         stored,
         records,
@@ -270,3 +273,14 @@
     fleet.advance(LATE_ORDER_MS);
     await waitUntil("the end of the evacuation", () => fleet.manager.leaseContent().evacuations.length === 0);
 });
+
+// The service accepts a bounded number of orders from all processes together.
+test("an order for a VM that is busy is not sent again in each tick", async context => {
+    const fleet = await startFleet(context, { listedPool: SPARE_POOL });
+    fleet.busy = true;
+    const request = { wave: 1, vms: [VM], withinMs: 60_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    await waitUntil("the first order", () => fleet.orders.length > 0);
+    await sleep(10 * TICK_MS);
+    assert.ok(fleet.orders.length <= 5, `${fleet.orders.length} orders in 10 ticks`);
+});
