--- a/pools/scheduler/test/pausable-time.ts
+++ b/pools/scheduler/test/pausable-time.ts
@@ -1,9 +1,16 @@
 import { isWithin, type FaultSpan } from "./simulated-fault.js";
 import type { SimulatedTime } from "./simulated-time.js";
 
-/** Simulated time of a process that is paused now and then: callbacks that are due in a pause run after it. */
-export const createPausableTime = (time: SimulatedTime, pauses: readonly FaultSpan[]): SimulatedTime => {
+/** Simulated time of a process: callbacks that are due in a pause run after it, and none once the process has ended. */
+export const createPausableTime = (
+    time: SimulatedTime,
+    pauses: readonly FaultSpan[],
+    isAlive: () => boolean,
+): SimulatedTime => {
     const runUnlessPaused = (callback: () => void): void => {
+        if (!isAlive()) {
+            return;
+        }
         const pause = pauses.find(span => isWithin(span, time.nowMs()));
         if (pause === undefined) {
             callback();
--- a/pools/scheduler/test/random-faults.test.ts
+++ b/pools/scheduler/test/random-faults.test.ts
@@ -3,10 +3,11 @@
 import fc from "fast-check";
 import { brokenInvariants } from "./run-invariants.js";
 import { openGoals, unsafeRuns } from "./simulation-outcome.js";
-import { endOfFault } from "./simulated-fault.js";
+import { endOfFault, type SimulatedFault } from "./simulated-fault.js";
 import { REGISTRATION_MS } from "./simulated-fleet.js";
 import { GANG_TIMEOUT_MS } from "./simulated-gangs.js";
 import { EXECUTOR_MAX_LEASE_MS, STOP_MS } from "./simulated-executor.js";
+import { INHERITED_WAIT_MS } from "./simulated-scheduler.js";
 import { createSimulatedPool, type SimulatedPool, type SimulationPlan, type Trace } from "./simulated-pool.js";
 import { simulationPlans } from "./simulation-plans.js";
 
@@ -26,7 +27,13 @@
 /** Time within which the pool has to reach its goal once no fault has an effect any more. */
 const recoveryMsOf = ({ jobs, faults }: SimulationPlan): number => {
     const workMs = jobs.flatMap(({ steps }) => steps).reduce((sum, { estimateMs }) => sum + estimateMs, 0);
-    return RECOVERY_MS + workMs + (faults.some(({ kind }) => kind === "failing") ? MAX_BACKOFF_MS : 0);
+    const hasFault = (wanted: SimulatedFault["kind"]): boolean => faults.some(({ kind }) => kind === wanted);
+    return (
+        RECOVERY_MS +
+        workMs +
+        (hasFault("failing") ? MAX_BACKOFF_MS : 0) +
+        (hasFault("takeover") ? INHERITED_WAIT_MS : 0)
+    );
 };
 
 const lastFaultEndsAtMs = ({ faults, jobs }: SimulationPlan): number =>
--- a/pools/scheduler/test/run-invariants.ts
+++ b/pools/scheduler/test/run-invariants.ts
@@ -3,8 +3,8 @@
 import type { SimulatedPool } from "./simulated-pool.js";
 
 /** All tasks of open jobs. */
-export const tasksOf = ({ tables }: SimulatedPool): readonly Task[] =>
-    [...tables.jobs.values()].flatMap(stepsOf).flatMap(step => step.tasks);
+export const tasksOf = (pool: SimulatedPool): readonly Task[] =>
+    [...pool.scheduler().tables.jobs.values()].flatMap(stepsOf).flatMap(step => step.tasks);
 
 /** Describes a run for a failure message. */
 export const describeRun = ({ task, number, phase, executor }: Run): string =>
@@ -12,7 +12,7 @@
 
 /** Violated invariants of the tables; none if they are sound. */
 export const brokenInvariants = (pool: SimulatedPool): readonly string[] => {
-    const ofExecutors = [...pool.tables.executors.values()].flatMap(runsOfExecutor);
+    const ofExecutors = [...pool.scheduler().tables.executors.values()].flatMap(runsOfExecutor);
     const ofTasks = tasksOf(pool).flatMap(runsOfTask);
     return [
         ...ofTasks
@@ -22,7 +22,7 @@
             .filter(run => !runsOfTask(run.task).includes(run))
             .map(run => `its task does not have ${describeRun(run)}`),
         ...ofTasks
-            .filter(({ executor }) => pool.tables.executors.get(executor.id) !== executor)
+            .filter(({ executor }) => pool.scheduler().tables.executors.get(executor.id) !== executor)
             .map(run => `the executor is not in the tables of ${describeRun(run)}`),
         ...ofExecutors.filter(run => endingOf(pool, run) === undefined).map(run => `nothing ends ${describeRun(run)}`),
     ];
@@ -32,7 +32,7 @@
 type Ending = "answer-of-start" | "next-report" | "stop";
 
 const endingOf = (pool: SimulatedPool, run: Run): Ending | undefined => {
-    const connection = pool.connectionOf(run.executor);
+    const connection = pool.scheduler().connectionOf(run.executor);
     if (connection === undefined) {
         return undefined;
     }
--- a/pools/scheduler/test/simulated-fault.ts
+++ b/pools/scheduler/test/simulated-fault.ts
@@ -68,6 +68,8 @@
           /** `paused`: the process of the scheduler. `registry-not-read`: its changes are read later. */
           readonly kind: "store-slow" | "lease-not-renewed" | "registry-not-read" | "paused";
       })
+    /** The process of the scheduler ends, and another one acquires the lease of the pool after the gap. */
+    | { readonly kind: "takeover"; readonly atMs: number; readonly gapMs: number }
     | { readonly kind: "cancel"; readonly job: number; readonly atMs: number };
 
 /** A fault or change at a fixed time. */
@@ -100,6 +102,8 @@
             return fault.atMs + fault.drainMs + fault.downMs + fault.firstHeartbeatMs;
         case "maintenance":
             return fault.atMs + MAINTENANCE_WAIT_MS + fault.downMs + fault.firstHeartbeatMs;
+        case "takeover":
+            return fault.atMs + fault.gapMs;
         case "cancel":
             return fault.atMs;
     }
--- a/pools/scheduler/test/simulation-outcome.ts
+++ b/pools/scheduler/test/simulation-outcome.ts
@@ -10,7 +10,7 @@
     const active = pool
         .executors()
         .flatMap(executor => executor.active().map(run => ({ ...run, executor: executor.id })));
-    const known = [...pool.tables.executors.values()].flatMap(runsOfExecutor);
+    const known = [...pool.scheduler().tables.executors.values()].flatMap(runsOfExecutor);
     const isKnown = ({ task, run, executor }: ActiveSimulatedRun & { executor: string }): boolean =>
         known.some(
             candidate => candidate.task.id === task && candidate.number === run && candidate.executor.id === executor,
@@ -37,14 +37,14 @@
             .filter(run => !isActive(run) || run.phase !== "running")
             .map(run => `not at work: ${describeRun(run)}`),
         ...pool.executors().flatMap(({ id }) => unusableBecause(pool, id)),
-        ...[...pool.tables.executors.values()]
+        ...[...pool.scheduler().tables.executors.values()]
             .filter(({ id }) => !pool.executors().some(executor => executor.id === id))
             .map(({ id }) => `${id} has ended and is still in the tables`),
     ];
 };
 
-const unusableBecause = ({ tables }: SimulatedPool, id: string): readonly string[] => {
-    const executor = [...tables.executors.values()].find(candidate => candidate.id === id);
+const unusableBecause = (pool: SimulatedPool, id: string): readonly string[] => {
+    const executor = [...pool.scheduler().tables.executors.values()].find(candidate => candidate.id === id);
     if (executor === undefined) {
         return [`${id} is not in the tables`];
     }
--- a/pools/scheduler/test/simulation-plans.ts
+++ b/pools/scheduler/test/simulation-plans.ts
@@ -125,6 +125,14 @@
                 ...span,
             }),
         },
+        {
+            weight: 1,
+            arbitrary: fc.record({
+                kind: fc.constant("takeover"),
+                atMs: timeUpTo(FAULTS_WITHIN_MS),
+                gapMs: timeBetween(500, 4000),
+            }),
+        },
         {
             weight: 1,
             arbitrary: fc.record({
