--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -75,17 +75,24 @@
     const targetOf = isShort(tables, balances)
         ? ({ neededVms }: PoolNeed): number => neededVms
         : ({ wantedVms }: PoolNeed): number => wantedVms;
-    // Tasks that leave a VM before its maintenance need room elsewhere.
-    const shortageOf = ({ need, size, usable }: PoolBalance): number =>
-        Math.max(0, targetOf(need) - size, need.neededVms - usable);
-    const keep = balances.flatMap(balance => balance.leaving.slice(0, shortageOf(balance)));
+    const shortageOf = ({ need, size }: PoolBalance): number => Math.max(0, targetOf(need) - size);
+    // Tasks that leave a VM before its maintenance need room elsewhere, until the VM is back.
+    const shortageWithMaintenanceOf = (balance: PoolBalance): number =>
+        Math.max(shortageOf(balance), balance.need.neededVms - balance.usable);
+    const keep = balances.flatMap(balance => balance.leaving.slice(0, shortageWithMaintenanceOf(balance)));
     // One entry for each VM that a pool is short of.
     const short = balances.flatMap(balance => repeat(balance.need.pool, shortageOf(balance) - balance.leaving.length));
+    const shortForMaintenance = balances.flatMap(balance =>
+        repeat(
+            balance.need.pool,
+            shortageWithMaintenanceOf(balance) - Math.max(shortageOf(balance), balance.leaving.length),
+        ),
+    );
     const free = [
         ...spareVms(tables),
         ...[...tables.vacated].filter(vm => tables.leaving.has(vm) && !keep.includes(vm)),
     ];
-    const moves = interleaveByPool(short)
+    const moves = [...interleaveByPool(short), ...interleaveByPool(shortForMaintenance)]
         .slice(0, free.length)
         .map((to, index) => ({ to, vm: free[index] as VmId }));
     const toSparePool = free
