--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -1,6 +1,7 @@
 import type { VmId } from "@almondusher/fleet/ids";
+import type { Resources } from "@almondusher/jobs/job";
 import { expectedRunMs, completionObjective } from "./order-steps.js";
-import { demandOf } from "./resources.js";
+import { demandOf, maxOfEach } from "./resources.js";
 import { remainingRunMs } from "./remaining-time.js";
 import { isJobEnded } from "./job-progress.js";
 import { stepsOf, type Executor, type OpenJob, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
@@ -76,6 +77,11 @@
     const jobs = [...tables.jobs.values()].filter(job => !isJobEnded(job));
     const longRunningSteps = jobs.flatMap(job => stepsOf(job).filter(({ step }) => step.longRunning));
     const longRunningCpu = longRunningSteps.reduce((sum, { step }) => sum + step.count * demandOf(step).cpu, 0);
+    const vmCapacity = maxOfEach(executors.map(({ record }) => record.capacity));
+    const vmsForLongRunning = longRunningSteps.reduce(
+        (sum, { step }) => sum + step.count / tasksPerVm(demandOf(step), vmCapacity),
+        0,
+    );
     const vmsForTaskLimit = Math.max(
         0,
         ...longRunningSteps.map(({ step }) => Math.ceil(step.count / (step.maxPerExecutor ?? step.count))),
@@ -83,7 +89,12 @@
     const arrivingCpu = history.arrivals.reduce((sum, { cpu }) => sum + cpu, 0);
     const requiredCpu = jobs.reduce((sum, job) => sum + requiredCpuOf(tables, job, nowMs), 0);
     const cpu = longRunningCpu + Math.max(arrivingCpu, requiredCpu);
-    const vms = Math.max(MIN_VMS, vmsForTaskLimit, Math.ceil(cpu / (vmCpu * TARGET_UTILISATION)));
+    const vms = Math.max(
+        MIN_VMS,
+        vmsForTaskLimit,
+        Math.ceil(vmsForLongRunning),
+        Math.ceil(cpu / (vmCpu * TARGET_UTILISATION)),
+    );
     const losing = new Set(executors.filter(executor => losesWork(tables, executor, nowMs)));
     history.wanted = [...history.wanted.filter(({ atMs }) => atMs > nowMs - WANTED_WINDOW_MS), { atMs: nowMs, vms }];
     return {
@@ -101,6 +112,23 @@
     };
 };
 
+/** Number of tasks of a step that an empty VM has room for, at least one. */
+const tasksPerVm = (demand: Resources, capacity: Resources): number =>
+    Math.max(
+        1,
+        Math.floor(
+            Math.min(
+                ...(
+                    [
+                        [demand.cpu, capacity.cpu],
+                        [demand.memoryMb, capacity.memoryMb],
+                        [demand.gpu, capacity.gpu],
+                    ] as const
+                ).map(([demanded, available]) => (demanded > 0 ? available / demanded : Infinity)),
+            ),
+        ),
+    );
+
 const vmIdsOf = (executors: readonly Executor[]): readonly VmId[] =>
     executors.map(({ record }) => record.vm).filter(vm => vm !== undefined);
 
