--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -46,6 +46,8 @@
     readonly orders: ReadonlyMap<VmId, MaintenanceOrder>;
     /** VMs with a pending maintenance or move request. */
     readonly withPendingRequest: ReadonlySet<VmId>;
+    /** VMs that are neither evacuated nor maintained for a while, because their last request was refused. */
+    readonly postponed: ReadonlySet<VmId>;
     /** VMs that their pools were asked to evacuate. */
     readonly evacuations: ReadonlySet<VmId>;
     /** Evacuated VMs: they hold no runs and get none. */
@@ -142,7 +144,9 @@
     const free = Math.max(0, concurrent - down.size);
     const isEmpty = (vm: VmId): boolean =>
         tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
-    const ready = waiting.filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm));
+    const ready = waiting.filter(
+        vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm) && !tables.postponed.has(vm),
+    );
     // Requesting maintenance again for a VM that already counts as down uses up no further part of the limit.
     const countedAsDown = down.size <= wave.maxConcurrent ? ready.filter(vm => down.has(vm)) : [];
     const order = [...countedAsDown, ...ready.filter(vm => !down.has(vm)).slice(0, free)].map(vm => ({
@@ -180,6 +184,7 @@
     const chosen: VmId[] = [];
     waiting
         .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.condition === "up")
+        .filter(vm => !tables.postponed.has(vm))
         .sort((left, right) => Number(tables.losing.has(left)) - Number(tables.losing.has(right)))
         .forEach(vm => {
             const leavesRoom = lacksTime ? leavesUsableVm : isWithinPoolShare;
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -29,6 +29,7 @@
     waves: [],
     orders: new Map(),
     withPendingRequest: new Set(),
+    postponed: new Set(),
     evacuations: new Set(),
     vacated: new Set(),
     losing: new Set(),
@@ -181,6 +182,12 @@
     assert.deepEqual(plan.evacuate.map(String), ["b"]);
 });
 
+test("a VM whose last request was refused a short while ago is neither evacuated nor maintained", () => {
+    const base = tables({ waves: [wave(["a", "b", "s"])], postponed: new Set(["a", "s"].map(vmId)) });
+    const plan = planMaintenance(base, OPTIONS);
+    assert.deepEqual({ evacuate: plan.evacuate.map(String), order: plan.order }, { evacuate: ["b"], order: [] });
+});
+
 // A long-running task without room elsewhere keeps its VM from becoming empty.
 test("VMs that do not become empty do not keep the rest of a wave that is out of time from being evacuated", () => {
     const stuck = new Set(["a", "b"].map(vmId));
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -1,8 +1,8 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import { createVmClient, type ListedVm } from "@almondusher/platform-adapter/vm-client";
-import { planMaintenance, type FleetVm, type MaintenanceOrder, type Wave } from "@almondusher/upkeep/maintenance";
-import { isFleetShort, planMoves, type Move, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
+import { planMaintenance, type FleetVm, type Wave } from "@almondusher/upkeep/maintenance";
+import { isFleetShort, planMoves, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
 import { createSurgeForecast, forecastNeeds, type ReportedPoolNeed } from "@almondusher/upkeep/surge-forecast";
 import { containErrors, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
@@ -11,9 +11,9 @@
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
 import type { OperatorFeed, RequestedWave } from "./operator-feed.js";
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
+import { createFleetOrders } from "./fleet-orders.js";
 import { createWaveStatusPublisher } from "./wave-status-publisher.js";
 import { orderTimeoutMs } from "./vm-order-limits.js";
-import { sendOrder, type OrderOutcome, type OrderPurpose, type VmOrder } from "./vm-orders.js";
 
 /** Maintains VMs and moves them between pools while this process holds the fleet lease. */
 export interface FleetManager {
@@ -51,7 +51,6 @@
 // Pool leases that were renewed longer ago are ignored: without a scheduler, VMs that the pool has evacuated may not
 // stay empty, and its demand is outdated.
 const MAX_POOL_RECORD_AGE_MS = 2500;
-const ORDER_RETRY_DELAY_MS = 400;
 // Added to the configured duration of a move before the list of VMs is expected to show the VM in its new pool.
 const MOVE_MARGIN_MS = 300;
 const MS_PER_SECOND = 1000;
@@ -65,7 +64,6 @@
         fencingToken: lease.epoch,
     });
     const waves = new Map<number, Wave>();
-    const orders = new Map<VmId, VmOrder>();
     const evacuations = createFleetEvacuations({ context, lease });
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let lastListedAtMs = Number.NEGATIVE_INFINITY;
@@ -150,60 +148,19 @@
         };
         return new Set([...evacuations.entries].filter(isVacated).map(([vm]) => vm));
     };
-    const send = async (vm: VmId, purpose: OrderPurpose): Promise<void> => {
-        const order: VmOrder = { purpose, sentAtMs: context.monotonicMs(), confirmedAtMs: undefined };
-        orders.set(vm, order);
-        const evacuation = evacuations.entries.get(vm) ?? evacuations.add(vm, purpose.kind);
-        evacuation.ordered = true;
-        if (!(await leases.renew(lease))) {
-            // The order was not sent; the next tick plans it again.
-            orders.delete(vm);
-            return;
-        }
-        applyOutcome(
-            vm,
-            order,
-            await sendOrder({
-                context,
-                client,
-                vm,
-                order,
-                timeoutMs,
-                isActive,
-                isServiceAnswering,
-                retryDelayMs: ORDER_RETRY_DELAY_MS,
-            }),
-        );
-    };
-    const applyOutcome = (vm: VmId, order: VmOrder, outcome: OrderOutcome): void => {
-        switch (outcome) {
-            case "confirmed":
-                order.confirmedAtMs = context.monotonicMs();
-                // The order has ended the executor on the VM; the next one may get work as soon as it registers.
-                evacuations.remove(vm);
-                markMaintained(vm, order.purpose);
-                options.requestRenewal();
-                break;
-            case "unneeded":
-                orders.delete(vm);
-                evacuations.remove(vm);
-                break;
-            case "fenced":
-                options.requestRenewal();
-                orders.delete(vm);
-                break;
-            case "refused":
-                orders.delete(vm);
-                break;
-            case "given-up":
-                break;
-        }
-    };
-    const markMaintained = (vm: VmId, purpose: OrderPurpose): void => {
-        if (purpose.kind === "maintenance") {
-            waves.get(purpose.wave)?.confirmed.add(vm);
-        }
-    };
+    const orders = createFleetOrders({
+        context,
+        lease,
+        leases,
+        client,
+        evacuations,
+        timeoutMs,
+        isActive,
+        isServiceAnswering,
+        listedAtMs,
+        requestRenewal: options.requestRenewal,
+        onMaintained: (vm, wave) => waves.get(wave)?.confirmed.add(vm),
+    });
     const vmsAwaitingMaintenance = (): ReadonlySet<VmId> =>
         new Set(openWaves().flatMap(wave => wave.vms.filter(vm => !wave.confirmed.has(vm))));
     const applyMaintenancePlan = ({ vacated, losing, fleetShort }: MaintenancePlanInput): void => {
@@ -215,13 +172,14 @@
                 listsSinceMs: listsSinceMs(),
                 spare: new Set(sparePools()),
                 waves: [...waves.values()],
-                orders: maintenanceOrders(orders),
-                withPendingRequest: new Set(orders.keys()),
+                orders: orders.maintenance(),
+                withPendingRequest: new Set(orders.entries.keys()),
+                postponed: orders.postponed(),
                 evacuations: new Set(evacuations.entries.keys()),
                 vacated,
                 losing,
                 possiblyDown: new Set(
-                    evacuations.withPendingInheritedOrder(listedAtMs()).filter(vm => !orders.has(vm)),
+                    evacuations.withPendingInheritedOrder(listedAtMs()).filter(vm => !orders.entries.has(vm)),
                 ),
             },
             {
@@ -234,7 +192,7 @@
         if (isServiceAnswering()) {
             plan.release.forEach(releaseVm);
             plan.evacuate.forEach(vm => evacuateVm(vm, "maintenance"));
-            plan.order.forEach(({ vm, wave }) => void send(vm, { kind: "maintenance", wave }));
+            plan.order.forEach(({ vm, wave }) => void orders.send(vm, { kind: "maintenance", wave }));
         }
     };
     const completeWaves = (numbers: readonly number[]): void =>
@@ -252,7 +210,7 @@
     };
     // Drops the order and the evacuation of a VM, because the VM is back in service or because they are not needed.
     const releaseVm = (vm: VmId): void => {
-        orders.delete(vm);
+        orders.drop(vm);
         if (evacuations.remove(vm)) {
             options.requestRenewal();
         }
@@ -280,7 +238,7 @@
     const movePlanInput = (needs: readonly PoolNeed[], vacated: ReadonlySet<VmId>): MoveTables => {
         const leaving = new Set(
             [...evacuations.entries]
-                .filter(([vm, { purpose }]) => purpose === "move" && !orders.has(vm))
+                .filter(([vm, { purpose }]) => purpose === "move" && !orders.entries.has(vm))
                 .map(([vm]) => vm),
         );
         const evacuating = [...evacuations.entries.keys()].filter(vm => !leaving.has(vm));
@@ -288,23 +246,23 @@
             vms,
             spare: sparePools()[0],
             needs,
-            unavailableForMove: new Set([...orders.keys(), ...evacuating]),
-            evacuatingForMaintenance: new Set(evacuating.filter(vm => !orders.has(vm))),
+            unavailableForMove: new Set([...orders.entries.keys(), ...orders.postponed(), ...evacuating]),
+            evacuatingForMaintenance: new Set(evacuating.filter(vm => !orders.entries.has(vm))),
             leaving,
             vacated: new Set([...leaving].filter(vm => vacated.has(vm))),
-            moving: movesOf(orders),
+            moving: orders.moves(),
             awaitingMaintenance: vmsAwaitingMaintenance(),
         };
     };
     const applyMovePlan = (tables: MoveTables): void => {
         const plan = planMoves(tables);
-        plan.keep.filter(vm => !orders.has(vm)).forEach(releaseVm);
+        plan.keep.filter(vm => !orders.entries.has(vm)).forEach(releaseVm);
         plan.evacuate.forEach(vm => evacuateVm(vm, "move"));
-        plan.moves.forEach(({ vm, to }) => void send(vm, { kind: "move", to }));
+        plan.moves.forEach(({ vm, to }) => void orders.send(vm, { kind: "move", to }));
     };
     const dropCompletedMoves = (): void => {
         const moveMs = context.settings.moveSeconds * MS_PER_SECOND + MOVE_MARGIN_MS;
-        [...orders]
+        [...orders.entries]
             .filter(([vm, { purpose, confirmedAtMs }]) => {
                 const listed = vms.get(vm);
                 return (
@@ -319,12 +277,12 @@
     const dropUnneededEvacuations = (): void => {
         const waiting = new Set([...vmsAwaitingMaintenance(), ...evacuations.withPendingInheritedOrder(listedAtMs())]);
         [...evacuations.entries]
-            .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.has(vm))
+            .filter(([vm, { purpose }]) => purpose === "maintenance" && !waiting.has(vm) && !orders.entries.has(vm))
             .forEach(([vm]) => releaseVm(vm));
     };
     // No order would be carried out now, so the room of VMs that are only evacuated serves their pools meanwhile.
     const releaseWithoutOrders = (): void => {
-        const ordered = new Set([...orders.keys(), ...evacuations.withPendingInheritedOrder(listedAtMs())]);
+        const ordered = new Set([...orders.entries.keys(), ...evacuations.withPendingInheritedOrder(listedAtMs())]);
         const released = [...evacuations.entries.keys()].filter(vm => !ordered.has(vm));
         released.forEach(releaseVm);
         if (!wasServiceSilent) {
@@ -400,16 +358,6 @@
 const toPoolNeed = ({ pool, record }: PoolRecord): ReportedPoolNeed | undefined =>
     record?.demand === undefined ? undefined : { pool, ...record.demand };
 
-const maintenanceOrders = (orders: ReadonlyMap<VmId, VmOrder>): ReadonlyMap<VmId, MaintenanceOrder> =>
-    new Map(
-        [...orders].flatMap(([vm, { purpose, sentAtMs, confirmedAtMs }]) =>
-            purpose.kind === "maintenance" ? [[vm, { wave: purpose.wave, sentAtMs, confirmedAtMs }] as const] : [],
-        ),
-    );
-
-const movesOf = (orders: ReadonlyMap<VmId, VmOrder>): readonly Move[] =>
-    [...orders].flatMap(([vm, { purpose }]) => (purpose.kind === "move" ? [{ vm, to: purpose.to }] : []));
-
 const conditionOf = (condition: ListedVm["condition"]): FleetVm["condition"] => {
     switch (condition) {
         case "up":
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -35,10 +35,17 @@
 }
 
 /**
- * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, until the lease is lost. While
- * `timeoutMs` returns 0, it waits, also if an order already waits for a connection. Orders are idempotent. An order for a busy
- * VM is repeated while an earlier attempt may still be carried out, and is refused afterwards. While the service answers no
- * calls, nothing is sent, and the order is refused once no earlier attempt may be carried out.
+ * Time in which an order is repeated that the platform rejects as overloaded or does not answer, in milliseconds. The time
+ * in which it waits for a connection is not part of it.
+ */
+const MAX_ATTEMPTS_MS = 5000;
+
+/**
+ * Sends an order, and repeats it while its outcome is unknown or the platform is overloaded, for `MAX_ATTEMPTS_MS` at most
+ * and until the lease is lost. While `timeoutMs` returns 0, it waits, also if an order already waits for a connection.
+ * Orders are idempotent. An order that is rejected otherwise, for instance because the VM is busy, is repeated while an
+ * earlier attempt may still be carried out, and is refused afterwards. While the service answers no calls, and after the
+ * time for attempts, nothing is sent, and the order is refused once no earlier attempt may be carried out.
  */
 export const sendOrder = async ({
     context,
@@ -52,26 +59,39 @@
 }: SendOrderOptions): Promise<OrderOutcome> => {
     let unansweredAtMs = Number.NEGATIVE_INFINITY;
     const mayTakeEffect = (): boolean => context.monotonicMs() - unansweredAtMs < MAX_ORDER_DELAY_MS;
+    const beganAtMs = context.monotonicMs();
+    let waitedMs = 0;
+    // The repetitions of a rejected order end with the time of an earlier attempt.
+    let isRejected = false;
+    const hasTimeLeft = (): boolean => isRejected || context.monotonicMs() - beganAtMs - waitedMs < MAX_ATTEMPTS_MS;
     while (isActive()) {
-        if (!isServiceAnswering() && !mayTakeEffect()) {
+        const maySend = isServiceAnswering() && hasTimeLeft();
+        if (!maySend && !mayTakeEffect()) {
             return "refused";
         }
-        const limitMs = isServiceAnswering() ? timeoutMs() : 0;
+        const limitMs = maySend ? timeoutMs() : 0;
         if (limitMs <= 0) {
             await sleep(retryDelayMs);
             continue;
         }
         // The process may have been suspended since the lease was checked.
-        const mayStart = (): boolean => isActive() && timeoutMs() > 0;
+        const calledAtMs = context.monotonicMs();
+        let writtenAtMs: number | undefined;
+        const mayStart = (): boolean => {
+            const may = isActive() && timeoutMs() > 0;
+            writtenAtMs = may ? context.monotonicMs() : undefined;
+            return may;
+        };
         const result = await send(client, vm, order.purpose, { timeoutMs: limitMs, mayStart });
         context.metrics.count(`vm_orders_${order.purpose.kind}`);
         context.log("vm-order", { vm, ...order.purpose, outcome: result });
         if (result.kind === "unknown") {
             unansweredAtMs = context.monotonicMs();
         }
+        waitedMs += waitOf(result, calledAtMs, writtenAtMs ?? calledAtMs, context.monotonicMs());
         const outcome = outcomeOf(result, order.purpose);
-        const isBusy = result.kind === "rejected" && result.reason === "busy";
-        if (outcome !== undefined && !(isBusy && mayTakeEffect())) {
+        isRejected = outcome === "refused";
+        if (outcome !== undefined && !(isRejected && mayTakeEffect())) {
             return outcome;
         }
         await sleep(retryDelayMs);
@@ -79,6 +99,10 @@
     return "given-up";
 };
 
+// Orders that wait for each other's connections end as not sent, or are written long after the call.
+const waitOf = (result: VmOrderResult, calledAtMs: number, writtenAtMs: number, endedAtMs: number): number =>
+    (result.kind === "not-sent" ? endedAtMs : writtenAtMs) - calledAtMs;
+
 const send = (client: VmClient, vm: VmId, purpose: OrderPurpose, limits: VmOrderLimits): Promise<VmOrderResult> => {
     switch (purpose.kind) {
         case "maintenance":
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -42,6 +42,8 @@
     listMs: number;
     /** State in which the VM is listed. */
     listedState: string;
+    /** Status of the answers to orders. */
+    orderStatus: number;
     /** Rows that the fleet manager has stored, other than its lease. */
     readonly stored: readonly string[];
     /** Pool leases as the fleet manager reads them. */
@@ -77,7 +79,7 @@
         request.resume().on("end", () => {
             if (request.method === "POST") {
                 orders.push(request.url ?? "");
-                answer(200, {});
+                answer(started.orderStatus, {});
                 return;
             }
             lists++;
@@ -154,6 +156,7 @@
         unansweredLists: 0,
         listMs: 0,
         listedState: "up",
+        orderStatus: 200,
         stored,
         records,
         waves,
@@ -270,3 +273,39 @@
     fleet.advance(LATE_ORDER_MS);
     await waitUntil("the end of the evacuation", () => fleet.manager.leaseContent().evacuations.length === 0);
 });
+
+// Its tasks would be stopped again and again, for an order that is not carried out.
+test("a VM whose order is rejected as overloaded for long serves its pool again for a while", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_B });
+    fleet.orderStatus = 503;
+    const request = { wave: 1, vms: [VM], withinMs: 600_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    const evacuations = (): readonly { readonly id: string }[] => fleet.manager.leaseContent().evacuations;
+    await waitUntil("the evacuation", () => evacuations().length > 0);
+    fleet.records.set(POOL_B, recordOf({ vacated: evacuations().map(({ id }) => id) }));
+    await waitUntil("the repeated order", () => fleet.orders.length > 1);
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the end of the evacuation", () => evacuations().length === 0);
+    const sent = fleet.orders.length;
+    await sleep(SEVERAL_LISTS_MS);
+    assert.deepEqual(evacuations(), [], "evacuated again at once");
+    assert.equal(fleet.orders.length, sent, "sent although the order was given up");
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the next evacuation", () => evacuations().length > 0);
+});
+
+test("a spare VM whose move is rejected as overloaded for long gets no order for a while", async context => {
+    const fleet = await startFleet(context, { listedPool: SPARE_POOL });
+    fleet.orderStatus = 503;
+    const demand = { neededVms: 1, wantedVms: 1, removable: [], losing: [] };
+    fleet.records.set(POOL_A, recordOf({ demand }));
+    await waitUntil("the repeated order", () => fleet.orders.length > 1);
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the end of the order", () => fleet.manager.leaseContent().evacuations.length === 0);
+    const sent = fleet.orders.length;
+    await sleep(SEVERAL_LISTS_MS);
+    assert.equal(fleet.orders.length, sent);
+    fleet.orderStatus = 200;
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the next order", () => fleet.orders.length > sent);
+});
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -166,3 +166,93 @@
     });
     assert.equal(outcome, "refused");
 });
+
+interface Attempt {
+    readonly result: VmOrderResult;
+    /** Time in which the order waits for a connection, and then for its result, in milliseconds. */
+    readonly waitMs: number;
+    readonly answerMs: number;
+}
+
+/** Sends a maintenance order to a service that answers lists; the clock advances with the attempts and the pauses. */
+const outcomeOfAttempts = async (
+    attempt: (index: number) => Attempt,
+): Promise<{ readonly outcome: OrderOutcome; readonly sentAtMs: readonly number[]; readonly endedAtMs: number }> => {
+    let nowMs = 0;
+    let calls = 0;
+    const sentAtMs: number[] = [];
+    const outcome = await sendOrder({
+        context: {
+            metrics: { count: () => undefined },
+            log: () => undefined,
+            monotonicMs: () => nowMs,
+        } as unknown as DispatcherContext,
+        client: {
+            maintain: (vm: VmId, wave: number, { mayStart }: { readonly mayStart: () => boolean }) => {
+                const { result, waitMs, answerMs } = attempt(calls++);
+                nowMs += waitMs;
+                if (result.kind !== "not-sent" && mayStart()) {
+                    sentAtMs.push(nowMs);
+                }
+                nowMs += answerMs;
+                return Promise.resolve(result);
+            },
+        } as unknown as VmClient,
+        vm: toId<VmId>("vm-1"),
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        timeoutMs: () => 1000,
+        isActive: () => {
+            nowMs += 200;
+            return nowMs < 120_000;
+        },
+        isServiceAnswering: () => true,
+        retryDelayMs: 1,
+    });
+    return { outcome, sentAtMs, endedAtMs: nowMs };
+};
+
+test("an order that gets no answer each time is over once its last attempt cannot be carried out any more", async () => {
+    const { outcome, sentAtMs, endedAtMs } = await outcomeOfAttempts(() => ({
+        result: { kind: "unknown", reason: "no answer" },
+        waitMs: 0,
+        answerMs: 1000,
+    }));
+    assert.equal(outcome, "refused");
+    const lastSentAtMs = sentAtMs.at(-1) ?? Infinity;
+    assert.ok(sentAtMs.length > 1 && lastSentAtMs < 10_000, `attempts at ${sentAtMs.join(", ")} ms`);
+    assert.ok(endedAtMs >= lastSentAtMs + LATE_ORDER_MS, `ended at ${endedAtMs} ms`);
+    assert.ok(endedAtMs < lastSentAtMs + 2 * LATE_ORDER_MS, `ended at ${endedAtMs} ms`);
+});
+
+test("an order succeeds after a short overload, and after a long wait for a connection", async () => {
+    const overloaded: VmOrderResult = { kind: "rejected", reason: "overloaded" };
+    const done: VmOrderResult = { kind: "done" };
+    const short = await outcomeOfAttempts(index => ({
+        result: index < 8 ? overloaded : done,
+        waitMs: 0,
+        answerMs: 5,
+    }));
+    assert.equal(short.outcome, "confirmed");
+    const unsent = await outcomeOfAttempts(index => ({
+        result: index < 8 ? { kind: "not-sent", reason: "no connection" } : done,
+        waitMs: 1000,
+        answerMs: 0,
+    }));
+    assert.equal(unsent.outcome, "confirmed");
+    const behindOthers = await outcomeOfAttempts(index => ({
+        result: index < 8 ? overloaded : done,
+        waitMs: 900,
+        answerMs: 5,
+    }));
+    assert.equal(behindOthers.outcome, "confirmed");
+});
+
+test("an order that never gets a connection is given up, although the service answers lists", async () => {
+    const { outcome, sentAtMs } = await outcomeOfAttempts(() => ({
+        result: { kind: "not-sent", reason: "no connection" },
+        waitMs: 1000,
+        answerMs: 0,
+    }));
+    assert.equal(outcome, "refused");
+    assert.deepEqual(sentAtMs, []);
+});
