--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -50,6 +50,8 @@
     readonly postponed: ReadonlySet<VmId>;
     /** VMs that their pools were asked to evacuate. */
     readonly evacuations: ReadonlySet<VmId>;
+    /** VMs of `evacuations` whose time to become empty is not over. */
+    readonly withTimeToEmpty: ReadonlySet<VmId>;
     /** Evacuated VMs: they hold no runs and get none. */
     readonly vacated: ReadonlySet<VmId>;
     /** VMs whose tasks would lose work if they were evacuated now. */
@@ -176,11 +178,13 @@
     concurrent: number,
     options: MaintenanceOptions,
 ): readonly VmId[] => {
-    const evacuating = waiting.filter(vm => tables.evacuations.has(vm)).length;
-    const wanted = Math.max(0, concurrent + (options.fleetShort ? 0 : EVACUATED_AHEAD) - evacuating);
     const batches = Math.ceil(waiting.length / wave.maxConcurrent);
     const neededMs = batches * (options.maintenanceMs + EXPECTED_EVACUATION_MS);
     const lacksTime = options.nowMs + neededMs > wave.dueAtMs;
+    // A VM that does not become empty, for instance because a long-running task has no room elsewhere, may never do so.
+    const isStuck = (vm: VmId): boolean => lacksTime && !tables.withTimeToEmpty.has(vm) && !isEmpty(vm);
+    const evacuating = waiting.filter(vm => tables.evacuations.has(vm) && !isStuck(vm)).length;
+    const wanted = Math.max(0, concurrent + (options.fleetShort ? 0 : EVACUATED_AHEAD) - evacuating);
     const chosen: VmId[] = [];
     waiting
         .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.condition === "up")
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -31,6 +31,7 @@
     withPendingRequest: new Set(),
     postponed: new Set(),
     evacuations: new Set(),
+    withTimeToEmpty: new Set(),
     vacated: new Set(),
     losing: new Set(),
     possiblyDown: new Set(),
@@ -200,3 +201,19 @@
     });
     assert.notEqual(plan.evacuate.length, 0);
 });
+
+test("a wave that is out of time evacuates no more VMs for those that may still become empty or are empty", () => {
+    const evacuated = new Set(["a", "b"].map(vmId));
+    const vms = fleet("a p", "b p", "c p", "d p", "e p", "f p", "g q", "h q");
+    const planWith = (change: Partial<MaintenanceTables>, dueAtMs = 20_000) =>
+        planMaintenance(
+            tables({ vms, waves: [wave(["a", "b", "c", "g", "h"], { dueAtMs })], evacuations: evacuated, ...change }),
+            { ...OPTIONS, nowMs: 19_000, fleetShort: true },
+        ).evacuate.map(String);
+    assert.deepEqual(planWith({}), ["c", "g"], "as many as may be down at once, and a usable VM in each pool");
+    assert.deepEqual(planWith({ withTimeToEmpty: evacuated }), []);
+    assert.deepEqual(planWith({ vacated: evacuated }), []);
+    assert.deepEqual(planWith({}, 90_000), [], "the wave has time");
+    const stuckInTurn = planWith({ evacuations: new Set(["a", "b", "c", "g"].map(vmId)) });
+    assert.deepEqual(stuckInTurn, [], "the pool keeps its last usable VM");
+});
--- a/programs/dispatcher/src/fleet-evacuations.ts
+++ b/programs/dispatcher/src/fleet-evacuations.ts
@@ -20,6 +20,8 @@
 export interface FleetEvacuations {
     readonly entries: ReadonlyMap<VmId, FleetEvacuation>;
     readonly add: (vm: VmId, purpose: FleetEvacuation["purpose"]) => FleetEvacuation;
+    /** VMs whose tasks that can continue elsewhere still have time to leave. */
+    readonly withTimeToEmpty: () => readonly VmId[];
     /** Returns false if the VM was not being evacuated. */
     readonly remove: (vm: VmId) => boolean;
     /**
@@ -65,6 +67,10 @@
             entries.set(vm, evacuation);
             return evacuation;
         },
+        withTimeToEmpty: () => {
+            const nowMs = context.store.nowMs();
+            return [...entries].filter(([, { byMs }]) => byMs > nowMs).map(([vm]) => vm);
+        },
         remove: vm => entries.delete(vm),
         withPendingInheritedOrder: listedAtMs =>
             listedAtMs < inheritedOrdersUntilMs ? [...inheritedOrders].filter(vm => entries.has(vm)) : [],
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -176,6 +176,7 @@
                 withPendingRequest: new Set(orders.entries.keys()),
                 postponed: orders.postponed(),
                 evacuations: new Set(evacuations.entries.keys()),
+                withTimeToEmpty: new Set(evacuations.withTimeToEmpty()),
                 vacated,
                 losing,
                 possiblyDown: new Set(
--- a/programs/dispatcher/test/fleet-evacuations.test.ts
+++ b/programs/dispatcher/test/fleet-evacuations.test.ts
@@ -43,3 +43,18 @@
     assert.deepEqual(evacuations.withPendingInheritedOrder(0), []);
     assert.equal(evacuations.remove(ORDERED), false);
 });
+
+test("an evacuation has time until its tasks that can continue elsewhere must have left", () => {
+    let nowMs = 500;
+    const evacuations = createFleetEvacuations({
+        context: { monotonicMs: () => 0, store: { nowMs: () => nowMs } },
+        lease: { epoch: 4, predecessor },
+    });
+    assert.deepEqual(evacuations.withTimeToEmpty(), [REQUESTED]);
+    const added = "vm-new" as VmId;
+    evacuations.add(added, "maintenance");
+    nowMs = 1000;
+    assert.deepEqual(evacuations.withTimeToEmpty(), [added]);
+    nowMs = LATE_ORDER_MS;
+    assert.deepEqual(evacuations.withTimeToEmpty(), []);
+});
