--- a/pools/upkeep/src/maintenance.ts
+++ b/pools/upkeep/src/maintenance.ts
@@ -46,8 +46,12 @@
     readonly orders: ReadonlyMap<VmId, MaintenanceOrder>;
     /** VMs with a pending maintenance or move request. */
     readonly withPendingRequest: ReadonlySet<VmId>;
+    /** VMs that are neither evacuated nor maintained for a while, because their last request was refused. */
+    readonly postponed: ReadonlySet<VmId>;
     /** VMs that their pools were asked to evacuate. */
     readonly evacuations: ReadonlySet<VmId>;
+    /** VMs of `evacuations` whose time to become empty is not over. */
+    readonly withTimeToEmpty: ReadonlySet<VmId>;
     /** Evacuated VMs: they hold no runs and get none. */
     readonly vacated: ReadonlySet<VmId>;
     /** VMs whose tasks would lose work if they were evacuated now. */
@@ -142,7 +146,9 @@
     const free = Math.max(0, concurrent - down.size);
     const isEmpty = (vm: VmId): boolean =>
         tables.vacated.has(vm) || tables.spare.has(tables.vms.get(vm)?.pool ?? ("" as PoolName));
-    const ready = waiting.filter(vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm));
+    const ready = waiting.filter(
+        vm => tables.vms.get(vm)?.condition === "up" && isEmpty(vm) && !tables.postponed.has(vm),
+    );
     // Requesting maintenance again for a VM that already counts as down uses up no further part of the limit.
     const countedAsDown = down.size <= wave.maxConcurrent ? ready.filter(vm => down.has(vm)) : [];
     const order = [...countedAsDown, ...ready.filter(vm => !down.has(vm)).slice(0, free)].map(vm => ({
@@ -172,14 +178,17 @@
     concurrent: number,
     options: MaintenanceOptions,
 ): readonly VmId[] => {
-    const evacuating = waiting.filter(vm => tables.evacuations.has(vm)).length;
-    const wanted = Math.max(0, concurrent + (options.fleetShort ? 0 : EVACUATED_AHEAD) - evacuating);
     const batches = Math.ceil(waiting.length / wave.maxConcurrent);
     const neededMs = batches * (options.maintenanceMs + EXPECTED_EVACUATION_MS);
     const lacksTime = options.nowMs + neededMs > wave.dueAtMs;
+    // A VM that does not become empty, for instance because a long-running task has no room elsewhere, may never do so.
+    const isStuck = (vm: VmId): boolean => lacksTime && !tables.withTimeToEmpty.has(vm) && !isEmpty(vm);
+    const evacuating = waiting.filter(vm => tables.evacuations.has(vm) && !isStuck(vm)).length;
+    const wanted = Math.max(0, concurrent + (options.fleetShort ? 0 : EVACUATED_AHEAD) - evacuating);
     const chosen: VmId[] = [];
     waiting
         .filter(vm => !tables.evacuations.has(vm) && !isEmpty(vm) && tables.vms.get(vm)?.condition === "up")
+        .filter(vm => !tables.postponed.has(vm))
         .sort((left, right) => Number(tables.losing.has(left)) - Number(tables.losing.has(right)))
         .forEach(vm => {
             const leavesRoom = lacksTime ? leavesUsableVm : isWithinPoolShare;
--- a/pools/upkeep/test/maintenance.test.ts
+++ b/pools/upkeep/test/maintenance.test.ts
@@ -29,7 +29,9 @@
     waves: [],
     orders: new Map(),
     withPendingRequest: new Set(),
+    postponed: new Set(),
     evacuations: new Set(),
+    withTimeToEmpty: new Set(),
     vacated: new Set(),
     losing: new Set(),
     possiblyDown: new Set(),
@@ -181,6 +183,12 @@
     assert.deepEqual(plan.evacuate.map(String), ["b"]);
 });
 
+test("a VM whose last request was refused a short while ago is neither evacuated nor maintained", () => {
+    const base = tables({ waves: [wave(["a", "b", "s"])], postponed: new Set(["a", "s"].map(vmId)) });
+    const plan = planMaintenance(base, OPTIONS);
+    assert.deepEqual({ evacuate: plan.evacuate.map(String), order: plan.order }, { evacuate: ["b"], order: [] });
+});
+
 // A long-running task without room elsewhere keeps its VM from becoming empty.
 test("VMs that do not become empty do not keep the rest of a wave that is out of time from being evacuated", () => {
     const stuck = new Set(["a", "b"].map(vmId));
@@ -193,3 +201,19 @@
     });
     assert.notEqual(plan.evacuate.length, 0);
 });
+
+test("a wave that is out of time evacuates no more VMs for those that may still become empty or are empty", () => {
+    const evacuated = new Set(["a", "b"].map(vmId));
+    const vms = fleet("a p", "b p", "c p", "d p", "e p", "f p", "g q", "h q");
+    const planWith = (change: Partial<MaintenanceTables>, dueAtMs = 20_000) =>
+        planMaintenance(
+            tables({ vms, waves: [wave(["a", "b", "c", "g", "h"], { dueAtMs })], evacuations: evacuated, ...change }),
+            { ...OPTIONS, nowMs: 19_000, fleetShort: true },
+        ).evacuate.map(String);
+    assert.deepEqual(planWith({}), ["c", "g"], "as many as may be down at once, and a usable VM in each pool");
+    assert.deepEqual(planWith({ withTimeToEmpty: evacuated }), []);
+    assert.deepEqual(planWith({ vacated: evacuated }), []);
+    assert.deepEqual(planWith({}, 90_000), [], "the wave has time");
+    const stuckInTurn = planWith({ evacuations: new Set(["a", "b", "c", "g"].map(vmId)) });
+    assert.deepEqual(stuckInTurn, [], "the pool keeps its last usable VM");
+});
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -44,6 +44,8 @@
     busy: boolean;
     /** State in which the VM is listed. */
     listedState: string;
+    /** Status of the answers to orders. */
+    orderStatus: number;
     /** Rows that the fleet manager has stored, other than its lease. */
     readonly stored: readonly string[];
     /** Pool leases as the fleet manager reads them. */
@@ -79,7 +81,7 @@
         request.resume().on("end", () => {
             if (request.method === "POST") {
                 orders.push(request.url ?? "");
-                answer(started.busy ? 409 : 200, started.busy ? { reason: "busy" } : {});
+                answer(started.busy ? 409 : started.orderStatus, started.busy ? { reason: "busy" } : {});
                 return;
             }
             lists++;
@@ -157,6 +159,7 @@
         listMs: 0,
         busy: false,
         listedState: "up",
+        orderStatus: 200,
         stored,
         records,
         waves,
@@ -284,3 +287,39 @@
     await sleep(10 * TICK_MS);
     assert.ok(fleet.orders.length <= 5, `${fleet.orders.length} orders in 10 ticks`);
 });
+
+// Its tasks would be stopped again and again, for an order that is not carried out.
+test("a VM whose order is rejected as overloaded for long serves its pool again for a while", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_B });
+    fleet.orderStatus = 503;
+    const request = { wave: 1, vms: [VM], withinMs: 600_000, maxConcurrent: 1 };
+    fleet.waves.push({ request, firstReadAtMs: performance.now() });
+    const evacuations = (): readonly { readonly id: string }[] => fleet.manager.leaseContent().evacuations;
+    await waitUntil("the evacuation", () => evacuations().length > 0);
+    fleet.records.set(POOL_B, recordOf({ vacated: evacuations().map(({ id }) => id) }));
+    await waitUntil("the repeated order", () => fleet.orders.length > 1);
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the end of the evacuation", () => evacuations().length === 0);
+    const sent = fleet.orders.length;
+    await sleep(SEVERAL_LISTS_MS);
+    assert.deepEqual(evacuations(), [], "evacuated again at once");
+    assert.equal(fleet.orders.length, sent, "sent although the order was given up");
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the next evacuation", () => evacuations().length > 0);
+});
+
+test("a spare VM whose move is rejected as overloaded for long gets no order for a while", async context => {
+    const fleet = await startFleet(context, { listedPool: SPARE_POOL });
+    fleet.orderStatus = 503;
+    const demand = { neededVms: 1, wantedVms: 1, removable: [], losing: [] };
+    fleet.records.set(POOL_A, recordOf({ demand }));
+    await waitUntil("the repeated order", () => fleet.orders.length > 1);
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the end of the order", () => fleet.manager.leaseContent().evacuations.length === 0);
+    const sent = fleet.orders.length;
+    await sleep(SEVERAL_LISTS_MS);
+    assert.equal(fleet.orders.length, sent);
+    fleet.orderStatus = 200;
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the next order", () => fleet.orders.length > sent);
+});
