--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -3,12 +3,15 @@
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { startExecutorStandIn, type ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
+import type { GangRuns } from "@almondusher/job-platform-stand-in/gang-runs";
 import type { NarrowPath } from "@almondusher/job-platform-stand-in/narrow-path";
 import { startStoreStandIn, type StoreStandIn } from "@almondusher/job-platform-stand-in/store";
 import {
     startVmServiceStandIn,
+    type VmOrderEffects,
     type VmServiceStandIn,
     type VmServiceStandInOptions,
 } from "@almondusher/job-platform-stand-in/vm-service";
@@ -35,6 +38,7 @@
 export interface JobDeployment {
     readonly store: StoreStandIn;
     readonly vms: VmServiceStandIn;
+    /** All executors in the order of their starts, also those that have left. */
     readonly executors: readonly ExecutorStandIn[];
     readonly dispatchers: readonly DeployedDispatcher[];
     /** Starts a dispatcher. It reaches the store at the given address instead of the store's own, for example at a relay. */
@@ -51,6 +55,13 @@
     readonly path?: NarrowPath;
     /** Pool in which the VM service lists all VMs; `JOB_POOL` if undefined. */
     readonly vmPool?: string;
+    /** Gangs whose members may run on several executors; none if undefined. */
+    readonly gangs?: GangRuns;
+    /**
+     * Number of further VMs, which are off in the spare pool. Orders for VMs are carried out if it is defined; otherwise the
+     * executors stay.
+     */
+    readonly spareVms?: number;
     /** Faults of the VM service; none if undefined. */
     readonly vmService?: Pick<VmServiceStandInOptions, "enforcesFencing" | "answerDelayMs">;
     /** Additional Node.js flags for the dispatchers, for example for the profiler. */
@@ -79,26 +90,33 @@
 const MAIN = fileURLToPath(new URL("../../../programs/dispatcher/src/main.ts", import.meta.url));
 const TSX = import.meta.resolve("tsx");
 const STOP_TIMEOUT_MS = 5000;
+// Time that a move or maintenance of a VM takes.
+const VM_ORDER_MS = 100;
 
 /** Starts stand-ins and dispatcher processes; resolves once the dispatchers are ready. */
 export const startJobDeployment = async (options: JobDeploymentOptions): Promise<JobDeployment> => {
     const directory = mkdtempSync(join(tmpdir(), "almondusher-jobs-"));
     const store = await startStoreStandIn();
     store.put("op", "config", configuration());
-    const executors = await Promise.all(
-        Array.from({ length: options.executors }, (unused, index) =>
-            startExecutorStandIn({
-                store,
-                id: `i-${index}`,
-                service: JOB_POOL,
-                runMs: options.runMs,
-                path: options.path,
-            }),
-        ),
+    const executors: ExecutorStandIn[] = [];
+    const startExecutor = async (id: string, vm: string): Promise<ExecutorStandIn> => {
+        const { runMs, path, gangs } = options;
+        const started = await startExecutorStandIn({ store, id, vm, service: JOB_POOL, runMs, path, gangs });
+        executors.push(started);
+        return started;
+    };
+    const names = Array.from({ length: options.executors }, (unused, index) => `i-${index}`);
+    const initial = await Promise.all(
+        names.map(async id => [`vm-${id}`, await startExecutor(id, `vm-${id}`)] as const),
     );
+    const spare = Array.from({ length: options.spareVms ?? 0 }, (unused, index) => `vm-spare-${index}`);
     const vms = await startVmServiceStandIn({
         ...options.vmService,
-        vms: executors.map(({ id }) => ({ id: `vm-${id}`, pool: options.vmPool ?? JOB_POOL, executor: id })),
+        vms: [
+            ...names.map(id => ({ id: `vm-${id}`, pool: options.vmPool ?? JOB_POOL, executor: id })),
+            ...spare.map(id => ({ id, pool: SPARE_POOL, executor: undefined })),
+        ],
+        effects: options.spareVms === undefined ? undefined : createVmOrderEffects(new Map(initial), startExecutor),
     });
     const dispatchers: DeployedDispatcher[] = [];
     const command = [...(options.nodeFlags ?? []), ...programArguments(options.program)];
@@ -244,6 +262,31 @@
         async () => (await sendJobRequest(dispatcher, "GET", job)).body.state === state,
     );
 
+const createVmOrderEffects = (
+    executorByVm: Map<string, ExecutorStandIn>,
+    startExecutor: (id: string, vm: string) => Promise<ExecutorStandIn>,
+): VmOrderEffects => {
+    let lives = 0;
+    return {
+        isLeaving: vm => {
+            const executor = executorByVm.get(vm);
+            return executor !== undefined && executor.status().state !== "ready";
+        },
+        replaceExecutor: async (vm, pool) => {
+            executorByVm.get(vm)?.leave();
+            executorByVm.delete(vm);
+            await sleep(VM_ORDER_MS);
+            if (pool === SPARE_POOL) {
+                return undefined;
+            }
+            lives++;
+            const next = await startExecutor(`i-new-${lives}`, vm);
+            executorByVm.set(vm, next);
+            return next.id;
+        },
+    };
+};
+
 const configuration = (): object => ({
     version: 1,
     routes: [
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -1,4 +1,6 @@
+import { setTimeout as sleep } from "node:timers/promises";
 import { z } from "zod";
+import type { GangRuns } from "./gang-runs.js";
 import { reply, startJsonServer, type JsonReply, type JsonRequest } from "./json-server.js";
 import type { NarrowPath } from "./narrow-path.js";
 import type { StoreStandIn } from "./store.js";
@@ -12,6 +14,8 @@
     | { readonly kind: "late-starts"; readonly delayMs: number }
     /** Carries out the next start at once and answers it after the delay; later requests are answered at once. */
     | { readonly kind: "held-answer"; readonly delayMs: number }
+    /** Draws for each request whether it is answered. Late starts and stops also reach a later life with this id. */
+    | { readonly kind: "unreliable"; readonly drawOutcome: (request: "order" | "hold") => RequestOutcome }
     /** Each run fails after 1 ms. */
     | { readonly kind: "fails" }
     /** Answers no requests. */
@@ -19,6 +23,12 @@
     /** Closes the connection of each request whose fencing token is in this range, and carries none of them out. */
     | CutOff;
 
+/** What happens to a request: a lost answer closes the connection, and a late order is carried out after the delay. */
+export type RequestOutcome =
+    | { readonly kind: "answered" }
+    | { readonly kind: "lost-answer" }
+    | { readonly kind: "late"; readonly delayMs: number };
+
 /** Range of fencing tokens, both ends included. */
 interface CutOff {
     readonly kind: "cut-off";
@@ -27,13 +37,22 @@
     readonly toToken?: number;
 }
 
+/** State of an executor as the registry and its runs show it. */
+interface ExecutorStatus {
+    readonly state: "ready" | "draining" | "gone";
+    /** When the state, or the current life, began, in milliseconds of the monotonic clock. */
+    readonly sinceMs: number;
+    /** CPU capacity that no run uses. */
+    readonly freeCpu: number;
+}
+
 /** Record of a run, which is kept after the run has ended. */
-interface StartedRun {
+export interface StartedRun {
     readonly task: string;
     readonly run: number;
     readonly startedAtMs: number;
     endedAtMs: number | undefined;
-    /** `done`, `failed`, `stopped`, `lapsed` or `crashed`; undefined while the run is active. */
+    /** `done`, `failed`, `stopped`, `lapsed`, `broken`, `alone` or `crashed`; undefined while the run is active. */
     how: string | undefined;
     /** A scheduler has acknowledged the end, and the executor's lease has not expired between the two. */
     endAcknowledged: boolean;
@@ -43,6 +62,7 @@
 export interface ExecutorStandIn {
     readonly id: string;
     readonly address: string;
+    readonly vm: string;
     setFault: (fault: ExecutorFault) => void;
     /** All runs in the order of their starts, also those from before a restart. */
     readonly started: readonly StartedRun[];
@@ -52,6 +72,11 @@
     readonly peakCpu: () => number;
     /** Simulates a crash and restart: all runs end, the state is lost, and the executor registers again under its id. */
     readonly restart: () => void;
+    /** Reports `draining`, ends after the time, and starts again under its id after the pause. */
+    readonly drain: (remainingMs: number, pauseMs: number) => Promise<void>;
+    /** Ends the executor for good, with all its runs, and removes its registration. */
+    readonly leave: () => void;
+    readonly status: () => ExecutorStatus;
     /** Removes the registration for good. Runs go on. */
     readonly unregister: () => void;
     readonly close: () => Promise<void>;
@@ -61,9 +86,13 @@
     readonly store: StoreStandIn;
     readonly id: string;
     readonly service: string;
-    /** Run time of a task in milliseconds. */
+    /** Run time of a task in milliseconds; infinite for a task that runs until it is stopped. */
     readonly runMs: (task: string) => number;
     readonly cpu?: number;
+    /** VM on which the executor runs; named after the executor if undefined. */
+    readonly vm?: string;
+    /** Gangs whose members may run on several executors; none if undefined. */
+    readonly gangs?: GangRuns | undefined;
     /** Path that carries the requests to this executor; unlimited if undefined. */
     readonly path?: NarrowPath | undefined;
 }
@@ -96,8 +125,10 @@
 const HEARTBEAT_MS = 500;
 const DEFAULT_CPU = 4000;
 const MEMORY_MB = 8000;
-// CPU demand of each task in the tests.
-const TASK_CPU = 1000;
+/** CPU demand of each task in the tests, in thousandths of a core. */
+export const TASK_CPU = 1000;
+// After this time a task that runs until it is stopped is at work.
+const STARTUP_MS = 300;
 const LEASE_CHECK_MS = 20;
 // A longer lease is shortened to this length.
 const MAX_LEASE_MS = 6000;
@@ -106,7 +137,7 @@
 
 /** Starts an executor, registers it in the store and keeps renewing the registration. */
 export const startExecutorStandIn = async (options: ExecutorStandInOptions): Promise<ExecutorStandIn> => {
-    const { store, id, service, runMs, cpu = DEFAULT_CPU, path } = options;
+    const { store, id, service, runMs, cpu = DEFAULT_CPU, path, vm = `vm-${id}`, gangs } = options;
     const started: ExecutorRun[] = [];
     /** Highest run number that was started or stopped, by task. A start must name a higher one. */
     const highestRuns = new Map<string, number>();
@@ -123,6 +154,11 @@
     let sequenceNumber = 0;
     let peakCapacity = 0;
     let fault: ExecutorFault = { kind: "none" };
+    let state: ExecutorStatus["state"] = "ready";
+    let stateSinceMs = performance.now();
+    /** When a draining executor ends, in milliseconds of the monotonic clock. */
+    let drainEndMs = 0;
+    let hasLeft = false;
     /** Resolves the hold requests that wait for a run to end. */
     let waitingHolds: (() => void)[] = [];
 
@@ -136,7 +172,14 @@
         waitingHolds = [];
         pending.forEach(resume => resume());
     };
+    const setState = (next: ExecutorStatus["state"]): void => {
+        state = next;
+        stateSinceMs = performance.now();
+    };
     const endRun = (run: ExecutorRun, how: string): void => {
+        if (run.how !== undefined) {
+            return;
+        }
         clearTimeout(run.timer);
         run.how = how;
         run.endedAtMs = performance.now();
@@ -144,6 +187,16 @@
         endCount++;
         ends.push({ number: endCount, run });
         wakeHolds();
+        gangs?.leave(run, how);
+    };
+    const beginWork = (run: ExecutorRun): void => {
+        if (gangs?.join(run, how => endRun(run, how)) === true) {
+            return;
+        }
+        const durationMs = fault.kind === "fails" ? 1 : runMs(run.task);
+        if (Number.isFinite(durationMs)) {
+            run.timer = setTimeout(() => endRun(run, fault.kind === "fails" ? "failed" : "done"), durationMs);
+        }
     };
     const beginRun = (task: string, number: number): void => {
         const run: ExecutorRun = {
@@ -155,13 +208,10 @@
             endAcknowledged: false,
             timer: undefined,
         };
-        run.timer = setTimeout(
-            () => endRun(run, fault.kind === "fails" ? "failed" : "done"),
-            fault.kind === "fails" ? 1 : runMs(task),
-        );
         started.push(run);
         active.set(task, run);
         highestRuns.set(task, number);
+        beginWork(run);
         peakCapacity = Math.max(peakCapacity, active.size * TASK_CPU);
     };
     const reject = (reason: string): JsonReply => reply(409, { ...clockFields(), reason });
@@ -202,9 +252,31 @@
             case "fails":
             case "silent":
             case "cut-off":
+            case "unreliable":
                 return handleStart(body);
         }
     };
+    const carryOutUnreliably = (
+        carryOut: () => Promise<JsonReply> | JsonReply,
+        outcome: RequestOutcome,
+    ): Promise<JsonReply> | JsonReply => {
+        switch (outcome.kind) {
+            case "answered":
+                return carryOut();
+            case "lost-answer":
+                void carryOut();
+                return { kind: "disconnect" };
+            case "late":
+                setTimeout(() => {
+                    if (state !== "gone") {
+                        void carryOut();
+                    }
+                }, outcome.delayMs);
+                return { kind: "disconnect" };
+        }
+    };
+    const drawOutcome = (request: "order" | "hold"): RequestOutcome =>
+        fault.kind === "unreliable" ? fault.drawOutcome(request) : { kind: "answered" };
     const handleStop = (body: unknown): JsonReply => {
         const { task, run, fence_token: fencingToken } = stopSchema.parse(body);
         if (fencingToken < highestToken) {
@@ -246,6 +318,9 @@
                 });
             });
         }
+        if (state === "gone") {
+            return { kind: "disconnect" };
+        }
         return reply(200, {
             ...clockFields(),
             active: [...active.values()].map(run => [run.task, run.run, "", progressPercent(run, runMs), 0]),
@@ -253,6 +328,9 @@
         });
     };
     const handle = (request: JsonRequest): Promise<JsonReply> | JsonReply => {
+        if (state === "gone") {
+            return { kind: "disconnect" };
+        }
         if (fault.kind === "silent") {
             return { kind: "no-reply" };
         }
@@ -264,11 +342,11 @@
         }
         switch (request.path) {
             case "/-/run-start":
-                return handleStartWithFault(request.body);
+                return carryOutUnreliably(() => handleStartWithFault(request.body), drawOutcome("order"));
             case "/-/run-stop":
-                return handleStop(request.body);
+                return carryOutUnreliably(() => handleStop(request.body), drawOutcome("order"));
             case "/-/hold":
-                return handleHold(request.body);
+                return carryOutUnreliably(() => handleHold(request.body), drawOutcome("hold"));
             default:
                 return reply(404);
         }
@@ -278,6 +356,9 @@
         return handle(request);
     });
     const register = (): void => {
+        if (state === "gone") {
+            return;
+        }
         sequenceNumber++;
         store.put("servers", id, {
             service,
@@ -285,11 +366,12 @@
             zone: "dc-1",
             version: "v1",
             slots: 8,
-            state: "ready",
+            state,
+            ...(state === "draining" ? { remaining_ms: Math.max(0, Math.round(drainEndMs - performance.now())) } : {}),
             cold_left_ms: 0,
             capacity: { cpu, mem_mb: MEMORY_MB, gpu: 0 },
             labels: ["a", "r1-1"],
-            machine: `vm-${id}`,
+            machine: vm,
             born,
             clock_ms: clock(),
             seq_no: sequenceNumber,
@@ -303,30 +385,63 @@
             [...active.values()].forEach(run => endRun(run, "lapsed"));
         }
     }, LEASE_CHECK_MS);
+    const crash = (): void => {
+        const crashed = [...active.values()];
+        active = new Map();
+        crashed.forEach(run => {
+            clearTimeout(run.timer);
+            run.how = "crashed";
+            run.endedAtMs = performance.now();
+            gangs?.leave(run, "crashed");
+        });
+        highestRuns.clear();
+        ends = [];
+        endCount = 0;
+        highestToken = 0;
+        leaseEndMs = 0;
+    };
+    const restart = (): void => {
+        crash();
+        born = Date.now();
+        clockStartMs = performance.now();
+        setState("ready");
+        register();
+        wakeHolds();
+    };
+    const goAway = (): void => {
+        crash();
+        setState("gone");
+        store.remove("servers", id);
+        wakeHolds();
+    };
     return {
         id,
         address: server.address,
+        vm,
         started,
         setFault: next => (fault = next),
         unacknowledgedEnds: () => ends.length,
         peakCpu: () => peakCapacity,
-        restart: () => {
-            active.forEach(run => {
-                clearTimeout(run.timer);
-                run.how = "crashed";
-                run.endedAtMs = performance.now();
-            });
-            active = new Map();
-            highestRuns.clear();
-            ends = [];
-            endCount = 0;
-            highestToken = 0;
-            leaseEndMs = 0;
-            born = Date.now();
-            clockStartMs = performance.now();
+        restart,
+        drain: async (remainingMs, pauseMs) => {
+            drainEndMs = performance.now() + remainingMs;
+            setState("draining");
             register();
-            wakeHolds();
+            await sleep(remainingMs);
+            // The VM may have been moved in the meantime.
+            if (hasLeft) {
+                return;
+            }
+            goAway();
+            await sleep(pauseMs);
+            restart();
         },
+        leave: () => {
+            hasLeft = true;
+            clearInterval(heartbeat);
+            goAway();
+        },
+        status: () => ({ state, sinceMs: stateSinceMs, freeCpu: cpu - active.size * TASK_CPU }),
         unregister: () => {
             clearInterval(heartbeat);
             store.remove("servers", id);
@@ -345,4 +460,6 @@
     token >= fromToken && token <= toToken;
 
 const progressPercent = (run: StartedRun, runMs: (task: string) => number): number =>
-    Math.min(100, Math.round(((performance.now() - run.startedAtMs) / runMs(run.task)) * 100));
+    Math.min(100, Math.round(((performance.now() - run.startedAtMs) / workMs(runMs(run.task))) * 100));
+
+const workMs = (durationMs: number): number => (Number.isFinite(durationMs) ? durationMs : STARTUP_MS);
