--- a/bench/system/bin/partition-soak.js
+++ b/bench/system/bin/partition-soak.js
@@ -1,4 +1,6 @@
 #!/usr/bin/env node
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { runPartitionSoak } from "../dist/partition-soak.js";
 
@@ -9,17 +11,26 @@
         dispatchers: { type: "string", default: "3" },
         executors: { type: "string", default: "4" },
         faults: { type: "string", default: "3" },
+        // Directory for the logs of the dispatchers, one file for each failed seed.
+        logs: { type: "string" },
+        workload: { type: "string", default: "mixed" },
     },
 });
 const firstSeed = Number(values["first-seed"]);
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
-    const result = await runPartitionSoak({
+    const { decisions, ...result } = await runPartitionSoak({
         seed,
         dispatchers: Number(values.dispatchers),
         executors: Number(values.executors),
         faults: Number(values.faults),
+        workload: values.workload === "plain" ? "plain" : "mixed",
     });
-    const failed = result.overlappingRuns + result.startedAfterDone.length + result.unfinished.length > 0;
+    const failures = [result.startedAfterDone, result.stalled, result.unfinished];
+    const failed = result.overlappingRuns > 0 || failures.some(({ length }) => length > 0);
+    if (failed && values.logs !== undefined) {
+        mkdirSync(values.logs, { recursive: true });
+        writeFileSync(join(values.logs, `seed-${seed}.txt`), decisions.join("\n"));
+    }
     console.log(JSON.stringify({ seed, failed, ...result }));
     process.exitCode = failed ? 1 : process.exitCode;
 }
--- a/bench/system/src/partition-soak.ts
+++ b/bench/system/src/partition-soak.ts
@@ -1,20 +1,20 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { uniformInt } from "pure-rand/distribution/uniformInt";
-import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { startTcpRelay, type TcpRelay } from "@almondusher/endpoint-stand-in/tcp-relay";
 import type { ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
+import { createGangRuns } from "@almondusher/job-platform-stand-in/gang-runs";
+import { createDraw, type Draw } from "./draw.js";
+import { createFaultPeriod, type FaultPeriod } from "./fault-period.js";
 import {
     countOverlappingRuns,
-    findScheduler,
-    hasEnded,
-    jobId,
-    jobOfTasks,
     sendJobRequest,
     startJobDeployment,
     waitUntil,
-    type DeployedDispatcher,
     type JobDeployment,
 } from "./job-deployment.js";
+import { playFault, type FaultOptions } from "./play-fault.js";
+import { drawMixedJob, isLasting, plainJob, stepOfTask, type SoakJob } from "./soak-job.js";
+import { sendTo, startSoaked, type SoakedDispatcher } from "./soaked-dispatcher.js";
+import { submitJobs, type Submission } from "./submit-jobs.js";
+import { watchProgress, type ProgressWatch } from "./watch-progress.js";
 
 /** Size of a soak, and the seed of its faults. */
 export interface PartitionSoakOptions {
@@ -23,6 +23,11 @@
     readonly executors: number;
     /** Number of faults, one after the other; each cuts, pauses or kills several parts at once. */
     readonly faults: number;
+    /**
+     * `plain`: jobs of one step in a full pool, and cut paths. `mixed`: also jobs with several steps, gangs and long-running
+     * tasks, late orders, lost answers, restarts, drains and maintenance, in a pool with room.
+     */
+    readonly workload: "plain" | "mixed";
 }
 
 /** What a soak has shown. */
@@ -31,224 +36,169 @@
     readonly faults: readonly string[];
     readonly accepted: number;
     readonly runs: number;
+    /** Numbers of VMs that were moved and maintained. */
+    readonly vmOrders: { readonly moves: number; readonly maintained: number };
+    /** Number of samples, 100 ms apart, in which waits counted. */
+    readonly calmSamples: number;
     /** Number of runs during which another run of the same task was active. */
     readonly overlappingRuns: number;
     /** Tasks that were started after an acknowledged end as done. */
     readonly startedAfterDone: readonly string[];
-    /** Accepted jobs that were not completed in time after the last fault. */
+    /** Tasks that waited for 3 s with room, without a fault in this time or shortly before, with the events about them. */
+    readonly stalled: readonly string[];
+    /** Accepted jobs that were not completed in time after the last fault, or did not end when they were cancelled. */
     readonly unfinished: readonly string[];
+    /** Log lines of the dispatchers in the order of their times, in seconds of the times that the stalls name. */
+    readonly decisions: readonly string[];
 }
 
-const FAULT_MIN_MS = 1500;
-const FAULT_MAX_MS = 8000;
 const PAUSE_MAX_MS = 2500;
-const SUBMIT_INTERVAL_MS = 400;
+const PLAIN_SUBMIT_INTERVAL_MS = 400;
+const MIXED_SUBMIT_INTERVAL_MS = 800;
 const MAX_TASKS = 4;
+const MAX_LASTING_JOBS = 2;
 const RUN_MIN_MS = 200;
-const RUN_MAX_MS = 9000;
+const PLAIN_RUN_MAX_MS = 9000;
+const MIXED_RUN_MAX_MS = 2500;
+const SPARE_VMS = 1;
+// Covers the latest orders, and a wait that is too long after them.
+const CALM_MS = 20_000;
+const WAVE_WITHIN_S = 30;
 // Covers a takeover, the wait for runs on executors that cannot be reached, and the longest runs one after the other.
 const COMPLETION_TIMEOUT_MS = 60_000;
+const CANCEL_TIMEOUT_MS = 10_000;
 
-/** Draws integers between two bounds, both included. */
-type Draw = (from: number, to: number) => number;
-
-const createDraw = (seed: number): Draw => {
-    const generator = xoroshiro128plus(seed);
-    return (from, to) => uniformInt(generator, from, to);
-};
-
-/** A dispatcher process and its path to the store, which can be cut. */
-interface SoakedDispatcher {
-    readonly vm: string;
-    relay: TcpRelay;
-    process: DeployedDispatcher;
-}
-
-/** Sends jobs to dispatchers while paths are cut and processes paused and killed, and checks that each task runs once. */
+/** Sends jobs to dispatchers during faults, and checks that each task runs once and none waits without need. */
 export const runPartitionSoak = async (options: PartitionSoakOptions): Promise<PartitionSoakResult> => {
+    const { seed, workload } = options;
     // One source for each, so that the faults of a seed do not depend on when tasks start.
-    const [drawFault, drawJob, drawRunTime] = [0, 1, 2].map(source => createDraw(3 * options.seed + source)) as [
+    const [drawFault, drawJob, drawRunTime] = [0, 1, 2].map(source => createDraw(3 * seed + source)) as [
         Draw,
         Draw,
         Draw,
     ];
+    const drawDisruption = workload === "mixed" ? createDraw(-1 - seed) : undefined;
     const runTimes = new Map<string, number>();
+    let sent: ReadonlyMap<string, SoakJob> = new Map();
+    const runMs = (task: string): number => {
+        if (stepOfTask(sent, task)?.long_running === true) {
+            return Number.POSITIVE_INFINITY;
+        }
+        const drawnMs =
+            runTimes.get(task) ?? drawRunTime(RUN_MIN_MS, workload === "mixed" ? MIXED_RUN_MAX_MS : PLAIN_RUN_MAX_MS);
+        runTimes.set(task, drawnMs);
+        return drawnMs;
+    };
+    const sizeOf = (task: string): number | undefined => {
+        const step = stepOfTask(sent, task);
+        return step?.gang === true ? step.count : undefined;
+    };
     const deployment = await startJobDeployment({
         dispatchers: 0,
         executors: options.executors,
-        runMs: task => {
-            const runMs = runTimes.get(task) ?? drawRunTime(RUN_MIN_MS, RUN_MAX_MS);
-            runTimes.set(task, runMs);
-            return runMs;
-        },
+        runMs,
+        gangs: createGangRuns({ sizeOf, runMs }),
+        ...(workload === "mixed" ? { spareVms: SPARE_VMS } : {}),
     });
     const dispatchers: SoakedDispatcher[] = [];
     try {
         for (const index of Array.from({ length: options.dispatchers }).keys()) {
             dispatchers.push(await startSoaked(deployment, `entry-${index}`));
         }
-        const submission = submitJobs(dispatchers, drawJob);
-        const faults = await playFaults(options, deployment, dispatchers, drawFault);
-        return await checkResult(deployment, dispatchers, faults, await submission.stop());
+        const submission = submitJobs({
+            dispatchers,
+            draw: drawJob,
+            intervalMs: workload === "mixed" ? MIXED_SUBMIT_INTERVAL_MS : PLAIN_SUBMIT_INTERVAL_MS,
+            nextJob: workload === "mixed" ? createMixedJobs(drawJob) : () => plainJob(drawJob(1, MAX_TASKS)),
+        });
+        sent = submission.sent;
+        const period = createFaultPeriod();
+        const watch = watchProgress({ deployment, submission, faults: period });
+        const faultOptions = { deployment, dispatchers, draw: drawFault, drawDisruption };
+        const faults = await playFaults(options.faults, faultOptions, period);
+        if (workload === "mixed") {
+            await sleep(CALM_MS);
+        }
+        await submission.stop();
+        return await checkResult({ deployment, dispatchers, faults, submission, watch });
     } finally {
         await deployment.close();
         await Promise.all(dispatchers.map(({ relay }) => relay.close()));
     }
 };
 
-const startSoaked = async (deployment: JobDeployment, vm: string): Promise<SoakedDispatcher> => {
-    const relay = await startTcpRelay({ target: deployment.store.address });
-    return { vm, relay, process: await deployment.startDispatcher(vm, relay.address) };
+const createMixedJobs = (draw: Draw): (() => SoakJob) => {
+    let lasting = 0;
+    return () => {
+        const job = drawMixedJob(draw, lasting < MAX_LASTING_JOBS);
+        lasting += isLasting(job) ? 1 : 0;
+        return job;
+    };
 };
 
-const playFaults = async (
-    options: PartitionSoakOptions,
-    deployment: JobDeployment,
-    dispatchers: readonly SoakedDispatcher[],
-    draw: Draw,
-): Promise<readonly string[]> => {
+const playFaults = async (count: number, options: FaultOptions, period: FaultPeriod): Promise<readonly string[]> => {
     const faults: string[] = [];
-    for (let fault = 0; fault < options.faults; fault++) {
-        faults.push(await playFault(deployment, dispatchers, draw));
-        await sleep(draw(0, PAUSE_MAX_MS));
+    for (let fault = 1; fault <= count; fault++) {
+        const wave = options.drawDisruption === undefined ? "" : requestWave(options, fault, options.drawDisruption);
+        period.begin();
+        faults.push((await playFault(options)) + wave);
+        period.end();
+        await sleep(options.draw(0, PAUSE_MAX_MS));
     }
     return faults;
 };
 
-const checkResult = async (
-    deployment: JobDeployment,
-    dispatchers: readonly SoakedDispatcher[],
-    faults: readonly string[],
-    accepted: readonly string[],
-): Promise<PartitionSoakResult> => ({
-    faults,
-    accepted: accepted.length,
-    // Awaited first: the other figures cover the time until the jobs are completed.
-    unfinished: await unfinishedJobs(dispatchers, accepted),
-    runs: deployment.executors.reduce((sum, { started }) => sum + started.length, 0),
-    overlappingRuns: countOverlappingRuns(deployment),
-    startedAfterDone: startsAfterAcknowledgedEnd(deployment.executors),
-});
-
-/** Faults of one kind or several at the same moment, drawn independently; returns a description. */
-const playFault = async (
-    deployment: JobDeployment,
-    dispatchers: readonly SoakedDispatcher[],
-    draw: Draw,
-): Promise<string> => {
-    const holder = dispatchers.find(({ process }) => process === findScheduler(deployment)) ?? dispatchers[0];
-    if (holder === undefined) {
-        throw new Error("no dispatcher");
-    }
-    const durationMs = draw(FAULT_MIN_MS, FAULT_MAX_MS);
-    const cuts = deployment.executors.map(executor => cutExecutor(executor, holderToken(deployment), draw));
-    const holderFault = (["none", "store", "store", "store", "pause", "kill"] as const)[draw(0, 5)] ?? "none";
-    const heal = await startHolderFault(deployment, holder, holderFault);
-    await sleep(durationMs);
-    deployment.executors.forEach(executor => executor.setFault({ kind: "none" }));
-    await heal();
-    return `${holder.vm} ${holderFault}, executors ${cuts.join(" ")}, ${durationMs} ms`;
-};
-
-const holderToken = ({ store }: JobDeployment): number => {
-    const lease = store.rows("leases").find(({ key }) => key.startsWith("pool/"))?.value as
-        { readonly epoch?: number } | undefined;
-    return lease?.epoch ?? 0;
-};
-
-/** Cuts an executor off from the holder, from its successors, or from neither. */
-const cutExecutor = (executor: ExecutorStandIn, token: number, draw: Draw): string => {
-    const from = (["neither", "holder", "successors"] as const)[draw(0, 2)] ?? "neither";
-    switch (from) {
-        case "neither":
-            break;
-        case "holder":
-            executor.setFault({ kind: "cut-off", fromToken: 0, toToken: token });
-            break;
-        case "successors":
-            executor.setFault({ kind: "cut-off", fromToken: token + 1 });
-            break;
+/** Requests the maintenance of a drawn VM in addition to some faults; returns a description. */
+const requestWave = ({ deployment }: FaultOptions, number: number, draw: Draw): string => {
+    const executors = deployment.executors.filter(executor => executor.status().state === "ready");
+    const vm = executors[draw(0, executors.length - 1)]?.vm;
+    if (vm === undefined || draw(0, 1) === 0) {
+        return "";
     }
-    return from;
+    deployment.store.put("op", `wave/${number}`, { wave: number, machines: [vm], within_s: WAVE_WITHIN_S, cap: 1 });
+    return `, maintenance of ${vm}`;
 };
 
-/** Starts a fault of a dispatcher and returns how to end it. */
-const startHolderFault = async (
-    deployment: JobDeployment,
-    holder: SoakedDispatcher,
-    fault: "none" | "store" | "pause" | "kill",
-): Promise<() => Promise<void> | void> => {
-    switch (fault) {
-        case "none":
-            return () => undefined;
-        case "store": {
-            const port = Number(holder.relay.address.split(":")[1]);
-            await holder.relay.close();
-            return async () => {
-                holder.relay = await startTcpRelay({ target: deployment.store.address, port });
-            };
-        }
-        case "pause":
-            holder.process.process.kill("SIGSTOP");
-            return () => void holder.process.process.kill("SIGCONT");
-        case "kill":
-            holder.process.process.kill("SIGKILL");
-            await holder.process.ended;
-            return async () => {
-                holder.process = await deployment.startDispatcher(holder.vm, holder.relay.address);
-            };
-    }
-};
+interface SoakOutcome {
+    readonly deployment: JobDeployment;
+    readonly dispatchers: readonly SoakedDispatcher[];
+    readonly faults: readonly string[];
+    readonly submission: Submission;
+    readonly watch: ProgressWatch;
+}
 
-/** Sends jobs, each to a drawn dispatcher, until it is stopped; `stop` returns the ids of the accepted ones. */
-const submitJobs = (
-    dispatchers: readonly SoakedDispatcher[],
-    draw: Draw,
-): { readonly stop: () => Promise<readonly string[]> } => {
-    const accepted: string[] = [];
-    let stopped = false;
-    const submitOne = async (number: number): Promise<void> => {
-        const entry = dispatchers[draw(0, dispatchers.length - 1)];
-        const body = jobOfTasks(draw(1, MAX_TASKS));
-        const status = await sendTo(entry, "POST", jobId(number), body);
-        if (status === 200) {
-            accepted.push(jobId(number));
-        }
-    };
-    const submitAll = async (): Promise<void> => {
-        const calls: Promise<void>[] = [];
-        for (let number = 1; !stopped; number++) {
-            calls.push(submitOne(number));
-            await sleep(SUBMIT_INTERVAL_MS);
-        }
-        await Promise.all(calls);
-    };
-    const running = submitAll();
+const checkResult = async ({
+    deployment,
+    dispatchers,
+    faults,
+    submission: { sent, accepted },
+    watch,
+}: SoakOutcome): Promise<PartitionSoakResult> => {
+    const lasts = (id: string): boolean => isLasting(sent.get(id) ?? plainJob(1));
+    // Awaited first: the other figures cover the time until the jobs are completed.
+    const open = await unfinishedJobs(
+        dispatchers,
+        [...accepted].filter(id => !lasts(id)),
+    );
+    const stalled = watch.stop();
+    const uncancelled = await cancelJobs(deployment, dispatchers, [...accepted].filter(lasts));
     return {
-        stop: async () => {
-            stopped = true;
-            await running;
-            return accepted;
+        faults,
+        accepted: accepted.size,
+        unfinished: [...open, ...uncancelled],
+        stalled,
+        calmSamples: watch.calmSamples(),
+        runs: deployment.executors.reduce((sum, { started }) => sum + started.length, 0),
+        vmOrders: {
+            moves: deployment.vms.orders.filter(({ kind }) => kind === "move").length,
+            maintained: deployment.vms.orders.filter(({ kind }) => kind === "upkeep").length,
         },
+        overlappingRuns: countOverlappingRuns(deployment),
+        startedAfterDone: startsAfterAcknowledgedEnd(deployment.executors),
+        decisions: decisionsOf(deployment),
     };
 };
 
-/** Status of the response; undefined if the process does not respond. */
-const sendTo = async (
-    entry: SoakedDispatcher | undefined,
-    method: "POST" | "GET",
-    job: string,
-    body?: object,
-): Promise<number | undefined> => {
-    if (entry === undefined || hasEnded(entry.process)) {
-        return undefined;
-    }
-    return sendJobRequest(entry.process, method, job, body).then(
-        ({ status }) => status,
-        () => undefined,
-    );
-};
-
 const unfinishedJobs = async (
     dispatchers: readonly SoakedDispatcher[],
     accepted: readonly string[],
@@ -265,6 +215,21 @@
     return open;
 };
 
+/** Cancels jobs and returns those that still run after a while. */
+const cancelJobs = async (
+    deployment: JobDeployment,
+    [entry]: readonly SoakedDispatcher[],
+    jobs: readonly string[],
+): Promise<readonly string[]> => {
+    await Promise.all(jobs.map(job => sendTo(entry, "DELETE", job)));
+    const isActive = (job: string): boolean =>
+        deployment.executors.some(({ started }) =>
+            started.some(({ task, how }) => how === undefined && task.startsWith(job)),
+        );
+    await waitUntil("the cancelled jobs to end", CANCEL_TIMEOUT_MS, () => !jobs.some(isActive)).catch(() => undefined);
+    return jobs.filter(isActive);
+};
+
 const startsAfterAcknowledgedEnd = (executors: readonly ExecutorStandIn[]): readonly string[] => {
     const runs = executors.flatMap(({ started }) => started);
     const done = runs.filter(({ how, endAcknowledged }) => how === "done" && endAcknowledged);
@@ -272,3 +237,10 @@
         .filter(run => done.some(({ task, endedAtMs = Infinity }) => task === run.task && run.startedAtMs > endedAtMs))
         .map(({ task }) => task);
 };
+
+const decisionsOf = ({ dispatchers }: JobDeployment): readonly string[] =>
+    dispatchers
+        .flatMap(({ log }) => log)
+        .map(line => ({ atMs: Date.parse(String(line["time"])) - performance.timeOrigin, line }))
+        .sort((left, right) => left.atMs - right.atMs)
+        .map(({ atMs, line }) => `${(atMs / 1000).toFixed(2)} ${JSON.stringify(line)}`);
--- a/bench/system/test/partition-soak.test.ts
+++ b/bench/system/test/partition-soak.test.ts
@@ -10,7 +10,13 @@
     // Paths between each dispatcher, the store and each executor are cut at the same moment, so that a former holder and its
     // successor reach different executors.
     test(`no task runs twice and no job is lost while paths are cut and processes paused and killed, seed ${seed}`, async context => {
-        const result = await runPartitionSoak({ seed, dispatchers: 3, executors: 4, faults: FAULTS });
+        const result = await runPartitionSoak({
+            seed,
+            dispatchers: 3,
+            executors: 4,
+            faults: FAULTS,
+            workload: "plain",
+        });
         result.faults.forEach(fault => context.diagnostic(fault));
         context.diagnostic(`${result.accepted} jobs accepted, ${result.runs} runs`);
         assert.ok(result.accepted > 0);
