--- a/pools/upkeep/src/moves.ts
+++ b/pools/upkeep/src/moves.ts
@@ -21,7 +21,10 @@
     readonly vms: ReadonlyMap<VmId, FleetVm>;
     readonly spare: PoolName | undefined;
     readonly needs: readonly PoolNeed[];
-    /** VMs with a pending maintenance or move request, and VMs that are being evacuated for maintenance. */
+    /**
+     * VMs with a pending maintenance or move request, VMs whose last request was refused a short while ago, and VMs that are
+     * being evacuated for maintenance.
+     */
     readonly unavailableForMove: ReadonlySet<VmId>;
     /** VMs of `unavailableForMove` that are being evacuated for maintenance and get no tasks until it is over. */
     readonly evacuatingForMaintenance: ReadonlySet<VmId>;
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -323,3 +323,22 @@
     fleet.advance(LATE_ORDER_MS);
     await waitUntil("the next order", () => fleet.orders.length > sent);
 });
+
+test("a VM whose move out of its pool is rejected as overloaded for long serves the pool again for a while", async context => {
+    const fleet = await startFleet(context, { listedPool: POOL_A });
+    fleet.orderStatus = 503;
+    const demand = { neededVms: 0, wantedVms: 0, removable: [VM], losing: [] };
+    fleet.records.set(POOL_A, recordOf({ demand }));
+    fleet.records.set(POOL_B, recordOf({ demand: { neededVms: 2, wantedVms: 2, removable: [], losing: [] } }));
+    const evacuations = (): readonly { readonly id: string }[] => fleet.manager.leaseContent().evacuations;
+    await waitUntil("the evacuation", () => evacuations().length > 0);
+    fleet.records.set(POOL_A, recordOf({ demand, vacated: evacuations().map(({ id }) => id) }));
+    await waitUntil("the repeated order", () => fleet.orders.length > 1);
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the end of the evacuation", () => evacuations().length === 0);
+    const sent = fleet.orders.length;
+    await sleep(SEVERAL_LISTS_MS);
+    assert.deepEqual({ evacuations: evacuations(), sent: fleet.orders.length }, { evacuations: [], sent });
+    fleet.advance(LATE_ORDER_MS);
+    await waitUntil("the next evacuation", () => evacuations().length > 0);
+});
