--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,16 +1,7 @@
 import type { RunReport } from "@almondusher/jobs/executor";
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
 import { forgetRun } from "@almondusher/scheduler/run-table";
-import {
-    acknowledgedEnd,
-    applyAcceptedStart,
-    applyAcceptedStop,
-    confirmStart,
-    endIncarnation,
-    markUnanswered,
-    observeIncarnation,
-    type IncarnationEvidence,
-} from "@almondusher/scheduler/executor-incarnation";
+import { acknowledgedEnd, applyAcceptedStop, endIncarnation } from "@almondusher/scheduler/executor-incarnation";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
 import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
@@ -26,6 +17,7 @@
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
 import type { OrderWindow } from "./order-window.js";
+import { BACKOFF_AFTER_REJECTION_MS, createStartOutcomes } from "./start-outcomes.js";
 
 /** Connection from a pool's scheduler to one executor: sends orders and polls the executor's reports. */
 export interface ExecutorConnection {
@@ -74,12 +66,6 @@
 const IDLE_POLL_MS = 60_000;
 // An unreachable executor is polled, because it can be used again once it answers; an idle reachable one only for its clock.
 const UNREACHABLE_POLL_MS = 1000;
-const BACKOFF_AFTER_REJECTION_MS = 700;
-const BACKOFF_AFTER_UNANSWERED_START_MS = 1500;
-const BACKOFF_AFTER_NO_ROOM_MS = 300;
-// The backoff doubles with each further start that is not accepted, up to this factor, so that it outlasts the time in which
-// the other members of a gang are stopped.
-const MAX_BACKOFF_FACTOR = 4;
 // The first failed poll is retried immediately before the executor is considered unreachable.
 const FAILED_POLLS_UNTIL_UNREACHABLE = 2;
 
@@ -99,9 +85,6 @@
     let clientAddress = executor.record.address;
     let closed = false;
     let failedPolls = 0;
-    /** Number of consecutive starts that were not accepted. */
-    let startsNotAccepted = 0;
-    let startNotAcceptedAtMs = Number.NEGATIVE_INFINITY;
     let cancelWait: (() => void) | undefined;
     let pollRequested = false;
 
@@ -262,32 +245,14 @@
     const backOff = (ms: number): void => {
         executor.backoffUntilMs = Math.max(executor.backoffUntilMs, context.monotonicMs() + ms);
     };
-    const handleStartRejection = (reason: OrderRejection, sentAtMs: number): void => {
-        switch (reason) {
-            case "fenced":
-            case "other-life":
-                handleRejection(reason);
-                break;
-            case "no-room":
-                backOffAfterStart(BACKOFF_AFTER_NO_ROOM_MS, sentAtMs);
-                break;
-            case "unhealthy":
-            case "superseded":
-            case "expired":
-            case "ticket":
-            case "invalid":
-                backOffAfterStart(BACKOFF_AFTER_REJECTION_MS, sentAtMs);
-                break;
-        }
-    };
-    const backOffAfterStart = (initialMs: number, sentAtMs: number): void => {
-        // Starts that were sent together count once.
-        if (sentAtMs >= startNotAcceptedAtMs) {
-            startNotAcceptedAtMs = context.monotonicMs();
-            startsNotAccepted++;
-        }
-        backOff(initialMs * Math.min(2 ** (startsNotAccepted - 1), MAX_BACKOFF_FACTOR));
-    };
+    const startOutcomes = createStartOutcomes({
+        context,
+        tables,
+        ticketRejected: owner.ticketRejected,
+        executor,
+        backOff,
+        handleRejection,
+    });
     const needsPolling = (): boolean =>
         owner.mayHaveSuccessor() ||
         !executor.reconciled ||
@@ -317,61 +282,6 @@
             await pollReport();
         }
     };
-    const applyStartResult = (run: Run, result: OrderResult, sentAtMs: number): void => {
-        switch (result.kind) {
-            case "accepted":
-                startsNotAccepted = 0;
-                acceptStart(run, result.clockMs, sentAtMs);
-                return;
-            case "rejected": {
-                const isOwnReadingOld = isClockReadingOld(executor, sentAtMs, tables.runLeaseMs);
-                recordClock(result.clockMs, sentAtMs);
-                forgetRun(run);
-                logStartNotAccepted(run, result.reason);
-                if (result.reason === "ticket") {
-                    owner.ticketRejected(run);
-                } else if (result.reason === "expired" && isOwnReadingOld && result.clockMs !== undefined) {
-                    // The lease was too short because of the old reading. The answer has a new one for the next start.
-                    return;
-                } else {
-                    handleStartRejection(result.reason, sentAtMs);
-                }
-                return;
-            }
-            case "not-sent":
-                forgetRun(run);
-                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
-                logStartNotAccepted(run, result.reason);
-                return;
-            case "unknown":
-                markUnanswered(run, context.monotonicMs());
-                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
-                logStartNotAccepted(run, result.reason);
-                return;
-        }
-    };
-    const acceptStart = (run: Run, clockMs: number | undefined, sentAtMs: number): void => {
-        if (clockMs === undefined) {
-            confirmStart(tables, run, context.monotonicMs());
-        } else {
-            applyAcceptedStart(tables, run, evidenceOf(clockMs, sentAtMs));
-        }
-    };
-    const recordClock = (clockMs: number | undefined, sentAtMs: number): void => {
-        if (clockMs !== undefined) {
-            observeIncarnation(executor, evidenceOf(clockMs, sentAtMs));
-        }
-    };
-    const evidenceOf = (clockMs: number, sentAtMs: number): IncarnationEvidence => ({
-        clockMs,
-        startedAtMs: undefined,
-        sentAtMs,
-        receivedAtMs: context.monotonicMs(),
-    });
-    const logStartNotAccepted = (run: Run, reason: string): void => {
-        context.metrics.count("starts_not_accepted");
-        context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
-    };
     // An order that fails in this process may have been sent.
     const track = async (send: () => Promise<OrderResult>): Promise<OrderResult> => {
         try {
@@ -405,7 +315,7 @@
                     ticket,
                 }),
             );
-            applyStartResult(run, result, sentAtMs);
+            startOutcomes.apply(run, result, sentAtMs);
             pollNow();
             owner.changed();
         },
