--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -7,6 +7,7 @@
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
 import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
 import { findRun, forgetRun, giveUpRun, markForStop } from "./run-table.js";
+import { mayStillArrive } from "./undelivered-starts.js";
 
 /** A reported run end and, for logging, the task and the run that it belongs to, if they are in the tables. */
 export interface AppliedEnd {
@@ -250,7 +251,8 @@
         .forEach(run => (run.phase = "missing"));
 
 // A complete report that was requested after a run was confirmed must list the run. If it doesn't, the run no longer
-// exists. One that does not list a run whose start request has expired shows that the executor will not execute it.
+// exists. One that does not list a run whose start request has expired, and is not delayed any more, shows that the executor
+// will not execute it.
 const dropMissingRuns = (executor: Executor, report: RunReport, { sentAtMs, receivedAtMs }: ReportTimes): void => {
     const listed = new Set(report.active.map(({ task, run }) => findRun(executor, task, run)));
     executor.runs.forEach(run => {
@@ -259,7 +261,7 @@
         }
         if (run.confirmedAtMs !== undefined && run.confirmedAtMs < sentAtMs) {
             giveUpRun(run, "not-listed", receivedAtMs);
-        } else if (hasStartExpired(run, report.clockMs)) {
+        } else if (hasStartExpired(run, report.clockMs) && !mayStillArrive(run, receivedAtMs)) {
             giveUpRun(run, "start-expired", receivedAtMs);
         }
     });
--- a/pools/scheduler/src/undelivered-starts.ts
+++ b/pools/scheduler/src/undelivered-starts.ts
@@ -3,7 +3,8 @@
 // A call without a response may be carried out seconds later, after newer calls.
 const MAX_ORDER_DELAY_MS = 15_000;
 
-const mayStillArrive = ({ isStartDelivered, startedAtMs }: Run, nowMs: number): boolean =>
+/** True if the start request of a run may still be carried out, unless something makes it fail. */
+export const mayStillArrive = ({ isStartDelivered, startedAtMs }: Run, nowMs: number): boolean =>
     !isStartDelivered && nowMs < startedAtMs + MAX_ORDER_DELAY_MS;
 
 /**
--- a/pools/scheduler/test/undelivered-starts.test.ts
+++ b/pools/scheduler/test/undelivered-starts.test.ts
@@ -10,7 +10,8 @@
 const ANSWER_TIME_MS = 5;
 const START_VALID_UNTIL_MS = 5000;
 const RESTARTED_AT_MS = 1000;
-/** Later than any delay of an order. */
+/** Time for which an order without a response may be delayed, in milliseconds. */
+const LONGEST_DELAY_MS = 15_000;
 const LONG_AFTER_MS = 60_000;
 const RESTARTED = record("a", { startedAtMs: 2, clockMs: 0 });
 
@@ -99,11 +100,20 @@
 });
 
 // An unhealthy executor may reject each stop and answer reports.
-test("a task waits no longer than its start is valid for an executor that accepts no stop", () => {
+test("a task waits for an executor that accepts no stop no longer than its start is valid and may be delayed", () => {
     const { tables, run } = startWithoutAnswer();
-    receiveReport(tables, "a", { clockMs: START_VALID_UNTIL_MS }, START_VALID_UNTIL_MS);
-    assert.equal(place(tables, START_VALID_UNTIL_MS).length, 0, "the executor may still execute the start");
-    receiveReport(tables, "a", { clockMs: START_VALID_UNTIL_MS + 1 }, START_VALID_UNTIL_MS + 1);
-    assert.equal(place(tables, START_VALID_UNTIL_MS + 2).length, 1);
+    const isKept = (clockMs: number, atMs: number): boolean => {
+        receiveReport(tables, "a", { clockMs }, atMs);
+        return place(tables, atMs + 10).length === 0;
+    };
+    assert.ok(isKept(START_VALID_UNTIL_MS + 1, START_VALID_UNTIL_MS), "other runs may have extended the lease");
+    assert.ok(isKept(LONGEST_DELAY_MS - 10, LONGEST_DELAY_MS - 10), "the start may still be delayed");
+    assert.ok(!isKept(LONGEST_DELAY_MS, LONGEST_DELAY_MS));
     assert.equal(run.executor.runs.size, 1);
 });
+
+test("a start that was delayed for long keeps its task until its lease has expired", () => {
+    const { tables } = startWithoutAnswer();
+    receiveReport(tables, "a", { clockMs: START_VALID_UNTIL_MS }, LONGEST_DELAY_MS);
+    assert.equal(place(tables, LONGEST_DELAY_MS + 10).length, 0);
+});
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -86,7 +86,7 @@
     return Object.assign(state, { tables, executor, connection, requests });
 };
 
-const addTaskRun = (tables: PoolTables, executor: Executor, number: number): Run => {
+const addTaskRun = (tables: PoolTables, executor: Executor, number: number, startedAtMs = performance.now()): Run => {
     admitJob(
         tables,
         {
@@ -109,9 +109,12 @@
     );
     const task = tables.jobs.get(JOB)?.occurrences.get(0)?.[0]?.tasks[0];
     assert.ok(task !== undefined);
-    return addRun({ task, number, executor, phase: "starting", startedAtMs: performance.now(), resumedFrom: "" });
+    return addRun({ task, number, executor, phase: "starting", startedAtMs, resumedFrom: "" });
 };
 
+/** Time for which an order without a response may be delayed, in milliseconds. */
+const LONGEST_DELAY_MS = 15_000;
+
 const waitUntil = async (condition: () => boolean): Promise<void> => {
     const endMs = performance.now() + TIMEOUT_MS;
     while (!condition()) {
@@ -238,7 +241,7 @@
     assert.ok(onceMs < 1400, `${onceMs} ms after starts that were sent together`);
 });
 
-test("a task whose start got no response waits no longer than the start is valid, although each stop is rejected", async context => {
+test("a task whose start got no response waits no longer than the start is valid and may be delayed, although each stop is rejected", async context => {
     const startedAtMs = performance.now();
     // Ahead of the reading that the scheduler has, so that the start is valid for one second on it.
     const clockMs = (): number => RUN_LEASE_MS - 1000 + Math.round(performance.now() - startedAtMs);
@@ -254,7 +257,8 @@
         }
     });
     executor.clock = { clockMs: 0, heardAtMs: performance.now() };
-    const run = addTaskRun(tables, executor, 1);
+    // The time for which the start may be delayed ends with its lease.
+    const run = addTaskRun(tables, executor, 1, startedAtMs + 1000 - LONGEST_DELAY_MS);
     await connection.start(run, undefined);
     assert.equal(run.phase, "unsettled");
     await connection.stop(run);
