--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -13,16 +13,34 @@
     readonly asOf: StorePoint;
 }
 
-/** Reads all pages of a range; undefined if the store failed or the range cannot be read to its end. */
+// A page of this size with rows of several KB takes less than the time limit of a call on a link of 10 Mbit/s.
+const MAX_PAGE_ROWS = 100;
+const MIN_PAGE_ROWS = 5;
+// A page that takes too long is read again with fewer rows.
+const PAGE_REDUCTION = 4;
+const MAX_ATTEMPTS = 3;
+
+/**
+ * Reads all pages of a range; undefined if the store failed repeatedly or the range cannot be read to its end. On a narrow
+ * link a full page may take longer than the time limit of a call, each time.
+ */
 export const readAll = async (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> => {
     const rows: Row[] = [];
     let asOf: StorePoint | undefined;
     let from = range.from;
+    let limit = MAX_PAGE_ROWS;
+    let failures = 0;
     for (;;) {
-        const reading = await store.read({ ...range, ...(from === undefined ? {} : { from }) });
+        const reading = await store.read({ ...range, limit, ...(from === undefined ? {} : { from }) });
+        if (reading.kind === "failed" && failures + 1 < MAX_ATTEMPTS) {
+            failures++;
+            limit = Math.max(MIN_PAGE_ROWS, Math.floor(limit / PAGE_REDUCTION));
+            continue;
+        }
         if (reading.kind !== "rows") {
             return undefined;
         }
+        failures = 0;
         // The first page may lack changes made while later pages are read, so the feed has to start at its version.
         asOf ??= { version: reading.version, atMs: reading.nowMs };
         rows.push(...reading.rows);
--- a/programs/dispatcher/test/read-all.test.ts
+++ b/programs/dispatcher/test/read-all.test.ts
@@ -45,3 +45,37 @@
     );
     assert.equal(await readAll(store, RANGE), undefined);
 });
+
+/** A store of rows in which a page with more than `pageRows` rows takes longer than the time limit of a call. */
+const narrowStore = (keys: readonly string[], pageRows: number): Pick<TableStore, "read"> => ({
+    read: ({ from = "", limit = Number.POSITIVE_INFINITY }) => {
+        const found = keys.filter(key => key >= from);
+        return Promise.resolve(
+            Math.min(found.length, limit) > pageRows
+                ? { kind: "failed", reason: "no answer within 900 ms" }
+                : page(found.slice(0, limit), found.length > limit, 5),
+        );
+    },
+});
+
+// A scheduler that had taken a pool over on a small VM read none of its jobs, and started no task until it gave the pool up.
+test("a range whose full pages take longer than the time limit of a call is read in smaller ones", async () => {
+    const keys = Array.from({ length: 480 }, (unused, index) => String(index).padStart(3, "0"));
+    const reading = await readAll(narrowStore(keys, 20), RANGE);
+    assert.deepEqual(
+        reading?.rows.map(({ key }) => key),
+        keys,
+    );
+});
+
+test("a range is not read for ever from a store that does not answer", async () => {
+    let reads = 0;
+    const silent: Pick<TableStore, "read"> = {
+        read: () => {
+            reads++;
+            return Promise.resolve({ kind: "failed", reason: "no answer within 900 ms" });
+        },
+    };
+    assert.equal(await readAll(silent, RANGE), undefined);
+    assert.ok(reads <= 3, `${reads} reads`);
+});
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -112,13 +112,14 @@
     const read = ({ query }: JsonRequest): JsonReply => {
         const from = query.get("from") ?? "";
         const until = query.get("target") ?? undefined;
+        const limit = Math.min(MAX_ROWS, Number(query.get("limit") ?? MAX_ROWS));
         const found = [...rows.values()]
             .filter(row => !row.tombstone && row.table === query.get("table") && row.part === query.get("part"))
             .filter(({ key }) => key >= from && (until === undefined || key < until))
             .sort((left, right) => (left.key < right.key ? -1 : 1));
         return reply(HTTP_OK, {
-            rows: found.slice(0, MAX_ROWS),
-            truncated: found.length > MAX_ROWS,
+            rows: found.slice(0, limit),
+            truncated: found.length > limit,
             ...versionAndTime(),
         });
     };
