--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -21,8 +21,8 @@
 const MAX_ATTEMPTS = 3;
 
 /**
- * Reads all pages of a range; undefined if the store failed repeatedly or the range cannot be read to its end. On a narrow
- * link a full page may take longer than the time limit of a call, each time.
+ * Reads all pages of a range; undefined if the store failed or the range cannot be read to its end. On a narrow link a full
+ * page may take longer than the time limit of a call, each time.
  */
 export const readAll = async (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> => {
     const rows: Row[] = [];
@@ -32,7 +32,7 @@
     let failures = 0;
     for (;;) {
         const reading = await store.read({ ...range, limit, ...(from === undefined ? {} : { from }) });
-        if (reading.kind === "failed" && failures + 1 < MAX_ATTEMPTS) {
+        if (reading.kind === "failed" && reading.unanswered === true && failures + 1 < MAX_ATTEMPTS) {
             failures++;
             limit = Math.max(MIN_PAGE_ROWS, Math.floor(limit / PAGE_REDUCTION));
             continue;
--- a/programs/dispatcher/test/read-all.test.ts
+++ b/programs/dispatcher/test/read-all.test.ts
@@ -52,7 +52,7 @@
         const found = keys.filter(key => key >= from);
         return Promise.resolve(
             Math.min(found.length, limit) > pageRows
-                ? { kind: "failed", reason: "no answer within 900 ms" }
+                ? { kind: "failed", reason: "no answer within 900 ms", unanswered: true }
                 : page(found.slice(0, limit), found.length > limit, 5),
         );
     },
@@ -73,7 +73,7 @@
     const silent: Pick<TableStore, "read"> = {
         read: () => {
             reads++;
-            return Promise.resolve({ kind: "failed", reason: "no answer within 900 ms" });
+            return Promise.resolve({ kind: "failed", reason: "no answer within 900 ms", unanswered: true });
         },
     };
     assert.equal(await readAll(silent, RANGE), undefined);
