--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -73,11 +73,11 @@
     if (executors.length === 0) {
         return undefined;
     }
-    const vmCpu = Math.max(1, ...executors.map(({ record }) => record.capacity.cpu));
+    const vmCapacity = maxOfEach(executors.map(({ record }) => record.capacity));
+    const vmCpu = Math.max(1, vmCapacity.cpu);
     const jobs = [...tables.jobs.values()].filter(job => !isJobEnded(job));
     const longRunningSteps = jobs.flatMap(job => stepsOf(job).filter(({ step }) => step.longRunning));
     const longRunningCpu = longRunningSteps.reduce((sum, { step }) => sum + step.count * demandOf(step).cpu, 0);
-    const vmCapacity = maxOfEach(executors.map(({ record }) => record.capacity));
     const vmsForLongRunning = longRunningSteps.reduce(
         (sum, { step }) => sum + step.count / tasksPerVm(demandOf(step), vmCapacity),
         0,
