Reserve room for long-running tasks that fit nowhere

Found by a test, not reported by callers: in a pool that is full of short tasks, a long-running task that needs the room of several of them never starts. Each part that becomes free is too small for it and is given to a short task in the same pass, however large the pool is. The order of the steps does not help, since a step that fits nowhere is not ranked.

Before the first other step of a pass, room is now reserved for the long-running tasks that may start, each on the executor that is expected to have it first. Runs end there by themselves; none is stopped.

--- a/pools/scheduler/src/open-occurrences.ts
+++ b/pools/scheduler/src/open-occurrences.ts
@@ -33,6 +33,7 @@
             countedUpToRun: 0,
             checkpoint: "",
             givenUpAtMs: Number.NEGATIVE_INFINITY,
+            reservation: undefined,
             runs: [],
             failedOn: new Set<ExecutorId>(),
         })),
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -14,6 +14,7 @@
     type FreeByExecutor,
 } from "./resources.js";
 import { reserveForRelocation } from "./relocation-room.js";
+import { reserveForWaiting } from "./reserve-for-waiting.js";
 import { takeRunNumber } from "./run-numbers.js";
 import { addRun } from "./run-table.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
@@ -47,11 +48,12 @@
     // In a full pool most steps fit nowhere; they are neither ranked nor searched an executor for.
     const mayBePlaced = ({ step, job }: OpenStep): boolean =>
         fits(demandOf(step), largestFree) && jobGateOf(tables, job, inheritedGate) === undefined;
-    let isRelocationReserved = false;
+    let isRoomReserved = false;
     return orderSteps(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
-        if (!step.step.longRunning && !isRelocationReserved) {
-            isRelocationReserved = true;
+        if (!step.step.longRunning && !isRoomReserved) {
+            isRoomReserved = true;
             reserveForRelocation(tables, freeByExecutor, options.executorsWithTicket);
+            reserveForWaiting(tables, freeByExecutor, options);
         }
         if (options.budget.isExhausted() || !mayBePlaced(step)) {
             return [];
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -31,6 +31,15 @@
     readonly runs: readonly Run[];
     /** Executors on which the task failed; others are preferred for the next attempt. */
     readonly failedOn: Set<ExecutorId>;
+    /** The last choice of an executor on which room is reserved because the task fits nowhere; undefined before the first. */
+    reservation: RoomReservation | undefined;
+}
+
+/** An executor on which room is reserved for a task. */
+interface RoomReservation {
+    readonly executor: ExecutorId;
+    /** When the executors were last compared, in milliseconds of the monotonic clock. */
+    readonly comparedAtMs: number;
 }
 
 /** True for a task that is not done and has no run. */
--- a/pools/scheduler/src/relocation-room.ts
+++ b/pools/scheduler/src/relocation-room.ts
@@ -97,7 +97,8 @@
     };
 };
 
-const longRunningSteps = (tables: PoolTables): readonly OpenStep[] =>
+/** Steps with long-running tasks of jobs that have not ended, once the steps before them have. */
+export const longRunningSteps = (tables: PoolTables): readonly OpenStep[] =>
     [...tables.jobs.values()]
         .filter(job => !isJobEnded(job))
         .flatMap(job => stepsOf(job).filter(step => step.step.longRunning && isReady(step)));
--- a/pools/scheduler/src/resources.ts
+++ b/pools/scheduler/src/resources.ts
@@ -25,6 +25,20 @@
     gpu: from.gpu - demand.gpu,
 });
 
+/** The sum of two amounts. */
+export const add = (left: Resources, right: Resources): Resources => ({
+    cpu: left.cpu + right.cpu,
+    memoryMb: left.memoryMb + right.memoryMb,
+    gpu: left.gpu + right.gpu,
+});
+
+/** The resources with 0 for each that is negative. */
+export const withoutDeficit = ({ cpu, memoryMb, gpu }: Resources): Resources => ({
+    cpu: Math.max(0, cpu),
+    memoryMb: Math.max(0, memoryMb),
+    gpu: Math.max(0, gpu),
+});
+
 /** The largest amount of each resource; different executors may have them. */
 export const maxOfEach = (all: readonly Resources[]): Resources =>
     all.reduce((largest, { cpu, memoryMb, gpu }) => ({
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -94,6 +94,7 @@
     readonly readAtMs?: number;
     readonly arrivedAtMs?: number;
     readonly schedule?: Schedule;
+    readonly queue?: QueueName;
 }
 
 /** Creates the tables of a pool whose executors can start runs. */
@@ -131,11 +132,11 @@
 
 export const addJob = (
     tables: PoolTables,
-    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule }: JobFixture,
+    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule, queue }: JobFixture,
 ): void => {
     const job: Job = {
         id: toId<JobId>(id),
-        queue: QUEUE,
+        queue: queue ?? QUEUE,
         pool: POOL,
         spec: "text",
         steps,
