Place long-running tasks before short ones of queues with a higher priority

What callers would see: a long-running task of a queue with a lower priority waits as long as a queue with a higher one fills the pool with short work, and no room is reserved for it. The steps were sorted by the priority of their queue first, unlike in docs/jobs.md ("Order"). A long-running task must not wait with capacity for it, however full the service is; the priority still decides among long-running tasks and among short ones.

The test failed before: the short tasks were placed instead of the long-running one.

--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -42,6 +42,7 @@
 const CLASS_ORDER: Readonly<Record<RankedStep["class"], number>> = { longRunning: 0, "on-time": 1, late: 2 };
 
 const compareSteps = (left: RankedStep, right: RankedStep): number =>
+    Number(right.step.step.longRunning) - Number(left.step.step.longRunning) ||
     left.priority - right.priority ||
     CLASS_ORDER[left.class] - CLASS_ORDER[right.class] ||
     left.latestStartMs - right.latestStartMs;
--- a/pools/scheduler/test/order-steps.test.ts
+++ b/pools/scheduler/test/order-steps.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import test from "node:test";
 import { orderSteps } from "@almondusher/scheduler/order-steps";
-import { createPool, place, record, step } from "./fixture.js";
+import { toId } from "@almondusher/fleet/ids";
+import type { QueueName } from "@almondusher/jobs/ids";
+import { addJob, createPool, place, QUEUE, record, step } from "./fixture.js";
 
 const order = (nowMs: number, jobs: Parameters<typeof createPool>[0]["jobs"]): readonly string[] =>
     orderSteps(createPool({ executors: [record("a")], jobs: jobs ?? [] }), nowMs, () => true).map(
@@ -25,6 +27,23 @@
     assert.deepEqual(order(0, jobs), ["lasting", "short"]);
 });
 
+test("a task that lasts does not wait behind short tasks of a queue with a higher priority", () => {
+    const low = toId<QueueName>("low");
+    const tables = createPool({ executors: [record("a")], jobs: [{ id: "short", steps: [step({ count: 4 })] }] });
+    const queue = tables.queues.get(QUEUE);
+    assert.ok(queue !== undefined);
+    tables.queues.set(low, { ...queue, name: low, priority: 1 });
+    addJob(tables, {
+        id: "lasting",
+        steps: [step({ longRunning: true, demand: { cpu: 4000, memoryMb: 100, gpu: 0 } })],
+        queue: low,
+    });
+    assert.deepEqual(
+        place(tables).map(({ task }) => task.step.job.id as string),
+        ["lasting"],
+    );
+});
+
 test("a single step is placed before a chain of steps that arrived with it, since it has less slack", () => {
     const jobs = [
         { id: "single", steps: [step({ estimateMs: 500 })] },
