Don't count failures of long-running tasks after service against executors

What callers would see: a long-running task that has failed waits up to 16 s though its executors have room.

An executor on which two runs in a row have failed gets no starts for 2 s, for twice as long after each further failure, up to 16 s, until a run ends done. Long-running tasks may fail at any time and never end done, so on executors that run mainly such tasks the count only grew, and each failure closed the executor to all starts. Now a long-running task that fails after 2 s in service resets the count, as one that is done does; one that fails earlier counts as before.

The test failed before: 0 of 3 tasks were placed again. The test of failures soon after the start of service passed before, too.

--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -26,6 +26,8 @@
 const FAILURES_BEFORE_BACKOFF = 2;
 const INITIAL_BACKOFF_MS = 2000;
 const MAX_BACKOFF_MS = 16_000;
+/** Time in service after which the failure of a long-running task does not count against its executor, in milliseconds. */
+const MIN_SERVICE_MS = 2000;
 
 /**
  * Applies an executor's report: run ends, progress, and runs that are not in the tables yet. Returns the run ends that
@@ -124,7 +126,7 @@
     if (task !== undefined) {
         applyEndToTask(tables, executor, task, end, run, nowMs);
     }
-    updateFailureStreak(executor, end, nowMs);
+    updateFailureStreak(executor, end, run, nowMs);
     return { end, task, run };
 };
 
@@ -199,9 +201,10 @@
     task.step.remaining--;
 };
 
-const updateFailureStreak = (executor: Executor, end: EndedRun, nowMs: number): void => {
-    if (end.how === "done") {
+const updateFailureStreak = (executor: Executor, end: EndedRun, run: Run | undefined, nowMs: number): void => {
+    if (end.how === "done" || (end.how === "failed" && hasServed(run, nowMs))) {
         executor.failureStreak = 0;
+        return;
     }
     if (end.how === "failed") {
         executor.failureStreak++;
@@ -215,6 +218,12 @@
     }
 };
 
+// A long-running task may fail at any time and is never done, so its time in service shows that its executor is sound.
+const hasServed = (run: Run | undefined, nowMs: number): boolean =>
+    run?.availableSinceMs !== undefined &&
+    run.task.step.step.longRunning &&
+    nowMs - run.availableSinceMs >= MIN_SERVICE_MS;
+
 /** True if being listed by a report shows that the start of the run was executed and nothing has been sent to undo it. */
 const isStartSettled = ({ phase, stopCause, stopsSent }: Run): boolean => {
     switch (phase) {
--- a/pools/scheduler/test/apply-report.test.ts
+++ b/pools/scheduler/test/apply-report.test.ts
@@ -3,7 +3,7 @@
 import type { Progress } from "@almondusher/jobs/progress";
 import { closeJob, mergeProgress } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
-import { findTask } from "@almondusher/scheduler/pool-tables";
+import { findTask, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { confirmStart } from "../src/executor-incarnation.js";
 import {
     addJob,
@@ -243,3 +243,23 @@
     addJob(tables, { id: "j1", steps: [step()] });
     assert.equal(place(tables).length, 0);
 });
+
+/** An executor whose three long-running tasks are in service from 1,000 ms on and fail together. */
+const failInService = (failedAtMs: number): PoolTables => {
+    const tables = createPool({
+        executors: [record("a")],
+        jobs: [{ id: "j1", steps: [step({ count: 3, longRunning: true })] }],
+    });
+    const runs = place(tables).map(({ task, number }) => ({ task: task.id, run: number, checkpoint: "" }));
+    const active = runs.map(run => ({ ...run, percent: 100, recentLoad: undefined }));
+    receiveReport(tables, "a", { active }, 1000);
+    const ended = runs.map((run, index) => ({ ...run, number: index + 1, how: "failed" as const }));
+    receiveReport(tables, "a", { clockMs: failedAtMs, ended }, failedAtMs);
+    return tables;
+};
+
+test("a long-running task does not wait because tasks that were in service for long have failed on its executor", () =>
+    assert.equal(place(failInService(20_000), 20_010).length, 3));
+
+test("an executor on which long-running tasks fail as soon as they are in service gets no starts for a while", () =>
+    assert.equal(place(failInService(1500), 1510).length, 0));
