--- a/bench/system/src/process-faults.ts
+++ b/bench/system/src/process-faults.ts
@@ -30,6 +30,7 @@
             const status = await readOperator<ProcessStatus>(deployment, entry.operatorUrl, "/status");
             return status?.ready === true ? status : undefined;
         },
+        describeState: () => describeChild(deployment, entry.child),
     });
 
 /** Starts a new process for an entry, with the given top-level settings overridden. */
@@ -58,17 +59,17 @@
     }
 };
 
-const describeManagers = ({ managers, folder }: Deployment): string =>
-    managers
-        .map(({ child }) => {
-            const { pid, exitCode, signalCode } = child.process;
-            const lines = readFileSync(join(folder, `${child.name}.log`), "utf8")
-                .trimEnd()
-                .split("\n");
-            const state = `${child.name}: pid ${pid}, exit code ${exitCode}, signal ${signalCode}`;
-            return [state, ...lines.slice(-DESCRIBED_LOG_LINES)].join("\n");
-        })
-        .join("\n");
+const describeManagers = (deployment: Deployment): string =>
+    deployment.managers.map(({ child }) => describeChild(deployment, child)).join("\n");
+
+/** Describes a process for an error message, with the last lines of its log. */
+export const describeChild = ({ folder }: Deployment, { name, process: child }: Child): string => {
+    const lines = readFileSync(join(folder, `${name}.log`), "utf8")
+        .trimEnd()
+        .split("\n");
+    const state = `${name}: pid ${child.pid}, exit code ${child.exitCode}, signal ${child.signalCode}`;
+    return [state, ...lines.slice(-DESCRIBED_LOG_LINES)].join("\n");
+};
 
 /** Waits for an active manager other than `except` and returns its index in the deployment. */
 export const waitForActiveManager = (deployment: Deployment, except?: number): Promise<number> =>
--- a/bench/system/test/graceful-stop.test.ts
+++ b/bench/system/test/graceful-stop.test.ts
@@ -8,6 +8,7 @@
 import { readCounts, runsOfKey } from "../src/endpoint-control.js";
 import { restartEntry, startFailureFleet } from "../src/failure-fleet.js";
 import { pollUntil } from "../src/operator-client.js";
+import { describeChild } from "../src/process-faults.js";
 
 const READINESS_PATH = "/.almondusher/ready";
 const STOP_GRACE_MS = 1_000;
@@ -72,6 +73,9 @@
     assert.equal(requireResponse(await callEntry(stopped, { path: "/work" })).status, 200);
 });
 
+const describeResult = (result: CallResult): string =>
+    result.kind === "broken" ? result.message : `status ${result.status}, cause ${result.cause}`;
+
 test("a request cancelled by its caller frees its slot immediately and does not count against the VM", async () => {
     const calls = Array.from({ length: CALLERS }, () => {
         const controller = new AbortController();
@@ -81,12 +85,15 @@
             result: callEntry(other, { path: "/work", method: "POST", headers, signal: controller.signal }),
         };
     });
+    const ended: string[] = [];
+    calls.forEach(call => void call.result.then(result => ended.push(describeResult(result))));
     const slotsInUse = async (): Promise<number> =>
         (await readCounts(deployment)).vms.reduce((sum, vm) => sum + vm.slotsInUse, 0);
     await pollUntil({
         what: "the requests to run",
         timeoutMs: WAIT_TIMEOUT_MS,
         read: async () => ((await slotsInUse()) > 0 ? true : undefined),
+        describeState: () => [...ended, describeChild(deployment, other.child)].join("\n"),
     });
     calls.forEach(call => call.controller.abort());
     const results = await Promise.all(calls.map(call => call.result));
