--- a/bench/system/test/jobs.test.ts
+++ b/bench/system/test/jobs.test.ts
@@ -99,6 +99,23 @@
     assert.equal(startedTasks(deployment, jobId(1)).length, 8);
 });
 
+/** Describes all runs, with their times in milliseconds since the given one. */
+const describeRuns = ({ executors }: JobDeployment, sinceMs: number): readonly string[] =>
+    executors.flatMap(({ id, started }) =>
+        started.map(
+            ({ task, how, startedAtMs, endedAtMs = Number.NaN }) =>
+                `${task} on ${id} ${how} ${Math.round(startedAtMs - sinceMs)} to ${Math.round(endedAtMs - sinceMs)}`,
+        ),
+    );
+
+const describeLeases = ({ log }: JobDeployment["dispatchers"][number], sinceMs: number): readonly string[] =>
+    log
+        .filter(({ event }) => event === "lease-taken" || event === "process-late")
+        .map(({ event, time }) => {
+            const atMs = Date.parse(String(time)) - performance.timeOrigin;
+            return `${event} at ${Math.round(atMs - sinceMs)}`;
+        });
+
 test("after its scheduler is killed the successor adopts the running tasks and starts none of them twice", async context => {
     const deployment = await startTestDeployment(context, { runMs: () => 6000 });
     const [entry] = deployment.dispatchers;
@@ -106,6 +123,7 @@
     await sendJobRequest(entry, "POST", jobId(1), jobOfTasks(4));
     await waitUntil("the task starts", START_TIMEOUT_MS, () => startedTasks(deployment, jobId(1)).length === 4);
     const scheduler = await waitForScheduler(deployment);
+    const killedAtMs = performance.now();
     scheduler.process.kill("SIGKILL");
     const other = deployment.dispatchers.find(dispatcher => dispatcher !== scheduler);
     assert.ok(other !== undefined);
@@ -116,7 +134,38 @@
         () => startedTasks(deployment, jobId(2)).length === 1,
     );
     await waitForState(other, jobId(1), "completed", START_TIMEOUT_MS);
-    assert.equal(startedTasks(deployment, jobId(1)).length, 4, "tasks were started again after the takeover");
+    const runs = describeRuns(deployment, killedAtMs);
+    context.diagnostic([...runs, ...describeLeases(other, killedAtMs)].join("; "));
+    assert.equal(
+        startedTasks(deployment, jobId(1)).length,
+        4,
+        `tasks were started again after the takeover: ${runs.join("; ")}`,
+    );
+});
+
+test("runs that lapse before a late successor takes over are started again once, none beside its former run", async context => {
+    const deployment = await startTestDeployment(context, { runMs: () => 5000 });
+    const [entry] = deployment.dispatchers;
+    assert.ok(entry !== undefined);
+    await sendJobRequest(entry, "POST", jobId(1), jobOfTasks(4));
+    await waitUntil("the task starts", START_TIMEOUT_MS, () => startedTasks(deployment, jobId(1)).length === 4);
+    const scheduler = await waitForScheduler(deployment);
+    const other = deployment.dispatchers.find(dispatcher => dispatcher !== scheduler);
+    assert.ok(other !== undefined);
+    const killedAtMs = performance.now();
+    other.process.kill("SIGSTOP");
+    scheduler.process.kill("SIGKILL");
+    const firstRuns = deployment.executors.flatMap(({ started }) => started);
+    await waitUntil("the runs to end", START_TIMEOUT_MS, () => firstRuns.every(({ how }) => how !== undefined));
+    other.process.kill("SIGCONT");
+    await waitForState(other, jobId(1), "completed", START_TIMEOUT_MS);
+    context.diagnostic([...describeRuns(deployment, killedAtMs), ...describeLeases(other, killedAtMs)].join("; "));
+    assert.deepEqual(
+        firstRuns.map(({ how }) => how),
+        Array.from({ length: 4 }, () => "lapsed"),
+    );
+    assert.equal(startedTasks(deployment, jobId(1)).length, 8);
+    assert.equal(countOverlappingRuns(deployment), 0);
 });
 
 const hasLogged = ({ log }: JobDeployment["dispatchers"][number], event: string, lease: string): boolean =>
