--- a/bench/system/bin/partition-soak.js
+++ b/bench/system/bin/partition-soak.js
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { runPartitionSoak } from "../dist/partition-soak.js";
+import { hasFailed, sumSoaks } from "../dist/soak-totals.js";
 
 const { values } = parseArgs({
     options: {
@@ -16,6 +17,7 @@
         workload: { type: "string", default: "mixed" },
     },
 });
+const results = [];
 const firstSeed = Number(values["first-seed"]);
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
     const { decisions, ...result } = await runPartitionSoak({
@@ -25,8 +27,8 @@
         faults: Number(values.faults),
         workload: values.workload === "plain" ? "plain" : "mixed",
     });
-    const failures = [result.startedAfterDone, result.stalled, result.unfinished];
-    const failed = result.overlappingRuns > 0 || failures.some(({ length }) => length > 0);
+    const failed = hasFailed(result);
+    results.push(result);
     if (failed && values.logs !== undefined) {
         mkdirSync(values.logs, { recursive: true });
         writeFileSync(join(values.logs, `seed-${seed}.txt`), decisions.join("\n"));
@@ -34,3 +36,4 @@
     console.log(JSON.stringify({ seed, failed, ...result }));
     process.exitCode = failed ? 1 : process.exitCode;
 }
+console.log(JSON.stringify({ totals: sumSoaks(results) }));
--- a/bench/system/src/disrupt-executor.ts
+++ b/bench/system/src/disrupt-executor.ts
@@ -11,9 +11,15 @@
     readonly draw: Draw;
 }
 
+/** Kind of a disruption of one executor. */
+export type DisruptionKind = "unreliable" | "restart" | "drain";
+
 /** Disruptions of one executor. */
 export interface Disruption {
-    readonly kinds: readonly string[];
+    /** Drawn kinds. A restart or drain does not take place if the executor has left by then. */
+    readonly kinds: readonly DisruptionKind[];
+    /** When the restart or drain begins, in milliseconds since the start of the fault. */
+    readonly delayMs: number;
     readonly ended: Promise<void>;
 }
 
@@ -34,7 +40,8 @@
     const delayMs = draw(0, durationMs);
     const pauseMs = draw(0, PAUSE_MAX_MS);
     return {
-        kinds: [...(isUnreliable ? ["unreliable"] : []), ...(event === "none" ? [] : [`${event}@${delayMs}`])],
+        kinds: [...(isUnreliable ? (["unreliable"] as const) : []), ...(event === "none" ? [] : [event])],
+        delayMs,
         ended: playEvent(executor, event, delayMs, pauseMs),
     };
 };
--- a/bench/system/src/partition-soak.ts
+++ b/bench/system/src/partition-soak.ts
@@ -10,7 +10,7 @@
     waitUntil,
     type JobDeployment,
 } from "./job-deployment.js";
-import { playFault, type FaultOptions } from "./play-fault.js";
+import { playFault, type FaultKind, type FaultOptions, type PlayedFault } from "./play-fault.js";
 import { drawMixedJob, isLasting, plainJob, stepOfTask, type SoakJob } from "./soak-job.js";
 import { sendTo, startSoaked, type SoakedDispatcher } from "./soaked-dispatcher.js";
 import { submitJobs, type Submission } from "./submit-jobs.js";
@@ -34,6 +34,8 @@
 export interface PartitionSoakResult {
     /** Description of each fault, in order. */
     readonly faults: readonly string[];
+    /** Kind of each fault, in no particular order. */
+    readonly faultKinds: readonly (FaultKind | "maintenance")[];
     readonly accepted: number;
     readonly runs: number;
     /** Numbers of VMs that were moved and maintained. */
@@ -136,33 +138,43 @@
     };
 };
 
-const playFaults = async (count: number, options: FaultOptions, period: FaultPeriod): Promise<readonly string[]> => {
-    const faults: string[] = [];
+interface SoakFault extends Omit<PlayedFault, "kinds"> {
+    readonly kinds: PartitionSoakResult["faultKinds"];
+}
+
+const playFaults = async (count: number, options: FaultOptions, period: FaultPeriod): Promise<readonly SoakFault[]> => {
+    const faults: SoakFault[] = [];
     for (let fault = 1; fault <= count; fault++) {
-        const wave = options.drawDisruption === undefined ? "" : requestWave(options, fault, options.drawDisruption);
+        const vm =
+            options.drawDisruption === undefined ? undefined : requestWave(options, fault, options.drawDisruption);
         period.begin();
-        faults.push((await playFault(options)) + wave);
+        const { description, kinds } = await playFault(options);
+        faults.push(
+            vm === undefined
+                ? { description, kinds }
+                : { description: `${description}, maintenance of ${vm}`, kinds: [...kinds, "maintenance"] },
+        );
         period.end();
         await sleep(options.draw(0, PAUSE_MAX_MS));
     }
     return faults;
 };
 
-/** Requests the maintenance of a drawn VM in addition to some faults; returns a description. */
-const requestWave = ({ deployment }: FaultOptions, number: number, draw: Draw): string => {
+/** Requests the maintenance of a drawn VM in addition to some faults; returns the VM. */
+const requestWave = ({ deployment }: FaultOptions, number: number, draw: Draw): string | undefined => {
     const executors = deployment.executors.filter(executor => executor.status().state === "ready");
     const vm = executors[draw(0, executors.length - 1)]?.vm;
     if (vm === undefined || draw(0, 1) === 0) {
-        return "";
+        return undefined;
     }
     deployment.store.put("op", `wave/${number}`, { wave: number, machines: [vm], within_s: WAVE_WITHIN_S, cap: 1 });
-    return `, maintenance of ${vm}`;
+    return vm;
 };
 
 interface SoakOutcome {
     readonly deployment: JobDeployment;
     readonly dispatchers: readonly SoakedDispatcher[];
-    readonly faults: readonly string[];
+    readonly faults: readonly SoakFault[];
     readonly submission: Submission;
     readonly watch: ProgressWatch;
 }
@@ -183,7 +195,8 @@
     const stalled = watch.stop();
     const uncancelled = await cancelJobs(deployment, dispatchers, [...accepted].filter(lasts));
     return {
-        faults,
+        faults: faults.map(({ description }) => description),
+        faultKinds: faults.flatMap(({ kinds }) => kinds),
         accepted: accepted.size,
         unfinished: [...open, ...uncancelled],
         stalled,
--- a/bench/system/src/play-fault.ts
+++ b/bench/system/src/play-fault.ts
@@ -3,7 +3,7 @@
 import type { ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
 import type { Draw } from "./draw.js";
 import { findScheduler, type JobDeployment } from "./job-deployment.js";
-import { disruptExecutor } from "./disrupt-executor.js";
+import { disruptExecutor, type Disruption, type DisruptionKind } from "./disrupt-executor.js";
 import type { SoakedDispatcher } from "./soaked-dispatcher.js";
 
 const FAULT_MIN_MS = 1500;
@@ -17,8 +17,22 @@
     readonly drawDisruption: Draw | undefined;
 }
 
-/** Faults of one kind or several at the same moment, drawn independently; returns a description. */
-export const playFault = async ({ deployment, dispatchers, draw, drawDisruption }: FaultOptions): Promise<string> => {
+/** Kind of a fault: of the holder of the pool's lease, of the paths to an executor, or of an executor. */
+export type FaultKind = "store" | "pause" | "kill" | "cut-from-holder" | "cut-from-successors" | DisruptionKind;
+
+/** Faults that began at the same moment. */
+export interface PlayedFault {
+    readonly description: string;
+    /** Kind of each fault; those of several executors are listed several times. */
+    readonly kinds: readonly FaultKind[];
+}
+
+type Cut = "neither" | "holder" | "successors";
+type HolderFault = "none" | "store" | "pause" | "kill";
+
+/** Plays faults of one kind or several at the same moment, drawn independently. */
+export const playFault = async (options: FaultOptions): Promise<PlayedFault> => {
+    const { deployment, dispatchers, draw, drawDisruption } = options;
     const holder = dispatchers.find(({ process }) => process === findScheduler(deployment)) ?? dispatchers[0];
     if (holder === undefined) {
         throw new Error("no dispatcher");
@@ -38,9 +52,20 @@
     deployment.executors.forEach(executor => executor.setFault({ kind: "none" }));
     await heal();
     await Promise.all(disruptions.map(({ ended }) => ended));
-    const executorFaults = cuts.map((cut, index) => [cut, ...(disruptions[index]?.kinds ?? [])].join("+"));
-    return `${holder.vm} ${holderFault}, executors ${executorFaults.join(" ")}, ${durationMs} ms`;
+    const executorFaults = cuts.map((cut, index) => [cut, ...describeDisruption(disruptions[index])].join("+"));
+    return {
+        description: `${holder.vm} ${holderFault}, executors ${executorFaults.join(" ")}, ${durationMs} ms`,
+        kinds: [
+            ...(holderFault === "none" ? [] : [holderFault]),
+            ...cuts.flatMap(cut => (cut === "neither" ? [] : [`cut-from-${cut}` as const])),
+            ...disruptions.flatMap(({ kinds }) => kinds),
+        ],
+    };
 };
+
+const describeDisruption = (disruption: Disruption | undefined): readonly string[] =>
+    disruption?.kinds.map(kind => (kind === "unreliable" ? kind : `${kind}@${disruption.delayMs}`)) ?? [];
+
 const holderToken = ({ store }: JobDeployment): number => {
     const lease = store.rows("leases").find(({ key }) => key.startsWith("pool/"))?.value as
         { readonly epoch?: number } | undefined;
@@ -48,7 +73,7 @@
 };
 
 /** Cuts an executor off from the holder, from its successors, or from neither. */
-const cutExecutor = (executor: ExecutorStandIn, token: number, draw: Draw): string => {
+const cutExecutor = (executor: ExecutorStandIn, token: number, draw: Draw): Cut => {
     const from = (["neither", "holder", "successors"] as const)[draw(0, 2)] ?? "neither";
     switch (from) {
         case "neither":
@@ -67,7 +92,7 @@
 const startHolderFault = async (
     deployment: JobDeployment,
     holder: SoakedDispatcher,
-    fault: "none" | "store" | "pause" | "kill",
+    fault: HolderFault,
 ): Promise<() => Promise<void> | void> => {
     switch (fault) {
         case "none":
--- /dev/null
+++ b/bench/system/test/soak-totals.test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import test from "node:test";
+import type { PartitionSoakResult } from "@almondusher/system-bench/partition-soak";
+import { sumSoaks } from "@almondusher/system-bench/soak-totals";
+
+const CLEAN: PartitionSoakResult = {
+    faults: ["entry-0 store, executors holder+restart@10 neither, 2000 ms"],
+    faultKinds: ["store", "cut-from-holder", "restart"],
+    accepted: 10,
+    runs: 30,
+    vmOrders: { moves: 0, maintained: 0 },
+    calmSamples: 100,
+    overlappingRuns: 0,
+    startedAfterDone: [],
+    stalled: [],
+    unfinished: [],
+    decisions: [],
+};
+
+test("totals of a soak count each kind of fault and each broken promise", () => {
+    const broken = {
+        ...CLEAN,
+        faultKinds: ["store", "maintenance"] as const,
+        overlappingRuns: 2,
+        stalled: ["a", "b", "c"],
+    };
+    const unfinished = { ...CLEAN, faultKinds: [], startedAfterDone: ["a"], unfinished: ["b"] };
+    assert.deepEqual(sumSoaks([CLEAN, broken, unfinished]), {
+        seeds: 3,
+        failedSeeds: 2,
+        faults: { "cut-from-holder": 1, maintenance: 1, restart: 1, store: 2 },
+        checked: { jobs: 30, runs: 90, calmSamples: 300 },
+        failures: { overlappingRuns: 2, startedAfterDone: 1, stalled: 3, unfinished: 1 },
+    });
+});
+
+test("totals of no soak are empty", () => {
+    const { seeds, failedSeeds, faults } = sumSoaks([]);
+    assert.deepEqual({ seeds, failedSeeds, faults }, { seeds: 0, failedSeeds: 0, faults: {} });
+});
