Wait for an executor that no holder reached only once over successive takeovers

Callers saw tasks of earlier jobs wait for several seconds of calm with room, as inherited-runs-unknown. An executor that had ended with the maintenance of its VM stayed in the lease row, and each successor waited 8 s for it anew, since the holder before it might have used it.

A holder now marks, in the executor's entry of the lease row, an executor that it cannot reach and has not read, with the time for which it still waits there. It applies no report of a marked executor, and so grants nothing and stores no end, before a row without the mark is confirmed. Its successor waits for the rest of that time, never longer than before. The time is a length on monotonic clocks in place of a time on the store's clock, so setting the store's clock changes nothing.

With a holder that sets no marks, as before, five tests of unread-executors fail, the first with the wait of the unmarked executor.

--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -42,6 +42,7 @@
     }
     observeIncarnation(executor, { ...times, clockMs: report.clockMs, startedAtMs: report.startedAtMs });
     executor.reachable = true;
+    executor.wasRead = true;
     executor.hasUnresolvedStart = false;
     const newEnds = report.ended.filter(end => end.number > executor.lastAppliedEnd);
     const applied = newEnds.map(end => applyEnd(tables, executor, end, times.receivedAtMs));
--- a/pools/scheduler/src/inherited-runs.ts
+++ b/pools/scheduler/src/inherited-runs.ts
@@ -4,6 +4,10 @@
 /** True if all active runs of the executor are known, although not all ends of its runs may be. */
 export const areRunsRead = ({ reconciled, hasUnreadEnds }: Executor): boolean => reconciled || hasUnreadEnds;
 
+/** Returns the monotonic time in milliseconds until which runs of previous holders may be active on an executor. */
+export const inheritedWaitEndMs = (tables: PoolTables, { inheritedWaitUntilMs }: Executor): number =>
+    inheritedWaitUntilMs ?? tables.inheritedWaitUntilMs;
+
 /**
  * True once no run of the executor that a previous holder of the pool lease started, and no end of one, can be missing from
  * the tables: its runs and ends were read, or the wait until the leases of such runs have expired is over. The wait does
@@ -13,8 +17,8 @@
  */
 export const areInheritedRunsOver = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
     executor.reconciled ||
-    (nowMs >= tables.inheritedWaitUntilMs &&
-        isLeaseHeldSince(tables, tables.inheritedWaitUntilMs) &&
+    (nowMs >= inheritedWaitEndMs(tables, executor) &&
+        isLeaseHeldSince(tables, inheritedWaitEndMs(tables, executor)) &&
         !mayListUnreadEnds(tables, executor));
 
 /**
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -172,6 +172,15 @@
      * and since its current incarnation was detected and its last evacuation ended.
      */
     reconciled: boolean;
+    /** A report was applied or a run lease computed since the current pool lease was taken. */
+    wasRead: boolean;
+    /**
+     * The stored row of the pool lease may say that this scheduler has not read the executor. No report is applied before a
+     * row that does not say so is stored: the next holder does not wait for what this one would do here.
+     */
+    isMarkedUnread: boolean;
+    /** Replaces `inheritedWaitUntilMs` of the tables if the previous holder had not read the executor. */
+    inheritedWaitUntilMs: number | undefined;
     /** The last report listed only some of the run ends, so a run that it does not contain may have ended. */
     hasUnreadEnds: boolean;
     /** Listed in the stored row of the pool lease, so that the next holder reads the executor's runs. */
--- a/pools/scheduler/src/waiting-reason.ts
+++ b/pools/scheduler/src/waiting-reason.ts
@@ -2,7 +2,7 @@
 import type { Resources } from "@almondusher/jobs/job";
 import { refusalOf, refusals, type Refusal, type TicketedExecutors } from "./choose-executor.js";
 import { hasRequiredLabel, unusableCauseOf, type UnusableCause } from "./executor-usability.js";
-import { areInheritedRunsOver } from "./inherited-runs.js";
+import { areInheritedRunsOver, inheritedWaitEndMs } from "./inherited-runs.js";
 import type { OrderBudget } from "./order-budget.js";
 import { freeOfUsable } from "./place-tasks.js";
 import { planGang } from "./plan-gang.js";
@@ -205,7 +205,7 @@
         reachable: holder?.reachable,
         hasUnreadEnds: holder?.hasUnreadEnds,
         executors: holders.length,
-        remainingMs: Math.max(0, tables.inheritedWaitUntilMs - nowMs),
+        remainingMs: Math.max(0, (holder === undefined ? nowMs : inheritedWaitEndMs(tables, holder)) - nowMs),
     };
 };
 
--- a/programs/dispatcher/src/acquire-lease.ts
+++ b/programs/dispatcher/src/acquire-lease.ts
@@ -13,6 +13,7 @@
 import { transactUntilKnown, versionIfOwn } from "./lease-transactions.js";
 import type { LeaseObservation, LeaseView } from "./lease-view.js";
 import { inheritedRunsUntilMs, type Takeover } from "./run-leases.js";
+import { marksAfter } from "./unread-executors.js";
 
 export interface LeaseAcquisition {
     readonly context: DispatcherContext;
@@ -32,6 +33,7 @@
     const runsUntilMs = inheritedRunsUntilMs(takeover, context.store.nowMs());
     const record: LeaseRecord = {
         ...(takeover.predecessor ?? emptyLeaseContent),
+        executors: marksAfter(takeover.predecessor?.executors ?? [], takeover.unrenewedMs),
         // Nothing keeps the VMs empty until this holder has read which ones are being evacuated.
         vacated: [],
         inheritedRunsUntilMs: runsUntilMs,
--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -20,6 +20,7 @@
 import { followOperatorTable } from "./operator-feed.js";
 import { countPending } from "./pending-count.js";
 import { startPoolScheduler, type PoolScheduler } from "./pool-scheduler.js";
+import { withoutMarks } from "./unread-executors.js";
 
 const MAX_BUFFERED_LOG_CHARACTERS = 2_000_000;
 const STDOUT_DESCRIPTOR = 1;
@@ -157,6 +158,7 @@
     content: lease =>
         services.get(leaseKey(lease.subject))?.leaseContent() ?? {
             ...(lease.predecessor ?? emptyLeaseContent),
+            executors: withoutMarks(lease.predecessor?.executors ?? []),
             inheritedRunsUntilMs: lease.inheritedRunsUntilMs,
         },
     renewed: (lease, content) => {
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -47,6 +47,8 @@
     readonly ended: (executor: Executor, ends: readonly AppliedEnd[]) => void;
     /** Called when the executor's state has changed or an order has ended, so that a pass may have orders to send. */
     readonly changed: () => void;
+    /** Called when an executor answers that the row of the pool lease marks as not read; the mark should be removed. */
+    readonly markedExecutorAnswered: () => void;
     /** Called when the executor has rejected the ticket of a start. */
     readonly ticketRejected: (run: Run) => void;
     /** Called when the executor has seen a higher fencing token than that of this scheduler. */
@@ -120,6 +122,10 @@
     // End of a lease that is granted now; undefined if none may be granted. The clock is read before the check, since the
     // process may be paused after it: then a lease ends as if it had been granted before the pause.
     const permittedLeaseUntil = (): number | undefined => {
+        if (executor.isMarkedUnread) {
+            return undefined;
+        }
+        executor.wasRead = true;
         const until = leaseUntil(executor, context.monotonicMs(), tables.runLeaseMs);
         return owner.mayExtendLeases() ? until : undefined;
     };
@@ -167,6 +173,12 @@
             case "report": {
                 const receivedAtMs = context.monotonicMs();
                 failedPolls = 0;
+                if (executor.isMarkedUnread) {
+                    executor.reachable = true;
+                    owner.markedExecutorAnswered();
+                    await waitForPollRequest(RETRY_DELAY_MS);
+                    return;
+                }
                 if (executor.incarnation === incarnation) {
                     executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
                 }
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -13,6 +13,12 @@
 export interface ListedExecutor {
     readonly id: ExecutorId;
     readonly address: string;
+    /**
+     * The holder has not read the executor, and does nothing there before it has stored a row without this mark: runs of
+     * earlier holders may be active for this time after the row was written, in milliseconds. Undefined if the holder may
+     * have read it, as in rows written by earlier versions.
+     */
+    readonly earlierRunsForMs?: number | undefined;
 }
 
 /** Number of accepted jobs of a queue that have not started. */
@@ -78,7 +84,13 @@
     process: z.string().optional(),
     epoch: z.int(),
     runNumbersUpTo: z.int().optional(),
-    executors: z.array(z.object({ id: z.string(), address: z.string() })),
+    executors: z.array(
+        z.object({
+            id: z.string(),
+            address: z.string(),
+            earlierRunsForMs: z.number().min(0).optional().catch(undefined),
+        }),
+    ),
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     pendingAsOf: z.object({ version: z.number(), atMs: z.number() }).optional(),
     inheritedRunsUntilMs: z.number().optional(),
--- a/programs/dispatcher/src/pool-lease-content.ts
+++ b/programs/dispatcher/src/pool-lease-content.ts
@@ -1,10 +1,8 @@
-import type { DataCentreName, PoolName } from "@almondusher/fleet/ids";
 import { countPendingJobs } from "@almondusher/scheduler/job-progress";
 import { areInheritedRunsOver } from "@almondusher/scheduler/inherited-runs";
 import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { ListedExecutor, PendingCount } from "./lease-rows.js";
-
-const UNKNOWN_DATA_CENTRE = "" as DataCentreName;
+import { markIfUnread } from "./unread-executors.js";
 
 /** Counts the jobs of each queue that have not started. */
 export const pendingCounts = (tables: PoolTables): readonly PendingCount[] =>
@@ -44,7 +42,7 @@
     [...tables.executors.values()]
         .filter(executor => !listed.has(executor))
         .forEach(executor => (executor.listedInLease = false));
-    return [...listed].map(({ id, record }) => ({ id, address: record.address }));
+    return [...listed].map(executor => markIfUnread(tables, executor, nowMs));
 };
 
 // An executor that this holder has not reached may have runs of earlier ones.
@@ -52,18 +50,3 @@
     executor.runs.size === 0 &&
     executor.orphanedRuns.length === 0 &&
     (executor.reachable ? executor.reconciled : areInheritedRunsOver(tables, executor, nowMs));
-
-/** Returns a placeholder for an executor of which only the address is known until its registry entry has been read. */
-export const placeholderRecord = (pool: PoolName, { id, address }: ListedExecutor): Executor["record"] => ({
-    id,
-    vm: undefined,
-    pool,
-    address,
-    dataCentre: UNKNOWN_DATA_CENTRE,
-    draining: false,
-    remainingMs: undefined,
-    capacity: { cpu: 0, memoryMb: 0, gpu: 0 },
-    labels: [],
-    startedAtMs: 0,
-    clockMs: undefined,
-});
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -2,7 +2,6 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import { closeJob } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand } from "@almondusher/scheduler/demand";
-import { addUnregistered } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import {
     createPoolTables,
@@ -27,19 +26,14 @@
 import { createOrderLoad } from "./order-load.js";
 import { createOrderWindow } from "./order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
-import {
-    completedEvacuations,
-    executorsToList,
-    listExecutors,
-    pendingCounts,
-    placeholderRecord,
-} from "./pool-lease-content.js";
+import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
 import { reloadProgress } from "./reload-progress.js";
 import { inheritedWaitMs, leaseGateOf, mayActOnLease, RUN_LEASE_MS, type LeaseStatus } from "./run-leases.js";
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
+import { addInherited, removeMarks } from "./unread-executors.js";
 import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "./waiting-log.js";
 
 /** Schedules the jobs of one pool while this process holds the pool's lease. */
@@ -97,9 +91,14 @@
     let demand = lease.predecessor?.demand;
     let evacuations: ReadonlyMap<VmId, VmEvacuation> = new Map();
 
-    const previousExecutors = lease.predecessor?.executors ?? [];
-    previousExecutors.forEach(executor => addUnregistered(tables, placeholderRecord(pool, executor)));
-    tables.inheritedWaitUntilMs = context.monotonicMs() + inheritedWaitMs(lease, context.store.nowMs());
+    const takenOverAtMs = context.monotonicMs();
+    tables.inheritedWaitUntilMs = takenOverAtMs + inheritedWaitMs(lease, context.store.nowMs());
+    addInherited(tables, {
+        pool,
+        executors: lease.predecessor?.executors ?? [],
+        unrenewedMs: lease.unrenewedMs,
+        nowMs: takenOverAtMs,
+    });
 
     const isActive = (): boolean => active && !lease.lost;
     const isLeaseSafe = (): boolean => isPoolLeaseSafe(lease, context);
@@ -146,6 +145,7 @@
         mayExtendLeases: mayAct,
         mayHaveSuccessor,
         changed: requestPass,
+        markedExecutorAnswered: options.requestRenewal,
         // The executor has seen a newer fencing token; the outcome of a renewal shows whether the lease is lost.
         fenced: (): void => {
             lastFencedAtMs = context.monotonicMs();
@@ -333,6 +333,9 @@
         }),
         onLeaseRenewed: ({ executors }) => {
             recordLeaseHeld(tables, lease.renewedAtMs);
+            if (removeMarks(tables, executors)) {
+                connections.pollNow();
+            }
             executors.forEach(({ id }) => {
                 const executor = tables.executors.get(id);
                 if (executor !== undefined) {
--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -61,6 +61,7 @@
             mayExtendLeases: () => connected.mayExtendLeases(),
             ended: () => undefined,
             changed: () => undefined,
+            markedExecutorAnswered: () => undefined,
             ticketRejected: () => undefined,
             fenced: () => undefined,
         },
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -33,6 +33,8 @@
     /** Requests that the executor has received. */
     readonly requests: readonly JsonRequest[];
     mayExtendLeases: boolean;
+    /** How often the removal of the executor's mark was requested. */
+    removalsRequested: number;
 }
 
 /** Connects to an idle executor whose clock is 0 at the start of this process, and which answers as given. */
@@ -54,7 +56,7 @@
     const executor = tables.executors.get(ID);
     assert.ok(executor !== undefined);
     executor.reconciled = true;
-    const state = { mayExtendLeases: true };
+    const state = { mayExtendLeases: true, removalsRequested: 0 };
     const connection = openExecutorConnection({
         context: {
             monotonicMs: () => performance.now(),
@@ -67,6 +69,7 @@
             mayExtendLeases: () => state.mayExtendLeases,
             ended: () => undefined,
             changed: () => undefined,
+            markedExecutorAnswered: () => void state.removalsRequested++,
             ticketRejected: () => undefined,
             fenced: () => undefined,
         },
@@ -270,3 +273,44 @@
         "the task waits for more than a poll after the start has expired",
     );
 });
+
+// The next holder does not wait for what this one would do on an executor that the lease row marks as not read.
+test("no report of a marked executor is applied, and no lease extended there, before the mark is removed", async context => {
+    const end = [1, `${JOB}.0.0.0`, 7, "done", ""];
+    const { executor, connection, requests, ...connected } = await connect(context, () =>
+        reply(200, { clock_ms: 10, born: STARTED_AT_MS, active: [[`${JOB}.0.0.1`, 8, "", 5]], ended: [end] }),
+    );
+    Object.assign(executor, { reconciled: false, reachable: false, isMarkedUnread: true });
+    connection.pollNow();
+    await waitUntil(() => requests.length > 1);
+    assert.equal(executor.reconciled, false);
+    assert.equal(executor.lastAppliedEnd, 0);
+    assert.equal(executor.runs.size + executor.orphanedRuns.length, 0);
+    assert.equal(executor.reachable, true, "the next renewal removes the mark");
+    const bodies = requests.map(({ body }) => body as { readonly until_ms?: number; readonly last_seen: number });
+    assert.ok(bodies.every(({ until_ms: untilMs, last_seen: lastSeen }) => untilMs === undefined && lastSeen === 0));
+    executor.isMarkedUnread = false;
+    connection.pollNow();
+    await waitUntil(() => executor.reconciled);
+    assert.equal(executor.lastAppliedEnd, 1);
+    assert.ok(executor.wasRead);
+    assert.ok(connected.tables.executors.has(ID));
+});
+
+test("a start on a marked executor is not sent", async context => {
+    const { tables, executor, connection, requests } = await connect(context, () => reply(200, { clock_ms: 10 }));
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    executor.isMarkedUnread = true;
+    await connection.start(addTaskRun(tables, executor, 1), undefined);
+    assert.equal(executor.runs.size, 0);
+    assert.deepEqual(requests, []);
+});
+
+test("the removal of the mark of an executor that answers is requested", async context => {
+    const connected = await connect(context, () =>
+        reply(200, { clock_ms: 10, born: STARTED_AT_MS, active: [], ended: [] }),
+    );
+    Object.assign(connected.executor, { reconciled: false, reachable: false, isMarkedUnread: true });
+    connected.connection.pollNow();
+    await waitUntil(() => connected.removalsRequested > 0);
+});
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -2,6 +2,7 @@
 import { test, type TestContext } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
+import type { ExecutorId } from "@almondusher/jobs/ids";
 import type { Row, TableStore, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
@@ -337,3 +338,15 @@
     assert.ok((begun[0]?.runNumbers.last ?? 0) > FIRST_NUMBER_OF_TOKEN_3 + 1e9);
     assert.ok(store.lease()?.runNumbersUpTo !== undefined);
 });
+
+test("a new holder stores the marks of its predecessor without the time for which it saw the row unchanged", async context => {
+    const store = createLeaseStore();
+    const executors = [{ id: "i-0" as ExecutorId, address: "127.0.0.1:1", earlierRunsForMs: 7000 }];
+    const holder = "entry-2" as VmId;
+    store.put({ ...emptyLeaseContent, executors, holder, process: undefined, epoch: 3, runNumbersUpTo: undefined });
+    const { begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const stored = store.lease()?.executors[0]?.earlierRunsForMs ?? Number.NaN;
+    assert.equal(stored, 7000 - (begun[0]?.unrenewedMs ?? 0));
+    assert.ok(stored <= 5000, `${stored} ms after 2 s without a renewal`);
+});
--- a/programs/dispatcher/test/run-orders.test.ts
+++ b/programs/dispatcher/test/run-orders.test.ts
@@ -99,6 +99,7 @@
             mayHaveSuccessor: () => false,
             ended: executor => (executor.lastStoredEnd = executor.lastAppliedEnd),
             changed: () => undefined,
+            markedExecutorAnswered: () => undefined,
             ticketRejected: () => undefined,
             fenced: () => undefined,
         },
