Measure the survey of waiting tasks in processor time

It measured elapsed time, so it counted the processor time of other processes as its own.

The bound stays 100 ms, and the processor time of the whole process is no less than the elapsed time on an idle processor, so the check is as strict as before.

--- a/pools/scheduler/test/waiting-reason.test.ts
+++ b/pools/scheduler/test/waiting-reason.test.ts
@@ -263,7 +263,7 @@
 
 const EXECUTORS = 500;
 const TASKS = 5000;
-// A check must not delay the next tick of the scheduler.
+// Processor time of the whole process. A check must not delay the next tick of the scheduler.
 const MAX_SURVEY_MS = 100;
 
 const surveyStates: Readonly<Record<string, (tables: PoolTables) => Partial<SurveyOptions>>> = {
@@ -275,7 +275,7 @@
 };
 
 Object.entries(surveyStates).forEach(([state, prepare]) => {
-    void test(`a survey of ${TASKS} tasks on ${EXECUTORS} executors takes less than ${MAX_SURVEY_MS} ms: ${state}`, context => {
+    void test(`a survey of ${TASKS} tasks on ${EXECUTORS} executors takes less than ${MAX_SURVEY_MS} ms of processor time: ${state}`, context => {
         const tables = createPool({
             executors: Array.from({ length: EXECUTORS }, (unused, index) => record(`e${index}`)),
             jobs: Array.from({ length: TASKS / 10 }, (unused, index) => ({
@@ -286,7 +286,7 @@
         const options = { nowMs: NOW_MS, budget: UNLIMITED_BUDGET, executorsWithTicket: () => undefined };
         const changed = { ...options, ...prepare(tables) };
         const measure = (): number => {
-            const startedAtMs = performance.now();
+            const before = process.cpuUsage();
             const survey = surveyWaiting(tables, changed);
             tables.jobs.forEach(({ occurrences }) =>
                 occurrences.get(0)?.forEach(open => {
@@ -294,10 +294,13 @@
                     open.tasks.filter(isHeldUp).forEach(survey.reasonOf);
                 }),
             );
-            return performance.now() - startedAtMs;
+            const { user, system } = process.cpuUsage(before);
+            return (user + system) / 1000;
         };
+        const startedAtMs = performance.now();
         const bestMs = Math.min(...Array.from({ length: 5 }, measure));
-        context.diagnostic(`${bestMs.toFixed(1)} ms`);
+        const elapsedMs = performance.now() - startedAtMs;
+        context.diagnostic(`${bestMs.toFixed(1)} ms, ${elapsedMs.toFixed(1)} ms elapsed in 5 surveys`);
         assert(bestMs < MAX_SURVEY_MS, `${bestMs} ms`);
     });
 });
