--- a/pools/scheduler/test/simulation-outcome.ts
+++ b/pools/scheduler/test/simulation-outcome.ts
@@ -66,15 +66,7 @@
         runs.reduce((sum, { work }) => sum + work.demand.cpu, 0);
     return [
         ...active
-            .filter(run =>
-                active.some(
-                    other =>
-                        other !== run &&
-                        other.task === run.task &&
-                        other.run <= run.run &&
-                        other.executor <= run.executor,
-                ),
-            )
+            .filter(run => active.some(other => other !== run && other.task === run.task))
             .map(
                 ({ task }) =>
                     `${task} runs twice: ${active
