--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -3,6 +3,7 @@
 import { haveLeasesExpired, hasLongestLeaseExpired } from "./lease-time.js";
 import { learnRunTime } from "./run-times.js";
 import { adoptRun } from "./adopt-run.js";
+import { forgetInheritedStart } from "./inherited-starts.js";
 import { findReportedTask } from "./open-occurrences.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
 import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
@@ -47,6 +48,7 @@
     const applied = newEnds.map(end => applyEnd(tables, executor, end, times.receivedAtMs));
     executor.lastAppliedEnd = Math.max(executor.lastAppliedEnd, ...report.ended.map(end => end.number));
     report.active.forEach(active => {
+        forgetInheritedStart(tables, executor.id, active.task, active.run);
         const run = findRun(executor, active.task, active.run);
         if (run === undefined) {
             adoptRun(tables, executor, active, times.receivedAtMs);
@@ -116,6 +118,7 @@
 };
 
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
+    forgetInheritedStart(tables, executor.id, end.task, end.run);
     const task = findReportedTask(tables, end.task);
     const run = findRun(executor, end.task, end.run);
     if (run !== undefined) {
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -1,5 +1,6 @@
-import { chooseExecutor, type TicketedExecutors } from "./choose-executor.js";
+import { chooseExecutor, type ExecutorChoice, type TicketedExecutors } from "./choose-executor.js";
 import { isUsable } from "./executor-usability.js";
+import { executorsWithInheritedStart } from "./inherited-starts.js";
 import type { OrderBudget } from "./order-budget.js";
 import { orderSteps } from "./order-steps.js";
 import { planGang } from "./plan-gang.js";
@@ -112,14 +113,26 @@
     freeByExecutor: FreeByExecutor,
     options: PlacementOptions,
 ): Run | undefined => {
-    const tickets = options.executorsWithTicket(task.step);
-    const executor = chooseExecutor(task, { freeByExecutor, tickets, planned: [] });
+    const choice = { freeByExecutor, tickets: options.executorsWithTicket(task.step), planned: [] };
+    const executor = chooseInherited(tables, task, choice) ?? chooseExecutor(task, choice);
     const number = executor === undefined ? undefined : takeRunNumber(tables.runNumbers);
     return executor === undefined || number === undefined
         ? undefined
         : startRun(task, executor, number, freeByExecutor, options);
 };
 
+// An executor that has shown a report to this holder rejects earlier holders' starts for as long as its incarnation lasts; if
+// it restarts, the run that is placed there is gone as well.
+const chooseInherited = (tables: PoolTables, task: Task, choice: ExecutorChoice): Executor | undefined => {
+    const preferred = executorsWithInheritedStart(tables, task);
+    return preferred.size === 0
+        ? undefined
+        : chooseExecutor(task, {
+              ...choice,
+              freeByExecutor: new Map([...choice.freeByExecutor].filter(([{ id }]) => preferred.has(id))),
+          });
+};
+
 const placeGang = (
     tables: PoolTables,
     step: OpenStep,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -219,6 +219,15 @@
     readonly number: number;
 }
 
+/** A start request that got no response and may still be carried out. */
+export interface UndeliveredStart {
+    readonly executor: ExecutorId;
+    readonly task: TaskId;
+    readonly number: number;
+    /** When it was sent, in milliseconds of the monotonic clock. */
+    readonly sentAtMs: number;
+}
+
 /** In-memory state of the scheduler of one pool. */
 export interface PoolTables {
     readonly pool: PoolName;
@@ -237,6 +246,8 @@
     /** Longest time that an executor takes to stop a run, in milliseconds. */
     readonly stopTimeMs: number;
     readonly runNumbers: RunNumbers;
+    /** Starts of earlier holders of the pool lease that may still be carried out, by task. */
+    readonly inheritedStarts: Map<TaskId, readonly UndeliveredStart[]>;
     /** Inherited jobs start no runs before this monotonic time, unless the runs of every executor were read. */
     inheritedWaitUntilMs: number;
     /**
@@ -272,6 +283,7 @@
     runTimes: new Map(),
     token,
     runNumbers,
+    inheritedStarts: new Map(),
     inheritedWaitUntilMs: 0,
     isProgressCurrent: false,
     leaseHeldAtMs: Number.NEGATIVE_INFINITY,
--- a/pools/scheduler/src/start-gates.ts
+++ b/pools/scheduler/src/start-gates.ts
@@ -1,4 +1,5 @@
 import { areInheritedRunsKnown } from "./inherited-runs.js";
+import { isHeldByInheritedStart } from "./inherited-starts.js";
 import { isLeaseHeldSince, type OpenJob, type PoolTables, type Task } from "./pool-tables.js";
 
 /** Why no task of an inherited job may start. */
@@ -8,7 +9,7 @@
 export type JobGate = InheritedGate | "job-read-unconfirmed";
 
 /** Why a task may not start, whatever the executors have room for. */
-export type TaskGate = "done" | "run-not-ended" | "give-up-unconfirmed";
+export type TaskGate = "done" | "run-not-ended" | "give-up-unconfirmed" | "inherited-start-possible";
 
 /** Returns why the inherited jobs of the pool may not start tasks; undefined if they may. */
 export const inheritedGateOf = (tables: PoolTables, nowMs: number): InheritedGate | undefined => {
@@ -37,14 +38,17 @@
  * Returns why a task may not start; undefined if it may. A successor can have adopted a run that was given up after the last
  * proof that the pool lease was held.
  */
-export const taskGateOf = (tables: PoolTables, { done, runs, givenUpAtMs }: Task): TaskGate | undefined => {
+export const taskGateOf = (tables: PoolTables, { id, done, runs, givenUpAtMs }: Task): TaskGate | undefined => {
     if (done) {
         return "done";
     }
     if (runs.length > 0) {
         return "run-not-ended";
     }
-    return isLeaseHeldSince(tables, givenUpAtMs) ? undefined : "give-up-unconfirmed";
+    if (!isLeaseHeldSince(tables, givenUpAtMs)) {
+        return "give-up-unconfirmed";
+    }
+    return isHeldByInheritedStart(tables, id) ? "inherited-start-possible" : undefined;
 };
 
 /** True for a waiting task of which no successor can have adopted a run. */
--- a/pools/scheduler/src/undelivered-starts.ts
+++ b/pools/scheduler/src/undelivered-starts.ts
@@ -1,7 +1,7 @@
-import type { Executor, Run } from "./pool-tables.js";
+import type { Executor, PoolTables, Run, UndeliveredStart } from "./pool-tables.js";
 
-// A call without a response may be carried out seconds later, after newer calls.
-const MAX_ORDER_DELAY_MS = 15_000;
+/** A call without a response may be carried out up to this time after it was sent, in milliseconds. */
+export const MAX_ORDER_DELAY_MS = 15_000;
 
 /** True if the start request of a run may still be carried out, unless something makes it fail. */
 export const mayStillArrive = ({ isStartDelivered, startedAtMs }: Run, nowMs: number): boolean =>
@@ -26,3 +26,18 @@
     executor.undeliveredStarts = [];
     return undeliveredStarts.filter(run => mayStillArrive(run, nowMs));
 };
+
+/** The starts of this holder that got no response and may still be carried out. */
+export const unansweredStarts = (tables: PoolTables, nowMs: number): readonly UndeliveredStart[] =>
+    [...tables.executors.values()]
+        .flatMap(({ runs, undeliveredStarts }) => [
+            ...[...runs.values()].filter(({ unansweredAtMs }) => unansweredAtMs !== undefined),
+            ...undeliveredStarts,
+        ])
+        .filter(run => mayStillArrive(run, nowMs))
+        .map(({ executor, task, number, startedAtMs }) => ({
+            executor: executor.id,
+            task: task.id,
+            number,
+            sentAtMs: startedAtMs,
+        }));
--- a/pools/scheduler/src/waiting-reason.ts
+++ b/pools/scheduler/src/waiting-reason.ts
@@ -56,6 +56,8 @@
           readonly givenUpBeforeMs: number;
           readonly confirmedBeforeMs: number;
       }
+    /** A start of an earlier holder may still run the task itself or a member of its gang. */
+    | { readonly kind: "inherited-start-possible"; readonly member: TaskId }
     | { readonly kind: "run-numbers-exhausted"; readonly reservedUpTo: number }
     /** No executor of the pool has the label. */
     | { readonly kind: "no-label"; readonly label: string | undefined }
@@ -142,14 +144,16 @@
         };
     }
     const givenUp = [task, ...others].find(member => taskGateOf(tables, member) === "give-up-unconfirmed");
-    return givenUp === undefined
-        ? undefined
-        : {
-              kind: "give-up-unconfirmed",
-              member: givenUp.id,
-              givenUpBeforeMs: nowMs - givenUp.givenUpAtMs,
-              confirmedBeforeMs: nowMs - tables.leaseHeldAtMs,
-          };
+    if (givenUp !== undefined) {
+        return {
+            kind: "give-up-unconfirmed",
+            member: givenUp.id,
+            givenUpBeforeMs: nowMs - givenUp.givenUpAtMs,
+            confirmedBeforeMs: nowMs - tables.leaseHeldAtMs,
+        };
+    }
+    const held = [task, ...others].find(member => taskGateOf(tables, member) === "inherited-start-possible");
+    return held === undefined ? undefined : { kind: "inherited-start-possible", member: held.id };
 };
 
 const describeRun = ({ task, executor, number, phase, startedAtMs }: Run, nowMs: number): HoldingRun => ({
--- a/pools/scheduler/test/simulated-scheduler.ts
+++ b/pools/scheduler/test/simulated-scheduler.ts
@@ -5,6 +5,7 @@
 import { endJob, expireRuns } from "@almondusher/scheduler/apply-report";
 import { addUnregistered, applyRegistry } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown, areInheritedRunsOver } from "@almondusher/scheduler/inherited-runs";
+import { dropPastInheritedStarts, inheritStarts, undeliveredStarts } from "@almondusher/scheduler/inherited-starts";
 import { isJobEnded, progressOf } from "@almondusher/scheduler/job-progress";
 import { planOrphanStops, planStops } from "@almondusher/scheduler/plan-stops";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
@@ -13,6 +14,7 @@
     type Executor,
     type OpenJob,
     type PoolTables,
+    type UndeliveredStart,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
 import { initialRunNumbers, nextReservation, nextToken } from "@almondusher/scheduler/run-numbers";
@@ -43,6 +45,7 @@
     readonly token: number;
     readonly runNumbersUpTo: number;
     readonly executors: readonly Pick<ExecutorRecord, "id" | "address">[];
+    readonly undeliveredStarts: readonly UndeliveredStart[];
 }
 
 export interface SimulatedSchedulerOptions {
@@ -86,6 +89,7 @@
         token: tables.token,
         runNumbersUpTo: tables.runNumbers.reservedUpTo,
         executors: predecessor?.executors ?? [],
+        undeliveredStarts: predecessor?.undeliveredStarts ?? [],
     };
     let isPassRequested = false;
     let lastPassAtMs = Number.NEGATIVE_INFINITY;
@@ -253,6 +257,7 @@
                 connections.get(executor.id)?.stopOrphanedRun(orphanedRun),
             ),
         );
+        dropPastInheritedStarts(tables, nowMs);
         placeTasks(tables, { nowMs, budget, executorsWithTicket: () => undefined }).forEach(run =>
             connections.get(run.executor.id)?.start(run),
         );
@@ -271,6 +276,7 @@
                 token: tables.token,
                 runNumbersUpTo: tables.runNumbers.reservedUpTo,
                 executors: listed.map(({ id, record: { address } }) => ({ id, address })),
+                undeliveredStarts: undeliveredStarts(tables, nowMs),
             };
             leaseRenewedAtMs = nowMs;
             recordLeaseHeld(tables, leaseRenewedAtMs);
@@ -317,6 +323,7 @@
     if (queue !== undefined) {
         tables.queues.set(QUEUE, { ...queue, maxAttempts: MAX_ATTEMPTS });
     }
+    inheritStarts(tables, predecessor?.undeliveredStarts ?? [], nowMs);
     predecessor?.executors.forEach(({ id, address }) =>
         addUnregistered(
             tables,
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -5,6 +5,7 @@
 import type { PoolDemand } from "@almondusher/scheduler/demand";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
 import type { StorePoint } from "./read-all.js";
+import { storedStartsSchema, type StoredStart } from "./undelivered-start-rows.js";
 
 /** What the holder of a lease is responsible for: a pool or the fleet. */
 export type LeaseSubject = { readonly kind: "pool"; readonly pool: PoolName } | { readonly kind: "fleet" };
@@ -59,6 +60,8 @@
      * not read, in milliseconds; undefined if it has read those of all executors.
      */
     readonly inheritedRunsUntilMs: number | undefined;
+    /** Starts without a response that may still be carried out, of the holder and of earlier ones. */
+    readonly undeliveredStarts: readonly StoredStart[];
     /** IDs of the evacuations whose VM has no runs and gets no new ones. */
     readonly vacated: readonly string[];
     /** Demand of the pool for VMs; undefined until its scheduler has estimated it. */
@@ -82,6 +85,7 @@
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     pendingAsOf: z.object({ version: z.number(), atMs: z.number() }).optional(),
     inheritedRunsUntilMs: z.number().optional(),
+    undeliveredStarts: storedStartsSchema,
     vacated: z.array(z.string()),
     demand: z
         .object({
@@ -105,6 +109,7 @@
     pending: [],
     pendingAsOf: undefined,
     inheritedRunsUntilMs: undefined,
+    undeliveredStarts: [],
     vacated: [],
     demand: undefined,
     evacuations: [],
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -4,6 +4,7 @@
 import { createDemandHistory, estimateDemand } from "@almondusher/scheduler/demand";
 import { addUnregistered } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
+import { dropPastInheritedStarts, inheritStarts, undeliveredStarts } from "@almondusher/scheduler/inherited-starts";
 import {
     createPoolTables,
     recordLeaseHeld,
@@ -40,6 +41,7 @@
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
+import { storedStarts, undeliveredStartsOf } from "./undelivered-start-rows.js";
 import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "./waiting-log.js";
 
 /** Schedules the jobs of one pool while this process holds the pool's lease. */
@@ -99,6 +101,9 @@
 
     const previousExecutors = lease.predecessor?.executors ?? [];
     previousExecutors.forEach(executor => addUnregistered(tables, placeholderRecord(pool, executor)));
+    const storeAheadMs = (): number => context.store.nowMs() - context.monotonicMs();
+    const storedByPredecessor = lease.predecessor?.undeliveredStarts ?? [];
+    inheritStarts(tables, undeliveredStartsOf(storedByPredecessor, storeAheadMs()), context.monotonicMs());
     tables.inheritedWaitUntilMs = context.monotonicMs() + inheritedWaitMs(lease, context.store.nowMs());
 
     const isActive = (): boolean => active && !lease.lost;
@@ -222,6 +227,7 @@
     };
     const runPass = (): void => {
         expireLostRuns();
+        dropPastInheritedStarts(tables, context.monotonicMs());
         pollOnceSuccessorIsPossible();
         recordLeaseHeld(tables, poolLeaseHeldAtMs(lease, context));
         admission.openOccurrences();
@@ -328,6 +334,7 @@
             inheritedRunsUntilMs: areInheritedRunsKnown(tables, context.monotonicMs())
                 ? undefined
                 : lease.inheritedRunsUntilMs,
+            undeliveredStarts: storedStarts(undeliveredStarts(tables, context.monotonicMs()), storeAheadMs()),
             vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
         }),
