--- a/pools/scheduler/test/inherited-starts.test.ts
+++ b/pools/scheduler/test/inherited-starts.test.ts
@@ -8,7 +8,8 @@
     MAX_LISTED_STARTS,
     undeliveredStarts,
 } from "@almondusher/scheduler/inherited-starts";
-import type { PoolTables, UndeliveredStart } from "@almondusher/scheduler/pool-tables";
+import { findTask, type PoolTables, type UndeliveredStart } from "@almondusher/scheduler/pool-tables";
+import { surveyWaiting } from "@almondusher/scheduler/waiting-reason";
 import {
     createPool,
     executorOf,
@@ -18,6 +19,7 @@
     receiveReport,
     record,
     step,
+    UNLIMITED_BUDGET,
 } from "./fixture.js";
 
 const TASK = "j1.0.0.0" as never;
@@ -72,6 +74,10 @@
     inheritStarts(tables, [startOn("b")], NOW_MS);
     applyRegistry(tables, [record("a"), record("b", { startedAtMs: 2, clockMs: 0 })], NOW_MS);
     assert.deepEqual(placedOn(tables, NOW_MS), []);
+    const survey = { nowMs: NOW_MS, budget: UNLIMITED_BUDGET, executorsWithTicket: () => undefined };
+    const task = findTask(tables, TASK);
+    assert.ok(task !== undefined);
+    assert.deepEqual(surveyWaiting(tables, survey).reasonOf(task), { kind: "inherited-start-possible", member: TASK });
     receiveReport(tables, "b", { startedAtMs: 2, clockMs: 20 }, NOW_MS + 20);
     assert.deepEqual(placedOn(tables, NOW_MS + 30), ["b"]);
 });
