Choose executors for tasks together in one place

The count of tasks of a step on one executor leaves out planned tasks of other steps by itself; before, relocation-room did so.

--- a/pools/scheduler/src/choose-executor.ts
+++ b/pools/scheduler/src/choose-executor.ts
@@ -1,7 +1,7 @@
 import type { Step } from "@almondusher/jobs/job";
 import { hasRequiredLabel } from "./executor-usability.js";
 import type { Executor, OpenStep, Task } from "./pool-tables.js";
-import { demandOf, fits, type FreeByExecutor } from "./resources.js";
+import { demandOf, fits, subtract, type FreeByExecutor } from "./resources.js";
 
 /** Executors with a ticket for a step; undefined if the step needs none. */
 export type TicketedExecutors = ReadonlySet<Executor["id"]> | undefined;
@@ -16,7 +16,15 @@
 export interface ExecutorChoice {
     readonly freeByExecutor: FreeByExecutor;
     readonly tickets: TicketedExecutors;
-    /** Members of the gang that are already planned. */
+    /** Tasks that are already planned; those of the same step count for the maximum on one executor. */
+    readonly planned: readonly PlannedMember[];
+}
+
+/** What a choice of executors for several tasks depends on. */
+export interface ExecutorsChoice {
+    /** The room of the chosen executors is taken from it, also if not all tasks get one. */
+    readonly freeByExecutor: FreeByExecutor;
+    readonly ticketsOf: (step: OpenStep) => TicketedExecutors;
     readonly planned: readonly PlannedMember[];
 }
 
@@ -55,9 +63,29 @@
             undefined,
         );
 
+/** Chooses executors for tasks that need room at the same time; undefined if not all of them fit. */
+export const chooseTogether = (
+    tasks: readonly Task[],
+    { freeByExecutor, ticketsOf, planned }: ExecutorsChoice,
+): readonly PlannedMember[] | undefined => {
+    const members: PlannedMember[] = [];
+    const complete = tasks.every(task => {
+        const choice = { freeByExecutor, tickets: ticketsOf(task.step), planned: [...planned, ...members] };
+        const executor = chooseExecutor(task, choice);
+        if (executor === undefined) {
+            return false;
+        }
+        const free = freeByExecutor.get(executor) ?? executor.record.capacity;
+        freeByExecutor.set(executor, subtract(free, demandOf(task.step.step)));
+        members.push({ task, executor });
+        return true;
+    });
+    return complete ? members : undefined;
+};
+
 const countTasksOfStep = (step: OpenStep, executor: Executor, planned: readonly PlannedMember[]): number =>
     [...executor.runs.values()].filter(run => run.task.step === step).length +
-    planned.filter(member => member.executor === executor).length;
+    planned.filter(member => member.executor === executor && member.task.step === step).length;
 
 const isBetter = (task: Task, left: Executor, right: Executor, free: FreeByExecutor): boolean => {
     const difference = placementPenalty(task, left) - placementPenalty(task, right);
--- a/pools/scheduler/src/relocation-room.ts
+++ b/pools/scheduler/src/relocation-room.ts
@@ -1,8 +1,8 @@
-import { chooseExecutor, type PlannedMember, type TicketedExecutors } from "./choose-executor.js";
+import { chooseTogether, type PlannedMember, type TicketedExecutors } from "./choose-executor.js";
 import { isUsable } from "./executor-usability.js";
 import { isJobEnded, isReady } from "./job-progress.js";
 import { stepsOf, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
-import { demandOf, freeResources, subtract, type FreeByExecutor } from "./resources.js";
+import { freeResources, type FreeByExecutor } from "./resources.js";
 
 /** Room on other executors for long-running tasks that are stopped in one pass because their VMs are evacuated. */
 export interface RelocationRoom {
@@ -75,25 +75,17 @@
     let planned: readonly PlannedMember[] = [];
     return tasks => {
         const trial: FreeByExecutor = new Map(free);
-        const members = [...planned];
-        const complete = tasks.every(task => {
-            const executor = chooseExecutor(task, {
-                freeByExecutor: trial,
-                tickets: executorsWithTicket?.(task.step),
-                planned: members.filter(member => member.task.step === task.step),
-            });
-            if (executor === undefined) {
-                return false;
-            }
-            trial.set(executor, subtract(trial.get(executor) ?? executor.record.capacity, demandOf(task.step.step)));
-            members.push({ task, executor });
-            return true;
+        const members = chooseTogether(tasks, {
+            freeByExecutor: trial,
+            ticketsOf: step => executorsWithTicket?.(step),
+            planned,
         });
-        if (complete) {
-            planned = members;
-            trial.forEach((resources, executor) => free.set(executor, resources));
+        if (members === undefined) {
+            return false;
         }
-        return complete;
+        planned = [...planned, ...members];
+        trial.forEach((resources, executor) => free.set(executor, resources));
+        return true;
     };
 };
 
