--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -69,6 +69,8 @@
     open.progressVersion = version;
     restoreProgress(open, progress);
     if (isFinal(progress)) {
+        // Runs of a closed job are stopped by its state.
+        open.state = progress.state;
         closeJob(tables, open);
         return;
     }
--- a/pools/scheduler/test/admit-job.test.ts
+++ b/pools/scheduler/test/admit-job.test.ts
@@ -5,7 +5,8 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Progress } from "@almondusher/jobs/progress";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
-import { addJob, createPool, place, receiveReport, record, step } from "./fixture.js";
+import { planStops } from "../src/plan-stops.js";
+import { addJob, createPool, place, receiveReport, record, step, UNLIMITED_BUDGET } from "./fixture.js";
 
 const withDoneTask = (index: number): Progress => ({
     state: "running",
@@ -82,3 +83,22 @@
     assert.deepEqual(place(tables), []);
     assert.equal(tables.jobs.get(toId<JobId>("job"))?.state, "completed");
 });
+
+(["completed", "failed", "cancelled"] as const).forEach(
+    state =>
+        void test(`a run of a job that the previous scheduler has stored as ${state} is stopped`, () => {
+            const tables = createPool({
+                executors: [record("a")],
+                jobs: [{ id: "j1", steps: [step({ longRunning: true })], inherited: true }],
+            });
+            receiveReport(tables, "a", {
+                active: [{ task: "j1.0.0.0" as never, run: 1, checkpoint: "", percent: 100, recentLoad: 0 }],
+            });
+            merge(tables, { state, steps: [] });
+            const options = { nowMs: 1000, resendAfterMs: 400, budget: UNLIMITED_BUDGET };
+            assert.deepEqual(
+                planStops(tables, options).map(({ task }) => task.id as string),
+                ["j1.0.0.0"],
+            );
+        }),
+);
