--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -38,7 +38,8 @@
         }
         setIncarnationStart(known, record.startedAtMs);
         known.record = record;
-        known.reachable = true;
+        // Of an executor in the lease row only the address was known, so its start time in the registry shows no restart.
+        known.reachable ||= !known.isMarkedUnread;
     } else if (known.record.startedAtMs === record.startedAtMs && known.isIncarnationStartKnown) {
         known.record = record;
         recordRegistryClock(known, record, nowMs);
--- a/programs/dispatcher/test/unread-executors.test.ts
+++ b/programs/dispatcher/test/unread-executors.test.ts
@@ -111,6 +111,13 @@
     assert.equal(markOf(tables, 1000), 2000);
 });
 
+// The registry shows a later start time than the placeholder of the lease row, which is no sign of a restart.
+test("a mark is kept while the registry still lists the executor", () => {
+    const tables = takeOver([{ ...ENDED, earlierRunsForMs: 3000 }]);
+    applyRegistry(tables, [executorRecord("a")], 100);
+    assert.equal(markOf(tables, 1000), 2000);
+});
+
 // A row of another writer, or one whose time was measured on a clock that stood still.
 test("a mark that is longer than any wait does not prolong the wait", () => {
     const tables = takeOver([{ ...ENDED, earlierRunsForMs: 3_600_000 }]);
