--- a/pools/scheduler/src/reserve-for-waiting.ts
+++ b/pools/scheduler/src/reserve-for-waiting.ts
@@ -4,7 +4,7 @@
 import { expectedRunMs } from "./order-steps.js";
 import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
 import { remainingRunMs } from "./remaining-time.js";
-import { add, demandOf, fits, subtract, withoutDeficit, type FreeByExecutor } from "./resources.js";
+import { add, demandOf, fits, freeResources, subtract, withoutDeficit, type FreeByExecutor } from "./resources.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
 
 /** What a reservation depends on apart from the tables. */
@@ -35,6 +35,8 @@
     /** What is free on each executor asked for once all runs that end by themselves or are being stopped have ended. */
     readonly freeLater: FreeByExecutor;
     readonly executors: readonly Executor[];
+    /** Longest expected time until an executor has the room that is reserved on it, in milliseconds. */
+    readonly maxWaitMs: number;
 }
 
 // A reservation stays on its executor unless another one is expected to have the room this much earlier, in milliseconds.
@@ -42,6 +44,9 @@
 const MIN_GAIN_MS = 500;
 // Executors are compared again after this time, in milliseconds. A pass follows each end of a run.
 const COMPARISON_INTERVAL_MS = 200;
+// Smaller tasks must not wait for longer, in milliseconds, while most of the pool is free.
+const MAX_WAIT_IN_FREE_POOL_MS = 2700;
+const MIN_SHARE_IN_USE = 0.5;
 
 /**
  * Reserves room for the long-running tasks that can start but fit nowhere, each on the executor that is expected to have it
@@ -108,7 +113,22 @@
         );
         return created;
     };
-    return { of: executor => known.get(executor) ?? forecast(executor), freeLater, executors: [...free.keys()] };
+    const executors = [...free.keys()];
+    return {
+        of: executor => known.get(executor) ?? forecast(executor),
+        freeLater,
+        executors,
+        maxWaitMs: isMostlyFree(executors) ? MAX_WAIT_IN_FREE_POOL_MS : Infinity,
+    };
+};
+
+const isMostlyFree = (executors: readonly Executor[]): boolean => {
+    const sumOf = (amountOf: (executor: Executor) => number): number =>
+        executors.reduce((sum, executor) => sum + amountOf(executor), 0);
+    return (
+        sumOf(executor => freeResources(executor).cpu) >
+        (1 - MIN_SHARE_IN_USE) * sumOf(({ record }) => record.capacity.cpu)
+    );
 };
 
 const releasesOf = (tables: PoolTables, { runs }: Executor, nowMs: number): readonly Release[] =>
@@ -166,7 +186,11 @@
         return undefined;
     }
     const executor = forecasts.executors.find(({ id }) => id === reservation.executor);
-    return executor !== undefined && mayReserve(task, executor, forecasts, planned, options) ? executor : undefined;
+    return executor !== undefined &&
+        mayReserve(task, executor, forecasts, planned, options) &&
+        waitForRoom(task, forecasts.of(executor)).inMs <= forecasts.maxWaitMs
+        ? executor
+        : undefined;
 };
 
 const mayReserve = (
@@ -190,6 +214,7 @@
     const candidates = forecasts.executors
         .filter(executor => mayReserve(task, executor, forecasts, planned, options))
         .map(executor => ({ executor, ...waitForRoom(task, forecasts.of(executor)) }))
+        .filter(({ inMs }) => inMs <= forecasts.maxWaitMs)
         .sort((left, right) => left.inMs - right.inMs || left.ends - right.ends);
     const soonestMs = candidates[0]?.inMs ?? 0;
     const kept = candidates.find(
