--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -79,6 +79,7 @@
     if (!report.endsTruncated) {
         dropMissingRuns(executor, report, times);
         executor.reconciled = true;
+        executor.inheritedRunsRead = true;
     }
     return applied;
 };
--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -156,6 +156,7 @@
     executor.backoffUntilMs = 0;
     executor.orphanedRuns = [];
     executor.reconciled = false;
+    executor.inheritedRunsRead = false;
     executor.hasUnreadEnds = false;
 };
 
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -67,6 +67,7 @@
     clock: undefined,
     leaseUntilMs: 0,
     reconciled: false,
+    inheritedRunsRead: false,
     wasRead: false,
     isMarkedUnread: false,
     inheritedWaitUntilMs: undefined,
--- a/pools/scheduler/src/inherited-runs.ts
+++ b/pools/scheduler/src/inherited-runs.ts
@@ -17,6 +17,8 @@
  */
 export const areInheritedRunsOver = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
     executor.reconciled ||
+    // It ended with its VM after the evacuation in which its runs were read, or is out of reach.
+    (!executor.reachable && executor.inheritedRunsRead) ||
     (nowMs >= inheritedWaitEndMs(tables, executor) &&
         isLeaseHeldSince(tables, inheritedWaitEndMs(tables, executor)) &&
         !mayListUnreadEnds(tables, executor));
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -181,6 +181,8 @@
      * and since its current incarnation was detected and its last evacuation ended.
      */
     reconciled: boolean;
+    /** As `reconciled`, which it outlasts: the end of an evacuation does not change it. */
+    inheritedRunsRead: boolean;
     /** A report was applied or a run lease computed since the current pool lease was taken. */
     wasRead: boolean;
     /**
--- a/pools/scheduler/test/inherited-runs.test.ts
+++ b/pools/scheduler/test/inherited-runs.test.ts
@@ -2,7 +2,7 @@
 import test from "node:test";
 import type { EndedRun } from "@almondusher/jobs/executor";
 import { recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { confirmStart } from "../src/executor-incarnation.js";
+import { beginIncarnation, confirmStart } from "../src/executor-incarnation.js";
 import { areInheritedRunsKnown } from "../src/inherited-runs.js";
 import { planStops } from "../src/plan-stops.js";
 import { createPool, executorOf, place, receiveReport, record, step, UNLIMITED_BUDGET } from "./fixture.js";
@@ -126,6 +126,18 @@
     );
 });
 
+test("an executor that is gone after its evacuation holds up no job if its runs were read before", () => {
+    const tables = takenOver();
+    receiveReport(tables, "a", {});
+    const executor = executorOf(tables, "a");
+    executor.reconciled = false;
+    assert.equal(areInheritedRunsKnown(tables, 400), false, "it may have restarted, and answers the next poll");
+    loseContact(executor, 400);
+    assert.equal(areInheritedRunsKnown(tables, 500), true);
+    beginIncarnation(executor, 600);
+    assert.equal(areInheritedRunsKnown(tables, 700), false, "its next incarnation was not read");
+});
+
 // The executor must not keep the list from being acknowledged: no end is while a start without a response is unsettled.
 test("an unanswered start is stopped although the list of ends is truncated, and its end counts once it is listed", () => {
     const tables = createPool({ executors: [record("a")], jobs: [{ id: "j1", steps: [step()] }] });
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -51,6 +51,13 @@
     assert.deepEqual(listedIds(tables), ["a"]);
 });
 
+// The end of the evacuation makes the executor unreconciled, since its VM may come back with it.
+test("an executor whose runs were read before its VM was moved does not hold up the next holder", () => {
+    const ended = { evacuation: undefined, reconciled: false, reachable: false, inheritedRunsRead: true };
+    assert.deepEqual(listedIds(tablesWithEvacuation(ended)), ["a"]);
+    assert.deepEqual(listedIds(tablesWithEvacuation({ ...ended, reachable: true })), ["a", "b"]);
+});
+
 // The executor was out of reach for the new holder only, and the VM would be moved with the runs on it.
 test("an evacuation is not reported as complete while an executor that a new holder cannot reach may have earlier runs", () => {
     const tables = tablesWithEvacuation({ reconciled: false, reachable: false });
