--- a/programs/dispatcher/src/job-api.ts
+++ b/programs/dispatcher/src/job-api.ts
@@ -5,7 +5,7 @@
 import { initialProgress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
-import { MAX_ROW_BYTES, type Row } from "@almondusher/platform-adapter/table-store";
+import type { Row } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import {
     cancellationRow,
@@ -49,21 +49,13 @@
     }
     const tables = jobTablesOf(call.queue.pool);
     const job = toJob(context, call, submission);
-    const storedJob = encodeJob(job);
-    const storedBytes = Buffer.byteLength(storedJob);
-    if (storedBytes > MAX_ROW_BYTES) {
-        return {
-            kind: "invalid",
-            message: `the job takes ${storedBytes} bytes in the store; the maximum is ${MAX_ROW_BYTES}; submit fewer steps`,
-        };
-    }
     const transaction = {
         expect: [
             { ...jobRow(tables, call.id), version: 0 },
             { ...progressRow(tables, call.id), version: 0 },
         ],
         writes: [
-            { ...jobRow(tables, call.id), value: storedJob },
+            { ...jobRow(tables, call.id), value: encodeJob(job) },
             { ...progressRow(tables, call.id), value: encodeProgress(initialProgress) },
         ],
     };
