Decide in one place on which executor room may be reserved

findRecentChoice and chooseSoonest checked the same two things, the refusal and the longest wait, each with a call that only filled the forecast. waitOn does all of it and returns the wait.

--- a/pools/scheduler/src/reserve-for-waiting.ts
+++ b/pools/scheduler/src/reserve-for-waiting.ts
@@ -186,23 +186,26 @@
         return undefined;
     }
     const executor = forecasts.executors.find(({ id }) => id === reservation.executor);
-    return executor !== undefined &&
-        mayReserve(task, executor, forecasts, planned, options) &&
-        waitForRoom(task, forecasts.of(executor)).inMs <= forecasts.maxWaitMs
+    return executor !== undefined && waitOn(executor, task, forecasts, planned, options) !== undefined
         ? executor
         : undefined;
 };
 
-const mayReserve = (
-    task: Task,
+/** What has to end before an executor has room for a task; undefined if no room may be reserved there. */
+const waitOn = (
     executor: Executor,
+    task: Task,
     forecasts: Forecasts,
     planned: readonly PlannedMember[],
     { executorsWithTicket }: ReservationOptions,
-): boolean => {
-    forecasts.of(executor);
+): WaitForRoom | undefined => {
+    const forecast = forecasts.of(executor);
     const choice = { freeByExecutor: forecasts.freeLater, tickets: executorsWithTicket(task.step), planned };
-    return refusalOf(task, executor, choice) === undefined;
+    if (refusalOf(task, executor, choice) !== undefined) {
+        return undefined;
+    }
+    const wait = waitForRoom(task, forecast);
+    return wait.inMs <= forecasts.maxWaitMs ? wait : undefined;
 };
 
 const chooseSoonest = (
@@ -212,9 +215,10 @@
     options: ReservationOptions,
 ): Executor | undefined => {
     const candidates = forecasts.executors
-        .filter(executor => mayReserve(task, executor, forecasts, planned, options))
-        .map(executor => ({ executor, ...waitForRoom(task, forecasts.of(executor)) }))
-        .filter(({ inMs }) => inMs <= forecasts.maxWaitMs)
+        .flatMap(executor => {
+            const wait = waitOn(executor, task, forecasts, planned, options);
+            return wait === undefined ? [] : [{ executor, ...wait }];
+        })
         .sort((left, right) => left.inMs - right.inMs || left.ends - right.ends);
     const soonestMs = candidates[0]?.inMs ?? 0;
     const kept = candidates.find(
