Rank long-running steps in one comparison

Since long-running steps go before others whatever the priority of their queue, the class of a ranked step repeated what the first comparison had decided. What is left of it is whether the job is late.

--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -5,7 +5,8 @@
 /** A step that may start tasks now, with its sort criteria. */
 export interface RankedStep {
     readonly step: OpenStep;
-    readonly class: "longRunning" | "on-time" | "late";
+    /** The job would miss its objective; false for long-running steps. */
+    readonly isLate: boolean;
     readonly priority: number;
     /** Latest start of its next task for the job to be on time, in milliseconds of the monotonic clock. */
     readonly latestStartMs: number;
@@ -39,12 +40,10 @@
         )
         .sort(compareSteps);
 
-const CLASS_ORDER: Readonly<Record<RankedStep["class"], number>> = { longRunning: 0, "on-time": 1, late: 2 };
-
 const compareSteps = (left: RankedStep, right: RankedStep): number =>
     Number(right.step.step.longRunning) - Number(left.step.step.longRunning) ||
     left.priority - right.priority ||
-    CLASS_ORDER[left.class] - CLASS_ORDER[right.class] ||
+    Number(left.isLate) - Number(right.isLate) ||
     left.latestStartMs - right.latestStartMs;
 
 // The objective takes all steps of the job into account, so it is determined once for those that are ranked.
@@ -59,10 +58,10 @@
     const objectiveMs = isTimed ? completionObjective(tables, job, nowMs).objectiveMs : 0;
     return steps.map(step => {
         if (step.step.longRunning) {
-            return { step, class: "longRunning", priority, latestStartMs: job.arrivedAtMs };
+            return { step, isLate: false, priority, latestStartMs: job.arrivedAtMs };
         }
         const latestStartMs = objectiveMs - criticalPathMs(tables, step, nowMs);
-        return { step, class: latestStartMs + LATE_MARGIN_MS < nowMs ? "late" : "on-time", priority, latestStartMs };
+        return { step, isLate: latestStartMs + LATE_MARGIN_MS < nowMs, priority, latestStartMs };
     });
 };
 
