--- a/model/specification/src/checks.ts
+++ b/model/specification/src/checks.ts
@@ -6,7 +6,7 @@
 import { moveProtocol } from "./moves.js";
 import type { Protocol, ProtocolStep, Trace } from "./protocol.js";
 import { replay } from "./replay.js";
-import { type RunGuard, runGuards, type RunOptions } from "./run-state.js";
+import { type RunGap, runGaps, type RunGuard, runGuards, type RunOptions } from "./run-state.js";
 import { runProtocol } from "./runs.js";
 
 /** Exploration of a complete protocol within the bounds given in the name. */
@@ -15,29 +15,33 @@
     readonly run: () => Exploration<ProtocolStep>;
 }
 
-/** Exploration of a protocol with one guard disabled, which must find a violation. */
-export interface GuardCheck {
+/** Exploration of a protocol with one guard disabled or one known gap admitted, which must find a violation. */
+export interface VariantCheck {
     readonly protocol: string;
-    readonly guard: string;
+    readonly variant: Variant;
     readonly run: () => Exploration<ProtocolStep>;
     /** Replays the trace on the complete protocol and returns the violations. */
     readonly replayComplete: (trace: Trace<ProtocolStep>) => readonly string[];
 }
 
+/** How a protocol differs from the complete one. */
+export type Variant =
+    { readonly type: "without-guard"; readonly guard: string } | { readonly type: "with-gap"; readonly gap: string };
+
 const completeCheck = <State, Step extends ProtocolStep>(
     bounds: string,
     protocol: Protocol<State, Step>,
 ): CompleteCheck => ({ name: `${protocol.name}, ${bounds}`, run: () => explore(protocol) });
 
-interface GuardCheckOptions<State, Step extends ProtocolStep> {
-    readonly guard: string;
+interface VariantCheckOptions<State, Step extends ProtocolStep> {
+    readonly variant: Variant;
     readonly mutant: Protocol<State, Step>;
     readonly complete: Protocol<State, Step>;
 }
 
-const guardCheck = <State, Step extends ProtocolStep>(options: GuardCheckOptions<State, Step>): GuardCheck => ({
+const variantCheck = <State, Step extends ProtocolStep>(options: VariantCheckOptions<State, Step>): VariantCheck => ({
     protocol: options.mutant.name,
-    guard: options.guard,
+    variant: options.variant,
     run: () => explore(options.mutant),
     replayComplete: trace => replay(options.complete, trace.steps as readonly Step[]),
 });
@@ -66,33 +70,33 @@
     }
 };
 
-const moveCheck = (guard: MoveGuard): GuardCheck =>
-    guardCheck({
-        guard,
+const moveCheck = (guard: MoveGuard): VariantCheck =>
+    variantCheck({
+        variant: { type: "without-guard", guard },
         mutant: moveProtocol({ ...moveBounds(guard), disabledGuard: guard }),
         complete: moveProtocol(moveBounds(guard)),
     });
 
 const editBounds = { maxFaults: 2, entries: 2 };
-const editCheck = (guard: EditGuard): GuardCheck =>
-    guardCheck({
-        guard,
+const editCheck = (guard: EditGuard): VariantCheck =>
+    variantCheck({
+        variant: { type: "without-guard", guard },
         mutant: editProtocol({ ...editBounds, disabledGuard: guard }),
         complete: editProtocol(editBounds),
     });
 
 const claimBounds = { maxFaults: 2, entries: 2 };
-const claimCheck = (guard: ClaimGuard): GuardCheck =>
-    guardCheck({
-        guard,
+const claimCheck = (guard: ClaimGuard): VariantCheck =>
+    variantCheck({
+        variant: { type: "without-guard", guard },
         mutant: claimProtocol({ ...claimBounds, disabledGuard: guard }),
         complete: claimProtocol(claimBounds),
     });
 
 const maintenanceBounds = { maxFaults: 2, maxEdits: 3 };
-const maintenanceCheck = (guard: MaintenanceGuard): GuardCheck =>
-    guardCheck({
-        guard,
+const maintenanceCheck = (guard: MaintenanceGuard): VariantCheck =>
+    variantCheck({
+        variant: { type: "without-guard", guard },
         mutant: maintenanceProtocol({ ...maintenanceBounds, disabledGuard: guard }),
         complete: maintenanceProtocol(maintenanceBounds),
     });
@@ -104,6 +108,7 @@
         case "confirm-lease-after-giving-up":
             return { maxFaults: 2, maxStarts: 2, faults: ["take-over", "cut"] };
         case "confirm-lease-after-restart":
+        case "take-over-undelivered-starts":
             return { maxFaults: 2, maxStarts: 2, faults: ["take-over", "restart"] };
         case "executor-rejects-lower-token":
         case "inspect-before-start":
@@ -112,16 +117,35 @@
         case "settle-unanswered":
         case "announce-executor":
         case "store-end-before-acknowledging":
+        case "stop-again-after-restart":
             return { maxFaults: 1, maxStarts: 2 };
     }
 };
-const runCheck = (guard: RunGuard): GuardCheck =>
-    guardCheck({
-        guard,
+const runCheck = (guard: RunGuard): VariantCheck =>
+    variantCheck({
+        variant: { type: "without-guard", guard },
         mutant: runProtocol({ ...runBounds(guard), disabledGuard: guard }),
         complete: runProtocol(runBounds(guard)),
     });
 
+const gapBounds = (gap: RunGap): RunOptions => {
+    switch (gap) {
+        case "stopped-start-after-restart":
+            return { maxFaults: 1, maxStarts: 2, faults: ["restart"] };
+        case "unlisted-start-after-restart":
+        case "same-executor-while-undelivered":
+        case "elsewhere-while-undelivered":
+        case "end-lost-before-it-is-stored":
+            return { maxFaults: 2, maxStarts: 2, faults: ["take-over", "restart"] };
+    }
+};
+const gapCheck = (gap: RunGap): VariantCheck =>
+    variantCheck({
+        variant: { type: "with-gap", gap },
+        mutant: runProtocol({ ...gapBounds(gap), admittedGap: gap }),
+        complete: runProtocol(gapBounds(gap)),
+    });
+
 /** Explorations that must find no violation. */
 export const completeChecks: readonly CompleteCheck[] = [
     completeCheck("3 entries, 2 faults", editProtocol({ maxFaults: 2, entries: 3 })),
@@ -139,10 +163,13 @@
 ];
 
 /** Explorations that must find a violation, one for each guard. */
-export const guardChecks: readonly GuardCheck[] = [
+export const guardChecks: readonly VariantCheck[] = [
     ...editGuards.map(editCheck),
     ...moveGuards.map(moveCheck),
     ...maintenanceGuards.map(maintenanceCheck),
     ...claimGuards.map(claimCheck),
     ...runGuards.map(runCheck),
 ];
+
+/** Explorations that must find a violation, one for each known gap. */
+export const gapChecks: readonly VariantCheck[] = runGaps.map(gapCheck);
--- a/model/specification/src/main.ts
+++ b/model/specification/src/main.ts
@@ -1,8 +1,8 @@
 import { parseArgs } from "node:util";
-import { completeChecks, guardChecks } from "./checks.js";
+import { completeChecks, gapChecks, guardChecks } from "./checks.js";
 import type { Exploration } from "./explore.js";
 import type { ProtocolStep } from "./protocol.js";
-import { saveTrace } from "./traces.js";
+import { saveTrace, variantName } from "./traces.js";
 
 const describe = (name: string, exploration: Exploration<ProtocolStep>): string => {
     const found = exploration.violation ?? exploration.stuck;
@@ -15,9 +15,9 @@
 const { values } = parseArgs({ options: { "save-traces": { type: "boolean", default: false } } });
 
 completeChecks.forEach(check => console.log(describe(check.name, check.run())));
-guardChecks.forEach(check => {
+[...guardChecks, ...gapChecks].forEach(check => {
     const exploration = check.run();
-    console.log(describe(`${check.protocol} without ${check.guard}`, exploration));
+    console.log(describe(`${check.protocol} ${variantName(check.variant)}`, exploration));
     if (values["save-traces"] && exploration.violation !== undefined) {
         saveTrace(check, exploration.violation);
     }
--- a/model/specification/src/protocol.ts
+++ b/model/specification/src/protocol.ts
@@ -25,6 +25,8 @@
     readonly protocol: string;
     /** Guard that was disabled. Absent for the complete protocol. */
     readonly withoutGuard?: string;
+    /** Known gap that was admitted. Absent if none was. */
+    readonly withGap?: string;
     readonly violations: readonly string[];
     readonly steps: readonly Step[];
 }
--- a/model/specification/src/run-key.ts
+++ b/model/specification/src/run-key.ts
@@ -6,6 +6,7 @@
     type ProcessIndex,
     type RunState,
     type Scheduler,
+    type UndeliveredStart,
 } from "./run-state.js";
 import { isRejected } from "./run-transitions.js";
 
@@ -14,23 +15,21 @@
  * symmetric, or in what no later step depends on.
  */
 export const runKey = (state: RunState, maxFaults: number): string => {
-    const pendingStarts = state.pendingStarts.filter(pending => mayTakeEffect(state, pending));
+    const pendingStarts = state.pendingStarts.filter(pending => mayTakeEffect(state, pending, maxFaults));
     const executorKeys = INDEXES.map(index => executorKey(state, index, pendingStarts, maxFaults));
     const keyInOrder = (order: Order): string =>
         [
             state.epoch,
             setKey(state.listedInLease, order),
+            undeliveredKeys(state, state.undeliveredInLease, state.epoch, order, maxFaults),
             state.isEndStored,
             state.starts,
             state.predecessorLease,
             state.faults,
             state.broken,
-            ...INDEXES.map(process => schedulerKey(state, process, order)),
+            ...INDEXES.map(process => schedulerKey(state, process, order, maxFaults)),
             ...order.map(index => executorKeys[index]),
-            ...pendingStarts.map(
-                ({ executor, run, epoch, knownRestarts }) =>
-                    `${order[executor]}/${run}/${epoch}/${knownRestarts === state.executors[executor].restarts}`,
-            ),
+            ...pendingStarts.map(pending => pendingKey(state, pending, order)),
         ].join(";");
     const original = keyInOrder([0, 1]);
     const swapped = keyInOrder([1, 0]);
@@ -42,22 +41,73 @@
 const setKey = (indexes: readonly ExecutorIndex[], order: Order): string =>
     order.map(index => (indexes.includes(index) ? "+" : "-")).join("");
 
-/** False for a start that its executor will reject whenever it arrives, since what it has received only grows. */
-const mayTakeEffect = ({ executors }: RunState, pending: PendingStart): boolean =>
-    !isRejected(pending, executors[pending.executor], undefined);
+const undeliveredKey = (starts: readonly UndeliveredStart[], order: Order): string =>
+    starts.map(({ executor, run }) => `${order[executor]}:${run}`).join("+");
+
+/** Its own starts matter to a scheduler only if another takeover may follow. */
+const undeliveredKeys = (
+    state: RunState,
+    starts: readonly UndeliveredStart[],
+    ownEpoch: number,
+    order: Order,
+    maxFaults: number,
+): string => {
+    const own = state.faults < maxFaults ? starts.filter(({ epoch }) => epoch === ownEpoch) : [];
+    const inherited = starts.filter(({ epoch }) => epoch < ownEpoch);
+    return `${undeliveredKey(own, order)}/${undeliveredKey(inherited, order)}`;
+};
+
+const mayTakeEffect = (state: RunState, pending: PendingStart, maxFaults: number): boolean =>
+    faultsUntilEffective(state, pending) <= maxFaults - state.faults;
+
+/** Fewest further faults after which the executor may accept a start in the complete protocol. */
+const faultsUntilEffective = (state: RunState, pending: PendingStart): number => {
+    if (!isRejected(state, pending, {})) {
+        return 0;
+    }
+    if (pending.epoch === state.epoch) {
+        // A takeover and two restarts: the successor notices the first one and the executor forgets its token in the second.
+        return 3;
+    }
+    if (!isListed(state.undeliveredInLease, pending)) {
+        return Infinity;
+    }
+    const isStopped = pending.run <= state.executors[pending.executor].stopped;
+    return isStopped ? 2 : 1;
+};
+
+const isListed = (starts: readonly UndeliveredStart[], pending: PendingStart): boolean =>
+    starts.some(({ run }) => run === pending.run);
+
+const pendingKey = (state: RunState, pending: PendingStart, order: Order): string => {
+    const { run: activeRun, stopped, forgottenStop, restarts } = state.executors[pending.executor];
+    return [
+        order[pending.executor],
+        pending.run,
+        pending.epoch,
+        pending.knownRestarts === restarts,
+        pending.run <= activeRun,
+        pending.run <= stopped,
+        pending.run <= forgottenStop,
+        isListed(state.undeliveredInLease, pending),
+        ...state.schedulers.map(scheduler => isListed(scheduler.undeliveredStarts, pending)),
+    ].join("/");
+};
 
 /** True for the holder and for a former holder that may still act. Another process begins anew when it takes over. */
 const isActive = (state: RunState, { epoch }: Scheduler): boolean =>
     epoch > 0 && (epoch === state.epoch || state.predecessorLease === "recent");
 
-const schedulerKey = (state: RunState, process: ProcessIndex, order: Order): string => {
+const schedulerKey = (state: RunState, process: ProcessIndex, order: Order, maxFaults: number): string => {
     const scheduler = state.schedulers[process];
     if (!isActive(state, scheduler)) {
         return "";
     }
     const { taskStatus, executor, run, uninspected, isProgressStale, listedInLease, mustConfirmLease } = scheduler;
+    const knowsRestarts = order.map(index => scheduler.knownRestarts[index] === state.executors[index].restarts);
+    const undelivered = undeliveredKeys(state, scheduler.undeliveredStarts, scheduler.epoch, order, maxFaults);
     if (taskStatus === "done") {
-        return taskStatus;
+        return [taskStatus, knowsRestarts, undelivered].join();
     }
     return [
         taskStatus,
@@ -67,8 +117,9 @@
         isProgressStale,
         setKey(listedInLease, order),
         mustConfirmLease,
-        order.map(index => scheduler.knownRestarts[index] === state.executors[index].restarts),
+        knowsRestarts,
         setKey(scheduler.noticedRestarts, order),
+        undelivered,
     ].join();
 };
 
--- a/model/specification/src/run-state.ts
+++ b/model/specification/src/run-state.ts
@@ -10,9 +10,30 @@
     "store-end-before-acknowledging",
     "confirm-lease-after-giving-up",
     "confirm-lease-after-restart",
+    "take-over-undelivered-starts",
+    "stop-again-after-restart",
 ] as const;
 export type RunGuard = (typeof runGuards)[number];
 
+/**
+ * Orders of events that the scheduler does not prevent (docs/unproved.md). The protocol leaves them out; with any one of
+ * them the explorer must find a broken invariant.
+ */
+export const runGaps = [
+    "unlisted-start-after-restart",
+    "same-executor-while-undelivered",
+    "elsewhere-while-undelivered",
+    "stopped-start-after-restart",
+    "end-lost-before-it-is-stored",
+] as const;
+export type RunGap = (typeof runGaps)[number];
+
+/** How a protocol of runs differs from the complete one. */
+export interface RunVariant {
+    readonly disabledGuard?: RunGuard;
+    readonly admittedGap?: RunGap;
+}
+
 /** Index of a scheduler process. */
 export type ProcessIndex = 0 | 1;
 /** Index of an executor. */
@@ -45,6 +66,16 @@
     readonly knownRestarts: readonly [number, number];
     /** Executors whose restart it noticed, without having confirmed since that it holds the lease. */
     readonly noticedRestarts: readonly ExecutorIndex[];
+    /** Starts without a response, its own and those that it took over with the lease row. */
+    readonly undeliveredStarts: readonly UndeliveredStart[];
+}
+
+/** A start that got no response and may still be carried out. */
+export interface UndeliveredStart {
+    readonly executor: ExecutorIndex;
+    readonly run: number;
+    /** Fencing token of its sender. */
+    readonly epoch: number;
 }
 
 /** An executor as far as the task is concerned. */
@@ -55,12 +86,12 @@
     readonly run: number;
     /** Fencing token of the scheduler that last granted or renewed the executor's lease. */
     readonly leaseToken: number;
-    /** Highest run number that was stopped. Runs up to this number are no longer started. */
+    /** Highest run number that was stopped or has ended. Runs up to this number are no longer started. */
     readonly stopped: number;
     readonly restarts: number;
     /** Highest fencing token that it had received before a restart, and has forgotten. */
     readonly forgottenToken: number;
-    /** Highest run number that was stopped before a restart. */
+    /** Highest run number that was stopped before a restart that the holder of the lease has not noticed. */
     readonly forgottenStop: number;
     /** The task ended on this executor, and the end was not acknowledged yet. */
     readonly ended: boolean;
@@ -83,6 +114,8 @@
     readonly epoch: number;
     /** Executors listed in the stored lease row. */
     readonly listedInLease: readonly ExecutorIndex[];
+    /** Starts without a response in the stored lease row. */
+    readonly undeliveredInLease: readonly UndeliveredStart[];
     /** The end of the task is stored. */
     readonly isEndStored: boolean;
     readonly schedulers: readonly [Scheduler, Scheduler];
@@ -104,7 +137,15 @@
 export type RunStep =
     | {
           readonly type:
-              "take-over" | "announce" | "confirm-lease" | "read-progress" | "give-up" | "expire" | "stop" | "store";
+              | "take-over"
+              | "announce"
+              | "list-undelivered"
+              | "confirm-lease"
+              | "read-progress"
+              | "give-up"
+              | "expire"
+              | "stop"
+              | "store";
           readonly process: ProcessIndex;
       }
     | {
@@ -120,9 +161,8 @@
 export const runFaults = ["take-over", "cut", "restart"] as const;
 export type RunFault = (typeof runFaults)[number];
 
-/** Bounds of the exploration, and the guard that is left out. */
-export interface RunOptions {
-    readonly disabledGuard?: RunGuard;
+/** Bounds of the exploration, and the variant to explore. */
+export interface RunOptions extends RunVariant {
     readonly maxFaults: number;
     /** Kinds of faults that occur; all if undefined. */
     readonly faults?: readonly RunFault[];
@@ -143,6 +183,7 @@
     mustConfirmLease: false,
     knownRestarts: [0, 0],
     noticedRestarts: [],
+    undeliveredStarts: [],
 };
 const newExecutor: Executor = {
     highestToken: 0,
@@ -160,6 +201,7 @@
 export const initialRunState: RunState = {
     epoch: 1,
     listedInLease: [0],
+    undeliveredInLease: [],
     isEndStored: false,
     schedulers: [{ ...newScheduler, epoch: 1 }, newScheduler],
     executors: [newExecutor, newExecutor],
--- a/model/specification/src/run-transitions.ts
+++ b/model/specification/src/run-transitions.ts
@@ -7,13 +7,14 @@
     type ExecutorIndex,
     type PendingStart,
     type ProcessIndex,
-    type RunGuard,
     type RunState,
     type RunStep,
+    type RunVariant,
     type Scheduler,
+    type UndeliveredStart,
 } from "./run-state.js";
 
-const takeOver = (state: RunState, process: ProcessIndex): RunState =>
+const takeOver = (state: RunState, process: ProcessIndex, { disabledGuard }: RunVariant): RunState =>
     changeScheduler({ ...state, epoch: state.epoch + 1, predecessorLease: "recent" }, process, {
         epoch: state.epoch + 1,
         taskStatus: state.isEndStored ? "done" : "free",
@@ -23,6 +24,7 @@
         mustConfirmLease: false,
         knownRestarts: [state.executors[0].restarts, state.executors[1].restarts],
         noticedRestarts: [],
+        undeliveredStarts: disabledGuard === "take-over-undelivered-starts" ? [] : state.undeliveredInLease,
     });
 
 const startRun = (state: RunState, process: ProcessIndex, executor: ExecutorIndex): RunState => {
@@ -36,23 +38,32 @@
     });
 };
 
+/** Whether the executor rejects a start. */
+export const isRejected = (state: RunState, pending: PendingStart, variant: RunVariant): boolean => {
+    const executor = state.executors[pending.executor];
+    const isFenced = pending.epoch < executor.highestToken && variant.disabledGuard !== "executor-rejects-lower-token";
+    return isFenced || pending.run <= executor.stopped || isLeftOut(state, pending, variant);
+};
+
 /**
- * Whether the executor rejects a start. Known gaps that are left out (docs/unproved.md): an executor that has restarted
- * has forgotten tokens and stops, and would accept starts that were sent without knowledge of its restart.
+ * Known gaps: an executor that has restarted has forgotten tokens and stops, and accepts starts that were sent without
+ * knowledge of its restart.
  */
-export const isRejected = (pending: PendingStart, executor: Executor, disabledGuard: RunGuard | undefined): boolean => {
-    const isOutdated = pending.knownRestarts < executor.restarts;
-    const token = isOutdated ? Math.max(executor.highestToken, executor.forgottenToken) : executor.highestToken;
-    const stopped = isOutdated ? Math.max(executor.stopped, executor.forgottenStop) : executor.stopped;
-    const isFenced = pending.epoch < token && disabledGuard !== "executor-rejects-lower-token";
-    return isFenced || pending.run <= stopped;
+const isLeftOut = (state: RunState, pending: PendingStart, { admittedGap }: RunVariant): boolean => {
+    const { restarts, forgottenToken, forgottenStop } = state.executors[pending.executor];
+    const isOutdated = pending.knownRestarts < restarts;
+    const isListed = state.undeliveredInLease.some(({ run }) => run === pending.run);
+    const isUnlistedStart =
+        pending.epoch < forgottenToken && !isListed && admittedGap !== "unlisted-start-after-restart";
+    const isStoppedStart = pending.run <= forgottenStop && admittedGap !== "stopped-start-after-restart";
+    return isOutdated && (isUnlistedStart || isStoppedStart);
 };
 
-const deliverStart = (state: RunState, index: number, disabledGuard: RunGuard | undefined): RunState => {
+const deliverStart = (state: RunState, index: number, variant: RunVariant): RunState => {
     const pending = state.pendingStarts[index] as PendingStart;
     const next = { ...state, pendingStarts: state.pendingStarts.filter(other => other !== pending) };
     const executor = state.executors[pending.executor];
-    if (isRejected(pending, executor, disabledGuard) || executor.run > 0) {
+    if (isRejected(state, pending, variant) || executor.run > 0) {
         return next;
     }
     const started = changeExecutor(next, pending.executor, {
@@ -63,7 +74,12 @@
     return state.isEndStored ? { ...started, broken: ["a run started after the end was stored"] } : started;
 };
 
-const inspectExecutor = (state: RunState, process: ProcessIndex, index: ExecutorIndex): RunState => {
+const inspectExecutor = (
+    state: RunState,
+    process: ProcessIndex,
+    index: ExecutorIndex,
+    variant: RunVariant,
+): RunState => {
     const scheduler = state.schedulers[process];
     const executor = state.executors[index];
     if (executor.highestToken > scheduler.epoch) {
@@ -72,15 +88,42 @@
     const seen = changeExecutor(state, index, {
         highestToken: scheduler.epoch,
         leaseToken: scheduler.epoch,
+        ...stopsAfterRestart(state, scheduler, index, variant),
     });
     const uninspected = scheduler.uninspected.filter(other => other !== index);
     return changeScheduler(seen, process, {
         uninspected,
+        undeliveredStarts: withoutDelivered(scheduler, executor),
         ...noticedRestart(scheduler, executor, index),
         ...inspectedStatus(scheduler, executor, index),
     });
 };
 
+/** A scheduler that notices a restart stops its own starts without a response again in the new incarnation. */
+const stopsAfterRestart = (
+    { epoch, executors }: RunState,
+    scheduler: Scheduler,
+    index: ExecutorIndex,
+    { disabledGuard }: RunVariant,
+): Partial<Executor> => {
+    const { restarts, stopped, forgottenStop } = executors[index];
+    if (scheduler.knownRestarts[index] === restarts) {
+        return {};
+    }
+    const ownRuns = scheduler.undeliveredStarts
+        .filter(start => start.executor === index && start.epoch === scheduler.epoch)
+        .map(({ run }) => run);
+    return {
+        stopped: disabledGuard === "stop-again-after-restart" ? stopped : Math.max(stopped, ...ownRuns),
+        forgottenStop: scheduler.epoch === epoch ? 0 : forgottenStop,
+    };
+};
+
+const withoutDelivered = (
+    { undeliveredStarts }: Scheduler,
+    { run: activeRun }: Executor,
+): readonly UndeliveredStart[] => undeliveredStarts.filter(({ run }) => run !== activeRun);
+
 const noticedRestart = (scheduler: Scheduler, { restarts }: Executor, index: ExecutorIndex): Partial<Scheduler> =>
     scheduler.knownRestarts[index] === restarts
         ? {}
@@ -102,10 +145,15 @@
         : {};
 };
 
-const giveUpStart = (state: RunState, process: ProcessIndex, disabledGuard: RunGuard | undefined): RunState =>
-    changeScheduler(state, process, { taskStatus: disabledGuard === "settle-unanswered" ? "free" : "unsettled" });
+const giveUpStart = (state: RunState, process: ProcessIndex, { disabledGuard }: RunVariant): RunState => {
+    const { executor, run, epoch, undeliveredStarts } = state.schedulers[process];
+    return changeScheduler(state, process, {
+        taskStatus: disabledGuard === "settle-unanswered" ? "free" : "unsettled",
+        undeliveredStarts: [...undeliveredStarts, { executor, run, epoch }],
+    });
+};
 
-const stopRun = (state: RunState, process: ProcessIndex): RunState => {
+const stopRun = (state: RunState, process: ProcessIndex, variant: RunVariant): RunState => {
     const scheduler = state.schedulers[process];
     const { executor, epoch, run: startedRun } = scheduler;
     const { highestToken, run: activeRun, stopped, ended } = state.executors[executor];
@@ -113,12 +161,14 @@
         return changeScheduler(state, process, { epoch: 0 });
     }
     const next = changeExecutor(state, executor, {
+        ...stopsAfterRestart(state, scheduler, executor, variant),
         highestToken: epoch,
         run: activeRun <= startedRun ? 0 : activeRun,
         stopped: Math.max(stopped, startedRun),
     });
     return changeScheduler(next, process, {
         ...noticedRestart(scheduler, state.executors[executor], executor),
+        undeliveredStarts: withoutDelivered(scheduler, state.executors[executor]),
         taskStatus: ended ? "done" : "free",
         // If the run was not active, no end of it is reported.
         mustConfirmLease: scheduler.mustConfirmLease || activeRun !== startedRun,
@@ -130,16 +180,25 @@
  * so must its starts. The run has ended only if nobody else has extended its lease.
  */
 const expireOwnLease = (state: RunState, process: ProcessIndex): RunState => {
-    const { executor: index, epoch } = state.schedulers[process];
+    const { executor: index, epoch, undeliveredStarts } = state.schedulers[process];
     const executor = state.executors[index];
     const pendingStarts = state.pendingStarts.filter(other => other.executor !== index || other.epoch !== epoch);
-    const next = changeScheduler({ ...state, pendingStarts }, process, { taskStatus: "free", mustConfirmLease: true });
+    const next = changeScheduler({ ...state, pendingStarts }, process, {
+        taskStatus: "free",
+        mustConfirmLease: true,
+        undeliveredStarts: undeliveredStarts.filter(other => other.executor !== index || other.epoch !== epoch),
+    });
     return executor.leaseToken === epoch ? changeExecutor(next, index, endedByExpiry) : next;
 };
 
 // An end that was not read before the executor's lease expired is discarded, so the task may run again.
 const endedByExpiry: Partial<Executor> = { run: 0, ended: false };
 
+const finishRun = (state: RunState, index: ExecutorIndex): RunState => {
+    const { run, stopped } = state.executors[index];
+    return changeExecutor(state, index, { run: 0, ended: true, stopped: Math.max(stopped, run) });
+};
+
 /** The runs of the executor end, and it forgets all that it has received. */
 const restartExecutor = (state: RunState, index: ExecutorIndex): RunState => {
     const { restarts, highestToken, forgottenToken, stopped, forgottenStop } = state.executors[index];
@@ -155,7 +214,7 @@
     });
 };
 
-const expireLeases = (state: RunState, disabledGuard: RunGuard | undefined): RunState => {
+const expireLeases = (state: RunState, { disabledGuard }: RunVariant): RunState => {
     if (state.predecessorLease === "recent") {
         return { ...state, predecessorLease: "unconfirmed" };
     }
@@ -168,21 +227,36 @@
     // A start carries an expiry on the executor's clock, and the executor rejects starts that arrive after it. The starts
     // that the predecessor sent have expired by now.
     const pendingStarts = state.pendingStarts.filter(({ epoch }) => epoch === state.epoch);
+    const [firstScheduler, secondScheduler] = state.schedulers;
     return {
         ...state,
         pendingStarts,
+        undeliveredInLease: state.undeliveredInLease.filter(({ epoch }) => epoch === state.epoch),
         predecessorLease: "lapsed",
+        schedulers: [endWait(firstScheduler, state.epoch), endWait(secondScheduler, state.epoch)],
         executors: [expireLease(first), expireLease(second)],
     };
 };
 
+/**
+ * Starts of former holders can no longer take effect. A scheduler that has waited for them reads the progress again, since
+ * the former holder may have stored an end in the meantime.
+ */
+const endWait = (scheduler: Scheduler, epoch: number): Scheduler => {
+    const undeliveredStarts = scheduler.undeliveredStarts.filter(start => start.epoch === epoch);
+    const hasWaited = undeliveredStarts.length < scheduler.undeliveredStarts.length;
+    return { ...scheduler, undeliveredStarts, isProgressStale: scheduler.isProgressStale || hasWaited };
+};
+
 /** Returns the state after a step that is enabled in the given one. */
-export const applyRunStep = (state: RunState, step: RunStep, disabledGuard: RunGuard | undefined): RunState => {
+export const applyRunStep = (state: RunState, step: RunStep, variant: RunVariant): RunState => {
     switch (step.type) {
         case "take-over":
-            return takeOver(state, step.process);
+            return takeOver(state, step.process, variant);
         case "announce":
             return changeScheduler({ ...state, listedInLease: INDEXES }, step.process, { listedInLease: INDEXES });
+        case "list-undelivered":
+            return { ...state, undeliveredInLease: state.schedulers[step.process].undeliveredStarts };
         case "confirm-lease":
             return changeScheduler(state, step.process, { mustConfirmLease: false, noticedRestarts: [] });
         case "read-progress":
@@ -193,17 +267,17 @@
         case "start":
             return startRun(state, step.process, step.executor);
         case "deliver":
-            return deliverStart(state, step.index, disabledGuard);
+            return deliverStart(state, step.index, variant);
         case "look":
-            return inspectExecutor(state, step.process, step.executor);
+            return inspectExecutor(state, step.process, step.executor, variant);
         case "give-up":
-            return giveUpStart(state, step.process, disabledGuard);
+            return giveUpStart(state, step.process, variant);
         case "expire":
             return expireOwnLease(state, step.process);
         case "stop":
-            return stopRun(state, step.process);
+            return stopRun(state, step.process, variant);
         case "finish":
-            return changeExecutor(state, step.executor, { run: 0, ended: true });
+            return finishRun(state, step.executor);
         case "restart":
             return restartExecutor(state, step.executor);
         case "store":
@@ -221,6 +295,6 @@
                 cutFrom: state.executors[step.executor].cutFrom.filter(process => process !== step.process),
             });
         case "pass-time":
-            return expireLeases(state, disabledGuard);
+            return expireLeases(state, variant);
     }
 };
--- a/model/specification/src/runs.ts
+++ b/model/specification/src/runs.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import type { Protocol } from "./protocol.js";
 import { runKey } from "./run-key.js";
 import {
@@ -7,10 +8,12 @@
     type ExecutorIndex,
     type ProcessIndex,
     type RunFault,
+    type RunGap,
     type RunGuard,
     type RunOptions,
     type RunState,
     type RunStep,
+    type RunVariant,
     type Scheduler,
 } from "./run-state.js";
 import { applyRunStep } from "./run-transitions.js";
@@ -36,11 +39,31 @@
     return waitsFor.length === 0 || isWaitOver || disabledGuard === "inspect-before-start";
 };
 
-const schedulerSteps = (
-    state: RunState,
-    process: ProcessIndex,
-    { disabledGuard, maxStarts }: RunOptions,
-): readonly RunStep[] => {
+/**
+ * False while a start of a former holder may reach an executor. Known gaps: the scheduler starts the task on that executor
+ * in the meantime, or on another one if that executor gets no starts.
+ */
+const isPlacePermitted = (
+    { epoch, undeliveredStarts }: Scheduler,
+    executor: ExecutorIndex,
+    admittedGap: RunGap | undefined,
+): boolean => {
+    const inherited = undeliveredStarts.filter(start => start.epoch < epoch);
+    switch (admittedGap) {
+        case "same-executor-while-undelivered":
+            return inherited.every(start => start.executor === executor);
+        case "elsewhere-while-undelivered":
+            return true;
+        case "unlisted-start-after-restart":
+        case "stopped-start-after-restart":
+        case "end-lost-before-it-is-stored":
+        case undefined:
+            return inherited.length === 0;
+    }
+};
+
+const schedulerSteps = (state: RunState, process: ProcessIndex, options: RunOptions): readonly RunStep[] => {
+    const { disabledGuard, maxStarts } = options;
     const scheduler = state.schedulers[process];
     if (!mayAct(state, scheduler, disabledGuard)) {
         return [];
@@ -49,9 +72,9 @@
     const listed = INDEXES.filter(
         index => scheduler.listedInLease.includes(index) || disabledGuard === "announce-executor",
     );
-    const startable = listed.filter(
-        index => !scheduler.noticedRestarts.includes(index) || disabledGuard === "confirm-lease-after-restart",
-    );
+    const startable = listed
+        .filter(index => !scheduler.noticedRestarts.includes(index) || disabledGuard === "confirm-lease-after-restart")
+        .filter(index => isPlacePermitted(scheduler, index, options.admittedGap));
     const isFenced = isPredecessorFenced(state, scheduler, process, disabledGuard);
     const isProgressCurrent = !scheduler.isProgressStale || disabledGuard === "read-progress-after-inspection";
     const isLeaseConfirmed = !scheduler.mustConfirmLease || disabledGuard === "confirm-lease-after-giving-up";
@@ -69,6 +92,9 @@
         ...(isHolder && scheduler.listedInLease.length < INDEXES.length
             ? [{ type: "announce", process } as const]
             : []),
+        ...(isHolder && !isDeepStrictEqual(scheduler.undeliveredStarts, state.undeliveredInLease)
+            ? [{ type: "list-undelivered", process } as const]
+            : []),
         ...(isHolder && mustConfirm ? [{ type: "confirm-lease", process } as const] : []),
         ...(scheduler.isProgressStale && isFenced ? [{ type: "read-progress", process } as const] : []),
         ...(mayStart ? startable.map(executor => ({ type: "start", process, executor }) as const) : []),
@@ -95,22 +121,21 @@
 ];
 
 /**
- * False while a scheduler that may act has read an end on the executor and not stored it. Known gap that is left out
- * (docs/unproved.md): after a restart a former holder may store the end once its successor has read the executor and the
- * progress.
+ * False while a scheduler that may act has read an end on the executor and not stored it. Known gap: after a restart a
+ * former holder may store the end once its successor has read the executor and the progress.
  */
-const mayRestart = (state: RunState, executor: ExecutorIndex, disabledGuard: RunGuard | undefined): boolean =>
+const mayRestart = (state: RunState, executor: ExecutorIndex, { disabledGuard, admittedGap }: RunVariant): boolean =>
+    admittedGap === "end-lost-before-it-is-stored" ||
     !state.executors[executor].ended ||
     state.isEndStored ||
     state.schedulers.every(scheduler => scheduler.taskStatus !== "done" || !mayAct(state, scheduler, disabledGuard));
 
-const faultSteps = (
-    state: RunState,
-    { maxFaults, faults = runFaults, disabledGuard }: RunOptions,
-): readonly RunStep[] =>
-    state.faults >= maxFaults ? [] : faults.flatMap(fault => stepsOfFault(state, fault, disabledGuard));
+const faultSteps = (state: RunState, options: RunOptions): readonly RunStep[] => {
+    const { maxFaults, faults = runFaults } = options;
+    return state.faults >= maxFaults ? [] : faults.flatMap(fault => stepsOfFault(state, fault, options));
+};
 
-const stepsOfFault = (state: RunState, fault: RunFault, disabledGuard: RunGuard | undefined): readonly RunStep[] => {
+const stepsOfFault = (state: RunState, fault: RunFault, variant: RunVariant): readonly RunStep[] => {
     switch (fault) {
         case "take-over":
             return INDEXES.filter(process => state.schedulers[process].epoch !== state.epoch).map(process => ({
@@ -124,7 +149,7 @@
                 ),
             );
         case "restart":
-            return INDEXES.filter(executor => mayRestart(state, executor, disabledGuard)).map(executor => ({
+            return INDEXES.filter(executor => mayRestart(state, executor, variant)).map(executor => ({
                 type: "restart",
                 executor,
             }));
@@ -136,23 +161,25 @@
 
 const isFault = (step: RunStep): boolean => runFaults.some(fault => fault === step.type);
 
-// Without one of these guards later steps depend on what `runKey` leaves out.
-const guardsOfKey: readonly RunGuard[] = ["executor-rejects-lower-token", "stop-without-renewal"];
+// Without one of these guards, or with one of these gaps, later steps depend on what `runKey` leaves out.
+const guardsOfKey: readonly (RunGuard | undefined)[] = ["executor-rejects-lower-token", "stop-without-renewal"];
+const gapsOutsideKey: readonly (RunGap | undefined)[] = ["unlisted-start-after-restart", "stopped-start-after-restart"];
+
+const isKeyValid = ({ disabledGuard, admittedGap }: RunVariant): boolean =>
+    !guardsOfKey.includes(disabledGuard) && !gapsOutsideKey.includes(admittedGap);
 
 /** Models the runs of one task: two executors and two schedulers that may take the lease from each other. */
 export const runProtocol = (options: RunOptions): Protocol<RunState, RunStep> => ({
     name: "runs",
     initial: initialRunState,
-    ...(guardsOfKey.some(guard => guard === options.disabledGuard)
-        ? {}
-        : { keyOf: state => runKey(state, options.maxFaults) }),
+    ...(isKeyValid(options) ? { keyOf: state => runKey(state, options.maxFaults) } : {}),
     steps: state => [
         ...INDEXES.flatMap(process => schedulerSteps(state, process, options)),
         ...environmentSteps(state),
         ...faultSteps(state, options),
     ],
     apply: (state, step) => {
-        const next = applyRunStep(state, step, options.disabledGuard);
+        const next = applyRunStep(state, step, options);
         return isFault(step) ? { ...next, faults: state.faults + 1 } : next;
     },
     violations: findViolations,
--- a/model/specification/src/traces.ts
+++ b/model/specification/src/traces.ts
@@ -1,23 +1,42 @@
 import { readFileSync, writeFileSync } from "node:fs";
-import type { GuardCheck } from "./checks.js";
+import type { Variant, VariantCheck } from "./checks.js";
 import type { ProtocolStep, Trace } from "./protocol.js";
 
 const TRACE_DIRECTORY = new URL("../traces/", import.meta.url);
 
-const traceFileUrl = ({ protocol, guard }: GuardCheck): URL =>
-    new URL(`${protocol}-without-${guard}.json`, TRACE_DIRECTORY);
+const traceFileUrl = ({ protocol, variant }: VariantCheck): URL =>
+    new URL(`${protocol}-${variantName(variant)}.json`, TRACE_DIRECTORY);
 
-/** Loads the committed trace for a guard. */
-export const loadTrace = (check: GuardCheck): Trace<ProtocolStep> =>
+/** Name of a variant of a protocol, in kebab-case. */
+export const variantName = (variant: Variant): string => {
+    switch (variant.type) {
+        case "without-guard":
+            return `without-${variant.guard}`;
+        case "with-gap":
+            return `with-${variant.gap}`;
+    }
+};
+
+const variantField = (variant: Variant): string => {
+    switch (variant.type) {
+        case "without-guard":
+            return `"withoutGuard": ${JSON.stringify(variant.guard)}`;
+        case "with-gap":
+            return `"withGap": ${JSON.stringify(variant.gap)}`;
+    }
+};
+
+/** Loads the committed trace for a variant. */
+export const loadTrace = (check: VariantCheck): Trace<ProtocolStep> =>
     JSON.parse(readFileSync(traceFileUrl(check), "utf8")) as Trace<ProtocolStep>;
 
-/** Saves the trace for a guard with one step per line, so that diffs stay readable. */
-export const saveTrace = (check: GuardCheck, { violations, steps }: Trace<ProtocolStep>): void => {
+/** Saves the trace for a variant with one step per line, so that diffs stay readable. */
+export const saveTrace = (check: VariantCheck, { violations, steps }: Trace<ProtocolStep>): void => {
     const lines = steps.map(step => `        ${JSON.stringify(step).replaceAll('":', '": ').replaceAll(',"', ', "')}`);
     const text = [
         "{",
         `    "protocol": ${JSON.stringify(check.protocol)},`,
-        `    "withoutGuard": ${JSON.stringify(check.guard)},`,
+        `    ${variantField(check.variant)},`,
         `    "violations": ${JSON.stringify(violations)},`,
         `    "steps": [`,
         lines.map(line => line.replace("{", "{ ").replace(/\}$/, " }")).join(",\n"),
--- a/model/specification/test/run-key.test.ts
+++ b/model/specification/test/run-key.test.ts
@@ -3,15 +3,18 @@
 import { guardChecks } from "../src/checks.js";
 import { explore } from "../src/explore.js";
 import { runKey } from "../src/run-key.js";
-import type { RunGuard, RunState } from "../src/run-state.js";
+import { runGuards, type RunState } from "../src/run-state.js";
 import { runProtocol } from "../src/runs.js";
-import { loadTrace } from "../src/traces.js";
+import { loadTrace, variantName } from "../src/traces.js";
 
-// All states within the first bounds, and the first ones, breadth first, within the second.
+// All states within the first bounds, and the first ones, breadth first, within the others.
 const comparedBounds = [
     { maxFaults: 1, maxStarts: 2, maxStates: Infinity },
     { maxFaults: 2, maxStarts: 1, maxStates: 50_000 },
-];
+    { maxFaults: 2, maxStarts: 2, maxStates: 20_000, admittedGap: "same-executor-while-undelivered" },
+    { maxFaults: 2, maxStarts: 2, maxStates: 20_000, admittedGap: "elsewhere-while-undelivered" },
+    { maxFaults: 2, maxStarts: 2, maxStates: 20_000, admittedGap: "end-lost-before-it-is-stored" },
+] as const;
 
 type RunProtocol = ReturnType<typeof runProtocol>;
 
@@ -40,9 +43,10 @@
     return JSON.stringify([protocol.isSettled(state), protocol.violations(state), [...new Set(next)].sort()]);
 };
 
-comparedBounds.forEach(({ maxFaults, maxStarts, maxStates }) => {
-    test(`states of the run protocol with the same key can be followed by the same keys: ${maxFaults} faults, ${maxStarts} starts`, context => {
-        const protocol = runProtocol({ maxFaults, maxStarts });
+comparedBounds.forEach(({ maxStates, ...options }) => {
+    const { maxFaults } = options;
+    test(`states of the run protocol with the same key can be followed by the same keys: ${JSON.stringify(options)}`, context => {
+        const protocol = runProtocol(options);
         const keyOf = (state: RunState): string => runKey(state, maxFaults);
         const states = reachableStates(protocol, maxStates);
         const descriptions = new Map<string, string>();
@@ -61,8 +65,9 @@
 guardChecks
     .filter(check => check.protocol === "runs")
     .forEach(check => {
-        test(`the key hides no violation of the run protocol without the guard ${check.guard}`, () => {
-            const disabledGuard = check.guard as RunGuard;
+        const disabledGuard = runGuards.find(guard => variantName(check.variant) === `without-${guard}`);
+        test(`the key hides no violation of the run protocol without the guard ${disabledGuard}`, () => {
+            assert.ok(disabledGuard !== undefined);
             const mutant = runProtocol({ maxFaults: 2, maxStarts: 2, disabledGuard });
             const { violation } = explore({ ...mutant, keyOf: state => runKey(state, 2) });
             const { steps, violations } = loadTrace(check);
--- a/model/specification/test/specification.test.ts
+++ b/model/specification/test/specification.test.ts
@@ -2,11 +2,11 @@
 import { test } from "node:test";
 import type { ActorLogic, ActorSystem, Snapshot } from "xstate";
 import { getAdjacencyMap } from "xstate/graph";
-import { completeChecks, guardChecks } from "../src/checks.js";
+import { completeChecks, gapChecks, guardChecks } from "../src/checks.js";
 import { explore } from "../src/explore.js";
 import type { MoveState, MoveStep } from "../src/move-state.js";
 import { moveProtocol } from "../src/moves.js";
-import { loadTrace } from "../src/traces.js";
+import { loadTrace, variantName } from "../src/traces.js";
 
 completeChecks.forEach(check => {
     test(`every reachable state satisfies the invariants and can reach a settled state: ${check.name}`, context => {
@@ -16,8 +16,8 @@
     });
 });
 
-guardChecks.forEach(check => {
-    test(`the protocol ${check.protocol} breaks an invariant without the guard ${check.guard}, and the complete protocol breaks none on the same steps`, () => {
+[...guardChecks, ...gapChecks].forEach(check => {
+    test(`the protocol ${check.protocol} breaks an invariant ${variantName(check.variant)}, and the complete protocol breaks none on the same steps`, () => {
         const { violation } = check.run();
         const { steps, violations } = loadTrace(check);
         assert.deepEqual(violation?.steps, steps);
