--- a/domain/jobs/src/progress.ts
+++ b/domain/jobs/src/progress.ts
@@ -37,5 +37,9 @@
     readonly steps: readonly StepProgress[];
 }
 
+/** True for the progress of a job in a final state, which never changes. */
+export const isFinal = ({ state }: Progress): boolean =>
+    state === "completed" || state === "failed" || state === "cancelled";
+
 /** The progress of a job that was just accepted. */
 export const initialProgress: Progress = { state: "queued", steps: [] };
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -1,5 +1,5 @@
 import type { Job } from "@almondusher/jobs/job";
-import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
+import { isFinal, type Progress, type StepProgress, type TaskFailures } from "@almondusher/jobs/progress";
 import type { JobId } from "@almondusher/jobs/ids";
 import { completeIfDone } from "./apply-report.js";
 import { markStarted } from "./job-progress.js";
@@ -87,9 +87,6 @@
     }
 };
 
-/** True for the progress of a job in a final state. */
-const isFinal = ({ state }: Progress): boolean => state === "completed" || state === "failed" || state === "cancelled";
-
 const restoreStep = (job: OpenJob, progress: StepProgress): void => {
     if (!isOccurrenceOf(job.job, progress.occurrence)) {
         return;
--- a/programs/dispatcher/src/job-admission.ts
+++ b/programs/dispatcher/src/job-admission.ts
@@ -41,7 +41,7 @@
         const arrivedAtMs = readAtMs - ageMs;
         admitJob(tables, { job, progress, progressVersion, arrivedAtMs, readAtMs, inherited }, Date.now());
         const openJob = tables.jobs.get(job.id);
-        // Finished jobs are read as well after a takeover, until their rows are deleted, but they are not opened.
+        // A job that has finished since its progress was read is not opened.
         if (openJob === undefined) {
             return;
         }
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -1,7 +1,7 @@
 import type { PoolName } from "@almondusher/fleet/ids";
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Job } from "@almondusher/jobs/job";
-import { initialProgress, type Progress } from "@almondusher/jobs/progress";
+import { initialProgress, isFinal, type Progress } from "@almondusher/jobs/progress";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
@@ -20,8 +20,10 @@
 
 /** Receives jobs and cancellations from the feed. */
 interface JobFeedSink {
-    /** Called for each job that was loaded or is new. */
+    /** Called for each open job that was loaded or is new. */
     readonly job: (stored: StoredJob) => void;
+    /** Called for each job that was loaded and whose final state is stored. */
+    readonly finished: (id: JobId) => void;
     /** Called for each cancellation, also for jobs that are not known. */
     readonly cancelled: (id: JobId) => void;
     /** Called after the initial load and after each batch of changes. */
@@ -97,7 +99,7 @@
                 reading.rows.forEach(row => applyChange({ ...options, sink }, row));
                 asOf = { version: reading.version, atMs: reading.truncated ? known.atMs : reading.nowMs };
                 sink.readUpTo(asOf);
-                if (reading.rows.length > 0) {
+                if (reading.rows.some(({ deleted }) => !deleted)) {
                     sink.changed();
                 }
                 break;
@@ -140,7 +142,9 @@
             return;
         }
         const progress = readStoredProgress(context, progressRow);
-        if (progress !== undefined) {
+        if (progress !== undefined && isFinal(progress)) {
+            sink.finished(job.id);
+        } else if (progress !== undefined) {
             sink.job({ job, progress, progressVersion: progressRow.version, inherited });
         }
     });
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -20,6 +20,7 @@
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
 import { createJobAdmission } from "./job-admission.js";
+import { createFinishedJobRows } from "./finished-job-rows.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
 import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./held-lease.js";
 import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
@@ -127,6 +128,7 @@
     const requestPass = passThrottle.request;
     const runLog = createRunLog(context);
     const reportReloadError = createErrorReporter({ context, part: "progress-reload" });
+    const finishedJobRows = createFinishedJobRows({ context, pool, isActive, mayStore: mayAct });
     const writer = createProgressWriter({
         context,
         tables,
@@ -135,6 +137,7 @@
         onEndsStored: executor => connections.get(executor.id)?.pollNow(),
         onJobFinished: job => {
             closeJob(tables, job);
+            finishedJobRows.add(job.id);
             context.metrics.count(`jobs_${job.state}`);
             context.metrics.record(`job_${job.state}`, context.monotonicMs() - job.arrivedAtMs);
             context.log("job-finished", {
@@ -318,6 +321,7 @@
         isActive,
         sink: {
             job: admitStoredJob,
+            finished: finishedJobRows.add,
             cancelled: admission.cancel,
             changed: onJobsChanged,
             readUpTo: point => (jobsAsOf = point),
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -37,6 +37,7 @@
         isActive: () => remainingChanges.length > 0,
         sink: {
             job: () => undefined,
+            finished: () => undefined,
             cancelled: () => undefined,
             changed: () => undefined,
             readUpTo: point => points.push(point),
@@ -115,6 +116,7 @@
         isActive: () => delivered.length === 0,
         sink: {
             job: read => delivered.push(read.job.id),
+            finished: () => undefined,
             cancelled: () => undefined,
             changed: () => undefined,
             readUpTo: () => undefined,
@@ -124,6 +126,53 @@
     assert.deepEqual(unreadable, ["odd-progress", "odd-job"]);
 });
 
+test("a finished job whose row is still stored is reported as finished, and is not opened", async () => {
+    const pool = toId<PoolName>("pool-a");
+    const tables = jobTablesOf(pool);
+    const job: Job = {
+        id: "done" as JobId,
+        queue: "queue-1" as QueueName,
+        pool,
+        spec: "text",
+        steps: [],
+        schedule: undefined,
+        acceptedAtMs: 0,
+    };
+    const rowOf = (table: string, value: string): Row => ({
+        table,
+        part: tables.part,
+        key: job.id,
+        value,
+        version: 1,
+        deleted: false,
+    });
+    const stored: Readonly<Record<string, Row>> = {
+        [tables.jobs]: rowOf(tables.jobs, encodeJob(job)),
+        [tables.progress]: rowOf(tables.progress, encodeProgress({ state: "failed", steps: [] })),
+    };
+    const finished: JobId[] = [];
+    let loaded = false;
+    await followJobs({
+        context: {
+            store: {
+                read: ({ table }: { readonly table: string }) =>
+                    Promise.resolve({ ...rows(5, 100), rows: [stored[table]] }),
+            },
+            monotonicMs: () => 0,
+        } as unknown as DispatcherContext,
+        pool,
+        isActive: () => !loaded,
+        sink: {
+            job: () => assert.fail("the job is finished"),
+            finished: id => finished.push(id),
+            cancelled: () => undefined,
+            changed: () => undefined,
+            readUpTo: () => (loaded = true),
+        },
+    });
+    assert.deepEqual(finished, [job.id]);
+});
+
 test("a job whose progress is missing is not left out silently", async () => {
     const pool = toId<PoolName>("pool-a");
     const tables = jobTablesOf(pool);
@@ -164,6 +213,7 @@
         isActive: () => !loaded,
         sink: {
             job: () => assert.fail("tasks that are done could run again"),
+            finished: () => undefined,
             cancelled: () => undefined,
             changed: () => undefined,
             readUpTo: () => (loaded = true),
@@ -239,6 +289,7 @@
                 }
                 delivered.push(job.id);
             },
+            finished: () => undefined,
             cancelled: () => undefined,
             changed: () => undefined,
             readUpTo: () => undefined,
