--- a/programs/dispatcher/src/dispatcher-settings.ts
+++ b/programs/dispatcher/src/dispatcher-settings.ts
@@ -4,6 +4,9 @@
 
 const address = z.string().refine(isSocketAddress, "expected IP:port");
 
+const DEFAULT_JOB_STATE_SECONDS = 3600;
+const MAX_JOB_STATE_SECONDS = 604_800;
+
 const schema = z.object({
     /** Name of the VM that this process runs on. */
     vm: z.string().min(1),
@@ -27,6 +30,8 @@
     stopGraceSeconds: z.number().positive(),
     /** Maximum duration of a run lease that executors grant. */
     maxLeaseMs: z.number().positive(),
+    /** Time for which the state of a finished job stays readable; ten minutes at least. */
+    jobStateSeconds: z.number().min(1).max(MAX_JOB_STATE_SECONDS).default(DEFAULT_JOB_STATE_SECONDS),
     /** Maximum time that an executor takes to stop a run. */
     stopTimeMs: z.number().positive(),
     disruptionNoticeMs: z.number().positive(),
--- a/programs/dispatcher/src/finished-job-rows.ts
+++ b/programs/dispatcher/src/finished-job-rows.ts
@@ -1,51 +1,92 @@
 import type { JobId } from "@almondusher/jobs/ids";
+import type { JobState } from "@almondusher/jobs/job";
 import type { PoolName } from "@almondusher/fleet/ids";
+import type { RowKey } from "@almondusher/platform-adapter/table-store";
 import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { jobRow, jobTablesOf } from "./job-rows.js";
+import { cancellationRow, cancelledProgressRow, jobRow, jobTablesOf, progressRow, type JobTables } from "./job-rows.js";
+
+/** A job whose final state is stored. */
+export interface FinishedJob {
+    readonly id: JobId;
+    readonly state: JobState;
+}
 
 /**
- * Removes the rows of jobs whose final state is stored, so that a successor reads the open jobs only. A job's state is in its
- * progress row, which stays, and without whose absence a repeated submission is not stored.
+ * Removes the rows of finished jobs, so that a successor reads little more than the open jobs. The description of a job goes
+ * at once. Its progress goes after the retention time: until then it answers requests for the state, and a repeated submission
+ * of the job conflicts with it.
  */
 export interface FinishedJobRows {
-    readonly add: (id: JobId) => void;
+    /** A job that is added again, for example by a reload, is kept no longer. */
+    readonly add: (job: FinishedJob) => void;
 }
 
 export interface FinishedJobRowsOptions {
     readonly context: DispatcherContext;
     readonly pool: PoolName;
+    /** Time for which the state of a finished job stays readable, in seconds. */
+    readonly jobStateSeconds: number;
     readonly isActive: () => boolean;
     /** False while another scheduler may have taken over. */
     readonly mayStore: () => boolean;
 }
 
+/** A finished job whose progress is still stored. */
+interface StoredState {
+    readonly job: FinishedJob;
+    /** Time on the monotonic clock at which its progress may be removed, in milliseconds. */
+    readonly removableAtMs: number;
+}
+
+/** Rows of one transaction, and the jobs that they belong to. */
+interface Removal {
+    readonly descriptions: readonly JobId[];
+    readonly states: readonly FinishedJob[];
+}
+
+const MS_PER_SECOND = 1000;
+/** A submission that is repeated later than this after the end of its job runs the job again. */
+const MIN_RETENTION_MS = 600_000;
 const REMOVAL_INTERVAL_MS = 1000;
 /** Pause between full transactions, which leaves most of a partition's rate of writes to others. */
 const FULL_REMOVAL_INTERVAL_MS = 100;
-const MAX_ROWS_PER_REMOVAL = 100;
+// The store takes at most 100 rows in a transaction; a state has up to three.
+const MAX_DESCRIPTIONS_PER_REMOVAL = 60;
+const MAX_STATES_PER_REMOVAL = 13;
 
-export const createFinishedJobRows = ({
-    context,
-    pool,
-    isActive,
-    mayStore,
-}: FinishedJobRowsOptions): FinishedJobRows => {
+export const createFinishedJobRows = (options: FinishedJobRowsOptions): FinishedJobRows => {
+    const { context, pool, isActive, mayStore } = options;
     const tables = jobTablesOf(pool);
-    const finished = new Set<JobId>();
-    const removeNext = async (): Promise<void> => {
-        const ids = [...finished].slice(0, MAX_ROWS_PER_REMOVAL);
-        if (ids.length === 0 || !mayStore()) {
+    const retentionMs = Math.max(options.jobStateSeconds * MS_PER_SECOND, MIN_RETENTION_MS);
+    const descriptions = new Set<JobId>();
+    // In the order of the ends, which is that of the times of removal.
+    const states = new Map<JobId, StoredState>();
+    const nextRemoval = (): Removal => {
+        const nowMs = context.monotonicMs();
+        const oldest = [...states.values()].slice(0, MAX_STATES_PER_REMOVAL);
+        return {
+            descriptions: [...descriptions].slice(0, MAX_DESCRIPTIONS_PER_REMOVAL),
+            states: oldest.filter(({ removableAtMs }) => removableAtMs <= nowMs).map(({ job }) => job),
+        };
+    };
+    const isFull = (removal: Removal): boolean =>
+        removal.descriptions.length === MAX_DESCRIPTIONS_PER_REMOVAL ||
+        removal.states.length === MAX_STATES_PER_REMOVAL;
+    const remove = async (removal: Removal): Promise<void> => {
+        const removals = [
+            ...removal.descriptions.map(id => jobRow(tables, id)),
+            ...removal.states.flatMap(job => rowsOfState(tables, job)),
+        ];
+        if (removals.length === 0 || !mayStore()) {
             return;
         }
-        const { kind } = await context.store.transact({
-            expect: [],
-            writes: [],
-            removals: ids.map(id => jobRow(tables, id)),
-        });
-        if (kind === "committed") {
-            ids.forEach(id => finished.delete(id));
-        } else {
+        const { kind } = await context.store.transact({ expect: [], writes: [], removals });
+        if (kind === "committed" || kind === "rejected") {
+            removal.descriptions.forEach(id => descriptions.delete(id));
+            removal.states.forEach(({ id }) => states.delete(id));
+        }
+        if (kind !== "committed") {
             context.metrics.count("finished_job_removals_failed");
         }
     };
@@ -54,11 +95,23 @@
         part: "finished-job-rows",
         isActive,
         step: async () => {
-            await sleep(finished.size > MAX_ROWS_PER_REMOVAL ? FULL_REMOVAL_INTERVAL_MS : REMOVAL_INTERVAL_MS);
+            await sleep(isFull(nextRemoval()) ? FULL_REMOVAL_INTERVAL_MS : REMOVAL_INTERVAL_MS);
             if (isActive()) {
-                await removeNext();
+                await remove(nextRemoval());
             }
         },
     });
-    return { add: id => finished.add(id) };
+    return {
+        add: job => {
+            if (!states.has(job.id)) {
+                descriptions.add(job.id);
+                states.set(job.id, { job, removableAtMs: context.monotonicMs() + retentionMs });
+            }
+        },
+    };
 };
+
+const rowsOfState = (tables: JobTables, { id, state }: FinishedJob): readonly RowKey[] =>
+    state === "cancelled"
+        ? [progressRow(tables, id), cancelledProgressRow(tables, id), cancellationRow(tables, id)]
+        : [progressRow(tables, id)];
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -5,6 +5,7 @@
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import type { FinishedJob } from "./finished-job-rows.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
 import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
 import { readAll, type StorePoint } from "./read-all.js";
@@ -22,8 +23,8 @@
 interface JobFeedSink {
     /** Called for each open job that was loaded or is new. */
     readonly job: (stored: StoredJob) => void;
-    /** Called for each job that was loaded and whose final state is stored. */
-    readonly finished: (id: JobId) => void;
+    /** Called for each job whose final state was loaded, also for those of other pools in the same tables. */
+    readonly finished: (job: FinishedJob) => void;
     /** Called for each cancellation, also for jobs that are not known. */
     readonly cancelled: (id: JobId) => void;
     /** Called after the initial load and after each batch of changes. */
@@ -129,26 +130,30 @@
     if (jobs === undefined || progress === undefined) {
         return undefined;
     }
-    const progressById = new Map(progress.rows.map(row => [row.key, row]));
+    const storedProgress = new Map(
+        progress.rows
+            .filter(({ key }) => cancelledJobId(key) === undefined)
+            .map(row => [row.key as JobId, { content: readStoredProgress(context, row), version: row.version }]),
+    );
     const withoutProgress: JobId[] = [];
     jobs.rows.forEach(row => {
         const job = readJob(options, row);
-        const progressRow = progressById.get(row.key);
         if (job === undefined) {
             return;
         }
-        if (progressRow === undefined) {
+        const stored = storedProgress.get(job.id);
+        if (stored === undefined) {
             withoutProgress.push(job.id);
-            return;
-        }
-        const progress = readStoredProgress(context, progressRow);
-        if (progress !== undefined && isFinal(progress)) {
-            sink.finished(job.id);
-        } else if (progress !== undefined) {
-            sink.job({ job, progress, progressVersion: progressRow.version, inherited });
+        } else if (stored.content !== undefined && !isFinal(stored.content)) {
+            sink.job({ job, progress: stored.content, progressVersion: stored.version, inherited });
         }
     });
     jobs.rows.forEach(row => applyCancellation(sink, row));
+    storedProgress.forEach(({ content }, id) => {
+        if (content !== undefined && isFinal(content)) {
+            sink.finished({ id, state: content.state });
+        }
+    });
     reportWithoutProgress(options, withoutProgress);
     return jobs.asOf;
 };
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -128,7 +128,13 @@
     const requestPass = passThrottle.request;
     const runLog = createRunLog(context);
     const reportReloadError = createErrorReporter({ context, part: "progress-reload" });
-    const finishedJobRows = createFinishedJobRows({ context, pool, isActive, mayStore: mayAct });
+    const finishedJobRows = createFinishedJobRows({
+        context,
+        pool,
+        jobStateSeconds: context.settings.jobStateSeconds,
+        isActive,
+        mayStore: mayAct,
+    });
     const writer = createProgressWriter({
         context,
         tables,
@@ -137,7 +143,7 @@
         onEndsStored: executor => connections.get(executor.id)?.pollNow(),
         onJobFinished: job => {
             closeJob(tables, job);
-            finishedJobRows.add(job.id);
+            finishedJobRows.add(job);
             context.metrics.count(`jobs_${job.state}`);
             context.metrics.record(`job_${job.state}`, context.monotonicMs() - job.arrivedAtMs);
             context.log("job-finished", {
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -8,6 +8,7 @@
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
+import type { FinishedJob } from "../src/finished-job-rows.js";
 import { followJobs } from "../src/job-feed.js";
 import { jobTablesOf } from "../src/job-rows.js";
 import type { StorePoint } from "../src/read-all.js";
@@ -126,7 +127,7 @@
     assert.deepEqual(unreadable, ["odd-progress", "odd-job"]);
 });
 
-test("a finished job whose row is still stored is reported as finished, and is not opened", async () => {
+test("a finished job whose description is still stored is reported as finished, and is not opened", async () => {
     const pool = toId<PoolName>("pool-a");
     const tables = jobTablesOf(pool);
     const job: Job = {
@@ -150,7 +151,7 @@
         [tables.jobs]: rowOf(tables.jobs, encodeJob(job)),
         [tables.progress]: rowOf(tables.progress, encodeProgress({ state: "failed", steps: [] })),
     };
-    const finished: JobId[] = [];
+    const finished: FinishedJob[] = [];
     let loaded = false;
     await followJobs({
         context: {
@@ -164,13 +165,13 @@
         isActive: () => !loaded,
         sink: {
             job: () => assert.fail("the job is finished"),
-            finished: id => finished.push(id),
+            finished: ended => finished.push(ended),
             cancelled: () => undefined,
             changed: () => undefined,
             readUpTo: () => (loaded = true),
         },
     });
-    assert.deepEqual(finished, [job.id]);
+    assert.deepEqual(finished, [{ id: job.id, state: "failed" }]);
 });
 
 test("a job whose progress is missing is not left out silently", async () => {
