--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -15,7 +15,7 @@
 import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
-import { containErrors, createErrorReporter } from "./contain-errors.js";
+import { containErrors } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import type { ExecutorRegistry } from "./executor-registry.js";
 import { createExecutorConnections } from "./executor-connections.js";
@@ -30,7 +30,7 @@
 import { createPassThrottle } from "./pass-throttle.js";
 import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
 import { createProgressWriter } from "./progress-writer.js";
-import { reloadProgress } from "./reload-progress.js";
+import { createProgressReload } from "./reload-progress.js";
 import { inheritedWaitMs, leaseGateOf, mayActOnLease, RUN_LEASE_MS, type LeaseStatus } from "./run-leases.js";
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
@@ -88,7 +88,6 @@
     let stopping = false;
     let jobsLoaded = false;
     let jobsAsOf = lease.predecessor?.pendingAsOf;
-    let reloadingProgress = false;
     let lastCompletedEvacuations = "";
     const demandHistory = createDemandHistory();
     let demand = lease.predecessor?.demand;
@@ -127,7 +126,6 @@
     });
     const requestPass = passThrottle.request;
     const runLog = createRunLog(context);
-    const reportReloadError = createErrorReporter({ context, part: "progress-reload" });
     const finishedJobRows = createFinishedJobRows({
         context,
         pool,
@@ -212,6 +210,14 @@
     const syncQueues = (): void => {
         operator.configuration()?.queues.forEach(queue => tables.queues.set(queue.name, queue));
     };
+    const reloadProgress = createProgressReload({
+        context,
+        tables,
+        reloaded: () => {
+            writer.request();
+            requestPass();
+        },
+    });
     const admission = createJobAdmission({ context, tables, demandHistory, requestWrite: writer.request });
     const admitStoredJob = (stored: StoredJob): void => {
         admission.admit(stored);
@@ -241,29 +247,12 @@
         recordLeaseHeld(tables, poolLeaseHeldAtMs(lease, context));
         admission.openOccurrences();
         if (jobsLoaded && mayAct()) {
-            reloadProgressAfterTakeover();
+            reloadProgress();
             tickets.prefetch();
             orders.send();
             publishCompletedEvacuations();
         }
     };
-    const reloadProgressAfterTakeover = (): void => {
-        if (tables.isProgressCurrent || reloadingProgress || !areInheritedRunsKnown(tables, context.monotonicMs())) {
-            return;
-        }
-        reloadingProgress = true;
-        void reloadProgress(context, tables)
-            .catch((error: unknown) => {
-                reportReloadError(error);
-                return false;
-            })
-            .then(read => {
-                reloadingProgress = false;
-                tables.isProgressCurrent = read;
-                writer.request();
-                requestPass();
-            });
-    };
     const publishCompletedEvacuations = (): void => {
         const completed = completedEvacuations(tables, context.monotonicMs()).join();
         if (completed !== lastCompletedEvacuations) {
--- a/programs/dispatcher/src/reload-progress.ts
+++ b/programs/dispatcher/src/reload-progress.ts
@@ -1,17 +1,48 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
+import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
+import { createErrorReporter } from "./contain-errors.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf } from "./job-rows.js";
 import { readStoredProgress } from "./read-stored-rows.js";
 import { readAll } from "./read-all.js";
 
+export interface ProgressReloadOptions {
+    readonly context: DispatcherContext;
+    readonly tables: PoolTables;
+    /** Called after each attempt. */
+    readonly reloaded: () => void;
+}
+
 /**
- * Reads the progress of the pool's jobs again after a takeover; resolves to false if the store failed.
+ * Returns a function that reads the progress of the pool's jobs again after a takeover, once the inherited runs are known.
  * Between the first read and the first report of an executor, the previous scheduler may have stored a run end and
  * acknowledged it, so that the executor no longer reports it.
  */
-export const reloadProgress = async (context: DispatcherContext, tables: PoolTables): Promise<boolean> => {
+export const createProgressReload = ({ context, tables, reloaded }: ProgressReloadOptions): (() => void) => {
+    const reportError = createErrorReporter({ context, part: "progress-reload" });
+    let isReading = false;
+    return () => {
+        if (tables.isProgressCurrent || isReading || !areInheritedRunsKnown(tables, context.monotonicMs())) {
+            return;
+        }
+        isReading = true;
+        void readProgress(context, tables)
+            .catch((error: unknown) => {
+                reportError(error);
+                return false;
+            })
+            .then(isRead => {
+                isReading = false;
+                tables.isProgressCurrent = isRead;
+                reloaded();
+            });
+    };
+};
+
+/** Resolves to false if the store failed. */
+const readProgress = async (context: DispatcherContext, tables: PoolTables): Promise<boolean> => {
     const { progress, part } = jobTablesOf(tables.pool);
     const reading = await readAll(context.store, { table: progress, part });
     reading?.rows.forEach(row => {
