--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -4,7 +4,7 @@
 import { toId, type PoolName } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
 import type { Job } from "@almondusher/jobs/job";
-import { initialProgress } from "@almondusher/jobs/progress";
+import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
@@ -23,6 +23,33 @@
     truncated,
 });
 
+const POOL = toId<PoolName>("pool-a");
+const TABLES = jobTablesOf(POOL);
+
+const jobOf = (id: string, pool = POOL): Job => ({
+    id: id as JobId,
+    queue: "queue-1" as QueueName,
+    pool,
+    spec: "text",
+    steps: [],
+    schedule: undefined,
+    acceptedAtMs: 0,
+});
+
+const rowOf = (table: string, key: string, value: string, version = 1): Row => ({
+    table,
+    part: TABLES.part,
+    key,
+    value,
+    version,
+    deleted: false,
+});
+
+const descriptionRow = (job: Job, version?: number): Row => rowOf(TABLES.jobs, job.id, encodeJob(job), version);
+
+const progressRow = (id: string, progress: Progress = initialProgress, version?: number): Row =>
+    rowOf(TABLES.progress, id, encodeProgress(progress), version);
+
 /** Follows the jobs of a pool until the given changes are used up, and returns the states that were read up to. */
 const follow = async (loads: readonly Reading[], changes: readonly Reading[]): Promise<readonly StorePoint[]> => {
     const points: StorePoint[] = [];
@@ -34,7 +61,7 @@
     } as unknown as TableStore;
     await followJobs({
         context: { store } as unknown as DispatcherContext,
-        pool: toId<PoolName>("pool-a"),
+        pool: POOL,
         isActive: () => remainingChanges.length > 0,
         sink: {
             job: () => undefined,
@@ -72,34 +99,17 @@
 });
 
 test("unreadable rows of jobs and of progress are skipped, and the other jobs are delivered", async () => {
-    const pool = toId<PoolName>("pool-a");
-    const tables = jobTablesOf(pool);
-    const job = (id: string): Job => ({
-        id: id as JobId,
-        queue: "queue-1" as QueueName,
-        pool,
-        spec: "text",
-        steps: [],
-        schedule: undefined,
-        acceptedAtMs: 0,
-    });
-    const row = (table: string, key: string, value: string): Row => ({
-        table,
-        part: tables.part,
-        key,
-        value,
-        version: 1,
-        deleted: false,
-    });
     const stored: Readonly<Record<string, readonly Row[]>> = {
-        [tables.jobs]: [
-            row(tables.jobs, "odd-progress", encodeJob(job("odd-progress"))),
-            row(tables.jobs, "odd-job", "[".repeat(10_000)),
-            row(tables.jobs, "good", encodeJob(job("good"))),
+        [TABLES.jobs]: [
+            descriptionRow(jobOf("odd-progress")),
+            rowOf(TABLES.jobs, "odd-job", "[".repeat(10_000)),
+            descriptionRow(jobOf("good")),
+        ],
+        [TABLES.progress]: [
+            progressRow("odd-job"),
+            progressRow("good"),
+            rowOf(TABLES.progress, "odd-progress", '{"format":1}'),
         ],
-        [tables.progress]: ["odd-job", "good"]
-            .map(key => row(tables.progress, key, encodeProgress(initialProgress)))
-            .concat(row(tables.progress, "odd-progress", '{"format":1}')),
     };
     const delivered: string[] = [];
     const unreadable: unknown[] = [];
@@ -113,7 +123,7 @@
             metrics: { count: () => undefined },
             monotonicMs: () => 0,
         } as unknown as DispatcherContext,
-        pool,
+        pool: POOL,
         isActive: () => delivered.length === 0,
         sink: {
             job: read => delivered.push(read.job.id),
@@ -128,28 +138,10 @@
 });
 
 test("a finished job whose description is still stored is reported as finished, and is not opened", async () => {
-    const pool = toId<PoolName>("pool-a");
-    const tables = jobTablesOf(pool);
-    const job: Job = {
-        id: "done" as JobId,
-        queue: "queue-1" as QueueName,
-        pool,
-        spec: "text",
-        steps: [],
-        schedule: undefined,
-        acceptedAtMs: 0,
-    };
-    const rowOf = (table: string, value: string): Row => ({
-        table,
-        part: tables.part,
-        key: job.id,
-        value,
-        version: 1,
-        deleted: false,
-    });
+    const job = jobOf("done");
     const stored: Readonly<Record<string, Row>> = {
-        [tables.jobs]: rowOf(tables.jobs, encodeJob(job)),
-        [tables.progress]: rowOf(tables.progress, encodeProgress({ state: "failed", steps: [] })),
+        [TABLES.jobs]: descriptionRow(job),
+        [TABLES.progress]: progressRow(job.id, { state: "failed", steps: [] }),
     };
     const finished: FinishedJob[] = [];
     let loaded = false;
@@ -161,7 +153,7 @@
             },
             monotonicMs: () => 0,
         } as unknown as DispatcherContext,
-        pool,
+        pool: POOL,
         isActive: () => !loaded,
         sink: {
             job: () => assert.fail("the job is finished"),
@@ -175,27 +167,9 @@
 });
 
 test("a job whose progress is missing is not left out silently", async () => {
-    const pool = toId<PoolName>("pool-a");
-    const tables = jobTablesOf(pool);
-    const rowOf = (id: string, jobPool: PoolName): Row => ({
-        table: tables.jobs,
-        part: tables.part,
-        key: id,
-        value: encodeJob({
-            id: id as JobId,
-            queue: "queue-1" as QueueName,
-            pool: jobPool,
-            spec: "text",
-            steps: [],
-            schedule: undefined,
-            acceptedAtMs: 0,
-        }),
-        version: 1,
-        deleted: false,
-    });
     const jobRows = [
-        ...Array.from({ length: 30 }, (unused, index) => rowOf(`job-${index}`, pool)),
-        rowOf("other", toId<PoolName>("pool-b")),
+        ...Array.from({ length: 30 }, (unused, index) => descriptionRow(jobOf(`job-${index}`))),
+        descriptionRow(jobOf("other", toId<PoolName>("pool-b"))),
     ];
     const lines: Readonly<Record<string, unknown>>[] = [];
     const counts: unknown[] = [];
@@ -204,13 +178,13 @@
         context: {
             store: {
                 read: ({ table }: { readonly table: string }) =>
-                    Promise.resolve({ ...rows(5, 100), rows: table === tables.jobs ? jobRows : [] }),
+                    Promise.resolve({ ...rows(5, 100), rows: table === TABLES.jobs ? jobRows : [] }),
             },
             log: (event: string, fields: Readonly<Record<string, unknown>>) => lines.push({ event, ...fields }),
             metrics: { count: (...counted: readonly unknown[]) => counts.push(counted) },
             monotonicMs: () => 0,
         } as unknown as DispatcherContext,
-        pool,
+        pool: POOL,
         isActive: () => !loaded,
         sink: {
             job: () => assert.fail("tasks that are done could run again"),
@@ -221,35 +195,13 @@
         },
     });
     const ids = Array.from({ length: 20 }, (unused, index) => `job-${index}`);
-    assert.deepEqual(lines, [{ event: "progress-missing", pool, count: 30, jobs: ids }]);
+    assert.deepEqual(lines, [{ event: "progress-missing", pool: POOL, count: 30, jobs: ids }]);
     assert.deepEqual(counts, [["missing_progress_rows", 30]]);
 });
 
 test("a job whose delivery fails does not keep later jobs back and is delivered again", async () => {
-    const pool = toId<PoolName>("pool-a");
-    const tables = jobTablesOf(pool);
-    const jobRow = (id: string, version: number): Row => ({
-        table: tables.jobs,
-        part: tables.part,
-        key: id,
-        value: encodeJob({
-            id: id as JobId,
-            queue: "queue-1" as QueueName,
-            pool,
-            spec: "text",
-            steps: [],
-            schedule: undefined,
-            acceptedAtMs: 0,
-        }),
-        version,
-        deleted: false,
-    });
-    const jobRows = [jobRow("bad", 6), jobRow("good", 7)];
-    const progressRows = jobRows.map(row => ({
-        ...row,
-        table: tables.progress,
-        value: encodeProgress(initialProgress),
-    }));
+    const jobRows = [descriptionRow(jobOf("bad"), 6), descriptionRow(jobOf("good"), 7)];
+    const progressRows = [progressRow("bad", initialProgress, 6), progressRow("good", initialProgress, 7)];
     const rowsOf = (read: readonly Row[]): Reading => ({
         kind: "rows",
         rows: read,
@@ -261,9 +213,9 @@
     let attempts = 0;
     let loads = 0;
     const read = (table: string): Reading => {
-        loads += table === tables.jobs ? 1 : 0;
+        loads += table === TABLES.jobs ? 1 : 0;
         // The jobs are accepted after the first load.
-        return loads === 1 ? rows(5, 100) : rowsOf(table === tables.jobs ? jobRows : progressRows);
+        return loads === 1 ? rows(5, 100) : rowsOf(table === TABLES.jobs ? jobRows : progressRows);
     };
     const changes = async (after: number): Promise<Reading> => {
         await sleep(20);
@@ -280,7 +232,7 @@
             metrics: { count: () => undefined },
             monotonicMs: () => performance.now(),
         } as unknown as DispatcherContext,
-        pool,
+        pool: POOL,
         isActive: () => !delivered.includes("bad") && performance.now() < endMs,
         sink: {
             job: ({ job }) => {
