Keep only the id and the state of a finished job in memory

Found by reading again: the holder passed the open job to the removal of its rows, which kept it for the retention time, with its description of up to 4 KB and all its tasks. The test fails with the caller's object kept, and passes with a copy.

--- a/programs/dispatcher/src/finished-job-rows.ts
+++ b/programs/dispatcher/src/finished-job-rows.ts
@@ -18,7 +18,7 @@
  * of the job conflicts with it.
  */
 export interface FinishedJobRows {
-    /** A job that is added again, for example by a reload, is kept no longer. */
+    /** Adding a job again, for example after a reload, does not prolong the time. */
     readonly add: (job: FinishedJob) => void;
 }
 
@@ -46,7 +46,7 @@
 }
 
 const MS_PER_SECOND = 1000;
-/** A submission that is repeated later than this after the end of its job runs the job again. */
+/** Later than any repeated submission of a job that has ended: one that came after the removal would run the job again. */
 const MIN_RETENTION_MS = 600_000;
 const REMOVAL_INTERVAL_MS = 1000;
 /** Pause between full transactions, which leaves most of a partition's rate of writes to others. */
@@ -102,10 +102,11 @@
         },
     });
     return {
-        add: job => {
-            if (!states.has(job.id)) {
-                descriptions.add(job.id);
-                states.set(job.id, { job, removableAtMs: context.monotonicMs() + retentionMs });
+        add: ({ id, state }) => {
+            if (!states.has(id)) {
+                descriptions.add(id);
+                // A copy, since the caller's job may hold its whole description.
+                states.set(id, { job: { id, state }, removableAtMs: context.monotonicMs() + retentionMs });
             }
         },
     };
--- a/programs/dispatcher/test/finished-job-rows.test.ts
+++ b/programs/dispatcher/test/finished-job-rows.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { mock, test, type TestContext } from "node:test";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { toId, type PoolName } from "@almondusher/fleet/ids";
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
@@ -82,6 +84,20 @@
     assert.deepEqual(removed, [jobs.map(descriptionOf)]);
 });
 
+test("a finished job does not keep its description in memory", async context => {
+    const { rows, pass } = createRemoval(context);
+    const addJob = (): WeakRef<FinishedJob> => {
+        const job = { ...finishedJob(1), spec: "text" };
+        rows.add(job);
+        return new WeakRef(job);
+    };
+    const added = addJob();
+    await pass(3000);
+    setFlagsFromString("--expose-gc");
+    (runInNewContext("gc") as () => void)();
+    assert.equal(added.deref(), undefined);
+});
+
 test("the state of a finished job stays readable for the retention time, and a late submission conflicts with it", async context => {
     const { rows, removed, pass } = createRemoval(context);
     const job = finishedJob(1);
