Check in one place whether a start is listed in the run protocol

Cause: `isListed` stood in run-transitions.ts, as an expression, and in run-key.ts. Change: one function, no behaviour changes. Run: types, linter and formatter of model/specification clean; the 5 tests of the variants that use it pass.

--- a/model/specification/src/run-key.ts
+++ b/model/specification/src/run-key.ts
@@ -8,7 +8,7 @@
     type Scheduler,
     type UndeliveredStart,
 } from "./run-state.js";
-import { isRejected } from "./run-transitions.js";
+import { isListed, isRejected } from "./run-transitions.js";
 
 /**
  * Key that is the same for two states of the complete protocol that differ only by swapping the executors, which are
@@ -76,9 +76,6 @@
     return isStopped ? 2 : 1;
 };
 
-const isListed = (starts: readonly UndeliveredStart[], pending: PendingStart): boolean =>
-    starts.some(({ run }) => run === pending.run);
-
 const pendingKey = (state: RunState, pending: PendingStart, order: Order): string => {
     const { run: activeRun, stopped, forgottenStop, restarts } = state.executors[pending.executor];
     return [
--- a/model/specification/src/run-transitions.ts
+++ b/model/specification/src/run-transitions.ts
@@ -52,13 +52,18 @@
 const isLeftOut = (state: RunState, pending: PendingStart, { admittedGap }: RunVariant): boolean => {
     const { restarts, forgottenToken, forgottenStop } = state.executors[pending.executor];
     const isOutdated = pending.knownRestarts < restarts;
-    const isListed = state.undeliveredInLease.some(({ run }) => run === pending.run);
     const isUnlistedStart =
-        pending.epoch < forgottenToken && !isListed && admittedGap !== "unlisted-start-after-restart";
+        pending.epoch < forgottenToken &&
+        !isListed(state.undeliveredInLease, pending) &&
+        admittedGap !== "unlisted-start-after-restart";
     const isStoppedStart = pending.run <= forgottenStop && admittedGap !== "stopped-start-after-restart";
     return isOutdated && (isUnlistedStart || isStoppedStart);
 };
 
+/** True if the start is one of those that got no response. */
+export const isListed = (starts: readonly UndeliveredStart[], pending: PendingStart): boolean =>
+    starts.some(({ run }) => run === pending.run);
+
 const deliverStart = (state: RunState, index: number, variant: RunVariant): RunState => {
     const pending = state.pendingStarts[index] as PendingStart;
     const next = { ...state, pendingStarts: state.pendingStarts.filter(other => other !== pending) };
