--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,6 +1,6 @@
 import { clockWentBack, isReadingAmbiguous, recordClockReading } from "./lease-time.js";
 import { markStarted } from "./job-progress.js";
-import type { Executor, PoolTables, Run } from "./pool-tables.js";
+import type { Executor, PoolTables, RestartSource, Run } from "./pool-tables.js";
 import { giveUpRun, restoreRun } from "./run-table.js";
 import { takeUndeliveredStarts } from "./undelivered-starts.js";
 
@@ -26,7 +26,7 @@
         return;
     }
     if (isNewIncarnation(executor, evidence)) {
-        beginIncarnation(executor, evidence.receivedAtMs);
+        beginIncarnation(executor, evidence.receivedAtMs, evidence.startedAtMs === undefined ? "clock" : "report");
     }
     if (evidence.startedAtMs !== undefined) {
         setIncarnationStart(executor, evidence.startedAtMs);
@@ -111,10 +111,10 @@
  * it. Those whose start request got no response are kept or restored, since the request may still reach the new one, which
  * knows of no stop.
  */
-export const beginIncarnation = (executor: Executor, nowMs: number): void => {
+export const beginIncarnation = (executor: Executor, nowMs: number, source: RestartSource): void => {
     [...executor.runs.values()]
         .filter(({ isStartDelivered }) => isStartDelivered)
-        .forEach(run => giveUpRun(run, "executor-restarted", nowMs));
+        .forEach(run => giveUpRun(run, "executor-restarted", nowMs, source));
     takeUndeliveredStarts(executor, nowMs).forEach(restoreRun);
     executor.runs.forEach(forgetStops);
     resetIncarnationState(executor, nowMs);
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -34,7 +34,7 @@
     }
     if (known.record.startedAtMs < record.startedAtMs) {
         if (known.isIncarnationStartKnown) {
-            beginIncarnation(known, nowMs);
+            beginIncarnation(known, nowMs, "registry");
         }
         setIncarnationStart(known, record.startedAtMs);
         known.record = record;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -220,10 +220,19 @@
 /** Why a run was given up although its end was not reported. */
 export type GiveUpCause = "lease-expired" | "executor-restarted" | "executor-replaced" | "not-listed" | "start-expired";
 
-/** A run that was given up although its end was not reported. */
+/** What showed that an executor has restarted under its id. */
+export type RestartSource = "registry" | "report" | "clock";
+
+/** A run that was given up although its end was not reported, and what was known of its executor then. */
 export interface GivenUpRun {
     readonly run: Run;
     readonly cause: GiveUpCause;
+    /** Start of the executor's incarnation, in Unix milliseconds. */
+    readonly executorStartedAtMs: number;
+    /** Highest number of a run end that the incarnation was told to discard. */
+    readonly acknowledgedEnd: number;
+    /** What showed a restart; undefined for any other cause. */
+    readonly restartSource: RestartSource | undefined;
 }
 
 /** A request to evacuate a VM. */
--- a/pools/scheduler/src/run-table.ts
+++ b/pools/scheduler/src/run-table.ts
@@ -1,6 +1,15 @@
 import type { TaskId } from "@almondusher/jobs/ids";
 import { keepUndeliveredStart } from "./undelivered-starts.js";
-import type { Executor, GivenUpRun, GiveUpCause, PoolTables, Run, RunKey, StopCause } from "./pool-tables.js";
+import type {
+    Executor,
+    GivenUpRun,
+    GiveUpCause,
+    PoolTables,
+    RestartSource,
+    Run,
+    RunKey,
+    StopCause,
+} from "./pool-tables.js";
 
 /** What is known of a run when it is added. */
 type AddedRun = Pick<Run, "task" | "number" | "executor" | "phase" | "startedAtMs" | "resumedFrom"> &
@@ -54,11 +63,21 @@
  * Removes a run that must have ended although its end was not reported. Its task waits for a proof that the pool lease was
  * held at this time of the monotonic clock, in milliseconds.
  */
-export const giveUpRun = (run: Run, cause: GiveUpCause, nowMs: number): void => {
+export const giveUpRun = (run: Run, cause: GiveUpCause, nowMs: number, restartSource?: RestartSource): void => {
+    const { executor } = run;
     forgetRun(run);
     keepUndeliveredStart(run, nowMs);
     run.task.givenUpAtMs = nowMs;
-    run.executor.givenUpRuns = [...run.executor.givenUpRuns, { run, cause }];
+    executor.givenUpRuns = [
+        ...executor.givenUpRuns,
+        {
+            run,
+            cause,
+            executorStartedAtMs: executor.record.startedAtMs,
+            acknowledgedEnd: executor.lastAcknowledgedEnd,
+            restartSource,
+        },
+    ];
 };
 
 /** Returns the runs that were given up since the last call. */
--- a/pools/scheduler/test/given-up-runs.test.ts
+++ b/pools/scheduler/test/given-up-runs.test.ts
@@ -70,6 +70,8 @@
     const [run] = place(tables);
     assert.ok(run !== undefined);
     endIncarnation(run.executor, GIVEN_UP_AT_MS);
-    assert.deepEqual(takeGivenUpRuns(tables), [{ run, cause: "executor-replaced" }]);
+    assert.deepEqual(takeGivenUpRuns(tables), [
+        { run, cause: "executor-replaced", executorStartedAtMs: 1, acknowledgedEnd: 0, restartSource: undefined },
+    ]);
     assert.deepEqual(takeGivenUpRuns(tables), []);
 });
--- a/pools/scheduler/test/inherited-runs.test.ts
+++ b/pools/scheduler/test/inherited-runs.test.ts
@@ -134,7 +134,7 @@
     assert.equal(areInheritedRunsKnown(tables, 400), false, "it may have restarted, and answers the next poll");
     loseContact(executor, 400);
     assert.equal(areInheritedRunsKnown(tables, 500), true);
-    beginIncarnation(executor, 600);
+    beginIncarnation(executor, 600, "registry");
     assert.equal(areInheritedRunsKnown(tables, 700), false, "its next incarnation was not read");
 });
 
--- a/pools/scheduler/test/place-tasks.test.ts
+++ b/pools/scheduler/test/place-tasks.test.ts
@@ -202,7 +202,7 @@
         leaseHeldAtMs: 300,
     });
     const executor = executorOf(tables, "a");
-    beginIncarnation(executor, 2000);
+    beginIncarnation(executor, 2000, "registry");
     executor.reconciled = true;
     assert.equal(place(tables, 2100).length, 0);
     recordLeaseHeld(tables, 2000);
--- a/pools/scheduler/test/waiting-reason.test.ts
+++ b/pools/scheduler/test/waiting-reason.test.ts
@@ -162,7 +162,7 @@
     "not-listed-in-lease": executor => (executor.listedInLease = false),
     "incarnation-unconfirmed": (executor, tables) => {
         tables.leaseHeldAtMs = NOW_MS - 100;
-        beginIncarnation(executor, NOW_MS - 50);
+        beginIncarnation(executor, NOW_MS - 50, "registry");
         executor.reconciled = true;
     },
     "token-not-shown": (executor, tables) => {
--- a/programs/dispatcher/src/run-log.ts
+++ b/programs/dispatcher/src/run-log.ts
@@ -24,14 +24,17 @@
             });
         }),
     givenUp: (runs, leaseAgeMs) =>
-        runs.forEach(({ run, cause }) => {
+        runs.forEach(({ run, cause, executorStartedAtMs, acknowledgedEnd, restartSource }) => {
             const isExpired = cause === "lease-expired";
             context.metrics.count(isExpired ? "runs_lapsed_unseen" : "runs_given_up");
             context.log(isExpired ? "run-lapsed" : "run-given-up", {
+                cause,
                 task: run.task.id,
                 run: run.number,
                 executor: run.executor.id,
-                cause,
+                executorStartedAtMs,
+                acknowledgedEnd,
+                restartSource,
                 leaseAgeMs: Math.round(leaseAgeMs),
             });
         }),
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -197,7 +197,7 @@
     applyRegistry(pool.tables, [0, 1, 2, 3].map(record), pool.nowMs());
     const restarted = pool.tables.executors.get(executorId(2));
     assert.ok(restarted !== undefined);
-    beginIncarnation(restarted, pool.nowMs());
+    beginIncarnation(restarted, pool.nowMs(), "registry");
     pool.pass(1000);
     await pool.ask(2);
     assert.deepEqual(
