--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -1,131 +1,18 @@
 import assert from "node:assert/strict";
-import { test, type TestContext } from "node:test";
+import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { toId } from "@almondusher/fleet/ids";
-import { initialProgress } from "@almondusher/jobs/progress";
-import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
-import {
-    reply,
-    startJsonServer,
-    type JsonReply,
-    type JsonRequest,
-} from "@almondusher/job-platform-stand-in/json-server";
-import { admitJob } from "@almondusher/scheduler/admit-job";
+import { reply } from "@almondusher/job-platform-stand-in/json-server";
 import { expireRuns } from "@almondusher/scheduler/apply-report";
-import { applyRegistry } from "@almondusher/scheduler/executor-table";
-import type { Executor, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
-import { addRun } from "@almondusher/scheduler/run-table";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
-import { POOL, RUN_LEASE_MS, STEP, emptyTables, executorRecord } from "./fixture.js";
+import type { Executor } from "@almondusher/scheduler/pool-tables";
+import { addTaskRun, connect, ID, JOB, STARTED_AT_MS, waitUntil } from "./connected-executor.js";
+import { RUN_LEASE_MS } from "./fixture.js";
 
-const ID = "i-0" as ExecutorId;
-const JOB = "0000000000000001" as JobId;
 // Older than the age at which half of a lease may be missing.
 const OLD_READING_MS = 300_000;
-const STARTED_AT_MS = 1;
-const TIMEOUT_MS = 3000;
-
-interface Connected {
-    readonly tables: PoolTables;
-    readonly executor: Executor;
-    readonly connection: ExecutorConnection;
-    /** Requests that the executor has received. */
-    readonly requests: readonly JsonRequest[];
-    mayExtendLeases: boolean;
-    /** How often the removal of the executor's mark was requested. */
-    removalsRequested: number;
-}
-
-/** Connects to an idle executor whose clock is 0 at the start of this process, and which answers as given. */
-const connect = async (
-    context: TestContext,
-    answer: (request: JsonRequest) => JsonReply | Promise<JsonReply>,
-): Promise<Connected> => {
-    const requests: JsonRequest[] = [];
-    const server = await startJsonServer(request => {
-        requests.push(request);
-        return answer(request);
-    });
-    const tables = emptyTables();
-    applyRegistry(
-        tables,
-        [executorRecord(ID, { address: server.address, startedAtMs: STARTED_AT_MS, clockMs: undefined })],
-        performance.now(),
-    );
-    const executor = tables.executors.get(ID);
-    assert.ok(executor !== undefined);
-    executor.reconciled = true;
-    const state = { mayExtendLeases: true, removalsRequested: 0 };
-    const connection = openExecutorConnection({
-        context: {
-            monotonicMs: () => performance.now(),
-            log: () => undefined,
-            metrics: { count: () => undefined, record: () => undefined },
-        } as unknown as DispatcherContext,
-        owner: {
-            tables,
-            mayHaveSuccessor: () => false,
-            mayExtendLeases: () => state.mayExtendLeases,
-            ended: () => undefined,
-            changed: () => undefined,
-            markedExecutorAnswered: () => void state.removalsRequested++,
-            ticketRejected: () => undefined,
-            fenced: () => undefined,
-        },
-        executor,
-        orderLoad: { track: send => send(), takeSample: () => undefined },
-        orderWindow: {
-            track: (id, send) => send(),
-            createBudget: () => assert.fail("no orders are planned"),
-            size: () => 1,
-            forget: () => undefined,
-        },
-    });
-    context.after(async () => {
-        connection.close();
-        await server.close();
-    });
-    return Object.assign(state, { tables, executor, connection, requests });
-};
-
-const addTaskRun = (tables: PoolTables, executor: Executor, number: number, startedAtMs = performance.now()): Run => {
-    admitJob(
-        tables,
-        {
-            job: {
-                id: JOB,
-                queue: toId<QueueName>("queue-1"),
-                pool: POOL,
-                spec: "",
-                steps: [STEP],
-                schedule: undefined,
-                acceptedAtMs: 0,
-            },
-            progress: initialProgress,
-            progressVersion: 1,
-            arrivedAtMs: 0,
-            readAtMs: 0,
-            inherited: false,
-        },
-        0,
-    );
-    const task = tables.jobs.get(JOB)?.occurrences.get(0)?.[0]?.tasks[0];
-    assert.ok(task !== undefined);
-    return addRun({ task, number, executor, phase: "starting", startedAtMs, resumedFrom: "" });
-};
 
 /** Time for which an order without a response may be delayed, in milliseconds. */
 const LONGEST_DELAY_MS = 15_000;
 
-const waitUntil = async (condition: () => boolean): Promise<void> => {
-    const endMs = performance.now() + TIMEOUT_MS;
-    while (!condition()) {
-        assert.ok(performance.now() < endMs, "the condition does not become true");
-        await sleep(5);
-    }
-};
-
 const setOldReading = (executor: Executor): void => {
     executor.clock = { clockMs: 0, heardAtMs: performance.now() - OLD_READING_MS };
 };
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -70,8 +70,11 @@
     readonly unacknowledgedEnds: () => number;
     /** Highest CPU capacity that was in use at one time. */
     readonly peakCpu: () => number;
-    /** Simulates a crash and restart: all runs end, the state is lost, and the executor registers again under its id. */
-    readonly restart: () => void;
+    /**
+     * Simulates a crash and restart: all runs and connections end, the state is lost, and the executor registers again
+     * under its id. Its clock starts anew, or goes on as one of the VM would.
+     */
+    readonly restart: (clock?: "starts-anew" | "goes-on") => void;
     /** Reports `draining`, ends after the time, and starts again under its id after the pause. */
     readonly drain: (remainingMs: number, pauseMs: number) => Promise<void>;
     /** Ends the executor for good, with all its runs, and removes its registration. */
@@ -145,6 +148,8 @@
     /** Ends that were not acknowledged yet. */
     let ends: RunEnd[] = [];
     let endCount = 0;
+    /** Highest number of an end that a request has acknowledged; later ends up to it are discarded as well. */
+    let acknowledgedEnd = 0;
     let highestToken = 0;
     let leaseEndMs = 0;
     /** When the lease was last seen to have expired. */
@@ -176,6 +181,13 @@
         state = next;
         stateSinceMs = performance.now();
     };
+    const acknowledgeEnds = (lastSeen: number): void => {
+        acknowledgedEnd = Math.max(acknowledgedEnd, lastSeen);
+        ends.filter(({ number }) => number <= acknowledgedEnd).forEach(({ run }) => {
+            run.endAcknowledged = (run.endedAtMs ?? 0) > lastExpiryMs;
+        });
+        ends = ends.filter(({ number }) => number > acknowledgedEnd);
+    };
     const endRun = (run: ExecutorRun, how: string): void => {
         if (run.how !== undefined) {
             return;
@@ -186,6 +198,7 @@
         active.delete(run.task);
         endCount++;
         ends.push({ number: endCount, run });
+        acknowledgeEnds(acknowledgedEnd);
         wakeHolds();
         gangs?.leave(run, how);
     };
@@ -290,12 +303,6 @@
         }
         return reply(200, clockFields());
     };
-    const acknowledgeEnds = (lastSeen: number): void => {
-        ends.filter(({ number }) => number <= lastSeen).forEach(({ run }) => {
-            run.endAcknowledged = (run.endedAtMs ?? 0) > lastExpiryMs;
-        });
-        ends = ends.filter(({ number }) => number > lastSeen);
-    };
     const handleHold = async (body: unknown): Promise<JsonReply> => {
         const {
             fence_token: fencingToken,
@@ -397,13 +404,18 @@
         highestRuns.clear();
         ends = [];
         endCount = 0;
+        acknowledgedEnd = 0;
         highestToken = 0;
         leaseEndMs = 0;
+        server.resetConnections();
     };
-    const restart = (): void => {
+    const restart: ExecutorStandIn["restart"] = (clock = "starts-anew") => {
         crash();
-        born = Date.now();
-        clockStartMs = performance.now();
+        // Two starts in one millisecond could not be told apart.
+        born = Math.max(born + 1, Date.now());
+        if (clock === "starts-anew") {
+            clockStartMs = performance.now();
+        }
         setState("ready");
         register();
         wakeHolds();
--- a/stand-ins/job-platform/src/json-server.ts
+++ b/stand-ins/job-platform/src/json-server.ts
@@ -1,5 +1,5 @@
 import { createServer, type IncomingMessage, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 
 /** An HTTP request with its JSON body parsed. */
 export interface JsonRequest {
@@ -20,6 +20,8 @@
 export interface JsonServer {
     /** host:port */
     readonly address: string;
+    /** Resets all connections, as the end of a process does, and goes on accepting new ones. */
+    readonly resetConnections: () => void;
     readonly close: () => Promise<void>;
 }
 
@@ -56,8 +58,14 @@
                 }
             });
     });
+    const sockets = new Set<Socket>();
+    server.on("connection", socket => {
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise<void>(resolve => server.listen(port, "127.0.0.1", resolve));
     return {
+        resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         close: async () => {
             server.closeAllConnections();
