--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -8,7 +8,7 @@
 export interface IncarnationEvidence {
     /** Reading of the executor's clock. */
     readonly clockMs: number;
-    /** Unix time of the executor's start; undefined if not included, as in responses to start and stop requests. */
+    /** Unix time of the executor's start, which its connection has told; undefined if its reports do not contain it. */
     readonly startedAtMs: number | undefined;
     /** When the request was sent, in milliseconds of this process's monotonic clock. */
     readonly sentAtMs: number;
@@ -17,9 +17,8 @@
 }
 
 /**
- * Records the clock of an executor and detects a restart under the same id: the reported start time differs or, if none
- * is reported, the clock went back. Checking the clock detects the restart before a run that was started in the new
- * incarnation can be attributed to the previous one. Evidence from a past incarnation is ignored.
+ * Records the clock of an executor and detects a restart under the same id: the start time differs or, if none is
+ * known, the clock went back. Evidence from a past incarnation is ignored.
  */
 export const observeIncarnation = (executor: Executor, evidence: IncarnationEvidence): void => {
     if (isFromPastIncarnation(executor, evidence)) {
@@ -51,12 +50,19 @@
     (startedAtMs === undefined || executor.isIncarnationStartKnown !== (startedAtMs === executor.record.startedAtMs));
 
 /**
- * Applies the acceptance of a start. If the response may come from another incarnation than the current one, the start counts
- * as unanswered, and the next report shows whether the run exists.
+ * Applies the acceptance of a start. A run that a past incarnation has accepted ended with it. If the response may come from
+ * another incarnation than the current one, the start counts as unanswered, and the next report shows whether the run exists.
  */
 export const applyAcceptedStart = (tables: PoolTables, run: Run, evidence: IncarnationEvidence): void => {
-    const isAmbiguous = isReadingAmbiguous(run.executor, evidence) || isFromPastIncarnation(run.executor, evidence);
-    observeIncarnation(run.executor, evidence);
+    const { executor } = run;
+    const isPast = isFromPastIncarnation(executor, evidence);
+    if (evidence.startedAtMs !== undefined && isPast) {
+        run.isStartDelivered = true;
+        giveUpRun(run, "executor-restarted", evidence.receivedAtMs, "report");
+        return;
+    }
+    const isAmbiguous = isPast || isClockAmbiguous(executor, evidence);
+    observeIncarnation(executor, evidence);
     if (isAmbiguous) {
         markUnanswered(run, evidence.receivedAtMs);
     } else {
@@ -64,6 +70,10 @@
     }
 };
 
+// A start time tells the incarnation, whatever the clock shows.
+const isClockAmbiguous = (executor: Executor, evidence: IncarnationEvidence): boolean =>
+    evidence.startedAtMs === undefined && isReadingAmbiguous(executor, evidence);
+
 /** Marks a run as accepted by its executor. Call it after the clock reading in the response was recorded. */
 export const confirmStart = (tables: PoolTables, run: Run, nowMs: number): void => {
     const { executor } = run;
@@ -79,7 +89,7 @@
 };
 
 /** The acceptance of a stop; `clockMs` is undefined if the response contains no reading of the clock. */
-export interface AcceptedStop extends Omit<IncarnationEvidence, "clockMs" | "startedAtMs"> {
+export interface AcceptedStop extends Omit<IncarnationEvidence, "clockMs"> {
     readonly clockMs: number | undefined;
 }
 
@@ -87,16 +97,17 @@
  * Applies the acceptance of a stop, which also makes a late start of the run fail for as long as the executor's current
  * incarnation lasts. If the response may come from another one, the stop is sent again.
  */
-export const applyAcceptedStop = (run: Run, { clockMs, sentAtMs, receivedAtMs }: AcceptedStop): void => {
+export const applyAcceptedStop = (run: Run, { clockMs, ...response }: AcceptedStop): void => {
     const { executor } = run;
     if (clockMs !== undefined) {
-        if (isReadingAmbiguous(executor, { clockMs, sentAtMs })) {
+        const evidence = { clockMs, ...response };
+        if (isClockAmbiguous(executor, evidence)) {
             return;
         }
-        observeIncarnation(executor, { clockMs, startedAtMs: undefined, sentAtMs, receivedAtMs });
+        observeIncarnation(executor, evidence);
     }
-    if (!isFromPastIncarnation(executor, { startedAtMs: undefined, sentAtMs })) {
-        run.confirmedAtMs ??= receivedAtMs;
+    if (!isFromPastIncarnation(executor, response)) {
+        run.confirmedAtMs ??= response.receivedAtMs;
     }
 };
 
@@ -128,6 +139,10 @@
     run.phase = run.phase === "stopping" ? "missing" : run.phase;
 };
 
+/** Start of the current incarnation in Unix milliseconds; undefined while it is not known. */
+export const incarnationStart = ({ isIncarnationStartKnown, record }: Executor): number | undefined =>
+    isIncarnationStartKnown ? record.startedAtMs : undefined;
+
 /** Records when the current incarnation of an executor started, in Unix milliseconds. */
 export const setIncarnationStart = (executor: Executor, startedAtMs: number): void => {
     if (executor.record.startedAtMs !== startedAtMs) {
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -20,7 +20,12 @@
 /** Adds an executor that is listed only in the previous holder's lease row, so that its runs are read. */
 export const addUnregistered = (tables: PoolTables, record: ExecutorRecord): void => {
     if (!tables.executors.has(record.id)) {
-        tables.executors.set(record.id, { ...createExecutor(record), registered: false, reachable: true });
+        tables.executors.set(record.id, {
+            ...createExecutor(record),
+            isIncarnationStartKnown: false,
+            registered: false,
+            reachable: true,
+        });
     }
 };
 
--- a/pools/scheduler/test/executor-incarnation.test.ts
+++ b/pools/scheduler/test/executor-incarnation.test.ts
@@ -178,10 +178,10 @@
     const [run] = place(tables);
     assert.ok(run !== undefined);
     markUnanswered(run, 350);
-    applyAcceptedStop(run, { clockMs: 360, sentAtMs: 355, receivedAtMs: 365 });
+    applyAcceptedStop(run, { clockMs: 360, startedAtMs: undefined, sentAtMs: 355, receivedAtMs: 365 });
     // A report that waits for an end is under way when the stop is sent again.
     const reportSentAtMs = 400;
-    applyAcceptedStop(run, { clockMs: 760, sentAtMs: 755, receivedAtMs: 765 });
+    applyAcceptedStop(run, { clockMs: 760, startedAtMs: undefined, sentAtMs: 755, receivedAtMs: 765 });
     receiveReport(tables, "a", { clockMs: 1100 }, reportSentAtMs);
     assert.deepEqual(run.task.runs, []);
 });
--- a/pools/scheduler/test/simulated-connection.ts
+++ b/pools/scheduler/test/simulated-connection.ts
@@ -4,6 +4,7 @@
     applyAcceptedStart,
     applyAcceptedStop,
     endIncarnation,
+    incarnationStart,
     markUnanswered,
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
@@ -40,6 +41,11 @@
     readonly onChange: () => void;
 }
 
+/** An order, whose outcome is passed on with the start of the executor that has responded. */
+type SimulatedOrder = Pick<Parameters<SimulatedNetwork["send"]>[0], "kind" | "label" | "execute"> & {
+    readonly done: (result: CallResult, startedAtMs: number | undefined) => void;
+};
+
 /** Time after which an order without a response ends as unknown, in milliseconds. */
 const ORDER_TIMEOUT_MS = 350;
 const REPORT_TIMEOUT_MARGIN_MS = 450;
@@ -60,6 +66,61 @@
     let failedPolls = 0;
     let pollRequested = false;
     let cancelWait: (() => void) | undefined;
+    /** Executor that has responded on the connection for each kind of call, by its start; undefined before one has. */
+    const connectedTo: Record<"orders" | "polls", number | undefined> = { orders: undefined, polls: undefined };
+    /** Passes on the result of a call; a connection on which a call gets no response is closed. */
+    const receive =
+        (connection: "orders" | "polls", done: (result: CallResult) => void) =>
+        (result: CallResult): void => {
+            if (result.kind === "unknown" || result.kind === "not-sent") {
+                connectedTo[connection] = undefined;
+            }
+            if (result.kind === "report") {
+                connectedTo[connection] = result.report.startedAtMs;
+            }
+            done(result);
+        };
+    const closeIfOther = (connection: "orders" | "polls", incarnation: number | undefined): void => {
+        if (connectedTo[connection] !== incarnation) {
+            connectedTo[connection] = undefined;
+        }
+    };
+    const sendOrder = ({ done, ...order }: SimulatedOrder): void => {
+        const incarnation = incarnationStart(executor);
+        const sentAtMs = time.nowMs();
+        const call = { vm, id, timeoutMs: ORDER_TIMEOUT_MS };
+        const send = (): void => {
+            const startedAtMs = connectedTo.orders;
+            const receiveAnswer = receive("orders", result => done(result, startedAtMs));
+            network.send({ ...order, ...call, connectedTo: startedAtMs, done: receiveAnswer });
+        };
+        closeIfOther("orders", incarnation);
+        if (connectedTo.orders !== undefined) {
+            send();
+            return;
+        }
+        network.send({
+            ...call,
+            kind: "report",
+            label: `identification of ${id}`,
+            connectedTo: undefined,
+            execute: (simulated, respond) =>
+                simulated.report({ token: tables.token, acknowledged: 0, untilMs: undefined, waitMs: 0 }, respond),
+            done: receive("orders", result => {
+                if (result.kind !== "report") {
+                    done(result.kind === "unknown" ? { kind: "not-sent" } : result, undefined);
+                    return;
+                }
+                const { clockMs, startedAtMs } = result.report;
+                observeIncarnation(executor, { clockMs, startedAtMs, sentAtMs, receivedAtMs: time.nowMs() });
+                if (startedAtMs === incarnation) {
+                    send();
+                } else {
+                    done({ kind: "not-sent" }, undefined);
+                }
+            }),
+        });
+    };
 
     const pollNow = (): void => {
         pollRequested = true;
@@ -102,9 +163,11 @@
     const pollReport = (): void => {
         const sentAtMs = time.nowMs();
         const { incarnation } = executor;
-        const acknowledged = options.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
-        const untilMs = extendRunLeases();
-        const waitMs = isReportUrgent() ? 0 : REPORT_LONG_POLL_MS;
+        closeIfOther("polls", incarnationStart(executor));
+        const isIdentified = connectedTo.polls !== undefined;
+        const acknowledged = isIdentified && options.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
+        const untilMs = isIdentified ? extendRunLeases() : undefined;
+        const waitMs = !isIdentified || isReportUrgent() ? 0 : REPORT_LONG_POLL_MS;
         network.send({
             kind: "report",
             label: `report of ${id}`,
@@ -113,7 +176,8 @@
             timeoutMs: waitMs + REPORT_TIMEOUT_MARGIN_MS,
             execute: (simulated, respond) =>
                 simulated.report({ token: tables.token, acknowledged, untilMs, waitMs }, respond),
-            done: result => {
+            connectedTo: connectedTo.polls,
+            done: receive("polls", result => {
                 if (closed) {
                     return;
                 }
@@ -147,7 +211,7 @@
                         }
                         poll();
                 }
-            },
+            }),
         });
     };
     const recordFailedPoll = (sentAtMs: number): void => {
@@ -201,25 +265,30 @@
             pollIfNeeded();
         }
     };
-    const observeClock = (clockMs: number | undefined, sentAtMs: number): void => {
+    const observeClock = (clockMs: number | undefined, startedAtMs: number | undefined, sentAtMs: number): void => {
         if (clockMs !== undefined) {
-            observeIncarnation(executor, { clockMs, startedAtMs: undefined, sentAtMs, receivedAtMs: time.nowMs() });
+            observeIncarnation(executor, { clockMs, startedAtMs, sentAtMs, receivedAtMs: time.nowMs() });
         }
     };
-    const applyStartResult = (run: Run, result: CallResult, sentAtMs: number): void => {
+    const applyStartResult = (
+        run: Run,
+        result: CallResult,
+        startedAtMs: number | undefined,
+        sentAtMs: number,
+    ): void => {
         const nowMs = time.nowMs();
         switch (result.kind) {
             case "accepted":
                 applyAcceptedStart(tables, run, {
                     clockMs: result.clockMs,
-                    startedAtMs: undefined,
+                    startedAtMs,
                     sentAtMs,
                     receivedAtMs: nowMs,
                 });
                 return;
             case "rejected": {
                 const isOwnReadingOld = isClockReadingOld(executor, sentAtMs, tables.runLeaseMs);
-                observeClock(result.clockMs, sentAtMs);
+                observeClock(result.clockMs, startedAtMs, sentAtMs);
                 forgetRun(run);
                 if (!(result.reason === "late" && isOwnReadingOld)) {
                     handleRejection(result.reason);
@@ -250,12 +319,9 @@
             run.startValidUntilMs = untilMs;
             const sentAtMs = time.nowMs();
             outstandingStarts.add(run);
-            network.send({
+            sendOrder({
                 kind: "start",
                 label: `start of run ${run.number} of ${run.task.id} on ${id}`,
-                vm,
-                id,
-                timeoutMs: ORDER_TIMEOUT_MS,
                 execute: (simulated, respond) =>
                     respond(
                         simulated.start({
@@ -266,9 +332,9 @@
                             work: workOf(run),
                         }),
                     ),
-                done: result => {
+                done: (result, startedAtMs) => {
                     outstandingStarts.delete(run);
-                    applyStartResult(run, result, sentAtMs);
+                    applyStartResult(run, result, startedAtMs, sentAtMs);
                     pollNow();
                     options.onChange();
                 },
@@ -276,17 +342,19 @@
         },
         stop: run => {
             const sentAtMs = time.nowMs();
-            network.send({
+            sendOrder({
                 kind: "stop",
                 label: `stop of run ${run.number} of ${run.task.id} on ${id}`,
-                vm,
-                id,
-                timeoutMs: ORDER_TIMEOUT_MS,
                 execute: (simulated, respond) =>
                     respond(simulated.stop({ token: tables.token, task: run.task.id, run: run.number })),
-                done: result => {
+                done: (result, startedAtMs) => {
                     if (result.kind === "accepted") {
-                        applyAcceptedStop(run, { clockMs: result.clockMs, sentAtMs, receivedAtMs: time.nowMs() });
+                        applyAcceptedStop(run, {
+                            clockMs: result.clockMs,
+                            startedAtMs,
+                            sentAtMs,
+                            receivedAtMs: time.nowMs(),
+                        });
                     }
                     pollNow();
                     options.onChange();
@@ -294,12 +362,9 @@
             });
         },
         stopOrphanedRun: ({ task, number }) =>
-            network.send({
+            sendOrder({
                 kind: "stop",
                 label: `stop of orphaned run ${number} of ${task} on ${id}`,
-                vm,
-                id,
-                timeoutMs: ORDER_TIMEOUT_MS,
                 execute: (simulated, respond) => respond(simulated.stop({ token: tables.token, task, run: number })),
                 done: () => {
                     pollNow();
--- a/pools/scheduler/test/simulated-network.ts
+++ b/pools/scheduler/test/simulated-network.ts
@@ -18,6 +18,8 @@
     readonly label: string;
     /** The executor that is meant; another one at its address rejects the call. */
     readonly id: ExecutorId;
+    /** Start of the executor at the other end of the connection, in Unix milliseconds; undefined for a new connection. */
+    readonly connectedTo: number | undefined;
     readonly timeoutMs: number;
     readonly execute: (executor: SimulatedExecutor, respond: (response: SimulatedResponse) => void) => void;
     /** Called once, with the response or after the time limit. */
@@ -53,9 +55,10 @@
                 (fault.kind === "unreachable" || fault.calls === "all" || fault.calls === kind),
         );
     const execute = (
-        { vm, id, execute }: SimulatedCall,
+        { vm, id, execute, connectedTo }: SimulatedCall,
         sentTo: Endpoint,
         respond: (result: CallResult) => void,
+        isLate = false,
     ): void => {
         const endpoint = endpointOf(vm);
         switch (endpoint.kind) {
@@ -66,6 +69,11 @@
                 ) {
                     return;
                 }
+                // A connection ends with the process, which resets it; only the platform delivers a call to a later one.
+                if (!isLate && connectedTo !== undefined && connectedTo !== endpoint.executor.bornMs) {
+                    respond({ kind: "unknown" });
+                    return;
+                }
                 if (endpoint.executor.id !== id) {
                     respond({ kind: "rejected", reason: "other-life", clockMs: undefined });
                     return;
@@ -102,7 +110,7 @@
                 return;
             }
             if (late !== undefined) {
-                time.after(late.delayMs, () => execute(call, sentTo, () => undefined));
+                time.after(late.delayMs, () => execute(call, sentTo, () => undefined, true));
                 return;
             }
             const respond = (result: CallResult): void => {
--- a/pools/scheduler/test/undelivered-starts.test.ts
+++ b/pools/scheduler/test/undelivered-starts.test.ts
@@ -21,7 +21,7 @@
     planStops(tables, { nowMs, resendAfterMs: 400, budget: UNLIMITED_BUDGET });
 
 const acceptStop = (run: Run, sentAtMs: number, clockMs: number): void =>
-    applyAcceptedStop(run, { clockMs, sentAtMs, receivedAtMs: sentAtMs + ANSWER_TIME_MS });
+    applyAcceptedStop(run, { clockMs, startedAtMs: undefined, sentAtMs, receivedAtMs: sentAtMs + ANSWER_TIME_MS });
 
 /** A start that got no response, on the only executor of the pool. */
 const startWithoutAnswer = (): { readonly tables: PoolTables; readonly run: Run } => {
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -1,7 +1,13 @@
 import type { RunReport } from "@almondusher/jobs/executor";
 import type { PoolTables, Executor, Run, OrphanedRun } from "@almondusher/scheduler/pool-tables";
 import { forgetRun } from "@almondusher/scheduler/run-table";
-import { acknowledgedEnd, applyAcceptedStop, endIncarnation } from "@almondusher/scheduler/executor-incarnation";
+import {
+    acknowledgedEnd,
+    applyAcceptedStop,
+    endIncarnation,
+    incarnationStart,
+    observeIncarnation,
+} from "@almondusher/scheduler/executor-incarnation";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
 import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
@@ -12,6 +18,7 @@
     type OrderResult,
     type ReportRequest,
     type ReportResult,
+    type RunReference,
 } from "@almondusher/platform-adapter/executor-client";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
@@ -83,7 +90,19 @@
     orderWindow,
 }: ExecutorConnectionOptions): ExecutorConnection => {
     const { tables } = owner;
-    let client: ExecutorClient = createClient(executor, tables.token);
+    const createClient = (): ExecutorClient =>
+        createExecutorClient({
+            id: executor.id,
+            address: executor.record.address,
+            fencingToken: tables.token,
+            monotonicMs: context.monotonicMs,
+            identified: evidence => {
+                if (!closed) {
+                    observeIncarnation(executor, evidence);
+                }
+            },
+        });
+    let client = createClient();
     let clientAddress = executor.record.address;
     let closed = false;
     let failedPolls = 0;
@@ -93,7 +112,7 @@
     const reportError = createErrorReporter({ context, part: "executor-calls" });
     const currentClient = (): ExecutorClient => {
         if (clientAddress !== executor.record.address) {
-            const replacement = createClient(executor, tables.token);
+            const replacement = createClient();
             client.close();
             client = replacement;
             clientAddress = executor.record.address;
@@ -162,6 +181,7 @@
         const acknowledged = owner.mayExtendLeases() ? acknowledgedEnd(executor) : 0;
         context.metrics.count("executor_reports");
         const result = await requestReport({
+            incarnation: incarnationStart(executor),
             acknowledged,
             leaseUntilMs: extendRunLeases(),
             waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
@@ -180,7 +200,7 @@
                     return;
                 }
                 if (executor.incarnation === incarnation) {
-                    executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, acknowledged);
+                    executor.lastAcknowledgedEnd = Math.max(executor.lastAcknowledgedEnd, result.acknowledged);
                 }
                 owner.ended(executor, applyEnds(result.report, { sentAtMs, receivedAtMs }));
                 owner.changed();
@@ -316,28 +336,30 @@
             executor.leaseUntilMs = Math.max(executor.leaseUntilMs, leaseUntilMs);
             run.startValidUntilMs = leaseUntilMs;
             context.metrics.count("starts");
+            const reference = referenceTo(run);
+            const isReadingOld = isClockReadingOld(executor, context.monotonicMs(), tables.runLeaseMs);
             const sentAtMs = context.monotonicMs();
             const result = await track(() =>
                 currentClient().start({
-                    task: run.task.id,
-                    run: run.number,
+                    ...reference,
                     spec: run.task.step.job.job.spec,
                     checkpoint: run.task.checkpoint,
                     leaseUntilMs,
                     ticket,
                 }),
             );
-            startOutcomes.apply(run, result, sentAtMs);
+            startOutcomes.apply(run, result, { sentAtMs, isReadingOld });
             pollNow();
             owner.changed();
         },
         stop: async run => {
             context.metrics.count("stops");
             const sentAtMs = context.monotonicMs();
-            const result = await track(() => currentClient().stop(run.task.id, run.number));
+            const result = await track(() => currentClient().stop(referenceTo(run)));
             if (result.kind === "accepted") {
                 applyAcceptedStop(run, {
                     clockMs: result.clockMs,
+                    startedAtMs: result.startedAtMs,
                     sentAtMs,
                     receivedAtMs: context.monotonicMs(),
                 });
@@ -348,7 +370,8 @@
             owner.changed();
         },
         stopOrphanedRun: async orphanedRun => {
-            await track(() => currentClient().stop(orphanedRun.task, orphanedRun.number));
+            const { task, number } = orphanedRun;
+            await track(() => currentClient().stop({ task, run: number, incarnation: incarnationStart(executor) }));
             pollNow();
             owner.changed();
         },
@@ -356,7 +379,7 @@
             const before = run.speedLimitPercent;
             // Set before the answer arrives, so that the next scheduling pass does not send the same order again.
             run.speedLimitPercent = percent;
-            const result = await track(() => currentClient().pace(run.task.id, run.number, percent));
+            const result = await track(() => currentClient().pace({ ...referenceTo(run), percent }));
             if (result.kind !== "accepted" && run.speedLimitPercent === percent) {
                 run.speedLimitPercent = before;
             }
@@ -369,5 +392,8 @@
     };
 };
 
-const createClient = (executor: Executor, fencingToken: number): ExecutorClient =>
-    createExecutorClient({ id: executor.id, address: executor.record.address, fencingToken });
+const referenceTo = ({ task, number, executor }: Run): RunReference => ({
+    task: task.id,
+    run: number,
+    incarnation: incarnationStart(executor),
+});
--- a/programs/dispatcher/src/order-load.ts
+++ b/programs/dispatcher/src/order-load.ts
@@ -40,6 +40,7 @@
         switch (kind) {
             case "unknown":
             case "not-sent":
+            case "other-incarnation":
                 unanswered++;
                 metrics.count("orders_unanswered");
                 return;
--- a/programs/dispatcher/src/order-window.ts
+++ b/programs/dispatcher/src/order-window.ts
@@ -106,6 +106,7 @@
                 return;
             case "accepted":
             case "rejected":
+            case "other-incarnation":
                 recordResponse(path, sentAtMs);
                 return;
         }
--- a/programs/dispatcher/src/start-outcomes.ts
+++ b/programs/dispatcher/src/start-outcomes.ts
@@ -7,14 +7,20 @@
     observeIncarnation,
     type IncarnationEvidence,
 } from "@almondusher/scheduler/executor-incarnation";
-import { isClockReadingOld } from "@almondusher/scheduler/lease-time";
-import type { OrderRejection, OrderResult } from "@almondusher/platform-adapter/executor-client";
+import type { OrderRejection, OrderResponse, OrderResult } from "@almondusher/platform-adapter/executor-client";
 import type { DispatcherContext } from "./dispatcher-context.js";
 
 /** Applies the outcomes of the starts that are sent to one executor. */
 export interface StartOutcomes {
-    /** `sentAtMs` is when the start was sent, in milliseconds of the monotonic clock. */
-    readonly apply: (run: Run, result: OrderResult, sentAtMs: number) => void;
+    readonly apply: (run: Run, result: OrderResult, sent: SentStart) => void;
+}
+
+/** A start as it was sent. */
+export interface SentStart {
+    /** When it was sent, in milliseconds of the monotonic clock. */
+    readonly sentAtMs: number;
+    /** Its lease was computed from an old reading of the executor's clock, and may be too short. */
+    readonly isReadingOld: boolean;
 }
 
 export interface StartOutcomesOptions {
@@ -75,20 +81,19 @@
         }
         backOff(initialMs * Math.min(2 ** (startsNotAccepted - 1), MAX_BACKOFF_FACTOR));
     };
-    const apply = (run: Run, result: OrderResult, sentAtMs: number): void => {
+    const apply = (run: Run, result: OrderResult, { sentAtMs, isReadingOld }: SentStart): void => {
         switch (result.kind) {
             case "accepted":
                 startsNotAccepted = 0;
-                acceptStart(run, result.clockMs, sentAtMs);
+                acceptStart(run, result, sentAtMs);
                 return;
             case "rejected": {
-                const isOwnReadingOld = isClockReadingOld(executor, sentAtMs, tables.runLeaseMs);
-                recordClock(result.clockMs, sentAtMs);
+                recordClock(result, sentAtMs);
                 forgetRun(run);
                 logStartNotAccepted(run, result.reason);
                 if (result.reason === "ticket") {
                     ticketRejected(run);
-                } else if (result.reason === "expired" && isOwnReadingOld && result.clockMs !== undefined) {
+                } else if (result.reason === "expired" && isReadingOld && result.clockMs !== undefined) {
                     // The lease was too short because of the old reading. The answer has a new one for the next start.
                     return;
                 } else {
@@ -101,6 +106,10 @@
                 backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
+            case "other-incarnation":
+                forgetRun(run);
+                logStartNotAccepted(run, result.kind);
+                return;
             case "unknown":
                 markUnanswered(run, context.monotonicMs());
                 backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
@@ -108,24 +117,23 @@
                 return;
         }
     };
-    const acceptStart = (run: Run, clockMs: number | undefined, sentAtMs: number): void => {
-        if (clockMs === undefined) {
+    const acceptStart = (run: Run, response: OrderResponse, sentAtMs: number): void => {
+        const evidence = evidenceOf(response, sentAtMs);
+        if (evidence === undefined) {
             confirmStart(tables, run, context.monotonicMs());
         } else {
-            applyAcceptedStart(tables, run, evidenceOf(clockMs, sentAtMs));
+            applyAcceptedStart(tables, run, evidence);
         }
     };
-    const recordClock = (clockMs: number | undefined, sentAtMs: number): void => {
-        if (clockMs !== undefined) {
-            observeIncarnation(executor, evidenceOf(clockMs, sentAtMs));
+    const recordClock = (response: OrderResponse, sentAtMs: number): void => {
+        const evidence = evidenceOf(response, sentAtMs);
+        if (evidence !== undefined) {
+            observeIncarnation(executor, evidence);
         }
     };
-    const evidenceOf = (clockMs: number, sentAtMs: number): IncarnationEvidence => ({
-        clockMs,
-        startedAtMs: undefined,
-        sentAtMs,
-        receivedAtMs: context.monotonicMs(),
-    });
+    // Undefined if the response does not contain the executor's clock.
+    const evidenceOf = ({ clockMs, startedAtMs }: OrderResponse, sentAtMs: number): IncarnationEvidence | undefined =>
+        clockMs === undefined ? undefined : { clockMs, startedAtMs, sentAtMs, receivedAtMs: context.monotonicMs() };
     const logStartNotAccepted = (run: Run, reason: string): void => {
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
--- a/programs/dispatcher/test/connected-executor.ts
+++ b/programs/dispatcher/test/connected-executor.ts
@@ -97,7 +97,12 @@
 };
 
 /** Adds a run of the only task of a job to the tables; the job is admitted if it is not there yet. */
-export const addTaskRun = (tables: PoolTables, executor: Executor, number: number, startedAtMs = performance.now()): Run => {
+export const addTaskRun = (
+    tables: PoolTables,
+    executor: Executor,
+    number: number,
+    startedAtMs = performance.now(),
+): Run => {
     admitJob(
         tables,
         {
@@ -131,4 +136,3 @@
         await sleep(5);
     }
 };
-
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { reply } from "@almondusher/job-platform-stand-in/json-server";
+import { reply, type JsonReply } from "@almondusher/job-platform-stand-in/json-server";
 import { expireRuns } from "@almondusher/scheduler/apply-report";
 import type { Executor } from "@almondusher/scheduler/pool-tables";
 import { addTaskRun, connect, ID, JOB, STARTED_AT_MS, waitUntil } from "./connected-executor.js";
@@ -13,14 +13,20 @@
 /** Time for which an order without a response may be delayed, in milliseconds. */
 const LONGEST_DELAY_MS = 15_000;
 
+const emptyReport = (clockMs: number): JsonReply =>
+    reply(200, { clock_ms: clockMs, born: STARTED_AT_MS, active: [], ended: [] });
+
 const setOldReading = (executor: Executor): void => {
     executor.clock = { clockMs: 0, heardAtMs: performance.now() - OLD_READING_MS };
 };
 
 test("an executor that rejects a start because the known reading of its clock is old gets the next one at once", async context => {
     const { tables, executor, connection } = await connect(context, ({ path, body }) => {
+        if (path === "/-/hold") {
+            return emptyReport(OLD_READING_MS);
+        }
         const { until_ms: untilMs } = body as { readonly until_ms: number };
-        return path === "/-/run-start" && untilMs > OLD_READING_MS
+        return untilMs > OLD_READING_MS
             ? reply(200, { clock_ms: OLD_READING_MS })
             : reply(409, { clock_ms: OLD_READING_MS, reason: "late" });
     });
@@ -35,16 +41,16 @@
 });
 
 test("an executor that rejects a start as late despite a recent reading of its clock gets no starts for a while", async context => {
-    const { tables, executor, connection } = await connect(context, () => reply(409, { clock_ms: 10, reason: "late" }));
+    const { tables, executor, connection } = await connect(context, ({ path }) =>
+        path === "/-/run-start" ? reply(409, { clock_ms: 10, reason: "late" }) : emptyReport(10),
+    );
     executor.clock = { clockMs: 10, heardAtMs: performance.now() };
     await connection.start(addTaskRun(tables, executor, 1), undefined);
     assert.ok(executor.backoffUntilMs > performance.now());
 });
 
 test("an idle executor is asked for its clock before the known reading is so old that leases become short", async context => {
-    const { executor, connection, requests } = await connect(context, () =>
-        reply(200, { clock_ms: OLD_READING_MS, born: STARTED_AT_MS, active: [], ended: [] }),
-    );
+    const { executor, connection, requests } = await connect(context, () => emptyReport(OLD_READING_MS));
     executor.clock = { clockMs: 0, heardAtMs: performance.now() };
     connection.pollNow();
     await sleep(50);
@@ -79,12 +85,14 @@
 });
 
 test("a run whose executor rejects every poll is given up once its lease has expired", async context => {
+    let isPollRejected = false;
     const { tables, executor, connection, requests } = await connect(context, ({ path }) =>
-        path === "/-/hold" ? reply(503) : reply(200, { clock_ms: 10 }),
+        path === "/-/hold" && isPollRejected ? reply(503) : emptyReport(10),
     );
     executor.clock = { clockMs: 10, heardAtMs: performance.now() };
     const run = addTaskRun(tables, executor, 1);
     await connection.start(run, undefined);
+    isPollRejected = true;
     assert.equal(run.phase, "running");
     await waitUntil(() => !executor.reachable);
     const { leaseUntilMs } = executor;
@@ -101,9 +109,7 @@
 test("an executor that rejects each start gets them at growing intervals, until it accepts one", async context => {
     let isHealthy = false;
     const { tables, executor, connection } = await connect(context, ({ path }) =>
-        path === "/-/run-start" && !isHealthy
-            ? reply(503)
-            : reply(200, { clock_ms: 10, born: STARTED_AT_MS, active: [], ended: [] }),
+        path === "/-/run-start" && !isHealthy ? reply(503) : emptyReport(10),
     );
     const start = async (number: number): Promise<number> => {
         executor.clock = { clockMs: 10, heardAtMs: performance.now() };
@@ -120,7 +126,9 @@
 });
 
 test("starts that an executor rejects together count once", async context => {
-    const { tables, executor, connection } = await connect(context, () => reply(503));
+    const { tables, executor, connection } = await connect(context, ({ path }) =>
+        path === "/-/run-start" ? reply(503) : emptyReport(10),
+    );
     executor.clock = { clockMs: 10, heardAtMs: performance.now() };
     const startedAtMs = performance.now();
     await Promise.all([1, 2, 3, 4].map(number => connection.start(addTaskRun(tables, executor, number), undefined)));
@@ -143,7 +151,7 @@
                 return reply(503);
             default:
                 await sleep(20);
-                return reply(200, { clock_ms: clockMs(), born: STARTED_AT_MS, active: [], ended: [] });
+                return emptyReport(clockMs());
         }
     });
     executor.clock = { clockMs: 0, heardAtMs: performance.now() };
@@ -194,9 +202,7 @@
 });
 
 test("the removal of the mark of an executor that answers is requested", async context => {
-    const connected = await connect(context, () =>
-        reply(200, { clock_ms: 10, born: STARTED_AT_MS, active: [], ended: [] }),
-    );
+    const connected = await connect(context, () => emptyReport(10));
     Object.assign(connected.executor, { reconciled: false, reachable: false, isMarkedUnread: true });
     connected.connection.pollNow();
     await waitUntil(() => connected.removalsRequested > 0);
--- a/programs/dispatcher/test/executor-restarts.test.ts
+++ b/programs/dispatcher/test/executor-restarts.test.ts
@@ -7,8 +7,6 @@
 import { addTaskRun, connectTo, ID, waitUntil } from "./connected-executor.js";
 import { executorRecord, POOL } from "./fixture.js";
 
-/** Fails on the current code, see KNOWN-RED.txt. */
-const KNOWN_RED = { todo: "issue 43" };
 const RUN_MS = 100;
 /** Time between polls that would list the same ends again, in milliseconds. */
 const POLL_PAUSE_MS = 700;
@@ -45,7 +43,7 @@
 };
 
 // The new incarnation numbers its ends from 1 again, below the number that was acknowledged to the former one.
-test("an end of a restarted executor is reported although ends of its former incarnation were acknowledged", KNOWN_RED, async context => {
+test("an end of a restarted executor is reported although ends of its former incarnation were acknowledged", async context => {
     const registered = await startExecutor(context, RUN_MS);
     const { tables, executor, connection, ends } = connectToStandIn(context, registered);
     const first = addTaskRun(tables, executor, 1);
@@ -69,7 +67,7 @@
 });
 
 // A clock of the VM goes on, so that only the start time shows the restart, and answers to starts do not have it.
-test("a run that a restarted executor has accepted is not given up when the registry shows the restart", KNOWN_RED, async context => {
+test("a run that a restarted executor has accepted is not given up when the registry shows the restart", async context => {
     const registered = await startExecutor(context, Infinity);
     const { tables, executor, connection } = connectToStandIn(context, registered);
     await connection.start(addTaskRun(tables, executor, 1), undefined);
@@ -94,7 +92,7 @@
     );
 });
 
-test("a restarted executor gets no lease that was computed for the clock of its former incarnation", KNOWN_RED, async context => {
+test("a restarted executor gets no lease that was computed for the clock of its former incarnation", async context => {
     const registered = await startExecutor(context, Infinity);
     const { tables, executor, connection } = connectToStandIn(context, registered);
     await connection.start(addTaskRun(tables, executor, 1), undefined);
--- a/programs/dispatcher/test/order-load.test.ts
+++ b/programs/dispatcher/test/order-load.test.ts
@@ -8,7 +8,7 @@
     let nowMs = 0;
     const metrics = createDispatcherMetrics();
     const load = createOrderLoad({ metrics, monotonicMs: () => nowMs });
-    const accepted: OrderResult = { kind: "accepted", clockMs: undefined };
+    const accepted: OrderResult = { kind: "accepted", clockMs: undefined, startedAtMs: undefined };
     let answer: (result: OrderResult) => void = () => undefined;
     const outstanding = load.track(() => new Promise<OrderResult>(resolve => (answer = resolve)));
     await load.track(() => {
--- a/programs/dispatcher/test/order-window.test.ts
+++ b/programs/dispatcher/test/order-window.test.ts
@@ -72,7 +72,11 @@
         const due = waiting.filter(({ endsAtMs }) => endsAtMs <= nowMs);
         waiting = waiting.filter(({ endsAtMs }) => endsAtMs > nowMs);
         due.forEach(({ answered, finish }) =>
-            finish(answered ? { kind: "accepted", clockMs: undefined } : { kind: "unknown", reason: "timeout" }),
+            finish(
+                answered
+                    ? { kind: "accepted", clockMs: undefined, startedAtMs: undefined }
+                    : { kind: "unknown", reason: "timeout" },
+            ),
         );
         await new Promise(resolve => setImmediate(resolve));
         return due;
