--- a/bench/system/bin/partition-soak.js
+++ b/bench/system/bin/partition-soak.js
@@ -2,7 +2,7 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { parseArgs } from "node:util";
-import { runPartitionSoak } from "../dist/partition-soak.js";
+import { findWorkload, runPartitionSoak } from "../dist/partition-soak.js";
 import { hasFailed, sumSoaks } from "../dist/soak-totals.js";
 
 const { values } = parseArgs({
@@ -17,6 +17,11 @@
         workload: { type: "string", default: "mixed" },
     },
 });
+const workload = findWorkload(values.workload);
+if (workload === undefined) {
+    console.error(`There is no workload ${values.workload}. Use plain, mixed or restarts.`);
+    process.exit(2);
+}
 const results = [];
 const firstSeed = Number(values["first-seed"]);
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed++) {
@@ -25,7 +30,7 @@
         dispatchers: Number(values.dispatchers),
         executors: Number(values.executors),
         faults: Number(values.faults),
-        workload: values.workload === "plain" ? "plain" : "mixed",
+        workload,
     });
     const failed = hasFailed(result);
     results.push(result);
--- a/bench/system/src/partition-soak.ts
+++ b/bench/system/src/partition-soak.ts
@@ -10,12 +10,20 @@
     waitUntil,
     type JobDeployment,
 } from "./job-deployment.js";
+import { playRestarts } from "./play-restarts.js";
 import { playFault, type FaultKind, type FaultOptions, type PlayedFault } from "./play-fault.js";
 import { drawMixedJob, isLasting, plainJob, stepOfTask, type SoakJob } from "./soak-job.js";
 import { sendTo, startSoaked, type SoakedDispatcher } from "./soaked-dispatcher.js";
 import { submitJobs, type Submission } from "./submit-jobs.js";
 import { watchProgress, type ProgressWatch } from "./watch-progress.js";
 
+const SOAK_WORKLOADS = ["plain", "mixed", "restarts"] as const;
+type SoakWorkload = (typeof SOAK_WORKLOADS)[number];
+
+/** Finds a workload by its name; undefined if there is none. */
+export const findWorkload = (name: string): SoakWorkload | undefined =>
+    SOAK_WORKLOADS.find(workload => workload === name);
+
 /** Size of a soak, and the seed of its faults. */
 export interface PartitionSoakOptions {
     readonly seed: number;
@@ -25,9 +33,10 @@
     readonly faults: number;
     /**
      * `plain`: jobs of one step in a full pool, and cut paths. `mixed`: also jobs with several steps, gangs and long-running
-     * tasks, late orders, lost answers, restarts, drains and maintenance, in a pool with room.
+     * tasks, late orders, lost answers, restarts, drains and maintenance, in a pool with room. `restarts`: jobs as in
+     * `plain`, and executors that restart under their ids and are cut off soon after.
      */
-    readonly workload: "plain" | "mixed";
+    readonly workload: SoakWorkload;
 }
 
 /** What a soak has shown. */
@@ -117,7 +126,8 @@
         const period = createFaultPeriod();
         const watch = watchProgress({ deployment, submission, faults: period });
         const faultOptions = { deployment, dispatchers, draw: drawFault, drawDisruption };
-        const faults = await playFaults(options.faults, faultOptions, period);
+        const play = workload === "restarts" ? playRestarts : playFault;
+        const faults = await playFaults({ count: options.faults, play, faultOptions, period });
         if (workload === "mixed") {
             await sleep(CALM_MS);
         }
@@ -142,13 +152,25 @@
     readonly kinds: PartitionSoakResult["faultKinds"];
 }
 
-const playFaults = async (count: number, options: FaultOptions, period: FaultPeriod): Promise<readonly SoakFault[]> => {
+interface FaultSeries {
+    readonly count: number;
+    readonly play: (options: FaultOptions) => Promise<PlayedFault>;
+    readonly faultOptions: FaultOptions;
+    readonly period: FaultPeriod;
+}
+
+const playFaults = async ({
+    count,
+    play,
+    faultOptions: options,
+    period,
+}: FaultSeries): Promise<readonly SoakFault[]> => {
     const faults: SoakFault[] = [];
     for (let fault = 1; fault <= count; fault++) {
         const vm =
             options.drawDisruption === undefined ? undefined : requestWave(options, fault, options.drawDisruption);
         period.begin();
-        const { description, kinds } = await playFault(options);
+        const { description, kinds } = await play(options);
         faults.push(
             vm === undefined
                 ? { description, kinds }
--- a/bench/system/src/play-fault.ts
+++ b/bench/system/src/play-fault.ts
@@ -89,7 +89,7 @@
 };
 
 /** Starts a fault of a dispatcher and returns how to end it. */
-const startHolderFault = async (
+export const startHolderFault = async (
     deployment: JobDeployment,
     holder: SoakedDispatcher,
     fault: HolderFault,
