Check the lease right before a start is written to its connection

Cause: the first order on a connection waits until the executor has identified itself, up to 350 ms. A process that was paused in this time would have sent a start under a lease that it had checked before. Executors reject such a start once a successor has read them, and by its own lease; it is not relied on. Change: the check is repeated when the start is written.

Before: the new test of executor-connection failed, the start was sent. After: it passes. In the test of pauses the start is not sent any more after a pause at the first check, which has a test of its own now; the lease is checked with a pause at the last one.

--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -356,6 +356,7 @@
                     checkpoint: run.task.checkpoint,
                     leaseUntilMs,
                     ticket,
+                    mayStart: owner.mayExtendLeases,
                 }),
             );
             startOutcomes.apply(run, result, { sentAtMs, isReadingOld });
--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -131,12 +131,23 @@
     const connected = await connect(context);
     const run = placeRun(connected.executor);
     const latestUntilMs = performance.now() + RUN_LEASE_MS + 1000;
-    pauseAfterCheck(connected, 1);
+    // The second check is the last one before the start is written.
+    pauseAfterCheck(connected, 2);
     await connected.connection.start(run, undefined);
     const [start] = startsOf(connected);
     assert.ok((start?.body.until_ms ?? Infinity) < latestUntilMs, `lease until ${start?.body.until_ms}`);
 });
 
+test("a start is not sent after a pause that follows the first check that the process may act", async context => {
+    const connected = await connect(context);
+    const run = placeRun(connected.executor);
+    pauseAfterCheck(connected, 1);
+    await connected.connection.start(run, undefined);
+    await sleep(SEVERAL_ORDERS_MS);
+    assert.deepEqual(startsOf(connected), []);
+    assert.equal(run.task.runs.length, 0, "the task keeps a run that was never started");
+});
+
 test("an extended lease does not begin after a pause that follows the check that the process may act", async context => {
     // A poll checks several times.
     for (const pausedAtCheck of [1, 2, 3, 4]) {
--- a/programs/dispatcher/test/executor-connection.test.ts
+++ b/programs/dispatcher/test/executor-connection.test.ts
@@ -207,3 +207,19 @@
     connected.connection.pollNow();
     await waitUntil(() => connected.removalsRequested > 0);
 });
+
+// The first order on a connection waits until the executor has identified itself.
+test("a start is not sent if the lease of the pool has run out while its connection was opened", async context => {
+    const connected = await connect(context, ({ path }) => {
+        if (path === "/-/hold") {
+            connected.mayExtendLeases = false;
+        }
+        return emptyReport(10);
+    });
+    const { tables, executor, connection, requests } = connected;
+    executor.clock = { clockMs: 10, heardAtMs: performance.now() };
+    const run = addTaskRun(tables, executor, 1);
+    await connection.start(run, undefined);
+    assert.equal(requests.filter(({ path }) => path === "/-/run-start").length, 0);
+    assert.equal(executor.runs.size, 0);
+});
