--- a/pools/scheduler/src/executor-incarnation.ts
+++ b/pools/scheduler/src/executor-incarnation.ts
@@ -1,6 +1,6 @@
 import { clockWentBack, isReadingAmbiguous, recordClockReading } from "./lease-time.js";
 import { markStarted } from "./job-progress.js";
-import { recordLostRequest } from "./lost-requests.js";
+import { NO_LOST_REQUESTS, recordAnsweredRequest, recordUnansweredRequest } from "./lost-requests.js";
 import type { Executor, PoolTables, RestartSource, Run } from "./pool-tables.js";
 import { giveUpRun, restoreRun } from "./run-table.js";
 import { takeUndeliveredStarts } from "./undelivered-starts.js";
@@ -32,6 +32,7 @@
         setIncarnationStart(executor, evidence.startedAtMs);
     }
     recordClockReading(executor, evidence.clockMs, evidence.receivedAtMs);
+    recordAnsweredRequest(executor, evidence.sentAtMs);
     executor.answeredRequestAtMs = Math.max(executor.answeredRequestAtMs, evidence.sentAtMs);
 };
 
@@ -114,7 +115,7 @@
 
 /** Records that the start request of a run was given up without a response, so that the run may or may not exist. */
 export const markUnanswered = (run: Run, nowMs: number): void => {
-    recordLostRequest(run.executor, { leaseSentAtMs: run.startedAtMs });
+    recordUnansweredRequest(run.executor, { leaseSentAtMs: run.startedAtMs });
     run.unansweredAtMs = nowMs;
     run.phase = run.phase === "starting" ? "unsettled" : run.phase;
 };
@@ -166,6 +167,7 @@
     executor.answeredRequestAtMs = Number.NEGATIVE_INFINITY;
     executor.clock = undefined;
     executor.leaseUntilMs = 0;
+    executor.unansweredRequests = NO_LOST_REQUESTS;
     executor.formerRequests = executor.lostRequests;
     executor.lastAppliedEnd = 0;
     executor.lastStoredEnd = 0;
--- a/pools/scheduler/src/executor-table.ts
+++ b/pools/scheduler/src/executor-table.ts
@@ -72,6 +72,7 @@
     givenUpRuns: [],
     clock: undefined,
     leaseUntilMs: 0,
+    unansweredRequests: NO_LOST_REQUESTS,
     lostRequests: NO_LOST_REQUESTS,
     formerRequests: NO_LOST_REQUESTS,
     reconciled: false,
--- a/pools/scheduler/src/lost-requests.ts
+++ b/pools/scheduler/src/lost-requests.ts
@@ -8,13 +8,25 @@
     acknowledgementSentAtMs: Number.NEGATIVE_INFINITY,
 };
 
-/** Records a request that got no response, with when its contents were sent; undefined for one that it did not have. */
-export const recordLostRequest = (executor: Executor, sent: Partial<LostRequests>): void => {
-    const lost = { ...NO_LOST_REQUESTS, ...sent };
-    executor.lostRequests = later(executor.lostRequests, lost);
-    // The time limit of the request ended after the restart was noticed.
-    if (Math.max(lost.leaseSentAtMs, lost.acknowledgementSentAtMs) < executor.incarnationSinceMs) {
-        executor.formerRequests = later(executor.formerRequests, lost);
+/**
+ * Records a request that got no response, with when its contents were sent; undefined for one that it did not have. A
+ * request that is under way when its executor ends counts as ended with it.
+ */
+export const recordUnansweredRequest = (executor: Executor, contents: Partial<LostRequests>): void => {
+    const sent = { ...NO_LOST_REQUESTS, ...contents };
+    if (Math.max(sent.leaseSentAtMs, sent.acknowledgementSentAtMs) >= executor.incarnationSinceMs) {
+        executor.unansweredRequests = later(executor.unansweredRequests, sent);
+    }
+};
+
+/**
+ * Records that the incarnation has answered a request, so that those without a response before it were lost on their way.
+ */
+export const recordAnsweredRequest = (executor: Executor, sentAtMs: number): void => {
+    const { leaseSentAtMs, acknowledgementSentAtMs } = executor.unansweredRequests;
+    if (Math.max(leaseSentAtMs, acknowledgementSentAtMs) < sentAtMs) {
+        executor.lostRequests = later(executor.lostRequests, executor.unansweredRequests);
+        executor.unansweredRequests = NO_LOST_REQUESTS;
     }
 };
 
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -187,9 +187,11 @@
     clock: ClockReading | undefined;
     /** Latest end of a run lease that was sent, on the executor's clock. */
     leaseUntilMs: number;
-    /** Requests to any incarnation. */
+    /** Requests to the current incarnation that got no response and were followed by no answered one. */
+    unansweredRequests: LostRequests;
+    /** Requests to any incarnation that got no response, though it has answered a later one. */
     lostRequests: LostRequests;
-    /** Requests to former incarnations, which the current one may still carry out. */
+    /** The lost requests to former incarnations, which the current one may still carry out. */
     formerRequests: LostRequests;
     /**
      * The runs of the executor and all ends of runs that it lists have been read since the current pool lease was taken,
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executor-connection.ts
@@ -10,7 +10,7 @@
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
-import { recordLostRequest } from "@almondusher/scheduler/lost-requests";
+import { recordUnansweredRequest } from "@almondusher/scheduler/lost-requests";
 import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
 import {
@@ -187,8 +187,7 @@
             incarnation: incarnationStart(executor),
             acknowledged,
             leaseUntilMs,
-            // A request with an acknowledgement is answered at once, so that few are lost when the executor restarts.
-            waitMs: isReportUrgent() || acknowledged > 0 ? 0 : REPORT_LONG_POLL_MS,
+            waitMs: isReportUrgent() ? 0 : REPORT_LONG_POLL_MS,
         });
         if (closed) {
             return;
@@ -220,7 +219,7 @@
                 return;
             case "unreachable":
                 if (result.mayArrive) {
-                    recordLostRequest(executor, {
+                    recordUnansweredRequest(executor, {
                         ...(leaseUntilMs === undefined ? {} : { leaseSentAtMs: sentAtMs }),
                         ...(acknowledged === 0 ? {} : { acknowledgementSentAtMs: sentAtMs }),
                     });
