--- a/programs/dispatcher/src/start-outcomes.ts
+++ b/programs/dispatcher/src/start-outcomes.ts
@@ -16,7 +16,7 @@
 }
 
 /** A start as it was sent. */
-export interface SentStart {
+interface SentStart {
     /** When it was sent, in milliseconds of the monotonic clock. */
     readonly sentAtMs: number;
     /** Its lease was computed from an old reading of the executor's clock, and may be too short. */
