Keep the pages of jobs that were read when a later page fails

Callers saw: after a takeover by a process whose reads the store answers only in part, the pool starts nothing (`pool-waiting`, `jobs-not-read`), while the small renewals of the lease succeed.

Cause: `loadJobs` began with the first row again after each page that got no answer three times in a row, and after each page that the store refused (503). With a share of the answers lost, hardly any load got to its last page.

Change: a reading of a range keeps its rows, and the next attempt goes on after the last one. The changes are followed from the version of the first page, as before: a row that is written, changed or removed later is among them. If the history since then is lost, the jobs that were read are delivered first and all rows are read again. Progress is read only once all jobs are, so it is never older than its job; progress that a former holder stores later is read by the second reading, as before.

The two tests of `job-feed` about pages that fail or are refused failed before ("mostReads: 2", no job delivered).

--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -8,7 +8,7 @@
 import type { FinishedJob } from "./finished-job-rows.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
 import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
-import { readAll, type StorePoint } from "./read-all.js";
+import { createRangeReading, type CompleteRange, type StorePoint } from "./read-all.js";
 
 /** A job with its progress as read from the store. */
 export interface StoredJob {
@@ -56,6 +56,7 @@
     const reportError = createErrorReporter({ context, part: "job-delivery" });
     let asOf: StorePoint | undefined;
     let inherited = true;
+    let reading: JobsReading | undefined;
     let reloadAtMs: number | undefined;
     let reloadDelayMs = RELOAD_DELAY_MS;
     const contain =
@@ -75,14 +76,19 @@
     };
     const isReloadDue = (): boolean => reloadAtMs !== undefined && context.monotonicMs() >= reloadAtMs;
     const load = async (): Promise<void> => {
-        reloadAtMs = undefined;
-        asOf = await loadJobs({ ...options, sink }, inherited);
-        reloadDelayMs = reloadAtMs === undefined ? RELOAD_DELAY_MS : Math.min(2 * reloadDelayMs, MAX_RELOAD_DELAY_MS);
-        if (asOf === undefined) {
+        asOf = undefined;
+        reading ??= createJobsReading(options);
+        const stored = await reading.read();
+        if (stored === undefined) {
             await sleep(RETRY_DELAY_MS);
             return;
         }
+        reading = undefined;
+        reloadAtMs = undefined;
+        deliverStored({ ...options, sink }, { stored, inherited });
+        reloadDelayMs = reloadAtMs === undefined ? RELOAD_DELAY_MS : Math.min(2 * reloadDelayMs, MAX_RELOAD_DELAY_MS);
         inherited = false;
+        asOf = stored.jobs.asOf;
         sink.readUpTo(asOf);
         sink.changed();
     };
@@ -120,16 +126,41 @@
     });
 };
 
+/** All rows of the jobs of a pool, and of their progress. */
+interface StoredRows {
+    readonly jobs: CompleteRange;
+    readonly progress: CompleteRange;
+}
+
+/** Reads the jobs of a pool with their progress, and keeps the pages that it has read. */
+interface JobsReading {
+    /** Resolves to undefined if the store failed; the next call continues after the last row that was read. */
+    readonly read: () => Promise<StoredRows | undefined>;
+}
+
 // Jobs are read before progress. A job that is accepted between the two reads is missing in the first one and is
 // delivered by the change feed.
-const loadJobs = async (options: JobFeedOptions, inherited: boolean): Promise<StorePoint | undefined> => {
-    const { context, pool, sink } = options;
+const createJobsReading = ({ context, pool }: JobFeedOptions): JobsReading => {
     const tables = jobTablesOf(pool);
-    const jobs = await readAll(context.store, { table: tables.jobs, part: tables.part });
-    const progress = await readAll(context.store, { table: tables.progress, part: tables.part });
-    if (jobs === undefined || progress === undefined) {
-        return undefined;
-    }
+    const jobsReading = createRangeReading(context.store, { table: tables.jobs, part: tables.part });
+    const progressReading = createRangeReading(context.store, { table: tables.progress, part: tables.part });
+    return {
+        read: async () => {
+            const jobs = await jobsReading.read();
+            const progress = jobs === undefined ? undefined : await progressReading.read();
+            return jobs === undefined || progress === undefined ? undefined : { jobs, progress };
+        },
+    };
+};
+
+interface Delivery {
+    readonly stored: StoredRows;
+    /** True if the jobs were stored before the feed started. */
+    readonly inherited: boolean;
+}
+
+const deliverStored = (options: JobFeedOptions, { stored: { jobs, progress }, inherited }: Delivery): void => {
+    const { context, sink } = options;
     const storedProgress = new Map(
         progress.rows
             .filter(({ key }) => cancelledJobId(key) === undefined)
@@ -141,11 +172,11 @@
         if (job === undefined) {
             return;
         }
-        const stored = storedProgress.get(job.id);
-        if (stored === undefined) {
+        const found = storedProgress.get(job.id);
+        if (found === undefined) {
             withoutProgress.push(job.id);
-        } else if (stored.content !== undefined && !isFinal(stored.content)) {
-            sink.job({ job, progress: stored.content, progressVersion: stored.version, inherited });
+        } else if (found.content !== undefined && !isFinal(found.content)) {
+            sink.job({ job, progress: found.content, progressVersion: found.version, inherited });
         }
     });
     jobs.rows.forEach(row => applyCancellation(sink, row));
@@ -155,7 +186,6 @@
         }
     });
     reportWithoutProgress(options, withoutProgress);
-    return jobs.asOf;
 };
 
 // Such a job is not started, since tasks that are done could run again: its progress was stored together with it.
--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -20,39 +20,59 @@
 const PAGE_REDUCTION = 4;
 const MAX_ATTEMPTS = 3;
 
+/** Reads the pages of a range one after another, and keeps those that it has read. */
+interface RangeReading {
+    /**
+     * Reads the rest of the range; undefined if a page could not be read. The next call goes on after the last row that was
+     * read, so a store that answers some of the calls is read to the end.
+     */
+    readonly read: () => Promise<CompleteRange | undefined>;
+}
+
 /**
- * Reads all pages of a range; undefined if the store failed or the range cannot be read to its end. On a narrow link a full
- * page may take longer than the time limit of a call, each time.
+ * Creates the reading of a range. Rows that change after their page was read are missing in the result or outdated, however
+ * long the reading takes: the changes since the version of the first page contain them.
  */
-export const readAll = async (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> => {
+export const createRangeReading = (store: Pick<TableStore, "read">, range: Range): RangeReading => {
     const rows: Row[] = [];
     let asOf: StorePoint | undefined;
     let from = range.from;
-    let limit = MAX_PAGE_ROWS;
-    let failures = 0;
-    for (;;) {
-        const reading = await store.read({ ...range, limit, ...(from === undefined ? {} : { from }) });
-        if (reading.kind === "failed" && reading.unanswered === true && failures + 1 < MAX_ATTEMPTS) {
-            failures++;
-            limit = Math.max(MIN_PAGE_ROWS, Math.floor(limit / PAGE_REDUCTION));
-            continue;
-        }
-        if (reading.kind !== "rows") {
-            return undefined;
-        }
-        failures = 0;
-        // The first page may lack changes made while later pages are read, so the feed has to start at its version.
-        asOf ??= { version: reading.version, atMs: reading.nowMs };
-        rows.push(...reading.rows);
-        const last = reading.rows.at(-1);
-        if (!reading.truncated) {
-            return { rows, asOf };
-        }
-        // The next page cannot be found without a row that can be read.
-        if (last === undefined) {
-            return undefined;
+    let complete: CompleteRange | undefined;
+
+    const read = async (): Promise<CompleteRange | undefined> => {
+        let limit = MAX_PAGE_ROWS;
+        let failures = 0;
+        while (complete === undefined) {
+            const reading = await store.read({ ...range, limit, ...(from === undefined ? {} : { from }) });
+            // On a narrow link a full page may take longer than the time limit of a call, each time.
+            if (reading.kind === "failed" && reading.unanswered === true && failures + 1 < MAX_ATTEMPTS) {
+                failures++;
+                limit = Math.max(MIN_PAGE_ROWS, Math.floor(limit / PAGE_REDUCTION));
+                continue;
+            }
+            if (reading.kind !== "rows") {
+                return undefined;
+            }
+            failures = 0;
+            // The first page may lack changes made while later pages are read, so the feed has to start at its version.
+            asOf ??= { version: reading.version, atMs: reading.nowMs };
+            rows.push(...reading.rows);
+            const last = reading.rows.at(-1);
+            if (!reading.truncated) {
+                complete = { rows, asOf };
+            } else if (last === undefined) {
+                // The next page cannot be found without a row that can be read.
+                return undefined;
+            } else {
+                // The smallest key that is greater than the last one.
+                from = `${last.key}\u0000`;
+            }
         }
-        // The smallest key that is greater than the last one.
-        from = `${last.key}\u0000`;
-    }
+        return complete;
+    };
+    return { read };
 };
+
+/** Reads all pages of a range; undefined if the store failed or the range cannot be read to its end. */
+export const readAll = (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> =>
+    createRangeReading(store, range).read();
