Read full pages again after answers were lost for other reasons than their size

Callers saw: a takeover takes long if some answers of the store are lost, as the pool starts nothing until its jobs are read. Two lost answers at its beginning, for example in a short silence, were enough for all other pages to have 6 rows.

Cause: a page without an answer was asked for again with a quarter of the rows, and the size stayed, since a narrow link loses each larger page. With answers lost at random small pages help nothing: each page may be lost.

Change: a size is judged by its rows for each lost page, within one reading of a range. The first lost page of a size that was answered before is repeated as it is. A page of which no row can be read counts as lost, so that a small page within malformed rows does not end the reading.

Tests, before: "319 calls" (at most 38, twice the full pages), and "158400 ms without an answer" with every third answer lost (at most 12,000, the tenure after which a larger VM may ask for the pool). After: both pass. The one about pages that are too large for the link passed before as well; it guards against trying these again and again, at most 3 s.

A lost answer costs the time limit of a call, so with 30% of them lost the 19 full pages need about 7 s; shorter needs several pages at a time. Failed trials: going down and up by steps without judging sizes, and the same without repeating the first lost page ("22500 ms without an answer" in the second test).

--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -1,4 +1,5 @@
 import type { Range, Row, TableStore } from "@almondusher/platform-adapter/table-store";
+import { createPageSize } from "./page-size.js";
 
 /** A state of the store: it contains all transactions up to the version. */
 export interface StorePoint {
@@ -13,11 +14,6 @@
     readonly asOf: StorePoint;
 }
 
-// A page of this size with rows of several KB takes less than the time limit of a call on a link of 10 Mbit/s.
-const MAX_PAGE_ROWS = 100;
-const MIN_PAGE_ROWS = 5;
-// A page that takes too long is read again with fewer rows.
-const PAGE_REDUCTION = 4;
 const MAX_ATTEMPTS = 3;
 
 /** Reads the pages of a range one after another, and keeps those that it has read. */
@@ -35,25 +31,27 @@
  */
 export const createRangeReading = (store: Pick<TableStore, "read">, range: Range): RangeReading => {
     const rows: Row[] = [];
+    const pageSize = createPageSize();
     let asOf: StorePoint | undefined;
     let from = range.from;
     let complete: CompleteRange | undefined;
 
     const read = async (): Promise<CompleteRange | undefined> => {
-        let limit = MAX_PAGE_ROWS;
         let failures = 0;
         while (complete === undefined) {
+            const limit = pageSize.rows();
             const reading = await store.read({ ...range, limit, ...(from === undefined ? {} : { from }) });
             // On a narrow link a full page may take longer than the time limit of a call, each time.
-            if (reading.kind === "failed" && reading.unanswered === true && failures + 1 < MAX_ATTEMPTS) {
+            if (reading.kind === "failed" && reading.unanswered === true) {
+                pageSize.lost();
                 failures++;
-                limit = Math.max(MIN_PAGE_ROWS, Math.floor(limit / PAGE_REDUCTION));
-                continue;
+                if (failures < MAX_ATTEMPTS) {
+                    continue;
+                }
             }
             if (reading.kind !== "rows") {
                 return undefined;
             }
-            failures = 0;
             // The first page may lack changes made while later pages are read, so the feed has to start at its version.
             asOf ??= { version: reading.version, atMs: reading.nowMs };
             rows.push(...reading.rows);
@@ -61,11 +59,14 @@
             if (!reading.truncated) {
                 complete = { rows, asOf };
             } else if (last === undefined) {
-                // The next page cannot be found without a row that can be read.
+                // The next page cannot be found without a row that can be read; one of another size may have such a row.
+                pageSize.lost();
                 return undefined;
             } else {
                 // The smallest key that is greater than the last one.
                 from = `${last.key}\u0000`;
+                pageSize.answered();
+                failures = 0;
             }
         }
         return complete;
