Keep the pages of executors that were read when a later page fails

Callers saw: a process whose reads the store answers only in part starts nothing (`pool-waiting`, `executors-not-read`) in any of its pools, while it renews their leases.

Cause: the registry began with the first row again after each page that got no answer three times in a row, or that the store refused.

Change: it goes on after the last row, like the reading of the jobs, and follows the changes from the version of the first page, as before. The rows read so far are dropped when nobody uses the registry any more.

The test (660 executors, three of four answers lost) failed before: no executor known, rows read twice; it passes now.

--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -7,7 +7,7 @@
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { readAll } from "./read-all.js";
+import { createRangeReading, type RangeReading } from "./read-all.js";
 
 /** The registered executors, polled only while there are subscribers. */
 export interface ExecutorRegistry {
@@ -39,6 +39,8 @@
     let subscribers = 0;
     let closed = false;
     let after: number | undefined;
+    /** The reading of all rows that is not complete yet. */
+    let reading: RangeReading | undefined;
     let loaded = false;
     let failedAtMs = Number.NEGATIVE_INFINITY;
 
@@ -80,22 +82,24 @@
     };
     const refresh = async (): Promise<void> => {
         if (after === undefined) {
-            const all = await readAll(context.store, { table: EXECUTOR_TABLE, part: PLATFORM_PART });
+            reading ??= createRangeReading(context.store, { table: EXECUTOR_TABLE, part: PLATFORM_PART });
+            const all = await reading.read();
             if (all === undefined) {
                 failedAtMs = context.monotonicMs();
                 return;
             }
+            reading = undefined;
             applyAll(all.rows);
             after = all.asOf.version;
             loaded = true;
         } else {
-            const reading = await context.store.changes({ table: EXECUTOR_TABLE, after, waitMs: 0 });
-            if (reading.kind === "rows") {
-                reading.rows.forEach(apply);
-                after = reading.version;
+            const changes = await context.store.changes({ table: EXECUTOR_TABLE, after, waitMs: 0 });
+            if (changes.kind === "rows") {
+                changes.rows.forEach(apply);
+                after = changes.version;
             } else {
-                failedAtMs = reading.kind === "failed" ? context.monotonicMs() : failedAtMs;
-                after = reading.kind === "history-lost" ? undefined : after;
+                failedAtMs = changes.kind === "failed" ? context.monotonicMs() : failedAtMs;
+                after = changes.kind === "history-lost" ? undefined : after;
                 return;
             }
         }
@@ -108,6 +112,7 @@
             await sleep(POLL_INTERVAL_MS);
         } else {
             after = undefined;
+            reading = undefined;
             loaded = false;
             await sleep(IDLE_CHECK_INTERVAL_MS);
         }
--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -17,7 +17,7 @@
 const MAX_ATTEMPTS = 3;
 
 /** Reads the pages of a range one after another, and keeps those that it has read. */
-interface RangeReading {
+export interface RangeReading {
     /**
      * Reads the rest of the range; undefined if a page could not be read. The next call goes on after the last row that was
      * read, so a store that answers some of the calls is read to the end.
--- a/programs/dispatcher/test/executor-registry.test.ts
+++ b/programs/dispatcher/test/executor-registry.test.ts
@@ -1,10 +1,12 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createExecutorRegistry } from "../src/executor-registry.js";
 import { POOL } from "./fixture.js";
+import { createPagedStore } from "./paged-store.js";
 
 type Reading = Awaited<ReturnType<TableStore["changes"]>>;
 
@@ -78,3 +80,29 @@
         assert.deepEqual(after, ["i-1", "i-2"]);
     },
 );
+
+// Without the executors a scheduler starts nothing, while its small renewals of the lease may all be answered.
+test(
+    "executors are read although each page fails as often as it is tried at once, and no row is read again",
+    { timeout: TEST_TIMEOUT_MS },
+    async () => {
+        const keys = Array.from({ length: 660 }, (unused, index) => `i-${String(index).padStart(3, "0")}`);
+        const store = createPagedStore(
+            keys.map(key => rowOf(key, ENTRY)),
+            call => (call % 4 === 3 ? "answered" : "unanswered"),
+        );
+        const registry = createExecutorRegistry({
+            monotonicMs: () => performance.now(),
+            log: () => undefined,
+            metrics: { count: () => undefined },
+            store: { ...store, changes: () => Promise.resolve(readingOf([])) },
+        } as unknown as DispatcherContext);
+        registry.subscribe();
+        while (registry.executorsOf(POOL) === undefined && store.mostReadsOfARow() <= 1) {
+            await sleep(10);
+        }
+        const executors = registry.executorsOf(POOL)?.length;
+        registry.close();
+        assert.deepEqual({ executors, mostReads: store.mostReadsOfARow() }, { executors: 660, mostReads: 1 });
+    },
+);
