Keep the pages of progress that is read again when a later page fails

Callers saw: after a takeover by a process whose reads the store answers only in part, tasks of jobs from before the takeover wait with `progress-not-read`, although the executors have answered and new jobs run.

Cause: the second reading of the progress began with the first row again after each page that got no answer three times in a row, or that the store refused.

Change: it goes on after the last row. Pages count only if the inherited runs have been known since they were read, as seen by the passes of the scheduler: otherwise the former holder might store an end of a run after its page.

The test (1,900 rows, three of four answers lost) failed before: "mostReads: 2", "isProgressCurrent: false"; it passes now. The one about runs that become unknown again passed before as well, since each attempt read all rows.

--- a/programs/dispatcher/src/reload-progress.ts
+++ b/programs/dispatcher/src/reload-progress.ts
@@ -6,7 +6,7 @@
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf } from "./job-rows.js";
 import { readStoredProgress } from "./read-stored-rows.js";
-import { readAll } from "./read-all.js";
+import { createRangeReading, type RangeReading } from "./read-all.js";
 
 export interface ProgressReloadOptions {
     readonly context: DispatcherContext;
@@ -23,14 +23,22 @@
 export const createProgressReload = ({ context, tables, reloaded }: ProgressReloadOptions): (() => void) => {
     const reportError = createErrorReporter({ context, part: "progress-reload" });
     let isReading = false;
+    let reading: RangeReading | undefined;
     return () => {
-        if (tables.isProgressCurrent || isReading || !areInheritedRunsKnown(tables, context.monotonicMs())) {
+        if (tables.isProgressCurrent || isReading) {
+            return;
+        }
+        if (!areInheritedRunsKnown(tables, context.monotonicMs())) {
+            // The previous scheduler may store further ends, so pages that were read before do not count.
+            reading = undefined;
             return;
         }
         isReading = true;
-        void readProgress(context, tables)
+        reading ??= createProgressReading(context, tables);
+        void readProgress({ context, tables, reading })
             .catch((error: unknown) => {
                 reportError(error);
+                reading = undefined;
                 return false;
             })
             .then(isRead => {
@@ -41,16 +49,24 @@
     };
 };
 
+const createProgressReading = ({ store }: DispatcherContext, { pool }: PoolTables): RangeReading => {
+    const { progress, part } = jobTablesOf(pool);
+    return createRangeReading(store, { table: progress, part });
+};
+
+interface ProgressReading extends Pick<ProgressReloadOptions, "context" | "tables"> {
+    readonly reading: RangeReading;
+}
+
 /** Resolves to false if the store failed. */
-const readProgress = async (context: DispatcherContext, tables: PoolTables): Promise<boolean> => {
-    const { progress, part } = jobTablesOf(tables.pool);
-    const reading = await readAll(context.store, { table: progress, part });
-    reading?.rows.forEach(row => {
+const readProgress = async ({ context, tables, reading }: ProgressReading): Promise<boolean> => {
+    const stored = await reading.read();
+    stored?.rows.forEach(row => {
         const openJob = tables.jobs.get(row.key as JobId);
         const progress = openJob === undefined ? undefined : readStoredProgress(context, row);
         if (openJob !== undefined && progress !== undefined) {
             mergeProgress(tables, openJob, { progress, version: row.version });
         }
     });
-    return reading !== undefined;
+    return stored !== undefined;
 };
