Let leases expire while the rows of candidates cannot be read or written

Callers would see: pools without a holder after their process has failed, for as long as the store leaves calls for one part, that of the candidates, without an answer, although the rows of the leases can be read and written.

Cause: each poll of the leases waited for the candidates' rows to be read (up to three calls) and for this process's row to be written. Without answers two polls were further apart than the 1.5 s up to which the time between two reads counts as time for which a lease is unchanged, so no lease ever expired.

Change: a poll waits at most 500 ms for the candidates; the call goes on, and only one at a time. The removal of the rows of unresponsive VMs after an acquisition isn't waited for. The rows only decide who takes a lease first.

Two tests (no answer to reads, or to writes, of these rows; a lease that is not renewed is to be taken within 5 s, more than the 2 s after which it expires and two polls): "the takeover: not within 5000 ms" before, both pass now.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -59,10 +59,19 @@
 // Used until the configuration is known, so that a restarted process finds its own leases at once.
 const UNCONFIGURED_POLL_INTERVAL_MS = 20;
 const RENEW_INTERVAL_MS = 500;
+// Rows of candidates only decide who takes a lease first. A poll that waited for them longer would make the time between two
+// reads of the leases too long to count as time for which a lease is unchanged.
+const MAX_CANDIDACY_WAIT_MS = 500;
 
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
+const waitAtMost = async (work: Promise<void>, ms: number): Promise<void> => {
+    let timer: NodeJS.Timeout | undefined;
+    await Promise.race([work, new Promise<void>(resolve => (timer = setTimeout(resolve, ms)))]);
+    clearTimeout(timer);
+};
+
 /** Starts acquiring, renewing and observing leases. */
 export const createLeaseManager = ({ context, subjects, holder }: LeaseManagerOptions): LeaseManager => {
     const { store, monotonicMs } = context;
@@ -73,9 +82,11 @@
     const waitingRenewals = new Map<string, Promise<boolean>>();
     const events = new EventEmitter();
     const reportRenewalError = createErrorReporter({ context, part: "lease-renewal" });
+    const reportCandidacyError = createErrorReporter({ context, part: "lease-candidacy" });
     let closed = false;
     let runningAcquisition: Promise<void> | undefined;
     let runningHandover: Promise<void> | undefined;
+    let runningCandidacy: Promise<void> | undefined;
 
     const handleLostLease = async (lease: HeldLease, reason: string): Promise<void> => {
         if (lease.lost) {
@@ -205,7 +216,15 @@
         if (!closed) {
             holder.begin(lease);
         }
-        await candidates.remove(unresponsive);
+        void candidates.remove(unresponsive).catch(reportCandidacyError);
+    };
+
+    const refreshCandidacy = (): Promise<void> => {
+        runningCandidacy ??= candidacy
+            .refresh()
+            .catch(reportCandidacyError)
+            .finally(() => (runningCandidacy = undefined));
+        return runningCandidacy;
     };
 
     const poll = async (): Promise<void> => {
@@ -216,7 +235,7 @@
         if (refreshed === "failed") {
             candidacy.interrupt();
         } else if (!closed) {
-            await candidacy.refresh();
+            await waitAtMost(refreshCandidacy(), MAX_CANDIDACY_WAIT_MS);
             await acquireDue();
             runningHandover = handOverRequested();
             await runningHandover;
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -5,6 +5,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import type { Row, TableStore, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
+import { CANDIDATE_PART } from "../src/candidate-rows.js";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
 import { poolLeaseHeldAtMs, type HeldLease } from "../src/held-lease.js";
@@ -23,6 +24,8 @@
 const LEASE_KEY = "pool/pool-a";
 const VM = "entry-1" as VmId;
 const TIMEOUT_MS = 5000;
+// Time limit of a call to the store that gets no answer several times in a row.
+const CALL_TIMEOUT_MS = 2500;
 // A lease whose acquisition is not noticed is taken over once it has not changed for 2 s.
 const NOTICED_WITHIN_MS = 1500;
 
@@ -356,3 +359,35 @@
     assert.equal(stored, 7000 - (begun[0]?.unrenewedMs ?? 0));
     assert.ok(stored <= 5000, `${stored} ms after 2 s without a renewal`);
 });
+
+// Without a new holder the pool starts nothing. The rows of candidates only decide which process takes a lease first.
+for (const unanswered of ["reads", "writes"] as const) {
+    test(`a lease expires although ${unanswered} of the rows of candidates get no answer`, async context => {
+        const leaseStore = createLeaseStore();
+        leaseStore.put({
+            ...emptyLeaseContent,
+            holder: "entry-2" as VmId,
+            process: "entry-2/1" as ProcessId,
+            epoch: 1,
+            runNumbersUpTo: undefined,
+        });
+        const { store } = leaseStore;
+        const withoutAnswer = async <Result>(result: Result): Promise<Result> => {
+            await sleep(CALL_TIMEOUT_MS);
+            return result;
+        };
+        const silentForCandidates: TableStore = {
+            ...store,
+            read: range =>
+                range.part === CANDIDATE_PART && unanswered === "reads"
+                    ? withoutAnswer({ kind: "failed", reason: "no answer", unanswered: true })
+                    : store.read(range),
+            transact: transaction =>
+                transaction.expect.some(({ part }) => part === CANDIDATE_PART) && unanswered === "writes"
+                    ? withoutAnswer({ kind: "unknown", reason: "no answer" })
+                    : store.transact(transaction),
+        };
+        const { begun } = startManager(context, { ...leaseStore, store: silentForCandidates });
+        await waitUntil("the takeover", () => begun.length > 0);
+    });
+}
