Count an unanswered renewal that the store has carried out

What callers saw: in the test, a store carries out the renewals of a pool lease and leaves them without a response, while it answers those that conflict. The lease is not known to be renewed within 5 s, nor ever: after 6 s the holder starts nothing, job-read-unconfirmed, give-up-unconfirmed and incarnation-unconfirmed hold its tasks before that, and since each second renewal changes the row, it may keep the others from taking the lease over.

Cause: a conflict with an own row only updated the version to expect. The next renewal met the same fate.

Change: renewals without a known outcome are kept until the version of the row changes. If the row that conflicts has the content of one of them, that renewal counts, from when the first one with this content was sent. The lease is not made to look younger than it is: the row was written after that time.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -62,6 +62,18 @@
 // Rows of candidates only decide who takes a lease first. A poll that waited for them longer would make the time between two
 // reads of the leases too long to count as time for which a lease is unchanged.
 const MAX_CANDIDACY_WAIT_MS = 500;
+// Further ones are not recognised as stored; none may be replaced by a later one with the same value.
+const MAX_UNCONFIRMED_RENEWALS = 16;
+
+/** A renewal as it was sent. */
+interface SentRenewal {
+    /** Encoded record. */
+    readonly value: string;
+    readonly content: LeaseContent;
+    readonly reservation: number;
+    readonly sentAtMs: number;
+    readonly sentWallMs: number;
+}
 
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
@@ -80,6 +92,8 @@
     const view = createLeaseView({ store, candidates, monotonicMs });
     const runningRenewals = new Map<string, Promise<boolean>>();
     const waitingRenewals = new Map<string, Promise<boolean>>();
+    /** Renewals whose outcome is not known, all of which expect the current version of the lease row. */
+    const unconfirmedRenewals = new WeakMap<HeldLease, readonly SentRenewal[]>();
     const events = new EventEmitter();
     const reportRenewalError = createErrorReporter({ context, part: "lease-renewal" });
     const reportCandidacyError = createErrorReporter({ context, part: "lease-candidacy" });
@@ -120,23 +134,39 @@
             expect: [{ ...leaseRow(key), version: lease.version }],
             writes: [{ ...leaseRow(key), value }],
         });
+        const renewal = { value, content, reservation, sentAtMs, sentWallMs };
         switch (commit.kind) {
             case "committed":
-                lease.version = Math.max(lease.version, commit.version);
-                lease.renewedAtMs = sentAtMs;
-                lease.renewedWallMs = sentWallMs;
-                lease.runNumbers.reservedUpTo = reservation;
-                holder.renewed(lease, content);
+                confirmRenewal(lease, renewal, commit.version);
                 return true;
             case "conflict":
                 return resolveConflict(lease, commit.rows[0]);
             case "not-run":
-            case "rejected":
             case "unknown":
+                keepUnconfirmed(lease, renewal);
+                return false;
+            case "rejected":
                 return false;
         }
     };
 
+    const confirmRenewal = (lease: HeldLease, renewal: SentRenewal, version: number): void => {
+        unconfirmedRenewals.delete(lease);
+        lease.version = Math.max(lease.version, version);
+        lease.renewedAtMs = renewal.sentAtMs;
+        lease.renewedWallMs = renewal.sentWallMs;
+        lease.runNumbers.reservedUpTo = renewal.reservation;
+        holder.renewed(lease, renewal.content);
+    };
+
+    // Of renewals with the same value the first counts, since any of them may be the one that was stored.
+    const keepUnconfirmed = (lease: HeldLease, renewal: SentRenewal): void => {
+        const kept = unconfirmedRenewals.get(lease) ?? [];
+        if (kept.length < MAX_UNCONFIRMED_RENEWALS && kept.every(({ value }) => value !== renewal.value)) {
+            unconfirmedRenewals.set(lease, [...kept, renewal]);
+        }
+    };
+
     // Renewals of a lease run one at a time, since each expects the row version written by the previous one. Calls made
     // during a renewal share the one that follows it.
     const renew = (lease: HeldLease): Promise<boolean> => {
@@ -159,11 +189,16 @@
     };
 
     // A conflict does not always mean that the lease is lost: an earlier renewal that was not answered may have been
-    // applied, in which case the row still names this process.
+    // applied, in which case the row still names this process. It counts from when it was sent, not as a recent one.
     const resolveConflict = async (lease: HeldLease, row: Row | undefined): Promise<boolean> => {
         const ownVersion = versionIfOwn(context, row, lease.epoch);
         if (ownVersion !== undefined) {
+            const stored = unconfirmedRenewals.get(lease)?.find(({ value }) => value === row?.value);
+            unconfirmedRenewals.delete(lease);
             lease.version = Math.max(lease.version, ownVersion);
+            if (stored !== undefined) {
+                confirmRenewal(lease, stored, ownVersion);
+            }
             return false;
         }
         await handleLostLease(lease, "another process holds the lease");
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -33,6 +33,8 @@
 interface LeaseStore {
     readonly store: TableStore;
     readonly lease: () => LeaseRecord | undefined;
+    /** The row as it is stored. */
+    readonly text: () => string;
     readonly put: (record: LeaseRecord) => void;
     /** Stores a row that may be unreadable. */
     readonly putText: (value: string) => void;
@@ -73,6 +75,7 @@
             row = { ...leaseRow(LEASE_KEY), version, value, deleted: false };
         },
         lease: () => (row === undefined ? undefined : decodeLease(row.value)),
+        text: () => row?.value ?? "",
         store: {
             // Rows of candidates are in the same table; they are accepted and not kept.
             transact: transaction =>
@@ -391,3 +394,42 @@
         await waitUntil("the takeover", () => begun.length > 0);
     });
 }
+
+// Its holder stopped acting after 6 s, while each of these renewals kept the others from taking the lease over.
+test("a holder whose renewals are stored, but answered only when they conflict, knows that it holds the lease", async context => {
+    const store = createLeaseStore();
+    const { begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    const sentAtMs = new Map<string, number>();
+    store.answer = result => {
+        sentAtMs.set(store.text(), sentAtMs.get(store.text()) ?? performance.now());
+        return Promise.resolve(result.kind === "committed" ? { kind: "unknown", reason: "no answer" } : result);
+    };
+    const before = lease.renewedAtMs;
+    await waitUntil("a renewal that counts as confirmed", () => lease.renewedAtMs > before);
+    const storedAtMs = sentAtMs.get(store.text());
+    assert.ok(storedAtMs !== undefined && lease.renewedAtMs <= storedAtMs, "later than the stored renewal was sent");
+});
+
+test("a stored renewal counts from when the first one with its content was sent", async context => {
+    const store = createLeaseStore();
+    const { manager, begun } = startManager(context, store);
+    await waitUntil("the holder to begin", () => begun.length > 0);
+    const [lease] = begun;
+    assert.ok(lease !== undefined);
+    await manager.renew(lease);
+    const before = lease.renewedAtMs;
+    store.busy = true;
+    await manager.renew(lease);
+    const firstSentByMs = performance.now();
+    store.busy = false;
+    store.answer = () => Promise.resolve({ kind: "unknown", reason: "no answer" });
+    await sleep(20);
+    await manager.renew(lease);
+    store.answer = result => Promise.resolve(result);
+    assert.equal(await manager.renew(lease), false, "a renewal that conflicts stores nothing");
+    assert.ok(lease.renewedAtMs > before, "the stored renewal is not recognised");
+    assert.ok(lease.renewedAtMs <= firstSentByMs, "later than the first renewal with this content was sent");
+});
