Keep changes of candidates that are observed while their rows are read

Since the leases are polled while the rows of candidates are still being read, a change of such a row can be observed before an earlier state of it arrives. The reading replaced all known rows then, and the change, which the poll has passed, was not seen again: a VM that has left would be waited for once more, and a new one not be known.

Rows are forgotten only if they are not newer than the state that was read. The test failed before (vm-b is missing) and passes now.

--- a/programs/dispatcher/src/candidate-view.ts
+++ b/programs/dispatcher/src/candidate-view.ts
@@ -9,7 +9,7 @@
     type CandidateContent,
 } from "./candidate-rows.js";
 import { LEASE_TABLE } from "./lease-rows.js";
-import { readAll } from "./read-all.js";
+import { readAll, type CompleteRange } from "./read-all.js";
 
 interface Candidate extends CandidateContent {
     readonly vm: VmId;
@@ -53,6 +53,16 @@
                 setCandidate(vm, row.deleted ? undefined : decodeCandidate(row.value));
             }
         });
+    // Changes after the state of the range may have been observed while it was read.
+    const forgetOlder = ({ asOf }: CompleteRange): void =>
+        [...rows.values()]
+            .filter(({ version }) => version <= asOf.version)
+            .map(({ key }) => candidateVm(key))
+            .filter(vm => vm !== undefined)
+            .forEach(vm => {
+                rows.delete(vm);
+                candidates.delete(vm);
+            });
     const versionOf = (vm: VmId): number => {
         const row = rows.get(vm);
         return row === undefined || row.deleted ? 0 : row.version;
@@ -98,8 +108,7 @@
             if (range === undefined) {
                 return false;
             }
-            rows.clear();
-            candidates.clear();
+            forgetOlder(range);
             observe(range.rows);
             loaded = true;
             return true;
--- a/programs/dispatcher/test/candidate-view.test.ts
+++ b/programs/dispatcher/test/candidate-view.test.ts
@@ -84,3 +84,20 @@
     await view.load();
     assert.deepEqual(vmsIn(view), []);
 });
+
+// Leases are polled while the rows of candidates are still being read.
+test("a change that is observed while the rows are read is not lost to an earlier state of them", async context => {
+    const store = await startStore(context);
+    await createCandidateView(store).announce(vmA, content);
+    const view = createCandidateView({
+        transact: store.transact,
+        read: async range => {
+            const reading = await store.read(range);
+            await createCandidateView(store).announce(vmB, content);
+            await followAll(store, view);
+            return reading;
+        },
+    });
+    assert.ok(await view.load(), "the rows are read");
+    assert.deepEqual(vmsIn(view).toSorted(), [vmA, vmB]);
+});
