Log leases that no process holds, from those that do not hold them

A pool without a holder starts nothing, and no line said so: `pool-waiting` is written by holders, and `lease-taken` only once somebody has the lease.

Each process checks once a second the leases that it does not hold.

5 s is longer than the duration of the fleet's lease (3.3 s), a poll (0.4 s) and the longest precedence (1.2 s) together.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -6,6 +6,7 @@
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
 import { FLEET_LEASE_DURATION_MS, POOL_LEASE_DURATION_MS, leaseAgeMs, type HeldLease } from "./held-lease.js";
+import { ABSENCE_CHECK_INTERVAL_MS, createLeaseAbsenceLog } from "./lease-absence-log.js";
 import { createLeaseCandidacy, type DueLease } from "./lease-candidacy.js";
 import {
     encodeLease,
@@ -90,6 +91,7 @@
     const heldLeases = new Map<string, HeldLease>();
     const candidates = createCandidateView(store);
     const view = createLeaseView({ store, candidates, monotonicMs });
+    const absenceLog = createLeaseAbsenceLog({ context, view });
     const runningRenewals = new Map<string, Promise<boolean>>();
     const waitingRenewals = new Map<string, Promise<boolean>>();
     /** Renewals whose outcome is not known, all of which expect the current version of the lease row. */
@@ -342,9 +344,15 @@
 
     const releaseAll = (): Promise<unknown> => Promise.all([...heldLeases.values()].map(releaseLease));
 
+    const checkAbsences = async (): Promise<void> => {
+        absenceLog.check(subjects().filter(subject => !heldLeases.has(leaseKey(subject))));
+        await sleep(ABSENCE_CHECK_INTERVAL_MS);
+    };
+
     const isOpen = (): boolean => !closed;
     void repeatWhileActive({ context, part: "lease-poll", isActive: isOpen, step: poll });
     void repeatWhileActive({ context, part: "lease-renewal", isActive: isOpen, step: renewAll });
+    void repeatWhileActive({ context, part: "lease-absence", isActive: isOpen, step: checkAbsences });
     return {
         events,
         renew,
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -26,6 +26,8 @@
 const TIMEOUT_MS = 5000;
 // Time limit of a call to the store that gets no answer several times in a row.
 const CALL_TIMEOUT_MS = 2500;
+// An absence is logged after 5 s, at the next of the checks, which are a second apart.
+const ABSENCE_LOGGED_WITHIN_MS = 8000;
 // A lease whose acquisition is not noticed is taken over once it has not changed for 2 s.
 const NOTICED_WITHIN_MS = 1500;
 
@@ -433,3 +435,17 @@
     assert.ok(lease.renewedAtMs > before, "the stored renewal is not recognised");
     assert.ok(lease.renewedAtMs <= firstSentByMs, "later than the first renewal with this content was sent");
 });
+
+test("a process that cannot take an expired lease logs that nobody holds it", async context => {
+    const leaseStore = createLeaseStore();
+    leaseStore.put({
+        ...emptyLeaseContent,
+        holder: "entry-2" as VmId,
+        process: "entry-2/1" as ProcessId,
+        epoch: 1,
+        runNumbersUpTo: undefined,
+    });
+    leaseStore.busy = true;
+    const { events } = startManager(context, leaseStore);
+    await waitUntil("the line", () => events.includes("lease-without-holder"), ABSENCE_LOGGED_WITHIN_MS);
+});
