Wait once for the order of a former fleet manager, however often it changes

What callers see: after changes of the fleet manager one after the other, tasks wait beside VMs that are evacuated, empty and get no order. The fleet manager changed at 83.5 s and 94.1 s; the third one sent its first order at 107.6 s.

Cause: an order of a former fleet manager may be carried out up to 13 s late, and its VM stays evacuated so long. The row says that there may be an order, not since when, so each successor waited 13 s from its own takeover.

Change: the row has the time, on the store's clock, from which an order of an earlier holder has no effect; a successor never waits longer than 13 s. An order of the holder itself removes the time. Rows of earlier versions have none.

The test failed in a trial without the stored time ("20 s after the first takeover") and passes now. The rows in the other tests of the evacuations have the new field; one compares without it.

--- a/programs/dispatcher/src/fleet-evacuations.ts
+++ b/programs/dispatcher/src/fleet-evacuations.ts
@@ -14,12 +14,19 @@
     readonly purpose: OrderPurpose["kind"];
     /** Stored before the order for the VM is sent, so that the next fleet manager knows that it may still arrive. */
     ordered: boolean;
+    /**
+     * Time on the store's clock from which an order of an earlier fleet manager has no effect any more, in milliseconds;
+     * undefined if this one may have sent an order.
+     */
+    orderedUntilMs: number | undefined;
 }
 
 /** The VMs that the fleet manager has evacuated, including those of its predecessor. */
 export interface FleetEvacuations {
     readonly entries: ReadonlyMap<VmId, FleetEvacuation>;
     readonly add: (vm: VmId, purpose: FleetEvacuation["purpose"]) => FleetEvacuation;
+    /** Notes that an order for the VM of an evacuation is going to be sent. */
+    readonly markOrdered: (evacuation: FleetEvacuation) => void;
     /** VMs whose tasks that can continue elsewhere still have time to leave. */
     readonly withTimeToEmpty: () => readonly VmId[];
     /** Returns false if the VM was not being evacuated. */
@@ -33,6 +40,11 @@
     readonly stored: () => LeaseContent["evacuations"];
 }
 
+type InheritedEvacuation = LeaseContent["evacuations"][number];
+
+// Two processes know the store's clock to within the time that its responses take.
+const STORE_CLOCK_MARGIN_MS = 500;
+
 export interface FleetEvacuationsOptions {
     readonly context: Pick<DispatcherContext, "monotonicMs"> & {
         readonly store: Pick<DispatcherContext["store"], "nowMs">;
@@ -45,14 +57,32 @@
  * them any more, since the order may still arrive, and until a later list shows what it has done.
  */
 export const createFleetEvacuations = ({ context, lease }: FleetEvacuationsOptions): FleetEvacuations => {
+    const takenOverAtMs = context.monotonicMs();
+    const takenOverStoreMs = context.store.nowMs();
+    // The predecessor may have waited for orders of those before it, whose time does not begin anew.
+    const inheritedUntilMs = ({ ordered, orderedUntilMs }: InheritedEvacuation): number | undefined =>
+        ordered
+            ? Math.min(orderedUntilMs ?? Infinity, takenOverStoreMs + MAX_ORDER_DELAY_MS + STORE_CLOCK_MARGIN_MS)
+            : undefined;
     const entries = new Map<VmId, FleetEvacuation>(
-        (lease.predecessor?.evacuations ?? []).map(({ vm, id, byMs, ordered }) => [
-            vm,
-            { id, byMs, ordered, purpose: "maintenance" },
+        (lease.predecessor?.evacuations ?? []).map(inherited => [
+            inherited.vm,
+            {
+                id: inherited.id,
+                byMs: inherited.byMs,
+                ordered: inherited.ordered,
+                orderedUntilMs: inheritedUntilMs(inherited),
+                purpose: "maintenance",
+            },
         ]),
     );
-    const inheritedOrders = new Set([...entries].filter(([, { ordered }]) => ordered).map(([vm]) => vm));
-    const inheritedOrdersUntilMs = context.monotonicMs() + MAX_ORDER_DELAY_MS;
+    const inheritedOrders = new Map(
+        [...entries].flatMap(([vm, { orderedUntilMs }]) =>
+            orderedUntilMs === undefined
+                ? []
+                : [[vm, takenOverAtMs + Math.min(orderedUntilMs - takenOverStoreMs, MAX_ORDER_DELAY_MS)] as const],
+        ),
+    );
     let counter = 0;
     return {
         entries,
@@ -63,17 +93,29 @@
                 byMs: context.store.nowMs() + EVACUATION_WINDOW_MS,
                 purpose,
                 ordered: false,
+                orderedUntilMs: undefined,
             };
             entries.set(vm, evacuation);
             return evacuation;
         },
+        markOrdered: evacuation => {
+            evacuation.ordered = true;
+            evacuation.orderedUntilMs = undefined;
+        },
         withTimeToEmpty: () => {
             const nowMs = context.store.nowMs();
             return [...entries].filter(([, { byMs }]) => byMs > nowMs).map(([vm]) => vm);
         },
         remove: vm => entries.delete(vm),
         withPendingInheritedOrder: listedAtMs =>
-            listedAtMs < inheritedOrdersUntilMs ? [...inheritedOrders].filter(vm => entries.has(vm)) : [],
-        stored: () => [...entries].map(([vm, { id, byMs, ordered }]) => ({ vm, id, byMs, ordered })),
+            [...inheritedOrders].filter(([vm, untilMs]) => listedAtMs < untilMs && entries.has(vm)).map(([vm]) => vm),
+        stored: () =>
+            [...entries].map(([vm, { id, byMs, ordered, orderedUntilMs }]) => ({
+                vm,
+                id,
+                byMs,
+                ordered,
+                orderedUntilMs,
+            })),
     };
 };
--- a/programs/dispatcher/src/fleet-orders.ts
+++ b/programs/dispatcher/src/fleet-orders.ts
@@ -101,7 +101,7 @@
             const order: VmOrder = { purpose, sentAtMs: context.monotonicMs(), confirmedAtMs: undefined };
             entries.set(vm, order);
             const evacuation = evacuations.entries.get(vm) ?? evacuations.add(vm, purpose.kind);
-            evacuation.ordered = true;
+            evacuations.markOrdered(evacuation);
             if (!(await leases.renew(lease))) {
                 // The order was not sent; the next tick plans it again.
                 entries.delete(vm);
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -37,6 +37,11 @@
     readonly byMs: number;
     /** True once an order for the VM is being sent; it may still arrive later. */
     readonly ordered: boolean;
+    /**
+     * Time on the store's clock from which an order of an earlier holder has no effect any more, in milliseconds; undefined if
+     * the holder itself may have sent one, and in rows of earlier versions.
+     */
+    readonly orderedUntilMs: number | undefined;
 }
 
 /** VMs of a maintenance wave whose maintenance order is confirmed. */
@@ -108,7 +113,15 @@
             losing: z.array(z.string()).default([]),
         })
         .optional(),
-    evacuations: z.array(z.object({ vm: z.string(), id: z.string(), byMs: z.number(), ordered: z.boolean() })),
+    evacuations: z.array(
+        z.object({
+            vm: z.string(),
+            id: z.string(),
+            byMs: z.number(),
+            ordered: z.boolean(),
+            orderedUntilMs: z.number().optional().catch(undefined),
+        }),
+    ),
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
 });
 
--- a/programs/dispatcher/test/fleet-evacuations.test.ts
+++ b/programs/dispatcher/test/fleet-evacuations.test.ts
@@ -16,8 +16,8 @@
     epoch: 3,
     runNumbersUpTo: undefined,
     evacuations: [
-        { vm: ORDERED, id: "3-1", byMs: 500, ordered: true },
-        { vm: REQUESTED, id: "3-2", byMs: 600, ordered: false },
+        { vm: ORDERED, id: "3-1", byMs: 500, ordered: true, orderedUntilMs: undefined },
+        { vm: REQUESTED, id: "3-2", byMs: 600, ordered: false, orderedUntilMs: undefined },
     ],
 };
 
@@ -26,7 +26,10 @@
         context: { monotonicMs: () => 0, store: { nowMs: () => 1000 } },
         lease: { epoch: 4, predecessor },
     });
-    assert.deepEqual(evacuations.stored(), predecessor.evacuations);
+    assert.deepEqual(
+        evacuations.stored().map(evacuation => ({ ...evacuation, orderedUntilMs: undefined })),
+        predecessor.evacuations,
+    );
     const { id } = evacuations.add("vm-new" as VmId, "move");
     assert.equal(id, "4-1");
     assert.equal(evacuations.stored().length, 3);
@@ -58,3 +61,27 @@
     nowMs = LATE_ORDER_MS;
     assert.deepEqual(evacuations.withTimeToEmpty(), []);
 });
+
+// With each change of the fleet manager the VMs stayed without tasks for the whole time again, beside tasks that waited.
+test("a VM waits for the order of a former fleet manager once, however often the fleet manager changes", () => {
+    const TENURE_MS = 10_000;
+    let nowMs = 0;
+    const takeOver = (record: LeaseRecord): ReturnType<typeof createFleetEvacuations> =>
+        createFleetEvacuations({
+            context: { monotonicMs: () => nowMs, store: { nowMs: () => 1000 + nowMs } },
+            lease: { epoch: record.epoch + 1, predecessor: record },
+        });
+    const second = takeOver(predecessor);
+    nowMs += TENURE_MS;
+    assert.deepEqual(second.withPendingInheritedOrder(nowMs), [ORDERED]);
+    const third = takeOver({ ...predecessor, epoch: 4, evacuations: second.stored() });
+    assert.deepEqual(third.withPendingInheritedOrder(nowMs), [ORDERED]);
+    nowMs += TENURE_MS;
+    assert.deepEqual(third.withPendingInheritedOrder(nowMs), [], "20 s after the first takeover");
+    const evacuation = third.entries.get(ORDERED);
+    assert.ok(evacuation !== undefined);
+    third.markOrdered(evacuation);
+    const fourth = takeOver({ ...predecessor, epoch: 5, evacuations: third.stored() });
+    nowMs += TENURE_MS;
+    assert.deepEqual(fourth.withPendingInheritedOrder(nowMs), [ORDERED], "the third one may have sent an order");
+});
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -199,7 +199,9 @@
 test("an evacuation with an order of the former fleet manager is not dropped on a list from before the order's last time", async context => {
     const fleet = await startFleet(context, {
         listedPool: SPARE_POOL,
-        predecessor: recordOf({ evacuations: [{ vm: VM, id: "4-1", byMs: 0, ordered: true }] }),
+        predecessor: recordOf({
+            evacuations: [{ vm: VM, id: "4-1", byMs: 0, ordered: true, orderedUntilMs: undefined }],
+        }),
     });
     await waitUntil("the first list", () => fleet.lists() > 0);
     await sleep(SEVERAL_TICKS_MS / 2);
@@ -270,7 +272,9 @@
 test("evacuations of the former fleet manager end while the VM service has answered none of its calls", async context => {
     const fleet = await startFleet(context, {
         listedPool: undefined,
-        predecessor: recordOf({ evacuations: [{ vm: VM, id: "4-1", byMs: 0, ordered: false }] }),
+        predecessor: recordOf({
+            evacuations: [{ vm: VM, id: "4-1", byMs: 0, ordered: false, orderedUntilMs: undefined }],
+        }),
     });
     await waitUntil("several lists", () => fleet.lists() >= 3);
     fleet.advance(LATE_ORDER_MS);
