Mark only as many VMs as ordered as may have been sent an order

What callers see: after a change of the fleet manager during a surge, the spare VMs that a pool is short of come 13 s late. All 150 were stored as ordered. The next fleet manager took them over at 94.1 s and waited 13 s for orders that nobody had sent, while over 1,200 tasks waited.

Cause: a VM is stored as ordered when its order is requested, which may be long before it gets a connection.

Change: at most 12 orders are under way at a time; others are requested again by the next tick, each 100 ms, and are not marked. An order that only waits for the end of an earlier attempt does not count, so that it does not hold up others.

The test (40 spare VMs, orders without an answer) failed before: "40 VMs", and passes now. The rows of orders in the tests have the new field.

--- a/programs/dispatcher/src/fleet-orders.ts
+++ b/programs/dispatcher/src/fleet-orders.ts
@@ -15,7 +15,7 @@
     readonly moves: () => readonly Move[];
     /** VMs whose last order was refused a short while ago; they are neither evacuated nor sent an order. */
     readonly postponed: () => ReadonlySet<VmId>;
-    /** Renews the lease and sends an order. */
+    /** Renews the lease and sends an order, unless enough others are under way: then it has to be requested again. */
     readonly send: (vm: VmId, purpose: OrderPurpose) => Promise<void>;
     readonly drop: (vm: VmId) => void;
 }
@@ -34,6 +34,9 @@
 }
 
 const ORDER_RETRY_DELAY_MS = 400;
+// A successor waits for each of them, since it may have been sent. Several times the connections of the client, so that a
+// renewal of the lease does not keep these idle.
+const MAX_ORDERS_UNDER_WAY = 12;
 // A VM whose order was refused serves its pool for this long, so that tasks are not stopped there again at once.
 const POSTPONEMENT_MS = 5000;
 
@@ -43,6 +46,9 @@
     const { timeoutMs, isActive, isServiceAnswering } = options;
     const entries = new Map<VmId, VmOrder>();
     const postponedUntilMs = new Map<VmId, number>();
+    const ordersUnderWay = (): number =>
+        [...entries.values()].filter(({ confirmedAtMs, isAttempted }) => confirmedAtMs === undefined && isAttempted)
+            .length;
     // An order of the previous fleet manager may still end the tasks of the VM.
     const releaseRefused = (vm: VmId): void => {
         postponedUntilMs.set(vm, context.monotonicMs() + POSTPONEMENT_MS);
@@ -98,7 +104,15 @@
             return new Set(postponedUntilMs.keys());
         },
         send: async (vm, purpose) => {
-            const order: VmOrder = { purpose, sentAtMs: context.monotonicMs(), confirmedAtMs: undefined };
+            if (ordersUnderWay() >= MAX_ORDERS_UNDER_WAY) {
+                return;
+            }
+            const order: VmOrder = {
+                purpose,
+                sentAtMs: context.monotonicMs(),
+                confirmedAtMs: undefined,
+                isAttempted: true,
+            };
             entries.set(vm, order);
             const evacuation = evacuations.entries.get(vm) ?? evacuations.add(vm, purpose.kind);
             evacuations.markOrdered(evacuation);
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/vm-orders.ts
@@ -12,6 +12,8 @@
     readonly sentAtMs: number;
     /** Monotonic time at which the platform confirmed the order; undefined until then. */
     confirmedAtMs: number | undefined;
+    /** False while no further attempt is made, since only the end of an earlier one is waited for. */
+    isAttempted: boolean;
 }
 
 export type OrderOutcome = "confirmed" | "refused" | "fenced" | "unneeded" | "given-up";
@@ -66,6 +68,7 @@
     const hasTimeLeft = (): boolean => isRejected || context.monotonicMs() - beganAtMs - waitedMs < MAX_ATTEMPTS_MS;
     while (isActive()) {
         const maySend = isServiceAnswering() && hasTimeLeft();
+        order.isAttempted = maySend;
         if (!maySend && !mayTakeEffect()) {
             return "refused";
         }
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -44,6 +44,10 @@
     busy: boolean;
     /** State in which the VM is listed. */
     listedState: string;
+    /** Number of further VMs that are listed as spare. */
+    spareVms: number;
+    /** True if orders get no answer. */
+    ordersUnanswered: boolean;
     /** Status of the answers to orders. */
     orderStatus: number;
     /** Rows that the fleet manager has stored, other than its lease. */
@@ -81,6 +85,9 @@
         request.resume().on("end", () => {
             if (request.method === "POST") {
                 orders.push(request.url ?? "");
+                if (started.ordersUnanswered) {
+                    return;
+                }
                 answer(started.busy ? 409 : started.orderStatus, started.busy ? { reason: "busy" } : {});
                 return;
             }
@@ -93,6 +100,13 @@
             const machines = [
                 { machine: VM, pool, state: started.listedState, zone: "dc", id: "i-1" },
                 { machine: OTHER_VM, pool: POOL_B, state: "up", zone: "dc", id: "i-2" },
+                ...Array.from({ length: started.spareVms }, (unused, index) => ({
+                    machine: `vm-spare-${index}`,
+                    pool: SPARE_POOL,
+                    state: "up",
+                    zone: "dc",
+                    id: `i-spare-${index}`,
+                })),
             ];
             setTimeout(
                 () => answer(pool === undefined ? 503 : 200, pool === undefined ? {} : { machines }),
@@ -159,6 +173,8 @@
         listMs: 0,
         busy: false,
         listedState: "up",
+        spareVms: 0,
+        ordersUnanswered: false,
         orderStatus: 200,
         stored,
         records,
@@ -346,3 +362,20 @@
     fleet.advance(LATE_ORDER_MS);
     await waitUntil("the next evacuation", () => evacuations().length > 0);
 });
+
+// A successor waits for each order that may have been sent, and these VMs serve nobody meanwhile.
+test("VMs whose orders wait for a connection are not stored as ordered", async context => {
+    const SPARE_VMS = 40;
+    const MAX_ORDERED = 12;
+    const fleet = await startFleet(context, { listedPool: POOL_B });
+    fleet.spareVms = SPARE_VMS;
+    fleet.ordersUnanswered = true;
+    const demand = { neededVms: SPARE_VMS, wantedVms: SPARE_VMS, removable: [], losing: [] };
+    fleet.records.set(POOL_A, recordOf({ demand }));
+    await waitUntil("the first order", () => fleet.orders.length > 0);
+    await sleep(SEVERAL_TICKS_MS);
+    const ordered = fleet.manager.leaseContent().evacuations.filter(evacuation => evacuation.ordered);
+    assert.ok(ordered.length <= MAX_ORDERED, `${ordered.length} VMs`);
+    fleet.ordersUnanswered = false;
+    await waitUntil("all orders", () => new Set(fleet.orders).size > 0 && fleet.orders.length >= SPARE_VMS);
+});
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -16,7 +16,7 @@
         } as unknown as DispatcherContext,
         client: { move: answer, maintain: answer } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
-        order: { purpose, sentAtMs: 0, confirmedAtMs: undefined },
+        order: { purpose, sentAtMs: 0, confirmedAtMs: undefined, isAttempted: true },
         timeoutMs: () => 1000,
         isServiceAnswering: () => true,
         isActive: () => remaining.length > 0,
@@ -62,7 +62,7 @@
             },
         } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
-        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined, isAttempted: true },
         timeoutMs: () => ((renewals.shift() ?? true) ? 1000 : 0),
         isServiceAnswering: () => true,
         isActive: () => true,
@@ -93,7 +93,7 @@
             move: () => Promise.resolve(results[sent++] ?? { kind: "done" }),
         } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
-        order: { purpose: MOVE, sentAtMs: 0, confirmedAtMs: undefined },
+        order: { purpose: MOVE, sentAtMs: 0, confirmedAtMs: undefined, isAttempted: true },
         timeoutMs: () => 1000,
         isServiceAnswering: () => true,
         isActive: () => true,
@@ -120,7 +120,7 @@
             maintain: () => Promise.resolve(results[sent++] ?? { kind: "done" }),
         } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
-        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined, isAttempted: true },
         timeoutMs: () => 1000,
         isActive: () => {
             nowMs += checkIntervalMs;
@@ -155,7 +155,7 @@
             maintain: () => Promise.resolve({ kind: "rejected", reason: "overloaded" }),
         } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
-        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined, isAttempted: true },
         timeoutMs: () => 1000,
         isActive: () => {
             nowMs += 500;
@@ -199,7 +199,7 @@
             },
         } as unknown as VmClient,
         vm: toId<VmId>("vm-1"),
-        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined },
+        order: { purpose: MAINTENANCE, sentAtMs: 0, confirmedAtMs: undefined, isAttempted: true },
         timeoutMs: () => 1000,
         isActive: () => {
             nowMs += 200;
