Test changes of rows between two pages of a load that fails in between

A job accepted, one cancelled and two finished between the first page and the next ones, with three refused reads in between, with and without the history of the store. No change of the program.

--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -316,3 +316,107 @@
     const firstProgress = answeredTables.indexOf(TABLES.progress);
     assert.equal(firstProgress, answeredTables.lastIndexOf(TABLES.jobs) + 1);
 });
+
+/** A store whose rows can change between two calls, with the changes after a version unless the history is lost. */
+const createChangingStore = (initial: readonly Row[]) => {
+    const stored = new Map(initial.map(row => [`${row.table} ${row.key}`, row]));
+    const script = { version: 5, isHistoryLost: false, refused: 0 };
+    const rowsOf = (found: readonly Row[], limit: number): Reading => ({
+        kind: "rows",
+        rows: found.slice(0, limit),
+        version: script.version,
+        nowMs: script.version * 10,
+        truncated: found.length > limit,
+    });
+    return {
+        script,
+        put: (...rows: readonly Row[]) => {
+            script.version++;
+            rows.forEach(row => stored.set(`${row.table} ${row.key}`, { ...row, version: script.version }));
+        },
+        remove: ({ table, key }: Row) => {
+            script.version++;
+            stored.delete(`${table} ${key}`);
+        },
+        store: {
+            read: ({ table, from = "", limit = 100 }: Parameters<TableStore["read"]>[0]): Promise<Reading> => {
+                if (script.refused > 0) {
+                    script.refused--;
+                    return Promise.resolve({ kind: "failed", reason: "status 503" });
+                }
+                const found = [...stored.values()]
+                    .filter(row => row.table === table && row.key >= from)
+                    .sort((left, right) => (left.key < right.key ? -1 : 1));
+                return Promise.resolve(rowsOf(found, limit));
+            },
+            changes: ({ table, after }: { readonly table: string; readonly after: number }): Promise<Reading> => {
+                if (script.isHistoryLost) {
+                    script.isHistoryLost = false;
+                    return Promise.resolve({ kind: "history-lost" });
+                }
+                const changed = [...stored.values()].filter(row => row.table === table && row.version > after);
+                return Promise.resolve(rowsOf(changed, Number.POSITIVE_INFINITY));
+            },
+        },
+    };
+};
+
+for (const isHistoryLost of [false, true]) {
+    const name = isHistoryLost ? "and the history is lost meanwhile" : "and the changes are followed";
+    test(`rows that change between two pages of a load are noticed if a page fails in between, ${name}`, async () => {
+        const keyOf = (index: number): string => String(index).padStart(4, "0");
+        const ids = Array.from({ length: 250 }, (unused, index) => keyOf(2 * index));
+        const changing = createChangingStore(ids.flatMap(id => [descriptionRow(jobOf(id), 5), progressRow(id)]));
+        const { script, store, put, remove } = changing;
+        const open = new Map<string, boolean>();
+        const cancelled: string[] = [];
+        const points: StorePoint[] = [];
+        let calls = 0;
+        const change = (): void => {
+            // In the first page, which has been read: a new job, a cancellation, and a job whose description is removed.
+            put(descriptionRow(jobOf(keyOf(1))), progressRow(keyOf(1)));
+            put(rowOf(TABLES.jobs, `${keyOf(2)}!`, "{}"));
+            put(progressRow(keyOf(4), { state: "completed", steps: [] }));
+            remove(descriptionRow(jobOf(keyOf(4))));
+            // In pages that follow.
+            put(descriptionRow(jobOf(keyOf(401))), progressRow(keyOf(401)));
+            remove(descriptionRow(jobOf(keyOf(400))));
+            put(progressRow(keyOf(400), { state: "completed", steps: [] }));
+            script.isHistoryLost = isHistoryLost;
+            script.refused = 3;
+        };
+        const deadlineMs = performance.now() + 5000;
+        await followJobs({
+            context: {
+                store: {
+                    ...store,
+                    read: (range: Parameters<TableStore["read"]>[0]) => {
+                        if (calls++ === 1) {
+                            change();
+                        }
+                        return store.read(range);
+                    },
+                },
+                log: () => undefined,
+                metrics: { count: () => undefined },
+                monotonicMs: () => performance.now(),
+            } as unknown as DispatcherContext,
+            pool: POOL,
+            isActive: () => points.length < 2 && performance.now() < deadlineMs,
+            sink: {
+                job: ({ job, inherited }) => open.set(job.id, open.get(job.id) ?? inherited),
+                finished: () => undefined,
+                cancelled: id => cancelled.push(id),
+                changed: () => undefined,
+                readUpTo: point => points.push(point),
+            },
+        });
+        assert.deepEqual(points[0], { version: 5, atMs: 50 }, "the state of the first page");
+        assert.deepEqual(points[1], { version: script.version, atMs: script.version * 10 });
+        assert.ok(cancelled.includes(keyOf(2)));
+        assert.equal(open.get(keyOf(1)), false, "a job in a page that had been read");
+        assert.equal(open.get(keyOf(401)), true, "a job in a page that had not");
+        assert.ok(!open.has(keyOf(4)) && !open.has(keyOf(400)), "a job that had ended was opened");
+        assert.equal(open.size, ids.length);
+    });
+}
