Release the lease of a pool whose jobs or executors the store does not answer

Callers would see: nothing of a pool starts for as long as its holder's path to the store carries the small renewals of the lease but no answers to reads. The pool went to another process only if that was on a clearly larger VM without a lease.

Cause: a holder that renews its lease keeps it, whether it can act or not.

Change: a scheduler that still reads its jobs, or the executors, and has got no answer to these reads for 12 s (the tenure after which a larger VM may ask for the pool) is stuck. Its process releases the lease as for a planned handover, after a confirmed renewal, and for a minute takes it only if nobody has within 5 s, and does not request it.

--- a/programs/dispatcher/src/dispatcher-process.ts
+++ b/programs/dispatcher/src/dispatcher-process.ts
@@ -167,6 +167,10 @@
             service.onLeaseRenewed(content);
         }
     },
+    isStuck: lease => {
+        const service = services.get(leaseKey(lease.subject));
+        return service?.kind === "pool" && service.isStuck();
+    },
 });
 
 // Passes the VMs to evacuate to the pool schedulers of this process.
--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -7,7 +7,7 @@
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { createRangeReading, type RangeReading } from "./read-all.js";
+import { createRangeReading, watchPages, type RangeReading } from "./read-all.js";
 
 /** The registered executors, polled only while there are subscribers. */
 export interface ExecutorRegistry {
@@ -16,6 +16,8 @@
     /** Returns the executors of a pool; undefined until the registry has been read. */
     readonly executorsOf: (pool: PoolName) => readonly ExecutorRecord[] | undefined;
     readonly all: () => readonly ExecutorRecord[];
+    /** Monotonic time at which the store last answered a page of all executors, in milliseconds. */
+    readonly pageReadAtMs: () => number;
     /** Starts polling and returns a function that ends the subscription. */
     readonly subscribe: () => () => void;
     readonly close: () => void;
@@ -36,6 +38,7 @@
     const missingIds = new Set<ExecutorId>();
     /** Rows whose malformed content was logged. */
     const unreadableIds = new Set<ExecutorId>();
+    const pages = watchPages(context);
     let subscribers = 0;
     let closed = false;
     let after: number | undefined;
@@ -82,7 +85,7 @@
     };
     const refresh = async (): Promise<void> => {
         if (after === undefined) {
-            reading ??= createRangeReading(context.store, { table: EXECUTOR_TABLE, part: PLATFORM_PART });
+            reading ??= createRangeReading(pages.store, { table: EXECUTOR_TABLE, part: PLATFORM_PART });
             const all = await reading.read();
             if (all === undefined) {
                 failedAtMs = context.monotonicMs();
@@ -122,6 +125,7 @@
         events,
         executorsOf: pool => (loaded ? [...records.values()].filter(record => record.pool === pool) : undefined),
         all: () => [...records.values()],
+        pageReadAtMs: pages.readAtMs,
         subscribe: () => {
             subscribers++;
             return () => void subscribers--;
--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -27,6 +27,8 @@
     readonly interrupt: () => void;
     /** True if a VM with clearly more capacity has recently requested a lease of this process. */
     readonly isRequested: (subject: LeaseSubject) => boolean;
+    /** Leaves a lease that this process gives up, since it could not act under it, to other processes first. */
+    readonly standAside: (subject: LeaseSubject) => void;
     /**
      * Time until the leases have to be read again for the next available one, or for one that was requested, in
      * milliseconds; infinite if there is none.
@@ -59,6 +61,10 @@
 const ANNOUNCE_RETRY_INTERVAL_MS = 2000;
 const REQUEST_INTERVAL_MS = 10_000;
 const REQUESTED_POLL_INTERVAL_MS = 100;
+// For this time a process takes a lease under which it could not act only if no other one does, and does not request it.
+const STAND_ASIDE_MS = 60_000;
+// Longer than a poll and the longest time for which another process leaves an available lease to others.
+const STAND_ASIDE_DELAY_MS = 5000;
 
 /** Creates the candidacy of this process; it starts with the first `refresh`. */
 export const createLeaseCandidacy = (options: LeaseCandidacyOptions): LeaseCandidacy => {
@@ -67,9 +73,13 @@
     /** Versions of the rows of available leases; the waiting time for a lease starts again when its row changes. */
     const availableVersions = createValuePeriods<number>(context.monotonicMs);
     const tenures = createLeaseTenures({ context, view });
+    /** Monotonic times until which this process stands aside, by the keys of the leases. */
+    const asideUntilMs = new Map<string, number>();
     let announcedAtMs = Number.NEGATIVE_INFINITY;
     let request: HandoverRequest | undefined;
 
+    const standsAside = (subject: LeaseSubject): boolean =>
+        context.monotonicMs() < (asideUntilMs.get(leaseKey(subject)) ?? Number.NEGATIVE_INFINITY);
     const holderOf = (subject: LeaseSubject): VmId | undefined => view.observation(leaseKey(subject))?.record?.holder;
     const rank = (): CandidateRanking => {
         const holders = subjects().map(holderOf);
@@ -110,7 +120,8 @@
             });
             const nowMs = context.monotonicMs();
             const sinceMs = availableVersions.sinceMs(leaseKey(subject)) ?? nowMs;
-            return { subject, dueInMs: sinceMs + delayMs - nowMs };
+            const asideMs = standsAside(subject) ? STAND_ASIDE_DELAY_MS : 0;
+            return { subject, dueInMs: sinceMs + delayMs + asideMs - nowMs };
         });
     };
     const requestHandover = (): void => {
@@ -121,7 +132,7 @@
         const lease = leaseToRequest(
             rank(),
             subjects()
-                .filter(mayBeHandedOver)
+                .filter(subject => mayBeHandedOver(subject) && !standsAside(subject))
                 .map(tenures.heldBy)
                 .filter(lease => lease !== undefined),
         );
@@ -167,6 +178,9 @@
                 others.some(requester => shouldHandOver({ holder, requester, lease, storeNowMs }))
             );
         },
+        standAside: subject => {
+            asideUntilMs.set(leaseKey(subject), context.monotonicMs() + STAND_ASIDE_MS);
+        },
         untilDueMs: () =>
             Math.min(
                 request !== undefined && context.store.nowMs() - request.atMs < REQUEST_VALIDITY_MS
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -30,6 +30,8 @@
     readonly content: (lease: HeldLease) => LeaseContent;
     /** Called after a renewal, with the content that it stored. */
     readonly renewed: (lease: HeldLease, content: LeaseContent) => void;
+    /** True if another process should hold the lease, since this one has not been able to act under it for a long time. */
+    readonly isStuck: (lease: HeldLease) => boolean;
 }
 
 /** Holds the leases of this process and tracks those of other processes. */
@@ -274,7 +276,7 @@
         } else if (!closed) {
             await waitAtMost(refreshCandidacy(), MAX_CANDIDACY_WAIT_MS);
             await acquireDue();
-            runningHandover = handOverRequested();
+            runningHandover = handOver();
             await runningHandover;
         }
         await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
@@ -301,11 +303,18 @@
     };
 
     // The renewal shows that the store answers and which version the release has to expect.
-    const handOverRequested = async (): Promise<void> => {
-        const lease = [...heldLeases.values()].find(({ subject }) => candidacy.isRequested(subject));
+    const handOver = async (): Promise<void> => {
+        const leases = [...heldLeases.values()];
+        const requested = leases.find(({ subject }) => candidacy.isRequested(subject));
+        const lease = requested ?? leases.find(holder.isStuck);
         if (lease === undefined || !(await renew(lease)) || closed || lease.lost) {
             return;
         }
+        if (requested === undefined) {
+            candidacy.standAside(lease.subject);
+            context.log("lease-stuck", { lease: leaseKey(lease.subject), epoch: lease.epoch });
+            context.metrics.count("leases_stuck");
+        }
         await releaseLease(lease);
     };
 
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -32,6 +32,7 @@
 import { createProgressWriter } from "./progress-writer.js";
 import { createProgressReload } from "./reload-progress.js";
 import { inheritedWaitMs, leaseGateOf, mayActOnLease, RUN_LEASE_MS, type LeaseStatus } from "./run-leases.js";
+import { watchPages } from "./read-all.js";
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
@@ -51,6 +52,8 @@
      * after a time limit.
      */
     readonly stop: () => Promise<void>;
+    /** True if it cannot start, since it is still reading the jobs or executors and the store has answered none of the reads for long. */
+    readonly isStuck: () => boolean;
     /** Replaces the set of VMs that have to be evacuated. */
     readonly setEvacuations: (vms: ReadonlyMap<VmId, VmEvacuation>) => void;
 }
@@ -70,6 +73,8 @@
 const TICK_INTERVAL_MS = 100;
 const ORDER_LOAD_LOG_INTERVAL_MS = 1000;
 const FLUSH_TIMEOUT_MS = 1000;
+// As long as a holder keeps its lease before a larger VM may request it.
+const MAX_TIME_WITHOUT_PAGE_MS = 12_000;
 
 /** Starts scheduling a pool under a lease that was just acquired. */
 export const startPoolScheduler = (options: PoolSchedulerOptions): PoolScheduler => {
@@ -196,6 +201,15 @@
         }
         return registry.executorsOf(pool) === undefined ? "executors-not-read" : leaseGateOf(leaseStatus());
     };
+    const pages = watchPages(context);
+    const isStuck = (): boolean => {
+        const gate = poolGate();
+        const pageReadAtMs = gate === "jobs-not-read" ? pages.readAtMs() : registry.pageReadAtMs();
+        return (
+            (gate === "jobs-not-read" || gate === "executors-not-read") &&
+            context.monotonicMs() - Math.max(takenOverAtMs, pageReadAtMs) >= MAX_TIME_WITHOUT_PAGE_MS
+        );
+    };
     const syncExecutors = (): void => {
         const records = registry.executorsOf(pool);
         // Until the jobs are loaded, runs that executors report cannot be told from orphaned ones.
@@ -311,7 +325,7 @@
             }),
         );
     void followJobs({
-        context,
+        context: { ...context, store: { ...context.store, ...pages.store } },
         pool,
         isActive,
         sink: {
@@ -361,6 +375,7 @@
             }
             active = false;
         },
+        isStuck,
         setEvacuations: vms => {
             evacuations = vms;
             syncExecutors();
--- a/programs/dispatcher/src/read-all.ts
+++ b/programs/dispatcher/src/read-all.ts
@@ -74,6 +74,34 @@
     return { read };
 };
 
+/** Reads of a store, and when the last page was read. */
+export interface WatchedPages {
+    readonly store: Pick<TableStore, "read">;
+    /** Monotonic time of the last answer to a read, in milliseconds; infinitely early if there was none. */
+    readonly readAtMs: () => number;
+}
+
+/** Creates a store that notes when its reads are answered. */
+export const watchPages = ({
+    store,
+    monotonicMs,
+}: {
+    readonly store: Pick<TableStore, "read">;
+    readonly monotonicMs: () => number;
+}): WatchedPages => {
+    let readAtMs = Number.NEGATIVE_INFINITY;
+    return {
+        readAtMs: () => readAtMs,
+        store: {
+            read: async range => {
+                const reading = await store.read(range);
+                readAtMs = reading.kind === "rows" ? monotonicMs() : readAtMs;
+                return reading;
+            },
+        },
+    };
+};
+
 /** Reads all pages of a range; undefined if the store failed or the range cannot be read to its end. */
 export const readAll = (store: Pick<TableStore, "read">, range: Range): Promise<CompleteRange | undefined> =>
     createRangeReading(store, range).read();
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -28,6 +28,10 @@
 const CALL_TIMEOUT_MS = 2500;
 // An absence is logged after 5 s, at the next of the checks, which are a second apart.
 const ABSENCE_LOGGED_WITHIN_MS = 8000;
+// Time for which another process may leave an available lease to others: a poll, and the longest precedence.
+const LONGEST_PRECEDENCE_MS = 400 + 1200;
+// The process that has given the lease up is the last one alive.
+const STAND_ASIDE_WITHIN_MS = 8000;
 // A lease whose acquisition is not noticed is taken over once it has not changed for 2 s.
 const NOTICED_WITHIN_MS = 1500;
 
@@ -99,6 +103,7 @@
     readonly events: readonly string[];
     end: (lease: HeldLease) => Promise<void>;
     content: () => LeaseContent;
+    isStuck: boolean;
 }
 
 const startManager = (context: TestContext, { store }: LeaseStore): StartedManager => {
@@ -109,6 +114,7 @@
         events,
         end: () => Promise.resolve(),
         content: () => emptyLeaseContent,
+        isStuck: false,
         manager: createLeaseManager({
             context: {
                 settings: { processorShare: 1, processorSpeed: 1.5, linkMbps: 100 } as DispatcherContext["settings"],
@@ -125,6 +131,7 @@
                 end: lease => started.end(lease),
                 content: () => started.content(),
                 renewed: () => undefined,
+                isStuck: () => started.isStuck,
             },
         }),
     };
@@ -449,3 +456,28 @@
     const { events } = startManager(context, leaseStore);
     await waitUntil("the line", () => events.includes("lease-without-holder"), ABSENCE_LOGGED_WITHIN_MS);
 });
+
+// Such a holder renewed the lease for ever, and nothing of the pool started.
+test("a lease under which its holder cannot act is released, and taken again only if nobody else takes it", async context => {
+    const leaseStore = createLeaseStore();
+    const started = startManager(context, leaseStore);
+    await waitUntil("the holder to begin", () => started.begun.length > 0);
+    started.isStuck = true;
+    await waitUntil("the release", () => leaseStore.lease()?.holder === undefined, NOTICED_WITHIN_MS);
+    const releasedAtMs = performance.now();
+    started.isStuck = false;
+    await waitUntil("the lease to be taken again", () => started.begun.length > 1, STAND_ASIDE_WITHIN_MS);
+    const untakenMs = performance.now() - releasedAtMs;
+    assert.ok(untakenMs >= LONGEST_PRECEDENCE_MS, `taken again after ${untakenMs} ms`);
+});
+
+test("a stuck holder keeps its lease while the store does not answer its renewals", async context => {
+    const leaseStore = createLeaseStore();
+    const started = startManager(context, leaseStore);
+    await waitUntil("the holder to begin", () => started.begun.length > 0);
+    leaseStore.busy = true;
+    started.isStuck = true;
+    await sleep(NOTICED_WITHIN_MS);
+    assert.equal(leaseStore.lease()?.holder, VM);
+    assert.ok(!started.events.includes("lease-stuck"));
+});
--- a/programs/dispatcher/test/lease-placement.test.ts
+++ b/programs/dispatcher/test/lease-placement.test.ts
@@ -16,6 +16,8 @@
 // Longer than any process waits before it acquires or requests a lease.
 const SETTLING_MS = 3000;
 const TENURE_MS = 20_000;
+// A holder that cannot act gives its lease up after this time.
+const STUCK_AFTER_MS = 12_000;
 
 const pools: readonly LeaseSubject[] = ["a", "b", "c", "d"].map(name => ({ kind: "pool", pool: toId<PoolName>(name) }));
 const fleet: LeaseSubject = { kind: "fleet" };
@@ -26,6 +28,8 @@
     readonly leases: LeaseManager;
     /** Cuts the process off from the store, so that its leases expire. */
     readonly cutOff: () => void;
+    /** Keys of the leases under which the process cannot act. */
+    readonly stuckOn: Set<string>;
 }
 
 interface Cluster {
@@ -122,17 +126,22 @@
                 metrics: createDispatcherMetrics({}),
                 monotonicMs,
             };
+            const stuckOn = new Set<string>();
+            const begunAtMs = new Map<string, number>();
             const leases = createLeaseManager({
                 context: dispatcher,
                 subjects: () => subjects,
                 holder: {
-                    begin: () => undefined,
+                    begin: ({ subject }) => void begunAtMs.set(leaseKey(subject), time.nowMs),
+                    isStuck: ({ subject }) =>
+                        stuckOn.has(leaseKey(subject)) &&
+                        time.nowMs - (begunAtMs.get(leaseKey(subject)) ?? Infinity) >= STUCK_AFTER_MS,
                     end: () => Promise.resolve(),
                     content: () => emptyLeaseContent,
                     renewed: () => undefined,
                 },
             });
-            const member = { vm, leases, cutOff };
+            const member = { vm, leases, cutOff, stuckOn };
             members.push(member);
             return member;
         },
@@ -251,3 +260,31 @@
     await cluster.pass(TENURE_MS);
     assert.deepEqual([...cluster.holders()], before);
 });
+
+test("pools under whose leases large VMs cannot act go to small ones, and are not requested back at once", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    // One of them holds no lease but those of pools, so it may request others once it has given these up.
+    const large = startMany(cluster, "large", 2, LARGE);
+    await cluster.allHeld(large);
+    large.forEach(({ stuckOn }) => pools.forEach(subject => stuckOn.add(leaseKey(subject))));
+    // Each of them may hold a pool once before both stand aside.
+    await cluster.allHeld(small, 2 * TENURE_MS, pools);
+    const poolHolders = () => pools.map(subject => cluster.holders().get(leaseKey(subject)));
+    const before = poolHolders();
+    for (let passedMs = 0; passedMs < TENURE_MS; passedMs += 1000) {
+        await cluster.pass(1000);
+        assert.deepEqual(poolHolders(), before);
+    }
+});
+
+test("a pool under whose lease no process can act is taken again each time", async context => {
+    const cluster = await startCluster(context);
+    const members = startMany(cluster, "a", 3, LARGE);
+    await cluster.allHeld(members);
+    members.forEach(({ stuckOn }) => stuckOn.add("pool/a"));
+    for (let rounds = 0; rounds < 5; rounds++) {
+        await cluster.pass(STUCK_AFTER_MS);
+        await cluster.allHeld(members, ACQUISITION_TIMEOUT_MS);
+    }
+});
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { EventEmitter, once } from "node:events";
 import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
 import { toId, type ProcessId, type VmId } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
 import { initialProgress } from "@almondusher/jobs/progress";
@@ -31,6 +32,7 @@
     predecessor: LeaseRecord,
     read: (table: string) => Promise<Reading>,
     log: DecisionLog = () => undefined,
+    monotonicMs: () => number = () => performance.now(),
 ): { readonly scheduler: PoolScheduler; readonly lease: HeldLease } => {
     const lease: HeldLease = {
         subject: { kind: "pool", pool: POOL },
@@ -48,7 +50,7 @@
     const scheduler = startPoolScheduler({
         context: {
             settings: { maxLeaseMs: 6000 },
-            monotonicMs: () => performance.now(),
+            monotonicMs,
             log,
             metrics: { count: () => undefined, record: () => undefined },
             store: {
@@ -63,6 +65,7 @@
             subscribe: () => () => undefined,
             events: new EventEmitter(),
             executorsOf: () => undefined,
+            pageReadAtMs: () => Number.NEGATIVE_INFINITY,
         } as unknown as ExecutorRegistry,
         operator: { events: new EventEmitter(), configuration: () => undefined } as unknown as OperatorFeed,
         advice: undefined,
@@ -132,3 +135,71 @@
     assert.equal(line.reason, "jobs-not-read");
     assert(line.waitedMs >= 3000);
 });
+
+/** A holder keeps its lease for this long before a larger VM may request it (docs/jobs.md, "Placement"). */
+const TENURE_MS = 12_000;
+
+/** A store that answers one page at a time when told to, and no other reads. */
+const createPageByPageStore = () => {
+    let pages = 0;
+    let answered = 0;
+    const page = (): Reading => ({
+        kind: "rows",
+        rows: [{ table: TABLES.jobs, part: TABLES.part, key: `${pages}!`, value: "{}", version: 1, deleted: false }],
+        version: 1,
+        nowMs: 0,
+        truncated: true,
+    });
+    return {
+        read: (): Promise<Reading> => {
+            if (answered === pages) {
+                return Promise.resolve({ kind: "failed", reason: "no answer", unanswered: true });
+            }
+            answered++;
+            return Promise.resolve(page());
+        },
+        answerPage: async (): Promise<void> => {
+            pages++;
+            while (answered < pages) {
+                await sleep(5);
+            }
+            await nextTurn();
+        },
+    };
+};
+
+// A holder whose path to the store carried the small renewals and no answers to reads kept its pool, and started nothing.
+test("a scheduler is stuck once no page of its jobs was read for a tenure, but not while pages are read", async () => {
+    let nowMs = 0;
+    const store = createPageByPageStore();
+    const { scheduler, lease } = takeOver(PREDECESSOR, store.read, undefined, () => nowMs);
+    const isStuckAt = (ms: number): boolean => {
+        nowMs = ms;
+        return scheduler.isStuck();
+    };
+    assert.equal(isStuckAt(TENURE_MS - 1), false);
+    assert.equal(isStuckAt(TENURE_MS), true);
+    nowMs = 10_000;
+    await store.answerPage();
+    assert.equal(isStuckAt(10_000 + TENURE_MS - 1), false);
+    await store.answerPage();
+    assert.equal(isStuckAt(10_000 + 2 * (TENURE_MS - 1)), false);
+    assert.equal(isStuckAt(10_000 + 2 * TENURE_MS), true);
+    lease.lost = true;
+    await scheduler.stop();
+});
+
+test("a scheduler that has read its jobs is stuck only while no page of the executors is read", async () => {
+    let nowMs = 0;
+    const read = (): Promise<Reading> =>
+        Promise.resolve({ kind: "rows", rows: [], version: 1, nowMs: 0, truncated: false });
+    const { scheduler, lease } = takeOver(PREDECESSOR, read, undefined, () => nowMs);
+    await nextTurn();
+    await nextTurn();
+    nowMs = TENURE_MS - 1;
+    assert.equal(scheduler.isStuck(), false);
+    nowMs = TENURE_MS;
+    assert.equal(scheduler.isStuck(), true);
+    lease.lost = true;
+    await scheduler.stop();
+});
