Name the evacuation as the cause why an executor gets no starts

Executors without runs on evacuated VMs are left out of the lease row, and the reason not-listed-in-lease came before evacuated. Only the order of the causes changes, not which executors get starts. The test failed before.

--- a/pools/scheduler/src/executor-usability.ts
+++ b/pools/scheduler/src/executor-usability.ts
@@ -6,13 +6,13 @@
 /** Why an executor gets no starts now. */
 export type UnusableCause =
     | "not-registered"
+    | "evacuated"
     | "unreachable"
     | "not-read"
     | "not-listed-in-lease"
     | "incarnation-unconfirmed"
     | "ends-may-be-discarded"
     | "token-not-shown"
-    | "evacuated"
     | "draining"
     | "orphaned-runs"
     | "back-off";
@@ -27,6 +27,10 @@
     if (!executor.registered) {
         return "not-registered";
     }
+    // The following ones apply to most evacuated executors as well, since those are not listed in the lease and end soon.
+    if (executor.evacuation !== undefined) {
+        return "evacuated";
+    }
     if (!executor.reachable) {
         return "unreachable";
     }
@@ -45,9 +49,6 @@
     if (!hasShownToken(tables, executor, nowMs)) {
         return "token-not-shown";
     }
-    if (executor.evacuation !== undefined) {
-        return "evacuated";
-    }
     if (executor.record.draining) {
         return "draining";
     }
--- a/pools/scheduler/test/waiting-reason.test.ts
+++ b/pools/scheduler/test/waiting-reason.test.ts
@@ -192,6 +192,16 @@
     });
 });
 
+// Each renewal of the lease leaves such executors out, which hid that a pool had given most of its room away.
+test("executors without runs on evacuated VMs count as evacuated, not as missing in the lease", () => {
+    const tables = poolWith([step()]);
+    tables.executors.forEach(executor => {
+        executor.evacuation = { id: "evacuation", byMs: 0 };
+        executor.listedInLease = false;
+    });
+    assert.deepEqual(reasonOf(tables, taskOf(tables)), { kind: "no-usable-executor", unusable: { evacuated: 2 } });
+});
+
 test("a task with room only on an executor that is kept out of use tells the cause", () => {
     const tables = poolWith([{ ...ONE_FOR_EACH_EXECUTOR, count: 2 }]);
     const kept = executorOf(tables, "e2");
