Renew each lease on its own

What callers saw: in the test, a process holds two leases, and the store leaves the writes of the part of one without an answer. The other one, whose part answers, is not renewed for more than the 2 s after which any process may take it over. While that part is silent, the other pools of this holder go from one process to the next; after each takeover the tasks of all jobs from before it wait for up to 8 s where an executor cannot be read.

Cause: `renewAll` waited for all renewals, up to 2.5 s, before the pause of 500 ms.

Change: each lease has a loop of its own from its acquisition on, with the pause first. As before, it makes one renewal in 500 ms and the time of a call.

Test: "not renewed for 2005 ms" before; passes now, once. The 18 tests of lease-manager pass.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -192,6 +192,18 @@
         return next;
     };
 
+    // Each lease is renewed on its own: the store may leave calls for the part of one lease without an answer.
+    const keepRenewed = (lease: HeldLease): Promise<void> =>
+        repeatWhileActive({
+            context,
+            part: "lease-renewal",
+            isActive: () => !closed && heldLeases.get(leaseKey(lease.subject)) === lease,
+            step: async () => {
+                await sleep(RENEW_INTERVAL_MS);
+                await renew(lease);
+            },
+        });
+
     // A conflict does not always mean that the lease is lost: an earlier renewal that was not answered may have been
     // applied, in which case the row still names this process. It counts from when it was sent, not as a recent one.
     const resolveConflict = async (lease: HeldLease, row: Row | undefined): Promise<boolean> => {
@@ -255,6 +267,7 @@
         if (!closed) {
             holder.begin(lease);
         }
+        void keepRenewed(lease);
         void candidates.remove(unresponsive).catch(reportCandidacyError);
     };
 
@@ -318,11 +331,6 @@
         await releaseLease(lease);
     };
 
-    const renewAll = async (): Promise<void> => {
-        await Promise.all([...heldLeases.values()].map(renew));
-        await sleep(RENEW_INTERVAL_MS);
-    };
-
     const releaseLease = async (lease: HeldLease): Promise<void> => {
         const key = leaseKey(lease.subject);
         // The next holder starts from this content. Completed evacuations are removed, because without a scheduler
@@ -360,7 +368,6 @@
 
     const isOpen = (): boolean => !closed;
     void repeatWhileActive({ context, part: "lease-poll", isActive: isOpen, step: poll });
-    void repeatWhileActive({ context, part: "lease-renewal", isActive: isOpen, step: renewAll });
     void repeatWhileActive({ context, part: "lease-absence", isActive: isOpen, step: checkAbsences });
     return {
         events,
