Let leases expire while acquisitions of another one get no answer

What callers saw: in the test, two leases are held by a process that fails, and the store leaves the writes of the part of one without an answer. The other lease, whose part answers, is never taken: a pool without a holder, without a bound, in every process that tries to take the first one.

Cause: the polls of the leases waited for each acquisition, which repeats a call without a response for 2 s. Then two polls are further apart than the 1.5 s up to which the time between them counts as time for which a lease is unchanged. The same as with the rows of candidates.

Change: a poll waits at most 500 ms for its acquisitions. They go on, one for each lease, and are waited for by a planned stop. The time to the next poll leaves out leases whose acquisition is under way, so that there are no more polls than before.

Test: "the takeover: not within 6000 ms" before, passes now.

--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -30,10 +30,10 @@
     /** Leaves a lease that this process gives up, since it could not act under it, to other processes first. */
     readonly standAside: (subject: LeaseSubject) => void;
     /**
-     * Time until the leases have to be read again for the next available one, or for one that was requested, in
-     * milliseconds; infinite if there is none.
+     * Time until the leases have to be read again for the next available one, except those already tried, or for one that
+     * was requested, in milliseconds; infinite if there is none.
      */
-    readonly untilDueMs: () => number;
+    readonly untilDueMs: (tried: ReadonlySet<string>) => number;
     /** Makes known that this process acquires no more leases. */
     readonly withdraw: () => Promise<void>;
 }
@@ -181,12 +181,14 @@
         standAside: subject => {
             asideUntilMs.set(leaseKey(subject), context.monotonicMs() + STAND_ASIDE_MS);
         },
-        untilDueMs: () =>
+        untilDueMs: tried =>
             Math.min(
                 request !== undefined && context.store.nowMs() - request.atMs < REQUEST_VALIDITY_MS
                     ? REQUESTED_POLL_INTERVAL_MS
                     : Infinity,
-                ...availableLeases().map(({ dueInMs }) => dueInMs),
+                ...availableLeases()
+                    .filter(({ subject }) => !tried.has(leaseKey(subject)))
+                    .map(({ dueInMs }) => dueInMs),
             ),
         withdraw: () => candidates.remove([context.vm]),
     };
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -65,6 +65,9 @@
 // Rows of candidates only decide who takes a lease first. A poll that waited for them longer would make the time between two
 // reads of the leases too long to count as time for which a lease is unchanged.
 const MAX_CANDIDACY_WAIT_MS = 500;
+// An acquisition goes on until its outcome is known or the lease would have expired again. A poll that waited for it would, as
+// above, keep the other leases from expiring.
+const MAX_ACQUISITION_WAIT_MS = 500;
 // Further ones are not recognised as stored; none may be replaced by a later one with the same value.
 const MAX_UNCONFIRMED_RENEWALS = 16;
 
@@ -100,9 +103,10 @@
     const unconfirmedRenewals = new WeakMap<HeldLease, readonly SentRenewal[]>();
     const events = new EventEmitter();
     const reportRenewalError = createErrorReporter({ context, part: "lease-renewal" });
+    const reportAcquisitionError = createErrorReporter({ context, part: "lease-acquisition" });
     const reportCandidacyError = createErrorReporter({ context, part: "lease-candidacy" });
     let closed = false;
-    let runningAcquisition: Promise<void> | undefined;
+    const runningAcquisitions = new Map<string, Promise<void>>();
     let runningHandover: Promise<void> | undefined;
     let runningCandidacy: Promise<void> | undefined;
 
@@ -292,7 +296,12 @@
             runningHandover = handOver();
             await runningHandover;
         }
-        await sleep(Math.max(UNCONFIGURED_POLL_INTERVAL_MS, Math.min(pollIntervalMs(), candidacy.untilDueMs())));
+        await sleep(
+            Math.max(
+                UNCONFIGURED_POLL_INTERVAL_MS,
+                Math.min(pollIntervalMs(), candidacy.untilDueMs(new Set(runningAcquisitions.keys()))),
+            ),
+        );
     };
 
     const pollIntervalMs = (): number => {
@@ -303,18 +312,28 @@
     };
 
     const acquireDue = async (): Promise<void> => {
-        const tried = new Set<string>();
+        const tried = new Set(runningAcquisitions.keys());
+        const endMs = monotonicMs() + MAX_ACQUISITION_WAIT_MS;
         for (;;) {
             const due = candidacy.nextDue(tried);
-            if (due === undefined || closed) {
+            const remainingMs = endMs - monotonicMs();
+            if (due === undefined || closed || remainingMs <= 0) {
                 return;
             }
             tried.add(leaseKey(due.subject));
-            runningAcquisition = acquire(due);
-            await runningAcquisition;
+            await waitAtMost(startAcquisition(due), remainingMs);
         }
     };
 
+    const startAcquisition = (due: DueLease): Promise<void> => {
+        const key = leaseKey(due.subject);
+        const running = acquire(due)
+            .catch(reportAcquisitionError)
+            .finally(() => runningAcquisitions.delete(key));
+        runningAcquisitions.set(key, running);
+        return running;
+    };
+
     // The renewal shows that the store answers and which version the release has to expect.
     const handOver = async (): Promise<void> => {
         const leases = [...heldLeases.values()];
@@ -386,7 +405,7 @@
             await Promise.all([
                 candidacy.withdraw(),
                 releaseAll(),
-                runningAcquisition?.then(releaseAll),
+                ...[...runningAcquisitions.values()].map(running => running.then(releaseAll)),
                 runningHandover,
             ]);
         },
--- a/programs/dispatcher/test/lease-parts.test.ts
+++ b/programs/dispatcher/test/lease-parts.test.ts
@@ -7,11 +7,12 @@
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { POOL_LEASE_DURATION_MS, type HeldLease } from "../src/held-lease.js";
 import { createLeaseManager } from "../src/lease-manager.js";
-import { emptyLeaseContent, leaseKey, leaseRow, type LeaseSubject } from "../src/lease-rows.js";
+import { emptyLeaseContent, encodeLease, leaseKey, leaseRow, type LeaseSubject } from "../src/lease-rows.js";
 
 // Each lease has a part of its own in the store, and the store may be unavailable in part.
 
 const VM = "entry-1" as VmId;
+const OTHER_VM = "entry-2" as VmId;
 const SILENT: LeaseSubject = { kind: "pool", pool: "pool-a" as PoolName };
 const ANSWERED: LeaseSubject = { kind: "pool", pool: "pool-b" as PoolName };
 // Time limit of a call to the store that gets no answer several times in a row.
@@ -28,6 +29,7 @@
 interface PartedStore {
     readonly store: TableStore;
     readonly silent: SilentCalls;
+    readonly put: (subject: LeaseSubject, holder: VmId) => void;
 }
 
 const createPartedStore = (): PartedStore => {
@@ -42,6 +44,17 @@
     const isSilentPart = (part: string): boolean => part === leaseRow(leaseKey(SILENT)).part;
     return {
         silent,
+        put: (subject, holder) =>
+            put(
+                leaseRow(leaseKey(subject)),
+                encodeLease({
+                    ...emptyLeaseContent,
+                    holder,
+                    process: `${holder}/1` as ProcessId,
+                    epoch: 1,
+                    runNumbersUpTo: undefined,
+                }),
+            ),
         store: {
             transact: async ({ expect, writes }) => {
                 if (silent.writes && expect.some(({ part }) => isSilentPart(part))) {
@@ -97,6 +110,9 @@
     }
 };
 
+const isHeld = (begun: readonly HeldLease[], subject: LeaseSubject): boolean =>
+    begun.some(lease => leaseKey(lease.subject) === leaseKey(subject));
+
 test("a holder renews a lease in time although renewals of another one get no answer", async context => {
     const parted = createPartedStore();
     const begun = startManager(context, parted);
@@ -112,3 +128,17 @@
     }
     parted.silent.writes = false;
 });
+
+test("a lease expires although acquisitions of another one get no answer", async context => {
+    const parted = createPartedStore();
+    parted.put(SILENT, OTHER_VM);
+    parted.put(ANSWERED, OTHER_VM);
+    const renewing = setInterval(() => parted.put(ANSWERED, OTHER_VM), 200);
+    parted.silent.writes = true;
+    const begun = startManager(context, parted);
+    // By then the first lease has expired, and the holder of the second one fails.
+    await sleep(POOL_LEASE_DURATION_MS + 2000);
+    clearInterval(renewing);
+    await waitUntil("the takeover", () => isHeld(begun, ANSWERED));
+    parted.silent.writes = false;
+});
