Pause before progress is read again after the store refused to

What operators would see: after a takeover, while the store refuses reads (503, or 429 because the rate of all processes is used up), each pool whose inherited jobs wait sends about 100 reads a second, each of which counts towards that rate.

Cause: a failed reading requested a pass, which began the next reading 10 ms later.

Change: the next reading begins no sooner than 60 ms after a failed one, as in the feed of the jobs.

--- a/programs/dispatcher/src/reload-progress.ts
+++ b/programs/dispatcher/src/reload-progress.ts
@@ -3,7 +3,7 @@
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
 import { createErrorReporter } from "./contain-errors.js";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf } from "./job-rows.js";
 import { readStoredProgress } from "./read-stored-rows.js";
 import { createRangeReading, type RangeReading } from "./read-all.js";
@@ -15,6 +15,8 @@
     readonly reloaded: () => void;
 }
 
+const RETRY_DELAY_MS = 60;
+
 /**
  * Returns a function that reads the progress of the pool's jobs again after a takeover, once the inherited runs are known.
  * Between the first read and the first report of an executor, the previous scheduler may have stored a run end and
@@ -41,7 +43,10 @@
                 reading = undefined;
                 return false;
             })
-            .then(isRead => {
+            .then(async isRead => {
+                if (!isRead) {
+                    await sleep(RETRY_DELAY_MS);
+                }
                 isReading = false;
                 tables.isProgressCurrent = isRead;
                 reloaded();
--- a/programs/dispatcher/test/reload-progress-failures.test.ts
+++ b/programs/dispatcher/test/reload-progress-failures.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { setImmediate as turn } from "node:timers/promises";
+import { setImmediate as turn, setTimeout as sleep } from "node:timers/promises";
 import { toId } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
@@ -10,6 +10,7 @@
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { jobTablesOf } from "../src/job-rows.js";
+import { createPassThrottle } from "../src/pass-throttle.js";
 import { createProgressReload } from "../src/reload-progress.js";
 import { POOL, STEP, emptyTables } from "./fixture.js";
 
@@ -107,3 +108,37 @@
     assert.ok(tables.isProgressCurrent);
     assert.equal(remainingOf(tables, FIRST), 1);
 });
+
+// The calls of all processes are limited, and refused ones count: each attempt without a pause would cause the next refusal.
+test("progress is not read again without a pause while the store refuses all calls", async () => {
+    const minPauseMs = 50;
+    const observedForMs = 1000;
+    let reads = 0;
+    let active = true;
+    const throttle = createPassThrottle({
+        pass: () => {
+            if (active) {
+                request();
+            }
+        },
+        monotonicMs: () => performance.now(),
+        after: (waitMs, callback) => void setTimeout(callback, waitMs),
+    });
+    const request = createProgressReload({
+        context: {
+            store: {
+                read: () => {
+                    reads++;
+                    return Promise.resolve({ kind: "failed", reason: "status 429" });
+                },
+            },
+            monotonicMs: () => performance.now(),
+        } as unknown as DispatcherContext,
+        tables: emptyTables(),
+        reloaded: throttle.request,
+    });
+    throttle.request();
+    await sleep(observedForMs);
+    active = false;
+    assert.ok(reads <= observedForMs / minPauseMs, `${reads} reads in ${observedForMs} ms`);
+});
