Pause before an acquisition that the store refused is repeated

What operators would see: while the store refuses the writes of a lease that has expired (503, or 429 because the rate of all processes is used up) and answers reads, each process sends 50 transactions a second for it, and reads the leases as often.

Cause: the time to the next poll is zero while a lease is due.

Change: 200 ms between the end of an acquisition and the next one of that lease.

Test: 99 attempts in 2000 ms before, at most 10 now. lease-parts 3, lease-manager 18, lease-placement 7, lease-handover 7, lease-view 8 tests pass.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -68,6 +68,8 @@
 // An acquisition goes on until its outcome is known or the lease would have expired again. A poll that waited for it would, as
 // above, keep the other leases from expiring.
 const MAX_ACQUISITION_WAIT_MS = 500;
+// Time between the end of an acquisition and the next one of the same lease. The store may refuse all of them at once.
+const ACQUISITION_PAUSE_MS = 200;
 // Further ones are not recognised as stored; none may be replaced by a later one with the same value.
 const MAX_UNCONFIRMED_RENEWALS = 16;
 
@@ -106,7 +108,8 @@
     const reportAcquisitionError = createErrorReporter({ context, part: "lease-acquisition" });
     const reportCandidacyError = createErrorReporter({ context, part: "lease-candidacy" });
     let closed = false;
-    const runningAcquisitions = new Map<string, Promise<void>>();
+    /** Acquisitions that are under way or have ended a short time ago, by the key of the lease. */
+    const recentAcquisitions = new Map<string, Promise<void>>();
     let runningHandover: Promise<void> | undefined;
     let runningCandidacy: Promise<void> | undefined;
 
@@ -299,7 +302,7 @@
         await sleep(
             Math.max(
                 UNCONFIGURED_POLL_INTERVAL_MS,
-                Math.min(pollIntervalMs(), candidacy.untilDueMs(new Set(runningAcquisitions.keys()))),
+                Math.min(pollIntervalMs(), candidacy.untilDueMs(new Set(recentAcquisitions.keys()))),
             ),
         );
     };
@@ -312,7 +315,7 @@
     };
 
     const acquireDue = async (): Promise<void> => {
-        const tried = new Set(runningAcquisitions.keys());
+        const tried = new Set(recentAcquisitions.keys());
         const endMs = monotonicMs() + MAX_ACQUISITION_WAIT_MS;
         for (;;) {
             const due = candidacy.nextDue(tried);
@@ -327,10 +330,9 @@
 
     const startAcquisition = (due: DueLease): Promise<void> => {
         const key = leaseKey(due.subject);
-        const running = acquire(due)
-            .catch(reportAcquisitionError)
-            .finally(() => runningAcquisitions.delete(key));
-        runningAcquisitions.set(key, running);
+        const running = acquire(due).catch(reportAcquisitionError);
+        recentAcquisitions.set(key, running);
+        void running.then(() => sleep(ACQUISITION_PAUSE_MS)).then(() => recentAcquisitions.delete(key));
         return running;
     };
 
@@ -405,7 +407,7 @@
             await Promise.all([
                 candidacy.withdraw(),
                 releaseAll(),
-                ...[...runningAcquisitions.values()].map(running => running.then(releaseAll)),
+                ...[...recentAcquisitions.values()].map(running => running.then(releaseAll)),
                 runningHandover,
             ]);
         },
--- a/programs/dispatcher/test/lease-parts.test.ts
+++ b/programs/dispatcher/test/lease-parts.test.ts
@@ -142,3 +142,26 @@
     await waitUntil("the takeover", () => isHeld(begun, ANSWERED));
     parted.silent.writes = false;
 });
+
+// The calls of all processes are limited, and refused ones count.
+test("an acquisition that the store refuses is not repeated without a pause", async context => {
+    const minPauseMs = 200;
+    const observedForMs = 2000;
+    const parted = createPartedStore();
+    parted.put(SILENT, OTHER_VM);
+    let refused = 0;
+    const store: TableStore = {
+        ...parted.store,
+        transact: transaction => {
+            if (transaction.expect.every(({ part }) => part !== leaseRow(leaseKey(SILENT)).part)) {
+                return parted.store.transact(transaction);
+            }
+            refused++;
+            return Promise.resolve({ kind: "not-run", reason: "status 503" });
+        },
+    };
+    startManager(context, { ...parted, store });
+    await waitUntil("the first attempt", () => refused > 0);
+    await sleep(observedForMs);
+    assert.ok(refused <= observedForMs / minPauseMs, `${refused} attempts in ${observedForMs} ms`);
+});
