--- a/programs/dispatcher/test/lease-parts.test.ts
+++ b/programs/dispatcher/test/lease-parts.test.ts
@@ -96,6 +96,7 @@
             end: () => Promise.resolve(),
             content: () => emptyLeaseContent,
             renewed: () => undefined,
+            isStuck: () => false,
         },
     });
     context.after(() => manager.close());
