Show that one unreadable lease row keeps a process from taking any lease

A process that has just started, or for which the history of the leases was lost, reads the row of each lease once before it follows the changes of all. While the store leaves reads of the part of one lease without an answer, `refresh` fails, and the process takes none of the others: after all processes have restarted, no pool has a holder. That successful reads are kept does not help here.

A fix has to follow the changes before all rows are read, and must not let `freshRecord` and the time without a change rest on a row whose changes were lost.

--- a/programs/dispatcher/test/lease-parts.test.ts
+++ b/programs/dispatcher/test/lease-parts.test.ts
@@ -23,6 +23,7 @@
 
 /** Calls for the part of the lease `SILENT` that get no answer. */
 interface SilentCalls {
+    reads: boolean;
     writes: boolean;
 }
 
@@ -34,7 +35,7 @@
 
 const createPartedStore = (): PartedStore => {
     const stored = new Map<string, Row>();
-    const silent: SilentCalls = { writes: false };
+    const silent: SilentCalls = { reads: false, writes: false };
     let version = 0;
     const put = (row: RowKey, value: string): void => {
         version++;
@@ -70,7 +71,13 @@
                 writes.forEach(({ value, ...row }) => put(row, value));
                 return { kind: "committed", version, nowMs: 0 };
             },
-            read: ({ part }) => Promise.resolve(rowsOf([...stored.values()].filter(row => row.part === part))),
+            read: async ({ part }) => {
+                if (silent.reads && isSilentPart(part)) {
+                    await sleep(CALL_TIMEOUT_MS);
+                    return { kind: "failed", reason: "no answer", unanswered: true };
+                }
+                return rowsOf([...stored.values()].filter(row => row.part === part));
+            },
             changes: ({ after }) => Promise.resolve(rowsOf([...stored.values()].filter(row => row.version > after))),
             nowMs: () => 0,
             calls: { writes: 0, reads: 0, failures: 0 },
@@ -166,3 +173,15 @@
     await sleep(observedForMs);
     assert.ok(refused <= observedForMs / minPauseMs, `${refused} attempts in ${observedForMs} ms`);
 });
+
+// A process reads the row of each lease once before it follows the changes of all leases.
+const knownRed = { todo: "KNOWN-RED.txt, issue 46" };
+test("a lease is taken although the row of another one cannot be read", knownRed, async context => {
+    const parted = createPartedStore();
+    parted.put(SILENT, OTHER_VM);
+    parted.put(ANSWERED, OTHER_VM);
+    parted.silent.reads = true;
+    const begun = startManager(context, parted);
+    await waitUntil("the takeover", () => isHeld(begun, ANSWERED));
+    parted.silent.reads = false;
+});
