Keep executors that are missing in a reading until the changes are read

What a pool would see: the history of the store is lost while executors register again. One whose row was not there when its page was read is dropped, with what is known of its incarnation if it is idle, and comes back with the changes that are read 200 ms later.

Cause: missing executors were dropped right after the reading of all rows, before the changes since its first page.

Change: they are dropped after changes were read only.

--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -100,13 +100,14 @@
             if (changes.kind === "rows") {
                 changes.rows.forEach(apply);
                 after = changes.version;
+                // Not after a reading of all rows: a row that was missing there may have been written since.
+                dropMissing();
             } else {
                 failedAtMs = changes.kind === "failed" ? context.monotonicMs() : failedAtMs;
                 after = changes.kind === "history-lost" ? undefined : after;
                 return;
             }
         }
-        dropMissing();
         events.emit("change");
     };
     const poll = async (): Promise<void> => {
--- a/programs/dispatcher/test/executor-registry.test.ts
+++ b/programs/dispatcher/test/executor-registry.test.ts
@@ -106,3 +106,30 @@
         assert.deepEqual({ executors, mostReads: store.mostReadsOfARow() }, { executors: 660, mostReads: 1 });
     },
 );
+
+// It may have registered again after its page was read, and be forgotten with what is known of its incarnation.
+test(
+    "an executor that is missing in a reading of all rows stays until the changes since then are read",
+    { timeout: TEST_TIMEOUT_MS },
+    async () => {
+        const readings = [readingOf([rowOf("i-1", ENTRY)]), readingOf([])];
+        const changes: Reading[] = [{ kind: "history-lost" }, readingOf([rowOf("i-1", ENTRY)])];
+        const registry = createExecutorRegistry({
+            monotonicMs: () => performance.now(),
+            log: () => undefined,
+            metrics: { count: () => undefined },
+            store: {
+                read: () => Promise.resolve(readings.shift() ?? readingOf([])),
+                changes: () => Promise.resolve(changes.shift() ?? readingOf([])),
+            },
+        } as unknown as DispatcherContext);
+        registry.subscribe();
+        const known: (readonly string[] | undefined)[] = [];
+        for (let polls = 0; polls < 3; polls++) {
+            await once(registry.events, "change");
+            known.push(registry.executorsOf(POOL)?.map(({ id }) => id));
+        }
+        registry.close();
+        assert.deepEqual(known, [["i-1"], ["i-1"], ["i-1"]]);
+    },
+);
