Guarantee slots to the requests of the test of late responses

Cause: an assumption of the test about time. Its pool has 16 slots, of which the default shares guarantee 2 to normal requests; further slots go to requests of routes that are known to run for at most 500 ms (borrowRunTimeMs). The test uses the route of an earlier test, whose endpoints respond after 300 ms. If that test is slowed down by 200 ms, the route no longer counts as short, and 6 of the 8 requests get 503 with cause deadline: "pool late cannot take the request of team late-team: deadline" and "no slot of pool late became free before the deadline".

Change: the pools of this test file guarantee half of their slots, 8, to normal requests. All 8 requests get a slot and have to end with 504, as before.

--- a/bench/system/test/whole-answers.test.ts
+++ b/bench/system/test/whole-answers.test.ts
@@ -14,6 +14,9 @@
 // Shorter than the time for which an entry repeats a refused request.
 const FULL_MS = 300;
 const LARGE_BODY_BYTES = 10 * 1024 * 1024;
+// Guarantees half of the 16 slots to the 8 concurrent requests of a test, whatever run times their route has had. Other
+// shares would leave 2, and the rest only to routes that are known to run for at most 500 ms.
+const NORMAL_ONLY = { urgent: 0, normal: 1, deferrable: 0 };
 const SLOW_READ_BYTES = 200 * 1024 * 1024;
 // An entry that buffers without limit would hold 200 MB; kernel buffers and garbage stay far below this limit.
 const MEMORY_GROWTH_LIMIT_BYTES = 80 * 1024 * 1024;
@@ -36,6 +39,7 @@
         services: [...FAULTS.map(row => row.service), "unsolicited", "full", "big"],
         vmsPerService: 2,
         entries: 1,
+        poolKeys: { shares: NORMAL_ONLY },
     });
     [entry] = deployment.entries as [DeployedEntry];
 });
