Request the wave of its test only once the budgets are compared

Cause: an assumption of the test about time. The wave was due 15 s after the test began, and the comparisons began when the deployment had started. If the start takes longer than that and the wave, every VM has been rebooted before the first comparison, and the test compares for one second only, which is enough for at most 20. No page promises how fast a deployment starts on a busy machine.

That the start was late in the run that failed was not recorded.

Change: the managers get the wave by a restart after the comparisons have begun.

--- a/bench/system/test/control-wave.test.ts
+++ b/bench/system/test/control-wave.test.ts
@@ -1,4 +1,5 @@
 import { strict as assert } from "node:assert";
+import { readFileSync, writeFileSync } from "node:fs";
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { readVms } from "@almondusher/platform/vm-list";
@@ -8,12 +9,11 @@
 import { pollUntil } from "../src/operator-client.js";
 import { readLatest } from "../src/operator-edit.js";
 import { readPlatformCounts } from "../src/platform-faults.js";
+import { endProcess, relaunchManager } from "../src/process-faults.js";
 
 const WAVE_TIMEOUT_MS = 90_000;
 const SAMPLE_PERIOD_MS = 50;
 const VMS = 8;
-// Delays the wave until the deployment has started.
-const WAVE_DELAY_MS = 15_000;
 
 /** Finds pools with fewer available VMs than `minAvailable`; undefined if the state changed during the sample. */
 const sampleBudget = async ({ platform }: ControlFleet): Promise<readonly string[] | undefined> => {
@@ -31,7 +31,18 @@
     });
 };
 
-test("a maintenance wave reboots every VM once, keeps the pools within their budgets and fails no request", async () => {
+/** Restarts the managers with a wave requested now; one requested before could be over when the samples begin. */
+const requestWave = async ({ deployment }: ControlFleet): Promise<void> => {
+    await Promise.all(deployment.managers.map(({ child }) => endProcess(child, "SIGTERM")));
+    deployment.managers.forEach(({ settingsFile }, index) => {
+        const settings = JSON.parse(readFileSync(settingsFile, "utf8")) as object;
+        const planner = { listLagMs: 0, waveRequestedAtMs: Date.now() };
+        writeFileSync(settingsFile, JSON.stringify({ ...settings, planner }, undefined, 4));
+        relaunchManager(deployment, index);
+    });
+};
+
+test("a maintenance wave reboots every VM once, keeps the pools within their budgets and fails no request", async context => {
     const control = await startControlFleet({
         name: "wave",
         entries: 3,
@@ -41,7 +52,6 @@
             { name: "letters", vms: 4 },
             { name: "studies", vms: 4 },
         ],
-        managerSettings: { planner: { listLagMs: 0, waveRequestedAtMs: Date.now() + WAVE_DELAY_MS } },
     });
     const load = startBalancedLoad({
         entries: control.deployment.entries,
@@ -64,6 +74,7 @@
         (await readPlatformCounts(control.deployment)).vmList.find(row => row.operation === "POST reboot")?.requests ??
         0;
     try {
+        await requestWave(control);
         await pollUntil({
             what: "every VM to be rebooted and serving",
             timeoutMs: WAVE_TIMEOUT_MS,
@@ -81,6 +92,7 @@
         assert.deepEqual(failedRequests(await load.stop()), []);
         sampling.stopped = true;
         await samples;
+        context.diagnostic(`the budgets were compared ${sampling.samples} times`);
         assert.deepEqual([...sampling.faults], []);
         assert.ok(sampling.samples > VMS, `the budgets were compared only ${sampling.samples} times`);
         assert.deepEqual(await checkHistory(control.deployment, control.platform), []);
