Add jobs and leases of tests in one place

Two new tests added the same job, and two the same lease, to their tables. The assertions are unchanged.

--- a/programs/dispatcher/test/fixture.ts
+++ b/programs/dispatcher/test/fixture.ts
@@ -1,7 +1,9 @@
 import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
-import type { ExecutorId } from "@almondusher/jobs/ids";
+import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
 import type { Step } from "@almondusher/jobs/job";
+import { initialProgress } from "@almondusher/jobs/progress";
+import { admitJob } from "@almondusher/scheduler/admit-job";
 import { createPoolTables, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 
@@ -55,3 +57,26 @@
         runLeaseMs: RUN_LEASE_MS,
         stopTimeMs: 200,
     });
+
+/** Adds a job with one step from before a takeover at time 0. */
+export const addInheritedJob = (tables: PoolTables, id: JobId, tasks: number): void =>
+    admitJob(
+        tables,
+        {
+            job: {
+                id,
+                queue: toId<QueueName>("queue-1"),
+                pool: POOL,
+                spec: "",
+                steps: [{ ...STEP, count: tasks }],
+                schedule: undefined,
+                acceptedAtMs: 0,
+            },
+            progress: initialProgress,
+            progressVersion: 1,
+            arrivedAtMs: 0,
+            readAtMs: 0,
+            inherited: true,
+        },
+        0,
+    );
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -372,17 +372,19 @@
     assert.ok(stored <= 5000, `${stored} ms after 2 s without a renewal`);
 });
 
+const LEASE_OF_ANOTHER_PROCESS: LeaseRecord = {
+    ...emptyLeaseContent,
+    holder: "entry-2" as VmId,
+    process: "entry-2/1" as ProcessId,
+    epoch: 1,
+    runNumbersUpTo: undefined,
+};
+
 // Without a new holder the pool starts nothing. The rows of candidates only decide which process takes a lease first.
 for (const unanswered of ["reads", "writes"] as const) {
     test(`a lease expires although ${unanswered} of the rows of candidates get no answer`, async context => {
         const leaseStore = createLeaseStore();
-        leaseStore.put({
-            ...emptyLeaseContent,
-            holder: "entry-2" as VmId,
-            process: "entry-2/1" as ProcessId,
-            epoch: 1,
-            runNumbersUpTo: undefined,
-        });
+        leaseStore.put(LEASE_OF_ANOTHER_PROCESS);
         const { store } = leaseStore;
         const withoutAnswer = async <Result>(result: Result): Promise<Result> => {
             await sleep(CALL_TIMEOUT_MS);
@@ -445,13 +447,7 @@
 
 test("a process that cannot take an expired lease logs that nobody holds it", async context => {
     const leaseStore = createLeaseStore();
-    leaseStore.put({
-        ...emptyLeaseContent,
-        holder: "entry-2" as VmId,
-        process: "entry-2/1" as ProcessId,
-        epoch: 1,
-        runNumbersUpTo: undefined,
-    });
+    leaseStore.put(LEASE_OF_ANOTHER_PROCESS);
     leaseStore.busy = true;
     const { events } = startManager(context, leaseStore);
     await waitUntil("the line", () => events.includes("lease-without-holder"), ABSENCE_LOGGED_WITHIN_MS);
--- a/programs/dispatcher/test/reload-progress-failures.test.ts
+++ b/programs/dispatcher/test/reload-progress-failures.test.ts
@@ -2,23 +2,23 @@
 import { test } from "node:test";
 import { setImmediate as turn, setTimeout as sleep } from "node:timers/promises";
 import { toId } from "@almondusher/fleet/ids";
-import type { JobId, QueueName } from "@almondusher/jobs/ids";
+import type { JobId } from "@almondusher/jobs/ids";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
-import { admitJob } from "@almondusher/scheduler/admit-job";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { jobTablesOf } from "../src/job-rows.js";
 import { createPassThrottle } from "../src/pass-throttle.js";
 import { createProgressReload } from "../src/reload-progress.js";
-import { POOL, STEP, emptyTables } from "./fixture.js";
+import { POOL, addInheritedJob, emptyTables } from "./fixture.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
 
 const TABLES = jobTablesOf(POOL);
 const FIRST = toId<JobId>("0000000000000001");
 const SECOND = toId<JobId>("0000000000000002");
+const TASKS = 2;
 const FIRST_TASK_DONE: Progress = {
     state: "running",
     steps: [{ occurrence: 0, step: 0, done: [0], failures: [], checkpoints: [] }],
@@ -35,32 +35,10 @@
 
 const pageOf = (rows: readonly Row[]): Reading => ({ kind: "rows", rows, version: 2, nowMs: 0, truncated: false });
 
-const addJob = (tables: PoolTables, id: JobId): void =>
-    admitJob(
-        tables,
-        {
-            job: {
-                id,
-                queue: toId<QueueName>("queue-1"),
-                pool: POOL,
-                spec: "",
-                steps: [{ ...STEP, count: 2 }],
-                schedule: undefined,
-                acceptedAtMs: 0,
-            },
-            progress: initialProgress,
-            progressVersion: 1,
-            arrivedAtMs: 0,
-            readAtMs: 0,
-            inherited: true,
-        },
-        0,
-    );
-
 /** The tables of a new holder with two inherited jobs, after each of the answers was read. */
 const reload = async (answers: readonly (() => Promise<Reading>)[]): Promise<PoolTables> => {
     const tables = emptyTables();
-    [FIRST, SECOND].forEach(id => addJob(tables, id));
+    [FIRST, SECOND].forEach(id => addInheritedJob(tables, id, TASKS));
     const remaining = [...answers];
     const request = createProgressReload({
         context: {
--- a/programs/dispatcher/test/unread-ends-of-rejected-jobs.test.ts
+++ b/programs/dispatcher/test/unread-ends-of-rejected-jobs.test.ts
@@ -3,10 +3,8 @@
 import { setImmediate as turn } from "node:timers/promises";
 import { toId } from "@almondusher/fleet/ids";
 import type { EndedRun } from "@almondusher/jobs/executor";
-import type { ExecutorId, JobId, QueueName, TaskId } from "@almondusher/jobs/ids";
-import { initialProgress } from "@almondusher/jobs/progress";
+import type { ExecutorId, JobId, TaskId } from "@almondusher/jobs/ids";
 import type { Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
-import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyReport } from "@almondusher/scheduler/apply-report";
 import { endToAcknowledge } from "@almondusher/scheduler/executor-incarnation";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
@@ -14,7 +12,7 @@
 import { recordLeaseHeld, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/dispatcher-context.js";
 import { createProgressWriter } from "../src/progress-writer.js";
-import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
+import { addInheritedJob, emptyTables, executorRecord } from "./fixture.js";
 
 const TICK_MS = 100;
 const INHERITED_WAIT_MS = 8000;
@@ -26,28 +24,6 @@
 const REJECTED = toId<JobId>("0000000000000001");
 const OTHER = toId<JobId>("0000000000000002");
 
-const addJob = (tables: PoolTables, id: JobId, tasks: number): void =>
-    admitJob(
-        tables,
-        {
-            job: {
-                id,
-                queue: toId<QueueName>("queue-1"),
-                pool: POOL,
-                spec: "",
-                steps: [{ ...STEP, count: tasks }],
-                schedule: undefined,
-                acceptedAtMs: 0,
-            },
-            progress: initialProgress,
-            progressVersion: 1,
-            arrivedAtMs: 0,
-            readAtMs: 0,
-            inherited: true,
-        },
-        0,
-    );
-
 const endOf = (job: JobId, index: number, number: number): EndedRun => ({
     number,
     task: toId<TaskId>(`${job}.0.0.${index}`),
@@ -64,8 +40,8 @@
     applyRegistry(tables, [executorRecord("a")], 0);
     tables.inheritedWaitUntilMs = INHERITED_WAIT_MS;
     recordLeaseHeld(tables, Number.POSITIVE_INFINITY);
-    addJob(tables, REJECTED, 2);
-    addJob(tables, OTHER, UNREAD_ENDS + 1);
+    addInheritedJob(tables, REJECTED, 2);
+    addInheritedJob(tables, OTHER, UNREAD_ENDS + 1);
     const executor = tables.executors.get(toId<ExecutorId>("a"));
     assert.ok(executor !== undefined);
     const answer = ({ writes }: Transaction): TransactionResult =>
