--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -6,7 +6,8 @@
 import { addOccurrence, isOccurrenceOf, openDueOccurrences } from "./open-occurrences.js";
 import type { OpenJob, PoolTables, Task } from "./pool-tables.js";
 
-// Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows.
+// Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows, which
+// may last for minutes if the store answers only some of the calls.
 const MAX_FINISHED_JOBS = 20_000;
 
 /** A job as it was read from the store. */
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -70,7 +70,8 @@
 const MAX_ACQUISITION_WAIT_MS = 500;
 // Time between the end of an acquisition and the next one of the same lease. The store may refuse all of them at once.
 const ACQUISITION_PAUSE_MS = 200;
-// Further ones are not recognised as stored; none may be replaced by a later one with the same value.
+// Further renewals without a known outcome are forgotten: if one of them was stored, the lease counts as renewed one renewal
+// later.
 const MAX_UNCONFIRMED_RENEWALS = 16;
 
 /** A renewal as it was sent. */
--- a/programs/dispatcher/src/page-size.ts
+++ b/programs/dispatcher/src/page-size.ts
@@ -34,6 +34,7 @@
 export const createPageSize = (): PageSize => {
     const sizes: readonly Size[] = PAGE_ROWS.map(rows => ({ rows, answeredRows: 0, lostPages: 0 }));
     let current = sizes[0] as Size;
+    /** True if the current size was answered before and has not lost a page since the last answer. */
     let mayRepeat = false;
     return {
         rows: () => current.rows,
