Let both logs of waits share when a line is due

lease-absence-log had written the schedule of waiting-log again: a line after a first time, then whenever the wait has doubled. long-wait has it for both. The absence log also reads the clock once for each check in place of once for each lease.

--- a/programs/dispatcher/src/lease-absence-log.ts
+++ b/programs/dispatcher/src/lease-absence-log.ts
@@ -1,6 +1,7 @@
 import type { DispatcherContext } from "./dispatcher-context.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import type { LeaseObservation, LeaseView } from "./lease-view.js";
+import { beginWait, delayNextLog, type LongWait } from "./long-wait.js";
 import { createValuePeriods } from "./value-periods.js";
 
 /** Logs and counts the leases that no process seems to hold, which no holder can log. */
@@ -14,11 +15,11 @@
     readonly view: Pick<LeaseView, "observation">;
 }
 
-/** A lease whose row has not changed for a long time. */
-interface Absence {
+/** A lease that this process does not hold, and since when its row has not changed. */
+interface ObservedLease {
     readonly key: string;
     readonly observation: LeaseObservation | undefined;
-    readonly waitedMs: number;
+    readonly wait: LongWait;
 }
 
 /** Time between two checks, in milliseconds. */
@@ -40,35 +41,38 @@
 /** Creates the log. An absence is logged after 5 s without a change of the row, and then whenever the time has doubled. */
 export const createLeaseAbsenceLog = ({ context, view }: LeaseAbsenceLogOptions): LeaseAbsenceLog => {
     const versions = createValuePeriods<number>(context.monotonicMs);
-    let nextLogMs: ReadonlyMap<string, number> = new Map();
+    let waits: ReadonlyMap<string, LongWait> = new Map();
 
-    const absenceOf = (subject: LeaseSubject): Absence => {
+    const observe = (subject: LeaseSubject, nowMs: number): ObservedLease => {
         const key = leaseKey(subject);
         const observation = view.observation(key);
         versions.observe(key, observation?.version ?? 0);
-        const nowMs = context.monotonicMs();
-        return { key, observation, waitedMs: nowMs - (versions.sinceMs(key) ?? nowMs) };
+        const sinceMs = versions.sinceMs(key) ?? nowMs;
+        const known = waits.get(key);
+        const wait = known?.sinceMs === sinceMs ? known : beginWait(sinceMs, FIRST_LOG_AFTER_MS);
+        return { key, observation, wait };
     };
-    const log = ({ key, observation, waitedMs }: Absence): void =>
+    const log = ({ key, observation, wait }: ObservedLease, nowMs: number): void => {
+        delayNextLog(wait, nowMs);
         context.log("lease-without-holder", {
             lease: key,
             reason: reasonOf(observation),
             holder: observation?.record?.holder,
-            waitedMs: Math.round(waitedMs),
-            unreadMs: observation === undefined ? undefined : Math.round(context.monotonicMs() - observation.readAtMs),
+            waitedMs: Math.round(nowMs - wait.sinceMs),
+            unreadMs: observation === undefined ? undefined : Math.round(nowMs - observation.readAtMs),
         });
+    };
     return {
         check: subjects => {
-            const absences = subjects.map(absenceOf).filter(({ waitedMs }) => waitedMs >= FIRST_LOG_AFTER_MS);
-            absences.forEach(() => context.metrics.count("leases_without_holder"));
-            const due = absences
-                .filter(({ key, waitedMs }) => waitedMs >= (nextLogMs.get(key) ?? FIRST_LOG_AFTER_MS))
-                .slice(0, MAX_LINES_PER_CHECK);
-            due.forEach(log);
-            const delayed = new Map(due.map(({ key, waitedMs }) => [key, 2 * waitedMs]));
-            nextLogMs = new Map(
-                absences.map(({ key }) => [key, delayed.get(key) ?? nextLogMs.get(key) ?? FIRST_LOG_AFTER_MS]),
-            );
+            const nowMs = context.monotonicMs();
+            const leases = subjects.map(subject => observe(subject, nowMs));
+            waits = new Map(leases.map(({ key, wait }) => [key, wait]));
+            const absent = leases.filter(({ wait }) => nowMs - wait.sinceMs >= FIRST_LOG_AFTER_MS);
+            absent.forEach(() => context.metrics.count("leases_without_holder"));
+            absent
+                .filter(({ wait }) => wait.logAtMs <= nowMs)
+                .slice(0, MAX_LINES_PER_CHECK)
+                .forEach(lease => log(lease, nowMs));
         },
     };
 };
--- a/programs/dispatcher/src/waiting-log.ts
+++ b/programs/dispatcher/src/waiting-log.ts
@@ -2,6 +2,7 @@
 import { stepsOf, type PoolTables, type Task } from "@almondusher/scheduler/pool-tables";
 import { isHeldUp, surveyWaiting, type SurveyOptions, type WaitingReason } from "@almondusher/scheduler/waiting-reason";
 import type { DispatcherContext } from "./dispatcher-context.js";
+import { beginWait, delayNextLog, type LongWait } from "./long-wait.js";
 import type { LeaseGate, LeaseStatus } from "./run-leases.js";
 
 /** Why the scheduler of a pool starts no tasks at all. */
@@ -19,16 +20,10 @@
     readonly surveyOptions: () => SurveyOptions;
 }
 
-/** How long a task or pool has waited, and when it is logged next, in milliseconds of the monotonic clock. */
-interface Wait {
-    readonly sinceMs: number;
-    logAtMs: number;
-}
-
 /** A task that has waited long enough to be counted. */
-interface LongWait {
+interface WaitingTask {
     readonly task: Task;
-    readonly wait: Wait;
+    readonly wait: LongWait;
     readonly reason: WaitingReason;
 }
 
@@ -39,12 +34,12 @@
 const MAX_LINES_PER_CHECK = 5;
 
 export const createWaitingLog = ({ context, tables, surveyOptions }: WaitingLogOptions): WaitingLog => {
-    let waits: ReadonlyMap<Task, Wait> = new Map();
-    let poolWait: Wait | undefined;
+    let waits: ReadonlyMap<Task, LongWait> = new Map();
+    let poolWait: LongWait | undefined;
 
     const checkPool = (gate: PoolGate, lease: LeaseStatus): void => {
         const nowMs = context.monotonicMs();
-        poolWait ??= beginWait(nowMs);
+        poolWait ??= beginWait(nowMs, FIRST_LOG_AFTER_MS);
         if (!isLong(poolWait, nowMs)) {
             return;
         }
@@ -69,7 +64,7 @@
                 .map(step => ({ step, heldUp: step.tasks.filter(isHeldUp) }))
                 .filter(({ step, heldUp }) => heldUp.length > 0 && survey.hasRoom(step))
                 .flatMap(({ heldUp }) => heldUp)
-                .map(task => [task, waits.get(task) ?? beginWait(options.nowMs)]),
+                .map(task => [task, waits.get(task) ?? beginWait(options.nowMs, FIRST_LOG_AFTER_MS)]),
         );
         const long = [...waits]
             .filter(([, wait]) => isLong(wait, options.nowMs))
@@ -77,7 +72,7 @@
         long.forEach(({ reason }) => context.metrics.count(counterName("tasks", reason.kind)));
         logDue(long, options.nowMs);
     };
-    const logDue = (long: readonly LongWait[], nowMs: number): void => {
+    const logDue = (long: readonly WaitingTask[], nowMs: number): void => {
         const due = long.filter(({ wait }) => wait.logAtMs <= nowMs);
         oneOfEachStepFirst(due)
             .slice(0, MAX_LINES_PER_CHECK)
@@ -106,21 +101,15 @@
     };
 };
 
-const beginWait = (nowMs: number): Wait => ({ sinceMs: nowMs, logAtMs: nowMs + FIRST_LOG_AFTER_MS });
-
-const isLong = ({ sinceMs }: Wait, nowMs: number): boolean => nowMs - sinceMs >= FIRST_LOG_AFTER_MS;
-
-const delayNextLog = (wait: Wait, nowMs: number): void => {
-    wait.logAtMs = wait.sinceMs + 2 * (nowMs - wait.sinceMs);
-};
+const isLong = ({ sinceMs }: LongWait, nowMs: number): boolean => nowMs - sinceMs >= FIRST_LOG_AFTER_MS;
 
 const counterName = (waiting: "tasks" | "pools", reason: string): string =>
     `${waiting}_waiting_${reason.replaceAll("-", "_")}`;
 
 // A large step that waits must not keep the lines of other steps from being written.
-const oneOfEachStepFirst = (waits: readonly LongWait[]): readonly LongWait[] => {
+const oneOfEachStepFirst = (waits: readonly WaitingTask[]): readonly WaitingTask[] => {
     const firsts = new Map(waits.toReversed().map(wait => [wait.task.step, wait]));
-    const isFirst = (wait: LongWait): boolean => firsts.get(wait.task.step) === wait;
+    const isFirst = (wait: WaitingTask): boolean => firsts.get(wait.task.step) === wait;
     return [...waits.filter(isFirst), ...waits.filter(wait => !isFirst(wait))];
 };
 
