Ask the registry whether it was read, not for a list of executors

The gate of a pool filtered all registered executors by pool, only to learn whether the registry had been read. No figure was taken. No change of behaviour; the stand-in registry of a test has the new function.

--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executor-registry.ts
@@ -15,6 +15,8 @@
     readonly events: EventEmitter;
     /** Returns the executors of a pool; undefined until the registry has been read. */
     readonly executorsOf: (pool: PoolName) => readonly ExecutorRecord[] | undefined;
+    /** True once all executors have been read. */
+    readonly isRead: () => boolean;
     readonly all: () => readonly ExecutorRecord[];
     /** Monotonic time at which the store last answered a page of all executors, in milliseconds. */
     readonly pageReadAtMs: () => number;
@@ -125,6 +127,7 @@
     return {
         events,
         executorsOf: pool => (loaded ? [...records.values()].filter(record => record.pool === pool) : undefined),
+        isRead: () => loaded,
         all: () => [...records.values()],
         pageReadAtMs: pages.readAtMs,
         subscribe: () => {
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -199,7 +199,7 @@
         if (!jobsLoaded) {
             return "jobs-not-read";
         }
-        return registry.executorsOf(pool) === undefined ? "executors-not-read" : leaseGateOf(leaseStatus());
+        return registry.isRead() ? leaseGateOf(leaseStatus()) : "executors-not-read";
     };
     const pages = watchPages(context);
     const isStuck = (): boolean => {
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -65,6 +65,7 @@
             subscribe: () => () => undefined,
             events: new EventEmitter(),
             executorsOf: () => undefined,
+            isRead: () => false,
             pageReadAtMs: () => Number.NEGATIVE_INFINITY,
         } as unknown as ExecutorRegistry,
         operator: { events: new EventEmitter(), configuration: () => undefined } as unknown as OperatorFeed,
