Accept the version of a lease row in one place

A renewal that is confirmed, and a conflict with an own row, both took over the version and forgot the renewals without a known outcome; where a conflict confirms one, this was done twice. In job-feed a variable hid another one of the same name. No change of behaviour; the tests of both pass as they are.

--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -93,7 +93,7 @@
         sink.changed();
     };
     const followFrom = async (known: StorePoint): Promise<void> => {
-        const reading = await context.store.changes({
+        const changes = await context.store.changes({
             table: tables.jobs,
             after: known.version,
             waitMs: LONG_POLL_MS,
@@ -101,12 +101,12 @@
         if (!isActive()) {
             return;
         }
-        switch (reading.kind) {
+        switch (changes.kind) {
             case "rows":
-                reading.rows.forEach(row => applyChange({ ...options, sink }, row));
-                asOf = { version: reading.version, atMs: reading.truncated ? known.atMs : reading.nowMs };
+                changes.rows.forEach(row => applyChange({ ...options, sink }, row));
+                asOf = { version: changes.version, atMs: changes.truncated ? known.atMs : changes.nowMs };
                 sink.readUpTo(asOf);
-                if (reading.rows.some(({ deleted }) => !deleted)) {
+                if (changes.rows.some(({ deleted }) => !deleted)) {
                     sink.changed();
                 }
                 break;
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -149,7 +149,8 @@
         const renewal = { value, content, reservation, sentAtMs, sentWallMs };
         switch (commit.kind) {
             case "committed":
-                confirmRenewal(lease, renewal, commit.version);
+                acceptVersion(lease, commit.version);
+                confirmRenewal(lease, renewal);
                 return true;
             case "conflict":
                 return resolveConflict(lease, commit.rows[0]);
@@ -162,9 +163,13 @@
         }
     };
 
-    const confirmRenewal = (lease: HeldLease, renewal: SentRenewal, version: number): void => {
+    // No renewal that expects an earlier version can be stored any more.
+    const acceptVersion = (lease: HeldLease, version: number): void => {
         unconfirmedRenewals.delete(lease);
         lease.version = Math.max(lease.version, version);
+    };
+
+    const confirmRenewal = (lease: HeldLease, renewal: SentRenewal): void => {
         lease.renewedAtMs = renewal.sentAtMs;
         lease.renewedWallMs = renewal.sentWallMs;
         lease.runNumbers.reservedUpTo = renewal.reservation;
@@ -218,10 +223,9 @@
         const ownVersion = versionIfOwn(context, row, lease.epoch);
         if (ownVersion !== undefined) {
             const stored = unconfirmedRenewals.get(lease)?.find(({ value }) => value === row?.value);
-            unconfirmedRenewals.delete(lease);
-            lease.version = Math.max(lease.version, ownVersion);
+            acceptVersion(lease, ownVersion);
             if (stored !== undefined) {
-                confirmRenewal(lease, stored, ownVersion);
+                confirmRenewal(lease, stored);
             }
             return false;
         }
