--- a/programs/dispatcher/src/acquire-lease.ts
+++ b/programs/dispatcher/src/acquire-lease.ts
@@ -37,6 +37,7 @@
         // Nothing keeps the VMs empty until this holder has read which ones are being evacuated.
         vacated: [],
         inheritedRunsUntilMs: runsUntilMs,
+        schedulerStatus: subject.kind === "pool" ? "starting" : undefined,
         holder: context.vm,
         process: context.process,
         epoch,
--- a/programs/dispatcher/src/acquisition-order.ts
+++ b/programs/dispatcher/src/acquisition-order.ts
@@ -56,6 +56,15 @@
     return isClearlySmaller(relativeCapacity(than.capacity, capacities), relativeCapacity(vm.capacity, capacities));
 };
 
+/** True if the load of a VM would be clearly smaller with one more lease than that of the holder is now. */
+export const relievesHolder = (vm: RankedVm, holder: RankedVm): boolean => {
+    const capacities = [vm.capacity, holder.capacity];
+    return isClearlySmaller(
+        (vm.heldLeases + 1) / relativeCapacity(vm.capacity, capacities),
+        holder.heldLeases / relativeCapacity(holder.capacity, capacities),
+    );
+};
+
 const isClearlySmaller = (load: number, than: number): boolean => load * CLEAR_DIFFERENCE_FACTOR <= than;
 
 const precedingLoads = (ranking: Ranking): readonly VmLoad[] => {
--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -3,7 +3,7 @@
 import type { CandidateContent, HandoverRequest } from "./candidate-rows.js";
 import type { CandidateView } from "./candidate-view.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
-import { leaseToRequest, REQUEST_VALIDITY_MS, shouldHandOver } from "./lease-handover.js";
+import { leaseToRequest, MAX_REQUEST_VALIDITY_MS, shouldHandOver } from "./lease-handover.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import { createLeaseTenures } from "./lease-tenures.js";
 import type { LeaseView } from "./lease-view.js";
@@ -59,7 +59,6 @@
 }
 
 const ANNOUNCE_RETRY_INTERVAL_MS = 2000;
-const REQUEST_INTERVAL_MS = 10_000;
 const REQUESTED_POLL_INTERVAL_MS = 100;
 // For this time a process takes a lease under which it could not act only if no other one does, and does not request it.
 const STAND_ASIDE_MS = 60_000;
@@ -126,7 +125,7 @@
     };
     const requestHandover = (): void => {
         const atMs = context.store.nowMs();
-        if (subjects().some(isAvailable) || (request !== undefined && atMs - request.atMs < REQUEST_INTERVAL_MS)) {
+        if (subjects().some(isAvailable)) {
             return;
         }
         const lease = leaseToRequest(
@@ -135,6 +134,7 @@
                 .filter(subject => mayBeHandedOver(subject) && !standsAside(subject))
                 .map(tenures.heldBy)
                 .filter(lease => lease !== undefined),
+            atMs - (request?.atMs ?? Number.NEGATIVE_INFINITY),
         );
         if (lease !== undefined) {
             request = { lease, atMs };
@@ -183,7 +183,7 @@
         },
         untilDueMs: tried =>
             Math.min(
-                request !== undefined && context.store.nowMs() - request.atMs < REQUEST_VALIDITY_MS
+                request !== undefined && context.store.nowMs() - request.atMs < MAX_REQUEST_VALIDITY_MS
                     ? REQUESTED_POLL_INTERVAL_MS
                     : Infinity,
                 ...availableLeases()
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -28,6 +28,13 @@
     readonly jobs: number;
 }
 
+/**
+ * Whether the scheduler of a pool keeps up with its work: `starting` until it can start tasks of the jobs that it has taken
+ * over, `behind` while tasks wait only because it cannot send orders faster, `current` otherwise.
+ */
+export const schedulerStatuses = ["starting", "behind", "current"] as const;
+export type SchedulerStatus = (typeof schedulerStatuses)[number];
+
 /** A request to a pool to evacuate a VM. */
 interface Evacuation {
     readonly vm: VmId;
@@ -71,6 +78,8 @@
      * not read, in milliseconds; undefined if it has read those of all executors.
      */
     readonly inheritedRunsUntilMs: number | undefined;
+    /** Used only in the leases of pools; undefined in rows written by earlier versions. */
+    readonly schedulerStatus: SchedulerStatus | undefined;
     /** Starts without a response that may still be carried out, of the holder and of earlier ones. */
     readonly undeliveredStarts: readonly StoredStart[];
     /** IDs of the evacuations whose VM has no runs and gets no new ones. */
@@ -102,6 +111,7 @@
     pending: z.array(z.object({ queue: z.string(), jobs: z.int() })),
     pendingAsOf: z.object({ version: z.number(), atMs: z.number() }).optional(),
     inheritedRunsUntilMs: z.number().optional(),
+    schedulerStatus: z.enum(schedulerStatuses).optional().catch(undefined),
     undeliveredStarts: storedStartsSchema,
     vacated: z.array(z.string()),
     demand: z
@@ -134,6 +144,7 @@
     pending: [],
     pendingAsOf: undefined,
     inheritedRunsUntilMs: undefined,
+    schedulerStatus: undefined,
     undeliveredStarts: [],
     vacated: [],
     demand: undefined,
--- a/programs/dispatcher/src/lease-tenures.ts
+++ b/programs/dispatcher/src/lease-tenures.ts
@@ -29,11 +29,18 @@
             }),
         heldBy: subject => {
             const lease = leaseKey(subject);
-            const holder = view.observation(lease)?.record?.holder;
+            const record = view.observation(lease)?.record;
+            const holder = record?.holder;
             const sinceMs = epochs.sinceMs(lease);
             return holder === undefined || sinceMs === undefined
                 ? undefined
-                : { lease, holder, heldMs: context.monotonicMs() - sinceMs };
+                : {
+                      lease,
+                      holder,
+                      heldMs: context.monotonicMs() - sinceMs,
+                      schedulerStatus: record?.schedulerStatus,
+                      pendingJobs: (record?.pending ?? []).reduce((sum, { jobs }) => sum + jobs, 0),
+                  };
         },
     };
 };
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -23,7 +23,7 @@
 import { createFinishedJobRows } from "./finished-job-rows.js";
 import { followJobs, type StoredJob } from "./job-feed.js";
 import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./held-lease.js";
-import { emptyLeaseContent, type LeaseContent } from "./lease-rows.js";
+import { emptyLeaseContent, type LeaseContent, type SchedulerStatus } from "./lease-rows.js";
 import type { OperatorFeed } from "./operator-feed.js";
 import { createOrderLoad } from "./order-load.js";
 import { createOrderWindow } from "./order-window.js";
@@ -201,6 +201,12 @@
         }
         return registry.isRead() ? leaseGateOf(leaseStatus()) : "executors-not-read";
     };
+    const schedulerStatus = (): SchedulerStatus => {
+        if (!jobsLoaded || !tables.isProgressCurrent) {
+            return "starting";
+        }
+        return orders.isBehind() ? "behind" : "current";
+    };
     const pages = watchPages(context);
     const isStuck = (): boolean => {
         const gate = poolGate();
@@ -347,6 +353,7 @@
             inheritedRunsUntilMs: areInheritedRunsKnown(tables, context.monotonicMs())
                 ? undefined
                 : lease.inheritedRunsUntilMs,
+            schedulerStatus: schedulerStatus(),
             undeliveredStarts: storedStarts(undeliveredStarts(tables, context.monotonicMs()), storeAheadMs()),
             vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
--- a/programs/dispatcher/src/run-orders.ts
+++ b/programs/dispatcher/src/run-orders.ts
@@ -11,6 +11,8 @@
 export interface RunOrders {
     /** Sends the orders of a scheduling pass: stops, then starts, then changed speed limits. */
     readonly send: () => void;
+    /** True if for some seconds there were more orders to send than the order window allowed. */
+    readonly isBehind: () => boolean;
 }
 
 export interface RunOrdersOptions {
@@ -22,6 +24,8 @@
 }
 
 const STOP_RESEND_INTERVAL_MS = 400;
+// Longer than a burst fills the window of a scheduler that keeps up.
+const BEHIND_AFTER_MS = 3000;
 
 export const createRunOrders = ({
     context,
@@ -31,6 +35,8 @@
     tickets,
 }: RunOrdersOptions): RunOrders => {
     const speedLimitHistory: SpeedLimitHistory = new Map();
+    /** Monotonic time since which each pass has used up its budget, in milliseconds. */
+    let exhaustedSinceMs: number | undefined;
     const logFieldsOf = ({ task, number, executor }: Run) => ({ task: task.id, run: number, executor: executor.id });
     const stopRuns = (options: StopOptions): void =>
         planStops(tables, options).forEach(run => {
@@ -70,6 +76,8 @@
             stopOrphanedRuns(stopOptions);
             startRuns({ nowMs: context.monotonicMs(), budget });
             setPace(context.monotonicMs());
+            exhaustedSinceMs = budget.isExhausted() ? (exhaustedSinceMs ?? context.monotonicMs()) : undefined;
         },
+        isBehind: () => exhaustedSinceMs !== undefined && context.monotonicMs() - exhaustedSinceMs >= BEHIND_AFTER_MS,
     };
 };
--- a/programs/dispatcher/test/lease-handover.test.ts
+++ b/programs/dispatcher/test/lease-handover.test.ts
@@ -49,6 +49,45 @@
     assert.equal(shouldHandOver({ ...requested, lease }), false);
 });
 
+const starting: HeldBy = { ...heldBySmall, heldMs: 2000, schedulerStatus: "starting", pendingJobs: 3 };
+
+test("a lease whose scheduler starts nothing yet is requested without the ordinary tenure, and handed over", () => {
+    assert.equal(leaseToRequest({ self: idle, others: [small] }, [starting]), "pool/a");
+    assert.equal(shouldHandOver({ ...requested, lease: starting }), true);
+});
+
+test("a scheduler that has just begun is left the time to read a few jobs", () => {
+    const lease = { ...starting, heldMs: 500 };
+    assert.equal(leaseToRequest({ self: idle, others: [small] }, [lease]), undefined);
+    assert.equal(shouldHandOver({ ...requested, lease }), false);
+});
+
+test("of the pools that stand still the one with the most jobs is requested first", () => {
+    const busier: HeldBy = { ...starting, lease: "pool/b", pendingJobs: 1000 };
+    assert.equal(leaseToRequest({ self: idle, others: [small] }, [starting, busier]), "pool/b");
+    const current: HeldBy = { ...busier, heldMs: LONG_MS, schedulerStatus: "current" };
+    assert.equal(leaseToRequest({ self: idle, others: [small] }, [current, starting]), "pool/a");
+});
+
+test("a large VM that holds another lease gets a pool that stands still on a small one", () => {
+    const busy = vmOf("busy", LARGE, 1);
+    assert.equal(leaseToRequest({ self: busy, others: [small] }, [starting]), "pool/a");
+    const requester = { ...requested.requester, heldLeases: 1 };
+    assert.equal(shouldHandOver({ ...requested, requester, lease: starting }), true);
+});
+
+test("a VM that would have less capacity for each lease than the holder gets no pool that stands still", () => {
+    const busy = vmOf("busy", LARGE, 40);
+    assert.equal(leaseToRequest({ self: busy, others: [small] }, [starting]), undefined);
+    const requester = { ...requested.requester, heldLeases: 40 };
+    assert.equal(shouldHandOver({ ...requested, requester, lease: starting }), false);
+});
+
+test("requests for pools that stand still are repeated sooner than others, so that a lost one costs little", () => {
+    assert.equal(leaseToRequest({ self: idle, others: [small] }, [starting], 2000), "pool/a");
+    assert.equal(leaseToRequest({ self: idle, others: [small] }, [heldBySmall], 2000), undefined);
+});
+
 test("an old request is no evidence that its VM is alive", () => {
     assert.equal(shouldHandOver({ ...requested, storeNowMs: 4000 }), false);
 });
--- a/programs/dispatcher/test/lease-placement.test.ts
+++ b/programs/dispatcher/test/lease-placement.test.ts
@@ -7,7 +7,7 @@
 import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
 import type { DispatcherSettings } from "../src/dispatcher-settings.js";
 import { createLeaseManager, type LeaseManager } from "../src/lease-manager.js";
-import { emptyLeaseContent, leaseKey, type LeaseSubject } from "../src/lease-rows.js";
+import { emptyLeaseContent, leaseKey, type LeaseSubject, type SchedulerStatus } from "../src/lease-rows.js";
 import type { VmCapacity } from "../src/vm-capacity.js";
 
 const LARGE: VmCapacity = { processorCores: 1.35, linkMbps: 140 };
@@ -34,6 +34,8 @@
 
 interface Cluster {
     readonly start: (vm: string, capacity: VmCapacity) => Member;
+    /** What the holders store of their schedulers, by the lease's key. */
+    readonly schedulerStatuses: Map<string, SchedulerStatus>;
     /** Returns the VM that holds each lease, by the lease's key. */
     readonly holders: () => ReadonlyMap<string, VmId>;
     readonly pass: (ms: number) => Promise<void>;
@@ -98,6 +100,7 @@
 const startCluster = async (context: TestContext): Promise<Cluster> => {
     const platform = await startStoreStandIn();
     const members: Member[] = [];
+    const schedulerStatuses = new Map<string, SchedulerStatus>();
     context.after(async () => {
         await Promise.all(members.map(({ leases }) => leases.close()));
         await platform.close();
@@ -113,6 +116,7 @@
         );
     return {
         holders,
+        schedulerStatuses,
         pass: ms => passTime(time, ms),
         start: (name, { processorCores, linkMbps }) => {
             const vm = toId<VmId>(name);
@@ -137,7 +141,10 @@
                         stuckOn.has(leaseKey(subject)) &&
                         time.nowMs - (begunAtMs.get(leaseKey(subject)) ?? Infinity) >= STUCK_AFTER_MS,
                     end: () => Promise.resolve(),
-                    content: () => emptyLeaseContent,
+                    content: ({ subject }) => ({
+                        ...emptyLeaseContent,
+                        schedulerStatus: schedulerStatuses.get(leaseKey(subject)),
+                    }),
                     renewed: () => undefined,
                 },
             });
@@ -251,6 +258,49 @@
     assert.equal(cluster.holders().get(leaseKey(fleet)), fleetHolder);
 });
 
+// Jobs may have nothing running for 3 s while there is room for them.
+const LONGEST_STANDSTILL_MS = 3000;
+
+const setStatusOfPools = ({ schedulerStatuses }: Cluster, status: SchedulerStatus): void =>
+    pools.forEach(subject => schedulerStatuses.set(leaseKey(subject), status));
+
+test("pools that small VMs hold and start nothing in go to large VMs within 3 s of their return", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    setStatusOfPools(cluster, "starting");
+    await cluster.allHeld(small);
+    await cluster.allHeld(startMany(cluster, "large", 6, LARGE), LONGEST_STANDSTILL_MS, pools);
+});
+
+test("a single large VM that is back gets all pools that small VMs hold and start nothing in", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    setStatusOfPools(cluster, "starting");
+    await cluster.allHeld(small);
+    await cluster.allHeld([cluster.start("large", LARGE)], pools.length * LONGEST_STANDSTILL_MS, pools);
+});
+
+test("a pool whose small holder cannot start tasks as fast as they come does not wait for an ordinary tenure", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    setStatusOfPools(cluster, "behind");
+    await cluster.allHeld(small);
+    const large = startMany(cluster, "large", 6, LARGE);
+    await cluster.allHeld(large, 2 * LONGEST_STANDSTILL_MS, pools);
+});
+
+test("pools of large VMs that start nothing yet stay where they are, so that they do not go round", async context => {
+    const cluster = await startCluster(context);
+    const holding = startMany(cluster, "a", 2, LARGE);
+    setStatusOfPools(cluster, "starting");
+    await cluster.allHeld(holding);
+    const before = [...cluster.holders()];
+    startMany(cluster, "b", 3, LARGE);
+    startMany(cluster, "c-small", 3, SMALL);
+    await cluster.pass(TENURE_MS);
+    assert.deepEqual([...cluster.holders()], before);
+});
+
 test("no lease is moved between equal VMs, so that a restart of every process does not move all leases", async context => {
     const cluster = await startCluster(context);
     await cluster.allHeld(startMany(cluster, "a", 2, LARGE));
