--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -34,6 +34,12 @@
     readonly [field: string]: unknown;
 }
 
+/** Capacity of a dispatcher's VM, as its settings state it. */
+export interface DispatcherCapacity {
+    readonly processorShare: number;
+    readonly linkMbps: number;
+}
+
 /** Dispatcher processes running against stand-ins for the platform. */
 export interface JobDeployment {
     readonly store: StoreStandIn;
@@ -42,7 +48,11 @@
     readonly executors: readonly ExecutorStandIn[];
     readonly dispatchers: readonly DeployedDispatcher[];
     /** Starts a dispatcher. It reaches the store at the given address instead of the store's own, for example at a relay. */
-    readonly startDispatcher: (vm: string, storeAddress?: string) => Promise<DeployedDispatcher>;
+    readonly startDispatcher: (
+        vm: string,
+        storeAddress?: string,
+        capacity?: DispatcherCapacity,
+    ) => Promise<DeployedDispatcher>;
     readonly close: () => Promise<void>;
 }
 
@@ -90,6 +100,7 @@
 const MAIN = fileURLToPath(new URL("../../../programs/dispatcher/src/main.ts", import.meta.url));
 const TSX = import.meta.resolve("tsx");
 const STOP_TIMEOUT_MS = 5000;
+const DEFAULT_CAPACITY: DispatcherCapacity = { processorShare: 1, linkMbps: 1000 };
 // Time that a move or maintenance of a VM takes.
 const VM_ORDER_MS = 100;
 
@@ -120,7 +131,11 @@
     });
     const dispatchers: DeployedDispatcher[] = [];
     const command = [...(options.nodeFlags ?? []), ...programArguments(options.program)];
-    const startDispatcher = async (vm: string, storeAddress = store.address): Promise<DeployedDispatcher> => {
+    const startDispatcher: JobDeployment["startDispatcher"] = async (
+        vm,
+        storeAddress = store.address,
+        capacity = DEFAULT_CAPACITY,
+    ) => {
         const started = await spawnDispatcher({
             command,
             directory,
@@ -128,6 +143,7 @@
             storeAddress,
             vmServiceAddress: vms.address,
             enforcesFencing: options.vmService?.enforcesFencing ?? true,
+            capacity,
         });
         dispatchers.push(started);
         return started;
@@ -320,6 +336,7 @@
     readonly storeAddress: string;
     readonly vmServiceAddress: string;
     readonly enforcesFencing: boolean;
+    readonly capacity: DispatcherCapacity;
 }
 
 const spawnDispatcher = async ({
@@ -329,6 +346,7 @@
     storeAddress,
     vmServiceAddress,
     enforcesFencing,
+    capacity,
 }: DispatcherSpawn): Promise<DeployedDispatcher> => {
     const [entryPort, readyPort, metricsPort] = await freePorts(3);
     const file = join(directory, `${vm}.json`);
@@ -343,9 +361,8 @@
         vmServiceAddress,
         vmOrderFencing: enforcesFencing ? "enforced" : "not-enforced",
         adviceAddress: "",
-        processorShare: 1,
+        ...capacity,
         processorSpeed: 1,
-        linkMbps: 1000,
         stopGraceSeconds: 6,
         maxLeaseMs: 6000,
         stopTimeMs: 200,
