--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -3,7 +3,7 @@
 import type { CandidateContent, HandoverRequest } from "./candidate-rows.js";
 import type { CandidateView } from "./candidate-view.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
-import { leaseToRequest, MAX_REQUEST_VALIDITY_MS, shouldHandOver } from "./lease-handover.js";
+import { isUrgent, leaseToRequest, MAX_REQUEST_VALIDITY_MS, shouldHandOver } from "./lease-handover.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import { createLeaseTenures } from "./lease-tenures.js";
 import type { LeaseView } from "./lease-view.js";
@@ -125,15 +125,15 @@
     };
     const requestHandover = (): void => {
         const atMs = context.store.nowMs();
-        if (subjects().some(isAvailable)) {
-            return;
-        }
+        // A VM that may acquire an available lease does so first, unless a pool stands still meanwhile.
+        const mayAcquire = subjects().some(isAvailable);
         const lease = leaseToRequest(
             rank(),
             subjects()
                 .filter(subject => mayBeHandedOver(subject) && !standsAside(subject))
                 .map(tenures.heldBy)
-                .filter(lease => lease !== undefined),
+                .filter(held => held !== undefined)
+                .filter(held => !mayAcquire || isUrgent(held)),
             atMs - (request?.atMs ?? Number.NEGATIVE_INFINITY),
         );
         if (lease !== undefined) {
--- a/programs/dispatcher/src/lease-handover.ts
+++ b/programs/dispatcher/src/lease-handover.ts
@@ -80,7 +80,8 @@
     }
 };
 
-const isUrgent = (lease: HeldBy): boolean => rulesFor(lease) !== ORDINARY_RULES;
+/** True if tasks wait for the handover of the lease to a larger VM. */
+export const isUrgent = (lease: HeldBy): boolean => rulesFor(lease) !== ORDINARY_RULES;
 
 // A lease moves to a clearly larger VM only, so it cannot go back and forth.
 const mayMove = (lease: HeldBy, holder: RankedVm, to: RankedVm): boolean =>
