--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -127,18 +127,16 @@
         const atMs = context.store.nowMs();
         // A VM that may acquire an available lease does so first, unless a pool stands still meanwhile.
         const mayAcquire = subjects().some(isAvailable);
-        const lease = leaseToRequest(
-            rank(),
-            subjects()
-                .filter(subject => mayBeHandedOver(subject) && !standsAside(subject))
-                .map(tenures.heldBy)
-                .filter(held => held !== undefined)
-                .filter(held => !mayAcquire || isUrgent(held)),
-            atMs - (request?.atMs ?? Number.NEGATIVE_INFINITY),
-        );
+        const leases = subjects()
+            .filter(subject => mayBeHandedOver(subject) && !standsAside(subject))
+            .map(tenures.heldBy)
+            .filter(held => held !== undefined)
+            .filter(held => !mayAcquire || isUrgent(held));
+        const lease = leaseToRequest(rank(), leases, atMs - (request?.atMs ?? Number.NEGATIVE_INFINITY));
         if (lease !== undefined) {
             request = { lease, atMs };
-            context.log("lease-requested", { lease });
+            const { holder, schedulerStatus } = leases.find(held => held.lease === lease) ?? {};
+            context.log("lease-requested", { lease, holder, schedulerStatus });
         }
     };
     const announce = async (): Promise<void> => {
