--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -32,7 +32,7 @@
  * Whether the scheduler of a pool keeps up with its work: `starting` until it can start tasks of the jobs that it has taken
  * over, `behind` while tasks wait only because it cannot send orders faster, `current` otherwise.
  */
-export const schedulerStatuses = ["starting", "behind", "current"] as const;
+const schedulerStatuses = ["starting", "behind", "current"] as const;
 export type SchedulerStatus = (typeof schedulerStatuses)[number];
 
 /** A request to a pool to evacuate a VM. */
