Don't count progress that was under way while inherited runs became unknown

Cause: the second reading of progress was dropped only between two of its attempts. One that was under way while an executor restarted, or a new one was registered, counted when it ended, although the former holder may have stored and acknowledged an end on that executor after the page was read.

Change: a reading counts only if the inherited runs have been known in all passes since it began, and are when it ends.

--- a/programs/dispatcher/src/reload-progress.ts
+++ b/programs/dispatcher/src/reload-progress.ts
@@ -26,29 +26,35 @@
     const reportError = createErrorReporter({ context, part: "progress-reload" });
     let isReading = false;
     let reading: RangeReading | undefined;
+    const areRunsKnown = (): boolean => areInheritedRunsKnown(tables, context.monotonicMs());
     return () => {
-        if (tables.isProgressCurrent || isReading) {
+        if (tables.isProgressCurrent) {
             return;
         }
-        if (!areInheritedRunsKnown(tables, context.monotonicMs())) {
+        if (!areRunsKnown()) {
             // The previous scheduler may store further ends, so pages that were read before do not count.
             reading = undefined;
             return;
         }
+        if (isReading) {
+            return;
+        }
         isReading = true;
-        reading ??= createProgressReading(context, tables);
-        void readProgress({ context, tables, reading })
+        const attempted = (reading ??= createProgressReading(context, tables));
+        void readProgress({ context, tables, reading: attempted })
             .catch((error: unknown) => {
                 reportError(error);
                 reading = undefined;
                 return false;
             })
             .then(async isRead => {
+                const haveRunsStayedKnown = reading === attempted && areRunsKnown();
+                reading = haveRunsStayedKnown ? reading : undefined;
+                tables.isProgressCurrent = isRead && haveRunsStayedKnown;
                 if (!isRead) {
                     await sleep(RETRY_DELAY_MS);
                 }
                 isReading = false;
-                tables.isProgressCurrent = isRead;
                 reloaded();
             });
     };
