Read only the changes of progress after a takeover

Change: it reads the change feed of the table from the state of the store of which it has read the jobs, one call if the answer is complete. That state, since the progress of a job that was accepted between the readings of jobs and of progress is not taken from the latter.

The tests of the full reading say that there is no earlier state; their assertions are unchanged.

Not done: jobs and progress side by side. A job that is accepted in between would have no progress, and such a job is not started; the link is bound by the descriptions.

--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/job-feed.ts
@@ -139,7 +139,7 @@
 }
 
 // Jobs are read before progress. A job that is accepted between the two reads is missing in the first one and is
-// delivered by the change feed.
+// delivered by the change feed. If both were read side by side, such a job could have no progress, and not be started.
 const createJobsReading = ({ context, pool }: JobFeedOptions): JobsReading => {
     const tables = jobTablesOf(pool);
     const jobsReading = createRangeReading(context.store, { table: tables.jobs, part: tables.part });
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -32,7 +32,7 @@
 import { createProgressWriter } from "./progress-writer.js";
 import { createProgressReload } from "./reload-progress.js";
 import { inheritedWaitMs, leaseGateOf, mayActOnLease, RUN_LEASE_MS, type LeaseStatus } from "./run-leases.js";
-import { watchPages } from "./read-all.js";
+import { watchPages, type StorePoint } from "./read-all.js";
 import { createRunLog } from "./run-log.js";
 import { createRunOrders } from "./run-orders.js";
 import { createStepTickets } from "./step-tickets.js";
@@ -93,6 +93,7 @@
     let stopping = false;
     let jobsLoaded = false;
     let jobsAsOf = lease.predecessor?.pendingAsOf;
+    let jobsFirstReadAsOf: StorePoint | undefined;
     let lastCompletedEvacuations = "";
     const demandHistory = createDemandHistory();
     let demand = lease.predecessor?.demand;
@@ -227,6 +228,7 @@
     const reloadProgress = createProgressReload({
         context,
         tables,
+        jobsReadAsOf: () => jobsFirstReadAsOf,
         reloaded: () => {
             writer.request();
             requestPass();
@@ -333,7 +335,10 @@
             finished: finishedJobRows.add,
             cancelled: admission.cancel,
             changed: onJobsChanged,
-            readUpTo: point => (jobsAsOf = point),
+            readUpTo: point => {
+                jobsAsOf = point;
+                jobsFirstReadAsOf ??= point;
+            },
         },
     });
 
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -33,6 +33,7 @@
     read: (table: string) => Promise<Reading>,
     log: DecisionLog = () => undefined,
     monotonicMs: () => number = () => performance.now(),
+    changes: (request: Parameters<TableStore["changes"]>[0]) => Promise<Reading> = never,
 ): { readonly scheduler: PoolScheduler; readonly lease: HeldLease } => {
     const lease: HeldLease = {
         subject: { kind: "pool", pool: POOL },
@@ -56,7 +57,7 @@
             store: {
                 nowMs: () => performance.now(),
                 read: ({ table }: { readonly table: string }) => read(table),
-                changes: never,
+                changes,
             },
         } as unknown as DispatcherContext,
         pool: POOL,
@@ -127,6 +128,43 @@
     assert.deepEqual(content.pendingAsOf, { version: 60, atMs: 2000 });
 });
 
+// The progress of a job that was accepted between the two readings is not taken from the second one, and the former holder may
+// have stored an end of it before that.
+test("changes of progress are read from the state of the jobs, not from that of the progress or of later jobs", async () => {
+    const requests: { readonly table: string; readonly after: number }[] = [];
+    let jobChanges = 0;
+    const { scheduler } = takeOver(
+        PREDECESSOR,
+        table =>
+            Promise.resolve({
+                kind: "rows",
+                rows: [],
+                version: table === TABLES.jobs ? 60 : 65,
+                nowMs: 2000,
+                truncated: false,
+            }),
+        () => undefined,
+        () => performance.now(),
+        ({ table, after }) => {
+            requests.push({ table, after });
+            jobChanges += table === TABLES.jobs ? 1 : 0;
+            return jobChanges === 1
+                ? Promise.resolve({ kind: "rows", rows: [], version: 70, nowMs: 2100, truncated: false })
+                : never();
+        },
+    );
+    const endMs = performance.now() + 5000;
+    while (!requests.some(({ table }) => table === TABLES.progress) && performance.now() < endMs) {
+        await sleep(10);
+    }
+    await scheduler.stop();
+    assert.ok(
+        requests.some(({ table, after }) => table === TABLES.jobs && after === 70),
+        "later jobs were not read",
+    );
+    assert.equal(requests.find(({ table }) => table === TABLES.progress)?.after, 60);
+});
+
 test("a holder that cannot read the jobs of its pool names that after 3 s, since it starts nothing until then", async () => {
     const logged = new EventEmitter();
     const waiting = once(logged, "pool-waiting");
--- a/programs/dispatcher/test/reload-progress-failures.test.ts
+++ b/programs/dispatcher/test/reload-progress-failures.test.ts
@@ -48,6 +48,7 @@
             monotonicMs: () => 0,
         } as unknown as DispatcherContext,
         tables,
+        jobsReadAsOf: () => undefined,
         reloaded: () => undefined,
     });
     while (remaining.length > 0) {
@@ -113,6 +114,7 @@
             monotonicMs: () => performance.now(),
         } as unknown as DispatcherContext,
         tables: emptyTables(),
+        jobsReadAsOf: () => undefined,
         reloaded: throttle.request,
     });
     throttle.request();
