--- a/programs/dispatcher/test/reload-progress.test.ts
+++ b/programs/dispatcher/test/reload-progress.test.ts
@@ -34,6 +34,7 @@
     const reload = createProgressReload({
         context: { store, monotonicMs: () => 0 } as unknown as DispatcherContext,
         tables,
+        jobsReadAsOf: () => undefined,
         reloaded: () => attempts++,
     });
     return async () => {
