Close a job whose progress the store rejects once it hides other ends

Cause: an executor lists 500 ends at a time and the further ones once these are acknowledged, which waits for all jobs that they have changed.

Change: after three rejections in a row, the last retry being due, and only while an executor that lists a part of its ends has one of the job, the final state `failed` is stored, which has no tasks and so fits its row. If the store rejects that too, the rows of a cancellation are stored, under the version of the progress that this holder knows. Only once one of the two is stored does the job end in memory and are its ends acknowledged; with either of them no later holder, of this version or an earlier one, starts a task of it. A store that rejects everything for a while, or does not answer, ends no job. Progress that is missing or cannot be read is not given up.

Failed trial: ending the job in memory before its final state was stored. A store that rejects all calls for a while would then have ended all such jobs.

--- a/programs/dispatcher/src/progress-batches.ts
+++ b/programs/dispatcher/src/progress-batches.ts
@@ -8,6 +8,8 @@
     readonly job: OpenJob;
     readonly value: string;
     readonly final: boolean;
+    /** The final state of a job that is closed as failed because the store does not accept its progress. */
+    readonly isGivenUp: boolean;
 }
 
 const MAX_ROWS_PER_TRANSACTION = 40;
@@ -24,9 +26,18 @@
         job,
         value: encodeProgress(withCheckpoints ? progress : withoutCheckpoints(progress)),
         final: isJobEnded(job),
+        isGivenUp: false,
     };
 };
 
+/** Encodes the final state of a job whose progress the store does not accept; it has no tasks, so the store takes it. */
+export const encodeGivenUp = (job: OpenJob): ProgressWrite => ({
+    job,
+    value: encodeProgress({ state: "failed", steps: [] }),
+    final: true,
+    isGivenUp: true,
+});
+
 const withoutCheckpoints = ({ state, steps }: Progress): Progress => ({
     state,
     steps: steps.map(step => ({ ...step, checkpoints: [] })),
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/progress-writer.ts
@@ -1,13 +1,15 @@
 import type { Row, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
-import type { AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { endJob, type AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { isJobEnded } from "@almondusher/scheduler/job-progress";
 import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
 import { createErrorReporter } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
 import { jobTablesOf, progressRow } from "./job-rows.js";
-import { encodeWrite, hasCheckpoints, toBatches, type ProgressWrite } from "./progress-batches.js";
+import { encodeGivenUp, encodeWrite, hasCheckpoints, toBatches, type ProgressWrite } from "./progress-batches.js";
 import { readStoredProgress } from "./read-stored-rows.js";
 import { createUnstoredEndTracker, type UnstoredEnds } from "./unstored-ends.js";
+import { withdrawJob } from "./withdraw-job.js";
 
 /** Stores the progress of jobs. Run ends are acknowledged to executors only after they are stored. */
 export interface ProgressWriter {
@@ -31,9 +33,13 @@
     readonly mayStore: () => boolean;
 }
 
+/** Why progress could not be stored, though it may be later. */
+type HoldBackCause = "rejected" | "not-encoded" | "row-missing" | "row-unreadable";
+
 /** A job whose progress the store does not accept; it is written apart from the others, at growing intervals. */
 interface RejectedJob {
     readonly rejections: number;
+    readonly cause: HoldBackCause;
     isRetryDue: boolean;
 }
 
@@ -42,6 +48,8 @@
 const RETRY_DELAY_MS = 50;
 const REJECTED_RETRY_DELAY_MS = 500;
 const MAX_REJECTED_RETRY_DELAY_MS = 8000;
+// The last of them is 1.5 s after the first one.
+const MIN_REJECTIONS_TO_GIVE_UP = 3;
 const FLUSH_POLL_INTERVAL_MS = 10;
 
 export const createProgressWriter = (options: ProgressWriterOptions): ProgressWriter => {
@@ -65,7 +73,10 @@
     };
     const writeAll = async (): Promise<boolean> => {
         const ends = unstoredEnds.takeAll();
-        const onStored: OnStored = ({ job, final }, version) => {
+        const onStored: OnStored = ({ job, final, isGivenUp }, version) => {
+            if (isGivenUp) {
+                endGivenUp(job, "failed");
+            }
             job.progressVersion = version;
             rejectedJobs.delete(job);
             ends.filter(({ jobs }) => jobs.delete(job) && jobs.size === 0).forEach(acknowledge);
@@ -75,20 +86,33 @@
         };
         ends.filter(({ jobs }) => jobs.size === 0).forEach(acknowledge);
         const jobs = dirtyJobs();
+        const retried = jobs.filter(job => rejectedJobs.get(job)?.isRetryDue);
+        const givenUp = retried.filter(job => isHopeless(job) && isHidingEnds(job, ends));
         const batches = [
             ...toBatches(encodeAll(jobs.filter(job => !rejectedJobs.has(job)))),
-            ...encodeAll(jobs.filter(job => rejectedJobs.get(job)?.isRetryDue)).map(write => [write]),
+            ...encodeAll(retried.filter(job => !givenUp.includes(job))).map(write => [write]),
+            ...givenUp.map(job => [encodeGivenUp(job)]),
         ];
         const results = await Promise.all(batches.map(batch => writeBatch(batch, onStored)));
         ends.filter(({ jobs }) => jobs.size > 0).forEach(unstoredEnds.putBack);
         return results.every(ok => ok);
     };
+    const isHopeless = (job: OpenJob): boolean => {
+        const rejected = rejectedJobs.get(job);
+        return !isJobEnded(job) && rejected?.cause === "rejected" && rejected.rejections >= MIN_REJECTIONS_TO_GIVE_UP;
+    };
+    // Called only once a row that closes the job is stored: a store that rejects everything for a while ends no job.
+    const endGivenUp = (job: OpenJob, state: "failed" | "cancelled"): void => {
+        context.metrics.count("jobs_given_up");
+        context.log("job-given-up", { job: job.id, state, rejections: rejectedJobs.get(job)?.rejections });
+        endJob(job, state);
+    };
     const encodeAll = (jobs: readonly OpenJob[]): readonly ProgressWrite[] =>
         jobs.flatMap(job => {
             try {
                 return [encodeWrite(job, { withCheckpoints: !jobsWithoutCheckpoints.has(job) })];
             } catch (error) {
-                holdBack(job, String(error));
+                holdBack(job, "not-encoded", String(error));
                 return [];
             }
         });
@@ -122,9 +146,7 @@
             case "conflict":
                 return applyConflict(batch, commit.rows, onStored);
             case "rejected":
-                return leaveOutCheckpoints(batch)
-                    ? writeBatch(encodeAll(batch.map(({ job }) => job)), onStored)
-                    : writeApart(batch, commit.reason, onStored);
+                return applyRejection(batch, commit.reason, onStored);
             case "not-run":
             case "unknown":
                 markDirty(batch);
@@ -132,6 +154,36 @@
                 return false;
         }
     };
+    const applyRejection = async (
+        batch: readonly ProgressWrite[],
+        reason: string,
+        onStored: OnStored,
+    ): Promise<boolean> => {
+        const [first] = batch;
+        if (first?.isGivenUp) {
+            return withdraw(first, onStored);
+        }
+        return leaveOutCheckpoints(batch)
+            ? writeBatch(encodeAll(batch.map(({ job }) => job)), onStored)
+            : writeApart(batch, "rejected", reason, onStored);
+    };
+    // The store does not even accept the final state.
+    const withdraw = async (write: ProgressWrite, onStored: OnStored): Promise<boolean> => {
+        const { job } = write;
+        const withdrawal = await withdrawJob(context, jobTables, job);
+        switch (withdrawal.kind) {
+            case "withdrawn":
+                endGivenUp(job, "cancelled");
+                onStored({ ...write, isGivenUp: false }, job.progressVersion);
+                return true;
+            case "rejected":
+                return writeApart([write], "rejected", withdrawal.reason, onStored);
+            case "failed":
+                markDirty([write]);
+                context.metrics.count("progress_writes_failed");
+                return false;
+        }
+    };
     // A task without a stored checkpoint starts over after a takeover, while one whose end is not stored holds up its executor.
     const leaveOutCheckpoints = (batch: readonly ProgressWrite[]): boolean => {
         const [first, ...others] = batch;
@@ -155,7 +207,7 @@
         onStored: OnStored,
     ): Promise<boolean> => {
         if (!batch.some(({ job }) => conflictingRow(job, rows) !== undefined)) {
-            return writeApart(batch, "the stored progress is missing", onStored);
+            return writeApart(batch, "row-missing", "the stored progress is missing", onStored);
         }
         batch.forEach(write => resolveConflict(write, conflictingRow(write.job, rows), onStored));
         return batch.every(({ job }) => !job.dirty);
@@ -163,13 +215,14 @@
     // The store rejects a transaction as a whole, also if it does not accept only one of its rows.
     const writeApart = async (
         batch: readonly ProgressWrite[],
+        cause: HoldBackCause,
         reason: string,
         onStored: OnStored,
     ): Promise<boolean> => {
         markDirty(batch);
         const [first, ...others] = batch;
         if (first !== undefined && others.length === 0) {
-            holdBack(first.job, reason);
+            holdBack(first.job, cause, reason);
             return true;
         }
         const middle = Math.ceil(batch.length / 2);
@@ -180,9 +233,9 @@
         );
         return results.every(ok => ok);
     };
-    const holdBack = (job: OpenJob, reason: string): void => {
+    const holdBack = (job: OpenJob, cause: HoldBackCause, reason: string): void => {
         const rejections = (rejectedJobs.get(job)?.rejections ?? 0) + 1;
-        const rejected: RejectedJob = { rejections, isRetryDue: false };
+        const rejected: RejectedJob = { rejections, cause, isRetryDue: false };
         rejectedJobs.set(job, rejected);
         context.metrics.count("progress_writes_rejected");
         context.log("progress-rejected", { job: job.id, reason, rejections });
@@ -208,7 +261,7 @@
         job.dirty = true;
         const progress = row === undefined ? undefined : readStoredProgress(context, row);
         if (row !== undefined && progress === undefined) {
-            holdBack(job, "the stored progress cannot be read");
+            holdBack(job, "row-unreadable", "the stored progress cannot be read");
         }
         if (row !== undefined && progress !== undefined) {
             mergeProgress(tables, job, { progress, version: row.version });
@@ -255,3 +308,7 @@
 
 const conflictingRow = (job: OpenJob, rows: readonly Row[]): Row | undefined =>
     rows.find(({ key, version }) => key === job.id && version !== job.progressVersion);
+
+// An executor lists its further ends only once the first ones are acknowledged, which waits for the job.
+const isHidingEnds = (job: OpenJob, ends: readonly UnstoredEnds[]): boolean =>
+    ends.some(({ executor, jobs }) => executor.hasUnreadEnds && jobs.has(job));
