Keep completed waves as ranges of numbers in the fleet's lease row

The row grew without a bound; beyond 65,536 bytes the store rejects the renewals of the fleet's lease.

Change: once the completion of a wave is stored for the operator, its number goes into ranges (`completedWaves`), and a successor does not open it. Until then its VMs stay in the row, so that a successor completes and publishes it. 500 VMs of the latest completed waves stay for holders of earlier versions, which drop the ranges and evacuate the VMs of a completed wave again if they do not find them; the platform answers that such a maintenance is done.

A takeover no longer publishes the completion of each former wave again. A VM that comes back to the fleet after its wave was completed without it is no longer maintained after a takeover; without one it was not before.

What remains: the VMs of the waves that are open at the same time are all in the row, and numbers with gaps take a range each.

--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -12,6 +12,8 @@
 import type { OperatorFeed, RequestedWave } from "./operator-feed.js";
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
 import { createFleetOrders } from "./fleet-orders.js";
+import { maintainedVmsToStore } from "./maintained-vms.js";
+import { addToRanges, isInRanges } from "./number-ranges.js";
 import { createWaveStatusPublisher } from "./wave-status-publisher.js";
 import { orderTimeoutMs } from "./vm-order-limits.js";
 
@@ -63,7 +65,9 @@
         holder: context.vm,
         fencingToken: lease.epoch,
     });
+    const inherited: LeaseContent = lease.predecessor ?? emptyLeaseContent;
     const waves = new Map<number, Wave>();
+    let completedWaves = inherited.completedWaves;
     const evacuations = createFleetEvacuations({ context, lease });
     let vms: ReadonlyMap<VmId, FleetVm> = new Map();
     let lastListedAtMs = Number.NEGATIVE_INFINITY;
@@ -85,12 +89,13 @@
         isActive,
         mayPublish: mayAct,
         sleep,
+        onCompletionStored: wave => (completedWaves = addToRanges(completedWaves, wave)),
     });
     const addWave = ({ request, firstReadAtMs }: RequestedWave): void => {
-        if (waves.has(request.wave)) {
+        if (waves.has(request.wave) || isInRanges(completedWaves, request.wave)) {
             return;
         }
-        const maintained = lease.predecessor?.maintained.find(({ wave }) => wave === request.wave)?.vms ?? [];
+        const maintained = inherited.maintained.find(({ wave }) => wave === request.wave)?.vms ?? [];
         waves.set(request.wave, {
             number: request.wave,
             vms: request.vms,
@@ -329,7 +334,12 @@
         leaseContent: () => ({
             ...emptyLeaseContent,
             evacuations: evacuations.stored(),
-            maintained: [...waves.values()].map(({ number, confirmed }) => ({ wave: number, vms: [...confirmed] })),
+            maintained: maintainedVmsToStore({
+                inherited: inherited.maintained,
+                waves: [...waves.values()],
+                completed: completedWaves,
+            }),
+            completedWaves,
         }),
         stop: () => {
             active = false;
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/lease-rows.ts
@@ -4,6 +4,7 @@
 import { parseJson } from "@almondusher/jobs/json-text";
 import type { PoolDemand } from "@almondusher/scheduler/demand";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
+import type { NumberRanges } from "./number-ranges.js";
 import type { StorePoint } from "./read-all.js";
 import { storedStartsSchema, type StoredStart } from "./undelivered-start-rows.js";
 
@@ -45,7 +46,7 @@
 }
 
 /** VMs of a maintenance wave whose maintenance order is confirmed. */
-interface WaveMaintenance {
+export interface WaveMaintenance {
     readonly wave: number;
     readonly vms: readonly VmId[];
 }
@@ -81,6 +82,11 @@
     readonly evacuations: readonly Evacuation[];
     /** Used only in the lease of the fleet manager. */
     readonly maintained: readonly WaveMaintenance[];
+    /**
+     * Numbers of the waves whose completion is stored for the operator, so that they are over whatever `maintained` contains.
+     * Used only in the lease of the fleet manager; empty in rows written by earlier versions.
+     */
+    readonly completedWaves: NumberRanges;
 }
 
 export const LEASE_TABLE = "leases";
@@ -123,6 +129,7 @@
         }),
     ),
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
+    completedWaves: z.array(z.tuple([z.int(), z.int()])).catch([]),
 });
 
 /** Content that a holder stores in its lease, without the fields that identify the holder and its run numbers. */
@@ -139,6 +146,7 @@
     demand: undefined,
     evacuations: [],
     maintained: [],
+    completedWaves: [],
 };
 
 /** Returns the row key of a lease. */
--- a/programs/dispatcher/src/wave-status-publisher.ts
+++ b/programs/dispatcher/src/wave-status-publisher.ts
@@ -20,6 +20,8 @@
     /** False while another process may hold the lease: the states published by that process must not be overwritten. */
     readonly mayPublish: () => boolean;
     readonly sleep: (ms: number) => Promise<void>;
+    /** Called once the completion of a wave is stored. */
+    readonly onCompletionStored: (wave: number) => void;
 }
 
 const RETRY_DELAY_MS = 400;
@@ -30,6 +32,7 @@
     isActive,
     mayPublish,
     sleep,
+    onCompletionStored,
 }: WaveStatusPublisherOptions): WaveStatusPublisher => {
     const states = new Map<number, WaveState>();
     const writing = new Set<number>();
@@ -50,6 +53,9 @@
             if (commit.kind === "committed") {
                 stored = state;
                 log("wave-state", { wave, state });
+                if (state === "completed") {
+                    onCompletionStored(wave);
+                }
             } else if (commit.kind === "conflict") {
                 stored = state;
             } else {
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -50,6 +50,8 @@
     ordersUnanswered: boolean;
     /** Status of the answers to orders. */
     orderStatus: number;
+    /** True if transactions fail. */
+    isStoreDown: boolean;
     /** Rows that the fleet manager has stored, other than its lease. */
     readonly stored: readonly string[];
     /** Pool leases as the fleet manager reads them. */
@@ -146,6 +148,9 @@
             store: {
                 nowMs: () => 0,
                 transact: ({ writes }: { readonly writes: readonly { readonly value: string }[] }) => {
+                    if (started.isStoreDown) {
+                        return Promise.resolve({ kind: "not-run", reason: "status 503" });
+                    }
                     stored.push(...writes.map(({ value }) => value));
                     return Promise.resolve({ kind: "committed", version: 1, nowMs: 0 });
                 },
@@ -176,6 +181,7 @@
         spareVms: 0,
         ordersUnanswered: false,
         orderStatus: 200,
+        isStoreDown: false,
         stored,
         records,
         waves,
@@ -379,3 +385,48 @@
     fleet.ordersUnanswered = false;
     await waitUntil("all orders", () => new Set(fleet.orders).size > 0 && fleet.orders.length >= SPARE_VMS);
 });
+
+const requestOf = (wave: number): RequestedWave => ({
+    request: { wave, vms: [VM], withinMs: 60_000, maxConcurrent: 1 },
+    firstReadAtMs: performance.now(),
+});
+
+test("a successor does not maintain the VMs of a completed wave again, although the row no longer names them", async context => {
+    const fleet = await startFleet(context, {
+        listedPool: SPARE_POOL,
+        predecessor: recordOf({ completedWaves: [[1, 2]] }),
+    });
+    fleet.waves.push(requestOf(2), requestOf(3));
+    await waitUntil("the order of the next wave", () => fleet.orders.length > 0);
+    await waitUntil("the completion", () => fleet.stored.some(value => value.includes("completed")));
+    assert.deepEqual(fleet.orders, ["/-/machine-upkeep"]);
+    assert.ok(!fleet.stored.some(value => value.includes('"wave":2')), "the completed wave is published again");
+    await waitUntil("the record", () => fleet.manager.leaseContent().completedWaves.length > 0);
+    assert.deepEqual(fleet.manager.leaseContent().completedWaves, [[1, 3]]);
+});
+
+// Otherwise nobody publishes it after a takeover.
+test("a wave does not count as completed in the row before its completion is stored", async context => {
+    const fleet = await startFleet(context, { listedPool: SPARE_POOL });
+    fleet.isStoreDown = true;
+    fleet.waves.push(requestOf(1));
+    const maintained = (): readonly VmId[] => fleet.manager.leaseContent().maintained.flatMap(({ vms }) => vms);
+    await waitUntil("the maintenance", () => maintained().length > 0);
+    await sleep(SEVERAL_TICKS_MS);
+    assert.deepEqual(fleet.manager.leaseContent().completedWaves, []);
+    assert.deepEqual(maintained(), [VM]);
+    fleet.isStoreDown = false;
+    await waitUntil("the record", () => fleet.manager.leaseContent().completedWaves.length > 0);
+    assert.ok(fleet.stored.some(value => value.includes("completed")));
+});
+
+test("a successor completes a wave whose VMs were all maintained but whose completion was not stored", async context => {
+    const fleet = await startFleet(context, {
+        listedPool: SPARE_POOL,
+        predecessor: recordOf({ maintained: [{ wave: 1, vms: [VM] }] }),
+    });
+    fleet.waves.push(requestOf(1));
+    await waitUntil("the completion", () => fleet.stored.some(value => value.includes("completed")));
+    assert.deepEqual(fleet.orders, []);
+    assert.deepEqual(fleet.manager.leaseContent().completedWaves, [[1, 1]]);
+});
--- a/programs/dispatcher/test/wave-status-publisher.test.ts
+++ b/programs/dispatcher/test/wave-status-publisher.test.ts
@@ -17,6 +17,7 @@
     isActive: () => true,
     mayPublish: () => true,
     sleep: nextTurn,
+    onCompletionStored: () => undefined,
 };
 
 test("a wave completed during a store outage is never published as running afterwards", async () => {
