--- a/programs/dispatcher/test/reload-progress.test.ts
+++ b/programs/dispatcher/test/reload-progress.test.ts
@@ -79,3 +79,16 @@
     assert.ok(tables.isProgressCurrent);
     assert.equal(store.mostReadsOfARow(), 2, "the first page is read again");
 });
+
+test("progress whose last page is under way while inherited runs become unknown does not count", async () => {
+    const tables = emptyTables();
+    tables.inheritedWaitUntilMs = Number.POSITIVE_INFINITY;
+    const executor = { reconciled: true, reachable: true } as Executor;
+    tables.executors.set(toId<ExecutorId>("i-1"), executor);
+    const store = storeOf(() => {
+        executor.reconciled = false;
+        return "answered";
+    });
+    await passesOf(store, tables)();
+    assert.equal(tables.isProgressCurrent, false);
+});
