Keep maintained VMs over a takeover that has not read the waves

Cause: a fleet manager stored only the maintained VMs of waves that it had opened. One that took the lease over before it had read the operator's rows dropped the entries of its predecessor from the row with its first renewal; if it failed then, the next one maintained these VMs again.

Change: entries of the predecessor stay in the row until the operator's rows have been read, of which the configuration is one. Entries of waves that are no longer requested are dropped then, as before.

Before: the test of the fleet manager fails (a trial with the rows counted as read from the start: 1 test). After: it passes, as do the others of the files.

--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet-manager.ts
@@ -77,6 +77,7 @@
     /** The last lists without rows that could not be read; one that has some does not show that a VM has left. */
     let lastCompleteLists: readonly VmList[] = [];
     let active = true;
+    let areWavesRead = false;
     let lastLoggedNeeds = "";
     const forecast = createSurgeForecast();
 
@@ -299,6 +300,8 @@
     };
     const tick = (): void => {
         operator.waves().forEach(addWave);
+        // The configuration is one of the operator's rows, which are all applied together when they are read first.
+        areWavesRead ||= operator.configuration() !== undefined;
         if (!mayAct()) {
             return;
         }
@@ -338,6 +341,7 @@
                 inherited: inherited.maintained,
                 waves: [...waves.values()],
                 completed: completedWaves,
+                areWavesRead,
             }),
             completedWaves,
         }),
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -52,6 +52,8 @@
     orderStatus: number;
     /** True if transactions fail. */
     isStoreDown: boolean;
+    /** False while the operator's rows were not read. */
+    isConfigurationRead: boolean;
     /** Rows that the fleet manager has stored, other than its lease. */
     readonly stored: readonly string[];
     /** Pool leases as the fleet manager reads them. */
@@ -73,7 +75,15 @@
 /** Starts a fleet manager whose lease is always held, with one VM. */
 const startFleet = async (
     context: TestContext,
-    { listedPool, predecessor }: { readonly listedPool: PoolName | undefined; readonly predecessor?: LeaseRecord },
+    {
+        listedPool,
+        predecessor,
+        isConfigurationRead = true,
+    }: {
+        readonly listedPool: PoolName | undefined;
+        readonly predecessor?: LeaseRecord;
+        readonly isConfigurationRead?: boolean;
+    },
 ): Promise<StartedFleet> => {
     const orders: string[] = [];
     const stored: string[] = [];
@@ -157,7 +167,10 @@
             },
         } as unknown as DispatcherContext,
         lease,
-        operator: { configuration: () => ({ pools }), waves: () => waves } as unknown as OperatorFeed,
+        operator: {
+            configuration: () => (started.isConfigurationRead ? { pools } : undefined),
+            waves: () => waves,
+        } as unknown as OperatorFeed,
         leases: {
             freshRecord: ({ pool }: { readonly pool: PoolName }) => records.get(pool),
             renew: () => Promise.resolve(true),
@@ -182,6 +195,7 @@
         ordersUnanswered: false,
         orderStatus: 200,
         isStoreDown: false,
+        isConfigurationRead,
         stored,
         records,
         waves,
@@ -430,3 +444,17 @@
     assert.deepEqual(fleet.orders, []);
     assert.deepEqual(fleet.manager.leaseContent().completedWaves, [[1, 1]]);
 });
+
+test("a fleet manager that has not read the operator's rows yet keeps what was maintained", async context => {
+    const maintained = [{ wave: 1, vms: [VM] }];
+    const fleet = await startFleet(context, {
+        listedPool: SPARE_POOL,
+        predecessor: recordOf({ maintained }),
+        isConfigurationRead: false,
+    });
+    await sleep(SEVERAL_TICKS_MS);
+    assert.deepEqual(fleet.manager.leaseContent().maintained, maintained);
+    fleet.isConfigurationRead = true;
+    const isDropped = (): boolean => fleet.manager.leaseContent().maintained.length === 0;
+    await waitUntil("the end of an entry without a request", isDropped);
+});
--- a/programs/dispatcher/test/maintained-vms.test.ts
+++ b/programs/dispatcher/test/maintained-vms.test.ts
@@ -24,6 +24,7 @@
         inherited: numbers.map(entryOf),
         waves: [{ number: 501, confirmed: new Set(vmsOf(501)) }],
         completed,
+        areWavesRead: true,
     });
     const record = {
         ...emptyLeaseContent,
@@ -42,7 +43,7 @@
 
 test("the maintained VMs of waves that are not completed are all stored", () => {
     const waves = wavesUpTo(10).map(number => ({ number, confirmed: new Set(vmsOf(number)) }));
-    const stored = maintainedVmsToStore({ inherited: [], waves, completed: [[3, 4]] });
+    const stored = maintainedVmsToStore({ inherited: [], waves, completed: [[3, 4]], areWavesRead: true });
     const open = [1, 2, 5, 6, 7, 8, 9, 10];
     assert.deepEqual(
         stored.filter(({ wave }) => open.includes(wave)),
@@ -50,12 +51,19 @@
     );
 });
 
+test("a takeover does not drop the maintained VMs of waves whose request it has not read yet", () => {
+    const known = { inherited: [entryOf(1), entryOf(2)], waves: [], completed: [] };
+    assert.deepEqual(maintainedVmsToStore({ ...known, areWavesRead: false }), [entryOf(1), entryOf(2)]);
+    assert.deepEqual(maintainedVmsToStore({ ...known, areWavesRead: true }), []);
+});
+
 // Such a version evacuates the VMs of a completed wave again if it finds none of them in the row.
 test("a holder of an earlier version finds the VMs of the latest completed waves", () => {
     const stored = maintainedVmsToStore({
         inherited: [entryOf(1), entryOf(2)],
         waves: [{ number: 3, confirmed: new Set(vmsOf(3)) }],
         completed: [[1, 3]],
+        areWavesRead: true,
     });
     assert.deepEqual(stored, [entryOf(3), entryOf(2)]);
 });
