Follow the leases that were read while the row of another one cannot be

Cause: a process that has just started, or has lost the history of the leases, read the row of each lease once before it followed any. While reads of the part of one got no answer it followed no lease and took none, without a bound.

A lease whose row was neither read nor delivered by the changes is not available (isFollowed); one that was read and is absent is, as before.

--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -19,6 +19,7 @@
 } from "./lease-rows.js";
 import { versionIfOwn, writeRelease } from "./lease-transactions.js";
 import { createLeaseView, type LeaseObservation } from "./lease-view.js";
+import { waitAtMost } from "./wait-at-most.js";
 
 /** Callbacks for the leases that this process acquires. */
 export interface LeaseHolder {
@@ -87,12 +88,6 @@
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
-const waitAtMost = async (work: Promise<void>, ms: number): Promise<void> => {
-    let timer: NodeJS.Timeout | undefined;
-    await Promise.race([work, new Promise<void>(resolve => (timer = setTimeout(resolve, ms)))]);
-    clearTimeout(timer);
-};
-
 /** Starts acquiring, renewing and observing leases. */
 export const createLeaseManager = ({ context, subjects, holder }: LeaseManagerOptions): LeaseManager => {
     const { store, monotonicMs } = context;
@@ -235,7 +230,8 @@
 
     const isAvailable = (subject: LeaseSubject): boolean => {
         const key = leaseKey(subject);
-        if (heldLeases.has(key)) {
+        // The holder of a lease whose row was not read may be alive.
+        if (heldLeases.has(key) || !view.isFollowed(key)) {
             return false;
         }
         const observation = view.observation(key);
