--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool-scheduler.ts
@@ -203,7 +203,7 @@
         return registry.isRead() ? leaseGateOf(leaseStatus()) : "executors-not-read";
     };
     const schedulerStatus = (): SchedulerStatus => {
-        if (!jobsLoaded || !tables.isProgressCurrent) {
+        if (!jobsLoaded || !registry.isRead() || !tables.isProgressCurrent) {
             return "starting";
         }
         return orders.isBehind() ? "behind" : "current";
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -34,6 +34,7 @@
     log: DecisionLog = () => undefined,
     monotonicMs: () => number = () => performance.now(),
     changes: (request: Parameters<TableStore["changes"]>[0]) => Promise<Reading> = never,
+    isRegistryRead: () => boolean = () => false,
 ): { readonly scheduler: PoolScheduler; readonly lease: HeldLease } => {
     const lease: HeldLease = {
         subject: { kind: "pool", pool: POOL },
@@ -66,7 +67,7 @@
             subscribe: () => () => undefined,
             events: new EventEmitter(),
             executorsOf: () => undefined,
-            isRead: () => false,
+            isRead: isRegistryRead,
             pageReadAtMs: () => Number.NEGATIVE_INFINITY,
         } as unknown as ExecutorRegistry,
         operator: { events: new EventEmitter(), configuration: () => undefined } as unknown as OperatorFeed,
@@ -165,6 +166,34 @@
     assert.equal(requests.find(({ table }) => table === TABLES.progress)?.after, 60);
 });
 
+test("a pool whose holder has not read the executors yet counts as starting, so that a larger VM may request it", async () => {
+    const answer = (): Promise<Reading> =>
+        Promise.resolve({ kind: "rows", rows: [], version: 60, nowMs: 2000, truncated: false });
+    let isRegistryRead = false;
+    let progressReadings = 0;
+    const { scheduler } = takeOver(
+        PREDECESSOR,
+        answer,
+        () => undefined,
+        () => performance.now(),
+        ({ table }) => {
+            progressReadings += table === TABLES.progress ? 1 : 0;
+            return table === TABLES.progress ? answer() : never();
+        },
+        () => isRegistryRead,
+    );
+    const endMs = performance.now() + 5000;
+    while (progressReadings === 0 && performance.now() < endMs) {
+        await sleep(10);
+    }
+    await nextTurn();
+    const before = scheduler.leaseContent().schedulerStatus;
+    isRegistryRead = true;
+    const after = scheduler.leaseContent().schedulerStatus;
+    await scheduler.stop();
+    assert.deepEqual([before, after], ["starting", "current"]);
+});
+
 test("a holder that cannot read the jobs of its pool names that after 3 s, since it starts nothing until then", async () => {
     const logged = new EventEmitter();
     const waiting = once(logged, "pool-waiting");
