--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -1,6 +1,4 @@
 import { EventEmitter } from "node:events";
-import type { Row } from "@almondusher/platform-adapter/table-store";
-import { nextReservation } from "@almondusher/scheduler/run-numbers";
 import { acquireLease } from "./acquire-lease.js";
 import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
 import { sleep, type DispatcherContext } from "./dispatcher-context.js";
@@ -11,13 +9,13 @@
 import {
     encodeLease,
     leaseKey,
-    leaseRow,
     storedReservation,
     type LeaseContent,
     type LeaseRecord,
     type LeaseSubject,
 } from "./lease-rows.js";
-import { versionIfOwn, writeRelease } from "./lease-transactions.js";
+import { createLeaseRenewals } from "./lease-renewals.js";
+import { writeRelease } from "./lease-transactions.js";
 import { createLeaseView, type LeaseObservation } from "./lease-view.js";
 import { waitAtMost } from "./wait-at-most.js";
 
@@ -62,7 +60,6 @@
 const HOLDER_POLL_INTERVAL_MS = 120;
 // Used until the configuration is known, so that a restarted process finds its own leases at once.
 const UNCONFIGURED_POLL_INTERVAL_MS = 20;
-const RENEW_INTERVAL_MS = 500;
 // Rows of candidates only decide who takes a lease first. A poll that waited for them longer would make the time between two
 // reads of the leases too long to count as time for which a lease is unchanged.
 const MAX_CANDIDACY_WAIT_MS = 500;
@@ -71,20 +68,6 @@
 const MAX_ACQUISITION_WAIT_MS = 500;
 // Time between the end of an acquisition and the next one of the same lease. The store may refuse all of them at once.
 const ACQUISITION_PAUSE_MS = 200;
-// Further renewals without a known outcome are forgotten: if one of them was stored, the lease counts as renewed one renewal
-// later.
-const MAX_UNCONFIRMED_RENEWALS = 16;
-
-/** A renewal as it was sent. */
-interface SentRenewal {
-    /** Encoded record. */
-    readonly value: string;
-    readonly content: LeaseContent;
-    readonly reservation: number;
-    readonly sentAtMs: number;
-    readonly sentWallMs: number;
-}
-
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
@@ -95,12 +78,7 @@
     const candidates = createCandidateView(store);
     const view = createLeaseView({ store, candidates, monotonicMs });
     const absenceLog = createLeaseAbsenceLog({ context, view });
-    const runningRenewals = new Map<string, Promise<boolean>>();
-    const waitingRenewals = new Map<string, Promise<boolean>>();
-    /** Renewals whose outcome is not known, all of which expect the current version of the lease row. */
-    const unconfirmedRenewals = new WeakMap<HeldLease, readonly SentRenewal[]>();
     const events = new EventEmitter();
-    const reportRenewalError = createErrorReporter({ context, part: "lease-renewal" });
     const reportAcquisitionError = createErrorReporter({ context, part: "lease-acquisition" });
     const reportCandidacyError = createErrorReporter({ context, part: "lease-candidacy" });
     let closed = false;
@@ -120,113 +98,14 @@
         await holder.end(lease);
     };
 
-    const renewOnce = async (lease: HeldLease): Promise<boolean> => {
-        const key = leaseKey(lease.subject);
-        if (heldLeases.get(key) !== lease) {
-            return false;
-        }
-        const sentAtMs = monotonicMs();
-        const sentWallMs = Date.now();
-        const content = holder.content(lease);
-        const reservation = nextReservation(lease.runNumbers);
-        const record: LeaseRecord = {
-            ...content,
-            holder: context.vm,
-            process: context.process,
-            epoch: lease.epoch,
-            runNumbersUpTo: storedReservation(lease.subject, reservation),
-        };
-        const value = encodeLease(record);
-        const commit = await store.transact({
-            expect: [{ ...leaseRow(key), version: lease.version }],
-            writes: [{ ...leaseRow(key), value }],
-        });
-        const renewal = { value, content, reservation, sentAtMs, sentWallMs };
-        switch (commit.kind) {
-            case "committed":
-                acceptVersion(lease, commit.version);
-                confirmRenewal(lease, renewal);
-                return true;
-            case "conflict":
-                return resolveConflict(lease, commit.rows[0]);
-            case "not-run":
-            case "unknown":
-                keepUnconfirmed(lease, renewal);
-                return false;
-            case "rejected":
-                return false;
-        }
-    };
-
-    // No renewal that expects an earlier version can be stored any more.
-    const acceptVersion = (lease: HeldLease, version: number): void => {
-        unconfirmedRenewals.delete(lease);
-        lease.version = Math.max(lease.version, version);
-    };
-
-    const confirmRenewal = (lease: HeldLease, renewal: SentRenewal): void => {
-        lease.renewedAtMs = renewal.sentAtMs;
-        lease.renewedWallMs = renewal.sentWallMs;
-        lease.runNumbers.reservedUpTo = renewal.reservation;
-        holder.renewed(lease, renewal.content);
-    };
-
-    // Of renewals with the same value the first counts, since any of them may be the one that was stored.
-    const keepUnconfirmed = (lease: HeldLease, renewal: SentRenewal): void => {
-        const kept = unconfirmedRenewals.get(lease) ?? [];
-        if (kept.length < MAX_UNCONFIRMED_RENEWALS && kept.every(({ value }) => value !== renewal.value)) {
-            unconfirmedRenewals.set(lease, [...kept, renewal]);
-        }
-    };
-
-    // Renewals of a lease run one at a time, since each expects the row version written by the previous one. Calls made
-    // during a renewal share the one that follows it.
-    const renew = (lease: HeldLease): Promise<boolean> => {
-        const key = leaseKey(lease.subject);
-        const waiting = waitingRenewals.get(key);
-        if (waiting !== undefined) {
-            return waiting;
-        }
-        const next = (runningRenewals.get(key) ?? Promise.resolve(false)).then(() => {
-            waitingRenewals.delete(key);
-            const running = renewOnce(lease).catch((error: unknown) => {
-                reportRenewalError(error);
-                return false;
-            });
-            runningRenewals.set(key, running);
-            return running;
-        });
-        waitingRenewals.set(key, next);
-        return next;
-    };
-
-    // Each lease is renewed on its own: the store may leave calls for the part of one lease without an answer.
-    const keepRenewed = (lease: HeldLease): Promise<void> =>
-        repeatWhileActive({
-            context,
-            part: "lease-renewal",
-            isActive: () => !closed && heldLeases.get(leaseKey(lease.subject)) === lease,
-            step: async () => {
-                await sleep(RENEW_INTERVAL_MS);
-                await renew(lease);
-            },
-        });
-
-    // A conflict does not always mean that the lease is lost: an earlier renewal that was not answered may have been
-    // applied, in which case the row still names this process. It counts from when it was sent, not as a recent one.
-    const resolveConflict = async (lease: HeldLease, row: Row | undefined): Promise<boolean> => {
-        const ownVersion = versionIfOwn(context, row, lease.epoch);
-        if (ownVersion !== undefined) {
-            const stored = unconfirmedRenewals.get(lease)?.find(({ value }) => value === row?.value);
-            acceptVersion(lease, ownVersion);
-            if (stored !== undefined) {
-                confirmRenewal(lease, stored);
-            }
-            return false;
-        }
-        await handleLostLease(lease, "another process holds the lease");
-        return false;
-    };
+    const isOpen = (): boolean => !closed;
+    const renewals = createLeaseRenewals({
+        context,
+        holder,
+        isHeld: lease => heldLeases.get(leaseKey(lease.subject)) === lease,
+        isOpen,
+        lost: handleLostLease,
+    });
 
     const isAvailable = (subject: LeaseSubject): boolean => {
         const key = leaseKey(subject);
@@ -275,7 +154,7 @@
         if (!closed) {
             holder.begin(lease);
         }
-        void keepRenewed(lease);
+        void renewals.keepRenewed(lease);
         void candidates.remove(unresponsive).catch(reportCandidacyError);
     };
 
@@ -342,7 +221,7 @@
         const leases = [...heldLeases.values()];
         const requested = leases.find(({ subject }) => candidacy.isRequested(subject));
         const lease = requested ?? leases.find(holder.isStuck);
-        if (lease === undefined || !(await renew(lease)) || closed || lease.lost) {
+        if (lease === undefined || !(await renewals.renew(lease)) || closed || lease.lost) {
             return;
         }
         if (requested === undefined) {
@@ -362,7 +241,7 @@
         await holder.end(lease);
         lease.lost = true;
         // A renewal under way changes the version of the row.
-        await runningRenewals.get(key);
+        await renewals.untilEnded(lease);
         const record: LeaseRecord = {
             ...content,
             holder: undefined,
@@ -388,12 +267,11 @@
         await sleep(ABSENCE_CHECK_INTERVAL_MS);
     };
 
-    const isOpen = (): boolean => !closed;
     void repeatWhileActive({ context, part: "lease-poll", isActive: isOpen, step: poll });
     void repeatWhileActive({ context, part: "lease-absence", isActive: isOpen, step: checkAbsences });
     return {
         events,
-        renew,
+        renew: renewals.renew,
         lastRecord: subject => view.observation(leaseKey(subject))?.record,
         freshRecord: (subject, maxAgeMs) => {
             const observation = view.observation(leaseKey(subject));
