--- a/bench/system/src/partition-soak.ts
+++ b/bench/system/src/partition-soak.ts
@@ -1,15 +1,10 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import type { ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
+import type { ExecutorStandIn, StartedRun } from "@almondusher/job-platform-stand-in/executor";
 import { createGangRuns } from "@almondusher/job-platform-stand-in/gang-runs";
+import { checkRuns } from "./check-runs.js";
 import { createDraw, type Draw } from "./draw.js";
 import { createFaultPeriod, type FaultPeriod } from "./fault-period.js";
-import {
-    countOverlappingRuns,
-    sendJobRequest,
-    startJobDeployment,
-    waitUntil,
-    type JobDeployment,
-} from "./job-deployment.js";
+import { sendJobRequest, startJobDeployment, waitUntil, type JobDeployment } from "./job-deployment.js";
 import { playRestarts } from "./play-restarts.js";
 import { playFault, type FaultKind, type FaultOptions, type PlayedFault } from "./play-fault.js";
 import { drawMixedJob, isLasting, plainJob, stepOfTask, type SoakJob } from "./soak-job.js";
@@ -51,15 +46,18 @@
     readonly vmOrders: { readonly moves: number; readonly maintained: number };
     /** Number of samples, 100 ms apart, in which waits counted. */
     readonly calmSamples: number;
-    /** Number of runs during which another run of the same task was active. */
-    readonly overlappingRuns: number;
+    /** Task of each run during which another run of the same task was active; a task may be listed several times. */
+    readonly overlappingRuns: readonly string[];
     /** Tasks that were started after an acknowledged end as done. */
     readonly startedAfterDone: readonly string[];
     /** Tasks that waited for 3 s with room, without a fault in this time or shortly before, with the events about them. */
     readonly stalled: readonly string[];
     /** Accepted jobs that were not completed in time after the last fault, or did not end when they were cancelled. */
     readonly unfinished: readonly string[];
-    /** Log lines of the dispatchers in the order of their times, in seconds of the times that the stalls name. */
+    /**
+     * Log lines of the dispatchers, and runs and restarts of the executors, in the order of their times, in seconds of the
+     * times that the stalls name.
+     */
     readonly decisions: readonly string[];
 }
 
@@ -228,8 +226,7 @@
             moves: deployment.vms.orders.filter(({ kind }) => kind === "move").length,
             maintained: deployment.vms.orders.filter(({ kind }) => kind === "upkeep").length,
         },
-        overlappingRuns: countOverlappingRuns(deployment),
-        startedAfterDone: startsAfterAcknowledgedEnd(deployment.executors),
+        ...checkRuns(deployment.executors),
         decisions: decisionsOf(deployment),
     };
 };
@@ -265,17 +262,38 @@
     return jobs.filter(isActive);
 };
 
-const startsAfterAcknowledgedEnd = (executors: readonly ExecutorStandIn[]): readonly string[] => {
-    const runs = executors.flatMap(({ started }) => started);
-    const done = runs.filter(({ how, endAcknowledged }) => how === "done" && endAcknowledged);
-    return runs
-        .filter(run => done.some(({ task, endedAtMs = Infinity }) => task === run.task && run.startedAtMs > endedAtMs))
-        .map(({ task }) => task);
+const decisionsOf = ({ dispatchers, executors }: JobDeployment): readonly string[] =>
+    [
+        ...dispatchers
+            .flatMap(({ log }) => log)
+            .map(line => ({ atMs: Date.parse(String(line["time"])) - performance.timeOrigin, line })),
+        ...executors.flatMap(eventsOfExecutor),
+    ]
+        .sort((left, right) => left.atMs - right.atMs)
+        .map(({ atMs, line }) => `${toSeconds(atMs)} ${JSON.stringify(line)}`);
+
+interface TimedLine {
+    readonly atMs: number;
+    readonly line: object;
+}
+
+const eventsOfExecutor = ({ id, started, restartedAtMs }: ExecutorStandIn): readonly TimedLine[] => [
+    ...restartedAtMs.map(atMs => ({ atMs, line: { event: "stand-in-restarted", executor: id } })),
+    ...started.flatMap(run => eventsOfRun(id, run)),
+];
+
+const eventsOfRun = (
+    executor: string,
+    { task, run, startedAtMs, endedAtMs, how, endAcknowledged, orderedAtMs, isFromFormerLife }: StartedRun,
+): readonly TimedLine[] => {
+    const named = { executor, task, run };
+    const begin = { event: "stand-in-began-run", ...named, orderedAt: toSeconds(orderedAtMs), isFromFormerLife };
+    return [
+        { atMs: startedAtMs, line: begin },
+        ...(endedAtMs === undefined
+            ? []
+            : [{ atMs: endedAtMs, line: { event: "stand-in-ended-run", ...named, how, endAcknowledged } }]),
+    ];
 };
 
-const decisionsOf = ({ dispatchers }: JobDeployment): readonly string[] =>
-    dispatchers
-        .flatMap(({ log }) => log)
-        .map(line => ({ atMs: Date.parse(String(line["time"])) - performance.timeOrigin, line }))
-        .sort((left, right) => left.atMs - right.atMs)
-        .map(({ atMs, line }) => `${(atMs / 1000).toFixed(2)} ${JSON.stringify(line)}`);
+const toSeconds = (ms: number): string => (ms / 1000).toFixed(2);
--- a/bench/system/src/soak-totals.ts
+++ b/bench/system/src/soak-totals.ts
@@ -16,7 +16,7 @@
 
 /** Number of failures of each promise in a soak. */
 const countFailures = (result: PartitionSoakResult): SoakTotals["failures"] => ({
-    overlappingRuns: result.overlappingRuns,
+    overlappingRuns: result.overlappingRuns.length,
     startedAfterDone: result.startedAfterDone.length,
     stalled: result.stalled.length,
     unfinished: result.unfinished.length,
--- a/bench/system/test/soak-totals.test.ts
+++ b/bench/system/test/soak-totals.test.ts
@@ -10,7 +10,7 @@
     runs: 30,
     vmOrders: { moves: 0, maintained: 0 },
     calmSamples: 100,
-    overlappingRuns: 0,
+    overlappingRuns: [],
     startedAfterDone: [],
     stalled: [],
     unfinished: [],
@@ -21,7 +21,7 @@
     const broken = {
         ...CLEAN,
         faultKinds: ["store", "maintenance"] as const,
-        overlappingRuns: 2,
+        overlappingRuns: ["a", "a"],
         stalled: ["a", "b", "c"],
     };
     const unfinished = { ...CLEAN, faultKinds: [], startedAfterDone: ["a"], unfinished: ["b"] };
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -56,6 +56,10 @@
     how: string | undefined;
     /** A scheduler has acknowledged the end, and the executor's lease has not expired between the two. */
     endAcknowledged: boolean;
+    /** When the order that began the run arrived. */
+    readonly orderedAtMs: number;
+    /** The order arrived in a former life of the executor, got no response, and was carried out late in this one. */
+    readonly isFromFormerLife: boolean;
 }
 
 /** Simulated executor whose runs are timers. */
@@ -66,6 +70,8 @@
     setFault: (fault: ExecutorFault) => void;
     /** All runs in the order of their starts, also those from before a restart. */
     readonly started: readonly StartedRun[];
+    /** Times of the restarts, in milliseconds of the monotonic clock. */
+    readonly restartedAtMs: readonly number[];
     /** Number of run ends that no scheduler has acknowledged. */
     readonly unacknowledgedEnds: () => number;
     /** Highest CPU capacity that was in use at one time. */
@@ -104,6 +110,12 @@
     timer: NodeJS.Timeout | undefined;
 }
 
+/** When an order arrived, and after how many restarts of the executor. */
+interface OrderArrival {
+    readonly atMs: number;
+    readonly restarts: number;
+}
+
 interface RunEnd {
     readonly number: number;
     readonly run: ExecutorRun;
@@ -142,6 +154,7 @@
 export const startExecutorStandIn = async (options: ExecutorStandInOptions): Promise<ExecutorStandIn> => {
     const { store, id, service, runMs, cpu = DEFAULT_CPU, path, vm = `vm-${id}`, gangs } = options;
     const started: ExecutorRun[] = [];
+    const restartedAtMs: number[] = [];
     /** Highest run number that was started or stopped, by task. A start must name a higher one. */
     const highestRuns = new Map<string, number>();
     let active = new Map<string, ExecutorRun>();
@@ -211,7 +224,7 @@
             run.timer = setTimeout(() => endRun(run, fault.kind === "fails" ? "failed" : "done"), durationMs);
         }
     };
-    const beginRun = (task: string, number: number): void => {
+    const beginRun = (task: string, number: number, arrival: OrderArrival): void => {
         const run: ExecutorRun = {
             task,
             run: number,
@@ -219,6 +232,8 @@
             endedAtMs: undefined,
             how: undefined,
             endAcknowledged: false,
+            orderedAtMs: arrival.atMs,
+            isFromFormerLife: arrival.restarts < restartedAtMs.length,
             timer: undefined,
         };
         started.push(run);
@@ -228,7 +243,7 @@
         peakCapacity = Math.max(peakCapacity, active.size * TASK_CPU);
     };
     const reject = (reason: string): JsonReply => reply(409, { ...clockFields(), reason });
-    const handleStart = (body: unknown): JsonReply => {
+    const handleStart = (body: unknown, arrival: OrderArrival): JsonReply => {
         const { task, run, until_ms: untilMs, fence_token: fencingToken } = startSchema.parse(body);
         if (fencingToken < highestToken) {
             return reject("fence");
@@ -244,29 +259,29 @@
         if (run <= (highestRuns.get(task) ?? 0)) {
             return reject("old");
         }
-        beginRun(task, run);
+        beginRun(task, run, arrival);
         return reply(200, clockFields());
     };
-    const handleStartWithFault = (body: unknown): Promise<JsonReply> | JsonReply => {
+    const handleStartWithFault = (body: unknown, arrival: OrderArrival): Promise<JsonReply> | JsonReply => {
         switch (fault.kind) {
             case "held-answer": {
                 const { delayMs } = fault;
                 fault = { kind: "none" };
-                const answer = handleStart(body);
+                const answer = handleStart(body, arrival);
                 return new Promise(resolve => setTimeout(() => resolve(answer), delayMs));
             }
             case "lost-answers":
-                handleStart(body);
+                handleStart(body, arrival);
                 return { kind: "disconnect" };
             case "late-starts":
-                setTimeout(() => handleStart(body), fault.delayMs);
+                setTimeout(() => handleStart(body, arrival), fault.delayMs);
                 return { kind: "disconnect" };
             case "none":
             case "fails":
             case "silent":
             case "cut-off":
             case "unreliable":
-                return handleStart(body);
+                return handleStart(body, arrival);
         }
     };
     const carryOutUnreliably = (
@@ -348,8 +363,10 @@
             return reply(421);
         }
         switch (request.path) {
-            case "/-/run-start":
-                return carryOutUnreliably(() => handleStartWithFault(request.body), drawOutcome("order"));
+            case "/-/run-start": {
+                const arrival = { atMs: performance.now(), restarts: restartedAtMs.length };
+                return carryOutUnreliably(() => handleStartWithFault(request.body, arrival), drawOutcome("order"));
+            }
             case "/-/run-stop":
                 return carryOutUnreliably(() => handleStop(request.body), drawOutcome("order"));
             case "/-/hold":
@@ -411,6 +428,7 @@
     };
     const restart: ExecutorStandIn["restart"] = (clock = "starts-anew") => {
         crash();
+        restartedAtMs.push(performance.now());
         // Two starts in one millisecond could not be told apart.
         born = Math.max(born + 1, Date.now());
         if (clock === "starts-anew") {
@@ -431,6 +449,7 @@
         address: server.address,
         vm,
         started,
+        restartedAtMs,
         setFault: next => (fault = next),
         unacknowledgedEnds: () => ends.length,
         peakCpu: () => peakCapacity,
