--- a/bench/system/src/check-runs.ts
+++ b/bench/system/src/check-runs.ts
@@ -6,21 +6,31 @@
     readonly overlappingRuns: readonly string[];
     /** Tasks that were started after an acknowledged end as done. */
     readonly startedAfterDone: readonly string[];
+    /**
+     * Tasks that would be in one of the lists above, but for a start that was ordered in a former life of its executor, got
+     * no response and was carried out after its restart. The executor has forgotten the stop of such a start.
+     */
+    readonly startedByFormerLife: readonly string[];
 }
 
-/** Checks that each task ran once. */
+/** Checks that each task ran once; only a start that its stand-in records as one from a former life is told apart. */
 export const checkRuns = (executors: readonly Pick<ExecutorStandIn, "started">[]): RunChecks => {
     const runs = executors.flatMap(({ started }) => started);
     const overlapping = runs.flatMap(run => runs.filter(other => isActiveAtStart(run, other)).map(() => run));
     const afterDone = runs.filter(run => runs.some(other => isDoneBefore(run, other)));
     return {
-        overlappingRuns: overlapping.map(taskOf),
-        startedAfterDone: afterDone.map(taskOf),
+        overlappingRuns: overlapping.filter(isOrderedInThisLife).map(taskOf),
+        startedAfterDone: afterDone.filter(isOrderedInThisLife).map(taskOf),
+        startedByFormerLife: [...new Set([...overlapping, ...afterDone].filter(isOrderedInFormerLife).map(taskOf))],
     };
 };
 
 const taskOf = ({ task }: StartedRun): string => task;
 
+const isOrderedInFormerLife = ({ isFromFormerLife }: StartedRun): boolean => isFromFormerLife;
+
+const isOrderedInThisLife = ({ isFromFormerLife }: StartedRun): boolean => !isFromFormerLife;
+
 /** True if the other run of the task was active when the run started. */
 const isActiveAtStart = (run: StartedRun, other: StartedRun): boolean =>
     other !== run &&
--- a/bench/system/src/partition-soak.ts
+++ b/bench/system/src/partition-soak.ts
@@ -50,6 +50,8 @@
     readonly overlappingRuns: readonly string[];
     /** Tasks that were started after an acknowledged end as done. */
     readonly startedAfterDone: readonly string[];
+    /** Tasks that would be in the two lists above but for a start from a former life of its executor, see `checkRuns`. */
+    readonly startedByFormerLife: readonly string[];
     /** Tasks that waited for 3 s with room, without a fault in this time or shortly before, with the events about them. */
     readonly stalled: readonly string[];
     /** Accepted jobs that were not completed in time after the last fault, or did not end when they were cancelled. */
--- a/bench/system/src/soak-totals.ts
+++ b/bench/system/src/soak-totals.ts
@@ -10,6 +10,8 @@
     readonly checked: { readonly jobs: number; readonly runs: number; readonly calmSamples: number };
     /** Number of failures of each promise. */
     readonly failures: Readonly<Record<SoakPromise, number>>;
+    /** Number of tasks that ran twice by a start from a former life of its executor; they fail no seed. */
+    readonly startedByFormerLife: number;
 }
 
 type SoakPromise = "overlappingRuns" | "startedAfterDone" | "stalled" | "unfinished";
@@ -45,6 +47,7 @@
             stalled: sum(result => countFailures(result).stalled),
             unfinished: sum(result => countFailures(result).unfinished),
         },
+        startedByFormerLife: sum(({ startedByFormerLife }) => startedByFormerLife.length),
     };
 };
 
--- a/bench/system/src/write-soak-trace.ts
+++ b/bench/system/src/write-soak-trace.ts
@@ -5,7 +5,7 @@
 
 type TracedResult = Pick<
     PartitionSoakResult,
-    "overlappingRuns" | "startedAfterDone" | "stalled" | "unfinished" | "decisions"
+    "overlappingRuns" | "startedAfterDone" | "startedByFormerLife" | "stalled" | "unfinished" | "decisions"
 >;
 
 /** Where the trace of a soak was written, and its first lines. */
@@ -35,10 +35,17 @@
 };
 
 // A stall begins with its task; an unfinished job is named by its id, with which the names of its tasks begin.
-const namedTasks = ({ overlappingRuns, startedAfterDone, stalled, unfinished }: TracedResult): readonly string[] => [
+const namedTasks = ({
+    overlappingRuns,
+    startedAfterDone,
+    startedByFormerLife,
+    stalled,
+    unfinished,
+}: TracedResult): readonly string[] => [
     ...new Set([
         ...overlappingRuns,
         ...startedAfterDone,
+        ...startedByFormerLife,
         ...stalled.map(stall => stall.split(" ")[0] ?? stall),
         ...unfinished,
     ]),
--- a/bench/system/test/assert-soak.ts
+++ b/bench/system/test/assert-soak.ts
@@ -15,6 +15,9 @@
     const result = await runPartitionSoak({ ...options, dispatchers: 3, executors: 4 });
     result.faults.forEach(fault => context.diagnostic(fault));
     context.diagnostic(`${result.accepted} jobs accepted, ${result.runs} runs, ${result.calmSamples} calm samples`);
+    result.startedByFormerLife.forEach(task =>
+        context.diagnostic(`${task}: ran twice by a start from a former life of its executor, not counted`),
+    );
     const trace = writeSoakTrace(`${workload}-${seed}`, result);
     if (trace !== undefined) {
         context.diagnostic(`trace in ${trace.folder}`);
