--- a/bench/system/src/check-runs.ts
+++ b/bench/system/src/check-runs.ts
@@ -13,7 +13,7 @@
     readonly startedByFormerLife: readonly string[];
 }
 
-/** Checks that each task ran once; only a start that its stand-in records as one from a former life is told apart. */
+/** Checks that each task ran once; a start that its stand-in records as one from a former life is listed apart. */
 export const checkRuns = (executors: readonly Pick<ExecutorStandIn, "started">[]): RunChecks => {
     const runs = executors.flatMap(({ started }) => started);
     const overlapping = runs.flatMap(run => runs.filter(other => isActiveAtStart(run, other)).map(() => run));
--- a/bench/system/src/soak-totals.ts
+++ b/bench/system/src/soak-totals.ts
@@ -10,16 +10,15 @@
     readonly checked: { readonly jobs: number; readonly runs: number; readonly calmSamples: number };
     /** Number of failures of each promise. */
     readonly failures: Readonly<Record<SoakPromise, number>>;
-    /** Number of tasks that ran twice by a start from a former life of its executor; they fail no seed. */
-    readonly startedByFormerLife: number;
 }
 
-type SoakPromise = "overlappingRuns" | "startedAfterDone" | "stalled" | "unfinished";
+type SoakPromise = "overlappingRuns" | "startedAfterDone" | "startedByFormerLife" | "stalled" | "unfinished";
 
 /** Number of failures of each promise in a soak. */
 const countFailures = (result: PartitionSoakResult): SoakTotals["failures"] => ({
     overlappingRuns: result.overlappingRuns.length,
     startedAfterDone: result.startedAfterDone.length,
+    startedByFormerLife: result.startedByFormerLife.length,
     stalled: result.stalled.length,
     unfinished: result.unfinished.length,
 });
@@ -44,10 +43,10 @@
         failures: {
             overlappingRuns: sum(result => countFailures(result).overlappingRuns),
             startedAfterDone: sum(result => countFailures(result).startedAfterDone),
+            startedByFormerLife: sum(result => countFailures(result).startedByFormerLife),
             stalled: sum(result => countFailures(result).stalled),
             unfinished: sum(result => countFailures(result).unfinished),
         },
-        startedByFormerLife: sum(({ startedByFormerLife }) => startedByFormerLife.length),
     };
 };
 
--- a/bench/system/test/assert-soak.ts
+++ b/bench/system/test/assert-soak.ts
@@ -3,9 +3,12 @@
 import { runPartitionSoak, type PartitionSoakOptions } from "@almondusher/system-bench/partition-soak";
 import { writeSoakTrace } from "@almondusher/system-bench/write-soak-trace";
 
+const knownRed = { todo: "KNOWN-RED.txt, issue 49" };
+
 /**
  * Runs a soak with three dispatchers and four executors, prints its faults, and checks what it has shown. The decisions and
- * runs of the tasks that it names are kept, and the first ones printed. Waits are checked in the mixed workload only.
+ * runs of the tasks that it names are kept, and the first ones printed. Waits are checked in the mixed workload only. Starts
+ * from a former life of an executor have a test of their own.
  */
 export const assertSoak = async (
     context: TestContext,
@@ -15,9 +18,6 @@
     const result = await runPartitionSoak({ ...options, dispatchers: 3, executors: 4 });
     result.faults.forEach(fault => context.diagnostic(fault));
     context.diagnostic(`${result.accepted} jobs accepted, ${result.runs} runs, ${result.calmSamples} calm samples`);
-    result.startedByFormerLife.forEach(task =>
-        context.diagnostic(`${task}: ran twice by a start from a former life of its executor, not counted`),
-    );
     const trace = writeSoakTrace(`${workload}-${seed}`, result);
     if (trace !== undefined) {
         context.diagnostic(`trace in ${trace.folder}`);
@@ -31,4 +31,7 @@
         assert.deepEqual(result.stalled, []);
     }
     assert.deepEqual(result.unfinished, []);
+    await context.test("no task runs twice by a start that its executor was ordered in a former life", knownRed, () =>
+        assert.deepEqual(result.startedByFormerLife, []),
+    );
 };
--- a/bench/system/test/soak-totals.test.ts
+++ b/bench/system/test/soak-totals.test.ts
@@ -29,11 +29,10 @@
     const late = { ...CLEAN, faultKinds: [], startedByFormerLife: ["a"] };
     assert.deepEqual(sumSoaks([CLEAN, broken, unfinished, late]), {
         seeds: 4,
-        failedSeeds: 2,
+        failedSeeds: 3,
         faults: { "cut-from-holder": 1, maintenance: 1, restart: 1, store: 2 },
         checked: { jobs: 40, runs: 120, calmSamples: 400 },
-        failures: { overlappingRuns: 2, startedAfterDone: 1, stalled: 3, unfinished: 1 },
-        startedByFormerLife: 1,
+        failures: { overlappingRuns: 2, startedAfterDone: 1, startedByFormerLife: 1, stalled: 3, unfinished: 1 },
     });
 });
 
