--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -101,6 +101,7 @@
     const isOpen = (): boolean => !closed;
     const renewals = createLeaseRenewals({
         context,
+        view,
         holder,
         isHeld: lease => heldLeases.get(leaseKey(lease.subject)) === lease,
         isOpen,
@@ -224,6 +225,10 @@
         if (lease === undefined || !(await renewals.renew(lease)) || closed || lease.lost) {
             return;
         }
+        // Its scheduler may have begun to start tasks since the row was written in which the request saw that it does not.
+        if (requested !== undefined && !candidacy.isRequested(lease.subject)) {
+            return;
+        }
         if (requested === undefined) {
             candidacy.standAside(lease.subject);
             context.log("lease-stuck", { lease: leaseKey(lease.subject), epoch: lease.epoch });
--- a/programs/dispatcher/src/lease-renewals.ts
+++ b/programs/dispatcher/src/lease-renewals.ts
@@ -12,6 +12,7 @@
     type LeaseRecord,
 } from "./lease-rows.js";
 import { versionIfOwn } from "./lease-transactions.js";
+import type { LeaseView } from "./lease-view.js";
 
 /** Renews the leases that this process holds. */
 export interface LeaseRenewals {
@@ -33,6 +34,8 @@
 
 export interface LeaseRenewalsOptions {
     readonly context: DispatcherContext;
+    /** Gets the rows that renewals have stored. */
+    readonly view: Pick<LeaseView, "observe">;
     readonly holder: RenewedHolder;
     readonly isHeld: (lease: HeldLease) => boolean;
     /** False once all leases are being released. */
@@ -57,7 +60,14 @@
 }
 
 /** Creates the renewals; none is sent before `renew` or `keepRenewed`. */
-export const createLeaseRenewals = ({ context, holder, isHeld, isOpen, lost }: LeaseRenewalsOptions): LeaseRenewals => {
+export const createLeaseRenewals = ({
+    context,
+    view,
+    holder,
+    isHeld,
+    isOpen,
+    lost,
+}: LeaseRenewalsOptions): LeaseRenewals => {
     const runningRenewals = new Map<string, Promise<boolean>>();
     const waitingRenewals = new Map<string, Promise<boolean>>();
     /** Renewals whose outcome is not known, all of which expect the current version of the lease row. */
@@ -89,6 +99,7 @@
         switch (commit.kind) {
             case "committed":
                 acceptVersion(lease, commit.version);
+                view.observe([{ ...leaseRow(key), value, version: commit.version, deleted: false }]);
                 confirmRenewal(lease, renewal);
                 return true;
             case "conflict":
--- a/programs/dispatcher/test/lease-placement.test.ts
+++ b/programs/dispatcher/test/lease-placement.test.ts
@@ -38,6 +38,8 @@
     readonly schedulerStatuses: Map<string, SchedulerStatus>;
     /** Returns the VM that holds each lease, by the lease's key. */
     readonly holders: () => ReadonlyMap<string, VmId>;
+    /** Returns the keys of the leases that VMs have requested last. */
+    readonly requestedLeases: () => readonly string[];
     readonly pass: (ms: number) => Promise<void>;
     /** Waits until every lease is held by one of the VMs that are neither closed nor cut off. */
     readonly allHeld: (live: readonly Member[], timeoutMs?: number, leases?: readonly LeaseSubject[]) => Promise<void>;
@@ -116,6 +118,11 @@
         );
     return {
         holders,
+        requestedLeases: () =>
+            platform.rows("leases").flatMap(({ value }) => {
+                const { request } = value as { readonly request?: { readonly lease: string } };
+                return request === undefined ? [] : [request.lease];
+            }),
         schedulerStatuses,
         pass: ms => passTime(time, ms),
         start: (name, { processorCores, linkMbps }) => {
@@ -289,6 +296,24 @@
     await cluster.allHeld(large, 2 * LONGEST_STANDSTILL_MS, pools);
 });
 
+test("a pool whose small holder has begun to start tasks when it finds a request stays where it is", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    setStatusOfPools(cluster, "starting");
+    await cluster.allHeld(small);
+    const before = pools.map(subject => cluster.holders().get(leaseKey(subject)));
+    startMany(cluster, "large", 6, LARGE);
+    while (cluster.requestedLeases().length === 0) {
+        await cluster.pass(TICK_MS);
+    }
+    setStatusOfPools(cluster, "current");
+    await cluster.pass(SETTLING_MS);
+    assert.deepEqual(
+        pools.map(subject => cluster.holders().get(leaseKey(subject))),
+        before,
+    );
+});
+
 test("pools of large VMs that start nothing yet stay where they are, so that they do not go round", async context => {
     const cluster = await startCluster(context);
     const holding = startMany(cluster, "a", 2, LARGE);
