--- a/programs/dispatcher/src/progress-reading.ts
+++ b/programs/dispatcher/src/progress-reading.ts
@@ -35,12 +35,19 @@
 
 // Changes have no pages, so on a narrow link an answer with many of them never arrives.
 const MAX_FAILED_CALLS = 2;
+// If so many answers may have been cut off, they may all be complete: rows of this holder, and of other pools in the same
+// table, are stored all the time.
+const ANSWERS_BEFORE_TARGET = 4;
 
 /** Creates the reading: of the changes if the store still has them and answers, of all rows otherwise. */
 export const createProgressReading = ({ context, tables, jobsReadAsOf }: ProgressReadingOptions): ProgressReading => {
     const { progress: table, part } = jobTablesOf(tables.pool);
     let source: Source | undefined;
     let failedCalls = 0;
+    /** Answers of the current call of `read` that may have been cut off. */
+    let openAnswers = 0;
+    /** A version of the store from after the beginning of the current call of `read`. */
+    let target = Infinity;
 
     const fromPages = (): Source => ({ kind: "pages", reading: createRangeReading(context.store, { table, part }) });
     const firstSource = (): Source => {
@@ -71,11 +78,10 @@
                 failedCalls = 0;
                 changes.rows.forEach(merge);
                 source = { kind: "changes", after: changes.version };
-                // An answer that ends with the version of its last row may have been cut off there.
-                return changes.truncated || changes.rows.at(-1)?.version === changes.version ? read() : true;
+                return isComplete(changes) || changes.version >= target ? true : readFurtherChanges();
             case "history-lost":
                 source = fromPages();
-                return read();
+                return readOn();
             case "failed":
                 failedCalls++;
                 if (failedCalls >= MAX_FAILED_CALLS) {
@@ -84,7 +90,15 @@
                 return false;
         }
     };
-    const read = (): Promise<boolean> => {
+    const readFurtherChanges = async (): Promise<boolean> => {
+        openAnswers++;
+        if (target === Infinity && openAnswers % ANSWERS_BEFORE_TARGET === 0) {
+            const newest = await context.store.read({ table, part, limit: 1 });
+            target = newest.kind === "rows" ? newest.version : Infinity;
+        }
+        return readOn();
+    };
+    const readOn = (): Promise<boolean> => {
         source ??= firstSource();
         switch (source.kind) {
             case "changes":
@@ -94,10 +108,23 @@
         }
     };
     return {
-        read,
+        read: () => {
+            openAnswers = 0;
+            target = Infinity;
+            return readOn();
+        },
         dropPages: () => {
             source = source?.kind === "pages" ? fromPages() : source;
         },
         startOver: () => (source = fromPages()),
     };
 };
+
+interface Changes {
+    readonly rows: readonly Row[];
+    readonly version: number;
+    readonly truncated: boolean;
+}
+
+// An answer that ends with the version of its last row may have been cut off there.
+const isComplete = ({ rows, version, truncated }: Changes): boolean => !truncated && rows.at(-1)?.version !== version;
--- a/programs/dispatcher/test/reload-progress-changes.test.ts
+++ b/programs/dispatcher/test/reload-progress-changes.test.ts
@@ -17,8 +17,11 @@
 const TABLES = jobTablesOf(POOL);
 const FIRST = toId<JobId>("0000000000000001");
 const SECOND = toId<JobId>("0000000000000002");
+const OTHER_POOLS = toId<JobId>("0000000000000003");
 const TASKS = 3;
 const JOBS_READ_AS_OF = { version: 10, atMs: 100 };
+const LAST_END_VERSION = 13;
+const MANY_ANSWERS = 50;
 /** Longer than the pause after a failed attempt. */
 const RETRY_MS = 100;
 
@@ -123,6 +126,19 @@
     assert.deepEqual(holder.calls, ["changes after 10", "changes after 13", "changes after 15", "changes after 16"]);
 });
 
+test("progress that is stored all the time, also of other pools, does not keep inherited jobs waiting", async () => {
+    const holder = startHolder();
+    let version = JOBS_READ_AS_OF.version;
+    holder.pass();
+    for (let answers = 0; answers < MANY_ANSWERS && !holder.tables.isProgressCurrent; answers++) {
+        version++;
+        const change = rowOf(version === LAST_END_VERSION ? FIRST : OTHER_POOLS, version, doneTasks(0));
+        await holder.answer(answerOf(version, holder.calls.at(-1) === "read" ? [] : [change]));
+    }
+    assert.ok(holder.tables.isProgressCurrent, `not current after ${holder.calls.length} calls`);
+    assert.equal(holder.remaining(FIRST), TASKS - 1);
+});
+
 test("all rows are read if the store has lost the changes, also after some of them were read", async () => {
     const holder = startHolder();
     holder.pass();
