--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/lease-candidacy.ts
@@ -29,6 +29,8 @@
     readonly isRequested: (subject: LeaseSubject) => boolean;
     /** Leaves a lease that this process gives up, since it could not act under it, to other processes first. */
     readonly standAside: (subject: LeaseSubject) => void;
+    /** Requests a lease no more for a while, if it was requested recently and this process could not acquire it. */
+    readonly acquisitionFailed: (subject: LeaseSubject) => void;
     /**
      * Time until the leases have to be read again for the next available one, except those already tried, or for one that
      * was requested, in milliseconds; infinite if there is none.
@@ -64,6 +66,10 @@
 const STAND_ASIDE_MS = 60_000;
 // Longer than a poll and the longest time for which another process leaves an available lease to others.
 const STAND_ASIDE_DELAY_MS = 5000;
+// A holder that released its lease in vain reads everything anew once it has it back. As long as an ordinary tenure.
+const NO_REQUEST_MS = 12_000;
+// Longer than a requested lease takes to be released, and its acquisition to fail.
+const MAX_REQUEST_AGE_MS = 10_000;
 
 /** Creates the candidacy of this process; it starts with the first `refresh`. */
 export const createLeaseCandidacy = (options: LeaseCandidacyOptions): LeaseCandidacy => {
@@ -74,11 +80,17 @@
     const tenures = createLeaseTenures({ context, view });
     /** Monotonic times until which this process stands aside, by the keys of the leases. */
     const asideUntilMs = new Map<string, number>();
+    /** Monotonic times from which this process may request leases, by their keys. */
+    const mayRequestFromMs = new Map<string, number>();
     let announcedAtMs = Number.NEGATIVE_INFINITY;
     let request: HandoverRequest | undefined;
 
     const standsAside = (subject: LeaseSubject): boolean =>
         context.monotonicMs() < (asideUntilMs.get(leaseKey(subject)) ?? Number.NEGATIVE_INFINITY);
+    const mayRequest = (subject: LeaseSubject): boolean =>
+        mayBeHandedOver(subject) &&
+        !standsAside(subject) &&
+        context.monotonicMs() >= (mayRequestFromMs.get(leaseKey(subject)) ?? Number.NEGATIVE_INFINITY);
     const holderOf = (subject: LeaseSubject): VmId | undefined => view.observation(leaseKey(subject))?.record?.holder;
     const rank = (): CandidateRanking => {
         const holders = subjects().map(holderOf);
@@ -128,7 +140,7 @@
         // A VM that may acquire an available lease does so first, unless a pool stands still meanwhile.
         const mayAcquire = subjects().some(isAvailable);
         const leases = subjects()
-            .filter(subject => mayBeHandedOver(subject) && !standsAside(subject))
+            .filter(mayRequest)
             .map(tenures.heldBy)
             .filter(held => held !== undefined)
             .filter(held => !mayAcquire || isUrgent(held));
@@ -179,6 +191,12 @@
         standAside: subject => {
             asideUntilMs.set(leaseKey(subject), context.monotonicMs() + STAND_ASIDE_MS);
         },
+        acquisitionFailed: subject => {
+            const lease = leaseKey(subject);
+            if (request?.lease === lease && context.store.nowMs() - request.atMs < MAX_REQUEST_AGE_MS) {
+                mayRequestFromMs.set(lease, context.monotonicMs() + NO_REQUEST_MS);
+            }
+        },
         untilDueMs: tried =>
             Math.min(
                 request !== undefined && context.store.nowMs() - request.atMs < MAX_REQUEST_VALIDITY_MS
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -138,6 +138,9 @@
 
     const acquire = async ({ subject, unresponsive }: DueLease): Promise<void> => {
         const lease = await acquireLease({ context, view, subject });
+        if (lease === undefined) {
+            candidacy.acquisitionFailed(subject);
+        }
         // During a stop the lease is released at once, unless its previous holder may still act: releasing it would tell the
         // next holder that there is no such process.
         if (lease === undefined || (closed && !lease.predecessorEnded)) {
--- a/programs/dispatcher/test/lease-placement.test.ts
+++ b/programs/dispatcher/test/lease-placement.test.ts
@@ -28,6 +28,8 @@
     readonly leases: LeaseManager;
     /** Cuts the process off from the store, so that its leases expire. */
     readonly cutOff: () => void;
+    /** Lets no write of a lease reach the store from now on, unlike those of the process's requests. */
+    readonly refuseLeases: () => void;
     /** Keys of the leases under which the process cannot act. */
     readonly stuckOn: Set<string>;
 }
@@ -73,8 +75,9 @@
 const severable = (
     store: TableStore,
     time: SimulatedTime,
-): { readonly store: TableStore; readonly cutOff: () => void } => {
+): { readonly store: TableStore } & Pick<Member, "cutOff" | "refuseLeases"> => {
     let cut = false;
+    let refusesLeases = false;
     const callUnlessCut = async <Result>(call: () => Promise<Result>, failure: Result): Promise<Result> => {
         if (cut) {
             return failure;
@@ -88,11 +91,16 @@
         cutOff: () => {
             cut = true;
         },
+        refuseLeases: () => {
+            refusesLeases = true;
+        },
         store: {
             calls: store.calls,
             nowMs: () => time.nowMs,
             transact: transaction =>
-                callUnlessCut(() => store.transact(transaction), { kind: "not-run", reason: "cut off" }),
+                refusesLeases && transaction.writes.some(({ key }) => pools.map(leaseKey).includes(key))
+                    ? Promise.resolve({ kind: "not-run", reason: "refused" })
+                    : callUnlessCut(() => store.transact(transaction), { kind: "not-run", reason: "cut off" }),
             read: range => callUnlessCut(() => store.read(range), { kind: "failed", reason: "cut off" }),
             changes: request => callUnlessCut(() => store.changes(request), { kind: "failed", reason: "cut off" }),
         },
@@ -127,7 +135,10 @@
         pass: ms => passTime(time, ms),
         start: (name, { processorCores, linkMbps }) => {
             const vm = toId<VmId>(name);
-            const { store, cutOff } = severable(createTableStore({ address: platform.address, monotonicMs }), time);
+            const { store, cutOff, refuseLeases } = severable(
+                createTableStore({ address: platform.address, monotonicMs }),
+                time,
+            );
             const dispatcher: DispatcherContext = {
                 settings: { processorShare: processorCores / 2, processorSpeed: 2, linkMbps } as DispatcherSettings,
                 vm,
@@ -155,7 +166,7 @@
                     renewed: () => undefined,
                 },
             });
-            const member = { vm, leases, cutOff, stuckOn };
+            const member = { vm, leases, cutOff, refuseLeases, stuckOn };
             members.push(member);
             return member;
         },
@@ -314,6 +325,23 @@
     );
 });
 
+test("a pool is not handed over again and again to a VM that requests it and cannot take it", async context => {
+    const cluster = await startCluster(context);
+    const small = startMany(cluster, "a-small", 3, SMALL);
+    setStatusOfPools(cluster, "starting");
+    await cluster.allHeld(small);
+    cluster.start("large", LARGE).refuseLeases();
+    let releases = 0;
+    let wasHeld = true;
+    for (let passedMs = 0; passedMs < STUCK_AFTER_MS; passedMs += TICK_MS) {
+        await cluster.pass(TICK_MS);
+        const isHeld = cluster.holders().has("pool/a");
+        releases += wasHeld && !isHeld ? 1 : 0;
+        wasHeld = isHeld;
+    }
+    assert.ok(releases <= 1, `released ${releases} times`);
+});
+
 test("pools of large VMs that start nothing yet stay where they are, so that they do not go round", async context => {
     const cluster = await startCluster(context);
     const holding = startMany(cluster, "a", 2, LARGE);
