--- a/bench/system/test/assert-soak.ts
+++ b/bench/system/test/assert-soak.ts
@@ -7,8 +7,8 @@
 
 /**
  * Runs a soak with three dispatchers and four executors, prints its faults, and checks what it has shown. The decisions and
- * runs of the tasks that it names are kept, and the first ones printed. Waits are checked in the mixed workload only. Starts
- * from a former life of an executor have a test of their own.
+ * runs of the tasks that it names are kept, and the first ones printed. Waits are checked in the mixed workload only, where
+ * starts from a former life of an executor have a test of their own.
  */
 export const assertSoak = async (
     context: TestContext,
@@ -31,7 +31,14 @@
         assert.deepEqual(result.stalled, []);
     }
     assert.deepEqual(result.unfinished, []);
-    await context.test("no task runs twice by a start that its executor was ordered in a former life", knownRed, () =>
-        assert.deepEqual(result.startedByFormerLife, []),
-    );
+    const assertNoneByFormerLife = (): void => assert.deepEqual(result.startedByFormerLife, []);
+    if (workload === "mixed") {
+        await context.test(
+            "no task runs twice by a start that its executor was ordered in a former life",
+            knownRed,
+            assertNoneByFormerLife,
+        );
+    } else {
+        assertNoneByFormerLife();
+    }
 };
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/lease-manager.ts
@@ -68,6 +68,7 @@
 const MAX_ACQUISITION_WAIT_MS = 500;
 // Time between the end of an acquisition and the next one of the same lease. The store may refuse all of them at once.
 const ACQUISITION_PAUSE_MS = 200;
+
 const hasExpired = (subject: LeaseSubject, { unchangedMs }: LeaseObservation): boolean =>
     unchangedMs >= (subject.kind === "fleet" ? FLEET_LEASE_DURATION_MS : POOL_LEASE_DURATION_MS);
 
