--- a/programs/dispatcher/src/entry-server.ts
+++ b/programs/dispatcher/src/entry/entry-server.ts
@@ -2,10 +2,10 @@
 import { findQueue, type QueueMatch } from "@almondusher/jobs/configuration";
 import { isJobId } from "@almondusher/jobs/ids";
 import { encodeJobState, encodePending } from "@almondusher/platform-adapter/job-responses";
-import { createErrorReporter } from "./contain-errors.js";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import { createErrorReporter } from "../process/contain-errors.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { cancelJob, readJobState, submitJob, type JobCallResult, type JobCall } from "./job-api.js";
-import type { OperatorFeed } from "./operator-feed.js";
+import type { OperatorFeed } from "../operator/operator-feed.js";
 import type { CountedJobs } from "./pending-count.js";
 
 export interface EntryServerOptions {
--- a/programs/dispatcher/src/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -6,7 +6,7 @@
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import {
     cancellationRow,
     cancelledProgressRow,
@@ -15,8 +15,8 @@
     progressRange,
     progressRow,
     type JobTables,
-} from "./job-rows.js";
-import { readStoredProgress } from "./read-stored-rows.js";
+} from "../jobs/job-rows.js";
+import { readStoredProgress } from "../jobs/read-stored-rows.js";
 
 /** Outcome of a client's request for a job. */
 export type JobCallResult =
--- a/programs/dispatcher/src/pending-count.ts
+++ b/programs/dispatcher/src/entry/pending-count.ts
@@ -1,11 +1,11 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import type { Queue } from "@almondusher/jobs/configuration";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "./dispatcher-context.js";
-import { cancelledJobId, jobTablesOf } from "./job-rows.js";
-import type { LeaseRecord } from "./lease-rows.js";
-import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
-import { readAll, type StorePoint } from "./read-all.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
+import { cancelledJobId, jobTablesOf } from "../jobs/job-rows.js";
+import type { LeaseRecord } from "../leases/lease-rows.js";
+import { readStoredJob, readStoredProgress } from "../jobs/read-stored-rows.js";
+import { readAll, type StorePoint } from "../store/read-all.js";
 
 // Clients may get a count of up to this age.
 const MAX_COUNT_AGE_MS = 2000;
--- a/programs/dispatcher/src/withdraw-job.ts
+++ b/programs/dispatcher/src/entry/withdraw-job.ts
@@ -1,7 +1,7 @@
 import type { OpenJob } from "@almondusher/scheduler/pool-tables";
 import type { Row, RowKey } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "./dispatcher-context.js";
-import { cancellationRow, cancelledProgressRow, progressRow, type JobTables } from "./job-rows.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
+import { cancellationRow, cancelledProgressRow, progressRow, type JobTables } from "../jobs/job-rows.js";
 
 /** Outcome of an attempt to withdraw a job; `failed` may have been applied and can be tried again. */
 export type Withdrawal =
--- a/programs/dispatcher/src/executor-connection.ts
+++ b/programs/dispatcher/src/executors/executor-connection.ts
@@ -22,8 +22,8 @@
     type ReportResult,
     type RunReference,
 } from "@almondusher/platform-adapter/executor-client";
-import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { createErrorReporter, repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import type { OrderLoad } from "./order-load.js";
 import type { OrderWindow } from "./order-window.js";
 import { BACKOFF_AFTER_REJECTION_MS, createStartOutcomes } from "./start-outcomes.js";
--- a/programs/dispatcher/src/executor-connections.ts
+++ b/programs/dispatcher/src/executors/executor-connections.ts
@@ -4,8 +4,8 @@
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, VmEvacuation } from "@almondusher/scheduler/pool-tables";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
-import { containErrors } from "./contain-errors.js";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import { containErrors } from "../process/contain-errors.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import {
     openExecutorConnection,
     type ExecutorConnection,
--- a/programs/dispatcher/src/executor-registry.ts
+++ b/programs/dispatcher/src/executors/executor-registry.ts
@@ -5,9 +5,9 @@
 import { decodeExecutor } from "@almondusher/platform-adapter/decode-executor";
 import { EXECUTOR_TABLE, PLATFORM_PART } from "@almondusher/platform-adapter/platform-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { createRangeReading, watchPages, type RangeReading } from "./read-all.js";
+import { repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
+import { createRangeReading, watchPages, type RangeReading } from "../store/read-all.js";
 
 /** The registered executors, polled only while there are subscribers. */
 export interface ExecutorRegistry {
--- a/programs/dispatcher/src/order-load.ts
+++ b/programs/dispatcher/src/executors/order-load.ts
@@ -1,6 +1,6 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import type { OrderResult } from "@almondusher/platform-adapter/executor-client";
-import type { DispatcherMetrics } from "./dispatcher-metrics.js";
+import type { DispatcherMetrics } from "../process/dispatcher-metrics.js";
 
 /** Orders that a pool's scheduler sent to its executors within an interval. */
 interface OrderLoadSample {
--- a/programs/dispatcher/src/run-leases.ts
+++ b/programs/dispatcher/src/executors/run-leases.ts
@@ -1,5 +1,5 @@
 import { SLOWEST_CLOCK_RATE } from "@almondusher/scheduler/lease-time";
-import type { LeaseRecord } from "./lease-rows.js";
+import type { LeaseRecord } from "../leases/lease-rows.js";
 
 /**
  * Time for which each start or extension of a run grants a lease, in milliseconds. An executor ends its runs once their
--- a/programs/dispatcher/src/run-log.ts
+++ b/programs/dispatcher/src/executors/run-log.ts
@@ -1,6 +1,6 @@
 import type { AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { Executor, GivenUpRun } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 
 /** Logs and counts the runs that have ended. */
 export interface RunLog {
--- a/programs/dispatcher/src/run-orders.ts
+++ b/programs/dispatcher/src/executors/run-orders.ts
@@ -2,7 +2,7 @@
 import { placeTasks, type PlacementOptions } from "@almondusher/scheduler/place-tasks";
 import { planOrphanStops, planStops, type StopOptions } from "@almondusher/scheduler/plan-stops";
 import type { PoolTables, Run } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import type { ExecutorConnections } from "./executor-connections.js";
 import type { OrderWindow } from "./order-window.js";
 import type { StepTickets } from "./step-tickets.js";
--- a/programs/dispatcher/src/start-outcomes.ts
+++ b/programs/dispatcher/src/executors/start-outcomes.ts
@@ -8,7 +8,7 @@
     type IncarnationEvidence,
 } from "@almondusher/scheduler/executor-incarnation";
 import type { OrderRejection, OrderResponse, OrderResult } from "@almondusher/platform-adapter/executor-client";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 
 /** Applies the outcomes of the starts that are sent to one executor. */
 export interface StartOutcomes {
--- a/programs/dispatcher/src/step-tickets.ts
+++ b/programs/dispatcher/src/executors/step-tickets.ts
@@ -4,7 +4,7 @@
 import { isJobEnded, isReady } from "@almondusher/scheduler/job-progress";
 import { hasRoomFor } from "@almondusher/scheduler/executor-usability";
 import { isWaiting, stepsOf, type Executor, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 
 /** Tickets from the advice service, which decides for some queues on which executors a step may run. */
 export interface StepTickets {
--- a/programs/dispatcher/src/unread-executors.ts
+++ b/programs/dispatcher/src/executors/unread-executors.ts
@@ -2,7 +2,7 @@
 import { addUnregistered } from "@almondusher/scheduler/executor-table";
 import { areRunsRead, inheritedWaitEndMs } from "@almondusher/scheduler/inherited-runs";
 import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { ListedExecutor } from "./lease-rows.js";
+import type { ListedExecutor } from "../leases/lease-rows.js";
 
 const UNKNOWN_DATA_CENTRE = "" as DataCentreName;
 
--- a/programs/dispatcher/src/fleet-evacuations.ts
+++ b/programs/dispatcher/src/fleet/fleet-evacuations.ts
@@ -1,8 +1,8 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import { EVACUATION_WINDOW_MS } from "@almondusher/scheduler/demand";
-import type { DispatcherContext } from "./dispatcher-context.js";
-import type { HeldLease } from "./held-lease.js";
-import type { LeaseContent } from "./lease-rows.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
+import type { HeldLease } from "../leases/held-lease.js";
+import type { LeaseContent } from "../leases/lease-rows.js";
 import { MAX_ORDER_DELAY_MS } from "./vm-order-limits.js";
 import type { OrderPurpose } from "./vm-orders.js";
 
--- a/programs/dispatcher/src/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet/fleet-manager.ts
@@ -4,12 +4,12 @@
 import { planMaintenance, type FleetVm, type Wave } from "@almondusher/upkeep/maintenance";
 import { isFleetShort, planMoves, type MoveTables, type PoolNeed } from "@almondusher/upkeep/moves";
 import { createSurgeForecast, forecastNeeds, type ReportedPoolNeed } from "@almondusher/upkeep/surge-forecast";
-import { containErrors, repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { leaseAgeMs, type HeldLease } from "./held-lease.js";
-import type { LeaseManager } from "./lease-manager.js";
-import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "./lease-rows.js";
-import type { OperatorFeed, RequestedWave } from "./operator-feed.js";
+import { containErrors, repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
+import { leaseAgeMs, type HeldLease } from "../leases/held-lease.js";
+import type { LeaseManager } from "../leases/lease-manager.js";
+import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "../leases/lease-rows.js";
+import type { OperatorFeed, RequestedWave } from "../operator/operator-feed.js";
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
 import { createFleetOrders } from "./fleet-orders.js";
 import { maintainedVmsToStore } from "./maintained-vms.js";
--- a/programs/dispatcher/src/fleet-orders.ts
+++ b/programs/dispatcher/src/fleet/fleet-orders.ts
@@ -2,10 +2,10 @@
 import type { VmClient } from "@almondusher/platform-adapter/vm-client";
 import type { MaintenanceOrder } from "@almondusher/upkeep/maintenance";
 import type { Move } from "@almondusher/upkeep/moves";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import type { FleetEvacuations } from "./fleet-evacuations.js";
-import type { HeldLease } from "./held-lease.js";
-import type { LeaseManager } from "./lease-manager.js";
+import type { HeldLease } from "../leases/held-lease.js";
+import type { LeaseManager } from "../leases/lease-manager.js";
 import { sendOrder, type OrderOutcome, type OrderPurpose, type SendOrderOptions, type VmOrder } from "./vm-orders.js";
 
 /** Orders for VMs that were sent and are not over, and the VMs that get none for a while. */
--- a/programs/dispatcher/src/maintained-vms.ts
+++ b/programs/dispatcher/src/fleet/maintained-vms.ts
@@ -1,5 +1,5 @@
 import type { Wave } from "@almondusher/upkeep/maintenance";
-import type { WaveMaintenance } from "./lease-rows.js";
+import type { WaveMaintenance } from "../leases/lease-rows.js";
 import { isInRanges, type NumberRanges } from "./number-ranges.js";
 
 /** What a fleet manager knows of the maintained VMs of waves. */
--- a/programs/dispatcher/src/vm-capacity.ts
+++ b/programs/dispatcher/src/fleet/vm-capacity.ts
@@ -1,4 +1,4 @@
-import type { DispatcherSettings } from "./dispatcher-settings.js";
+import type { DispatcherSettings } from "../process/dispatcher-settings.js";
 
 /** Capacity of an entry VM, as far as the work under a lease needs it. */
 export interface VmCapacity {
--- a/programs/dispatcher/src/vm-orders.ts
+++ b/programs/dispatcher/src/fleet/vm-orders.ts
@@ -1,6 +1,6 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import type { VmClient, VmOrderLimits, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import { MAX_ORDER_DELAY_MS } from "./vm-order-limits.js";
 
 export type OrderPurpose =
--- a/programs/dispatcher/src/wave-status-publisher.ts
+++ b/programs/dispatcher/src/fleet/wave-status-publisher.ts
@@ -1,7 +1,7 @@
 import { encodeWaveState } from "@almondusher/platform-adapter/decode-wave";
 import { PLATFORM_PART, STATUS_TABLE, WAVE_KEY_PREFIX } from "@almondusher/platform-adapter/platform-rows";
 import type { TableStore } from "@almondusher/platform-adapter/table-store";
-import type { DecisionLog } from "./decision-log.js";
+import type { DecisionLog } from "../process/decision-log.js";
 
 /** State of a maintenance wave as published to the operator. */
 type WaveState = "running" | "completed";
--- a/programs/dispatcher/src/finished-job-rows.ts
+++ b/programs/dispatcher/src/jobs/finished-job-rows.ts
@@ -2,8 +2,8 @@
 import type { JobState } from "@almondusher/jobs/job";
 import type { PoolName } from "@almondusher/fleet/ids";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
-import { repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import { cancellationRow, cancelledProgressRow, jobRow, jobTablesOf, progressRow, type JobTables } from "./job-rows.js";
 
 /** A job whose final state is stored. */
--- a/programs/dispatcher/src/job-admission.ts
+++ b/programs/dispatcher/src/jobs/job-admission.ts
@@ -4,7 +4,7 @@
 import { endJob } from "@almondusher/scheduler/apply-report";
 import { isJobEnded } from "@almondusher/scheduler/job-progress";
 import type { OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import type { StoredJob } from "./job-feed.js";
 
 /** Opens the stored jobs of a pool in its tables, and ends those that are cancelled. */
--- a/programs/dispatcher/src/job-feed.ts
+++ b/programs/dispatcher/src/jobs/job-feed.ts
@@ -3,12 +3,12 @@
 import type { Job } from "@almondusher/jobs/job";
 import { initialProgress, isFinal, type Progress } from "@almondusher/jobs/progress";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { createErrorReporter, repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import type { FinishedJob } from "./finished-job-rows.js";
 import { cancelledJobId, jobTablesOf } from "./job-rows.js";
 import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
-import { createRangeReading, type CompleteRange, type StorePoint } from "./read-all.js";
+import { createRangeReading, type CompleteRange, type StorePoint } from "../store/read-all.js";
 
 /** A job with its progress as read from the store. */
 export interface StoredJob {
--- a/programs/dispatcher/src/progress-reading.ts
+++ b/programs/dispatcher/src/jobs/progress-reading.ts
@@ -2,9 +2,9 @@
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { mergeProgress } from "@almondusher/scheduler/admit-job";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { jobTablesOf } from "./job-rows.js";
-import { createRangeReading, type RangeReading, type StorePoint } from "./read-all.js";
+import { createRangeReading, type RangeReading, type StorePoint } from "../store/read-all.js";
 import { readStoredProgress } from "./read-stored-rows.js";
 
 export interface ProgressReadingOptions {
--- a/programs/dispatcher/src/progress-writer.ts
+++ b/programs/dispatcher/src/jobs/progress-writer.ts
@@ -3,13 +3,13 @@
 import { endJob, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import { isJobEnded } from "@almondusher/scheduler/job-progress";
 import type { Executor, OpenJob, PoolTables } from "@almondusher/scheduler/pool-tables";
-import { createErrorReporter } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { createErrorReporter } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import { jobTablesOf, progressRow } from "./job-rows.js";
 import { encodeGivenUp, encodeWrite, hasCheckpoints, toBatches, type ProgressWrite } from "./progress-batches.js";
 import { readStoredProgress } from "./read-stored-rows.js";
 import { createUnstoredEndTracker, type UnstoredEnds } from "./unstored-ends.js";
-import { withdrawJob } from "./withdraw-job.js";
+import { withdrawJob } from "../entry/withdraw-job.js";
 
 /** Stores the progress of jobs. Run ends are acknowledged to executors only after they are stored. */
 export interface ProgressWriter {
--- a/programs/dispatcher/src/read-stored-rows.ts
+++ b/programs/dispatcher/src/jobs/read-stored-rows.ts
@@ -2,7 +2,7 @@
 import type { Progress } from "@almondusher/jobs/progress";
 import { decodeJob, decodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 
 type RowContent = Pick<Row, "key" | "value">;
 type Reporting = Pick<DispatcherContext, "log" | "metrics">;
--- a/programs/dispatcher/src/reload-progress.ts
+++ b/programs/dispatcher/src/jobs/reload-progress.ts
@@ -1,6 +1,6 @@
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
-import { createErrorReporter } from "./contain-errors.js";
-import { sleep } from "./dispatcher-context.js";
+import { createErrorReporter } from "../process/contain-errors.js";
+import { sleep } from "../process/dispatcher-context.js";
 import { createProgressReading, type ProgressReadingOptions } from "./progress-reading.js";
 
 export interface ProgressReloadOptions extends ProgressReadingOptions {
--- a/programs/dispatcher/src/acquire-lease.ts
+++ b/programs/dispatcher/src/leases/acquire-lease.ts
@@ -1,5 +1,5 @@
 import { initialRunNumbers, nextToken } from "@almondusher/scheduler/run-numbers";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { POOL_LEASE_DURATION_MS, type HeldLease } from "./held-lease.js";
 import {
     emptyLeaseContent,
@@ -12,8 +12,8 @@
 } from "./lease-rows.js";
 import { transactUntilKnown, versionIfOwn } from "./lease-transactions.js";
 import type { LeaseObservation, LeaseView } from "./lease-view.js";
-import { inheritedRunsUntilMs, type Takeover } from "./run-leases.js";
-import { marksAfter } from "./unread-executors.js";
+import { inheritedRunsUntilMs, type Takeover } from "../executors/run-leases.js";
+import { marksAfter } from "../executors/unread-executors.js";
 
 export interface LeaseAcquisition {
     readonly context: DispatcherContext;
--- a/programs/dispatcher/src/acquisition-order.ts
+++ b/programs/dispatcher/src/leases/acquisition-order.ts
@@ -1,5 +1,5 @@
 import type { VmId } from "@almondusher/fleet/ids";
-import { relativeCapacity, type VmCapacity } from "./vm-capacity.js";
+import { relativeCapacity, type VmCapacity } from "../fleet/vm-capacity.js";
 
 export interface RankedVm {
     readonly vm: VmId;
--- a/programs/dispatcher/src/candidate-rows.ts
+++ b/programs/dispatcher/src/leases/candidate-rows.ts
@@ -3,7 +3,7 @@
 import { parseJson } from "@almondusher/jobs/json-text";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
 import { LEASE_TABLE } from "./lease-rows.js";
-import type { VmCapacity } from "./vm-capacity.js";
+import type { VmCapacity } from "../fleet/vm-capacity.js";
 
 /** Partition of the rows of all candidates. */
 export const CANDIDATE_PART = "candidates";
--- a/programs/dispatcher/src/candidate-view.ts
+++ b/programs/dispatcher/src/leases/candidate-view.ts
@@ -9,7 +9,7 @@
     type CandidateContent,
 } from "./candidate-rows.js";
 import { LEASE_TABLE } from "./lease-rows.js";
-import { readAll, type CompleteRange } from "./read-all.js";
+import { readAll, type CompleteRange } from "../store/read-all.js";
 
 interface Candidate extends CandidateContent {
     readonly vm: VmId;
--- a/programs/dispatcher/src/held-lease.ts
+++ b/programs/dispatcher/src/leases/held-lease.ts
@@ -1,7 +1,7 @@
 import type { RunNumbers } from "@almondusher/scheduler/run-numbers";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import type { LeaseSubject } from "./lease-rows.js";
-import type { Takeover } from "./run-leases.js";
+import type { Takeover } from "../executors/run-leases.js";
 
 /** A lease that this process holds. */
 export interface HeldLease extends Takeover {
--- a/programs/dispatcher/src/lease-absence-log.ts
+++ b/programs/dispatcher/src/leases/lease-absence-log.ts
@@ -1,7 +1,7 @@
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import type { LeaseObservation, LeaseView } from "./lease-view.js";
-import { beginWait, delayNextLog, type LongWait } from "./long-wait.js";
+import { beginWait, delayNextLog, type LongWait } from "../store/long-wait.js";
 import { createValuePeriods } from "./value-periods.js";
 
 /** Logs and counts the leases that no process seems to hold, which no holder can log. */
--- a/programs/dispatcher/src/lease-candidacy.ts
+++ b/programs/dispatcher/src/leases/lease-candidacy.ts
@@ -2,13 +2,13 @@
 import { acquisitionDelayMs, chooseLease, precedingVms, type RankedVm, type Ranking } from "./acquisition-order.js";
 import type { CandidateContent, HandoverRequest } from "./candidate-rows.js";
 import type { CandidateView } from "./candidate-view.js";
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { isUrgent, leaseToRequest, MAX_REQUEST_VALIDITY_MS, shouldHandOver } from "./lease-handover.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import { createLeaseTenures } from "./lease-tenures.js";
 import type { LeaseView } from "./lease-view.js";
 import { createValuePeriods } from "./value-periods.js";
-import { vmCapacity } from "./vm-capacity.js";
+import { vmCapacity } from "../fleet/vm-capacity.js";
 
 /** A lease that this process should acquire now. */
 export interface DueLease {
--- a/programs/dispatcher/src/lease-manager.ts
+++ b/programs/dispatcher/src/leases/lease-manager.ts
@@ -1,7 +1,7 @@
 import { EventEmitter } from "node:events";
 import { acquireLease } from "./acquire-lease.js";
-import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { createErrorReporter, repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import { createCandidateView } from "./candidate-view.js";
 import { FLEET_LEASE_DURATION_MS, POOL_LEASE_DURATION_MS, leaseAgeMs, type HeldLease } from "./held-lease.js";
 import { ABSENCE_CHECK_INTERVAL_MS, createLeaseAbsenceLog } from "./lease-absence-log.js";
@@ -17,7 +17,7 @@
 import { createLeaseRenewals } from "./lease-renewals.js";
 import { writeRelease } from "./lease-transactions.js";
 import { createLeaseView, type LeaseObservation } from "./lease-view.js";
-import { waitAtMost } from "./wait-at-most.js";
+import { waitAtMost } from "../store/wait-at-most.js";
 
 /** Callbacks for the leases that this process acquires. */
 export interface LeaseHolder {
--- a/programs/dispatcher/src/lease-renewals.ts
+++ b/programs/dispatcher/src/leases/lease-renewals.ts
@@ -1,7 +1,7 @@
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import { nextReservation } from "@almondusher/scheduler/run-numbers";
-import { createErrorReporter, repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { createErrorReporter, repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import type { HeldLease } from "./held-lease.js";
 import {
     encodeLease,
--- a/programs/dispatcher/src/lease-rows.ts
+++ b/programs/dispatcher/src/leases/lease-rows.ts
@@ -4,8 +4,8 @@
 import { parseJson } from "@almondusher/jobs/json-text";
 import type { PoolDemand } from "@almondusher/scheduler/demand";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
-import type { NumberRanges } from "./number-ranges.js";
-import type { StorePoint } from "./read-all.js";
+import type { NumberRanges } from "../fleet/number-ranges.js";
+import type { StorePoint } from "../store/read-all.js";
 import { storedStartsSchema, type StoredStart } from "./undelivered-start-rows.js";
 
 /** What the holder of a lease is responsible for: a pool or the fleet. */
--- a/programs/dispatcher/src/lease-tenures.ts
+++ b/programs/dispatcher/src/leases/lease-tenures.ts
@@ -1,4 +1,4 @@
-import type { DispatcherContext } from "./dispatcher-context.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
 import type { HeldBy } from "./lease-handover.js";
 import { leaseKey, type LeaseSubject } from "./lease-rows.js";
 import type { LeaseView } from "./lease-view.js";
--- a/programs/dispatcher/src/lease-transactions.ts
+++ b/programs/dispatcher/src/leases/lease-transactions.ts
@@ -1,5 +1,5 @@
 import type { Row, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import { decodeLease, leaseRow } from "./lease-rows.js";
 
 /** A process that writes leases, as far as the outcome of its transactions depends on it. */
--- a/programs/dispatcher/src/lease-view.ts
+++ b/programs/dispatcher/src/leases/lease-view.ts
@@ -2,7 +2,7 @@
 import { candidateVm } from "./candidate-rows.js";
 import type { CandidateView } from "./candidate-view.js";
 import { LEASE_TABLE, decodeLease, leaseRow, type LeaseRecord } from "./lease-rows.js";
-import { waitAtMost } from "./wait-at-most.js";
+import { waitAtMost } from "../store/wait-at-most.js";
 
 /** A lease as it was read. */
 export interface LeaseObservation {
--- a/programs/dispatcher/src/main.ts
+++ b/programs/dispatcher/src/main.ts
@@ -1,7 +1,7 @@
 import { FleetError } from "@almondusher/fleet/fleet-error";
 import { describeStartupFailure } from "@almondusher/settings/startup-failure";
-import { readDispatcherSettings } from "./dispatcher-settings.js";
-import { runDispatcher } from "./dispatcher-process.js";
+import { readDispatcherSettings } from "./process/dispatcher-settings.js";
+import { runDispatcher } from "./process/dispatcher-process.js";
 
 // The platform sets this variable to the path of the settings file; --settings FILE takes precedence.
 const SETTINGS_VARIABLE = "ALMONDUSHER_NODE_FILE";
--- a/programs/dispatcher/src/operator-feed.ts
+++ b/programs/dispatcher/src/operator/operator-feed.ts
@@ -9,9 +9,9 @@
     WAVE_KEY_PREFIX,
 } from "@almondusher/platform-adapter/platform-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
-import { repeatWhileActive } from "./contain-errors.js";
-import { sleep, type DispatcherContext } from "./dispatcher-context.js";
-import { readAll } from "./read-all.js";
+import { repeatWhileActive } from "../process/contain-errors.js";
+import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
+import { readAll } from "../store/read-all.js";
 
 /** A requested maintenance wave and the monotonic time at which this process first read it. */
 export interface RequestedWave {
--- a/programs/dispatcher/src/pool-lease-content.ts
+++ b/programs/dispatcher/src/pool/pool-lease-content.ts
@@ -1,8 +1,8 @@
 import { countPendingJobs } from "@almondusher/scheduler/job-progress";
 import { areInheritedRunsOver } from "@almondusher/scheduler/inherited-runs";
 import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { ListedExecutor, PendingCount } from "./lease-rows.js";
-import { markIfUnread } from "./unread-executors.js";
+import type { ListedExecutor, PendingCount } from "../leases/lease-rows.js";
+import { markIfUnread } from "../executors/unread-executors.js";
 
 /** Counts the jobs of each queue that have not started. */
 export const pendingCounts = (tables: PoolTables): readonly PendingCount[] =>
--- a/programs/dispatcher/src/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -15,29 +15,35 @@
 import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { MAX_ORDER_CONNECTIONS, ORDER_TIMEOUT_MS } from "@almondusher/platform-adapter/executor-client";
-import { containErrors } from "./contain-errors.js";
-import type { DispatcherContext } from "./dispatcher-context.js";
-import type { ExecutorRegistry } from "./executor-registry.js";
-import { createExecutorConnections } from "./executor-connections.js";
-import { createJobAdmission } from "./job-admission.js";
-import { createFinishedJobRows } from "./finished-job-rows.js";
-import { followJobs, type StoredJob } from "./job-feed.js";
-import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "./held-lease.js";
-import { emptyLeaseContent, type LeaseContent, type SchedulerStatus } from "./lease-rows.js";
-import type { OperatorFeed } from "./operator-feed.js";
-import { createOrderLoad } from "./order-load.js";
-import { createOrderWindow } from "./order-window.js";
+import { containErrors } from "../process/contain-errors.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
+import type { ExecutorRegistry } from "../executors/executor-registry.js";
+import { createExecutorConnections } from "../executors/executor-connections.js";
+import { createJobAdmission } from "../jobs/job-admission.js";
+import { createFinishedJobRows } from "../jobs/finished-job-rows.js";
+import { followJobs, type StoredJob } from "../jobs/job-feed.js";
+import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "../leases/held-lease.js";
+import { emptyLeaseContent, type LeaseContent, type SchedulerStatus } from "../leases/lease-rows.js";
+import type { OperatorFeed } from "../operator/operator-feed.js";
+import { createOrderLoad } from "../executors/order-load.js";
+import { createOrderWindow } from "../executors/order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
-import { createProgressWriter } from "./progress-writer.js";
-import { createProgressReload } from "./reload-progress.js";
-import { inheritedWaitMs, leaseGateOf, mayActOnLease, RUN_LEASE_MS, type LeaseStatus } from "./run-leases.js";
-import { watchPages, type StorePoint } from "./read-all.js";
-import { createRunLog } from "./run-log.js";
-import { createRunOrders } from "./run-orders.js";
-import { createStepTickets } from "./step-tickets.js";
-import { storedStarts, undeliveredStartsOf } from "./undelivered-start-rows.js";
-import { addInherited, removeMarks } from "./unread-executors.js";
+import { createProgressWriter } from "../jobs/progress-writer.js";
+import { createProgressReload } from "../jobs/reload-progress.js";
+import {
+    inheritedWaitMs,
+    leaseGateOf,
+    mayActOnLease,
+    RUN_LEASE_MS,
+    type LeaseStatus,
+} from "../executors/run-leases.js";
+import { watchPages, type StorePoint } from "../store/read-all.js";
+import { createRunLog } from "../executors/run-log.js";
+import { createRunOrders } from "../executors/run-orders.js";
+import { createStepTickets } from "../executors/step-tickets.js";
+import { storedStarts, undeliveredStartsOf } from "../leases/undelivered-start-rows.js";
+import { addInherited, removeMarks } from "../executors/unread-executors.js";
 import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "./waiting-log.js";
 
 /** Schedules the jobs of one pool while this process holds the pool's lease. */
--- a/programs/dispatcher/src/waiting-log.ts
+++ b/programs/dispatcher/src/pool/waiting-log.ts
@@ -1,9 +1,9 @@
 import { isJobEnded, isReady } from "@almondusher/scheduler/job-progress";
 import { stepsOf, type PoolTables, type Task } from "@almondusher/scheduler/pool-tables";
 import { isHeldUp, surveyWaiting, type SurveyOptions, type WaitingReason } from "@almondusher/scheduler/waiting-reason";
-import type { DispatcherContext } from "./dispatcher-context.js";
-import { beginWait, delayNextLog, type LongWait } from "./long-wait.js";
-import type { LeaseGate, LeaseStatus } from "./run-leases.js";
+import type { DispatcherContext } from "../process/dispatcher-context.js";
+import { beginWait, delayNextLog, type LongWait } from "../store/long-wait.js";
+import type { LeaseGate, LeaseStatus } from "../executors/run-leases.js";
 
 /** Why the scheduler of a pool starts no tasks at all. */
 export type PoolGate = LeaseGate | "jobs-not-read" | "executors-not-read";
--- a/programs/dispatcher/test/acquisition-order.test.ts
+++ b/programs/dispatcher/test/acquisition-order.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { toId, type VmId } from "@almondusher/fleet/ids";
-import { acquisitionDelayMs, chooseLease, precedingVms } from "../src/acquisition-order.js";
-import { vmCapacity, type VmCapacity } from "../src/vm-capacity.js";
+import { acquisitionDelayMs, chooseLease, precedingVms } from "../src/leases/acquisition-order.js";
+import { vmCapacity, type VmCapacity } from "../src/fleet/vm-capacity.js";
 
 type RankedVm = Parameters<typeof acquisitionDelayMs>[0]["self"];
 
--- a/programs/dispatcher/test/bounded-output.test.ts
+++ b/programs/dispatcher/test/bounded-output.test.ts
@@ -5,7 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import test, { type TestContext } from "node:test";
-import { createBoundedOutput } from "@almondusher/dispatcher/bounded-output";
+import { createBoundedOutput } from "@almondusher/dispatcher/process/bounded-output";
 
 test("a stalled reader does not block the writer, and lines beyond the buffer limit are dropped and counted", async () => {
     const directory = mkdtempSync(join(tmpdir(), "almondusher-log-"));
--- a/programs/dispatcher/test/candidate-view.test.ts
+++ b/programs/dispatcher/test/candidate-view.test.ts
@@ -3,9 +3,9 @@
 import { toId, type VmId } from "@almondusher/fleet/ids";
 import { startStoreStandIn } from "@almondusher/job-platform-stand-in/store";
 import { createTableStore, type TableStore } from "@almondusher/platform-adapter/table-store";
-import { createCandidateView, type CandidateView } from "../src/candidate-view.js";
-import { LEASE_TABLE } from "../src/lease-rows.js";
-import type { CandidateContent } from "../src/candidate-rows.js";
+import { createCandidateView, type CandidateView } from "../src/leases/candidate-view.js";
+import { LEASE_TABLE } from "../src/leases/lease-rows.js";
+import type { CandidateContent } from "../src/leases/candidate-rows.js";
 
 const content: CandidateContent = { capacity: { processorCores: 1.35, linkMbps: 140 }, request: undefined };
 const vmA = toId<VmId>("vm-a");
--- a/programs/dispatcher/test/connected-executor.ts
+++ b/programs/dispatcher/test/connected-executor.ts
@@ -10,8 +10,8 @@
 import type { AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { Executor, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
 import { addRun } from "@almondusher/scheduler/run-table";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { openExecutorConnection, type ExecutorConnection } from "../src/executors/executor-connection.js";
 import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 export const ID = "i-0" as ExecutorId;
--- a/programs/dispatcher/test/contain-errors.test.ts
+++ b/programs/dispatcher/test/contain-errors.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { containErrors, createErrorReporter, repeatWhileActive } from "../src/contain-errors.js";
+import { containErrors, createErrorReporter, repeatWhileActive } from "../src/process/contain-errors.js";
 
 interface Recorded {
     readonly context: Parameters<typeof createErrorReporter>[0]["context"];
--- a/programs/dispatcher/test/executor-connection-pauses.test.ts
+++ b/programs/dispatcher/test/executor-connection-pauses.test.ts
@@ -8,10 +8,10 @@
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, Run, Task } from "@almondusher/scheduler/pool-tables";
 import { addRun } from "@almondusher/scheduler/run-table";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { openExecutorConnection, type ExecutorConnection } from "../src/executor-connection.js";
-import { createOrderLoad } from "../src/order-load.js";
-import { createOrderWindow } from "../src/order-window.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { openExecutorConnection, type ExecutorConnection } from "../src/executors/executor-connection.js";
+import { createOrderLoad } from "../src/executors/order-load.js";
+import { createOrderWindow } from "../src/executors/order-window.js";
 import { RUN_LEASE_MS, emptyTables, executorRecord } from "./fixture.js";
 
 const EXECUTOR = toId<ExecutorId>("i-1");
--- a/programs/dispatcher/test/executor-registry.test.ts
+++ b/programs/dispatcher/test/executor-registry.test.ts
@@ -3,8 +3,8 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createExecutorRegistry } from "../src/executor-registry.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createExecutorRegistry } from "../src/executors/executor-registry.js";
 import { POOL } from "./fixture.js";
 import { createPagedStore } from "./paged-store.js";
 
--- a/programs/dispatcher/test/finished-job-rows.test.ts
+++ b/programs/dispatcher/test/finished-job-rows.test.ts
@@ -5,9 +5,9 @@
 import { toId, type PoolName } from "@almondusher/fleet/ids";
 import type { JobId } from "@almondusher/jobs/ids";
 import type { Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createFinishedJobRows, type FinishedJob, type FinishedJobRows } from "../src/finished-job-rows.js";
-import { jobTablesOf } from "../src/job-rows.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createFinishedJobRows, type FinishedJob, type FinishedJobRows } from "../src/jobs/finished-job-rows.js";
+import { jobTablesOf } from "../src/jobs/job-rows.js";
 
 const POOL = toId<PoolName>("pool-a");
 const TABLES = jobTablesOf(POOL);
--- a/programs/dispatcher/test/fleet-evacuations.test.ts
+++ b/programs/dispatcher/test/fleet-evacuations.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { VmId } from "@almondusher/fleet/ids";
-import { createFleetEvacuations } from "../src/fleet-evacuations.js";
-import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
+import { createFleetEvacuations } from "../src/fleet/fleet-evacuations.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/leases/lease-rows.js";
 
 const ORDERED = "vm-ordered" as VmId;
 const REQUESTED = "vm-requested" as VmId;
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -5,12 +5,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { toId, type PoolName, type VmId } from "@almondusher/fleet/ids";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { startFleetManager, type FleetManager } from "../src/fleet-manager.js";
-import type { HeldLease } from "../src/held-lease.js";
-import type { LeaseManager } from "../src/lease-manager.js";
-import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
-import type { OperatorFeed, RequestedWave } from "../src/operator-feed.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { startFleetManager, type FleetManager } from "../src/fleet/fleet-manager.js";
+import type { HeldLease } from "../src/leases/held-lease.js";
+import type { LeaseManager } from "../src/leases/lease-manager.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/leases/lease-rows.js";
+import type { OperatorFeed, RequestedWave } from "../src/operator/operator-feed.js";
 
 const POOL_A = toId<PoolName>("pool-a");
 const POOL_B = toId<PoolName>("pool-b");
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -7,11 +7,11 @@
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import type { FinishedJob } from "../src/finished-job-rows.js";
-import { followJobs } from "../src/job-feed.js";
-import { jobTablesOf } from "../src/job-rows.js";
-import type { StorePoint } from "../src/read-all.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import type { FinishedJob } from "../src/jobs/finished-job-rows.js";
+import { followJobs } from "../src/jobs/job-feed.js";
+import { jobTablesOf } from "../src/jobs/job-rows.js";
+import type { StorePoint } from "../src/store/read-all.js";
 import { createPagedStore, PAGED_STORE_VERSION, type PagedStore } from "./paged-store.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
--- a/programs/dispatcher/test/large-jobs.test.ts
+++ b/programs/dispatcher/test/large-jobs.test.ts
@@ -10,7 +10,7 @@
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { stepsOf, type OpenJob, type Task } from "@almondusher/scheduler/pool-tables";
 import fc from "fast-check";
-import { encodeWrite } from "../src/progress-batches.js";
+import { encodeWrite } from "../src/jobs/progress-batches.js";
 import { emptyTables, POOL } from "./fixture.js";
 
 // The size of a row that the platform's store takes.
--- a/programs/dispatcher/test/lease-absence-log.test.ts
+++ b/programs/dispatcher/test/lease-absence-log.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
-import { ABSENCE_CHECK_INTERVAL_MS, createLeaseAbsenceLog } from "../src/lease-absence-log.js";
-import { emptyLeaseContent, leaseKey, type LeaseSubject } from "../src/lease-rows.js";
-import type { LeaseObservation } from "../src/lease-view.js";
+import { ABSENCE_CHECK_INTERVAL_MS, createLeaseAbsenceLog } from "../src/leases/lease-absence-log.js";
+import { emptyLeaseContent, leaseKey, type LeaseSubject } from "../src/leases/lease-rows.js";
+import type { LeaseObservation } from "../src/leases/lease-view.js";
 
 const subjectOf = (name: string): LeaseSubject => ({ kind: "pool", pool: name as PoolName });
 
--- a/programs/dispatcher/test/lease-handover.test.ts
+++ b/programs/dispatcher/test/lease-handover.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { toId, type VmId } from "@almondusher/fleet/ids";
-import { leaseToRequest, shouldHandOver, type HeldBy, type RequestedHandover } from "../src/lease-handover.js";
-import type { VmCapacity } from "../src/vm-capacity.js";
+import { leaseToRequest, shouldHandOver, type HeldBy, type RequestedHandover } from "../src/leases/lease-handover.js";
+import type { VmCapacity } from "../src/fleet/vm-capacity.js";
 
 type RankedVm = RequestedHandover["holder"];
 
--- a/programs/dispatcher/test/lease-manager.test.ts
+++ b/programs/dispatcher/test/lease-manager.test.ts
@@ -5,11 +5,11 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import type { Row, TableStore, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
-import { CANDIDATE_PART } from "../src/candidate-rows.js";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import { poolLeaseHeldAtMs, type HeldLease } from "../src/held-lease.js";
-import { createLeaseManager, type LeaseManager } from "../src/lease-manager.js";
+import { CANDIDATE_PART } from "../src/leases/candidate-rows.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createDispatcherMetrics } from "../src/process/dispatcher-metrics.js";
+import { poolLeaseHeldAtMs, type HeldLease } from "../src/leases/held-lease.js";
+import { createLeaseManager, type LeaseManager } from "../src/leases/lease-manager.js";
 import {
     decodeLease,
     emptyLeaseContent,
@@ -18,7 +18,7 @@
     type LeaseRecord,
     leaseRow,
     type LeaseSubject,
-} from "../src/lease-rows.js";
+} from "../src/leases/lease-rows.js";
 
 const SUBJECT: LeaseSubject = { kind: "pool", pool: "pool-a" as PoolName };
 const LEASE_KEY = "pool/pool-a";
--- a/programs/dispatcher/test/lease-parts.test.ts
+++ b/programs/dispatcher/test/lease-parts.test.ts
@@ -3,11 +3,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { PoolName, ProcessId, VmId } from "@almondusher/fleet/ids";
 import type { Row, RowKey, TableStore } from "@almondusher/platform-adapter/table-store";
-import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { POOL_LEASE_DURATION_MS, type HeldLease } from "../src/held-lease.js";
-import { createLeaseManager } from "../src/lease-manager.js";
-import { emptyLeaseContent, encodeLease, leaseKey, leaseRow, type LeaseSubject } from "../src/lease-rows.js";
+import { createDispatcherMetrics } from "../src/process/dispatcher-metrics.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { POOL_LEASE_DURATION_MS, type HeldLease } from "../src/leases/held-lease.js";
+import { createLeaseManager } from "../src/leases/lease-manager.js";
+import { emptyLeaseContent, encodeLease, leaseKey, leaseRow, type LeaseSubject } from "../src/leases/lease-rows.js";
 
 // Each lease has a part of its own in the store, and the store may be unavailable in part.
 
--- a/programs/dispatcher/test/lease-placement.test.ts
+++ b/programs/dispatcher/test/lease-placement.test.ts
@@ -3,12 +3,12 @@
 import { toId, type PoolName, type ProcessId, type VmId } from "@almondusher/fleet/ids";
 import { startStoreStandIn } from "@almondusher/job-platform-stand-in/store";
 import { createTableStore, type TableStore } from "@almondusher/platform-adapter/table-store";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import type { DispatcherSettings } from "../src/dispatcher-settings.js";
-import { createLeaseManager, type LeaseManager } from "../src/lease-manager.js";
-import { emptyLeaseContent, leaseKey, type LeaseSubject, type SchedulerStatus } from "../src/lease-rows.js";
-import type { VmCapacity } from "../src/vm-capacity.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createDispatcherMetrics } from "../src/process/dispatcher-metrics.js";
+import type { DispatcherSettings } from "../src/process/dispatcher-settings.js";
+import { createLeaseManager, type LeaseManager } from "../src/leases/lease-manager.js";
+import { emptyLeaseContent, leaseKey, type LeaseSubject, type SchedulerStatus } from "../src/leases/lease-rows.js";
+import type { VmCapacity } from "../src/fleet/vm-capacity.js";
 
 const LARGE: VmCapacity = { processorCores: 1.35, linkMbps: 140 };
 const SMALL: VmCapacity = { processorCores: 0.324, linkMbps: 7 };
--- a/programs/dispatcher/test/lease-view.test.ts
+++ b/programs/dispatcher/test/lease-view.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
-import { emptyLeaseContent, encodeLease, LEASE_TABLE, leaseRow } from "../src/lease-rows.js";
-import { createLeaseView, type LeaseView } from "../src/lease-view.js";
+import { emptyLeaseContent, encodeLease, LEASE_TABLE, leaseRow } from "../src/leases/lease-rows.js";
+import { createLeaseView, type LeaseView } from "../src/leases/lease-view.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
 
--- a/programs/dispatcher/test/maintained-vms.test.ts
+++ b/programs/dispatcher/test/maintained-vms.test.ts
@@ -1,9 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { toId, type VmId } from "@almondusher/fleet/ids";
-import { decodeLease, emptyLeaseContent, encodeLease, type WaveMaintenance } from "../src/lease-rows.js";
-import { maintainedVmsToStore } from "../src/maintained-vms.js";
-import { addToRanges, isInRanges, type NumberRanges } from "../src/number-ranges.js";
+import { decodeLease, emptyLeaseContent, encodeLease, type WaveMaintenance } from "../src/leases/lease-rows.js";
+import { maintainedVmsToStore } from "../src/fleet/maintained-vms.js";
+import { addToRanges, isInRanges, type NumberRanges } from "../src/fleet/number-ranges.js";
 
 const MAX_ROW_BYTES = 65_536;
 const VMS_OF_WAVE = 200;
--- a/programs/dispatcher/test/order-load.test.ts
+++ b/programs/dispatcher/test/order-load.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { OrderResult } from "@almondusher/platform-adapter/executor-client";
-import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import { createOrderLoad } from "../src/order-load.js";
+import { createDispatcherMetrics } from "../src/process/dispatcher-metrics.js";
+import { createOrderLoad } from "../src/executors/order-load.js";
 
 test("a sample tells answered, unanswered and outstanding requests apart", async () => {
     let nowMs = 0;
--- a/programs/dispatcher/test/order-window.test.ts
+++ b/programs/dispatcher/test/order-window.test.ts
@@ -3,7 +3,7 @@
 import { toId } from "@almondusher/fleet/ids";
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import type { OrderResult } from "@almondusher/platform-adapter/executor-client";
-import { createOrderWindow, type OrderWindow } from "../src/order-window.js";
+import { createOrderWindow, type OrderWindow } from "../src/executors/order-window.js";
 
 const TIMEOUT_MS = 350;
 const MAX_SIZE = 600;
--- a/programs/dispatcher/test/page-size.test.ts
+++ b/programs/dispatcher/test/page-size.test.ts
@@ -3,7 +3,7 @@
 import { initialProgress } from "@almondusher/jobs/progress";
 import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Range, Row } from "@almondusher/platform-adapter/table-store";
-import { createRangeReading } from "../src/read-all.js";
+import { createRangeReading } from "../src/store/read-all.js";
 import { createNarrowLink, type NarrowLink } from "./narrow-link.js";
 import { createPagedStore, type CallOutcome } from "./paged-store.js";
 
--- a/programs/dispatcher/test/pass-throttle.test.ts
+++ b/programs/dispatcher/test/pass-throttle.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createPassThrottle } from "../src/pass-throttle.js";
+import { createPassThrottle } from "../src/pool/pass-throttle.js";
 
 interface Timer {
     readonly atMs: number;
--- a/programs/dispatcher/test/pending-count.test.ts
+++ b/programs/dispatcher/test/pending-count.test.ts
@@ -6,9 +6,9 @@
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, RowKey, TableStore } from "@almondusher/platform-adapter/table-store";
-import { cancellationRow, cancelledProgressRow, jobRow, jobTablesOf, progressRow } from "../src/job-rows.js";
-import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
-import { countPending, type CountedJobs } from "../src/pending-count.js";
+import { cancellationRow, cancelledProgressRow, jobRow, jobTablesOf, progressRow } from "../src/jobs/job-rows.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/leases/lease-rows.js";
+import { countPending, type CountedJobs } from "../src/entry/pending-count.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
 
--- a/programs/dispatcher/test/pool-lease-content.test.ts
+++ b/programs/dispatcher/test/pool-lease-content.test.ts
@@ -3,7 +3,7 @@
 import type { ExecutorId } from "@almondusher/jobs/ids";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { completedEvacuations, listExecutors } from "../src/pool-lease-content.js";
+import { completedEvacuations, listExecutors } from "../src/pool/pool-lease-content.js";
 import { emptyTables, executorRecord } from "./fixture.js";
 
 const NOW_MS = 1000;
--- a/programs/dispatcher/test/progress-writer.test.ts
+++ b/programs/dispatcher/test/progress-writer.test.ts
@@ -11,8 +11,8 @@
 import { applyReport } from "@almondusher/scheduler/apply-report";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { Executor, OpenJob } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createProgressWriter, type ProgressWriter } from "../src/progress-writer.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createProgressWriter, type ProgressWriter } from "../src/jobs/progress-writer.js";
 import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 const TIMEOUT_MS = 3000;
--- a/programs/dispatcher/test/read-all.test.ts
+++ b/programs/dispatcher/test/read-all.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Range, Row, TableStore } from "@almondusher/platform-adapter/table-store";
-import { createRangeReading, readAll } from "../src/read-all.js";
+import { createRangeReading, readAll } from "../src/store/read-all.js";
 import { createPagedStore, type CallOutcome } from "./paged-store.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
--- a/programs/dispatcher/test/reload-progress-failures.test.ts
+++ b/programs/dispatcher/test/reload-progress-failures.test.ts
@@ -7,10 +7,10 @@
 import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row, TableStore } from "@almondusher/platform-adapter/table-store";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { jobTablesOf } from "../src/job-rows.js";
-import { createPassThrottle } from "../src/pass-throttle.js";
-import { createProgressReload } from "../src/reload-progress.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { jobTablesOf } from "../src/jobs/job-rows.js";
+import { createPassThrottle } from "../src/pool/pass-throttle.js";
+import { createProgressReload } from "../src/jobs/reload-progress.js";
 import { POOL, addInheritedJob, emptyTables } from "./fixture.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
--- a/programs/dispatcher/test/reload-progress.test.ts
+++ b/programs/dispatcher/test/reload-progress.test.ts
@@ -7,9 +7,9 @@
 import { encodeProgress } from "@almondusher/jobs/stored-rows";
 import type { Row } from "@almondusher/platform-adapter/table-store";
 import type { Executor, PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { jobTablesOf } from "../src/job-rows.js";
-import { createProgressReload } from "../src/reload-progress.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { jobTablesOf } from "../src/jobs/job-rows.js";
+import { createProgressReload } from "../src/jobs/reload-progress.js";
 import { emptyTables, POOL } from "./fixture.js";
 import { createPagedStore, type CallOutcome, type PagedStore } from "./paged-store.js";
 
--- a/programs/dispatcher/test/run-leases.test.ts
+++ b/programs/dispatcher/test/run-leases.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { emptyLeaseContent, type LeaseRecord } from "../src/lease-rows.js";
+import { emptyLeaseContent, type LeaseRecord } from "../src/leases/lease-rows.js";
 import {
     inheritedRunsUntilMs,
     inheritedWaitMs,
@@ -8,7 +8,7 @@
     MAX_LEASE_AGE_MS,
     RUN_LEASE_MS,
     takeoverWaitMs,
-} from "../src/run-leases.js";
+} from "../src/executors/run-leases.js";
 
 const SLOWEST_CLOCK_RATE = 0.98;
 
--- a/programs/dispatcher/test/run-orders.test.ts
+++ b/programs/dispatcher/test/run-orders.test.ts
@@ -7,12 +7,12 @@
 import { reply, startJsonServer, type JsonServer } from "@almondusher/job-platform-stand-in/json-server";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { recordLeaseHeld, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createExecutorConnections } from "../src/executor-connections.js";
-import { createOrderLoad } from "../src/order-load.js";
-import { createOrderWindow } from "../src/order-window.js";
-import { createRunOrders } from "../src/run-orders.js";
-import type { StepTickets } from "../src/step-tickets.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createExecutorConnections } from "../src/executors/executor-connections.js";
+import { createOrderLoad } from "../src/executors/order-load.js";
+import { createOrderWindow } from "../src/executors/order-window.js";
+import { createRunOrders } from "../src/executors/run-orders.js";
+import type { StepTickets } from "../src/executors/step-tickets.js";
 import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 const JOB = toId<JobId>("0000000000000001");
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -11,8 +11,8 @@
 import { beginIncarnation } from "@almondusher/scheduler/executor-incarnation";
 import { placeTasks } from "@almondusher/scheduler/place-tasks";
 import { recordLeaseHeld, stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createStepTickets, type StepTickets } from "../src/step-tickets.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createStepTickets, type StepTickets } from "../src/executors/step-tickets.js";
 import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
 
 const QUEUE = toId<QueueName>("queue-1");
--- a/programs/dispatcher/test/undelivered-start-rows.test.ts
+++ b/programs/dispatcher/test/undelivered-start-rows.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { decodeLease, emptyLeaseContent, encodeLease, type LeaseRecord } from "../src/lease-rows.js";
-import { storedStarts, undeliveredStartsOf } from "../src/undelivered-start-rows.js";
+import { decodeLease, emptyLeaseContent, encodeLease, type LeaseRecord } from "../src/leases/lease-rows.js";
+import { storedStarts, undeliveredStartsOf } from "../src/leases/undelivered-start-rows.js";
 
 const STORE_AHEAD_MS = 1_000_000;
 const START = { executor: "a" as never, task: "j1.0.0.0" as never, number: 65_537, sentAtMs: 500 };
--- a/programs/dispatcher/test/unread-ends-of-rejected-jobs.test.ts
+++ b/programs/dispatcher/test/unread-ends-of-rejected-jobs.test.ts
@@ -12,9 +12,9 @@
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import { recordLeaseHeld, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { createProgressWriter } from "../src/progress-writer.js";
-import { cancellationRow, cancelledProgressRow, jobTablesOf } from "../src/job-rows.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { createProgressWriter } from "../src/jobs/progress-writer.js";
+import { cancellationRow, cancelledProgressRow, jobTablesOf } from "../src/jobs/job-rows.js";
 import { addInheritedJob, emptyTables, executorRecord, POOL } from "./fixture.js";
 
 const TICK_MS = 100;
--- a/programs/dispatcher/test/unread-executors.test.ts
+++ b/programs/dispatcher/test/unread-executors.test.ts
@@ -5,9 +5,9 @@
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import { recordLeaseHeld, type Executor, type PoolTables } from "@almondusher/scheduler/pool-tables";
-import { decodeLease, emptyLeaseContent, encodeLease, type ListedExecutor } from "../src/lease-rows.js";
-import { listExecutors } from "../src/pool-lease-content.js";
-import { addInherited, marksAfter, removeMarks, withoutMarks } from "../src/unread-executors.js";
+import { decodeLease, emptyLeaseContent, encodeLease, type ListedExecutor } from "../src/leases/lease-rows.js";
+import { listExecutors } from "../src/pool/pool-lease-content.js";
+import { addInherited, marksAfter, removeMarks, withoutMarks } from "../src/executors/unread-executors.js";
 import { POOL, emptyTables, executorRecord } from "./fixture.js";
 
 const WAIT_UNTIL_MS = 8000;
--- a/programs/dispatcher/test/vm-order-limits.test.ts
+++ b/programs/dispatcher/test/vm-order-limits.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { FLEET_LEASE_DURATION_MS } from "../src/held-lease.js";
-import { orderTimeoutMs } from "../src/vm-order-limits.js";
+import { FLEET_LEASE_DURATION_MS } from "../src/leases/held-lease.js";
+import { orderTimeoutMs } from "../src/fleet/vm-order-limits.js";
 
 const AGES_MS = Array.from({ length: 400 }, (unused, index) => index * 10);
 
--- a/programs/dispatcher/test/vm-orders.test.ts
+++ b/programs/dispatcher/test/vm-orders.test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import { toId, type PoolName, type VmId } from "@almondusher/fleet/ids";
 import type { VmClient, VmOrderResult } from "@almondusher/platform-adapter/vm-client";
-import type { DispatcherContext } from "../src/dispatcher-context.js";
-import { sendOrder, type OrderOutcome, type OrderPurpose } from "../src/vm-orders.js";
+import type { DispatcherContext } from "../src/process/dispatcher-context.js";
+import { sendOrder, type OrderOutcome, type OrderPurpose } from "../src/fleet/vm-orders.js";
 
 const outcomeOf = (purpose: OrderPurpose, ...results: readonly VmOrderResult[]): Promise<OrderOutcome> => {
     const remaining = [...results];
--- a/programs/dispatcher/test/waiting-log.test.ts
+++ b/programs/dispatcher/test/waiting-log.test.ts
@@ -10,8 +10,8 @@
 import { addRun } from "@almondusher/scheduler/run-table";
 import type { UnusableCause } from "@almondusher/scheduler/executor-usability";
 import type { WaitingReason } from "@almondusher/scheduler/waiting-reason";
-import { createDispatcherMetrics } from "../src/dispatcher-metrics.js";
-import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "../src/waiting-log.js";
+import { createDispatcherMetrics } from "../src/process/dispatcher-metrics.js";
+import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "../src/pool/waiting-log.js";
 import { emptyTables, executorRecord, POOL, STEP } from "./fixture.js";
 
 type Line = Readonly<Record<string, unknown>>;
--- a/programs/dispatcher/test/wave-status-publisher.test.ts
+++ b/programs/dispatcher/test/wave-status-publisher.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createWaveStatusPublisher, type WaveStatusPublisherOptions } from "../src/wave-status-publisher.js";
+import { createWaveStatusPublisher, type WaveStatusPublisherOptions } from "../src/fleet/wave-status-publisher.js";
 
 const recordingStore = (stored: string[]): WaveStatusPublisherOptions["store"] => ({
     transact: ({ writes: [write] }) => {
