--- a/domain/jobs/src/configuration.ts
+++ b/domain/jobs/src/configuration.ts
@@ -1,5 +1,6 @@
 import type { PoolName } from "@almondusher/fleet/ids";
-import type { QueueName } from "./ids.js";
+import type { KeyDigest, QueueName, TenantName } from "./ids.js";
+import type { Resources } from "./job.js";
 
 /** Timing of the external advice service of a queue, if such a service chooses the executors for the tasks. */
 export interface AdviceTiming {
@@ -23,6 +24,18 @@
     readonly graceMs: number;
     readonly timeoutMs: number;
     readonly advice: AdviceTiming | undefined;
+    /** True if calls need no key, also where the configuration has tenants. */
+    readonly isPublic: boolean;
+}
+
+/** Submits jobs with keys of its own, and shares the executors of all pools with the other tenants. */
+export interface Tenant {
+    readonly name: TenantName;
+    readonly keys: readonly KeyDigest[];
+    /** Share of the executors when they are full, relative to the weights of the other tenants. */
+    readonly weight: number;
+    /** What the tenant's tasks may use at the same time on the executors of all pools; 0 for no limit. */
+    readonly cap: Resources;
 }
 
 /** Configuration of a pool of executors. */
@@ -48,6 +61,8 @@
     readonly queues: readonly Queue[];
     readonly pools: readonly ExecutorPoolConfiguration[];
     readonly limits: RequestLimits;
+    /** Empty if no call needs a key. */
+    readonly tenants: readonly Tenant[];
 }
 
 /** A queue and the rest of the path after its prefix; an empty rest refers to the queue itself. */
--- a/domain/jobs/src/job.ts
+++ b/domain/jobs/src/job.ts
@@ -1,5 +1,5 @@
 import type { PoolName } from "@almondusher/fleet/ids";
-import type { JobId, QueueName, StepId, TaskId } from "./ids.js";
+import type { JobId, QueueName, StepId, TaskId, TenantName } from "./ids.js";
 
 /** Resources of an executor or of a task. */
 export interface Resources {
@@ -55,6 +55,8 @@
     readonly queue: QueueName;
     /** The pool of the queue when the job was accepted. */
     readonly pool: PoolName;
+    /** Undefined if the job was submitted without a key, and for jobs that earlier versions have stored. */
+    readonly tenant: TenantName | undefined;
     /** Text for the executors; not interpreted by the system. */
     readonly spec: string;
     readonly steps: readonly Step[];
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -47,6 +47,8 @@
             id: z.string(),
             queue: z.string(),
             pool: z.string(),
+            // Absent in rows of jobs without a tenant and of earlier versions, which ignore it.
+            tenant: z.string().optional(),
             spec: z.string(),
             steps: z
                 .array(step)
--- a/domain/jobs/test/configuration.test.ts
+++ b/domain/jobs/test/configuration.test.ts
@@ -15,6 +15,7 @@
     graceMs: 0,
     timeoutMs: 0,
     advice: undefined,
+    isPublic: false,
 });
 
 const CONFIGURATION: Configuration = {
@@ -22,6 +23,7 @@
     queues: [queue("short", "h", "/a/"), queue("long", "h", "/a/b/"), queue("other", "g", "/a/b/c/")],
     pools: [],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    tenants: [],
 };
 
 test("the longest matching prefix of the host takes precedence, and queues of other hosts are ignored", () => {
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -1,7 +1,7 @@
 import type { Brand, PoolName } from "@almondusher/fleet/ids";
-import type { Queue } from "@almondusher/jobs/configuration";
+import type { Queue, Tenant } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
-import type { ExecutorId, JobId, QueueName, StepId, TaskId } from "@almondusher/jobs/ids";
+import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
 import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
@@ -282,6 +282,8 @@
     readonly finished: Set<JobId>;
     readonly executors: Map<ExecutorId, Executor>;
     readonly queues: Map<QueueName, Queue>;
+    /** Tenants of the configuration in use; empty if it has none. */
+    readonly tenants: Map<TenantName, Tenant>;
     readonly runTimes: RunTimeTable;
     /** Fencing token of the pool lease. */
     readonly token: number;
@@ -326,6 +328,7 @@
     finished: new Set(),
     executors: new Map(),
     queues: new Map(),
+    tenants: new Map(),
     runTimes: new Map(),
     token,
     runNumbers,
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -118,6 +118,7 @@
         graceMs: 500,
         timeoutMs: 3000,
         advice: undefined,
+        isPublic: false,
     });
     tables.isProgressCurrent = true;
     recordLeaseHeld(tables, leaseHeldAtMs);
@@ -141,6 +142,7 @@
         spec: "text",
         steps,
         schedule,
+        tenant: undefined,
         acceptedAtMs: 0,
     };
     admitJob(
--- a/programs/dispatcher/src/entry/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -176,6 +176,7 @@
     id,
     queue: queue.name,
     pool: queue.pool,
+    tenant: undefined,
     spec,
     steps,
     schedule,
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -234,8 +234,13 @@
             options.requestRenewal();
         }
     };
-    const syncQueues = (): void => {
-        operator.configuration()?.queues.forEach(queue => tables.queues.set(queue.name, queue));
+    const syncConfiguration = (): void => {
+        const configuration = operator.configuration();
+        configuration?.queues.forEach(queue => tables.queues.set(queue.name, queue));
+        if (configuration !== undefined) {
+            tables.tenants.clear();
+            configuration.tenants.forEach(tenant => tables.tenants.set(tenant.name, tenant));
+        }
     };
     const reloadProgress = createProgressReload({
         context,
@@ -309,8 +314,8 @@
         requestPass();
     });
     registry.events.on("change", onRegistryChange);
-    operator.events.on("configuration", syncQueues);
-    syncQueues();
+    operator.events.on("configuration", syncConfiguration);
+    syncConfiguration();
     void periodic(TICK_INTERVAL_MS)
         .takeWhile(() => active)
         .observe(
@@ -386,7 +391,7 @@
             stopping = true;
             unsubscribeRegistry();
             registry.events.off("change", onRegistryChange);
-            operator.events.off("configuration", syncQueues);
+            operator.events.off("configuration", syncConfiguration);
             connections.close();
             if (!lease.lost) {
                 await writer.flush(FLUSH_TIMEOUT_MS);
--- a/programs/dispatcher/test/connected-executor.ts
+++ b/programs/dispatcher/test/connected-executor.ts
@@ -113,6 +113,7 @@
                 spec: "",
                 steps: [STEP],
                 schedule: undefined,
+                tenant: undefined,
                 acceptedAtMs: 0,
             },
             progress: initialProgress,
--- a/programs/dispatcher/test/fixture.ts
+++ b/programs/dispatcher/test/fixture.ts
@@ -70,6 +70,7 @@
                 spec: "",
                 steps: [{ ...STEP, count: tasks }],
                 schedule: undefined,
+                tenant: undefined,
                 acceptedAtMs: 0,
             },
             progress: initialProgress,
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -34,6 +34,7 @@
     spec: "text",
     steps: [],
     schedule: undefined,
+    tenant: undefined,
     acceptedAtMs: 0,
 });
 
--- a/programs/dispatcher/test/large-jobs.test.ts
+++ b/programs/dispatcher/test/large-jobs.test.ts
@@ -42,6 +42,7 @@
     queue: QUEUE,
     pool: POOL,
     ...decodeSubmission(submissionText(size)),
+    tenant: undefined,
     acceptedAtMs: 0,
 });
 
--- a/programs/dispatcher/test/pending-count.test.ts
+++ b/programs/dispatcher/test/pending-count.test.ts
@@ -25,6 +25,7 @@
     graceMs: 500,
     timeoutMs: 3000,
     advice: undefined,
+    isPublic: false,
 };
 const NOW_MS = 10_000;
 
@@ -32,7 +33,16 @@
 const job = (id: string, queue = QUEUE.name): Row =>
     row(
         jobRow(TABLES, id as JobId),
-        encodeJob({ id: id as JobId, queue, pool: POOL, spec: "", steps: [], schedule: undefined, acceptedAtMs: 0 }),
+        encodeJob({
+            id: id as JobId,
+            queue,
+            pool: POOL,
+            tenant: undefined,
+            spec: "",
+            steps: [],
+            schedule: undefined,
+            acceptedAtMs: 0,
+        }),
     );
 const progress = (id: string, state: Progress["state"]): Row =>
     row(progressRow(TABLES, id as JobId), encodeProgress({ ...initialProgress, state }));
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -108,6 +108,7 @@
             spec: "",
             steps: [STEP],
             schedule: undefined,
+            tenant: undefined,
             acceptedAtMs: 0,
         }),
     };
--- a/programs/dispatcher/test/progress-writer.test.ts
+++ b/programs/dispatcher/test/progress-writer.test.ts
@@ -70,6 +70,7 @@
             spec: "",
             steps: [{ ...STEP, count: tasks }],
             schedule: undefined,
+            tenant: undefined,
             acceptedAtMs: 0,
         };
         admitJob(
--- a/programs/dispatcher/test/run-orders.test.ts
+++ b/programs/dispatcher/test/run-orders.test.ts
@@ -67,6 +67,7 @@
         spec: "",
         steps: [{ ...STEP, count: 2, gang: true }],
         schedule: undefined,
+        tenant: undefined,
         acceptedAtMs: 0,
     };
     admitJob(
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -54,6 +54,7 @@
         graceMs: 500,
         timeoutMs: 3000,
         advice: { decideMs: 20, perExecutorMs: 1, validMs: VALID_MS },
+        isPublic: false,
     });
     tables.isProgressCurrent = true;
     recordLeaseHeld(tables, Infinity);
@@ -74,6 +75,7 @@
             spec: "",
             steps: [STEP],
             schedule: undefined,
+            tenant: undefined,
             acceptedAtMs: 0,
         };
         admitJob(
--- a/programs/dispatcher/test/waiting-log.test.ts
+++ b/programs/dispatcher/test/waiting-log.test.ts
@@ -55,6 +55,7 @@
         spec: "",
         steps: [{ ...STEP, count }],
         schedule: undefined,
+        tenant: undefined,
         acceptedAtMs: 0,
     };
     const admitted = { job, progress: initialProgress, progressVersion: 1, arrivedAtMs: 0, readAtMs: 0 };
