--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -76,6 +76,8 @@
     readonly vmService?: Pick<VmServiceStandInOptions, "enforcesFencing" | "answerDelayMs">;
     /** Additional Node.js flags for the dispatchers, for example for the profiler. */
     readonly nodeFlags?: readonly string[];
+    /** The operator's first configuration; `jobConfiguration()` if undefined. */
+    readonly configuration?: object;
     /** File of a bundled dispatcher to run; the sources are run if undefined. */
     readonly program?: string | undefined;
 }
@@ -108,7 +110,7 @@
 export const startJobDeployment = async (options: JobDeploymentOptions): Promise<JobDeployment> => {
     const directory = mkdtempSync(join(tmpdir(), "almondusher-jobs-"));
     const store = await startStoreStandIn();
-    store.put("op", "config", configuration());
+    store.put("op", "config", options.configuration ?? jobConfiguration());
     const executors: ExecutorStandIn[] = [];
     const startExecutor = async (id: string, vm: string): Promise<ExecutorStandIn> => {
         const { runMs, path, gangs } = options;
@@ -165,12 +167,28 @@
     };
 };
 
+type JobMethod = "POST" | "GET" | "DELETE";
+
 /** Sends one client request about a job. */
 export const sendJobRequest = (
-    { address }: Pick<DeployedDispatcher, "address">,
-    method: "POST" | "GET" | "DELETE",
+    dispatcher: Pick<DeployedDispatcher, "address">,
+    method: JobMethod,
     job: string,
     body?: object,
+): Promise<ClientResponse> => sendRequest(dispatcher, { method, path: JOB_PREFIX + job, body });
+
+/** A client's request with its headers besides those of all requests. */
+export interface JobRequest {
+    readonly method: JobMethod;
+    readonly path: string;
+    readonly body?: object | undefined;
+    readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Sends one request of a client. */
+export const sendRequest = (
+    { address }: Pick<DeployedDispatcher, "address">,
+    { method, path, body, headers }: JobRequest,
 ): Promise<ClientResponse> =>
     new Promise((resolve, reject) => {
         const [host, port] = address.split(":");
@@ -179,9 +197,9 @@
                 host,
                 port,
                 method,
-                path: JOB_PREFIX + job,
+                path,
                 agent: false,
-                headers: { host: JOB_HOST, "deadline-ms": "3000" },
+                headers: { host: JOB_HOST, "deadline-ms": "3000", ...headers },
             },
             response => {
                 const chunks: Buffer[] = [];
@@ -303,27 +321,30 @@
     };
 };
 
-const configuration = (): object => ({
+/** Route of the deployment's queue. */
+export const JOB_ROUTE = {
+    name: "queue",
+    host: JOB_HOST,
+    prefix: JOB_PREFIX,
+    kind: "unsafe",
+    timeout_ms: 3000,
+    target_duration_ms: 600,
+    priority: 0,
+    service: JOB_POOL,
+    max_attempts: 2,
+    stretch: 1.6,
+};
+
+/** Returns a configuration of the operator: the deployment's queue and pools, with the given changes. */
+export const jobConfiguration = (change: object = {}): object => ({
     version: 1,
-    routes: [
-        {
-            name: "queue",
-            host: JOB_HOST,
-            prefix: JOB_PREFIX,
-            kind: "unsafe",
-            timeout_ms: 3000,
-            target_duration_ms: 600,
-            priority: 0,
-            service: JOB_POOL,
-            max_attempts: 2,
-            stretch: 1.6,
-        },
-    ],
+    routes: [JOB_ROUTE],
     services: [
         { name: JOB_POOL, enforces_capacity: false, spare: false },
         { name: SPARE_POOL, enforces_capacity: false, spare: true },
     ],
     limits: { max_header_bytes: 16_384, max_body_bytes: 262_144, header_timeout_ms: 3000, idle_timeout_ms: 15_000 },
+    ...change,
 });
 
 const programArguments = (program: string | undefined): readonly string[] =>
--- a/domain/jobs/src/configuration.ts
+++ b/domain/jobs/src/configuration.ts
@@ -55,16 +55,28 @@
     readonly idleTimeoutMs: number;
 }
 
+/** An entry of a tenant that could not be decoded; its keys do not work. */
+export interface SkippedTenant {
+    /** Position in the configuration, from 0. */
+    readonly index: number;
+    /** What is wrong and where; contains no key. */
+    readonly reason: string;
+}
+
 /** One version of the operator's configuration. */
 export interface Configuration {
     readonly version: number;
     readonly queues: readonly Queue[];
     readonly pools: readonly ExecutorPoolConfiguration[];
     readonly limits: RequestLimits;
-    /** Empty if no call needs a key. */
     readonly tenants: readonly Tenant[];
+    readonly skippedTenants: readonly SkippedTenant[];
 }
 
+/** True if calls need a key, except for public queues. It holds also if all entries of tenants were skipped. */
+export const requiresKeys = ({ tenants, skippedTenants }: Configuration): boolean =>
+    tenants.length > 0 || skippedTenants.length > 0;
+
 /** A queue and the rest of the path after its prefix; an empty rest refers to the queue itself. */
 export interface QueueMatch {
     readonly queue: Queue;
--- a/domain/jobs/test/configuration.test.ts
+++ b/domain/jobs/test/configuration.test.ts
@@ -24,6 +24,7 @@
     pools: [],
     limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     tenants: [],
+    skippedTenants: [],
 };
 
 test("the longest matching prefix of the host takes precedence, and queues of other hosts are ignored", () => {
--- a/programs/dispatcher/src/entry/entry-server.ts
+++ b/programs/dispatcher/src/entry/entry-server.ts
@@ -1,12 +1,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { findQueue, type QueueMatch } from "@almondusher/jobs/configuration";
-import { isJobId } from "@almondusher/jobs/ids";
+import { isJobId, type TenantName } from "@almondusher/jobs/ids";
+import { keyOfCall } from "@almondusher/platform-adapter/call-key";
 import { encodeJobState, encodePending } from "@almondusher/platform-adapter/job-responses";
 import { createErrorReporter } from "../process/contain-errors.js";
 import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { cancelJob, readJobState, submitJob, type JobCallResult, type JobCall } from "./job-api.js";
 import type { OperatorFeed } from "../operator/operator-feed.js";
 import type { CountedJobs } from "./pending-count.js";
+import { identifyCaller } from "./identify-caller.js";
 
 export interface EntryServerOptions {
     readonly context: DispatcherContext;
@@ -63,32 +65,46 @@
         sendJson(response, 404, { error: "no such queue" });
         return;
     }
+    const caller = identifyCaller(configuration, match.queue, keyOfCall(request.headers));
+    if (caller.kind === "rejected") {
+        request.resume();
+        const { cause } = caller;
+        const { version } = configuration;
+        options.context.metrics.count(`requests_rejected_${cause.replaceAll("-", "_")}`);
+        options.context.log("request-rejected", { path, cause, queue: match.queue.name, configuration: version });
+        sendJson(response, 401, { error: "the key is not valid" });
+        return;
+    }
     const body = await readBody(request, configuration.limits.maxBodyBytes);
     if (body === undefined) {
         sendJson(response, 413, { error: "the body is too large" });
         return;
     }
     const deadlineMs = startedMs + requestTimeoutMs(request) - RESPONSE_MARGIN_MS;
-    await handleMatched(options, { request, response, match, body, deadlineMs });
+    const decided = { tenant: caller.tenant, configuration: configuration.version };
+    await handleMatched(options, { request, response, match, ...decided, body, deadlineMs });
 };
 
 interface MatchedRequest {
     readonly request: IncomingMessage;
     readonly response: ServerResponse;
     readonly match: QueueMatch;
+    readonly tenant: TenantName | undefined;
+    /** Version of the configuration that decided on the key. */
+    readonly configuration: number;
     readonly body: string;
     readonly deadlineMs: number;
 }
 
 const handleMatched = async (options: EntryServerOptions, matched: MatchedRequest): Promise<void> => {
-    const { request, response, match, body, deadlineMs } = matched;
+    const { request, response, match, tenant, configuration, body, deadlineMs } = matched;
     const { context } = options;
     if (match.rest === "" && request.method === "GET") {
         const pending = await options.countPending(match);
         if (pending === undefined) {
             sendUnavailable(response, "the queue's length is not known now", RETRY_AFTER_NOT_READY_SECONDS);
         } else {
-            context.log("pending-answered", { queue: match.queue.name, ...pending });
+            context.log("pending-answered", { queue: match.queue.name, tenant, ...pending });
             send(response, 200, encodePending(pending.jobs));
         }
         return;
@@ -97,7 +113,7 @@
         sendJson(response, 404, { error: "no such job" });
         return;
     }
-    const call: JobCall = { queue: match.queue, id: match.rest, deadlineMs };
+    const call: JobCall = { queue: match.queue, tenant, configuration, id: match.rest, deadlineMs };
     const result = await dispatchCall(context, request.method ?? "", call, body);
     if (result === undefined) {
         sendJson(response, 405, { error: "use POST, GET or DELETE" });
@@ -125,11 +141,13 @@
     }
 };
 
-const logResult = (context: DispatcherContext, method: string, { queue, id }: JobCall, result: JobCallResult): void => {
+const logResult = (context: DispatcherContext, method: string, call: JobCall, result: JobCallResult): void => {
+    const { queue, id, tenant, configuration } = call;
     context.metrics.count(`requests_${method.toLowerCase()}_${result.kind.replaceAll("-", "_")}`);
     if (method !== "GET" || (result.kind !== "state" && result.kind !== "unknown-job")) {
         const { kind, ...details } = result;
-        context.log("request-answered", { job: id, method, queue: queue.name, outcome: kind, ...details });
+        const decision = tenant === undefined ? {} : { tenant, configuration };
+        context.log("request-answered", { job: id, method, queue: queue.name, ...decision, outcome: kind, ...details });
     }
 };
 
--- a/programs/dispatcher/src/entry/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -1,6 +1,6 @@
 import { hasCode } from "@almondusher/fleet/fleet-error";
 import type { Queue } from "@almondusher/jobs/configuration";
-import type { JobId } from "@almondusher/jobs/ids";
+import type { JobId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState } from "@almondusher/jobs/job";
 import { initialProgress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
@@ -30,9 +30,13 @@
     /** The request may have taken effect; it is idempotent, so it can be retried. */
     | { readonly kind: "unknown"; readonly cause: string };
 
-/** Queue, job and deadline of a request. */
+/** Queue, job, tenant, version of the configuration and deadline of a request. */
 export interface JobCall {
     readonly queue: Queue;
+    /** Undefined if the call needed no key and has none. */
+    readonly tenant: TenantName | undefined;
+    /** Version of the configuration that decided on the key. */
+    readonly configuration: number;
     readonly id: JobId;
     /** Monotonic time by which the response must be sent, in milliseconds. */
     readonly deadlineMs: number;
@@ -172,11 +176,15 @@
     }
 };
 
-const toJob = (context: DispatcherContext, { queue, id }: JobCall, { spec, steps, schedule }: Submission): Job => ({
+const toJob = (
+    context: DispatcherContext,
+    { queue, id, tenant }: JobCall,
+    { spec, steps, schedule }: Submission,
+): Job => ({
     id,
     queue: queue.name,
     pool: queue.pool,
-    tenant: undefined,
+    tenant,
     spec,
     steps,
     schedule,
--- a/programs/dispatcher/src/operator/operator-feed.ts
+++ b/programs/dispatcher/src/operator/operator-feed.ts
@@ -49,7 +49,7 @@
             const decoded = readConfiguration(context, value);
             if (decoded !== undefined && decoded.version > (configuration?.version ?? -1)) {
                 configuration = decoded;
-                context.log("configuration-adopted", { version: decoded.version, queues: decoded.queues.length });
+                logAdopted(context, decoded);
                 events.emit("configuration");
             }
         } else if (key.startsWith(WAVE_KEY_PREFIX)) {
@@ -104,6 +104,14 @@
     }
 };
 
+const logAdopted = (context: DispatcherContext, { version, queues, tenants, skippedTenants }: Configuration): void => {
+    context.log("configuration-adopted", { version, queues: queues.length, tenants: tenants.length });
+    skippedTenants.forEach(skipped => {
+        context.metrics.count("skipped_tenants");
+        context.log("tenant-skipped", { configuration: version, ...skipped });
+    });
+};
+
 const readWave = (context: DispatcherContext, key: string, text: string): WaveRequest | undefined => {
     const wave = decodeWave(text);
     if (wave === undefined) {
