--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,6 +1,7 @@
 import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
 import { estimateRunTime } from "./run-times.js";
 import { isJobEnded, isReady } from "./job-progress.js";
+import { stepsBeyondShare } from "./steps-beyond-share.js";
 
 /** A step that may start tasks now, with its sort criteria. */
 export interface RankedStep {
@@ -27,8 +28,8 @@
     tables: PoolTables,
     nowMs: number,
     accepts: (step: OpenStep) => boolean,
-): readonly RankedStep[] =>
-    [...tables.jobs.values()]
+): readonly RankedStep[] => {
+    const ranked = [...tables.jobs.values()]
         .filter(job => !isJobEnded(job))
         .flatMap(job =>
             rankSteps(
@@ -39,12 +40,29 @@
             ),
         )
         .sort(compareSteps);
+    const beyondShare = stepsBeyondShare(
+        tables,
+        ranked.map(({ step }) => step),
+        { nowMs, runMsOf: step => expectedRunMs(tables, step) },
+    );
+    const rankOf = ({ step }: RankedStep): number => Number(beyondShare.has(step));
+    return beyondShare.size === 0
+        ? ranked
+        : ranked.sort(
+              (left, right) =>
+                  compareClasses(left, right) ||
+                  rankOf(left) - rankOf(right) ||
+                  left.latestStartMs - right.latestStartMs,
+          );
+};
 
 const compareSteps = (left: RankedStep, right: RankedStep): number =>
+    compareClasses(left, right) || left.latestStartMs - right.latestStartMs;
+
+const compareClasses = (left: RankedStep, right: RankedStep): number =>
     Number(right.step.step.longRunning) - Number(left.step.step.longRunning) ||
     left.priority - right.priority ||
-    Number(left.isLate) - Number(right.isLate) ||
-    left.latestStartMs - right.latestStartMs;
+    Number(left.isLate) - Number(right.isLate);
 
 // The objective takes all steps of the job into account, so it is determined once for those that are ranked.
 const rankSteps = (
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -3,6 +3,7 @@
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
+import { createUseWindow, type UseWindow } from "@almondusher/shares/use-window";
 import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
 import type { StopSchedule } from "./stop-schedule.js";
@@ -284,6 +285,8 @@
     readonly queues: Map<QueueName, Queue>;
     /** Tenants of the configuration in use; empty if it has none. */
     readonly tenants: Map<TenantName, Tenant>;
+    /** What tenants have used lately; not counted if the configuration has none. */
+    readonly tenantUse: UseWindow;
     readonly runTimes: RunTimeTable;
     /** Fencing token of the pool lease. */
     readonly token: number;
@@ -329,6 +332,7 @@
     executors: new Map(),
     queues: new Map(),
     tenants: new Map(),
+    tenantUse: createUseWindow(),
     runTimes: new Map(),
     token,
     runNumbers,
