--- a/programs/dispatcher/src/entry/entry-server.ts
+++ b/programs/dispatcher/src/entry/entry-server.ts
@@ -8,6 +8,7 @@
 import { cancelJob, readJobState, submitJob, type JobCallResult, type JobCall } from "./job-api.js";
 import type { OperatorFeed } from "../operator/operator-feed.js";
 import type { CountedJobs } from "./pending-count.js";
+import { createTenantCallCounter, type TenantCallCounter } from "./count-tenant-call.js";
 import { identifyCaller } from "./identify-caller.js";
 
 export interface EntryServerOptions {
@@ -28,9 +29,10 @@
 export const createEntryServer = (options: EntryServerOptions): Server => {
     const { context } = options;
     const reportError = createErrorReporter({ context, part: "entry" });
+    const entry: Entry = { ...options, countTenantCall: createTenantCallCounter(context.metrics) };
     const server = createServer((request, response) => {
         const startedMs = context.monotonicMs();
-        handleRequest(options, request, response, startedMs).catch((error: unknown) => {
+        handleRequest(entry, request, response, startedMs).catch((error: unknown) => {
             reportError(error);
             if (!response.headersSent) {
                 sendJson(response, 500, { error: "internal" });
@@ -45,8 +47,12 @@
     return server;
 };
 
+interface Entry extends EntryServerOptions {
+    readonly countTenantCall: TenantCallCounter;
+}
+
 const handleRequest = async (
-    options: EntryServerOptions,
+    options: Entry,
     request: IncomingMessage,
     response: ServerResponse,
     startedMs: number,
@@ -75,6 +81,7 @@
         sendJson(response, 401, { error: "the key is not valid" });
         return;
     }
+    options.countTenantCall(configuration, caller.tenant);
     const body = await readBody(request, configuration.limits.maxBodyBytes);
     if (body === undefined) {
         sendJson(response, 413, { error: "the body is too large" });
