--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -1,4 +1,5 @@
 import type { VmId } from "@almondusher/fleet/ids";
+import type { TenantName } from "@almondusher/jobs/ids";
 import type { Resources } from "@almondusher/jobs/job";
 import { expectedRunMs, completionObjective } from "./order-steps.js";
 import { demandOf, maxOfEach } from "./resources.js";
@@ -30,10 +31,15 @@
     wanted: readonly WantedVms[];
 }
 
-interface Arrival {
+interface Arrival extends TenantCpu {
     /** End of the time over which the job's work is spread, in milliseconds of the monotonic clock. */
     readonly untilMs: number;
-    /** CPU that the job's work takes when it is spread evenly until then, in thousandths of a core. */
+}
+
+/** CPU that the work of a job takes when it is spread evenly over the time for it. */
+interface TenantCpu {
+    readonly tenant: TenantName | undefined;
+    /** In thousandths of a core. */
     readonly cpu: number;
 }
 
@@ -60,7 +66,10 @@
     const { objectiveMs } = completionObjective(tables, job, nowMs);
     const spreadMs = Math.max(MIN_SPREAD_MS, (objectiveMs - job.arrivedAtMs) * SPREAD_SHARE);
     const work = runToCompletionSteps(job).reduce((sum, step) => sum + remainingWork(tables, step), 0);
-    history.arrivals = [...history.arrivals, { untilMs: nowMs + spreadMs, cpu: work / spreadMs }];
+    history.arrivals = [
+        ...history.arrivals,
+        { untilMs: nowMs + spreadMs, tenant: job.job.tenant, cpu: work / spreadMs },
+    ];
 };
 
 /**
@@ -86,8 +95,11 @@
         0,
         ...longRunningSteps.map(({ step }) => Math.ceil(step.count / (step.maxPerExecutor ?? step.count))),
     );
-    const arrivingCpu = history.arrivals.reduce((sum, { cpu }) => sum + cpu, 0);
-    const requiredCpu = jobs.reduce((sum, job) => sum + requiredCpuOf(tables, job, nowMs), 0);
+    const arrivingCpu = cpuWithinCaps(tables, history.arrivals);
+    const requiredCpu = cpuWithinCaps(
+        tables,
+        jobs.map(job => ({ tenant: job.job.tenant, cpu: requiredCpuOf(tables, job, nowMs) })),
+    );
     const cpu = longRunningCpu + Math.max(arrivingCpu, requiredCpu);
     const vms = Math.max(
         MIN_VMS,
@@ -112,6 +124,18 @@
     };
 };
 
+/** Sum of the CPU of the jobs, of which each tenant gets its cap at most. */
+const cpuWithinCaps = ({ tenants }: PoolTables, jobs: readonly TenantCpu[]): number => {
+    const sums = jobs.reduce(
+        (known, { tenant, cpu }) => known.set(tenant, (known.get(tenant) ?? 0) + cpu),
+        new Map<TenantName | undefined, number>(),
+    );
+    return [...sums].reduce((sum, [tenant, cpu]) => {
+        const cap = tenant === undefined ? 0 : (tenants.get(tenant)?.cap.cpu ?? 0);
+        return sum + (cap > 0 ? Math.min(cap, cpu) : cpu);
+    }, 0);
+};
+
 /** Number of tasks of a step that an empty VM has room for, at least one. */
 const tasksPerVm = (demand: Resources, capacity: Resources): number =>
     Math.max(
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -19,6 +19,7 @@
 import { takeRunNumber } from "./run-numbers.js";
 import { addRun } from "./run-table.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
+import { createTenantRoom, type TenantRoom } from "./tenant-room.js";
 
 /** Time of a placement pass, the orders that it may send, and the executors to which a step is restricted in it. */
 export interface PlacementOptions {
@@ -32,6 +33,11 @@
     readonly executorsWithTicket: (step: OpenStep) => TicketedExecutors;
 }
 
+interface PassOptions extends PlacementOptions {
+    /** What the tenants' grants leave in this pass. */
+    readonly tenantRoom: TenantRoom;
+}
+
 /**
  * Assigns executors to the tasks that can start and records the new runs in the tables. Tasks beyond the budget, or beyond
  * the reserved run numbers, keep waiting in the order of their steps.
@@ -45,10 +51,12 @@
         return [];
     }
     const inheritedGate = inheritedGateOf(tables, options.nowMs);
+    const tenantRoom = createTenantRoom(tables, options.nowMs);
     let largestFree = maxOfEach([...freeByExecutor.values()]);
     // In a full pool most steps fit nowhere; they are neither ranked nor searched an executor for.
-    const mayBePlaced = ({ step, job }: OpenStep): boolean =>
+    const fitsAndMayStart = ({ step, job }: OpenStep): boolean =>
         fits(demandOf(step), largestFree) && jobGateOf(tables, job, inheritedGate) === undefined;
+    const mayBePlaced = (step: OpenStep): boolean => fitsAndMayStart(step) && tenantRoom.hasRoom(step);
     let isRoomReserved = false;
     return orderSteps(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
         if (!step.step.longRunning && !isRoomReserved) {
@@ -59,7 +67,7 @@
         if (options.budget.isExhausted() || !mayBePlaced(step)) {
             return [];
         }
-        const runs = placeStep(tables, step, freeByExecutor, options);
+        const runs = placeStep(tables, step, freeByExecutor, { ...options, tenantRoom });
         largestFree = runs.length === 0 ? largestFree : maxOfEach([...freeByExecutor.values()]);
         return runs;
     });
@@ -82,7 +90,7 @@
     tables: PoolTables,
     step: OpenStep,
     freeByExecutor: FreeByExecutor,
-    options: PlacementOptions,
+    options: PassOptions,
 ): readonly Run[] =>
     step.step.gang
         ? placeGang(tables, step, freeByExecutor, options)
@@ -92,14 +100,14 @@
     tables: PoolTables,
     step: OpenStep,
     freeByExecutor: FreeByExecutor,
-    options: PlacementOptions,
+    options: PassOptions,
 ): readonly Run[] => {
     const waiting = step.tasks.filter(task => mayStart(tables, task));
     const runs: Run[] = [];
     // Tasks of a step differ only in the executors on which they failed, so if one does not fit, no other one does.
     // Searching again for each task of a large step would exhaust the CPU when the pool is full.
     waiting.every(task => {
-        if (options.budget.isExhausted()) {
+        if (options.budget.isExhausted() || !options.tenantRoom.hasRoom(step)) {
             return false;
         }
         const run = placeTask(tables, task, freeByExecutor, options);
@@ -113,7 +121,7 @@
     tables: PoolTables,
     task: Task,
     freeByExecutor: FreeByExecutor,
-    options: PlacementOptions,
+    options: PassOptions,
 ): Run | undefined => {
     const choice = { freeByExecutor, tickets: options.executorsWithTicket(task.step), planned: [] };
     const executor = chooseInherited(tables, task, choice) ?? chooseExecutor(task, choice);
@@ -139,7 +147,7 @@
     tables: PoolTables,
     step: OpenStep,
     freeByExecutor: FreeByExecutor,
-    options: PlacementOptions,
+    options: PassOptions,
 ): readonly Run[] => {
     // All members of a gang run together, so the gang is not started again until its last remaining run has ended.
     if (!step.tasks.every(task => mayStart(tables, task))) {
@@ -159,9 +167,10 @@
     executor: Executor,
     number: number,
     freeByExecutor: FreeByExecutor,
-    { nowMs, budget }: PlacementOptions,
+    { nowMs, budget, tenantRoom }: PassOptions,
 ): Run => {
     budget.spend(executor.id);
+    tenantRoom.take(task.step, 1);
     freeByExecutor.set(
         executor,
         subtract(freeByExecutor.get(executor) ?? executor.record.capacity, demandOf(task.step.step)),
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -2,7 +2,7 @@
 import type { Queue, Tenant } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
-import type { Job, JobState, Step } from "@almondusher/jobs/job";
+import type { Job, JobState, Resources, Step } from "@almondusher/jobs/job";
 import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
 import type { StopSchedule } from "./stop-schedule.js";
@@ -284,6 +284,8 @@
     readonly queues: Map<QueueName, Queue>;
     /** Tenants of the configuration in use; empty if it has none. */
     readonly tenants: Map<TenantName, Tenant>;
+    /** What the tenants with a cap may use on this pool; nothing if absent. */
+    readonly tenantGrants: Map<TenantName, Resources>;
     readonly runTimes: RunTimeTable;
     /** Fencing token of the pool lease. */
     readonly token: number;
@@ -329,6 +331,7 @@
     executors: new Map(),
     queues: new Map(),
     tenants: new Map(),
+    tenantGrants: new Map(),
     runTimes: new Map(),
     token,
     runNumbers,
--- a/pools/scheduler/src/reserve-for-waiting.ts
+++ b/pools/scheduler/src/reserve-for-waiting.ts
@@ -2,10 +2,11 @@
 import { refusalOf, type PlannedMember, type TicketedExecutors } from "./choose-executor.js";
 import { longRunningSteps } from "./relocation-room.js";
 import { expectedRunMs } from "./order-steps.js";
-import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
+import { isWaiting, type Executor, type OpenStep, type PoolTables, type Run, type Task } from "./pool-tables.js";
 import { remainingRunMs } from "./remaining-time.js";
 import { add, demandOf, fits, freeResources, subtract, withoutDeficit, type FreeByExecutor } from "./resources.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
+import { createTenantRoom } from "./tenant-room.js";
 
 /** What a reservation depends on apart from the tables. */
 interface ReservationOptions {
@@ -54,9 +55,11 @@
  */
 export const reserveForWaiting = (tables: PoolTables, free: FreeByExecutor, options: ReservationOptions): void => {
     const inheritedGate = inheritedGateOf(tables, options.nowMs);
+    const tenantRoom = createTenantRoom(tables, options.nowMs);
     const groups = longRunningSteps(tables)
         .filter(({ job }) => jobGateOf(tables, job, inheritedGate) === undefined)
-        .map(step => groupsOf(tables, step))
+        // Room that is kept for a task which its tenant's cap keeps back would serve nobody.
+        .map(step => groupsOf(tables, step).filter(group => tenantRoom.take(step, group.filter(isWaiting).length)))
         .filter(ofStep => ofStep.length > 0);
     if (groups.length === 0) {
         return;
--- a/pools/scheduler/src/waiting-reason.ts
+++ b/pools/scheduler/src/waiting-reason.ts
@@ -1,4 +1,4 @@
-import type { ExecutorId, TaskId } from "@almondusher/jobs/ids";
+import type { ExecutorId, TaskId, TenantName } from "@almondusher/jobs/ids";
 import type { Resources } from "@almondusher/jobs/job";
 import { refusalOf, refusals, type Refusal, type TicketedExecutors } from "./choose-executor.js";
 import { hasRequiredLabel, unusableCauseOf, type UnusableCause } from "./executor-usability.js";
@@ -10,6 +10,7 @@
 import { demandOf, fits, freeResources, isNotOvercommitted, maxOfEach, type FreeByExecutor } from "./resources.js";
 import { hasRunNumber } from "./run-numbers.js";
 import { inheritedGateOf, jobGateOf, taskGateOf } from "./start-gates.js";
+import { createTenantRoom, limitOf } from "./tenant-room.js";
 
 /** A run that has not ended, for which a task waits. */
 interface HoldingRun {
@@ -58,6 +59,8 @@
       }
     /** A start of an earlier holder may still run the task itself or a member of its gang. */
     | { readonly kind: "inherited-start-possible"; readonly member: TaskId }
+    /** The tenant's runs on this pool leave too little of what it was granted of the tenant's cap. */
+    | { readonly kind: "tenant-cap"; readonly tenant: TenantName; readonly limit: Resources }
     | { readonly kind: "run-numbers-exhausted"; readonly reservedUpTo: number }
     /** No executor of the pool has the label. */
     | { readonly kind: "no-label"; readonly label: string | undefined }
@@ -112,6 +115,13 @@
         .map(({ free }) => free)
         .filter(isNotOvercommitted);
     const largestFree = freeIfUp.length === 0 ? undefined : maxOfEach(freeIfUp);
+    const tenantRoom = createTenantRoom(tables, nowMs);
+    const tenantReasonOf = ({ step }: Task): WaitingReason | undefined => {
+        const { tenant } = step.job.job;
+        return tenant === undefined || tenantRoom.hasRoom(step)
+            ? undefined
+            : { kind: "tenant-cap", tenant, limit: limitOf(tables, tenant) };
+    };
     const reasonsOfStep = new Map<OpenStep, WaitingReason>();
     const executorReasonOf = (task: Task): WaitingReason => {
         // The tasks of a step that have no run differ in nothing that keeps them from starting.
@@ -128,6 +138,7 @@
         reasonOf: task =>
             findTaskReason(tables, task, nowMs) ??
             findJobReason(tables, task.step, inheritedReason, nowMs) ??
+            tenantReasonOf(task) ??
             executorReasonOf(task),
     };
 };
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -1,6 +1,6 @@
 import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
 import type { ExecutorRecord, RunReport } from "@almondusher/jobs/executor";
-import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
+import type { ExecutorId, JobId, QueueName, TenantName } from "@almondusher/jobs/ids";
 import type { Job, Schedule, Step } from "@almondusher/jobs/job";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { admitJob } from "@almondusher/scheduler/admit-job";
@@ -95,6 +95,7 @@
     readonly arrivedAtMs?: number;
     readonly schedule?: Schedule;
     readonly queue?: QueueName;
+    readonly tenant?: TenantName;
 }
 
 /** Creates the tables of a pool whose executors can start runs. */
@@ -133,7 +134,7 @@
 
 export const addJob = (
     tables: PoolTables,
-    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule, queue }: JobFixture,
+    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule, queue, tenant }: JobFixture,
 ): void => {
     const job: Job = {
         id: toId<JobId>(id),
@@ -142,7 +143,7 @@
         spec: "text",
         steps,
         schedule,
-        tenant: undefined,
+        tenant,
         acceptedAtMs: 0,
     };
     admitJob(
--- a/programs/dispatcher/src/fleet/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet/fleet-manager.ts
@@ -10,6 +10,7 @@
 import type { LeaseManager } from "../leases/lease-manager.js";
 import { emptyLeaseContent, type LeaseContent, type LeaseRecord } from "../leases/lease-rows.js";
 import type { OperatorFeed, RequestedWave } from "../operator/operator-feed.js";
+import { createCapDivision } from "./divide-allowances.js";
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
 import { createFleetOrders } from "./fleet-orders.js";
 import { maintainedVmsToStore } from "./maintained-vms.js";
@@ -80,6 +81,7 @@
     let areWavesRead = false;
     let lastLoggedNeeds = "";
     const forecast = createSurgeForecast();
+    const capDivision = createCapDivision({ context, lease, operator, leases, requestRenewal: options.requestRenewal });
 
     const isActive = (): boolean => active && !lease.lost;
     const timeoutMs = (): number => orderTimeoutMs(context.settings.vmOrderFencing, leaseAgeMs(lease, context));
@@ -302,6 +304,9 @@
         operator.waves().forEach(addWave);
         // The configuration is one of the operator's rows, which are all applied together when they are read first.
         areWavesRead ||= operator.configuration() !== undefined;
+        if (isActive()) {
+            capDivision.update();
+        }
         if (!mayAct()) {
             return;
         }
@@ -344,6 +349,7 @@
                 areWavesRead,
             }),
             completedWaves,
+            allowances: capDivision.stored(),
         }),
         stop: () => {
             active = false;
--- a/programs/dispatcher/src/leases/lease-rows.ts
+++ b/programs/dispatcher/src/leases/lease-rows.ts
@@ -6,6 +6,12 @@
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
 import type { NumberRanges } from "../fleet/number-ranges.js";
 import type { StorePoint } from "../store/read-all.js";
+import {
+    storedAllowancesSchema,
+    storedPoolUseSchema,
+    type StoredAllowances,
+    type StoredPoolUse,
+} from "./tenant-rows.js";
 import { storedStartsSchema, type StoredStart } from "./undelivered-start-rows.js";
 
 /** What the holder of a lease is responsible for: a pool or the fleet. */
@@ -96,6 +102,13 @@
      * Used only in the lease of the fleet manager; empty in rows written by earlier versions.
      */
     readonly completedWaves: NumberRanges;
+    /**
+     * What the tenants with caps hold and want. Used only in the leases of pools; undefined without tenants, and in rows
+     * written by earlier versions.
+     */
+    readonly tenantUse: StoredPoolUse | undefined;
+    /** The division of the caps. Used only in the lease of the fleet manager; undefined as above. */
+    readonly allowances: StoredAllowances | undefined;
 }
 
 export const LEASE_TABLE = "leases";
@@ -140,6 +153,8 @@
     ),
     maintained: z.array(z.object({ wave: z.int(), vms: z.array(z.string()) })),
     completedWaves: z.array(z.tuple([z.int(), z.int()])).catch([]),
+    tenantUse: storedPoolUseSchema,
+    allowances: storedAllowancesSchema,
 });
 
 /** Content that a holder stores in its lease, without the fields that identify the holder and its run numbers. */
@@ -158,6 +173,8 @@
     evacuations: [],
     maintained: [],
     completedWaves: [],
+    tenantUse: undefined,
+    allowances: undefined,
 };
 
 /** Returns the row key of a lease. */
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -24,6 +24,7 @@
 import { followJobs, type StoredJob } from "../jobs/job-feed.js";
 import { isPoolLeaseSafe, leaseAgeMs, poolLeaseHeldAtMs, type HeldLease } from "../leases/held-lease.js";
 import { emptyLeaseContent, type LeaseContent, type SchedulerStatus } from "../leases/lease-rows.js";
+import type { StoredAllowances } from "../leases/tenant-rows.js";
 import type { OperatorFeed } from "../operator/operator-feed.js";
 import { createOrderLoad } from "../executors/order-load.js";
 import { createOrderWindow } from "../executors/order-window.js";
@@ -44,6 +45,7 @@
 import { createStepTickets } from "../executors/step-tickets.js";
 import { storedStarts, undeliveredStartsOf } from "../leases/undelivered-start-rows.js";
 import { addInherited, removeMarks } from "../executors/unread-executors.js";
+import { createTenantGate } from "./tenant-gate.js";
 import { createWaitingLog, WAITING_CHECK_INTERVAL_MS, type PoolGate } from "./waiting-log.js";
 
 /** Schedules the jobs of one pool while this process holds the pool's lease. */
@@ -72,6 +74,8 @@
     readonly operator: OperatorFeed;
     /** Undefined if no advice service is configured. */
     readonly advice: AdviceClient | undefined;
+    /** The division of the tenants' caps in the row of the fleet lease as last read. */
+    readonly division: () => StoredAllowances | undefined;
     /** Requests a lease renewal without waiting for the next periodic one. */
     readonly requestRenewal: () => void;
 }
@@ -117,6 +121,15 @@
     const storedByPredecessor = lease.predecessor?.undeliveredStarts ?? [];
     inheritStarts(tables, undeliveredStartsOf(storedByPredecessor, storeAheadMs()), takenOverAtMs);
 
+    const tenantGate = createTenantGate({
+        context,
+        tables,
+        lease,
+        areRunsKnown: () => jobsLoaded && areInheritedRunsKnown(tables, context.monotonicMs()),
+        division: options.division,
+        requestRenewal: options.requestRenewal,
+    });
+
     const isActive = (): boolean => active && !lease.lost;
     const isLeaseSafe = (): boolean => isPoolLeaseSafe(lease, context);
     let lastFencedAtMs = Number.NEGATIVE_INFINITY;
@@ -282,6 +295,7 @@
         if (jobsLoaded && mayAct()) {
             reloadProgress();
             tickets.prefetch();
+            tenantGate.update();
             orders.send();
             publishCompletedEvacuations();
         }
@@ -323,6 +337,7 @@
                 passThrottle.run();
                 if (jobsLoaded && mayAct()) {
                     updateDemand();
+                    tenantGate.requestIfChanged();
                 }
             }),
         );
@@ -373,6 +388,7 @@
             undeliveredStarts: storedStarts(undeliveredStarts(tables, context.monotonicMs()), storeAheadMs()),
             vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
+            tenantUse: tenantGate.stored(),
         }),
         onLeaseRenewed: ({ executors }) => {
             recordLeaseHeld(tables, lease.renewedAtMs);
--- a/programs/dispatcher/src/process/dispatcher-process.ts
+++ b/programs/dispatcher/src/process/dispatcher-process.ts
@@ -70,6 +70,7 @@
                             registry,
                             operator,
                             advice,
+                            division: () => leases.lastRecord({ kind: "fleet" })?.allowances,
                             requestRenewal,
                         }),
                         readEvacuations(context, leases),
--- a/programs/dispatcher/test/fleet-manager.test.ts
+++ b/programs/dispatcher/test/fleet-manager.test.ts
@@ -168,7 +168,7 @@
         } as unknown as DispatcherContext,
         lease,
         operator: {
-            configuration: () => (started.isConfigurationRead ? { pools } : undefined),
+            configuration: () => (started.isConfigurationRead ? { pools, tenants: [] } : undefined),
             waves: () => waves,
         } as unknown as OperatorFeed,
         leases: {
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -72,6 +72,7 @@
         } as unknown as ExecutorRegistry,
         operator: { events: new EventEmitter(), configuration: () => undefined } as unknown as OperatorFeed,
         advice: undefined,
+        division: () => undefined,
         requestRenewal: () => undefined,
     });
     return { scheduler, lease };
