--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -2,8 +2,8 @@
 import type { Queue, Tenant } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
-import type { Job, JobState, Step } from "@almondusher/jobs/job";
 import { createUseWindow, type UseWindow } from "@almondusher/shares/use-window";
+import type { Job, JobState, Resources, Step } from "@almondusher/jobs/job";
 import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
 import type { StopSchedule } from "./stop-schedule.js";
@@ -287,6 +287,8 @@
     readonly tenants: Map<TenantName, Tenant>;
     /** What tenants have used lately; not counted if the configuration has none. */
     readonly tenantUse: UseWindow;
+    /** What the tenants with a cap may use on this pool; nothing if absent. */
+    readonly tenantGrants: Map<TenantName, Resources>;
     readonly runTimes: RunTimeTable;
     /** Fencing token of the pool lease. */
     readonly token: number;
@@ -333,6 +335,7 @@
     queues: new Map(),
     tenants: new Map(),
     tenantUse: createUseWindow(),
+    tenantGrants: new Map(),
     runTimes: new Map(),
     token,
     runNumbers,
