--- a/bench/system/test/foreign-clients.alone.test.ts
+++ b/bench/system/test/foreign-clients.alone.test.ts
@@ -24,6 +24,8 @@
 
 interface Program {
     readonly name: string;
+    /** Options of its tests. */
+    readonly options: { readonly todo?: string };
     readonly start: (context: TestContext) => Promise<Target>;
 }
 
@@ -43,6 +45,7 @@
 
 const dispatcher: Program = {
     name: "dispatcher",
+    options: {},
     start: async context => {
         const deployment = await startJobDeployment({
             dispatchers: 1,
@@ -67,6 +70,7 @@
 
 const entry: Program = {
     name: "entry",
+    options: { todo: "KNOWN-RED.txt, issue 54" },
     start: async context => {
         const deployment = await startFailureFleet({
             services: ["far"],
@@ -156,10 +160,8 @@
     { kind: "large-chunks", title: "many chunked bodies in large chunks that stop short of their end" },
     { kind: "small-chunks", title: "many chunked bodies in very small chunks that stop short of their end" },
 ];
-const knownRed = { todo: "KNOWN-RED.txt, issue 54" };
-
 [dispatcher, entry].forEach(program =>
     CROWDS.forEach(({ kind, title }) =>
-        test(`${program.name}: ${title}`, knownRed, context => check(context, program, kind)),
+        test(`${program.name}: ${title}`, program.options, context => check(context, program, kind)),
     ),
 );
--- a/observe/telemetry/src/log-event.ts
+++ b/observe/telemetry/src/log-event.ts
@@ -13,6 +13,7 @@
     | { readonly kind: "member-left"; readonly member: ProcessId; readonly memberVm: VmId; readonly reason: string }
     | { readonly kind: "platform-down"; readonly operation: string; readonly reason: string }
     | { readonly kind: "platform-up"; readonly downMs: number }
+    | { readonly kind: "connections-closed"; readonly reason: string; readonly closed: number }
     | { readonly kind: "lease-taken"; readonly epoch: number }
     | { readonly kind: "lease-lost"; readonly epoch: number; readonly reason: string }
     | { readonly kind: "drain-started"; readonly drainedVm: VmId; readonly pool: PoolName; readonly purpose: string }
@@ -50,6 +51,7 @@
     "member-left": "warn",
     "platform-down": "warn",
     "platform-up": "info",
+    "connections-closed": "warn",
     "lease-taken": "info",
     "lease-lost": "warn",
     "drain-started": "info",
--- a/programs/dispatcher/src/entry/entry-server.ts
+++ b/programs/dispatcher/src/entry/entry-server.ts
@@ -2,7 +2,9 @@
 import { findQueue, type QueueMatch } from "@almondusher/jobs/configuration";
 import { isJobId } from "@almondusher/jobs/ids";
 import { encodeJobState, encodePending } from "@almondusher/platform-adapter/job-responses";
+import type { ServerGuard } from "@almondusher/connections/guard-server";
 import { createErrorReporter } from "../process/contain-errors.js";
+import { guardClients } from "../process/guard-clients.js";
 import type { DispatcherContext } from "../process/dispatcher-context.js";
 import { cancelJob, readJobState, submitJob, type JobCallResult, type JobCall } from "./job-api.js";
 import type { OperatorFeed } from "../operator/operator-feed.js";
@@ -15,7 +17,6 @@
     readonly countPending: (match: QueueMatch) => Promise<CountedJobs | undefined>;
 }
 
-const DEFAULT_BODY_LIMIT_BYTES = 262_144;
 // Applies to requests without a `deadline-ms` header.
 const DEFAULT_RESPONSE_TIMEOUT_MS = 2500;
 // Reserved for the transfer of the response to the client.
@@ -26,25 +27,30 @@
 export const createEntryServer = (options: EntryServerOptions): Server => {
     const { context } = options;
     const reportError = createErrorReporter({ context, part: "entry" });
-    const server = createServer((request, response) => {
-        const startedMs = context.monotonicMs();
-        handleRequest(options, request, response, startedMs).catch((error: unknown) => {
-            reportError(error);
-            if (!response.headersSent) {
-                sendJson(response, 500, { error: "internal" });
-            }
-        });
-        response.on("finish", () => context.metrics.record("request", context.monotonicMs() - startedMs));
+    const server = createServer();
+    const guard = guardClients(server, {
+        context,
+        listener: "clients",
+        promised: () => options.operator.configuration()?.limits,
     });
-    // Clients keep connections open until the process exits, so no timeout may close them.
-    server.keepAliveTimeout = 0;
-    server.headersTimeout = 0;
-    server.requestTimeout = 0;
+    server.on(
+        "request",
+        guard.inTurn((request, response) => {
+            const startedMs = context.monotonicMs();
+            handleRequest({ ...options, guard }, request, response, startedMs).catch((error: unknown) => {
+                reportError(error);
+                if (!response.headersSent) {
+                    sendJson(response, 500, { error: "internal" });
+                }
+            });
+            response.on("finish", () => context.metrics.record("request", context.monotonicMs() - startedMs));
+        }),
+    );
     return server;
 };
 
 const handleRequest = async (
-    options: EntryServerOptions,
+    options: EntryServerOptions & { readonly guard: ServerGuard },
     request: IncomingMessage,
     response: ServerResponse,
     startedMs: number,
@@ -63,13 +69,18 @@
         sendJson(response, 404, { error: "no such queue" });
         return;
     }
-    const body = await readBody(request, configuration.limits.maxBodyBytes);
-    if (body === undefined) {
-        sendJson(response, 413, { error: "the body is too large" });
-        return;
+    const body = await options.guard.receiveBody(request, configuration.limits.maxBodyBytes);
+    switch (body.kind) {
+        case "left":
+            return;
+        case "too-large":
+            sendJson(response, 413, { error: "the body is too large" });
+            return;
+        case "whole":
+            break;
     }
     const deadlineMs = startedMs + requestTimeoutMs(request) - RESPONSE_MARGIN_MS;
-    await handleMatched(options, { request, response, match, body, deadlineMs });
+    await handleMatched(options, { request, response, match, body: body.text, deadlineMs });
 };
 
 interface MatchedRequest {
@@ -164,19 +175,6 @@
     return Number.isFinite(declared) && declared > 0 ? declared : DEFAULT_RESPONSE_TIMEOUT_MS + RESPONSE_MARGIN_MS;
 };
 
-const readBody = async (request: IncomingMessage, limit = DEFAULT_BODY_LIMIT_BYTES): Promise<string | undefined> => {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        if (length > limit) {
-            return undefined;
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks).toString();
-};
-
 const sendUnavailable = (response: ServerResponse, reason: string, retryAfterSeconds: number): void => {
     response.setHeader("retry-after", String(retryAfterSeconds));
     sendJson(response, 503, { error: reason });
--- a/programs/dispatcher/src/process/dispatcher-metrics.ts
+++ b/programs/dispatcher/src/process/dispatcher-metrics.ts
@@ -1,4 +1,3 @@
-import { createServer, type Server } from "node:http";
 import { build, type Histogram } from "hdr-histogram-js";
 
 /** Counters, gauges and latency histograms of the process. */
@@ -45,10 +44,3 @@
     ),
     `almondusher_${name}_ms_count ${histogram.totalCount}`,
 ];
-
-/** Starts an HTTP server that responds to every request with the metrics. */
-export const serveMetrics = (metrics: DispatcherMetrics, host: string, port: number): Server =>
-    createServer((unusedRequest, response) => {
-        response.setHeader("content-type", "text/plain; version=0.0.4");
-        response.end(metrics.text());
-    }).listen(port, host);
--- a/programs/dispatcher/src/process/dispatcher-process.ts
+++ b/programs/dispatcher/src/process/dispatcher-process.ts
@@ -8,10 +8,12 @@
 import { containErrors, createErrorReporter } from "./contain-errors.js";
 import { createDecisionLog } from "./decision-log.js";
 import type { DispatcherContext } from "./dispatcher-context.js";
-import { createDispatcherMetrics, serveMetrics } from "./dispatcher-metrics.js";
+import { createDispatcherMetrics } from "./dispatcher-metrics.js";
 import type { DispatcherSettings } from "./dispatcher-settings.js";
+import { guardClients } from "./guard-clients.js";
 import { createEntryServer } from "../entry/entry-server.js";
 import { createExecutorRegistry } from "../executors/executor-registry.js";
+import { serveMetrics } from "./serve-metrics.js";
 import { monitorLateness } from "./lateness-monitor.js";
 import type { HeldLease } from "../leases/held-lease.js";
 import { createLeaseManager, type LeaseHolder, type LeaseManager } from "../leases/lease-manager.js";
@@ -89,15 +91,20 @@
     });
     let stopped = false;
     const isReady = trackReadiness(context, () => !stopped && operator.configuration() !== undefined);
-    const readinessServer = createServer((unusedRequest, response) => {
-        response.statusCode = isReady() ? 200 : 503;
-        response.end();
-    });
+    const readinessServer = createServer();
+    const readinessGuard = guardClients(readinessServer, { context, listener: "readiness" });
+    readinessServer.on(
+        "request",
+        readinessGuard.inTurn((unusedRequest, response) => {
+            response.statusCode = isReady() ? 200 : 503;
+            response.end();
+        }),
+    );
     listen(entryServer, settings.entryAddress);
     listen(readinessServer, settings.readyAddress);
     if (settings.metricsAddress !== undefined) {
         const { host, port } = parseAddress(settings.metricsAddress);
-        serveMetrics(context.metrics, host, port);
+        serveMetrics(context, host, port);
     }
     const signal = await stopSignal;
     stopped = true;
--- a/programs/dispatcher/src/process/dispatcher-settings.ts
+++ b/programs/dispatcher/src/process/dispatcher-settings.ts
@@ -6,6 +6,11 @@
 
 const DEFAULT_JOB_STATE_SECONDS = 3600;
 const MAX_JOB_STATE_SECONDS = 604_800;
+const MIN_MEMORY_MB = 64;
+const MIN_DESCRIPTORS = 256;
+// Room for a few of the largest bodies that are usual.
+const MIN_HELD_BYTES = 1_048_576;
+const MIN_CLIENT_TIMEOUT_MS = 1000;
 
 const schema = z.object({
     /** Name of the VM that this process runs on. */
@@ -41,6 +46,20 @@
     moveSeconds: z.number().positive(),
     maintenanceSeconds: z.number().positive(),
     heartbeatMs: z.number().positive(),
+    /** Memory that the process may use, in megabytes; what the operating system has if absent. */
+    memoryMb: z.number().min(MIN_MEMORY_MB).optional(),
+    /** Descriptors that the process may open; what the operating system allows if absent. */
+    maxDescriptors: z.int().min(MIN_DESCRIPTORS).optional(),
+    /** Limits on the connections of clients; each that is absent is derived from the memory and the descriptors. */
+    clientLimits: z
+        .strictObject({
+            connections: z.int().min(1).optional(),
+            heldBytes: z.int().min(MIN_HELD_BYTES).optional(),
+            requestsInWork: z.int().min(1).optional(),
+            headTimeoutMs: z.int().min(MIN_CLIENT_TIMEOUT_MS).optional(),
+            stallTimeoutMs: z.int().min(MIN_CLIENT_TIMEOUT_MS).optional(),
+        })
+        .optional(),
 });
 
 /** Content of the settings file, after validation. */
--- a/programs/entry/src/caller-server.ts
+++ b/programs/entry/src/caller-server.ts
@@ -1,15 +1,18 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
+import { deriveClientLimits, readProcessResources, type ClientLimits } from "@almondusher/connections/client-limits";
+import { guardServer } from "@almondusher/connections/guard-server";
 import { FleetError } from "@almondusher/fleet/fleet-error";
 import type { RequestId } from "@almondusher/fleet/ids";
 import { toId } from "@almondusher/fleet/ids";
+import { count } from "@almondusher/telemetry/counters";
+import { logEvent } from "@almondusher/telemetry/logger";
 import { acceptRequest } from "./accept-request.js";
 import type { EntryContext } from "./entry-context.js";
 import { recordRejection } from "./record-outcome.js";
 import { formatRejection, type Rejection } from "./rejection.js";
 
 const KEEP_ALIVE_MS = 60_000;
-const HEADERS_TIMEOUT_MS = 20_000;
 const HEADER_OVERFLOW = "HPE_HEADER_OVERFLOW";
 
 /** The HTTP server for callers. */
@@ -24,9 +27,6 @@
     const server = createServer({
         maxHeaderSize: entry.settings.limits.maxHeaderBytes,
         keepAliveTimeout: KEEP_ALIVE_MS,
-        headersTimeout: HEADERS_TIMEOUT_MS,
-        // No limit: uploads and long-running requests may take any time.
-        requestTimeout: 0,
         // Rejects a request with both Content-Length and Transfer-Encoding, which allows request smuggling: two parsers
         // could disagree on where the request ends.
         insecureHTTPParser: false,
@@ -34,8 +34,16 @@
     });
     const accept = (expectsContinue: boolean) => (incoming: IncomingMessage, response: ServerResponse) =>
         acceptRequest(entry, { incoming, response, expectsContinue });
-    server.on("request", accept(false));
-    server.on("checkContinue", accept(true));
+    const guard = guardServer(server, {
+        limits: callerLimits(entry),
+        report: (reason, closed) => {
+            count(entry.counters, { name: `connections-closed-${reason}` }, closed);
+            logEvent(entry.logger, { kind: "connections-closed", reason, closed });
+        },
+    });
+    // Uploads and long-running requests may take any time as long as they go on.
+    server.on("request", guard.inTurn(accept(false)));
+    server.on("checkContinue", guard.inTurn(accept(true)));
     server.on("connect", (unusedRequest, socket: Socket) => respondOnSocket(entry, socket, unsupportedMethodRejection));
     server.on("clientError", (error: NodeJS.ErrnoException, socket: Socket) =>
         respondOnSocket(entry, socket, malformedRequestRejection(error)),
@@ -44,6 +52,15 @@
     return { port: (server.address() as AddressInfo).port, close: () => closeServer(server) };
 };
 
+const callerLimits = ({ settings: { limits } }: EntryContext): ClientLimits =>
+    deriveClientLimits(readProcessResources(), {
+        connections: limits.maxConnections,
+        heldBytes: limits.maxHeldBytes,
+        requestsInWork: limits.maxRequestsInWork,
+        headTimeoutMs: limits.headTimeoutMs,
+        stallTimeoutMs: limits.stallTimeoutMs,
+    });
+
 const unsupportedMethodRejection: Rejection = {
     status: 501,
     cause: "upgrade",
--- a/programs/entry/src/entry-settings.ts
+++ b/programs/entry/src/entry-settings.ts
@@ -57,6 +57,16 @@
     hedgeFactor: z.number().min(1).max(100).default(3),
     /** Maximum share of a pool's VMs that may be ejected at the same time. */
     maxEjectedShare: z.number().min(0).max(1).default(0.25),
+    /** Maximum number of open connections of callers; derived from the memory and the descriptors if absent. */
+    maxConnections: z.int().min(1).optional(),
+    /** Bytes held for unanswered requests over all connections; derived from the memory if absent. */
+    maxHeldBytes: z.int().min(1_048_576).optional(),
+    /** Requests of one connection that are in work at the same time; further ones wait. */
+    maxRequestsInWork: z.int().min(1).max(1000).default(2),
+    /** Time from the first byte of a request's head to its last one. */
+    headTimeoutMs: durationSchema(30_000),
+    /** Time without a further byte of an unfinished body, or without a byte of an answer being taken. */
+    stallTimeoutMs: durationSchema(30_000),
 });
 
 /** Schema of the settings file of almondusher-entry. */
--- a/programs/entry/src/replay-body.ts
+++ b/programs/entry/src/replay-body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { createByteCollector } from "@almondusher/connections/byte-collector";
 import { PassThrough, type Readable } from "node:stream";
 
 /** A request body that can be replayed from its start while the bytes received fit the replay limit. */
@@ -22,19 +23,28 @@
     readonly onTooLarge: () => void;
 }
 
+// Read before the first attempt takes the body: parts that stay in the stream meanwhile cost far more than their bytes
+// where they are tiny.
+const AHEAD_BYTES = 16_384;
+
 /** Creates a replayable body; it is read with the backpressure of the current attempt, so that memory stays bounded. */
 export const createReplayBody = ({ source, replayBytes, maxBytes, onTooLarge }: ReplayBodyOptions): ReplayBody => {
-    let buffered: Buffer[] = [];
+    const buffered = createByteCollector();
+    // Parts on their way to the current attempt: tiny ones are sent together.
+    const unsent = createByteCollector();
     let receivedBytes = 0;
     let ended = false;
+    // Until the first attempt has it, the start is kept, however much has arrived.
+    let opened = false;
     let discarding = false;
     let current: PassThrough | undefined;
 
+    const canReplay = (): boolean => !opened || receivedBytes <= replayBytes;
     const buffer = (chunk: Buffer): void => {
-        if (receivedBytes <= replayBytes) {
-            buffered.push(chunk);
+        if (canReplay()) {
+            buffered.append(chunk);
         } else {
-            buffered = [];
+            buffered.clear();
         }
     };
     const receive = (chunk: Buffer): void => {
@@ -48,12 +58,27 @@
             return;
         }
         buffer(chunk);
-        if (current?.write(chunk) === false) {
+        if (current === undefined) {
+            if (receivedBytes >= AHEAD_BYTES) {
+                source.pause();
+            }
+            return;
+        }
+        if (unsent.length() === 0) {
+            setImmediate(flush);
+        }
+        unsent.append(chunk);
+    };
+    const flush = (): void => {
+        const bytes = Buffer.from(unsent.bytes());
+        unsent.clear();
+        if (bytes.length > 0 && current?.write(bytes) === false) {
             source.pause();
         }
     };
     const finish = (): void => {
         ended = true;
+        flush();
         current?.end();
     };
     const attach = (stream: PassThrough): void => {
@@ -64,7 +89,14 @@
             }
         });
         stream.on("error", () => undefined);
-        buffered.forEach(chunk => stream.write(chunk));
+        // What an earlier attempt has not been sent yet is among what is buffered.
+        unsent.clear();
+        if (buffered.length() > 0) {
+            stream.write(Buffer.from(buffered.bytes()));
+        }
+        if (!canReplay()) {
+            buffered.clear();
+        }
         if (ended) {
             stream.end();
         } else {
@@ -74,17 +106,17 @@
 
     source.on("data", receive);
     source.on("end", finish);
-    source.pause();
     return {
         open: () => {
-            if (receivedBytes > replayBytes) {
+            if (!canReplay()) {
                 return undefined;
             }
+            opened = true;
             const stream = new PassThrough();
             attach(stream);
             return stream;
         },
-        canReplay: () => receivedBytes <= replayBytes,
+        canReplay,
         detach: () => {
             current = undefined;
             source.pause();
@@ -92,7 +124,8 @@
         discard: () => {
             discarding = true;
             current = undefined;
-            buffered = [];
+            buffered.clear();
+            unsent.clear();
             source.resume();
         },
     };
