--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -16,6 +16,7 @@
     type VmServiceStandInOptions,
 } from "@almondusher/job-platform-stand-in/vm-service";
 import { freePorts } from "./free-ports.js";
+import { limitedCommand, type ProcessLimits } from "./limited-command.js";
 
 export interface DeployedDispatcher {
     readonly vm: string;
@@ -80,6 +81,8 @@
     readonly configuration?: object;
     /** File of a bundled dispatcher to run; the sources are run if undefined. */
     readonly program?: string | undefined;
+    /** Resources of each dispatcher process; unlimited if undefined. */
+    readonly limits?: ProcessLimits;
 }
 
 /** Response to a client's request. */
@@ -140,6 +143,7 @@
     ) => {
         const started = await spawnDispatcher({
             command,
+            limits: options.limits,
             directory,
             vm,
             storeAddress,
@@ -352,6 +356,7 @@
 
 interface DispatcherSpawn {
     readonly command: readonly string[];
+    readonly limits: ProcessLimits | undefined;
     readonly directory: string;
     readonly vm: string;
     readonly storeAddress: string;
@@ -362,6 +367,7 @@
 
 const spawnDispatcher = async ({
     command,
+    limits,
     directory,
     vm,
     storeAddress,
@@ -396,7 +402,8 @@
         heartbeatMs: 500,
     };
     writeFileSync(file, JSON.stringify(settings));
-    const child = spawn(process.execPath, [...command, "--settings", file], { stdio: ["ignore", "pipe", "inherit"] });
+    const limited = limitedCommand([...command, "--settings", file], limits);
+    const child = spawn(limited.file, limited.args, { stdio: ["ignore", "pipe", "inherit"] });
     const log: LogLine[] = [];
     parseLogLines(child, line => log.push(line));
     const ended = new Promise<number | undefined>(resolve => child.once("exit", code => resolve(code ?? undefined)));
