--- a/pools/allowances/src/share-out-cap.ts
+++ b/pools/allowances/src/share-out-cap.ts
@@ -29,11 +29,14 @@
             .filter(({ claim, index }) => isOpen[index] === true && !isWithin(claim.wanted, targetOf(index)))
             .sort((left, right) => left.share - right.share || left.claim.changedAt - right.claim.changedAt)[0]?.index;
     const left = (): Resources => largerOf(NOTHING, minus(limit, sumOf(targets)));
+    // The parts become smaller towards the end, so that the last one makes no claim much larger than the others.
+    const evenPart = (wanted: Resources): Resources =>
+        smallerOf(partOf(wanted, SMALLEST_PART), partOf(left(), 1 / (2 * claims.length)));
     for (let index = next(); index !== undefined; index = next()) {
         const { wanted, unit } = claims[index] as Claim;
         const missing = largerOf(NOTHING, minus(wanted, targetOf(index)));
         const whole = smallerOf(missing, unit);
-        const large = smallerOf(missing, largerOf(unit, largerOf(partOf(wanted, SMALLEST_PART), ONE)));
+        const large = smallerOf(missing, wholeUnits(unit, largerOf(evenPart(wanted), ONE)));
         const part = [large, whole].find(amount => !isSame(amount, NOTHING) && isWithin(amount, left()));
         isOpen[index] = part !== undefined;
         targets[index] = sumOf([targetOf(index), part ?? NOTHING]);
@@ -46,4 +49,10 @@
     return targets.map(target => sumOf([target, headroom]));
 };
 
+/** The unit as often as it fits into an amount, at least once; the amount itself if nothing is needed at once. */
+const wholeUnits = (unit: Resources, amount: Resources): Resources => {
+    const largest = shareOf(unit, amount);
+    return largest === 0 ? amount : partOf(unit, Math.max(1, Math.floor(1 / largest)));
+};
+
 const ONE: Resources = { cpu: 1, memoryMb: 1, gpu: 1 };
