--- a/model/specification/src/checks.ts
+++ b/model/specification/src/checks.ts
@@ -1,3 +1,4 @@
+import { type CapGuard, capGuards, type CapOptions, capProtocol } from "./caps.js";
 import { type ClaimGuard, claimGuards, claimProtocol } from "./claims.js";
 import { type EditGuard, editGuards, editProtocol } from "./edits.js";
 import { type Exploration, explore } from "./explore.js";
@@ -146,6 +147,17 @@
         complete: runProtocol(gapBounds(gap)),
     });
 
+const capBounds = (guard: CapGuard): CapOptions =>
+    guard === "take-over-reserved"
+        ? { maxFaults: 1, maxChanges: 4, faults: ["take-fleet-over"] }
+        : { maxFaults: 1, maxChanges: 3 };
+const capCheck = (guard: CapGuard): VariantCheck =>
+    variantCheck({
+        variant: { type: "without-guard", guard },
+        mutant: capProtocol({ ...capBounds(guard), disabledGuard: guard }),
+        complete: capProtocol(capBounds(guard)),
+    });
+
 /** Explorations that must find no violation. */
 export const completeChecks: readonly CompleteCheck[] = [
     completeCheck("3 entries, 2 faults", editProtocol({ maxFaults: 2, entries: 3 })),
@@ -159,6 +171,7 @@
         "3 faults without restarts, 2 starts",
         runProtocol({ maxFaults: 3, maxStarts: 2, faults: ["take-over", "cut"] }),
     ),
+    completeCheck("1 fault, 2 changes", capProtocol({ maxFaults: 1, maxChanges: 2 })),
     completeCheck("2 faults, 3 starts", runProtocol({ maxFaults: 2, maxStarts: 3 })),
 ];
 
@@ -169,6 +182,7 @@
     ...maintenanceGuards.map(maintenanceCheck),
     ...claimGuards.map(claimCheck),
     ...runGuards.map(runCheck),
+    ...capGuards.map(capCheck),
 ];
 
 /** Explorations that must find a violation, one for each known gap. */
