--- a/admission/connections/src/guard-server.ts
+++ b/admission/connections/src/guard-server.ts
@@ -4,7 +4,7 @@
 import type { ClientLimits } from "./client-limits.js";
 
 /** Why a connection was closed. */
-export type LimitReason = "too-many-connections" | "too-much-held" | "slow-head" | "stalled-body" | "unread-answer";
+type LimitReason = "too-many-connections" | "too-much-held" | "slow-head" | "stalled-body" | "unread-answer";
 
 export interface GuardOptions {
     readonly limits: ClientLimits;
@@ -20,7 +20,7 @@
 }
 
 /** Body of a request. */
-export type ReceivedBody =
+type ReceivedBody =
     | { readonly kind: "whole"; readonly text: string }
     | { readonly kind: "too-large" }
     /** The connection ended before the body did. */
@@ -318,7 +318,7 @@
     waiting: [],
     unparsed: [],
     isParsing: false,
-    parse: bytes => parsers.forEach(parser => parser.call(socket, bytes)),
+    parse: bytes => parsers.forEach(parser => void parser.call(socket, bytes)),
     heldBytes: 0,
     served: false,
     lastMoveMs: performance.now(),
@@ -341,7 +341,8 @@
 const hasUnfinished = ({ unfinished }: GuardedConnection): boolean => unfinished?.complete === false;
 
 // After CONNECT or an upgrade the connection is no longer the server's, and its parser serves another one.
-const hasLostParser = (socket: Socket & { readonly parser?: unknown }): boolean => socket.parser === null;
+const hasLostParser = (socket: Socket & { readonly parser?: unknown }): boolean =>
+    (socket.parser ?? undefined) === undefined;
 
 // While requests wait or the body's reader has paused, more would only pile up.
 const canTake = ({ waiting, unfinished }: GuardedConnection): boolean =>
--- a/bench/system/test/foreign-clients.alone.test.ts
+++ b/bench/system/test/foreign-clients.alone.test.ts
@@ -161,7 +161,7 @@
     { kind: "small-chunks", title: "many chunked bodies in very small chunks that stop short of their end" },
 ];
 [dispatcher, entry].forEach(program =>
-    CROWDS.forEach(({ kind, title }) =>
-        test(`${program.name}: ${title}`, program.options, context => check(context, program, kind)),
-    ),
+    CROWDS.forEach(({ kind, title }) => {
+        void test(`${program.name}: ${title}`, program.options, context => check(context, program, kind));
+    }),
 );
