Learn run times by queue, image, size and tenant, with a spread, and keep them over a takeover

Change: a package of its own, run-times. The regression on declared times stays as the base, with a half-life of 200 runs; sketches of the ratio of observed to expected times by queue, image, size class and tenant back off to the wider kind; finished tasks of the same step count most, by how much siblings differ in that queue; runs that go on for longer than expected count as at least as long as their age. Runs far from their data are divided by the platform's farFactor. The longest task of a step, remaining times and stops use the learned spread. run-ended has expectedMs and highMs, and counters run_time_ratio_* tell how far off expectations were.

The test of the regression moved with its module, its assertions unchanged.

--- a/pools/scheduler/src/run-times.ts
+++ b/pools/run-times/src/declared-regression.ts
@@ -1,7 +1,7 @@
 import type { QueueName } from "@almondusher/jobs/ids";
 
 /** Sums of a linear regression of the logarithms of observed run times on those of declared ones. */
-interface RunTimeSums {
+export interface RunTimeSums {
     samples: number;
     declared: number;
     observed: number;
@@ -16,6 +16,11 @@
 /** Regression sums by queue. */
 export type RunTimeTable = Map<QueueName, RunTimeSums>;
 
+/** After this many runs of a queue or kind, an old one counts half as much. */
+export const HALF_LIFE_RUNS = 200;
+/** What is left of the weight of a run after one further run. */
+export const FADE = 2 ** (-1 / HALF_LIFE_RUNS);
+
 // Prior of the regression slope. Until enough runs were observed, the logarithm of the expected run time changes only
 // half as much as the logarithm of the declared time.
 const PRIOR_SLOPE = 0.5;
@@ -25,18 +30,30 @@
 const PRIOR_VARIANCE = 0.5;
 const DEFAULT_RUN_MS = 1000;
 const MIN_RUN_MS = 20;
+// Longer times, declared or observed, count as this, so that no sum overflows.
+const MAX_RUN_MS = 1e9;
+
+/** A run time in milliseconds within the range that is learned. */
+export const clampRunMs = (ms: number): number => Math.min(MAX_RUN_MS, Math.max(MIN_RUN_MS, ms));
+
+/** True for a declared time that says something. */
+export const isDeclared = (declaredMs: number): boolean => declaredMs > 0 && Number.isFinite(declaredMs);
 
 /** Adds the run time of a task that ran from its start to its end without resuming from a checkpoint. */
 export const learnRunTime = (table: RunTimeTable, queue: QueueName, declaredMs: number, observedMs: number): void => {
+    if (Number.isNaN(observedMs)) {
+        return;
+    }
     const sums = table.get(queue) ?? emptySums();
     table.set(queue, sums);
-    const observed = Math.log(Math.max(observedMs, MIN_RUN_MS));
-    if (declaredMs <= 0) {
+    scaleSums(sums, FADE);
+    const observed = Math.log(clampRunMs(observedMs));
+    if (!isDeclared(declaredMs)) {
         sums.undeclaredSamples++;
         sums.undeclaredObserved += observed;
         return;
     }
-    const declared = Math.log(declaredMs);
+    const declared = Math.log(clampRunMs(declaredMs));
     sums.samples++;
     sums.declared += declared;
     sums.observed += observed;
@@ -48,14 +65,25 @@
 export const estimateRunTime = (table: RunTimeTable, queue: QueueName, declaredMs: number): number => {
     const sums = table.get(queue);
     if (sums === undefined || sums.samples + sums.undeclaredSamples === 0) {
-        return declaredMs > 0 ? declaredMs : DEFAULT_RUN_MS;
+        return isDeclared(declaredMs) ? clampRunMs(declaredMs) : DEFAULT_RUN_MS;
     }
     const meanObserved = (sums.observed + sums.undeclaredObserved) / (sums.samples + sums.undeclaredSamples);
-    if (declaredMs <= 0 || sums.samples === 0) {
+    if (!isDeclared(declaredMs) || sums.samples === 0) {
         return Math.exp(meanObserved);
     }
     const meanDeclared = sums.declared / sums.samples;
-    return Math.exp(sums.observed / sums.samples + slopeOf(sums) * (Math.log(declaredMs) - meanDeclared));
+    return Math.exp(sums.observed / sums.samples + slopeOf(sums) * (Math.log(clampRunMs(declaredMs)) - meanDeclared));
+};
+
+/** Multiplies the weight of all samples. */
+export const scaleSums = (sums: RunTimeSums, factor: number): void => {
+    sums.samples *= factor;
+    sums.declared *= factor;
+    sums.observed *= factor;
+    sums.declaredSquares *= factor;
+    sums.products *= factor;
+    sums.undeclaredSamples *= factor;
+    sums.undeclaredObserved *= factor;
 };
 
 const slopeOf = ({ samples, declared, observed, declaredSquares, products }: RunTimeSums): number => {
--- /dev/null
+++ b/pools/run-times/src/run-time-model.ts
@@ -0,0 +1,285 @@
+import type { QueueName } from "@almondusher/jobs/ids";
+import { clampRunMs, estimateRunTime, FADE, learnRunTime, type RunTimeTable } from "./declared-regression.js";
+import {
+    addAtLeast,
+    addLog,
+    clampLog,
+    createSketch,
+    meanLog,
+    meanLogAbove,
+    priorSketch,
+    quantileLog,
+    scaleSketch,
+    varianceLog,
+    type RatioSketch,
+} from "./ratio-sketch.js";
+import type { KindKey, RunKind } from "./run-kind.js";
+
+/** Runs of a kind, with those that still go on. */
+export interface KindTimes {
+    readonly finished: RatioSketch;
+    /** Runs that last longer than expected now; undefined if there is none. */
+    overdue: RatioSketch | undefined;
+    /** Variance of the logarithms, which is not computed anew for each estimate; undefined before the first. */
+    variance?: KnownVariance;
+}
+
+interface KnownVariance {
+    readonly value: number;
+    /** The model's count of learned runs then. */
+    readonly learned: number;
+}
+
+/** Sum of squares of how much a run differs from its siblings, the finished tasks of the same step. */
+export interface SiblingSums {
+    weight: number;
+    squares: number;
+}
+
+/** Finished tasks of one step. */
+interface StepTimes {
+    runs: number;
+    /** Sum of the logarithms of their run times. */
+    logs: number;
+}
+
+/** What was learned of run times. The kinds are in the order of their last use. */
+export interface RunTimeModel {
+    readonly declared: RunTimeTable;
+    readonly kinds: Map<KindKey, KindTimes>;
+    readonly siblings: Map<QueueName, SiblingSums>;
+    /** By step; dropped with it. */
+    readonly steps: WeakMap<object, StepTimes>;
+    /** Finished runs that were learned, to tell whether the state has changed. */
+    learned: number;
+}
+
+/** A task's kind and its step, whose finished tasks say most about the others. */
+export interface RunSubject {
+    readonly kind: RunKind;
+    readonly step: object;
+}
+
+/** Most kinds that are kept; the one that was not used for longest goes first. */
+export const MAX_KINDS = 512;
+/** Most queues that are kept. */
+export const MAX_QUEUES = 64;
+// The wider kind counts as much as this many runs of the narrower one.
+const BACK_OFF_RUNS = 8;
+// Prior of the difference between siblings: a quarter, counting as some runs.
+const PRIOR_SIBLING_VARIANCE = Math.log(1.25) ** 2;
+const PRIOR_SIBLING_RUNS = 6;
+// Bounds of how many siblings weigh as much as the kind.
+const MIN_KIND_RUNS = 0.1;
+const MAX_KIND_RUNS = 20;
+// A kind's variance is computed anew after this many learned runs.
+const VARIANCE_REFRESH_RUNS = 16;
+
+export const createRunTimeModel = (): RunTimeModel => ({
+    declared: new Map(),
+    kinds: new Map(),
+    siblings: new Map(),
+    steps: new WeakMap(),
+    learned: 0,
+});
+
+/** Learns from a task that ran from its start to its end. The time is that of an executor near to the data. */
+export const learnFinishedRun = (model: RunTimeModel, { kind, step }: RunSubject, observedMs: number): void => {
+    if (!Number.isFinite(observedMs) || observedMs < 0) {
+        return;
+    }
+    model.learned++;
+    const observedLog = Math.log(clampRunMs(observedMs));
+    const ratioLog = observedLog - Math.log(baseMs(model, kind));
+    learnSibling(model, kind.queue, step, observedLog);
+    learnRunTime(model.declared, kind.queue, kind.declaredMs, observedMs);
+    kind.keys.forEach(key => {
+        const { finished } = touchKind(model, key);
+        scaleSketch(finished, FADE);
+        addLog(finished, ratioLog);
+    });
+    trim(model.declared, MAX_QUEUES);
+    trim(model.siblings, MAX_QUEUES);
+    trim(model.kinds, MAX_KINDS);
+};
+
+/** Learns from a run that ended without being done, if it had lasted longer than expected: its time is a lower bound. */
+export const learnUnfinishedRun = (model: RunTimeModel, { kind }: RunSubject, ageMs: number): void => {
+    const boundLog = overdueLog(model, kind, ageMs);
+    if (boundLog === undefined) {
+        return;
+    }
+    const reference = mixOf(model, kind);
+    kind.keys.forEach(key => {
+        const { finished } = touchKind(model, key);
+        scaleSketch(finished, FADE);
+        addAtLeast(finished, boundLog, reference);
+    });
+    trim(model.kinds, MAX_KINDS);
+};
+
+/** Replaces what is known of the runs that still go on. Only those that last longer than expected say something. */
+export const observeActiveRuns = (
+    model: RunTimeModel,
+    runs: readonly { readonly kind: RunKind; readonly ageMs: number }[],
+): void => {
+    model.kinds.forEach(times => (times.overdue = undefined));
+    const overdue = runs.flatMap(({ kind, ageMs }) => {
+        const boundLog = overdueLog(model, kind, ageMs);
+        return boundLog === undefined ? [] : [{ kind, boundLog, reference: mixOf(model, kind) }];
+    });
+    overdue.forEach(({ kind, boundLog, reference }) =>
+        kind.keys.forEach(key => {
+            const times = touchKind(model, key);
+            times.overdue ??= createSketch();
+            addAtLeast(times.overdue, boundLog, reference);
+        }),
+    );
+    trim(model.kinds, MAX_KINDS);
+};
+
+/** Expected run time of a task in milliseconds. */
+export const expectedMs = (model: RunTimeModel, { kind, step }: RunSubject): number => {
+    const kindLog = Math.log(baseMs(model, kind)) + kindMeanLog(model, kind);
+    const siblings = model.steps.get(step);
+    if (siblings === undefined) {
+        return Math.exp(kindLog);
+    }
+    const kindRuns = kindRunsOf(model, kind);
+    return Math.exp((siblings.logs + kindRuns * kindLog) / (siblings.runs + kindRuns));
+};
+
+/** The run time in milliseconds within which the given share of such tasks end. */
+export const quantileMs = (model: RunTimeModel, subject: RunSubject, share: number): number => {
+    const mix = mixOf(model, subject.kind);
+    const above = quantileLog(mix, share) - meanLog(mix);
+    return expectedMs(model, subject) * Math.exp(above * narrowing(model, subject, varianceLog(mix)));
+};
+
+/** Expected run time in milliseconds of the longest of several tasks of the step. */
+export const expectedLongestMs = (model: RunTimeModel, subject: RunSubject, tasks: number): number =>
+    expectedMs(model, subject) *
+    Math.exp(Math.sqrt(siblingVariance(model, subject.kind.queue) * Math.log(Math.max(1, tasks))));
+
+/** Expected run time in milliseconds of a task that has already run for some time without an end. */
+export const expectedMsAtAge = (model: RunTimeModel, subject: RunSubject, ageMs: number): number => {
+    const expected = expectedMs(model, subject);
+    if (!(ageMs > expected)) {
+        return expected;
+    }
+    const mix = mixOf(model, subject.kind);
+    const mean = meanLog(mix);
+    const narrow = narrowing(model, subject, varianceLog(mix));
+    // The age in terms of the wide kind, whose distribution is narrowed for the step.
+    const ageLog = Math.log(clampRunMs(ageMs) / expected);
+    const boundLog = clampLog(mean + ageLog / narrow);
+    return Math.max(ageMs, expected * Math.exp((meanLogAbove(mix, boundLog) - mean) * narrow));
+};
+
+/** Standard deviation of the logarithms of the run times within one step. */
+const siblingVariance = (model: RunTimeModel, queue: QueueName): number => {
+    const sums = model.siblings.get(queue) ?? { weight: 0, squares: 0 };
+    return (sums.squares + PRIOR_SIBLING_RUNS * PRIOR_SIBLING_VARIANCE) / (sums.weight + PRIOR_SIBLING_RUNS);
+};
+
+// Share of the kind's spread that is left for a task of the step, once some of the step's tasks have finished.
+const narrowing = (model: RunTimeModel, { kind, step }: RunSubject, variance: number): number => {
+    const siblings = model.steps.get(step);
+    if (siblings === undefined) {
+        return 1;
+    }
+    const within = Math.min(variance, siblingVariance(model, kind.queue));
+    const kindRuns = kindRunsOf(model, kind);
+    const between = (variance - within) * (kindRuns / (siblings.runs + kindRuns));
+    return Math.min(1, Math.sqrt((within + between) / variance));
+};
+
+// How many siblings weigh as much as the kind: the less siblings differ in comparison with other tasks of the kind, the
+// fewer.
+const kindRunsOf = (model: RunTimeModel, kind: RunKind): number => {
+    const within = siblingVariance(model, kind.queue);
+    const between = Math.max(0, kindVariance(model, kind) - within);
+    return Math.min(MAX_KIND_RUNS, Math.max(MIN_KIND_RUNS, within / Math.max(between, 1e-6)));
+};
+
+const kindVariance = (model: RunTimeModel, kind: RunKind): number => {
+    const times = kind.keys.map(key => model.kinds.get(key)).findLast(known => known !== undefined);
+    const known = times?.variance;
+    if (known !== undefined && model.learned - known.learned < VARIANCE_REFRESH_RUNS) {
+        return known.value;
+    }
+    const value = varianceLog(mixOf(model, kind));
+    if (times !== undefined) {
+        times.variance = { value, learned: model.learned };
+    }
+    return value;
+};
+
+const learnSibling = (model: RunTimeModel, queue: QueueName, step: object, observedLog: number): void => {
+    const siblings = model.steps.get(step) ?? { runs: 0, logs: 0 };
+    if (siblings.runs > 0) {
+        const sums = model.siblings.get(queue) ?? { weight: 0, squares: 0 };
+        const difference = observedLog - siblings.logs / siblings.runs;
+        sums.weight = sums.weight * FADE + 1;
+        // The mean of few siblings is uncertain itself.
+        sums.squares = sums.squares * FADE + difference ** 2 / (1 + 1 / siblings.runs);
+        model.siblings.set(queue, sums);
+    }
+    siblings.runs++;
+    siblings.logs += observedLog;
+    model.steps.set(step, siblings);
+};
+
+const baseMs = (model: RunTimeModel, { queue, declaredMs }: RunKind): number =>
+    clampRunMs(estimateRunTime(model.declared, queue, declaredMs));
+
+// The bound that an age says something about: that of a run which has lasted longer than half of its kind.
+const overdueLog = (model: RunTimeModel, kind: RunKind, ageMs: number): number | undefined => {
+    if (!Number.isFinite(ageMs) || ageMs <= 0) {
+        return undefined;
+    }
+    const log = Math.log(clampRunMs(ageMs)) - Math.log(baseMs(model, kind));
+    return log > kindMeanLog(model, kind) ? log : undefined;
+};
+
+const kindMeanLog = (model: RunTimeModel, { keys }: RunKind): number =>
+    keys.reduce((wider, key) => {
+        const times = model.kinds.get(key);
+        if (times === undefined) {
+            return wider;
+        }
+        const sum = times.finished.sum + (times.overdue?.sum ?? 0);
+        const weight = times.finished.weight + (times.overdue?.weight ?? 0);
+        return (sum + BACK_OFF_RUNS * wider) / (weight + BACK_OFF_RUNS);
+    }, 0);
+
+/** The ratios of a kind, from the narrow kinds backed off to the wider ones. */
+const mixOf = (model: RunTimeModel, { keys }: RunKind): RatioSketch =>
+    keys.reduce((wider, key) => {
+        const times = model.kinds.get(key);
+        if (times === undefined) {
+            return wider;
+        }
+        const mixed = createSketch();
+        const share = BACK_OFF_RUNS / wider.weight;
+        mixed.weight = times.finished.weight + (times.overdue?.weight ?? 0) + BACK_OFF_RUNS;
+        mixed.sum = times.finished.sum + (times.overdue?.sum ?? 0) + wider.sum * share;
+        mixed.bins.forEach((unused, bin) => {
+            mixed.bins[bin] =
+                (times.finished.bins[bin] ?? 0) + (times.overdue?.bins[bin] ?? 0) + (wider.bins[bin] ?? 0) * share;
+        });
+        return mixed;
+    }, priorSketch());
+
+const touchKind = (model: RunTimeModel, key: KindKey): KindTimes => {
+    const times = model.kinds.get(key) ?? { finished: createSketch(), overdue: undefined };
+    model.kinds.delete(key);
+    model.kinds.set(key, times);
+    return times;
+};
+
+const trim = <Key>(map: Map<Key, unknown>, most: number): void => {
+    while (map.size > most) {
+        map.delete(map.keys().next().value as Key);
+    }
+};
--- a/pools/scheduler/test/run-times.test.ts
+++ b/pools/run-times/test/declared-regression.test.ts
@@ -1,7 +1,10 @@
 import assert from "node:assert/strict";
 import test from "node:test";
-import { estimateRunTime, learnRunTime, type RunTimeTable } from "@almondusher/scheduler/run-times";
-import { QUEUE } from "./fixture.js";
+import { estimateRunTime, learnRunTime, type RunTimeTable } from "@almondusher/run-times/declared-regression";
+import { toId } from "@almondusher/fleet/ids";
+import type { QueueName } from "@almondusher/jobs/ids";
+
+const QUEUE = toId<QueueName>("queue");
 
 const learn = (pairs: readonly (readonly [number, number])[]): RunTimeTable => {
     const table: RunTimeTable = new Map();
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -2,7 +2,7 @@
 import { isFromPastIncarnation, observeIncarnation } from "./executor-incarnation.js";
 import { hasLongestLeaseExpired } from "./lease-time.js";
 import { haveLeasesExpired } from "./lost-requests.js";
-import { learnRunTime } from "./run-times.js";
+import { learnFromEnd } from "./learned-times.js";
 import { adoptRun } from "./adopt-run.js";
 import { forgetInheritedStart } from "./inherited-starts.js";
 import { findReportedTask } from "./open-occurrences.js";
@@ -149,9 +149,12 @@
     if (end.checkpoint !== "") {
         task.checkpoint = end.checkpoint;
     }
+    if (run !== undefined) {
+        learnFromEnd(tables, run, end.how, nowMs);
+    }
     switch (end.how) {
         case "done":
-            applyCompletion(tables, task, run, nowMs);
+            applyCompletion(task);
             break;
         case "failed":
             recordFailure(task, executor, end.run);
@@ -189,7 +192,7 @@
     }
 };
 
-const applyCompletion = (tables: PoolTables, task: Task, run: Run | undefined, nowMs: number): void => {
+const applyCompletion = (task: Task): void => {
     // A gang completes as a whole: the end of one member completes all of them.
     const completed = task.step.step.gang ? task.step.tasks : [task];
     // Long-running tasks are restarted however they end, so they are never done.
@@ -197,9 +200,6 @@
         completed.filter(member => !member.done).forEach(markDone);
     }
     completed.flatMap(member => [...member.runs]).forEach(other => markForStop(other, "duplicate"));
-    if (run?.phase === "running" && run.resumedFrom === "" && !task.step.step.longRunning) {
-        learnRunTime(tables.runTimes, task.step.job.queue, task.step.step.estimateMs, nowMs - run.startedAtMs);
-    }
 };
 
 const markDone = (task: Task): void => {
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,5 +1,5 @@
 import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
-import { estimateRunTime } from "./run-times.js";
+import { learnedRunMs, longestRunMs } from "./learned-times.js";
 import { isJobEnded, isReady } from "./job-progress.js";
 
 /** A step that may start tasks now, with its sort criteria. */
@@ -15,12 +15,9 @@
 // A job counts as late only if it would miss its objective by more than this, since run times are estimates.
 const LATE_MARGIN_MS = 100;
 const PATH_REFRESH_MS = 500;
-// Relative spread of the run times within a step: the longest of many tasks takes longer than the mean.
-const RUN_TIME_SPREAD = 0.25;
 
 /** Expected run time of one task of the step, in milliseconds. */
-export const expectedRunMs = (tables: PoolTables, { step, job }: OpenStep): number =>
-    estimateRunTime(tables.runTimes, job.queue, step.estimateMs);
+export const expectedRunMs = (tables: PoolTables, step: OpenStep): number => learnedRunMs(tables, step);
 
 /** Steps that may start tasks and that the filter accepts, in the order in which they are placed. */
 export const orderSteps = (
@@ -92,14 +89,10 @@
 const estimateCriticalPaths = (tables: PoolTables, steps: readonly OpenStep[], nowMs: number): void => {
     const longestAfterMs = new Map<number, number>();
     steps.toReversed().forEach(step => {
-        const pathMs = expectedStepMs(tables, step) + (longestAfterMs.get(step.index) ?? 0);
+        const pathMs = longestRunMs(tables, step) + (longestAfterMs.get(step.index) ?? 0);
         step.criticalPath = { pathMs, estimatedAtMs: nowMs };
         step.step.after.forEach(earlier =>
             longestAfterMs.set(earlier, Math.max(longestAfterMs.get(earlier) ?? 0, pathMs)),
         );
     });
 };
-
-// Expected run time of the longest task of the step.
-const expectedStepMs = (tables: PoolTables, step: OpenStep): number =>
-    expectedRunMs(tables, step) * (1 + RUN_TIME_SPREAD * Math.sqrt(Math.log(step.step.count)));
--- a/pools/scheduler/src/plan-stops.ts
+++ b/pools/scheduler/src/plan-stops.ts
@@ -2,7 +2,7 @@
 import { isStopDue, recordStop, type StopSchedule, type StopTimes } from "./stop-schedule.js";
 import { isJobEnded } from "./job-progress.js";
 import { createRelocationRoom, type RelocationOptions, type RelocationRoom } from "./relocation-room.js";
-import { remainingRunMs } from "./remaining-time.js";
+import { highRemainingRunMs, remainingRunMs } from "./remaining-time.js";
 import type { Executor, OpenStep, OrphanedRun, PoolTables, Run, StopCause } from "./pool-tables.js";
 import { allRuns, markForStop } from "./run-table.js";
 
@@ -68,11 +68,11 @@
     }
     const { executor } = run;
     if (executor.record.draining) {
-        const remainingMs = remainingRunMs(tables, run, options.nowMs);
+        const remainingMs = likelyRemainingMs(tables, run, options.nowMs);
         return cannotFinishWithin(run, remainingMs, executor.record.remainingMs ?? 0) ? "draining" : undefined;
     }
     if (executor.evacuation !== undefined) {
-        const remainingMs = remainingRunMs(tables, run, options.nowMs);
+        const remainingMs = likelyRemainingMs(tables, run, options.nowMs);
         const untilMs = executor.evacuation.byMs + evacuationGraceMs(run, remainingMs, options.nowMs);
         return cannotFinishWithin(run, remainingMs, untilMs - options.nowMs) &&
             isWithinDisruptionBudget(run, options.nowMs) &&
@@ -86,6 +86,11 @@
 const isGangComplete = (run: Run): boolean =>
     run.task.step.tasks.every(task => task.runs.some(member => member.number === run.number));
 
+// A task with checkpoints loses little by a stop and much if its VM is gone before its end, so it is kept only if it ends in
+// time nearly certainly. One without loses all of its work either way, so it is kept if it is expected to end in time.
+const likelyRemainingMs = (tables: PoolTables, run: Run, nowMs: number): number =>
+    run.task.step.step.checkpointing ? highRemainingRunMs(tables, run, nowMs) : remainingRunMs(tables, run, nowMs);
+
 // A task that cannot finish in time is stopped early, with its checkpoint, and continues elsewhere.
 const cannotFinishWithin = (run: Run, remainingMs: number, withinMs: number): boolean =>
     run.task.step.step.longRunning || remainingMs > withinMs;
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -3,8 +3,8 @@
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
+import { createRunTimeModel, type RunTimeModel } from "@almondusher/run-times/run-time-model";
 import type { RunNumbers } from "./run-numbers.js";
-import type { RunTimeTable } from "./run-times.js";
 import type { StopSchedule } from "./stop-schedule.js";
 
 /** A task and its known runs. */
@@ -284,7 +284,9 @@
     readonly queues: Map<QueueName, Queue>;
     /** Tenants of the configuration in use; empty if it has none. */
     readonly tenants: Map<TenantName, Tenant>;
-    readonly runTimes: RunTimeTable;
+    readonly runTimes: RunTimeModel;
+    /** How many times as long a run takes away from its data, or a gang on several racks that should run on one. */
+    readonly farFactor: number;
     /** Fencing token of the pool lease. */
     readonly token: number;
     /** Longest run lease that executors grant, in milliseconds. */
@@ -311,7 +313,7 @@
     leaseHeldAtMs: number;
 }
 
-/** Creates the empty tables of a pool. */
+/** Creates the tables of a pool, empty but for the run times that an earlier holder has learned. */
 export const createPoolTables = ({
     pool,
     token,
@@ -319,7 +321,10 @@
     maxLeaseMs,
     runLeaseMs,
     stopTimeMs,
-}: Pick<PoolTables, "pool" | "token" | "runNumbers" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs">): PoolTables => ({
+    runTimes = createRunTimeModel(),
+    farFactor = 1,
+}: Pick<PoolTables, "pool" | "token" | "runNumbers" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs"> &
+    Partial<Pick<PoolTables, "runTimes" | "farFactor">>): PoolTables => ({
     pool,
     maxLeaseMs,
     runLeaseMs,
@@ -329,7 +334,8 @@
     executors: new Map(),
     queues: new Map(),
     tenants: new Map(),
-    runTimes: new Map(),
+    runTimes,
+    farFactor,
     token,
     runNumbers,
     inheritedStarts: new Map(),
--- a/programs/dispatcher/src/executors/run-log.ts
+++ b/programs/dispatcher/src/executors/run-log.ts
@@ -1,6 +1,8 @@
 import type { AppliedEnd } from "@almondusher/scheduler/apply-report";
+import { predictionOf } from "@almondusher/scheduler/learned-times";
 import type { Executor, GivenUpRun } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../process/dispatcher-context.js";
+import { countRunTimeError } from "./run-time-errors.js";
 
 /** Logs and counts the runs that have ended. */
 export interface RunLog {
@@ -12,14 +14,21 @@
 export const createRunLog = (context: DispatcherContext): RunLog => ({
     ends: (executor, ends) =>
         ends.forEach(({ end, run }) => {
+            const tookMs = run === undefined ? undefined : Math.round(context.monotonicMs() - run.startedAtMs);
+            const prediction = run === undefined ? undefined : predictionOf(run);
             context.metrics.count(`runs_ended_${end.how}`);
+            if (run !== undefined && tookMs !== undefined && end.how === "done") {
+                countRunTimeError(context.metrics, run, tookMs);
+            }
             context.log("run-ended", {
                 task: end.task,
                 run: end.run,
                 executor: executor.id,
                 how: end.how,
                 end: end.number,
-                tookMs: run === undefined ? undefined : Math.round(context.monotonicMs() - run.startedAtMs),
+                tookMs,
+                expectedMs: prediction && Math.round(prediction.expectedMs),
+                highMs: prediction && Math.round(prediction.highMs),
                 cause: run?.stopCause,
             });
         }),
--- a/programs/dispatcher/src/executors/run-orders.ts
+++ b/programs/dispatcher/src/executors/run-orders.ts
@@ -1,3 +1,4 @@
+import { recordPrediction } from "@almondusher/scheduler/learned-times";
 import { planSpeedLimits, type SpeedLimitHistory } from "@almondusher/scheduler/plan-speed-limits";
 import { placeTasks, type PlacementOptions } from "@almondusher/scheduler/place-tasks";
 import { planOrphanStops, planStops, type StopOptions } from "@almondusher/scheduler/plan-stops";
@@ -55,6 +56,7 @@
         placeTasks(tables, { ...options, executorsWithTicket: tickets.executorsFor }).forEach(run => {
             const { step } = run.task;
             context.log("run-placed", { ...logFieldsOf(run), queue: step.job.queue });
+            recordPrediction(tables, run);
             void connections.get(run.executor.id)?.start(run, tickets.ticketFor(step, run.executor.id));
         });
     const setPace = (nowMs: number): void =>
--- a/programs/dispatcher/src/leases/lease-rows.ts
+++ b/programs/dispatcher/src/leases/lease-rows.ts
@@ -87,6 +87,8 @@
     readonly vacated: readonly string[];
     /** Demand of the pool for VMs; undefined until its scheduler has estimated it. */
     readonly demand: PoolDemand | undefined;
+    /** What the pool's scheduler has learned of run times, see `run-time-state`; undefined in rows of earlier versions. */
+    readonly runTimes?: string | undefined;
     /** Used only in the lease of the fleet manager. */
     readonly evacuations: readonly Evacuation[];
     /** Used only in the lease of the fleet manager. */
@@ -129,6 +131,7 @@
             losing: z.array(z.string()).default([]),
         })
         .optional(),
+    runTimes: z.string().optional().catch(undefined),
     evacuations: z.array(
         z.object({
             vm: z.string(),
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -11,6 +11,7 @@
     type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
+import { decodeRunTimes } from "@almondusher/run-times/run-time-state";
 import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
@@ -29,6 +30,7 @@
 import { createOrderWindow } from "../executors/order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
+import { createPublishedRunTimes } from "./published-run-times.js";
 import { createProgressWriter } from "../jobs/progress-writer.js";
 import { createProgressReload } from "../jobs/reload-progress.js";
 import {
@@ -94,7 +96,10 @@
         maxLeaseMs,
         runLeaseMs,
         stopTimeMs,
+        runTimes: decodeRunTimes(lease.predecessor?.runTimes),
+        farFactor: context.settings.farFactor,
     });
+    const runTimeState = createPublishedRunTimes({ tables, monotonicMs: context.monotonicMs });
     let active = true;
     let stopping = false;
     let jobsLoaded = false;
@@ -322,6 +327,7 @@
             containErrors({ context, part: "demand" }, () => {
                 passThrottle.run();
                 if (jobsLoaded && mayAct()) {
+                    runTimeState.observe();
                     updateDemand();
                 }
             }),
@@ -373,6 +379,7 @@
             undeliveredStarts: storedStarts(undeliveredStarts(tables, context.monotonicMs()), storeAheadMs()),
             vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
+            runTimes: runTimeState.text(),
         }),
         onLeaseRenewed: ({ executors }) => {
             recordLeaseHeld(tables, lease.renewedAtMs);
