--- a/pools/run-times/src/declared-regression.ts
+++ b/pools/run-times/src/declared-regression.ts
@@ -62,17 +62,37 @@
 };
 
 /** Expected run time in milliseconds of a task with the given declared run time (0 if it has none). */
-export const estimateRunTime = (table: RunTimeTable, queue: QueueName, declaredMs: number): number => {
+export const estimateRunTime = (table: RunTimeTable, queue: QueueName, declaredMs: number): number =>
+    table.has(queue)
+        ? Math.exp(expectedLog(regressionOf(table, queue), declaredMs))
+        : isDeclared(declaredMs)
+          ? clampRunMs(declaredMs)
+          : DEFAULT_RUN_MS;
+
+/** A regression line between logarithms of times in milliseconds. */
+export interface Regression {
+    readonly slope: number;
+    readonly intercept: number;
+    /** Expected logarithm without a declared time. */
+    readonly undeclaredLog: number;
+}
+
+/** Expected logarithm of a run time with the given declared run time. */
+export const expectedLog = ({ slope, intercept, undeclaredLog }: Regression, declaredMs: number): number =>
+    isDeclared(declaredMs) ? intercept + slope * Math.log(clampRunMs(declaredMs)) : undeclaredLog;
+
+/** The regression of a queue; without runs, declared times are expected to be right. */
+export const regressionOf = (table: RunTimeTable, queue: QueueName): Regression => {
     const sums = table.get(queue);
     if (sums === undefined || sums.samples + sums.undeclaredSamples === 0) {
-        return isDeclared(declaredMs) ? clampRunMs(declaredMs) : DEFAULT_RUN_MS;
+        return { slope: 1, intercept: 0, undeclaredLog: Math.log(DEFAULT_RUN_MS) };
     }
-    const meanObserved = (sums.observed + sums.undeclaredObserved) / (sums.samples + sums.undeclaredSamples);
-    if (!isDeclared(declaredMs) || sums.samples === 0) {
-        return Math.exp(meanObserved);
+    const undeclaredLog = (sums.observed + sums.undeclaredObserved) / (sums.samples + sums.undeclaredSamples);
+    if (sums.samples === 0) {
+        return { slope: 0, intercept: undeclaredLog, undeclaredLog };
     }
-    const meanDeclared = sums.declared / sums.samples;
-    return Math.exp(sums.observed / sums.samples + slopeOf(sums) * (Math.log(clampRunMs(declaredMs)) - meanDeclared));
+    const slope = slopeOf(sums);
+    return { slope, intercept: (sums.observed - slope * sums.declared) / sums.samples, undeclaredLog };
 };
 
 /** Multiplies the weight of all samples. */
--- a/pools/run-times/src/ratio-sketch.ts
+++ b/pools/run-times/src/ratio-sketch.ts
@@ -1,8 +1,6 @@
 /** A histogram of the logarithms of ratios, observed to expected, in bins of equal width. */
 export interface RatioSketch {
     weight: number;
-    /** Sum of the logarithms, which the bins keep only roughly. */
-    sum: number;
     readonly bins: Float64Array;
 }
 
@@ -24,20 +22,18 @@
 
 const binOf = (log: number): number => Math.min(BIN_COUNT - 1, Math.floor((log + MAX_LOG) / BIN_WIDTH));
 
-export const createSketch = (): RatioSketch => ({ weight: 0, sum: 0, bins: new Float64Array(BIN_COUNT) });
+export const createSketch = (): RatioSketch => ({ weight: 0, bins: new Float64Array(BIN_COUNT) });
 
 /** Adds the logarithm of one ratio. */
 export const addLog = (sketch: RatioSketch, log: number, weight = 1): void => {
     const clamped = clampLog(log);
     sketch.weight += weight;
-    sketch.sum += weight * clamped;
     sketch.bins[binOf(clamped)] = (sketch.bins[binOf(clamped)] ?? 0) + weight;
 };
 
 /** Multiplies the weight of all ratios. */
 export const scaleSketch = (sketch: RatioSketch, factor: number): void => {
     sketch.weight *= factor;
-    sketch.sum *= factor;
     sketch.bins.forEach((count, bin) => (sketch.bins[bin] = count * factor));
 };
 
@@ -60,11 +56,23 @@
     });
 };
 
-/** Mean of the logarithms; 0 for an empty sketch. */
-export const meanLog = ({ weight, sum }: RatioSketch): number => (weight > 0 ? sum / weight : 0);
+/** Adds the ratios of another sketch. */
+export const addSketch = (sketch: RatioSketch, { weight, bins }: RatioSketch, factor = 1): void => {
+    sketch.weight += weight * factor;
+    bins.forEach((count, bin) => (sketch.bins[bin] = (sketch.bins[bin] ?? 0) + count * factor));
+};
+
+/** Mean of the logarithms as far as the bins tell; 0 for an empty sketch. */
+export const meanLog = (sketch: RatioSketch): number => {
+    const total = sumFrom(sketch, 0);
+    return total > 0 ? sketch.bins.reduce((sum, count, bin) => sum + count * binLog(bin), 0) / total : 0;
+};
 
 /** Mean of the logarithms above a bound. */
 export const meanLogAbove = (sketch: RatioSketch, boundLog: number): number => {
+    if (boundLog !== clampLog(boundLog)) {
+        return boundLog + BEYOND_LOG;
+    }
     const raised = createSketch();
     addAtLeast(raised, boundLog, sketch);
     return Math.max(boundLog, meanLog(raised));
@@ -88,7 +96,7 @@
 /** Variance of the logarithms, at least that of a narrow bin. */
 export const varianceLog = (sketch: RatioSketch): number => {
     const total = sumFrom(sketch, 0);
-    const mean = sketch.bins.reduce((sum, count, bin) => sum + count * binLog(bin), 0) / Math.max(total, 1e-9);
+    const mean = meanLog(sketch);
     const squares = sketch.bins.reduce((sum, count, bin) => sum + count * (binLog(bin) - mean) ** 2, 0);
     return Math.max(BIN_WIDTH ** 2 / 12, squares / Math.max(total, 1e-9));
 };
--- a/pools/run-times/src/run-time-model.ts
+++ b/pools/run-times/src/run-time-model.ts
@@ -1,9 +1,17 @@
 import type { QueueName } from "@almondusher/jobs/ids";
-import { clampRunMs, estimateRunTime, FADE, learnRunTime, type RunTimeTable } from "./declared-regression.js";
+import {
+    clampRunMs,
+    expectedLog,
+    FADE,
+    isDeclared,
+    learnRunTime,
+    regressionOf,
+    type RunTimeTable,
+} from "./declared-regression.js";
 import {
     addAtLeast,
     addLog,
-    clampLog,
+    addSketch,
     createSketch,
     meanLog,
     meanLogAbove,
@@ -15,15 +23,32 @@
 } from "./ratio-sketch.js";
 import type { KindKey, RunKind } from "./run-kind.js";
 
+/** Sums of the logarithms of run times. With them the mean ratio of a kind is one to the regression of now, not of then. */
+export interface LogSums {
+    declaredRuns: number;
+    declared: number;
+    undeclaredRuns: number;
+    observed: number;
+}
+
 /** Runs of a kind, with those that still go on. */
 export interface KindTimes {
+    /** Gives the spread. */
     readonly finished: RatioSketch;
+    /** Give the mean. */
+    readonly sums: LogSums;
     /** Runs that last longer than expected now; undefined if there is none. */
-    overdue: RatioSketch | undefined;
+    overdue: OverdueRuns | undefined;
     /** Variance of the logarithms, which is not computed anew for each estimate; undefined before the first. */
     variance?: KnownVariance;
 }
 
+interface OverdueRuns {
+    readonly ratios: RatioSketch;
+    /** Sum of the logarithms of their ratios. */
+    logs: number;
+}
+
 interface KnownVariance {
     readonly value: number;
     /** The model's count of learned runs then. */
@@ -90,13 +115,14 @@
     }
     model.learned++;
     const observedLog = Math.log(clampRunMs(observedMs));
-    const ratioLog = observedLog - Math.log(baseMs(model, kind));
+    const ratioLog = observedLog - baseLog(model, kind);
     learnSibling(model, kind.queue, step, observedLog);
     learnRunTime(model.declared, kind.queue, kind.declaredMs, observedMs);
     kind.keys.forEach(key => {
-        const { finished } = touchKind(model, key);
+        const { finished, sums } = touchKind(model, key);
         scaleSketch(finished, FADE);
         addLog(finished, ratioLog);
+        addLogs(sums, kind, observedLog);
     });
     trim(model.declared, MAX_QUEUES);
     trim(model.siblings, MAX_QUEUES);
@@ -105,15 +131,16 @@
 
 /** Learns from a run that ended without being done, if it had lasted longer than expected: its time is a lower bound. */
 export const learnUnfinishedRun = (model: RunTimeModel, { kind }: RunSubject, ageMs: number): void => {
-    const boundLog = overdueLog(model, kind, ageMs);
-    if (boundLog === undefined) {
+    const overdue = overdueRun(model, kind, ageMs);
+    if (overdue === undefined) {
         return;
     }
-    const reference = mixOf(model, kind);
+    const base = baseLog(model, kind);
     kind.keys.forEach(key => {
-        const { finished } = touchKind(model, key);
+        const { finished, sums } = touchKind(model, key);
         scaleSketch(finished, FADE);
-        addAtLeast(finished, boundLog, reference);
+        addSketch(finished, overdue.ratios);
+        addLogs(sums, kind, base + overdue.logs);
     });
     trim(model.kinds, MAX_KINDS);
 };
@@ -125,14 +152,15 @@
 ): void => {
     model.kinds.forEach(times => (times.overdue = undefined));
     const overdue = runs.flatMap(({ kind, ageMs }) => {
-        const boundLog = overdueLog(model, kind, ageMs);
-        return boundLog === undefined ? [] : [{ kind, boundLog, reference: mixOf(model, kind) }];
+        const run = overdueRun(model, kind, ageMs);
+        return run === undefined ? [] : [{ kind, run }];
     });
-    overdue.forEach(({ kind, boundLog, reference }) =>
+    overdue.forEach(({ kind, run }) =>
         kind.keys.forEach(key => {
             const times = touchKind(model, key);
-            times.overdue ??= createSketch();
-            addAtLeast(times.overdue, boundLog, reference);
+            times.overdue ??= { ratios: createSketch(), logs: 0 };
+            addSketch(times.overdue.ratios, run.ratios);
+            times.overdue.logs += run.logs;
         }),
     );
     trim(model.kinds, MAX_KINDS);
@@ -140,7 +168,7 @@
 
 /** Expected run time of a task in milliseconds. */
 export const expectedMs = (model: RunTimeModel, { kind, step }: RunSubject): number => {
-    const kindLog = Math.log(baseMs(model, kind)) + kindMeanLog(model, kind);
+    const kindLog = baseLog(model, kind) + kindMeanLog(model, kind);
     const siblings = model.steps.get(step);
     if (siblings === undefined) {
         return Math.exp(kindLog);
@@ -172,7 +200,7 @@
     const narrow = narrowing(model, subject, varianceLog(mix));
     // The age in terms of the wide kind, whose distribution is narrowed for the step.
     const ageLog = Math.log(clampRunMs(ageMs) / expected);
-    const boundLog = clampLog(mean + ageLog / narrow);
+    const boundLog = mean + ageLog / narrow;
     return Math.max(ageMs, expected * Math.exp((meanLogAbove(mix, boundLog) - mean) * narrow));
 };
 
@@ -230,30 +258,55 @@
     model.steps.set(step, siblings);
 };
 
-const baseMs = (model: RunTimeModel, { queue, declaredMs }: RunKind): number =>
-    clampRunMs(estimateRunTime(model.declared, queue, declaredMs));
+const baseLog = (model: RunTimeModel, { queue, declaredMs }: RunKind): number =>
+    expectedLog(regressionOf(model.declared, queue), declaredMs);
 
-// The bound that an age says something about: that of a run which has lasted longer than half of its kind.
-const overdueLog = (model: RunTimeModel, kind: RunKind, ageMs: number): number | undefined => {
+const addLogs = (sums: LogSums, { declaredMs }: RunKind, observedLog: number): void => {
+    sums.declaredRuns *= FADE;
+    sums.declared *= FADE;
+    sums.undeclaredRuns *= FADE;
+    sums.observed = sums.observed * FADE + observedLog;
+    if (isDeclared(declaredMs)) {
+        sums.declaredRuns++;
+        sums.declared += Math.log(clampRunMs(declaredMs));
+    } else {
+        sums.undeclaredRuns++;
+    }
+};
+
+// What the age of a run says: nothing, unless it has lasted longer than expected of its kind.
+const overdueRun = (model: RunTimeModel, kind: RunKind, ageMs: number): OverdueRuns | undefined => {
     if (!Number.isFinite(ageMs) || ageMs <= 0) {
         return undefined;
     }
-    const log = Math.log(clampRunMs(ageMs)) - Math.log(baseMs(model, kind));
-    return log > kindMeanLog(model, kind) ? log : undefined;
+    const kindMean = kindMeanLog(model, kind);
+    const aboveMean = Math.log(clampRunMs(ageMs)) - baseLog(model, kind) - kindMean;
+    if (aboveMean <= 0) {
+        return undefined;
+    }
+    const mix = mixOf(model, kind);
+    const mean = meanLog(mix);
+    const ratios = createSketch();
+    addAtLeast(ratios, mean + aboveMean, mix);
+    return { ratios, logs: kindMean + Math.max(aboveMean, meanLogAbove(mix, mean + aboveMean) - mean) };
 };
 
-const kindMeanLog = (model: RunTimeModel, { keys }: RunKind): number =>
-    keys.reduce((wider, key) => {
+/** Mean of the logarithms of the ratios of a kind, from the narrow kinds backed off to the wider ones. */
+const kindMeanLog = (model: RunTimeModel, { queue, keys }: RunKind): number => {
+    const { slope, intercept, undeclaredLog } = regressionOf(model.declared, queue);
+    return keys.reduce((wider, key) => {
         const times = model.kinds.get(key);
         if (times === undefined) {
             return wider;
         }
-        const sum = times.finished.sum + (times.overdue?.sum ?? 0);
-        const weight = times.finished.weight + (times.overdue?.weight ?? 0);
-        return (sum + BACK_OFF_RUNS * wider) / (weight + BACK_OFF_RUNS);
+        const { declaredRuns, declared, undeclaredRuns, observed } = times.sums;
+        const expected = declaredRuns * intercept + slope * declared + undeclaredRuns * undeclaredLog;
+        const runs = declaredRuns + undeclaredRuns + (times.overdue?.ratios.weight ?? 0);
+        return (observed - expected + (times.overdue?.logs ?? 0) + BACK_OFF_RUNS * wider) / (runs + BACK_OFF_RUNS);
     }, 0);
+};
 
-/** The ratios of a kind, from the narrow kinds backed off to the wider ones. */
+/** The spread of the ratios of a kind, from the narrow kinds backed off to the wider ones. */
 const mixOf = (model: RunTimeModel, { keys }: RunKind): RatioSketch =>
     keys.reduce((wider, key) => {
         const times = model.kinds.get(key);
@@ -261,18 +314,20 @@
             return wider;
         }
         const mixed = createSketch();
-        const share = BACK_OFF_RUNS / wider.weight;
-        mixed.weight = times.finished.weight + (times.overdue?.weight ?? 0) + BACK_OFF_RUNS;
-        mixed.sum = times.finished.sum + (times.overdue?.sum ?? 0) + wider.sum * share;
-        mixed.bins.forEach((unused, bin) => {
-            mixed.bins[bin] =
-                (times.finished.bins[bin] ?? 0) + (times.overdue?.bins[bin] ?? 0) + (wider.bins[bin] ?? 0) * share;
-        });
+        addSketch(mixed, wider, BACK_OFF_RUNS / wider.weight);
+        addSketch(mixed, times.finished);
+        if (times.overdue !== undefined) {
+            addSketch(mixed, times.overdue.ratios);
+        }
         return mixed;
     }, priorSketch());
 
 const touchKind = (model: RunTimeModel, key: KindKey): KindTimes => {
-    const times = model.kinds.get(key) ?? { finished: createSketch(), overdue: undefined };
+    const times = model.kinds.get(key) ?? {
+        finished: createSketch(),
+        sums: { declaredRuns: 0, declared: 0, undeclaredRuns: 0, observed: 0 },
+        overdue: undefined,
+    };
     model.kinds.delete(key);
     model.kinds.set(key, times);
     return times;
--- a/pools/run-times/src/run-time-state.ts
+++ b/pools/run-times/src/run-time-state.ts
@@ -1,8 +1,15 @@
 import type { QueueName } from "@almondusher/jobs/ids";
 import { scaleSums, type RunTimeSums } from "./declared-regression.js";
-import { binLog, BIN_COUNT, createSketch, meanLog, scaleSketch, type RatioSketch } from "./ratio-sketch.js";
+import { addLog, binLog, BIN_COUNT, createSketch } from "./ratio-sketch.js";
 import { depthOf, encodeName, type KindKey } from "./run-kind.js";
-import { createRunTimeModel, MAX_KINDS, MAX_QUEUES, type RunTimeModel, type SiblingSums } from "./run-time-model.js";
+import {
+    createRunTimeModel,
+    MAX_KINDS,
+    MAX_QUEUES,
+    type KindTimes,
+    type RunTimeModel,
+    type SiblingSums,
+} from "./run-time-model.js";
 
 /** Most characters of an encoded state, all of them ASCII. */
 export const MAX_STATE_CHARS = 1536;
@@ -27,7 +34,7 @@
                 ([leftKey, left], [rightKey, right]) =>
                     depthOf(leftKey) - depthOf(rightKey) || right.finished.weight - left.finished.weight,
             )
-            .map(([key, { finished }]) => encodeKind(key, finished)),
+            .map(([key, times]) => encodeKind(key, times)),
     ];
     return lines.reduce(
         (text, line) => (text.length + 1 + line.length <= MAX_STATE_CHARS ? `${text};${line}` : text),
@@ -47,7 +54,7 @@
 
 const decodeLine = (model: RunTimeModel, [type, name, ...fields]: readonly string[]): void => {
     const numbers = fields.map(Number);
-    if (name === undefined || name === "") {
+    if (type === undefined || name === undefined || name === "") {
         return;
     }
     switch (type) {
@@ -68,9 +75,9 @@
             return;
         }
         case "k": {
-            const finished = decodeKind(numbers, fields[2] ?? "");
-            if (finished !== undefined && model.kinds.size < MAX_KINDS) {
-                model.kinds.set(name as KindKey, { finished, overdue: undefined });
+            const times = decodeKind(numbers, fields[4] ?? "");
+            if (times !== undefined && model.kinds.size < MAX_KINDS) {
+                model.kinds.set(name as KindKey, times);
             }
             return;
         }
@@ -100,7 +107,7 @@
     const isSound =
         [samples, undeclaredSamples].every(isCount) &&
         samples + undeclaredSamples > 0 &&
-        [declared, observed, undeclaredObserved].every(mean => mean >= 0 && mean <= MAX_MEAN_LOG) &&
+        [declared, observed, undeclaredObserved].every(isMean) &&
         variance >= 0 &&
         variance <= MAX_VARIANCE_LOG &&
         Math.abs(covariance) <= MAX_VARIANCE_LOG;
@@ -131,32 +138,48 @@
     return { weight: trusted, squares: trusted * variance };
 };
 
-// The bins are kept as shares of the fullest one, which is exact enough for quantiles; the mean is kept as a number.
-const encodeKind = (key: KindKey, sketch: RatioSketch): string => {
-    const fullest = Math.max(...sketch.bins);
-    const digits = [...sketch.bins].map(count => DIGITS[Math.round((count / fullest) * MAX_DIGIT)] ?? "0");
-    return `${lineOf("k", key, [sketch.weight, meanLog(sketch)])},${digits.join("")}`;
+// The bins are kept as shares of the fullest one, which is exact enough for a spread; the means are kept as numbers.
+const encodeKind = (key: KindKey, { finished, sums }: KindTimes): string => {
+    const fullest = Math.max(...finished.bins);
+    const digits = [...finished.bins].map(count => DIGITS[Math.round((count / fullest) * MAX_DIGIT)] ?? "0");
+    const { declaredRuns, declared, undeclaredRuns, observed } = sums;
+    const numbers = [
+        declaredRuns,
+        declaredRuns > 0 ? declared / declaredRuns : 0,
+        undeclaredRuns,
+        observed / (declaredRuns + undeclaredRuns),
+    ];
+    return `${lineOf("k", key, numbers)},${digits.join("")}`;
 };
 
-const decodeKind = ([weight = NaN, mean = NaN]: readonly number[], digits: string): RatioSketch | undefined => {
+const decodeKind = (numbers: readonly number[], digits: string): KindTimes | undefined => {
+    const [declaredRuns = NaN, declared = NaN, undeclaredRuns = NaN, observed = NaN] = numbers;
+    const runs = declaredRuns + undeclaredRuns;
     const shares = [...digits].map(digit => DIGITS.indexOf(digit));
     const sum = shares.reduce((total, share) => total + share, 0);
     const isSound =
-        isCount(weight) &&
-        weight > 0 &&
-        Math.abs(mean) <= binLog(BIN_COUNT) &&
+        [declaredRuns, undeclaredRuns].every(isCount) &&
+        runs > 0 &&
+        [declared, observed].every(isMean) &&
         shares.length === BIN_COUNT &&
         shares.every(share => share >= 0) &&
         sum > 0;
     if (!isSound) {
         return undefined;
     }
-    const sketch = createSketch();
-    sketch.weight = weight;
-    sketch.sum = weight * mean;
-    shares.forEach((share, bin) => (sketch.bins[bin] = (weight * share) / sum));
-    scaleSketch(sketch, trustOf(weight));
-    return sketch;
+    const trust = trustOf(runs);
+    const finished = createSketch();
+    shares.forEach((share, bin) => addLog(finished, binLog(bin), (trust * runs * share) / sum));
+    return {
+        finished,
+        sums: {
+            declaredRuns: trust * declaredRuns,
+            declared: trust * declaredRuns * declared,
+            undeclaredRuns: trust * undeclaredRuns,
+            observed: trust * runs * observed,
+        },
+        overdue: undefined,
+    };
 };
 
 const lineOf = (type: "d" | "s" | "k", name: string, numbers: readonly number[]): string =>
@@ -164,6 +187,8 @@
 
 const trustOf = (runs: number): number => Math.min(1, TRUSTED_RUNS / Math.max(1, runs));
 
+const isMean = (log: number): boolean => log >= 0 && log <= MAX_MEAN_LOG;
+
 const isCount = (runs: number): boolean => Number.isFinite(runs) && runs >= 0;
 
 const decodeName = (name: string): QueueName | undefined => {
