--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -11,6 +11,7 @@
     type Run,
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
+import { decodeRunTimes } from "@almondusher/run-times/run-time-state";
 import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
@@ -30,6 +31,7 @@
 import { createOrderWindow } from "../executors/order-window.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
+import { createPublishedRunTimes } from "./published-run-times.js";
 import { createProgressWriter } from "../jobs/progress-writer.js";
 import { createProgressReload } from "../jobs/reload-progress.js";
 import {
@@ -98,7 +100,10 @@
         maxLeaseMs,
         runLeaseMs,
         stopTimeMs,
+        runTimes: decodeRunTimes(lease.predecessor?.runTimes),
+        farFactor: context.settings.farFactor,
     });
+    const runTimeState = createPublishedRunTimes({ tables, monotonicMs: context.monotonicMs });
     let active = true;
     let stopping = false;
     let jobsLoaded = false;
@@ -336,6 +341,7 @@
             containErrors({ context, part: "demand" }, () => {
                 passThrottle.run();
                 if (jobsLoaded && mayAct()) {
+                    runTimeState.observe();
                     updateDemand();
                     tenantGate.requestIfChanged();
                 }
@@ -388,6 +394,7 @@
             undeliveredStarts: storedStarts(undeliveredStarts(tables, context.monotonicMs()), storeAheadMs()),
             vacated: jobsLoaded ? completedEvacuations(tables, context.monotonicMs()) : [],
             demand,
+            runTimes: runTimeState.text(),
             tenantUse: tenantGate.stored(),
         }),
         onLeaseRenewed: ({ executors }) => {
