--- a/programs/dispatcher/src/fleet/divide-allowances.ts
+++ b/programs/dispatcher/src/fleet/divide-allowances.ts
@@ -24,8 +24,8 @@
     readonly requestRenewal: () => void;
 }
 
-// Bounds the renewals besides the periodic ones, since demand changes all the time.
-const MIN_RENEWAL_INTERVAL_MS = 200;
+// Bounds the renewals besides the periodic ones, since demand changes all the time, and the work of dividing many caps.
+const MIN_DIVISION_INTERVAL_MS = 200;
 
 /** Goes on with the division of the former holder. */
 export const createCapDivision = ({
@@ -37,8 +37,7 @@
 }: CapDivisionOptions): CapDivision => {
     const inherited = lease.predecessor?.allowances;
     let division = inherited === undefined ? NO_ALLOWANCES : allowancesOf(inherited);
-    let requestedAtMs = Number.NEGATIVE_INFINITY;
-    let requestedRevision = division.revision;
+    let dividedAtMs = Number.NEGATIVE_INFINITY;
 
     // What a row says holds however old it is: a grant never expires, and a pool changes its row before it acts on more.
     const readPool = (pool: PoolName): DividedPool => {
@@ -50,19 +49,19 @@
     };
     const update = (): void => {
         const configuration = operator.configuration();
-        if (configuration === undefined) {
+        const nowMs = context.monotonicMs();
+        if (configuration === undefined || nowMs - dividedAtMs < MIN_DIVISION_INTERVAL_MS) {
             return;
         }
+        dividedAtMs = nowMs;
         const caps = new Map(configuration.tenants.map(({ name, cap }) => [name, cap]));
         if (caps.size === 0 && division.entries.length === 0) {
             return;
         }
         const pools = configuration.pools.filter(({ spare }) => !spare).map(({ name }) => readPool(name));
+        const before = division.revision;
         division = divideCaps(division, { caps, pools, token: lease.epoch });
-        const nowMs = context.monotonicMs();
-        if (division.revision > requestedRevision && nowMs - requestedAtMs >= MIN_RENEWAL_INTERVAL_MS) {
-            requestedRevision = division.revision;
-            requestedAtMs = nowMs;
+        if (division.revision > before) {
             context.metrics.count("tenant_cap_divisions");
             requestRenewal();
         }
