Keep small claims, removed pools and full pools from keeping a cap back

Room that a pool full of others' runs cannot give is no longer wanted there, a pool that cannot start one task gets its part however small, and an unread pool that leaves the configuration no longer reserves the whole cap for good.

--- a/pools/allowances/src/divide-caps.ts
+++ b/pools/allowances/src/divide-caps.ts
@@ -96,7 +96,9 @@
         const created = { tenant, pool, granted: NOTHING, reserved: limitedBy(cap, UNKNOWN), revision };
         return partOf(known.find(entry => entry.pool === pool) ?? created, use, cap);
     });
-    const available = withoutNegative(limitedBy(cap, minus(cap, sumOf(former.map(({ reserved }) => reserved)))));
+    // As below, an unknown amount does not count: it would keep back the whole cap for as long as the tenant has one.
+    const formerReserved = former.map(({ reserved }) => reserved).filter(amount => !isUnknown(amount));
+    const available = withoutNegative(limitedBy(cap, minus(cap, sumOf(formerReserved))));
     changeGrants(parts, available, cap);
     return [...former, ...parts.map(part => allowanceOf(part, revision))];
 };
@@ -135,9 +137,13 @@
         parts.map(part => claimOf(part, cap)),
     );
     const targetOf = (part: Part): Resources => targets[parts.indexOf(part)] ?? NOTHING;
+    // However small a part is, a pool that cannot start a single task without it gets it.
+    const minChange = parts.some(part => isShort(part) && !isWithin(claimOf(part, cap).unit, part.granted))
+        ? 0
+        : MIN_CHANGE;
     changeable.forEach(part => {
         const lowered = smallerOf(part.granted, targetOf(part));
-        part.granted = shareOf(minus(part.granted, lowered), cap) < MIN_CHANGE ? part.granted : lowered;
+        part.granted = shareOf(minus(part.granted, lowered), cap) < minChange ? part.granted : lowered;
     });
     let free = withoutNegative(minus(available, sumOf(parts.map(part => part.reserved))));
     changeable.forEach(part => {
--- a/pools/allowances/test/divide-caps.test.ts
+++ b/pools/allowances/test/divide-caps.test.ts
@@ -336,3 +336,53 @@
         { numRuns: 1000 },
     );
 });
+
+interface Row {
+    readonly pool: PoolName;
+    /** Undefined if the row was not read. */
+    readonly wanted: number | undefined;
+}
+
+/** Divides until the pools have acknowledged all changes; each holds its grant and needs 1,000 at once. */
+const divideFor = (before: Allowances, cap: number, rows: readonly Row[]): Allowances =>
+    Array.from({ length: 20 }).reduce<Allowances>((division, _) => {
+        const use = (pool: PoolName, wanted: number): PoolUse => ({
+            acknowledged: division.revision,
+            tenants: [
+                { tenant: TENANT, held: grantedTo(division, pool), wanted: amount(wanted), unit: amount(1000) },
+            ],
+        });
+        return divideCaps(division, {
+            caps: new Map([[TENANT, amount(cap)]]),
+            pools: rows.map(({ pool, wanted }) => ({ pool, use: wanted === undefined ? "unread" : use(pool, wanted) })),
+            token: 1,
+        });
+    }, before);
+
+const grantedTo = ({ entries }: Allowances, pool: PoolName): Resources =>
+    entries.find(entry => entry.pool === pool)?.granted ?? amount(0);
+
+test("a pool with one task that is smaller than the least change gets it from a pool that has and wants all", () => {
+    const [small, large] = [poolName(0), poolName(1)];
+    const all = divideFor(NO_ALLOWANCES, 100_000, [
+        { pool: small, wanted: 0 },
+        { pool: large, wanted: 200_000 },
+    ]);
+    assert.deepEqual(grantedTo(all, large), amount(100_000));
+    const shared = divideFor(all, 100_000, [
+        { pool: small, wanted: 1000 },
+        { pool: large, wanted: 200_000 },
+    ]);
+    assert.deepEqual(grantedTo(shared, small), amount(1000));
+    assert.deepEqual(grantedTo(shared, large), amount(99_000));
+});
+
+test("a pool that leaves the configuration before its row was read takes nothing from the others", () => {
+    const [stays, leaves] = [poolName(0), poolName(1)];
+    const added = divideFor(divideFor(NO_ALLOWANCES, 100_000, [{ pool: stays, wanted: 90_000 }]), 100_000, [
+        { pool: stays, wanted: 90_000 },
+        { pool: leaves, wanted: undefined },
+    ]);
+    const removed = divideFor(added, 100_000, [{ pool: stays, wanted: 90_000 }]);
+    assert.ok(grantedTo(removed, stays).cpu >= 90_000);
+});
--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -159,8 +159,13 @@
 const losesWork = (tables: PoolTables, { runs }: Executor, nowMs: number): boolean =>
     [...runs.values()].some(run => {
         const { checkpointing, longRunning } = run.task.step.step;
-        const isLost = remainingRunMs(tables, run, nowMs) > EVACUATION_WINDOW_MS;
-        return !checkpointing && !longRunning && isLost && nowMs - run.startedAtMs > NEGLIGIBLE_LOSS_MS;
+        // The estimate of the remaining time comes last, since it takes long for a run that lasts longer than expected.
+        return (
+            !checkpointing &&
+            !longRunning &&
+            nowMs - run.startedAtMs > NEGLIGIBLE_LOSS_MS &&
+            remainingRunMs(tables, run, nowMs) > EVACUATION_WINDOW_MS
+        );
     });
 
 const runToCompletionSteps = (job: OpenJob): readonly OpenStep[] =>
--- a/pools/scheduler/src/tenant-room.ts
+++ b/pools/scheduler/src/tenant-room.ts
@@ -3,7 +3,7 @@
 import { isHeldByInheritedStart } from "./inherited-starts.js";
 import { isReady, isJobEnded } from "./job-progress.js";
 import { findTask, isWaiting, stepsOf, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
-import { add, fits, subtract } from "./resources.js";
+import { add, fits, freeResources, subtract, withoutDeficit } from "./resources.js";
 import { allRuns } from "./run-table.js";
 import { mayStillArrive } from "./undelivered-starts.js";
 
@@ -19,13 +19,16 @@
 export interface TenantDemand {
     readonly tenant: TenantName;
     readonly used: Resources;
-    /** What is in use and what tasks that are ready would use, at most what the executors of the pool have. */
+    /** What is in use, and what tasks that are ready would use of the room that is free or soon becomes so. */
     readonly wanted: Resources;
     /** Demand of the next task or gang; nothing if no task is ready. */
     readonly unit: Resources;
 }
 
 const NOTHING: Resources = { cpu: 0, memoryMb: 0, gpu: 0 };
+// Share of a pool whose runs end before a grant can follow demand. More is not wanted of a pool that is full of others' runs:
+// it could not be used there, and would be missing on pools with room.
+const SOON_FREE = 1 / 8;
 const ANY_ROOM: TenantRoom = { hasRoom: () => true, take: () => true };
 
 const hasLimit = ({ cpu, memoryMb, gpu }: Resources): boolean => cpu > 0 || memoryMb > 0 || gpu > 0;
@@ -115,22 +118,26 @@
         return [];
     }
     const use = tenantUse(tables, capped, nowMs);
-    const capacity = [...tables.executors.values()]
-        .filter(({ registered, record }) => registered && !record.draining)
-        .reduce((sum, { record }) => add(sum, record.capacity), NOTHING);
-    const ready = readySteps(tables, capped);
+    const executors = [...tables.executors.values()].filter(({ registered, record }) => registered && !record.draining);
+    const capacity = executors.reduce((sum, { record }) => add(sum, record.capacity), NOTHING);
+    const free = executors.reduce((sum, executor) => add(sum, withoutDeficit(freeResources(executor))), NOTHING);
+    const room = add(free, times(capacity, SOON_FREE));
+    const readyByTenant = readySteps(tables, capped);
     return [...capped].map(tenant => {
         const used = use.get(tenant) ?? NOTHING;
-        const waiting = (ready.get(tenant) ?? []).map(({ step, tasks }) => ({
+        const waiting = (readyByTenant.get(tenant) ?? []).map(({ step, tasks }) => ({
             unit: step.gang ? times(step.demand, tasks.length) : step.demand,
             demand: times(step.demand, tasks.filter(isWaiting).length),
         }));
-        const wanted = waiting.reduce((sum, { demand }) => add(sum, demand), used);
+        const ready = waiting.reduce((sum, { demand }) => add(sum, demand), NOTHING);
+        const unit = waiting.reduce((largest, { unit: ofStep }) => combine(largest, ofStep, Math.max), NOTHING);
+        // Room is kept for a long task only within a grant, so its grant must not wait for the room.
+        const startable = combine(ready, combine(room, unit, Math.max), Math.min);
         return {
             tenant,
             used,
-            wanted: combine(used, combine(wanted, capacity, Math.min), Math.max),
-            unit: waiting.reduce((largest, { unit }) => combine(largest, unit, Math.max), NOTHING),
+            wanted: combine(used, combine(add(used, startable), capacity, Math.min), Math.max),
+            unit,
         };
     });
 };
--- a/pools/scheduler/test/tenant-room.test.ts
+++ b/pools/scheduler/test/tenant-room.test.ts
@@ -121,3 +121,17 @@
         unit: { cpu: 3000, memoryMb: 300, gpu: 0 },
     });
 });
+
+test("a pool that is full of others' runs wants its next task and an eighth of its capacity, not all that waits", () => {
+    const tables = poolWithCap(
+        [
+            { id: "0000000000000001", tenant: OTHER, steps: [step({ count: 16 })] },
+            { id: "0000000000000002", tenant: TENANT, steps: [step({ count: 40 })] },
+        ],
+        0,
+    );
+    assert.equal(place(tables).length, 16);
+    assert.equal(tenantDemands(tables, 0)[0]?.wanted.cpu, 2000);
+    tables.executors.forEach(({ runs }) => runs.clear());
+    assert.equal(tenantDemands(tables, 0)[0]?.wanted.cpu, 16_000);
+});
