--- a/pools/allowances/test/divide-caps.test.ts
+++ b/pools/allowances/test/divide-caps.test.ts
@@ -345,7 +345,7 @@
 
 /** Divides until the pools have acknowledged all changes; each holds its grant and needs 1,000 at once. */
 const divideFor = (before: Allowances, cap: number, rows: readonly Row[]): Allowances =>
-    Array.from({ length: 20 }).reduce<Allowances>((division, _) => {
+    Array.from({ length: 20 }).reduce<Allowances>((division, unused) => {
         const use = (pool: PoolName, wanted: number): PoolUse => ({
             acknowledged: division.revision,
             tenants: [
