--- a/pools/allowances/src/divide-caps.ts
+++ b/pools/allowances/src/divide-caps.ts
@@ -107,7 +107,9 @@
     const use = typeof report === "string" ? undefined : report.tenants.find(entry => entry.tenant === before.tenant);
     const isChangeable = use !== undefined && typeof report !== "string" && report.acknowledged >= before.revision;
     const held = limitedBy(cap, largerOf(before.granted, use?.held ?? NOTHING));
-    const isHeldKnown = isChangeable || report === "not-reported";
+    // A holder of an earlier version says nothing, so what it was reserved stays so; an unknown amount does not, or it would
+    // keep back the whole cap for as long as that version runs.
+    const isHeldKnown = isChangeable || (report === "not-reported" && isUnknown(before.reserved));
     return {
         before,
         use,
--- a/pools/allowances/test/divide-caps.test.ts
+++ b/pools/allowances/test/divide-caps.test.ts
@@ -348,9 +348,7 @@
     Array.from({ length: 20 }).reduce<Allowances>((division, unused) => {
         const use = (pool: PoolName, wanted: number): PoolUse => ({
             acknowledged: division.revision,
-            tenants: [
-                { tenant: TENANT, held: grantedTo(division, pool), wanted: amount(wanted), unit: amount(1000) },
-            ],
+            tenants: [{ tenant: TENANT, held: grantedTo(division, pool), wanted: amount(wanted), unit: amount(1000) }],
         });
         return divideCaps(division, {
             caps: new Map([[TENANT, amount(cap)]]),
--- a/pools/scheduler/test/tenant-room.test.ts
+++ b/pools/scheduler/test/tenant-room.test.ts
@@ -5,7 +5,7 @@
 import type { Resources } from "@almondusher/jobs/job";
 import { createDemandHistory, estimateDemand } from "../src/demand.js";
 import type { PoolTables } from "../src/pool-tables.js";
-import { giveUpRun } from "../src/run-table.js";
+import { allRuns, forgetRun, giveUpRun } from "../src/run-table.js";
 import { tenantDemands, tenantUse } from "../src/tenant-room.js";
 import { surveyWaiting } from "../src/waiting-reason.js";
 import { createPool, place, record, step, UNLIMITED_BUDGET, type JobFixture } from "./fixture.js";
@@ -132,6 +132,6 @@
     );
     assert.equal(place(tables).length, 16);
     assert.equal(tenantDemands(tables, 0)[0]?.wanted.cpu, 2000);
-    tables.executors.forEach(({ runs }) => runs.clear());
+    allRuns(tables).forEach(forgetRun);
     assert.equal(tenantDemands(tables, 0)[0]?.wanted.cpu, 16_000);
 });
