--- a/admission/connections/src/guard-server.ts
+++ b/admission/connections/src/guard-server.ts
@@ -64,6 +64,9 @@
 // at a time, and the next one when the connection's requests are in work.
 const HEAD_SLICE_BYTES = 1024;
 const BODY_SLICE_BYTES = 16_384;
+// A reader that pauses within a slice leaves the rest of it in the request's stream, one object for each chunk: with
+// chunks of one byte some thirty times their bytes, which no limit counts.
+const CHUNKED_SLICE_BYTES = 1024;
 // Bytes of heads parsed in one turn of the event loop, over all connections: what connections closed meanwhile have held
 // is released only after it.
 const TURN_BYTES = 65_536;
@@ -185,7 +188,7 @@
             if (!isInBody && !takeTurn(connection)) {
                 break;
             }
-            const bytes = Math.min(block.length, isInBody ? BODY_SLICE_BYTES : HEAD_SLICE_BYTES);
+            const bytes = Math.min(block.length, sliceBytes(connection));
             connection.unparsed[0] = block.subarray(bytes);
             if (bytes === block.length) {
                 connection.unparsed.shift();
@@ -340,6 +343,13 @@
 
 const hasUnfinished = ({ unfinished }: GuardedConnection): boolean => unfinished?.complete === false;
 
+const sliceBytes = ({ unfinished }: GuardedConnection): number => {
+    if (unfinished?.complete !== false) {
+        return HEAD_SLICE_BYTES;
+    }
+    return unfinished.headers["transfer-encoding"] === undefined ? BODY_SLICE_BYTES : CHUNKED_SLICE_BYTES;
+};
+
 // After CONNECT or an upgrade the connection is no longer the server's, and its parser serves another one.
 const hasLostParser = (socket: Socket & { readonly parser?: unknown }): boolean =>
     (socket.parser ?? undefined) === undefined;
--- a/admission/connections/test/guard-server.test.ts
+++ b/admission/connections/test/guard-server.test.ts
@@ -139,3 +139,42 @@
     );
     assert.deepEqual([few.connections, few.heldBytes], [750, 7]);
 });
+
+// Past the first block, whose parts all wait until the reader has been attached.
+const PAUSE_AT_BYTES = 15_000;
+
+void test("a reader that pauses leaves few chunks of one byte in the stream, and gets the rest when it goes on", async context => {
+    const server = createServer();
+    const guard = guardServer(server, { limits: { ...LIMITS, heldBytes: 1_000_000 }, report: () => undefined });
+    let receivedBytes = 0;
+    let leftBytes: number | undefined;
+    server.on(
+        "request",
+        guard.inTurn((request, response) => {
+            request.on("data", (part: Buffer) => {
+                receivedBytes += part.length;
+                if (leftBytes === undefined && receivedBytes === PAUSE_AT_BYTES) {
+                    leftBytes = 0;
+                    request.pause();
+                    setTimeout(() => {
+                        leftBytes = request.readableLength;
+                        request.resume();
+                    }, 100);
+                }
+            });
+            request.once("end", () => response.end());
+        }),
+    );
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    context.after(() => {
+        socket.destroy();
+        server.closeAllConnections();
+        server.close();
+    });
+    const chunks = 20_000;
+    socket.write(`${head}${"1\r\nx\r\n".repeat(chunks)}0\r\n\r\n`);
+    await until("the body", () => receivedBytes === chunks);
+    assert.ok(leftBytes !== undefined && leftBytes < 200, `${leftBytes} chunks`);
+});
