--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -113,7 +113,7 @@
 };
 
 /** Number of tasks of a step that an empty VM has room for, at least one. */
-const tasksPerVm = (demand: Resources, capacity: Resources): number =>
+export const tasksPerVm = (demand: Resources, capacity: Resources): number =>
     Math.max(
         1,
         Math.floor(
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -5,6 +5,7 @@
 import type { Job, JobState, Step } from "@almondusher/jobs/job";
 import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
+import { initialSelectionState, type SelectionState } from "./selection-state.js";
 import type { StopSchedule } from "./stop-schedule.js";
 
 /** A task and its known runs. */
@@ -285,6 +286,8 @@
     /** Tenants of the configuration in use; empty if it has none. */
     readonly tenants: Map<TenantName, Tenant>;
     readonly runTimes: RunTimeTable;
+    /** Which jobs are to be in time while the pool has not enough room for all. */
+    readonly selection: SelectionState;
     /** Fencing token of the pool lease. */
     readonly token: number;
     /** Longest run lease that executors grant, in milliseconds. */
@@ -330,6 +333,7 @@
     queues: new Map(),
     tenants: new Map(),
     runTimes: new Map(),
+    selection: initialSelectionState(),
     token,
     runNumbers,
     inheritedStarts: new Map(),
