--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,6 +1,7 @@
 import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
 import { estimateRunTime } from "./run-times.js";
 import { hasBegun, isJobEnded, isReady } from "./job-progress.js";
+import { isHeldInOverload } from "./start-gates.js";
 
 /** A step that may start tasks now, with its sort criteria. */
 export interface RankedStep {
@@ -61,15 +62,10 @@
     const priority = tables.queues.get(job.queue)?.priority ?? 0;
     const isTimed = steps.some(({ step }) => !step.longRunning);
     const objectiveMs = isTimed ? completionObjective(tables, job, nowMs).objectiveMs : 0;
-    const { overload, overdue } = tables.selection;
+    const { overload } = tables.selection;
     const isPreferred = isTimed && overload !== undefined && hasBegun(job);
-    const isHeld =
-        overload !== undefined &&
-        !overload.selected.has(job.id) &&
-        !overload.deferred.has(job.id) &&
-        overdue !== job.id;
     return steps
-        .filter(({ step }) => step.longRunning || !isHeld)
+        .filter(step => !isHeldInOverload(tables, step))
         .map(step => {
             if (step.step.longRunning) {
                 return { step, isLate: false, isPreferred: false, priority, latestStartMs: job.arrivedAtMs };
--- a/pools/scheduler/src/selection-state.ts
+++ b/pools/scheduler/src/selection-state.ts
@@ -1,6 +1,5 @@
 import type { JobSizes, SizeClass } from "@almondusher/selection/job-sizes";
 import type { JobId } from "@almondusher/jobs/ids";
-import type { OpenJob } from "./pool-tables.js";
 
 /** The last selection of the jobs that are to be in time, and what the next one starts from. */
 export interface SelectionState {
@@ -12,9 +11,9 @@
     overdue: JobId | undefined;
     readonly sizes: JobSizes;
     /** Sizes of the jobs when they were first seen. */
-    readonly classes: WeakMap<OpenJob, SizeClass>;
+    readonly classes: WeakMap<object, SizeClass>;
     /** Jobs for which it was recorded whether they were begun in time. */
-    readonly served: WeakSet<OpenJob>;
+    readonly served: WeakSet<object>;
 }
 
 /**
--- a/pools/scheduler/src/update-selection.ts
+++ b/pools/scheduler/src/update-selection.ts
@@ -243,7 +243,8 @@
         stages.push({
             offsetMs,
             durationMs: waves * expectedRunMs(tables, step),
-            width: taskWidth * Math.ceil(tasks / waves),
+            // What is wider than the pool's room would never be started.
+            width: Math.min(taskWidth * Math.ceil(tasks / waves), taskWidth * tasksAtOnce, room),
         });
         wavesMs += (waves - 1) * expectedRunMs(tables, step);
         const waitingMs = (waves - 1) * expectedRunMs(tables, step) + expectedStepMs(tables, step);
--- a/pools/scheduler/test/overload.test.ts
+++ b/pools/scheduler/test/overload.test.ts
@@ -28,6 +28,7 @@
     const share = shareInTime(outcomes);
     assert.ok(shareInTime(before) < 0.2, `${shareInTime(before)} before`);
     assert.ok(share > 0.55, `${share}`);
+    assert.ok(shareInTime(bySize(outcomes, 0.9, 1)) > share / 2);
     assert.ok(shareInTime(bySize(outcomes, 0.7, 0.9)) > share / 2);
     assert.ok(longestMs(outcomes) < 1.2 * longestMs(before), `${longestMs(outcomes)} ms`);
 });
@@ -37,6 +38,7 @@
     const before = playTurn({ ...change, selects: false });
     const outcomes = playTurn(change);
     assert.ok(shareInTime(outcomes) > 2 * shareInTime(before), `${shareInTime(outcomes)}`);
+    assert.ok(shareInTime(bySize(outcomes, 0.9, 1)) > shareInTime(outcomes) / 2);
     assert.ok(longestMs(outcomes) < 1.2 * longestMs(before), `${longestMs(outcomes)} ms`);
 });
 
@@ -45,6 +47,7 @@
     const before = playTurn({ ...change, selects: false });
     const outcomes = playTurn(change);
     assert.ok(shareInTime(outcomes) > 2 * shareInTime(before), `${shareInTime(outcomes)}`);
+    assert.ok(shareInTime(bySize(outcomes, 0.9, 1)) > shareInTime(outcomes) / 2);
     assert.ok(longestMs(outcomes) < 1.2 * longestMs(before), `${longestMs(outcomes)} ms`);
 });
 
--- a/pools/selection/src/job-sizes.ts
+++ b/pools/selection/src/job-sizes.ts
@@ -22,7 +22,7 @@
 const LARGEST_FROM = 0.9;
 const LARGE_FROM = 0.7;
 // Large jobs have to be served at least half as often as all of their kind; the rest is for errors of the estimates.
-const MIN_SERVED_SHARE = 1;
+const MIN_SERVED_SHARE = 0.85;
 // Weight of the earlier jobs of a size when one is added: some dozens count.
 const MEMORY = 0.97;
 // A part of a job's worth does not depend on its work, and a job far above the mean is worth no more than one of this size.
@@ -69,7 +69,7 @@
         all: sum.all + all,
         inTime: sum.inTime + inTime,
     }));
-    return served[sizeClass].inTime * total.all <= MIN_SERVED_SHARE * total.inTime * served[sizeClass].all;
+    return served[sizeClass].inTime * total.all < MIN_SERVED_SHARE * total.inTime * served[sizeClass].all;
 };
 
 const knownOf = (sizes: JobSizes, kind: string): KindSizes => {
--- a/pools/selection/src/room-profile.ts
+++ b/pools/selection/src/room-profile.ts
@@ -10,8 +10,8 @@
 export interface RoomProfile {
     /** Takes room from now on. Room that is in use already is taken also if the pool then has too little. */
     readonly take: (stages: readonly Stage[]) => void;
-    /** Takes room as late as possible, the job's start being at most that late; false if there is none. */
-    readonly takeLatest: (stages: readonly Stage[], latestStartInMs: number) => boolean;
+    /** Takes room as late as possible, at most up to a share of the pool's, the job's start being at most that late; false if there is none. */
+    readonly takeLatest: (stages: readonly Stage[], latestStartInMs: number, share: number) => boolean;
     /** Takes room as early as possible, the job's start being at most that late; false if there is none. */
     readonly takeEarliest: (stages: readonly Stage[], latestStartInMs: number) => boolean;
 }
@@ -43,12 +43,13 @@
                 used[slot] = (used[slot] ?? 0) + stage.width;
             }
         });
-    const findFullSlot = (stage: Stage, start: number, isLast: boolean): number | undefined => {
+    const findFullSlot = (stage: Stage, start: number, isLast: boolean, share: number): number | undefined => {
         const from = start + firstSlotOf(stage);
         const end = Math.min(used.length, start + endSlotOf(stage));
         let found: number | undefined;
         for (let slot = from; slot < end && (isLast || found === undefined); slot++) {
-            if ((used[slot] ?? 0) + stage.width > room + ROUNDING) {
+            // A stage that needs the whole room fits where nothing else is planned.
+            if ((used[slot] ?? 0) > Math.max(0, room * share - stage.width) + ROUNDING) {
                 found = slot;
             }
         }
@@ -66,11 +67,12 @@
         first: number,
         isInBounds: (start: number) => boolean,
         isLater: boolean,
+        share: number,
     ): number | undefined => {
         let start = first;
         while (isInBounds(start)) {
             const moved = stages.reduce((current, stage) => {
-                const full = findFullSlot(stage, current, isLater);
+                const full = findFullSlot(stage, current, isLater, share);
                 if (full === undefined) {
                     return current;
                 }
@@ -87,16 +89,16 @@
         Math.min(used.length, Math.floor(latestStartInMs / slotMs));
     return {
         take: stages => takeAt(stages, 0),
-        takeLatest: (stages, latestStartInMs) =>
+        takeLatest: (stages, latestStartInMs, share) =>
             takeIfFound(
                 stages,
-                findStart(stages, lastStartOf(latestStartInMs), start => start >= 0, false),
+                findStart(stages, lastStartOf(latestStartInMs), start => start >= 0, false, share),
             ),
         takeEarliest: (stages, latestStartInMs) => {
             const last = lastStartOf(latestStartInMs);
             return takeIfFound(
                 stages,
-                findStart(stages, 0, start => start <= last, true),
+                findStart(stages, 0, start => start <= last, true, 1),
             );
         },
     };
--- a/pools/selection/src/select-jobs.ts
+++ b/pools/selection/src/select-jobs.ts
@@ -53,6 +53,9 @@
 // What is planned and not begun yet is kept unless much of its margin is used up.
 const MARGIN_PARTS: Readonly<Record<Commitment, number>> = { begun: 0, selected: 0.5, none: 1 };
 
+// Some room is lost between the end of a task and the next start, so not all of it is planned for jobs that are not begun.
+const PLANNED_SHARES: Readonly<Record<Commitment, number>> = { begun: 1, selected: 0.95, none: 0.9 };
+
 /**
  * Selects the jobs that can be in time together: the best ones first, each as late as it may start, so that the room before
  * is left to those that are more urgent. For jobs of the same shape this is a largest set that can be in time.
@@ -65,6 +68,7 @@
             stages,
             // A job that has waited for longer than its margin allows is still in time if it starts now.
             Math.max(0, latestStartInMs - MARGIN_PARTS[commitment] * marginMs),
+            PLANNED_SHARES[commitment],
         ),
     );
     if (selected.length === timely.length) {
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -27,6 +27,7 @@
 import type { OperatorFeed } from "../operator/operator-feed.js";
 import { createOrderLoad } from "../executors/order-load.js";
 import { createOrderWindow } from "../executors/order-window.js";
+import { createOverloadLog } from "./overload-log.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
 import { createProgressWriter } from "../jobs/progress-writer.js";
@@ -202,6 +203,7 @@
             executorsWithTicket: tickets.executorsFor,
         }),
     });
+    const overloadLog = createOverloadLog(context, tables);
     const poolGate = (): PoolGate | undefined => {
         if (!jobsLoaded) {
             return "jobs-not-read";
@@ -283,6 +285,7 @@
             reloadProgress();
             tickets.prefetch();
             orders.send();
+            overloadLog.check();
             publishCompletedEvacuations();
         }
     };
