--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -6,6 +6,7 @@
 import type { Job, JobState, Resources, Step } from "@almondusher/jobs/job";
 import type { RunNumbers } from "./run-numbers.js";
 import type { RunTimeTable } from "./run-times.js";
+import { initialSelectionState, type SelectionState } from "./selection-state.js";
 import type { StopSchedule } from "./stop-schedule.js";
 
 /** A task and its known runs. */
@@ -290,6 +291,8 @@
     /** What the tenants with a cap may use on this pool; nothing if absent. */
     readonly tenantGrants: Map<TenantName, Resources>;
     readonly runTimes: RunTimeTable;
+    /** Which jobs are to be in time while the pool has not enough room for all. */
+    readonly selection: SelectionState;
     /** Fencing token of the pool lease. */
     readonly token: number;
     /** Longest run lease that executors grant, in milliseconds. */
@@ -337,6 +340,7 @@
     tenantUse: createUseWindow(),
     tenantGrants: new Map(),
     runTimes: new Map(),
+    selection: initialSelectionState(),
     token,
     runNumbers,
     inheritedStarts: new Map(),
