--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -4,8 +4,8 @@
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
 import { createUseWindow, type UseWindow } from "@almondusher/shares/use-window";
 import type { Job, JobState, Resources, Step } from "@almondusher/jobs/job";
+import { createRunTimeModel, type RunTimeModel } from "@almondusher/run-times/run-time-model";
 import type { RunNumbers } from "./run-numbers.js";
-import type { RunTimeTable } from "./run-times.js";
 import { initialSelectionState, type SelectionState } from "./selection-state.js";
 import type { StopSchedule } from "./stop-schedule.js";
 
@@ -290,9 +290,11 @@
     readonly tenantUse: UseWindow;
     /** What the tenants with a cap may use on this pool; nothing if absent. */
     readonly tenantGrants: Map<TenantName, Resources>;
-    readonly runTimes: RunTimeTable;
     /** Which jobs are to be in time while the pool has not enough room for all. */
     readonly selection: SelectionState;
+    readonly runTimes: RunTimeModel;
+    /** How many times as long a run takes away from its data, or a gang on several racks that should run on one. */
+    readonly farFactor: number;
     /** Fencing token of the pool lease. */
     readonly token: number;
     /** Longest run lease that executors grant, in milliseconds. */
@@ -319,7 +321,7 @@
     leaseHeldAtMs: number;
 }
 
-/** Creates the empty tables of a pool. */
+/** Creates the tables of a pool, empty but for the run times that an earlier holder has learned. */
 export const createPoolTables = ({
     pool,
     token,
@@ -327,7 +329,10 @@
     maxLeaseMs,
     runLeaseMs,
     stopTimeMs,
-}: Pick<PoolTables, "pool" | "token" | "runNumbers" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs">): PoolTables => ({
+    runTimes = createRunTimeModel(),
+    farFactor = 1,
+}: Pick<PoolTables, "pool" | "token" | "runNumbers" | "maxLeaseMs" | "runLeaseMs" | "stopTimeMs"> &
+    Partial<Pick<PoolTables, "runTimes" | "farFactor">>): PoolTables => ({
     pool,
     maxLeaseMs,
     runLeaseMs,
@@ -339,8 +344,9 @@
     tenants: new Map(),
     tenantUse: createUseWindow(),
     tenantGrants: new Map(),
-    runTimes: new Map(),
     selection: initialSelectionState(),
+    runTimes,
+    farFactor,
     token,
     runNumbers,
     inheritedStarts: new Map(),
--- a/pools/scheduler/src/update-selection.ts
+++ b/pools/scheduler/src/update-selection.ts
@@ -7,7 +7,8 @@
 import { tasksPerVm } from "./demand.js";
 import { isUsable } from "./executor-usability.js";
 import { hasBegun, isJobEnded } from "./job-progress.js";
-import { completionObjective, expectedRunMs, expectedStepMs, LATE_MARGIN_MS } from "./order-steps.js";
+import { completionObjective, expectedRunMs, LATE_MARGIN_MS } from "./order-steps.js";
+import { longestRunMs } from "./learned-times.js";
 import {
     isWaiting,
     stepsOf,
@@ -247,7 +248,7 @@
             width: Math.min(taskWidth * Math.ceil(tasks / waves), taskWidth * tasksAtOnce, room),
         });
         wavesMs += (waves - 1) * expectedRunMs(tables, step);
-        const waitingMs = (waves - 1) * expectedRunMs(tables, step) + expectedStepMs(tables, step);
+        const waitingMs = (waves - 1) * expectedRunMs(tables, step) + longestRunMs(tables, step);
         endsMs.push(offsetMs + Math.max(runningMs, waitingMs));
     });
     return { stages, pathMs: endsMs.reduce((longest, endMs) => Math.max(longest, endMs), 0), wavesMs };
--- a/pools/scheduler/test/overload-replay.ts
+++ b/pools/scheduler/test/overload-replay.ts
@@ -1,6 +1,6 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import { closeJob } from "@almondusher/scheduler/admit-job";
-import { learnRunTime } from "@almondusher/scheduler/run-times";
+import { learnFromEnd } from "@almondusher/scheduler/learned-times";
 import { allRuns, forgetRun } from "@almondusher/scheduler/run-table";
 import type { PoolTables } from "@almondusher/scheduler/pool-tables";
 import { addJob, createPool, place, QUEUE, record, step } from "./fixture.js";
@@ -92,10 +92,11 @@
         .filter(({ startedAtMs, task }) => nowMs - startedAtMs >= runMsOf(turn, task.step.job.id) + WAY_MS)
         .forEach(run => {
             const { job } = run.task.step;
+            run.phase = "running";
+            learnFromEnd(tables, run, "done", nowMs);
             forgetRun(run);
             run.task.done = true;
             run.task.step.remaining--;
-            learnRunTime(tables.runTimes, QUEUE, TASK_MS, nowMs - run.startedAtMs);
             const steps = [...job.occurrences.values()].flat();
             if (steps.every(({ remaining }) => remaining === 0)) {
                 closeJob(tables, job);
