--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -137,7 +137,7 @@
 };
 
 /** Number of tasks of a step that an empty VM has room for, at least one. */
-export const tasksPerVm = (demand: Resources, capacity: Resources): number =>
+const tasksPerVm = (demand: Resources, capacity: Resources): number =>
     Math.max(
         1,
         Math.floor(
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -1,7 +1,7 @@
 import type { QueueName } from "@almondusher/jobs/ids";
 import { occurrencesOf } from "@almondusher/jobs/job";
 import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
-import { stepsOf, type OpenJob, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
+import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
 
 /** Progress of a job as it is stored; for one in a final state, the state alone. */
 export const progressOf = (job: OpenJob): Progress => ({
@@ -61,9 +61,3 @@
 
 /** True for a job in a final state, which must not start further runs. */
 export const isJobEnded = ({ state }: OpenJob): boolean => state !== "queued" && state !== "running";
-
-/** True if a task of the job that ends by itself is done or has a run. */
-export const hasBegun = (job: OpenJob): boolean =>
-    stepsOf(job).some(
-        ({ step, tasks }) => !step.longRunning && tasks.some(({ done, runs }) => done || runs.length > 0),
-    );
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,25 +1,20 @@
 import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
 import { learnedRunMs, longestRunMs } from "./learned-times.js";
-import { hasBegun, isJobEnded, isReady } from "./job-progress.js";
-import { isHeldInOverload } from "./start-gates.js";
+import { isJobEnded, isReady } from "./job-progress.js";
 import { stepsBeyondShare } from "./steps-beyond-share.js";
 
 /** A step that may start tasks now, with its sort criteria. */
 export interface RankedStep {
     readonly step: OpenStep;
-    /**
-     * The job would miss its objective, or was deferred because the pool has not enough room; false for long-running steps.
-     */
+    /** The job would miss its objective; false for long-running steps. */
     readonly isLate: boolean;
-    /** The pool has not enough room, and tasks of the job have begun already. */
-    readonly isPreferred: boolean;
     readonly priority: number;
     /** Latest start of its next task for the job to be on time, in milliseconds of the monotonic clock. */
     readonly latestStartMs: number;
 }
 
-/** A job counts as late only if it would miss its objective by more than this, since run times are estimates. */
-export const LATE_MARGIN_MS = 100;
+// A job counts as late only if it would miss its objective by more than this, since run times are estimates.
+const LATE_MARGIN_MS = 100;
 const PATH_REFRESH_MS = 500;
 
 /** Expected run time of one task of the step, in milliseconds. */
@@ -64,8 +59,7 @@
 const compareClasses = (left: RankedStep, right: RankedStep): number =>
     Number(right.step.step.longRunning) - Number(left.step.step.longRunning) ||
     left.priority - right.priority ||
-    Number(left.isLate) - Number(right.isLate) ||
-    Number(right.isPreferred) - Number(left.isPreferred);
+    Number(left.isLate) - Number(right.isLate);
 
 // The objective takes all steps of the job into account, so it is determined once for those that are ranked.
 const rankSteps = (
@@ -77,24 +71,13 @@
     const priority = tables.queues.get(job.queue)?.priority ?? 0;
     const isTimed = steps.some(({ step }) => !step.longRunning);
     const objectiveMs = isTimed ? completionObjective(tables, job, nowMs).objectiveMs : 0;
-    const { overload } = tables.selection;
-    const isPreferred = isTimed && overload !== undefined && hasBegun(job);
-    return steps
-        .filter(step => !isHeldInOverload(tables, step))
-        .map(step => {
-            if (step.step.longRunning) {
-                return { step, isLate: false, isPreferred: false, priority, latestStartMs: job.arrivedAtMs };
-            }
-            const latestStartMs = objectiveMs - criticalPathMs(tables, step, nowMs);
-            const isLate = latestStartMs + LATE_MARGIN_MS < nowMs;
-            return {
-                step,
-                isLate: overload === undefined ? isLate : overload.deferred.has(job.id),
-                isPreferred,
-                priority,
-                latestStartMs,
-            };
-        });
+    return steps.map(step => {
+        if (step.step.longRunning) {
+            return { step, isLate: false, priority, latestStartMs: job.arrivedAtMs };
+        }
+        const latestStartMs = objectiveMs - criticalPathMs(tables, step, nowMs);
+        return { step, isLate: latestStartMs + LATE_MARGIN_MS < nowMs, priority, latestStartMs };
+    });
 };
 
 /** Time by which a job without a schedule must end to be on time, in milliseconds of the monotonic clock. */
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -2,7 +2,7 @@
 import { isUsable } from "./executor-usability.js";
 import { executorsWithInheritedStart } from "./inherited-starts.js";
 import type { OrderBudget } from "./order-budget.js";
-import { orderSteps, type RankedStep } from "./order-steps.js";
+import { orderSteps } from "./order-steps.js";
 import { planGang } from "./plan-gang.js";
 import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
 import {
@@ -18,7 +18,6 @@
 import { reserveForWaiting } from "./reserve-for-waiting.js";
 import { takeRunNumber } from "./run-numbers.js";
 import { addRun } from "./run-table.js";
-import { updateSelection } from "./update-selection.js";
 import { inheritedGateOf, jobGateOf, mayStart } from "./start-gates.js";
 import { createTenantRoom, type TenantRoom } from "./tenant-room.js";
 
@@ -59,7 +58,7 @@
         fits(demandOf(step), largestFree) && jobGateOf(tables, job, inheritedGate) === undefined;
     const mayBePlaced = (step: OpenStep): boolean => fitsAndMayStart(step) && tenantRoom.hasRoom(step);
     let isRoomReserved = false;
-    return orderSelected(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
+    return orderSteps(tables, options.nowMs, mayBePlaced).flatMap(({ step }) => {
         if (!step.step.longRunning && !isRoomReserved) {
             isRoomReserved = true;
             reserveForRelocation(tables, freeByExecutor, options.executorsWithTicket);
@@ -74,21 +73,6 @@
     });
 };
 
-// In a pool in which no step may be placed no jobs are selected, so that a backlog costs little there.
-const orderSelected = (
-    tables: PoolTables,
-    nowMs: number,
-    accepts: (step: OpenStep) => boolean,
-): readonly RankedStep[] => {
-    let isNeeded = false;
-    const ranked = orderSteps(tables, nowMs, step => {
-        const isAccepted = accepts(step);
-        isNeeded ||= isAccepted;
-        return isAccepted;
-    });
-    return isNeeded && updateSelection(tables, nowMs) ? orderSteps(tables, nowMs, accepts) : ranked;
-};
-
 /** Free resources of the usable executors that the filter accepts and that are not overcommitted. */
 export const freeOfUsable = (
     tables: PoolTables,
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -6,7 +6,6 @@
 import type { Job, JobState, Resources, Step } from "@almondusher/jobs/job";
 import { createRunTimeModel, type RunTimeModel } from "@almondusher/run-times/run-time-model";
 import type { RunNumbers } from "./run-numbers.js";
-import { initialSelectionState, type SelectionState } from "./selection-state.js";
 import type { StopSchedule } from "./stop-schedule.js";
 
 /** A task and its known runs. */
@@ -290,8 +289,6 @@
     readonly tenantUse: UseWindow;
     /** What the tenants with a cap may use on this pool; nothing if absent. */
     readonly tenantGrants: Map<TenantName, Resources>;
-    /** Which jobs are to be in time while the pool has not enough room for all. */
-    readonly selection: SelectionState;
     readonly runTimes: RunTimeModel;
     /** How many times as long a run takes away from its data, or a gang on several racks that should run on one. */
     readonly farFactor: number;
@@ -344,7 +341,6 @@
     tenants: new Map(),
     tenantUse: createUseWindow(),
     tenantGrants: new Map(),
-    selection: initialSelectionState(),
     runTimes,
     farFactor,
     token,
--- a/pools/scheduler/src/start-gates.ts
+++ b/pools/scheduler/src/start-gates.ts
@@ -1,6 +1,6 @@
 import { areInheritedRunsKnown } from "./inherited-runs.js";
 import { isHeldByInheritedStart } from "./inherited-starts.js";
-import { isLeaseHeldSince, type OpenJob, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
+import { isLeaseHeldSince, type OpenJob, type PoolTables, type Task } from "./pool-tables.js";
 
 /** Why no task of an inherited job may start. */
 export type InheritedGate = "inherited-runs-unknown" | "progress-not-read";
@@ -53,11 +53,3 @@
 
 /** True for a waiting task of which no successor can have adopted a run. */
 export const mayStart = (tables: PoolTables, task: Task): boolean => taskGateOf(tables, task) === undefined;
-
-/** True for a step that is not started for now, although it may be late then. */
-export const isHeldInOverload = ({ selection: { overload, overdue } }: PoolTables, { step, job }: OpenStep): boolean =>
-    !step.longRunning &&
-    overload !== undefined &&
-    overdue !== job.id &&
-    !overload.selected.has(job.id) &&
-    !overload.deferred.has(job.id);
--- a/pools/scheduler/src/waiting-reason.ts
+++ b/pools/scheduler/src/waiting-reason.ts
@@ -9,7 +9,7 @@
 import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
 import { demandOf, fits, freeResources, isNotOvercommitted, maxOfEach, type FreeByExecutor } from "./resources.js";
 import { hasRunNumber } from "./run-numbers.js";
-import { inheritedGateOf, isHeldInOverload, jobGateOf, taskGateOf } from "./start-gates.js";
+import { inheritedGateOf, jobGateOf, taskGateOf } from "./start-gates.js";
 import { createTenantRoom, limitOf } from "./tenant-room.js";
 
 /** A run that has not ended, for which a task waits. */
@@ -70,8 +70,6 @@
     | { readonly kind: ExecutorRefusal; readonly usable: number; readonly unusable: UnusableCounts }
     | { readonly kind: "no-room-for-gang"; readonly members: number; readonly unusable: UnusableCounts }
     | { readonly kind: "order-budget-exhausted" }
-    /** The pool has not enough room for all jobs, and what is free is kept for those that can be in time. */
-    | { readonly kind: "held-in-overload" }
     /** Nothing prevents the start now: steps of a higher rank take what is free, or the next pass places the task. */
     | { readonly kind: "none" };
 
@@ -192,15 +190,14 @@
 
 const findJobReason = (
     tables: PoolTables,
-    step: OpenStep,
+    { job }: OpenStep,
     inheritedReason: InheritedReason | undefined,
     nowMs: number,
 ): WaitingReason | undefined => {
-    const { job } = step;
     const gate = jobGateOf(tables, job, inheritedReason?.kind);
     switch (gate) {
         case undefined:
-            return isHeldInOverload(tables, step) ? { kind: "held-in-overload" } : undefined;
+            return undefined;
         case "inherited-runs-unknown":
         case "progress-not-read":
             return inheritedReason;
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -29,7 +29,6 @@
 import type { OperatorFeed } from "../operator/operator-feed.js";
 import { createOrderLoad } from "../executors/order-load.js";
 import { createOrderWindow } from "../executors/order-window.js";
-import { createOverloadLog } from "./overload-log.js";
 import { createPassThrottle } from "./pass-throttle.js";
 import { completedEvacuations, executorsToList, listExecutors, pendingCounts } from "./pool-lease-content.js";
 import { createPublishedRunTimes } from "./published-run-times.js";
@@ -221,7 +220,6 @@
             executorsWithTicket: tickets.executorsFor,
         }),
     });
-    const overloadLog = createOverloadLog(context, tables);
     const poolGate = (): PoolGate | undefined => {
         if (!jobsLoaded) {
             return "jobs-not-read";
@@ -304,7 +302,6 @@
             tickets.prefetch();
             tenantGate.update();
             orders.send();
-            overloadLog.check();
             publishCompletedEvacuations();
         }
     };
