--- a/pools/run-times/src/run-time-model.ts
+++ b/pools/run-times/src/run-time-model.ts
@@ -204,7 +204,7 @@
     return Math.max(ageMs, expected * Math.exp((meanLogAbove(mix, boundLog) - mean) * narrow));
 };
 
-/** Standard deviation of the logarithms of the run times within one step. */
+/** Variance of the logarithms of the run times within one step. */
 const siblingVariance = (model: RunTimeModel, queue: QueueName): number => {
     const sums = model.siblings.get(queue) ?? { weight: 0, squares: 0 };
     return (sums.squares + PRIOR_SIBLING_RUNS * PRIOR_SIBLING_VARIANCE) / (sums.weight + PRIOR_SIBLING_RUNS);
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -286,7 +286,7 @@
     /** Tenants of the configuration in use; empty if it has none. */
     readonly tenants: Map<TenantName, Tenant>;
     /** What tenants have used lately; not counted if the configuration has none. */
-    readonly tenantUse: UseWindow;
+    readonly recentTenantUse: UseWindow;
     /** What the tenants with a cap may use on this pool; nothing if absent. */
     readonly tenantGrants: Map<TenantName, Resources>;
     readonly runTimes: RunTimeModel;
@@ -339,7 +339,7 @@
     executors: new Map(),
     queues: new Map(),
     tenants: new Map(),
-    tenantUse: createUseWindow(),
+    recentTenantUse: createUseWindow(),
     tenantGrants: new Map(),
     runTimes,
     farFactor,
--- a/pools/scheduler/src/steps-beyond-share.ts
+++ b/pools/scheduler/src/steps-beyond-share.ts
@@ -39,7 +39,7 @@
         longRunning: run.task.step.step.longRunning,
     }));
     countUse(
-        tables.tenantUse,
+        tables.recentTenantUse,
         nowMs,
         uses.flatMap(({ tenant, longRunning, ...use }) =>
             tenant === undefined || longRunning ? [] : [{ ...use, tenant }],
@@ -50,7 +50,7 @@
     }
     const lastingCpu = sumOf(uses.filter(({ longRunning }) => longRunning).map(({ cpu }) => cpu));
     const costs = new Map(timed.map(step => [step, costOf(step, runMsOf(step))] as const));
-    const used = usedInWindow(tables.tenantUse);
+    const used = usedInWindow(tables.recentTenantUse);
     const excess = excessByTenant(
         tables,
         wantedByTenant(used, costs),
