Review: a job runs after its cancel was answered

Case 10: a machine freezes with a submission that it has not read. The client gives up and cancels elsewhere, which is answered 410. The machine wakes and stores the job, which runs (UNASKED).

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case
