Notice the restart of an executor while a late start may arrive there

Cause: a stop lasts as long as the incarnation. The scheduler stops such a run again once it knows of a restart, but asked an idle executor once a minute and ignored its broken connection, so that only the registry told. And the back-off of 1.5 s after an unanswered start sent the task elsewhere.

Change: while a start without a response may arrive, its executor is polled as one with runs is, and a failed poll is repeated after 50 ms. The task goes first to that executor, whose back-off ends with the accepted stop if it was the first such start in a row.

The specification has a sixth gap, stopped-start-on-same-executor: the same executor first rules out two runs at once, but not a start after the stored end.

--- a/model/specification/src/checks.ts
+++ b/model/specification/src/checks.ts
@@ -132,6 +132,7 @@
 const gapBounds = (gap: RunGap): RunOptions => {
     switch (gap) {
         case "stopped-start-after-restart":
+        case "stopped-start-on-same-executor":
             return { maxFaults: 1, maxStarts: 2, faults: ["restart"] };
         case "unlisted-start-after-restart":
         case "same-executor-while-undelivered":
--- a/model/specification/src/run-state.ts
+++ b/model/specification/src/run-state.ts
@@ -24,6 +24,7 @@
     "same-executor-while-undelivered",
     "elsewhere-while-undelivered",
     "stopped-start-after-restart",
+    "stopped-start-on-same-executor",
     "end-lost-before-it-is-stored",
 ] as const;
 export type RunGap = (typeof runGaps)[number];
--- a/model/specification/src/run-transitions.ts
+++ b/model/specification/src/run-transitions.ts
@@ -56,7 +56,10 @@
         pending.epoch < forgottenToken &&
         !isListed(state.undeliveredInLease, pending) &&
         admittedGap !== "unlisted-start-after-restart";
-    const isStoppedStart = pending.run <= forgottenStop && admittedGap !== "stopped-start-after-restart";
+    const isStoppedStart =
+        pending.run <= forgottenStop &&
+        admittedGap !== "stopped-start-after-restart" &&
+        admittedGap !== "stopped-start-on-same-executor";
     return isOutdated && (isUnlistedStart || isStoppedStart);
 };
 
--- a/model/specification/src/runs.ts
+++ b/model/specification/src/runs.ts
@@ -15,6 +15,7 @@
     type RunStep,
     type RunVariant,
     type Scheduler,
+    type UndeliveredStart,
 } from "./run-state.js";
 import { applyRunStep } from "./run-transitions.js";
 
@@ -41,7 +42,8 @@
 
 /**
  * False while a start of a former holder may reach an executor. Known gaps: the scheduler starts the task on that executor
- * in the meantime, or on another one if that executor gets no starts.
+ * in the meantime, or on another one if that executor gets no starts. A task whose start by this holder got no response and was
+ * stopped may start anywhere, or only on the executor of that start.
  */
 const isPlacePermitted = (
     { epoch, undeliveredStarts }: Scheduler,
@@ -49,11 +51,15 @@
     admittedGap: RunGap | undefined,
 ): boolean => {
     const inherited = undeliveredStarts.filter(start => start.epoch < epoch);
+    const areAllThere = (starts: readonly UndeliveredStart[]): boolean =>
+        starts.every(start => start.executor === executor);
     switch (admittedGap) {
         case "same-executor-while-undelivered":
-            return inherited.every(start => start.executor === executor);
+            return areAllThere(inherited);
         case "elsewhere-while-undelivered":
             return true;
+        case "stopped-start-on-same-executor":
+            return inherited.length === 0 && areAllThere(undeliveredStarts);
         case "unlisted-start-after-restart":
         case "stopped-start-after-restart":
         case "end-lost-before-it-is-stored":
@@ -163,7 +169,11 @@
 
 // Without one of these guards, or with one of these gaps, later steps depend on what `runKey` leaves out.
 const guardsOfKey: readonly (RunGuard | undefined)[] = ["executor-rejects-lower-token", "stop-without-renewal"];
-const gapsOutsideKey: readonly (RunGap | undefined)[] = ["unlisted-start-after-restart", "stopped-start-after-restart"];
+const gapsOutsideKey: readonly (RunGap | undefined)[] = [
+    "unlisted-start-after-restart",
+    "stopped-start-after-restart",
+    "stopped-start-on-same-executor",
+];
 
 const isKeyValid = ({ disabledGuard, admittedGap }: RunVariant): boolean =>
     !guardsOfKey.includes(disabledGuard) && !gapsOutsideKey.includes(admittedGap);
--- a/pools/scheduler/src/inherited-starts.ts
+++ b/pools/scheduler/src/inherited-starts.ts
@@ -2,7 +2,12 @@
 import { areRunsRead } from "./inherited-runs.js";
 import { hasLongestLeaseExpired } from "./lease-time.js";
 import type { Executor, PoolTables, Task, UndeliveredStart } from "./pool-tables.js";
-import { MAX_ORDER_DELAY_MS, unansweredStarts } from "./undelivered-starts.js";
+import {
+    hasUndeliveredStart,
+    hasUndeliveredStartOf,
+    MAX_ORDER_DELAY_MS,
+    unansweredStarts,
+} from "./undelivered-starts.js";
 
 /** Most undelivered starts that the row of a pool lease lists. */
 export const MAX_LISTED_STARTS = 128;
@@ -75,6 +80,24 @@
         .sort((left, right) => right.sentAtMs - left.sentAtMs)
         .slice(0, MAX_LISTED_STARTS);
 
-/** Executors that may still carry out a start of the task by an earlier holder. */
-export const executorsWithInheritedStart = ({ inheritedStarts }: PoolTables, { id }: Task): ReadonlySet<ExecutorId> =>
-    new Set((inheritedStarts.get(id) ?? []).map(({ executor }) => executor));
+/** Executors that may still carry out a start of the task, by this holder or an earlier one. */
+export const executorsWithUndeliveredStart = (
+    { executors, inheritedStarts }: PoolTables,
+    task: Task,
+    nowMs: number,
+): ReadonlySet<ExecutorId> =>
+    new Set([
+        ...(inheritedStarts.get(task.id) ?? []).map(({ executor }) => executor),
+        ...[...executors.values()].filter(executor => hasUndeliveredStartOf(executor, task, nowMs)).map(({ id }) => id),
+    ]);
+
+/**
+ * True if a start that got no response, by this holder or an earlier one, may still reach a later incarnation of the executor.
+ * A restart has to be noticed soon then, since the new incarnation knows neither the stop nor the fencing token that make such
+ * a start fail.
+ */
+export const mayReceiveLateStart = (tables: PoolTables, executor: Executor, nowMs: number): boolean =>
+    hasUndeliveredStart(executor, nowMs) ||
+    [...tables.inheritedStarts.values()].some(starts =>
+        starts.some(start => start.executor === executor.id && isPending(start, nowMs)),
+    );
--- a/pools/scheduler/src/place-tasks.ts
+++ b/pools/scheduler/src/place-tasks.ts
@@ -1,6 +1,6 @@
 import { chooseExecutor, type ExecutorChoice, type TicketedExecutors } from "./choose-executor.js";
 import { isUsable } from "./executor-usability.js";
-import { executorsWithInheritedStart } from "./inherited-starts.js";
+import { executorsWithUndeliveredStart } from "./inherited-starts.js";
 import type { OrderBudget } from "./order-budget.js";
 import { orderSteps } from "./order-steps.js";
 import { planGang } from "./plan-gang.js";
@@ -124,17 +124,17 @@
     options: PassOptions,
 ): Run | undefined => {
     const choice = { freeByExecutor, tickets: options.executorsWithTicket(task.step), planned: [] };
-    const executor = chooseInherited(tables, task, choice) ?? chooseExecutor(task, choice);
+    const executor = chooseFormer(tables, task, choice, options.nowMs) ?? chooseExecutor(task, choice);
     const number = executor === undefined ? undefined : takeRunNumber(tables.runNumbers);
     return executor === undefined || number === undefined
         ? undefined
         : startRun(task, executor, number, freeByExecutor, options);
 };
 
-// An executor that has shown a report to this holder rejects earlier holders' starts for as long as its incarnation lasts; if
-// it restarts, the run that is placed there is gone as well.
-const chooseInherited = (tables: PoolTables, task: Task, choice: ExecutorChoice): Executor | undefined => {
-    const preferred = executorsWithInheritedStart(tables, task);
+// An executor that was shown the token of this holder, or a stop, rejects the start that got no response for as long as its
+// incarnation lasts; if it restarts, the run that is placed there is gone as well.
+const chooseFormer = (tables: PoolTables, task: Task, choice: ExecutorChoice, nowMs: number): Executor | undefined => {
+    const preferred = executorsWithUndeliveredStart(tables, task, nowMs);
     return preferred.size === 0
         ? undefined
         : chooseExecutor(task, {
--- a/pools/scheduler/src/undelivered-starts.ts
+++ b/pools/scheduler/src/undelivered-starts.ts
@@ -1,4 +1,4 @@
-import type { Executor, PoolTables, Run, UndeliveredStart } from "./pool-tables.js";
+import type { Executor, PoolTables, Run, Task, UndeliveredStart } from "./pool-tables.js";
 
 /** A call without a response may be carried out up to this time after it was sent, in milliseconds. */
 export const MAX_ORDER_DELAY_MS = 15_000;
@@ -20,6 +20,10 @@
 export const hasUndeliveredStart = ({ undeliveredStarts }: Executor, nowMs: number): boolean =>
     undeliveredStarts.some(run => mayStillArrive(run, nowMs));
 
+/** True if a start request of a task that was given up may still reach a later incarnation of the executor. */
+export const hasUndeliveredStartOf = ({ undeliveredStarts }: Executor, task: Task, nowMs: number): boolean =>
+    undeliveredStarts.some(run => run.task === task && mayStillArrive(run, nowMs));
+
 /** Returns the runs whose start requests may still reach the executor, and keeps none of them. */
 export const takeUndeliveredStarts = (executor: Executor, nowMs: number): readonly Run[] => {
     const { undeliveredStarts } = executor;
--- a/pools/scheduler/test/simulated-connection.ts
+++ b/pools/scheduler/test/simulated-connection.ts
@@ -10,6 +10,7 @@
     observeIncarnation,
 } from "@almondusher/scheduler/executor-incarnation";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
+import { mayReceiveLateStart } from "@almondusher/scheduler/inherited-starts";
 import { isClockReadingOld, leaseUntil } from "@almondusher/scheduler/lease-time";
 import { recordUnansweredRequest } from "@almondusher/scheduler/lost-requests";
 import type { Executor, OrphanedRun, PoolTables, Run } from "@almondusher/scheduler/pool-tables";
@@ -241,6 +242,7 @@
     };
     const needsPolling = (): boolean =>
         options.mayHaveSuccessor() ||
+        mayReceiveLateStart(tables, executor, time.nowMs()) ||
         !executor.reconciled ||
         executor.hasUnreadEnds ||
         runsOfExecutor(executor).length > 0 ||
--- a/pools/scheduler/test/undelivered-starts.test.ts
+++ b/pools/scheduler/test/undelivered-starts.test.ts
@@ -3,6 +3,7 @@
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import { findTask, isWaiting, type PoolTables, type Run } from "@almondusher/scheduler/pool-tables";
 import { applyAcceptedStop, markUnanswered } from "../src/executor-incarnation.js";
+import { inheritStarts, mayReceiveLateStart } from "../src/inherited-starts.js";
 import { planStops } from "../src/plan-stops.js";
 import { createPool, executorOf, place, receiveReport, record, step, UNLIMITED_BUDGET } from "./fixture.js";
 
@@ -89,6 +90,47 @@
     assert.equal(elsewhere.phase, "running");
 });
 
+/** A start without a response that was stopped on `a`, in a pool where `b` would be chosen otherwise. */
+const stopBesideBetterExecutor = (): PoolTables => {
+    const { tables, run } = startWithoutAnswer();
+    acceptStop(run, 120, 120);
+    receiveReport(tables, "a", { clockMs: 200 }, 200);
+    const smaller = record("b", { capacity: { cpu: 1000, memoryMb: 1000, gpu: 0 } });
+    applyRegistry(tables, [record("a"), smaller], 210);
+    receiveReport(tables, "b", {}, 210);
+    executorOf(tables, "b").listedInLease = true;
+    return tables;
+};
+
+// If the executor restarts and the start begins there, the new run of the task has ended with the former incarnation.
+test("a task whose start got no response goes first to the executor where the start may still arrive", () => {
+    const tables = stopBesideBetterExecutor();
+    assert.deepEqual(
+        place(tables, 220).map(({ executor }) => executor.id),
+        ["a"],
+    );
+});
+
+test("a task whose start got no response is placed as usual once the start can no longer arrive", () => {
+    const tables = stopBesideBetterExecutor();
+    assert.deepEqual(
+        place(tables, LONG_AFTER_MS).map(({ executor }) => executor.id),
+        ["b"],
+    );
+});
+
+test("an executor may receive a late start until no start of this holder or an earlier one can arrive there", () => {
+    const tables = stopBesideBetterExecutor();
+    const mayReceive = (id: string, nowMs: number): boolean =>
+        mayReceiveLateStart(tables, executorOf(tables, id), nowMs);
+    assert.ok(mayReceive("a", LONGEST_DELAY_MS - 1));
+    assert.ok(!mayReceive("a", LONGEST_DELAY_MS + 1));
+    assert.ok(!mayReceive("b", 220));
+    inheritStarts(tables, [{ executor: "b" as never, task: TASK, number: 1, sentAtMs: 220 }], 220);
+    assert.ok(mayReceive("b", 220 + LONGEST_DELAY_MS - 1));
+    assert.ok(!mayReceive("b", 220 + LONGEST_DELAY_MS));
+});
+
 test("a start that was sent long ago does not keep its task after a restart", () => {
     const { tables, run } = startWithoutAnswer();
     acceptStop(run, 120, 120);
--- a/programs/dispatcher/src/executors/executor-connection.ts
+++ b/programs/dispatcher/src/executors/executor-connection.ts
@@ -13,6 +13,7 @@
 import { recordUnansweredRequest } from "@almondusher/scheduler/lost-requests";
 import { applyReport, type AppliedEnd, type ReportTimes } from "@almondusher/scheduler/apply-report";
 import { areRunsRead } from "@almondusher/scheduler/inherited-runs";
+import { mayReceiveLateStart } from "@almondusher/scheduler/inherited-starts";
 import {
     createExecutorClient,
     type ExecutorClient,
@@ -74,6 +75,8 @@
 
 const REPORT_LONG_POLL_MS = 700;
 const RETRY_DELAY_MS = 250;
+// While a late start may reach a new incarnation, it has to be noticed before.
+const RETRY_DELAY_FOR_LATE_START_MS = 50;
 const IDLE_POLL_MS = 60_000;
 // An unreachable executor is polled, because it can be used again once it answers; an idle reachable one only for its clock.
 const UNREACHABLE_POLL_MS = 1000;
@@ -226,7 +229,7 @@
                 }
                 recordFailedPoll(sentAtMs, result.reason);
                 if (failedPolls >= FAILED_POLLS_UNTIL_UNREACHABLE) {
-                    await sleep(RETRY_DELAY_MS);
+                    await sleep(mayLateStartArrive() ? RETRY_DELAY_FOR_LATE_START_MS : RETRY_DELAY_MS);
                 }
                 return;
         }
@@ -294,8 +297,10 @@
         backOff,
         handleRejection,
     });
+    const mayLateStartArrive = (): boolean => mayReceiveLateStart(tables, executor, context.monotonicMs());
     const needsPolling = (): boolean =>
         owner.mayHaveSuccessor() ||
+        mayLateStartArrive() ||
         !executor.reconciled ||
         executor.hasUnreadEnds ||
         executor.runs.size > 0 ||
@@ -307,7 +312,10 @@
         acknowledgedEnd(executor) < executor.lastAppliedEnd || !owner.mayExtendLeases();
     const pollDelayMs = (): number => {
         if (needsPolling()) {
-            return areRunsRead(executor) && failedPolls === 0 && wouldRepeatEnds() ? REPORT_LONG_POLL_MS : 0;
+            const isPauseNeeded = areRunsRead(executor) && failedPolls === 0 && wouldRepeatEnds();
+            // Nothing shows a restart during the pause.
+            const pauseMs = mayLateStartArrive() ? RETRY_DELAY_MS : REPORT_LONG_POLL_MS;
+            return isPauseNeeded ? pauseMs : 0;
         }
         return executor.reachable ? IDLE_POLL_MS : UNREACHABLE_POLL_MS;
     };
@@ -373,6 +381,7 @@
                     sentAtMs,
                     receivedAtMs: context.monotonicMs(),
                 });
+                startOutcomes.stopAccepted(run);
             } else if (result.kind === "rejected" && result.reason === "fenced") {
                 owner.fenced();
             }
--- a/programs/dispatcher/src/executors/start-outcomes.ts
+++ b/programs/dispatcher/src/executors/start-outcomes.ts
@@ -13,6 +13,18 @@
 /** Applies the outcomes of the starts that are sent to one executor. */
 export interface StartOutcomes {
     readonly apply: (run: Run, result: OrderResult, sent: SentStart) => void;
+    /**
+     * Ends the back-off after the first start in a row without a response, since the executor has accepted the stop of that run
+     * and so answers. Its task can start again there, where a late start cannot run beside it.
+     */
+    readonly stopAccepted: (run: Run) => void;
+}
+
+/** Back-off after a start without a response, as times of the monotonic clock in milliseconds. */
+interface UnansweredBackOff {
+    /** End of the back-off before that start. */
+    readonly formerUntilMs: number;
+    readonly untilMs: number;
 }
 
 /** A start as it was sent. */
@@ -55,6 +67,7 @@
     /** Number of consecutive starts that were not accepted. */
     let startsNotAccepted = 0;
     let startNotAcceptedAtMs = Number.NEGATIVE_INFINITY;
+    let unansweredBackOff: UnansweredBackOff | undefined;
     const handleStartRejection = (reason: OrderRejection, sentAtMs: number): void => {
         switch (reason) {
             case "fenced":
@@ -81,6 +94,25 @@
         }
         backOff(initialMs * Math.min(2 ** (startsNotAccepted - 1), MAX_BACKOFF_FACTOR));
     };
+    const isBackingOffUnanswered = (): boolean => executor.backoffUntilMs === unansweredBackOff?.untilMs;
+    const backOffAfterUnansweredStart = (sentAtMs: number): void => {
+        const formerUntilMs =
+            unansweredBackOff !== undefined && isBackingOffUnanswered()
+                ? unansweredBackOff.formerUntilMs
+                : executor.backoffUntilMs;
+        backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
+        unansweredBackOff = { formerUntilMs, untilMs: executor.backoffUntilMs };
+    };
+    const stopAccepted = ({ unansweredAtMs }: Run): void => {
+        if (
+            unansweredAtMs !== undefined &&
+            unansweredBackOff !== undefined &&
+            isBackingOffUnanswered() &&
+            startsNotAccepted === 1
+        ) {
+            executor.backoffUntilMs = unansweredBackOff.formerUntilMs;
+        }
+    };
     const apply = (run: Run, result: OrderResult, { sentAtMs, isReadingOld }: SentStart): void => {
         switch (result.kind) {
             case "accepted":
@@ -112,7 +144,7 @@
                 return;
             case "unknown":
                 markUnanswered(run, context.monotonicMs());
-                backOffAfterStart(BACKOFF_AFTER_UNANSWERED_START_MS, sentAtMs);
+                backOffAfterUnansweredStart(sentAtMs);
                 logStartNotAccepted(run, result.reason);
                 return;
         }
@@ -138,5 +170,5 @@
         context.metrics.count("starts_not_accepted");
         context.log("start-not-accepted", { task: run.task.id, run: run.number, executor: executor.id, reason });
     };
-    return { apply };
+    return { apply, stopAccepted };
 };
--- a/programs/dispatcher/test/executor-restarts.test.ts
+++ b/programs/dispatcher/test/executor-restarts.test.ts
@@ -12,6 +12,10 @@
 const POLL_PAUSE_MS = 700;
 // Longer than the executor takes to notice that a lease has expired, shorter than a lease that it must not have.
 const EXPIRY_MS = 500;
+/** How late an order is carried out, in milliseconds; longer than the limit for a restart to be noticed. */
+const LATE_START_MS = 2000;
+const NOTICED_MS = 500;
+const FAILED_RUNS_BACKOFF_MS = 1000;
 
 interface Registered {
     readonly stand: ExecutorStandIn;
@@ -114,3 +118,66 @@
         "the lease lasts longer than the tables know",
     );
 });
+
+/** Leaves the next order unanswered; it is carried out after the delay, also by a later incarnation. */
+const delayNextOrder = (stand: ExecutorStandIn, delayMs: number): void => {
+    let isNext = true;
+    stand.setFault({
+        kind: "unreliable",
+        drawOutcome: request => {
+            const isDelayed = isNext && request === "order";
+            isNext &&= !isDelayed;
+            return isDelayed ? { kind: "late", delayMs } : { kind: "answered" };
+        },
+    });
+};
+
+// The late start of review/6: nothing runs on the executor, which is cut off from the store, so only its connection tells of
+// the restart.
+test("a start that got no response and was stopped is stopped again soon after its idle executor has restarted, although the registry does not show it", async context => {
+    const registered = await startExecutor(context, Infinity);
+    const { stand } = registered;
+    const { tables, executor, connection } = connectToStandIn(context, registered);
+    const run = addTaskRun(tables, executor, 1);
+    await sleep(50);
+    delayNextOrder(stand, LATE_START_MS);
+    await connection.start(run, undefined);
+    await connection.stop(run);
+    await waitUntil(() => executor.runs.size === 0);
+    stand.restart();
+    const restartedAtMs = performance.now();
+    await waitUntil(() => executor.runs.size === 1);
+    assert.ok(performance.now() - restartedAtMs < NOTICED_MS, "the restart is noticed before the start arrives");
+    await connection.stop(run);
+    await waitUntil(() => executor.runs.size === 0);
+    await sleep(LATE_START_MS);
+    assert.deepEqual(stand.started, [], "the late start is carried out");
+});
+
+test("an executor that has accepted the stop of its first start without a response gets starts again", async context => {
+    const registered = await startExecutor(context, Infinity);
+    const { tables, executor, connection } = connectToStandIn(context, registered);
+    const startOnce = async (number: number): Promise<void> => {
+        const run = addTaskRun(tables, executor, number);
+        delayNextOrder(registered.stand, LATE_START_MS);
+        await connection.start(run, undefined);
+        assert.ok(executor.backoffUntilMs > performance.now(), "until the stop is accepted it may have failed");
+        await connection.stop(run);
+    };
+    await startOnce(1);
+    assert.ok(executor.backoffUntilMs <= performance.now());
+    await startOnce(2);
+    assert.ok(executor.backoffUntilMs > performance.now(), "a second one in a row keeps starts away");
+});
+
+test("the stop of a start without a response does not end a back-off of another cause", async context => {
+    const registered = await startExecutor(context, Infinity);
+    const { tables, executor, connection } = connectToStandIn(context, registered);
+    const untilMs = performance.now() + FAILED_RUNS_BACKOFF_MS;
+    executor.backoffUntilMs = untilMs;
+    const run = addTaskRun(tables, executor, 1);
+    delayNextOrder(registered.stand, LATE_START_MS);
+    await connection.start(run, undefined);
+    await connection.stop(run);
+    assert.equal(executor.backoffUntilMs, untilMs);
+});
