Open occurrences by what is due, and keep completed ones as ranges

Cause: each pass built an array of all occurrences of each repeated job to find those that are due. By reading, of the same cause: occurrences that are all due were all opened at once, and completed ones were walked until the job ended.

Change: the number of due occurrences is calculated, and the next one to open is kept. While further ones are due, the repeated jobs of a pool share 10,000 waiting tasks, one occurrence each at least. Completed occurrences are closed and stored as ranges in a third format of the progress row, since an earlier version would repeat them. A negative interval_ms gets 400. number-ranges moved from the dispatcher to domain/fleet.

Tests changed: large-jobs opens all occurrences itself and closes the completed ones, as admission opens one only; it compares the same progress.

--- a/domain/jobs/src/compact-progress.ts
+++ b/domain/jobs/src/compact-progress.ts
@@ -1,4 +1,5 @@
 import { deflateRawSync, inflateRawSync } from "node:zlib";
+import type { NumberRanges } from "@almondusher/fleet/number-ranges";
 import { MAX_TASKS, type JobState } from "./job.js";
 import type { Progress, StepProgress, TaskFailures } from "./progress.js";
 
@@ -22,18 +23,47 @@
 
 /** Encodes the progress of a large job. */
 export const compactProgress = ({ state, steps }: Progress): CompactProgress => {
-    const text = JSON.stringify(steps.map((step, index) => compactStep(step, steps[index - 1])));
-    return { state, steps: deflateRawSync(text).toString("base64") };
+    return { state, steps: compress(steps.map((step, index) => compactStep(step, steps[index - 1]))) };
 };
 
 /** Decodes the steps of a large job; throws if they are damaged. */
 export const expandSteps = (compressed: string): readonly StepProgress[] => {
-    const text = inflateRawSync(Buffer.from(compressed, "base64"), { maxOutputLength: MAX_INFLATED_BYTES }).toString();
     const steps: StepProgress[] = [];
-    (JSON.parse(text) as readonly CompactStep[]).forEach(step => steps.push(expandStep(step, steps.at(-1))));
+    (decompress(compressed) as readonly CompactStep[]).forEach(step => steps.push(expandStep(step, steps.at(-1))));
     return steps;
 };
 
+/** Encodes ranges as the distance of each from the end of the one before and its length. */
+export const compactRanges = (ranges: NumberRanges): string =>
+    compress(
+        ranges.flatMap(([first, last], index) => [first - ((ranges[index - 1]?.[1] ?? -1) + 1), last - first + 1]),
+    );
+
+/** Decodes ranges; throws if they are damaged. */
+export const expandRanges = (compressed: string): NumberRanges => {
+    const numbers = decompress(compressed);
+    if (!Array.isArray(numbers)) {
+        throw new RangeError("not a list of ranges");
+    }
+    return readRangeNumbers(numbers as readonly number[]);
+};
+
+const readRangeNumbers = (numbers: readonly number[]): NumberRanges => {
+    const ranges: [number, number][] = [];
+    let end = 0;
+    for (let index = 0; index < numbers.length; index += 2) {
+        const first = end + (numbers[index] ?? 0);
+        end = first + (numbers[index + 1] ?? 0);
+        ranges.push([first, end - 1]);
+    }
+    return ranges;
+};
+
+const compress = (content: unknown): string => deflateRawSync(JSON.stringify(content)).toString("base64");
+
+const decompress = (compressed: string): unknown =>
+    JSON.parse(inflateRawSync(Buffer.from(compressed, "base64"), { maxOutputLength: MAX_INFLATED_BYTES }).toString());
+
 const compactStep = (step: StepProgress, previous: StepProgress | undefined): CompactStep => {
     const ranges = toRanges(step.done);
     const numbers = [
--- a/domain/jobs/src/job.ts
+++ b/domain/jobs/src/job.ts
@@ -90,3 +90,15 @@
 
 /** Occurrences of a job; 1 for a job without a schedule. */
 export const occurrencesOf = (job: Job): number => job.schedule?.occurrences ?? 1;
+
+/** Number of the first occurrences of a job that are due at a Unix time in milliseconds. */
+export const countDueOccurrences = ({ schedule }: Job, wallMs: number): number => {
+    if (schedule === undefined) {
+        return 1;
+    }
+    const { occurrences, firstRunMs, intervalMs } = schedule;
+    if (wallMs < firstRunMs) {
+        return 0;
+    }
+    return intervalMs > 0 ? Math.min(occurrences, Math.floor((wallMs - firstRunMs) / intervalMs) + 1) : occurrences;
+};
--- a/domain/jobs/src/progress.ts
+++ b/domain/jobs/src/progress.ts
@@ -1,3 +1,4 @@
+import type { NumberRanges } from "@almondusher/fleet/number-ranges";
 import type { JobState } from "./job.js";
 
 /** Progress of the tasks of one step in one occurrence. */
@@ -34,7 +35,10 @@
 /** Stored progress of a job. */
 export interface Progress {
     readonly state: JobState;
+    /** Steps of which something is to be stored, apart from those of the completed occurrences. */
     readonly steps: readonly StepProgress[];
+    /** Occurrences of a repeated job all of whose tasks are done; none if absent. */
+    readonly completedOccurrences?: NumberRanges | undefined;
 }
 
 /** True for the progress of a job in a final state, which never changes. */
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -1,13 +1,15 @@
 import { z } from "zod";
 import { FleetError } from "@almondusher/fleet/fleet-error";
 import { countTasks, dependsOnEarlierSteps, jobStates, MAX_TASKS, type Job } from "./job.js";
-import { compactProgress, expandSteps } from "./compact-progress.js";
+import { compactProgress, compactRanges, expandRanges, expandSteps } from "./compact-progress.js";
 import type { Progress, StepProgress } from "./progress.js";
 import { parseJson } from "./json-text.js";
 
 const FORMAT = 1;
 /** Format of the progress of large jobs, which earlier versions cannot read. */
 const COMPACT_FORMAT = 2;
+/** Format of the progress of jobs with completed occurrences; an earlier version, which cannot read it, would repeat them. */
+const OCCURRENCES_FORMAT = 3;
 // Half of the size that a store takes in a row.
 const MAX_PLAIN_PROGRESS_BYTES = 32_768;
 // At least the lengths of the JSON texts, without those of checkpoints and lists of runs.
@@ -79,14 +81,23 @@
 );
 const state = z.enum(jobStates);
 
-const expandedSteps = z.string().transform((text, context): unknown => {
-    try {
-        return expandSteps(text);
-    } catch (error) {
-        context.addIssue({ code: "custom", message: `the compact steps are damaged: ${String(error)}` });
-        return z.NEVER;
-    }
-});
+const expanded = (what: string, expand: (text: string) => unknown) =>
+    z.string().transform((text, context): unknown => {
+        try {
+            return expand(text);
+        } catch (error) {
+            context.addIssue({ code: "custom", message: `the compact ${what} are damaged: ${String(error)}` });
+            return z.NEVER;
+        }
+    });
+const expandedSteps = expanded("steps", expandSteps);
+
+const ranges = z
+    .array(z.tuple([count, count]))
+    .refine(
+        pairs => pairs.every(([first, last], index) => first <= last && first > (pairs[index - 1]?.[1] ?? -1)),
+        "the ranges are not in ascending order",
+    );
 
 const storedProgress = z.discriminatedUnion("format", [
     z.object({ format: z.literal(FORMAT), progress: z.object({ state, steps }) }),
@@ -94,6 +105,14 @@
         format: z.literal(COMPACT_FORMAT),
         progress: z.object({ state, steps: expandedSteps.pipe(steps) }),
     }),
+    z.object({
+        format: z.literal(OCCURRENCES_FORMAT),
+        progress: z.object({
+            state,
+            steps: expandedSteps.pipe(steps),
+            completedOccurrences: expanded("ranges", expandRanges).pipe(ranges),
+        }),
+    }),
 ]);
 
 /** Encodes a job for the store. */
@@ -102,13 +121,21 @@
 /** Decodes a stored job; throws `bad-message` if the row is invalid. */
 export const decodeJob = (text: string): Job => decode("job", storedJob, text).job as unknown as Job;
 
-/** Encodes the progress of a job for the store; that of a large job is compressed. */
-export const encodeProgress = (progress: Progress): string =>
-    JSON.stringify(
+/** Encodes the progress of a job for the store; that of a large job or one with completed occurrences is compressed. */
+export const encodeProgress = (progress: Progress): string => {
+    const { state, steps, completedOccurrences = [] } = progress;
+    if (completedOccurrences.length > 0) {
+        return JSON.stringify({
+            format: OCCURRENCES_FORMAT,
+            progress: { ...compactProgress(progress), completedOccurrences: compactRanges(completedOccurrences) },
+        });
+    }
+    return JSON.stringify(
         plainBytes(progress) <= MAX_PLAIN_PROGRESS_BYTES
-            ? { format: FORMAT, progress }
+            ? { format: FORMAT, progress: { state, steps } }
             : { format: COMPACT_FORMAT, progress: compactProgress(progress) },
     );
+};
 
 const plainBytes = ({ steps }: Progress): number => sumOf(steps, plainStepBytes);
 
@@ -121,7 +148,7 @@
 const sumOf = <Item>(items: readonly Item[], amountOf: (item: Item) => number): number =>
     items.reduce((sum, item) => sum + amountOf(item), 0);
 
-/** Decodes the stored progress of a job, in either format; throws `bad-message` if the row is invalid. */
+/** Decodes the stored progress of a job, in any format; throws `bad-message` if the row is invalid. */
 export const decodeProgress = (text: string): Progress => decode("progress", storedProgress, text).progress;
 
 const decode = <Schema extends z.ZodType>(kind: string, schema: Schema, text: string): z.output<Schema> => {
--- a/domain/jobs/test/stored-rows.test.ts
+++ b/domain/jobs/test/stored-rows.test.ts
@@ -39,6 +39,39 @@
     );
 });
 
+const rangesOf = (lengths: readonly (readonly [number, number])[]): [number, number][] => {
+    let end = -2;
+    return lengths.map(([gap, length]) => {
+        const first = end + 2 + gap;
+        end = first + length;
+        return [first, end];
+    });
+};
+
+test("completed occurrences are unchanged after encoding and decoding, in a format that earlier versions do not read", () => {
+    fc.assert(
+        fc.property(progress, fc.array(fc.tuple(index, index), { minLength: 1 }), (value, lengths) => {
+            const text = encodeProgress({ ...value, completedOccurrences: rangesOf(lengths) });
+            assert.deepEqual(decodeProgress(text), { ...value, completedOccurrences: rangesOf(lengths) });
+            assert.equal((JSON.parse(text) as { readonly format: unknown }).format, 3);
+        }),
+        { seed: 20_261_207 },
+    );
+});
+
+test("damaged ranges of completed occurrences are rejected with bad-message", () => {
+    const compact = (content: unknown): string => deflateRawSync(JSON.stringify(content)).toString("base64");
+    const damaged = ["", "?", compact(7), compact([-1, 1]), compact([0, 0]), compact(["a", 1]), compact([1e300, 1])];
+    damaged.forEach(completedOccurrences => {
+        const row = { format: 3, progress: { state: "queued", steps: compact([]), completedOccurrences } };
+        assert.throws(
+            () => decodeProgress(JSON.stringify(row)),
+            (error: unknown) => hasCode(error, "bad-message"),
+            completedOccurrences,
+        );
+    });
+});
+
 test("a damaged row or one of another format is rejected with bad-message", () => {
     ["", "{}", "null", '{"format":2,"job":{}}', '{"format":1,"job":{"id":3}}'].forEach(text =>
         assert.throws(
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -3,7 +3,13 @@
 import type { JobId } from "@almondusher/jobs/ids";
 import { completeIfDone } from "./apply-report.js";
 import { markStarted } from "./job-progress.js";
-import { addOccurrence, isOccurrenceOf, openDueOccurrences } from "./open-occurrences.js";
+import {
+    addOccurrence,
+    closeCompletedOccurrences,
+    mayBeOpened,
+    mergeCompletedOccurrences,
+    openDueOccurrences,
+} from "./open-occurrences.js";
 import type { OpenJob, PoolTables, Task } from "./pool-tables.js";
 
 // Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows, which
@@ -36,13 +42,16 @@
         arrivedAtMs: admitted.arrivedAtMs,
         readAtMs: admitted.readAtMs,
         occurrences: new Map(),
+        completedOccurrences: [],
+        nextOccurrence: 0,
         state: progress.state,
         inherited: admitted.inherited,
         dirty: false,
         progressVersion: admitted.progressVersion,
     };
-    openDueOccurrences(open, wallMs);
     restoreProgress(open, progress);
+    // The next pass opens as many further ones as the pool may have.
+    openDueOccurrences(open, wallMs, 1);
     completeIfDone(open);
     // Last, so that a job that cannot be opened is not half open.
     tables.jobs.set(job.id, open);
@@ -53,7 +62,10 @@
     if (progress.state === "running") {
         markStarted(open);
     }
+    mergeCompletedOccurrences(open, progress.completedOccurrences ?? []);
     progress.steps.forEach(step => restoreStep(open, step));
+    // Earlier versions store the tasks of completed occurrences.
+    closeCompletedOccurrences(open, [...open.occurrences.keys()]);
 };
 
 /** Progress as it was read from the store. */
@@ -89,7 +101,7 @@
 };
 
 const restoreStep = (job: OpenJob, progress: StepProgress): void => {
-    if (!isOccurrenceOf(job.job, progress.occurrence)) {
+    if (!mayBeOpened(job, progress.occurrence)) {
         return;
     }
     // Stored progress of an occurrence shows that it was due, even if this process's clock is behind.
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -5,7 +5,7 @@
 import { learnFromEnd } from "./learned-times.js";
 import { adoptRun } from "./adopt-run.js";
 import { forgetInheritedStart } from "./inherited-starts.js";
-import { findReportedTask } from "./open-occurrences.js";
+import { closeCompletedOccurrences, findReportedTask } from "./open-occurrences.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
 import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
 import { findRun, forgetRun, giveUpRun, markForStop } from "./run-table.js";
@@ -171,6 +171,7 @@
     if (!isJobEnded(job) && !step.longRunning && failures >= maxAttempts && !task.done) {
         endJob(job, "failed");
     }
+    closeCompletedOccurrences(job, [task.step.occurrence]);
     completeIfDone(job);
 };
 
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -1,13 +1,18 @@
+import { countInRanges } from "@almondusher/fleet/number-ranges";
 import type { QueueName } from "@almondusher/jobs/ids";
 import { occurrencesOf } from "@almondusher/jobs/job";
 import type { Progress, StepProgress, TaskFailures } from "@almondusher/jobs/progress";
 import type { OpenJob, OpenStep, PoolTables, Task } from "./pool-tables.js";
 
 /** Progress of a job as it is stored; for one in a final state, the state alone. */
-export const progressOf = (job: OpenJob): Progress => ({
-    state: job.state,
-    steps: isJobEnded(job) ? [] : [...job.occurrences.values()].flat().map(stepProgress).filter(hasContent),
-});
+export const progressOf = (job: OpenJob): Progress =>
+    isJobEnded(job)
+        ? { state: job.state, steps: [] }
+        : {
+              state: job.state,
+              steps: [...job.occurrences.values()].flat().map(stepProgress).filter(hasContent),
+              ...(job.completedOccurrences.length === 0 ? {} : { completedOccurrences: job.completedOccurrences }),
+          };
 
 const stepProgress = (step: OpenStep): StepProgress => ({
     occurrence: step.occurrence,
@@ -34,8 +39,11 @@
 
 /** True once every task of every occurrence is done. */
 export const isCompleted = (job: OpenJob): boolean =>
-    job.occurrences.size === occurrencesOf(job.job) &&
-    [...job.occurrences.values()].flat().every(step => step.remaining === 0);
+    job.occurrences.size + countInRanges(job.completedOccurrences) === occurrencesOf(job.job) &&
+    [...job.occurrences.values()].every(isOccurrenceCompleted);
+
+/** True if all tasks of an occurrence, given by its steps, are done. */
+export const isOccurrenceCompleted = (steps: readonly OpenStep[]): boolean => steps.every(step => step.remaining === 0);
 
 /** True for a step with remaining tasks whose dependencies are all done. */
 export const isReady = (step: OpenStep): boolean => {
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -1,4 +1,5 @@
 import type { Brand, PoolName } from "@almondusher/fleet/ids";
+import type { NumberRanges } from "@almondusher/fleet/number-ranges";
 import type { Queue, Tenant } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
@@ -135,8 +136,12 @@
     readonly arrivedAtMs: number;
     /** When the job was read from the store, in milliseconds of the monotonic clock. */
     readonly readAtMs: number;
-    /** Occurrences that are due, by number. */
+    /** Occurrences that are open, by number: due or reported, and not completed. */
     readonly occurrences: Map<number, readonly OpenStep[]>;
+    /** Occurrences all of whose tasks are done; always empty for a job without a schedule. */
+    completedOccurrences: NumberRanges;
+    /** The occurrences below this number are open or completed. */
+    nextOccurrence: number;
     /** `queued` until an executor is known to have begun a task. */
     state: JobState;
     /** Accepted before the current pool lease was taken, so the job may have runs that are not in the tables yet. */
@@ -362,7 +367,7 @@
  */
 export const isLeaseHeldSince = ({ leaseHeldAtMs }: PoolTables, timeMs: number): boolean => timeMs <= leaseHeldAtMs;
 
-/** Steps of all occurrences of a job that are due. */
+/** Steps of all open occurrences of a job. */
 export const stepsOf = ({ occurrences }: OpenJob): readonly OpenStep[] =>
     // Nearly all jobs have one occurrence, and each pass lists the steps of every job.
     occurrences.size === 1 ? (occurrences.values().next().value ?? []) : [...occurrences.values()].flat();
--- a/programs/dispatcher/src/fleet/fleet-manager.ts
+++ b/programs/dispatcher/src/fleet/fleet-manager.ts
@@ -14,7 +14,7 @@
 import { createFleetEvacuations, type FleetEvacuation } from "./fleet-evacuations.js";
 import { createFleetOrders } from "./fleet-orders.js";
 import { maintainedVmsToStore } from "./maintained-vms.js";
-import { addToRanges, isInRanges } from "./number-ranges.js";
+import { addToRanges, isInRanges } from "@almondusher/fleet/number-ranges";
 import { createWaveStatusPublisher } from "./wave-status-publisher.js";
 import { orderTimeoutMs } from "./vm-order-limits.js";
 
--- a/programs/dispatcher/src/fleet/maintained-vms.ts
+++ b/programs/dispatcher/src/fleet/maintained-vms.ts
@@ -1,6 +1,6 @@
 import type { Wave } from "@almondusher/upkeep/maintenance";
 import type { WaveMaintenance } from "../leases/lease-rows.js";
-import { isInRanges, type NumberRanges } from "./number-ranges.js";
+import { isInRanges, type NumberRanges } from "@almondusher/fleet/number-ranges";
 
 /** What a fleet manager knows of the maintained VMs of waves. */
 export interface KnownMaintenance {
--- a/programs/dispatcher/src/jobs/job-admission.ts
+++ b/programs/dispatcher/src/jobs/job-admission.ts
@@ -1,5 +1,5 @@
 import { admitJob } from "@almondusher/scheduler/admit-job";
-import { openDueOccurrences } from "@almondusher/scheduler/open-occurrences";
+import { openDueOccurrencesOfPool } from "@almondusher/scheduler/open-occurrences";
 import { recordArrival, type DemandHistory } from "@almondusher/scheduler/demand";
 import { endJob } from "@almondusher/scheduler/apply-report";
 import { isJobEnded } from "@almondusher/scheduler/job-progress";
@@ -66,10 +66,5 @@
             requestWrite();
         }
     },
-    openOccurrences: () => {
-        const wallMs = Date.now();
-        [...tables.jobs.values()]
-            .filter(({ job }) => job.schedule !== undefined)
-            .forEach(job => openDueOccurrences(job, wallMs));
-    },
+    openOccurrences: () => openDueOccurrencesOfPool(tables, Date.now()),
 });
--- a/programs/dispatcher/src/leases/lease-rows.ts
+++ b/programs/dispatcher/src/leases/lease-rows.ts
@@ -4,7 +4,7 @@
 import { parseJson } from "@almondusher/jobs/json-text";
 import type { PoolDemand } from "@almondusher/scheduler/demand";
 import type { RowKey } from "@almondusher/platform-adapter/table-store";
-import type { NumberRanges } from "../fleet/number-ranges.js";
+import type { NumberRanges } from "@almondusher/fleet/number-ranges";
 import type { StorePoint } from "../store/read-all.js";
 import {
     storedAllowancesSchema,
--- a/programs/dispatcher/test/large-jobs.test.ts
+++ b/programs/dispatcher/test/large-jobs.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { hasCode } from "@almondusher/fleet/fleet-error";
 import { toId } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
 import { countTasks, MAX_TASKS, type Job } from "@almondusher/jobs/job";
@@ -8,6 +9,7 @@
 import { decodeSubmission } from "@almondusher/platform-adapter/decode-submission";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
+import { closeCompletedOccurrences, openDueOccurrences } from "@almondusher/scheduler/open-occurrences";
 import { stepsOf, type OpenJob, type Task } from "@almondusher/scheduler/pool-tables";
 import fc from "fast-check";
 import { encodeWrite } from "../src/jobs/progress-batches.js";
@@ -55,6 +57,7 @@
     );
     const open = tables.jobs.get(ID);
     assert.ok(open !== undefined);
+    openDueOccurrences(open, Number.MAX_SAFE_INTEGER, Infinity);
     return open;
 };
 
@@ -76,6 +79,7 @@
 });
 
 const reloadAndCompare = (job: Job, open: OpenJob): void => {
+    closeCompletedOccurrences(open, [...open.occurrences.keys()]);
     const { value } = encodeWrite(open, { withCheckpoints: true });
     const bytes = Buffer.byteLength(value);
     assert.ok(bytes <= MAX_ROW_BYTES, `a row of ${bytes} bytes`);
@@ -147,3 +151,11 @@
     open.state = "completed";
     assert.equal(encodeWrite(open, { withCheckpoints: true }).value, encodeProgress({ state: "completed", steps: [] }));
 });
+
+test("a schedule whose interval is negative is rejected", () => {
+    const submission = { spec: "", steps: [{ count: 1 }], first_run_ms: 1, interval_ms: -1, repeat_count: 2 };
+    assert.throws(
+        () => decodeSubmission(JSON.stringify(submission)),
+        (error: unknown) => hasCode(error, "bad-message"),
+    );
+});
--- a/programs/dispatcher/test/maintained-vms.test.ts
+++ b/programs/dispatcher/test/maintained-vms.test.ts
@@ -3,7 +3,7 @@
 import { toId, type VmId } from "@almondusher/fleet/ids";
 import { decodeLease, emptyLeaseContent, encodeLease, type WaveMaintenance } from "../src/leases/lease-rows.js";
 import { maintainedVmsToStore } from "../src/fleet/maintained-vms.js";
-import { addToRanges, isInRanges, type NumberRanges } from "../src/fleet/number-ranges.js";
+import { addToRanges, isInRanges, type NumberRanges } from "@almondusher/fleet/number-ranges";
 
 const MAX_ROW_BYTES = 65_536;
 const VMS_OF_WAVE = 200;
