Open the tasks of large steps as they may start

Cause: each task of an open job was an object of some 500 bytes, and nothing bounded their number; a pass walked all of them.

Change: a step has its first 32 tasks open, and once it is ready so many that the large steps of the pool share 10,000 waiting tasks. Tasks that are done are kept as ranges. A reported task is opened wherever it lies; gangs and long-running tasks are opened as a whole. MAX_TASKS and the stored rows are unchanged. Ranges are searched by bisection.

Tests changed: large-jobs, progress-writer and waiting-log open the tasks that they change themselves, since admission opens the first 32 only; large-jobs marks tasks as done by the function that reads stored progress and compares the number of remaining ones instead of the done ones. Their bounds are the same.

--- a/domain/fleet/src/number-ranges.ts
+++ b/domain/fleet/src/number-ranges.ts
@@ -1,9 +1,26 @@
 /** Integers as ranges with their first and last number, in ascending order, with a gap between any two. */
 export type NumberRanges = readonly (readonly [first: number, last: number])[];
 
+/** Returns the range that contains a number; undefined if none does. */
+export const findRange = (ranges: NumberRanges, number: number): NumberRanges[number] | undefined => {
+    // The first range that does not end before the number, by bisection.
+    let low = 0;
+    let high = ranges.length;
+    while (low < high) {
+        const middle = Math.floor((low + high) / 2);
+        const [, last] = ranges[middle] as NumberRanges[number];
+        if (last < number) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    const range = ranges[low];
+    return range !== undefined && range[0] <= number ? range : undefined;
+};
+
 /** Returns true if a number is in one of the ranges. */
-export const isInRanges = (ranges: NumberRanges, number: number): boolean =>
-    ranges.some(([first, last]) => first <= number && number <= last);
+export const isInRanges = (ranges: NumberRanges, number: number): boolean => findRange(ranges, number) !== undefined;
 
 /** Returns the ranges with a number added. */
 export const addToRanges = (ranges: NumberRanges, number: number): NumberRanges =>
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -10,6 +10,7 @@
     mergeCompletedOccurrences,
     openDueOccurrences,
 } from "./open-occurrences.js";
+import { markTasksDone, openTask } from "./open-tasks.js";
 import type { OpenJob, PoolTables, Task } from "./pool-tables.js";
 
 // Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows, which
@@ -109,21 +110,15 @@
     if (step === undefined) {
         return;
     }
-    progress.done.forEach(index => {
-        const task = step.tasks[index];
-        if (task !== undefined && !task.done) {
-            task.done = true;
-            step.remaining--;
-        }
-    });
+    markTasksDone(step, progress.done);
     progress.failures.forEach(failures => {
-        const task = step.tasks[failures.index];
+        const task = openTask(step, failures.index);
         if (task !== undefined) {
             restoreFailures(task, failures);
         }
     });
     progress.checkpoints.forEach(({ index, checkpoint }) => {
-        const task = step.tasks[index];
+        const task = openTask(step, index);
         if (task !== undefined) {
             task.checkpoint = checkpoint;
         }
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -6,6 +6,7 @@
 import { adoptRun } from "./adopt-run.js";
 import { forgetInheritedStart } from "./inherited-starts.js";
 import { closeCompletedOccurrences, findReportedTask } from "./open-occurrences.js";
+import { markDone } from "./open-tasks.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
 import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
 import { findRun, forgetRun, giveUpRun, markForStop } from "./run-table.js";
@@ -203,11 +204,6 @@
     completed.flatMap(member => [...member.runs]).forEach(other => markForStop(other, "duplicate"));
 };
 
-const markDone = (task: Task): void => {
-    task.done = true;
-    task.step.remaining--;
-};
-
 const updateFailureStreak = (executor: Executor, end: EndedRun, run: Run | undefined, nowMs: number): void => {
     if (end.how === "done" || (end.how === "failed" && hasServed(run, nowMs))) {
         executor.failureStreak = 0;
--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -183,7 +183,7 @@
     if (step.remaining === 0) {
         return 0;
     }
-    const remainingTasks = step.tasks.reduce((sum, task) => sum + (task.done ? 0 : 1 - doneShareOf(task)), 0);
+    const remainingTasks = step.tasks.reduce((sum, task) => sum - (task.done ? 0 : doneShareOf(task)), step.remaining);
     return remainingTasks * demandOf(step.step).cpu * expectedRunMs(tables, step);
 };
 
--- a/pools/scheduler/src/job-progress.ts
+++ b/pools/scheduler/src/job-progress.ts
@@ -17,11 +17,19 @@
 const stepProgress = (step: OpenStep): StepProgress => ({
     occurrence: step.occurrence,
     step: step.index,
-    done: step.tasks.filter(task => task.done).map(task => task.index),
+    done: doneIndexes(step),
     failures: step.tasks.filter(hasCountedFailures).map(toTaskFailures),
     checkpoints: step.tasks.filter(isResumable).map(({ index, checkpoint }) => ({ index, checkpoint })),
 });
 
+// The open tasks of a step are all of them, or none of those that are done.
+const doneIndexes = ({ doneTasks, tasks }: OpenStep): readonly number[] =>
+    doneTasks.length > 0
+        ? doneTasks.flatMap(([first, last]) =>
+              Array.from({ length: last - first + 1 }, (unused, offset) => first + offset),
+          )
+        : tasks.filter(task => task.done).map(task => task.index);
+
 const toTaskFailures = ({ index, failures, failedRuns, countedUpToRun }: Task): TaskFailures => ({
     index,
     attempts: failures,
--- a/pools/scheduler/src/open-occurrences.ts
+++ b/pools/scheduler/src/open-occurrences.ts
@@ -1,8 +1,9 @@
-import { isInRanges, mergeRanges, type NumberRanges } from "@almondusher/fleet/number-ranges";
-import { countDueOccurrences, occurrencesOf, stepIdOf, taskIdOf, type Step } from "@almondusher/jobs/job";
-import type { ExecutorId, JobId, TaskId } from "@almondusher/jobs/ids";
+import { findRange, isInRanges, mergeRanges, type NumberRanges } from "@almondusher/fleet/number-ranges";
+import { countDueOccurrences, occurrencesOf, stepIdOf, type Step } from "@almondusher/jobs/job";
+import type { JobId, TaskId } from "@almondusher/jobs/ids";
 import { isJobEnded, isOccurrenceCompleted } from "./job-progress.js";
-import { findTask, isWaiting, type OpenJob, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
+import { openFirstTasks, openTask } from "./open-tasks.js";
+import { isWaiting, type OpenJob, type OpenStep, type PoolTables, type Task } from "./pool-tables.js";
 
 /** Most waiting tasks of repeated jobs that are open in a pool while further occurrences are due. */
 export const MAX_WAITING_SCHEDULED_TASKS = 10_000;
@@ -35,9 +36,7 @@
 const skipKnownOccurrences = (open: OpenJob): number => {
     for (;;) {
         const { nextOccurrence } = open;
-        const completed = open.completedOccurrences.find(
-            ([first, last]) => first <= nextOccurrence && nextOccurrence <= last,
-        );
+        const completed = findRange(open.completedOccurrences, nextOccurrence);
         if (completed !== undefined) {
             open.nextOccurrence = completed[1] + 1;
         } else if (open.occurrences.has(nextOccurrence)) {
@@ -93,25 +92,19 @@
     job.job.steps.map((step, index) => openStep(job, occurrence, step, index));
 
 const openStep = (job: OpenJob, occurrence: number, step: Step, index: number): OpenStep => {
-    const id = stepIdOf(job.id, occurrence, index);
-    const tasks: Task[] = [];
-    const open: OpenStep = { id, job, occurrence, index, step, tasks, remaining: step.count, criticalPath: undefined };
-    tasks.push(
-        ...Array.from({ length: step.count }, (unused, taskIndex) => ({
-            id: taskIdOf(id, taskIndex),
-            step: open,
-            index: taskIndex,
-            done: false,
-            failures: 0,
-            failedRuns: new Set<number>(),
-            countedUpToRun: 0,
-            checkpoint: "",
-            givenUpAtMs: Number.NEGATIVE_INFINITY,
-            reservation: undefined,
-            runs: [],
-            failedOn: new Set<ExecutorId>(),
-        })),
-    );
+    const open: OpenStep = {
+        id: stepIdOf(job.id, occurrence, index),
+        job,
+        occurrence,
+        index,
+        step,
+        tasks: [],
+        doneTasks: [],
+        nextTask: 0,
+        remaining: step.count,
+        criticalPath: undefined,
+    };
+    openFirstTasks(open);
     return open;
 };
 
@@ -127,13 +120,14 @@
  * was due for an earlier holder of the pool lease, even if this process's clock is behind.
  */
 export const findReportedTask = (tables: PoolTables, id: TaskId): Task | undefined => {
-    const [jobId, number] = id.split(".");
+    const [jobId, number, step, index] = id.split(".");
     const job = tables.jobs.get(jobId as JobId);
     const occurrence = Number(number);
     if (job !== undefined && !job.occurrences.has(occurrence) && mayBeOpened(job, occurrence)) {
         addOccurrence(job, occurrence);
     }
-    return findTask(tables, id);
+    const open = job?.occurrences.get(occurrence)?.[Number(step)];
+    return open === undefined ? undefined : openTask(open, Number(index));
 };
 
 /** True for the number of an occurrence that the job has and that is not completed. */
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -54,7 +54,12 @@
     readonly occurrence: number;
     readonly index: number;
     readonly step: Step;
+    /** Open tasks in the order of their indexes: all, or of a large step those that are not done and may start soon. */
     readonly tasks: readonly Task[];
+    /** Tasks of a large step that are done and not open any more. */
+    doneTasks: NumberRanges;
+    /** The tasks below this index are open or done. */
+    nextTask: number;
     /** Number of tasks that are not done. */
     remaining: number;
     /** Last estimate of the time from the start of this step to the end of the job; undefined before the first one. */
@@ -372,8 +377,34 @@
     // Nearly all jobs have one occurrence, and each pass lists the steps of every job.
     occurrences.size === 1 ? (occurrences.values().next().value ?? []) : [...occurrences.values()].flat();
 
-/** Finds a task by its id; undefined unless its job is open. */
+/** Finds an open task of a step by its index. */
+export const findOpenTask = ({ tasks }: OpenStep, index: number): Task | undefined => {
+    const task = tasks[index];
+    if (task?.index === index) {
+        return task;
+    }
+    const found = tasks[findPosition(tasks, index)];
+    return found?.index === index ? found : undefined;
+};
+
+/** Position of the first task whose index is not below the given one, by bisection. */
+export const findPosition = (tasks: readonly Task[], index: number): number => {
+    let low = 0;
+    let high = tasks.length;
+    while (low < high) {
+        const middle = Math.floor((low + high) / 2);
+        if ((tasks[middle] as Task).index < index) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+};
+
+/** Finds an open task by its id; undefined unless its job is open. */
 export const findTask = (tables: PoolTables, id: TaskId): Task | undefined => {
     const [jobId, occurrence, step, index] = id.split(".");
-    return tables.jobs.get(jobId as JobId)?.occurrences.get(Number(occurrence))?.[Number(step)]?.tasks[Number(index)];
+    const open = tables.jobs.get(jobId as JobId)?.occurrences.get(Number(occurrence))?.[Number(step)];
+    return open === undefined ? undefined : findOpenTask(open, Number(index));
 };
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -2,6 +2,7 @@
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
 import { closeJob } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand } from "@almondusher/scheduler/demand";
+import { openWaitingTasks } from "@almondusher/scheduler/open-tasks";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
 import { dropPastInheritedStarts, inheritStarts, undeliveredStarts } from "@almondusher/scheduler/inherited-starts";
 import {
@@ -297,6 +298,7 @@
         pollOnceSuccessorIsPossible();
         recordLeaseHeld(tables, poolLeaseHeldAtMs(lease, context));
         admission.openOccurrences();
+        openWaitingTasks(tables);
         if (jobsLoaded && mayAct()) {
             reloadProgress();
             tickets.prefetch();
--- a/programs/dispatcher/test/fixture.ts
+++ b/programs/dispatcher/test/fixture.ts
@@ -4,7 +4,14 @@
 import type { Step } from "@almondusher/jobs/job";
 import { initialProgress } from "@almondusher/jobs/progress";
 import { admitJob } from "@almondusher/scheduler/admit-job";
-import { createPoolTables, type PoolTables } from "@almondusher/scheduler/pool-tables";
+import { openTask } from "@almondusher/scheduler/open-tasks";
+import {
+    createPoolTables,
+    stepsOf,
+    type OpenJob,
+    type PoolTables,
+    type Task,
+} from "@almondusher/scheduler/pool-tables";
 import { initialRunNumbers } from "@almondusher/scheduler/run-numbers";
 
 export const POOL = toId<PoolName>("pool-a");
@@ -81,3 +88,11 @@
         },
         0,
     );
+
+/** Opens all tasks of the open occurrences of a job, of which a scheduler opens those that may start soon. */
+export const openAllTasks = (job: OpenJob): readonly Task[] =>
+    stepsOf(job).flatMap(step =>
+        Array.from({ length: step.step.count }, (unused, index) => openTask(step, index)).filter(
+            task => task !== undefined,
+        ),
+    );
--- a/programs/dispatcher/test/large-jobs.test.ts
+++ b/programs/dispatcher/test/large-jobs.test.ts
@@ -10,10 +10,11 @@
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { progressOf } from "@almondusher/scheduler/job-progress";
 import { closeCompletedOccurrences, openDueOccurrences } from "@almondusher/scheduler/open-occurrences";
+import { markTasksDone, openTask } from "@almondusher/scheduler/open-tasks";
 import { stepsOf, type OpenJob, type Task } from "@almondusher/scheduler/pool-tables";
 import fc from "fast-check";
 import { encodeWrite } from "../src/jobs/progress-batches.js";
-import { emptyTables, POOL } from "./fixture.js";
+import { emptyTables, openAllTasks, POOL } from "./fixture.js";
 
 // The size of a row that the platform's store takes.
 const MAX_ROW_BYTES = 65_536;
@@ -61,7 +62,28 @@
     return open;
 };
 
-const tasksOf = (open: OpenJob): readonly Task[] => stepsOf(open).flatMap(({ tasks }) => tasks);
+const countRemaining = (open: OpenJob): number => stepsOf(open).reduce((sum, { remaining }) => sum + remaining, 0);
+
+/** Marks a share of the tasks of each step as done, drawn at random. */
+const markShareDone = (open: OpenJob, share: number, random: () => number): void =>
+    stepsOf(open).forEach(step =>
+        markTasksDone(
+            step,
+            Array.from({ length: step.step.count }, (unused, index) => index).filter(() => random() < share),
+        ),
+    );
+
+/** Up to so many tasks that are not done. */
+const takeNotDone = (open: OpenJob, count: number): readonly Task[] => {
+    const tasks: Task[] = [];
+    stepsOf(open).forEach(step => {
+        for (let index = 0; index < step.step.count && tasks.length < count; index++) {
+            const task = openTask(step, index);
+            tasks.push(...(task === undefined || task.done ? [] : [task]));
+        }
+    });
+    return tasks;
+};
 
 /** Numbers from 0 to 1 that depend on the seed alone. */
 const createRandom = (seed: number): (() => number) => {
@@ -84,7 +106,7 @@
     const bytes = Buffer.byteLength(value);
     assert.ok(bytes <= MAX_ROW_BYTES, `a row of ${bytes} bytes`);
     const reloaded = admit(decodeJob(encodeJob(job)), decodeProgress(value));
-    assert.equal(tasksOf(reloaded).filter(({ done }) => done).length, tasksOf(open).filter(({ done }) => done).length);
+    assert.equal(countRemaining(reloaded), countRemaining(open));
     assert.deepEqual(progressOf(reloaded), progressOf(open));
 };
 
@@ -99,16 +121,9 @@
                 assert.ok(countTasks(job.steps, job.schedule) <= MAX_TASKS);
                 const open = admit(job, { state: "running", steps: [] });
                 const random = createRandom(seed);
-                stepsOf(open).forEach(step =>
-                    step.tasks.forEach(task => {
-                        if (random() < share) {
-                            task.done = true;
-                            step.remaining--;
-                        }
-                    }),
-                );
-                const notDone = tasksOf(open).filter(({ done }) => !done);
-                notDone.slice(0, 1000).forEach(task => {
+                markShareDone(open, share, random);
+                const notDone = takeNotDone(open, 1000);
+                notDone.forEach(task => {
                     task.failures = 1;
                     task.failedRuns.add(2 ** 40 + Math.floor(random() * 65_536));
                 });
@@ -133,21 +148,14 @@
         const job = toJob(jobSize);
         const open = admit(job, { state: "running", steps: [] });
         const random = createRandom(7);
-        stepsOf(open).forEach(step =>
-            step.tasks.forEach(task => {
-                if (random() < 0.5) {
-                    task.done = true;
-                    step.remaining--;
-                }
-            }),
-        );
+        markShareDone(open, 0.5, random);
         reloadAndCompare(job, open);
     });
 });
 
 test("a job in a final state is stored without its tasks", () => {
     const open = admit(toJob({ tasks: 10, steps: 1, occurrences: 1 }), { state: "running", steps: [] });
-    tasksOf(open).forEach(task => (task.done = true));
+    openAllTasks(open).forEach(task => (task.done = true));
     open.state = "completed";
     assert.equal(encodeWrite(open, { withCheckpoints: true }).value, encodeProgress({ state: "completed", steps: [] }));
 });
--- a/programs/dispatcher/test/progress-writer.test.ts
+++ b/programs/dispatcher/test/progress-writer.test.ts
@@ -13,7 +13,7 @@
 import type { Executor, OpenJob } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/process/dispatcher-context.js";
 import { createProgressWriter, type ProgressWriter } from "../src/jobs/progress-writer.js";
-import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
+import { POOL, STEP, emptyTables, executorRecord, openAllTasks } from "./fixture.js";
 
 const TIMEOUT_MS = 3000;
 // Longer than the writer pauses between two attempts.
@@ -203,9 +203,7 @@
     const [a] = executors;
     const jobs = Array.from({ length: 40 }, (unused, index) => addJob(index + 1, 600));
     // A checkpoint of 64 characters for each of 600 tasks makes rows of about 40 kB.
-    jobs.forEach(job =>
-        job.occurrences.get(0)?.[0]?.tasks.forEach(task => (task.checkpoint = incompressible(task.id))),
-    );
+    jobs.forEach(job => openAllTasks(job).forEach(task => (task.checkpoint = incompressible(task.id))));
     jobs.forEach(job => end(a, job));
     await waitUntil(() => a.lastStoredEnd === 40);
     assert.ok(transactions.some(({ writes }) => writes.some(({ value }) => value.length > 38_000)));
@@ -221,7 +219,7 @@
     );
     const [a] = executors;
     const job = addJob(1, 2000);
-    job.occurrences.get(0)?.[0]?.tasks.forEach(task => (task.checkpoint = incompressible(task.id)));
+    openAllTasks(job).forEach(task => (task.checkpoint = incompressible(task.id)));
     end(a, job);
     await waitUntil(() => a.lastStoredEnd === 1);
     end(a, job, { index: 1 });
--- a/programs/dispatcher/test/waiting-log.test.ts
+++ b/programs/dispatcher/test/waiting-log.test.ts
@@ -6,6 +6,7 @@
 import { initialProgress } from "@almondusher/jobs/progress";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
+import { openWaitingTasks } from "@almondusher/scheduler/open-tasks";
 import { recordLeaseHeld, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import { addRun } from "@almondusher/scheduler/run-table";
 import type { UnusableCause } from "@almondusher/scheduler/executor-usability";
@@ -60,6 +61,8 @@
     };
     const admitted = { job, progress: initialProgress, progressVersion: 1, arrivedAtMs: 0, readAtMs: 0 };
     admitJob(tables, { ...admitted, inherited: false }, 0);
+    // As each pass does.
+    openWaitingTasks(tables);
 };
 
 test("a task that waits with room is logged with its reason after 3 s, then at doubled times", () => {
