Store the terms of a queue with its jobs, so that they outlive its removal

Cause: a job kept only the name of its queue. Attempts, advice, priority, stretch and grace were looked up among the queues that the process had seen, with a different default at each place for a queue it had not.

One function resolves them: the configuration in use while it has the queue in the job's pool, otherwise the row. A holder forgets removed queues, so that old and new processes agree. Jobs of earlier versions have unknown terms, which the types tell: they come last, and a task that has failed waits for its queue. A start rejected for want of a ticket makes its queue advised. Jobs whose read failures use up their attempts end as failed at once (related path: a third start after each of two holders had counted one of two failures).

Why it works: what decides depends on the store and the configuration in use alone, which every process reads.

--- a/bench/system/src/job-deployment.ts
+++ b/bench/system/src/job-deployment.ts
@@ -5,7 +5,12 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
-import { startExecutorStandIn, type ExecutorStandIn } from "@almondusher/job-platform-stand-in/executor";
+import type { AdviceStandIn } from "@almondusher/job-platform-stand-in/advice";
+import {
+    startExecutorStandIn,
+    type ExecutorStandIn,
+    type ExecutorStandInOptions,
+} from "@almondusher/job-platform-stand-in/executor";
 import type { GangRuns } from "@almondusher/job-platform-stand-in/gang-runs";
 import type { NarrowPath } from "@almondusher/job-platform-stand-in/narrow-path";
 import { startStoreStandIn, type StoreStandIn } from "@almondusher/job-platform-stand-in/store";
@@ -81,6 +86,10 @@
     readonly configuration?: object;
     /** File of a bundled dispatcher to run; the sources are run if undefined. */
     readonly program?: string | undefined;
+    /** How a run that has worked for its time ends; `done` if undefined. */
+    readonly outcomeOf?: ExecutorStandInOptions["outcomeOf"];
+    /** Chooses the executors of advised queues; a start of such a queue's task must carry its ticket. */
+    readonly advice?: { readonly service: AdviceStandIn; readonly isAdvised: (task: string) => boolean };
     /** Resources of each dispatcher process; unlimited if undefined. */
     readonly limits?: ProcessLimits;
 }
@@ -116,8 +125,11 @@
     store.put("op", "config", options.configuration ?? jobConfiguration());
     const executors: ExecutorStandIn[] = [];
     const startExecutor = async (id: string, vm: string): Promise<ExecutorStandIn> => {
-        const { runMs, path, gangs } = options;
-        const started = await startExecutorStandIn({ store, id, vm, service: JOB_POOL, runMs, path, gangs });
+        const { runMs, path, gangs, outcomeOf, advice } = options;
+        const ticketOf = (task: string, executor: string): string | undefined =>
+            advice?.isAdvised(task) === true ? advice.service.ticketOf(task, executor) : undefined;
+        const work = { runMs, path, gangs, outcomeOf, ticketOf };
+        const started = await startExecutorStandIn({ ...work, store, id, vm, service: JOB_POOL });
         executors.push(started);
         return started;
     };
@@ -149,6 +161,7 @@
             storeAddress,
             vmServiceAddress: vms.address,
             enforcesFencing: options.vmService?.enforcesFencing ?? true,
+            adviceAddress: options.advice?.service.address ?? "",
             capacity,
         });
         dispatchers.push(started);
@@ -362,6 +375,7 @@
     readonly storeAddress: string;
     readonly vmServiceAddress: string;
     readonly enforcesFencing: boolean;
+    readonly adviceAddress: string;
     readonly capacity: DispatcherCapacity;
 }
 
@@ -373,6 +387,7 @@
     storeAddress,
     vmServiceAddress,
     enforcesFencing,
+    adviceAddress,
     capacity,
 }: DispatcherSpawn): Promise<DeployedDispatcher> => {
     const [entryPort, readyPort, metricsPort] = await freePorts(3);
@@ -387,7 +402,7 @@
         storeAddress,
         vmServiceAddress,
         vmOrderFencing: enforcesFencing ? "enforced" : "not-enforced",
-        adviceAddress: "",
+        adviceAddress,
         ...capacity,
         processorSpeed: 1,
         stopGraceSeconds: 6,
--- a/domain/jobs/src/configuration.ts
+++ b/domain/jobs/src/configuration.ts
@@ -1,29 +1,16 @@
 import type { PoolName } from "@almondusher/fleet/ids";
 import type { KeyDigest, QueueName, TenantName } from "./ids.js";
 import type { Resources } from "./job.js";
-
-/** Timing of the external advice service of a queue, if such a service chooses the executors for the tasks. */
-export interface AdviceTiming {
-    readonly decideMs: number;
-    readonly perExecutorMs: number;
-    readonly validMs: number;
-}
+import type { QueueTerms } from "./queue-terms.js";
 
 /** A queue of jobs. */
-export interface Queue {
+export interface Queue extends QueueTerms {
     readonly name: QueueName;
     readonly host: string;
     /** Path prefix before the job id, with a trailing slash. */
     readonly prefix: string;
     readonly pool: PoolName;
-    /** 0 is the most urgent. */
-    readonly priority: number;
-    readonly maxAttempts: number;
-    /** A job is on time if it completes within this multiple of its critical path plus `graceMs`. */
-    readonly stretch: number;
-    readonly graceMs: number;
     readonly timeoutMs: number;
-    readonly advice: AdviceTiming | undefined;
     /** True if calls need no key, also where the configuration has tenants. */
     readonly isPublic: boolean;
 }
--- a/domain/jobs/src/job.ts
+++ b/domain/jobs/src/job.ts
@@ -1,5 +1,6 @@
 import type { PoolName } from "@almondusher/fleet/ids";
 import type { JobId, QueueName, StepId, TaskId, TenantName } from "./ids.js";
+import type { QueueTerms } from "./queue-terms.js";
 
 /** Resources of an executor or of a task. */
 export interface Resources {
@@ -55,6 +56,11 @@
     readonly queue: QueueName;
     /** The pool of the queue when the job was accepted. */
     readonly pool: PoolName;
+    /**
+     * Terms of the queue when the job was accepted, which apply once the configuration has the queue no more. Undefined for
+     * jobs that earlier versions have stored.
+     */
+    readonly terms: QueueTerms | undefined;
     /** Undefined if the job was submitted without a key, and for jobs that earlier versions have stored. */
     readonly tenant: TenantName | undefined;
     /** Text for the executors; not interpreted by the system. */
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -42,6 +42,14 @@
     disruptionBudget: z.int().optional(),
 });
 
+const terms = z.object({
+    priority: z.number(),
+    maxAttempts: z.int(),
+    stretch: z.number(),
+    graceMs: z.number(),
+    advice: z.object({ decideMs: z.number(), perExecutorMs: z.number(), validMs: z.number() }).optional(),
+});
+
 const storedJob = z.object({
     format: z.literal(FORMAT),
     job: z
@@ -51,6 +59,8 @@
             pool: z.string(),
             // Absent in rows of jobs without a tenant and of earlier versions, which ignore it.
             tenant: z.string().optional(),
+            // Absent in rows of earlier versions, which ignore it. A job whose terms are damaged is not lost: it has none.
+            terms: terms.optional().catch(undefined),
             spec: z.string(),
             steps: z
                 .array(step)
--- a/domain/jobs/test/stored-rows.test.ts
+++ b/domain/jobs/test/stored-rows.test.ts
@@ -3,7 +3,7 @@
 import { deflateRawSync } from "node:zlib";
 import { hasCode } from "@almondusher/fleet/fleet-error";
 import type { Progress } from "@almondusher/jobs/progress";
-import { decodeJob, decodeProgress, encodeProgress } from "@almondusher/jobs/stored-rows";
+import { decodeJob, decodeProgress, encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import fc from "fast-check";
 
 const index = fc.nat(100);
@@ -120,6 +120,34 @@
     );
 });
 
+const TERMS = {
+    priority: 1,
+    maxAttempts: 3,
+    stretch: 1.6,
+    graceMs: 600,
+    advice: { decideMs: 20, perExecutorMs: 1, validMs: 3000 },
+};
+
+test("the terms of a job are unchanged after encoding and decoding, also without advice", () => {
+    [TERMS, { ...TERMS, advice: undefined }].forEach(terms => {
+        const job = decodeJob(encodeJob({ ...decodeJob(jobText({})), terms }));
+        assert.deepEqual(job.terms, JSON.parse(JSON.stringify(terms)));
+    });
+});
+
+test("a job without terms, or with damaged ones, is not lost", () => {
+    [{}, { terms: [] }, { terms: {} }, { terms: { ...TERMS, maxAttempts: "3" } }, { terms: 7 }].forEach(change => {
+        const job = decodeJob(jobText(change));
+        assert.equal(job.terms, undefined, JSON.stringify(change));
+        assert.equal(job.steps.length, 2);
+    });
+});
+
+test("the terms add at most 160 bytes to the row of a job", () => {
+    const withTerms = encodeJob({ ...decodeJob(jobText({})), terms: TERMS });
+    assert.ok(withTerms.length - encodeJob(decodeJob(jobText({}))).length <= 160, `${withTerms.length}`);
+});
+
 test("stored progress with negative numbers is rejected", () => {
     const empty = { occurrence: 0, step: 0, done: [], failures: [], checkpoints: [] };
     const odd: readonly object[] = [
--- a/pools/scheduler/src/admit-job.ts
+++ b/pools/scheduler/src/admit-job.ts
@@ -1,8 +1,9 @@
 import type { Job } from "@almondusher/jobs/job";
 import { isFinal, type Progress, type StepProgress, type TaskFailures } from "@almondusher/jobs/progress";
 import type { JobId } from "@almondusher/jobs/ids";
-import { completeIfDone } from "./apply-report.js";
+import { completeIfDone, failIfExhausted } from "./apply-report.js";
 import { markStarted } from "./job-progress.js";
+import { withSharedTerms } from "./job-terms.js";
 import {
     addOccurrence,
     closeCompletedOccurrences,
@@ -11,7 +12,7 @@
     openDueOccurrences,
 } from "./open-occurrences.js";
 import { markTasksDone, openTask } from "./open-tasks.js";
-import type { OpenJob, PoolTables, Task } from "./pool-tables.js";
+import { stepsOf, type OpenJob, type PoolTables, type Task } from "./pool-tables.js";
 
 // Entries take about 100 bytes each. The limit is far above the number of jobs that finish during one read of the rows, which
 // may last for minutes if the store answers only some of the calls.
@@ -37,7 +38,7 @@
         return;
     }
     const open: OpenJob = {
-        job,
+        job: withSharedTerms(tables, job),
         id: job.id,
         queue: job.queue,
         arrivedAtMs: admitted.arrivedAtMs,
@@ -53,6 +54,7 @@
     restoreProgress(open, progress);
     // The next pass opens as many further ones as the pool may have.
     openDueOccurrences(open, wallMs, 1);
+    failIfExhausted(tables, open, openTasksOf(open));
     completeIfDone(open);
     // Last, so that a job that cannot be opened is not half open.
     tables.jobs.set(job.id, open);
@@ -88,10 +90,17 @@
         closeJob(tables, open);
         return;
     }
-    // Neither holder of the lease may have known of all tasks that are done.
+    // Neither holder of the lease may have known of all failures, and of all tasks that are done.
+    failIfExhausted(tables, open, openTasksOf(open));
     completeIfDone(open);
 };
 
+/** Ends the jobs of which a task has no attempt left under the configuration in use. */
+export const failExhaustedJobs = (tables: PoolTables): void =>
+    tables.jobs.forEach(job => failIfExhausted(tables, job, openTasksOf(job)));
+
+const openTasksOf = (job: OpenJob): readonly Task[] => stepsOf(job).flatMap(({ tasks }) => tasks);
+
 /** Removes a job whose final state is stored. */
 export const closeJob = (tables: PoolTables, { id }: OpenJob): void => {
     tables.jobs.delete(id);
--- a/pools/scheduler/src/apply-report.ts
+++ b/pools/scheduler/src/apply-report.ts
@@ -8,6 +8,7 @@
 import { closeCompletedOccurrences, findReportedTask } from "./open-occurrences.js";
 import { markDone } from "./open-tasks.js";
 import { isCompleted, isJobEnded, markStarted } from "./job-progress.js";
+import { attemptsLeft } from "./job-terms.js";
 import type { Executor, OpenJob, PoolTables, Run, Task } from "./pool-tables.js";
 import { findRun, forgetRun, giveUpRun, markForStop } from "./run-table.js";
 import { mayStillArrive } from "./undelivered-starts.js";
@@ -123,6 +124,13 @@
     }
 };
 
+/** Ends a job as failed if one of the tasks, which belong to it, has no attempt left. */
+export const failIfExhausted = (tables: PoolTables, job: OpenJob, tasks: readonly Task[]): void => {
+    if (!isJobEnded(job) && tasks.some(task => !task.done && attemptsLeft(tables, task) === "none")) {
+        endJob(job, "failed");
+    }
+};
+
 const applyEnd = (tables: PoolTables, executor: Executor, end: EndedRun, nowMs: number): AppliedEnd => {
     forgetInheritedStart(tables, executor.id, end.task, end.run);
     const task = findReportedTask(tables, end.task);
@@ -167,11 +175,8 @@
             break;
     }
     job.dirty = true;
-    const maxAttempts = tables.queues.get(job.queue)?.maxAttempts ?? 1;
-    const failures = step.gang ? Math.max(...task.step.tasks.map(member => member.failures)) : task.failures;
-    if (!isJobEnded(job) && !step.longRunning && failures >= maxAttempts && !task.done) {
-        endJob(job, "failed");
-    }
+    // A gang fails as a whole, and the failure is counted for the member that reported it.
+    failIfExhausted(tables, job, step.gang ? task.step.tasks : [task]);
     closeCompletedOccurrences(job, [task.step.occurrence]);
     completeIfDone(job);
 };
--- a/pools/scheduler/src/demand.ts
+++ b/pools/scheduler/src/demand.ts
@@ -1,7 +1,7 @@
 import type { VmId } from "@almondusher/fleet/ids";
 import type { TenantName } from "@almondusher/jobs/ids";
 import type { Resources } from "@almondusher/jobs/job";
-import { expectedRunMs, completionObjective } from "./order-steps.js";
+import { expectedRunMs, completionObjectiveMs } from "./order-steps.js";
 import { demandOf, maxOfEach } from "./resources.js";
 import { remainingRunMs } from "./remaining-time.js";
 import { isJobEnded } from "./job-progress.js";
@@ -56,15 +56,18 @@
 // The work of an arrived job is spread over this share of the time until its completion objective.
 const SPREAD_SHARE = 0.5;
 const MIN_SPREAD_MS = 800;
-// Work of jobs that already miss their objective is spread over a longer time.
+// Work of jobs that already miss their objective, or have none, is spread over a longer time.
 const LATE_SPREAD_MS = 8000;
 
 export const createDemandHistory = (): DemandHistory => ({ arrivals: [], wanted: [] });
 
 /** Records the work of an arrived job. */
 export const recordArrival = (tables: PoolTables, history: DemandHistory, job: OpenJob, nowMs: number): void => {
-    const { objectiveMs } = completionObjective(tables, job, nowMs);
-    const spreadMs = Math.max(MIN_SPREAD_MS, (objectiveMs - job.arrivedAtMs) * SPREAD_SHARE);
+    const objectiveMs = completionObjectiveMs(tables, job, nowMs);
+    const spreadMs =
+        objectiveMs === undefined
+            ? LATE_SPREAD_MS
+            : Math.max(MIN_SPREAD_MS, (objectiveMs - job.arrivedAtMs) * SPREAD_SHARE);
     const work = runToCompletionSteps(job).reduce((sum, step) => sum + remainingWork(tables, step), 0);
     history.arrivals = [
         ...history.arrivals,
@@ -174,8 +177,11 @@
 // CPU that the job needs to meet its objective, in thousandths of a core.
 const requiredCpuOf = (tables: PoolTables, job: OpenJob, nowMs: number): number => {
     const work = runToCompletionSteps(job).reduce((sum, step) => sum + remainingWork(tables, step), 0);
-    const { objectiveMs } = completionObjective(tables, job, nowMs);
-    const leftMs = objectiveMs > nowMs ? Math.max(MIN_SPREAD_MS, objectiveMs - nowMs) : LATE_SPREAD_MS;
+    const objectiveMs = completionObjectiveMs(tables, job, nowMs);
+    const leftMs =
+        objectiveMs !== undefined && objectiveMs > nowMs
+            ? Math.max(MIN_SPREAD_MS, objectiveMs - nowMs)
+            : LATE_SPREAD_MS;
     return work / leftMs;
 };
 
--- a/pools/scheduler/src/order-steps.ts
+++ b/pools/scheduler/src/order-steps.ts
@@ -1,18 +1,21 @@
 import { isWaiting, stepsOf, type OpenJob, type OpenStep, type PoolTables } from "./pool-tables.js";
 import { learnedRunMs, longestRunMs } from "./learned-times.js";
 import { isJobEnded, isReady } from "./job-progress.js";
+import { termsOf } from "./job-terms.js";
 import { stepsBeyondShare } from "./steps-beyond-share.js";
 
 /** A step that may start tasks now, with its sort criteria. */
 export interface RankedStep {
     readonly step: OpenStep;
-    /** The job would miss its objective; false for long-running steps. */
+    /** The job would miss its objective; false for long-running steps and those without an objective. */
     readonly isLate: boolean;
     readonly priority: number;
     /** Latest start of its next task for the job to be on time, in milliseconds of the monotonic clock. */
     readonly latestStartMs: number;
 }
 
+// Work of unknown priority keeps no other work waiting.
+const UNKNOWN_PRIORITY = Number.MAX_SAFE_INTEGER;
 // A job counts as late only if it would miss its objective by more than this, since run times are estimates.
 const LATE_MARGIN_MS = 100;
 const PATH_REFRESH_MS = 500;
@@ -68,11 +71,12 @@
     steps: readonly OpenStep[],
     nowMs: number,
 ): readonly RankedStep[] => {
-    const priority = tables.queues.get(job.queue)?.priority ?? 0;
+    const priority = priorityOf(tables, job);
     const isTimed = steps.some(({ step }) => !step.longRunning);
-    const objectiveMs = isTimed ? completionObjective(tables, job, nowMs).objectiveMs : 0;
+    const objectiveMs = isTimed ? completionObjectiveMs(tables, job, nowMs) : undefined;
     return steps.map(step => {
-        if (step.step.longRunning) {
+        // Without an objective, jobs are placed in the order of their arrival.
+        if (objectiveMs === undefined || step.step.longRunning) {
             return { step, isLate: false, priority, latestStartMs: job.arrivedAtMs };
         }
         const latestStartMs = objectiveMs - criticalPathMs(tables, step, nowMs);
@@ -80,16 +84,32 @@
     });
 };
 
-/** Time by which a job without a schedule must end to be on time, in milliseconds of the monotonic clock. */
-export const completionObjective = (
-    tables: PoolTables,
-    job: OpenJob,
-    nowMs: number,
-): { readonly objectiveMs: number } => {
-    const queue = tables.queues.get(job.queue);
-    const steps = job.occurrences.values().next().value ?? [];
-    const longestPathMs = Math.max(0, ...steps.map(step => criticalPathMs(tables, step, nowMs)));
-    return { objectiveMs: job.arrivedAtMs + (queue?.stretch ?? 1) * longestPathMs + (queue?.graceMs ?? 0) };
+const priorityOf = (tables: PoolTables, job: OpenJob): number => {
+    const terms = termsOf(tables, job);
+    switch (terms.kind) {
+        case "known":
+            return terms.terms.priority;
+        case "unknown":
+            return UNKNOWN_PRIORITY;
+    }
+};
+
+/**
+ * Time by which a job without a schedule must end to be on time, in milliseconds of the monotonic clock. Undefined if its
+ * terms are unknown.
+ */
+export const completionObjectiveMs = (tables: PoolTables, job: OpenJob, nowMs: number): number | undefined => {
+    const terms = termsOf(tables, job);
+    switch (terms.kind) {
+        case "known": {
+            const { stretch, graceMs } = terms.terms;
+            const steps = job.occurrences.values().next().value ?? [];
+            const longestPathMs = Math.max(0, ...steps.map(step => criticalPathMs(tables, step, nowMs)));
+            return job.arrivedAtMs + stretch * longestPathMs + graceMs;
+        }
+        case "unknown":
+            return undefined;
+    }
 };
 
 // Expected time from the start of a step to the end of the longest chain of steps that depend on it. Estimates are
--- a/pools/scheduler/src/pool-tables.ts
+++ b/pools/scheduler/src/pool-tables.ts
@@ -5,6 +5,7 @@
 import type { ExecutorId, JobId, QueueName, StepId, TaskId, TenantName } from "@almondusher/jobs/ids";
 import { createUseWindow, type UseWindow } from "@almondusher/shares/use-window";
 import type { Job, JobState, Resources, Step } from "@almondusher/jobs/job";
+import type { QueueTerms } from "@almondusher/jobs/queue-terms";
 import { createRunTimeModel, type RunTimeModel } from "@almondusher/run-times/run-time-model";
 import type { RunNumbers } from "./run-numbers.js";
 import type { StopSchedule } from "./stop-schedule.js";
@@ -292,7 +293,10 @@
     /** Most recent jobs whose final state is stored. A delayed read of their rows must not open them again. */
     readonly finished: Set<JobId>;
     readonly executors: Map<ExecutorId, Executor>;
+    /** Queues of the pool in the configuration in use. The terms of a job are found with `termsOf`. */
     readonly queues: Map<QueueName, Queue>;
+    /** Distinct terms under which jobs of the tables were accepted, by their text. */
+    readonly acceptedTerms: Map<string, QueueTerms>;
     /** Tenants of the configuration in use; empty if it has none. */
     readonly tenants: Map<TenantName, Tenant>;
     /** What tenants have used lately; not counted if the configuration has none. */
@@ -348,6 +352,7 @@
     finished: new Set(),
     executors: new Map(),
     queues: new Map(),
+    acceptedTerms: new Map(),
     tenants: new Map(),
     recentTenantUse: createUseWindow(),
     tenantGrants: new Map(),
--- a/pools/scheduler/src/start-gates.ts
+++ b/pools/scheduler/src/start-gates.ts
@@ -1,5 +1,6 @@
 import { areInheritedRunsKnown } from "./inherited-runs.js";
 import { isHeldByInheritedStart } from "./inherited-starts.js";
+import { attemptsLeft } from "./job-terms.js";
 import { isLeaseHeldSince, type OpenJob, type PoolTables, type Task } from "./pool-tables.js";
 
 /** Why no task of an inherited job may start. */
@@ -9,7 +10,8 @@
 export type JobGate = InheritedGate | "job-read-unconfirmed";
 
 /** Why a task may not start, whatever the executors have room for. */
-export type TaskGate = "done" | "run-not-ended" | "give-up-unconfirmed" | "inherited-start-possible";
+export type TaskGate =
+    "done" | "run-not-ended" | "give-up-unconfirmed" | "inherited-start-possible" | "attempts-unknown";
 
 /** Returns why the inherited jobs of the pool may not start tasks; undefined if they may. */
 export const inheritedGateOf = (tables: PoolTables, nowMs: number): InheritedGate | undefined => {
@@ -36,9 +38,11 @@
 
 /**
  * Returns why a task may not start; undefined if it may. A successor can have adopted a run that was given up after the last
- * proof that the pool lease was held.
+ * proof that the pool lease was held. A task that has failed waits while nobody knows how often it may be attempted: neither
+ * one attempt too many nor a job that is shown as failed can be taken back.
  */
-export const taskGateOf = (tables: PoolTables, { id, done, runs, givenUpAtMs }: Task): TaskGate | undefined => {
+export const taskGateOf = (tables: PoolTables, task: Task): TaskGate | undefined => {
+    const { id, done, runs, givenUpAtMs } = task;
     if (done) {
         return "done";
     }
@@ -48,7 +52,10 @@
     if (!isLeaseHeldSince(tables, givenUpAtMs)) {
         return "give-up-unconfirmed";
     }
-    return isHeldByInheritedStart(tables, id) ? "inherited-start-possible" : undefined;
+    if (isHeldByInheritedStart(tables, id)) {
+        return "inherited-start-possible";
+    }
+    return attemptsLeft(tables, task) === "unknown" ? "attempts-unknown" : undefined;
 };
 
 /** True for a waiting task of which no successor can have adopted a run. */
--- a/pools/scheduler/src/waiting-reason.ts
+++ b/pools/scheduler/src/waiting-reason.ts
@@ -1,4 +1,4 @@
-import type { ExecutorId, TaskId, TenantName } from "@almondusher/jobs/ids";
+import type { ExecutorId, QueueName, TaskId, TenantName } from "@almondusher/jobs/ids";
 import type { Resources } from "@almondusher/jobs/job";
 import { refusalOf, refusals, type Refusal, type TicketedExecutors } from "./choose-executor.js";
 import { hasRequiredLabel, unusableCauseOf, type UnusableCause } from "./executor-usability.js";
@@ -59,6 +59,8 @@
       }
     /** A start of an earlier holder may still run the task itself or a member of its gang. */
     | { readonly kind: "inherited-start-possible"; readonly member: TaskId }
+    /** The task itself or a member of its gang has failed, and its queue was removed: the operator has to add it again. */
+    | { readonly kind: "attempts-unknown"; readonly member: TaskId; readonly queue: QueueName }
     /** The tenant's runs on this pool leave too little of what it was granted of the tenant's cap. */
     | { readonly kind: "tenant-cap"; readonly tenant: TenantName; readonly limit: Resources }
     | { readonly kind: "run-numbers-exhausted"; readonly reservedUpTo: number }
@@ -164,7 +166,12 @@
         };
     }
     const held = [task, ...others].find(member => taskGateOf(tables, member) === "inherited-start-possible");
-    return held === undefined ? undefined : { kind: "inherited-start-possible", member: held.id };
+    if (held !== undefined) {
+        return { kind: "inherited-start-possible", member: held.id };
+    }
+    return taskGateOf(tables, task) === "attempts-unknown"
+        ? { kind: "attempts-unknown", member: task.id, queue: task.step.job.queue }
+        : undefined;
 };
 
 const describeRun = ({ task, executor, number, phase, startedAtMs }: Run, nowMs: number): HoldingRun => ({
--- a/pools/scheduler/test/fixture.ts
+++ b/pools/scheduler/test/fixture.ts
@@ -3,6 +3,7 @@
 import type { ExecutorId, JobId, QueueName, TenantName } from "@almondusher/jobs/ids";
 import type { Job, Schedule, Step } from "@almondusher/jobs/job";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
+import type { QueueTerms } from "@almondusher/jobs/queue-terms";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
 import type { OrderBudget } from "@almondusher/scheduler/order-budget";
@@ -96,6 +97,7 @@
     readonly schedule?: Schedule;
     readonly queue?: QueueName;
     readonly tenant?: TenantName;
+    readonly terms?: QueueTerms;
 }
 
 /** Creates the tables of a pool whose executors can start runs. */
@@ -134,7 +136,7 @@
 
 export const addJob = (
     tables: PoolTables,
-    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule, queue, tenant }: JobFixture,
+    { id, steps, progress, inherited, arrivedAtMs, readAtMs, schedule, queue, tenant, terms }: JobFixture,
 ): void => {
     const job: Job = {
         id: toId<JobId>(id),
@@ -144,6 +146,7 @@
         steps,
         schedule,
         tenant,
+        terms,
         acceptedAtMs: 0,
     };
     admitJob(
--- a/programs/dispatcher/src/entry/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -3,6 +3,7 @@
 import type { JobId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState } from "@almondusher/jobs/job";
 import { initialProgress } from "@almondusher/jobs/progress";
+import { toTerms } from "@almondusher/jobs/queue-terms";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
 import type { Row } from "@almondusher/platform-adapter/table-store";
@@ -184,6 +185,7 @@
     id,
     queue: queue.name,
     pool: queue.pool,
+    terms: toTerms(queue),
     tenant,
     spec,
     steps,
--- a/programs/dispatcher/src/executors/step-tickets.ts
+++ b/programs/dispatcher/src/executors/step-tickets.ts
@@ -1,7 +1,9 @@
-import type { AdviceTiming } from "@almondusher/jobs/configuration";
-import type { ExecutorId, StepId } from "@almondusher/jobs/ids";
+import type { Queue } from "@almondusher/jobs/configuration";
+import type { ExecutorId, QueueName, StepId } from "@almondusher/jobs/ids";
+import type { AdviceTiming } from "@almondusher/jobs/queue-terms";
 import { MAX_ADVISED_EXECUTORS, type AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { isJobEnded, isReady } from "@almondusher/scheduler/job-progress";
+import { termsOf } from "@almondusher/scheduler/job-terms";
 import { hasRoomFor } from "@almondusher/scheduler/executor-usability";
 import { isWaiting, stepsOf, type Executor, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../process/dispatcher-context.js";
@@ -11,7 +13,10 @@
     /** Returns the executors that may run the step now; undefined if the step needs no ticket. */
     readonly executorsFor: (step: OpenStep) => ReadonlySet<ExecutorId> | undefined;
     readonly ticketFor: (step: OpenStep, executor: ExecutorId) => string | undefined;
-    /** Discards the tickets of a step after an executor has rejected one. */
+    /**
+     * Discards the tickets of a step after an executor has rejected a start for want of a valid one. If the step was started
+     * without a ticket, its queue gets starts only with one from then on.
+     */
     readonly discard: (step: OpenStep) => void;
     /**
      * Asks about one step and those executors on which it needs an answer, first the ones with room for a task. Must be
@@ -65,6 +70,8 @@
 const RETRY_DELAY_MS = 200;
 // Looking for an executor without an answer costs time in each pass while all of them have one.
 const SEARCH_INTERVAL_MS = 100;
+/** Timing of the advice for queues of which only the rejections of starts have shown that they are advised. */
+const ASSUMED_TIMING: AdviceTiming = { decideMs: 1000, perExecutorMs: 10, validMs: 0 };
 
 export const createStepTickets = ({ context, client, tables, changed }: StepTicketsOptions): StepTickets => {
     const answersByStep = new Map<StepId, StepAnswers>();
@@ -72,8 +79,28 @@
     let retryAtMs = 0;
     let searchAtMs = Number.NEGATIVE_INFINITY;
 
-    const timingOf = (step: OpenStep): AdviceTiming | undefined => tables.queues.get(step.job.queue)?.advice;
-    const isAnyQueueAdvised = (): boolean => [...tables.queues.values()].some(({ advice }) => advice !== undefined);
+    /** Queues whose starts were rejected for want of a ticket, with the configuration of the queue at that time. */
+    const queuesWithRejections = new Map<QueueName, Queue | undefined>();
+
+    // Another configuration of the queue may be one without advice.
+    const isAdvisedByRejection = ({ job: { queue } }: OpenStep): boolean =>
+        queuesWithRejections.has(queue) && queuesWithRejections.get(queue) === tables.queues.get(queue);
+    const timingOf = (step: OpenStep): AdviceTiming | undefined => {
+        const terms = termsOf(tables, step.job);
+        const timing = terms.kind === "known" ? terms.terms.advice : undefined;
+        return timing ?? (isAdvisedByRejection(step) ? ASSUMED_TIMING : undefined);
+    };
+    const isAnyQueueAdvised = (): boolean =>
+        queuesWithRejections.size > 0 ||
+        [...tables.queues.values(), ...tables.acceptedTerms.values()].some(({ advice }) => advice !== undefined);
+    const learnFromRejection = (step: OpenStep): void => {
+        const { queue } = step.job;
+        if (timingOf(step) === undefined) {
+            queuesWithRejections.set(queue, tables.queues.get(queue));
+            context.metrics.count("queues_advised_by_rejection");
+            context.log("tickets-required", { queue, step: step.id, configured: tables.queues.has(queue) });
+        }
+    };
     const answersFor = (step: OpenStep): StepAnswers => {
         const known = answersByStep.get(step.id);
         if (known !== undefined) {
@@ -199,6 +226,7 @@
                 ? answersByStep.get(step.id)?.byExecutor.get(executor)?.ticket
                 : undefined,
         discard: step => {
+            learnFromRejection(step);
             const answers = answersByStep.get(step.id);
             if (answers !== undefined) {
                 [...answers.byExecutor]
--- a/programs/dispatcher/src/pool/pool-scheduler.ts
+++ b/programs/dispatcher/src/pool/pool-scheduler.ts
@@ -1,6 +1,6 @@
 import { periodic } from "most";
 import type { PoolName, VmId } from "@almondusher/fleet/ids";
-import { closeJob } from "@almondusher/scheduler/admit-job";
+import { closeJob, failExhaustedJobs } from "@almondusher/scheduler/admit-job";
 import { createDemandHistory, estimateDemand } from "@almondusher/scheduler/demand";
 import { openWaitingTasks } from "@almondusher/scheduler/open-tasks";
 import { areInheritedRunsKnown } from "@almondusher/scheduler/inherited-runs";
@@ -13,6 +13,7 @@
     type VmEvacuation,
 } from "@almondusher/scheduler/pool-tables";
 import { decodeRunTimes } from "@almondusher/run-times/run-time-state";
+import { adoptConfiguration } from "@almondusher/scheduler/job-terms";
 import { takeGivenUpRuns } from "@almondusher/scheduler/run-table";
 import { expireRuns, type AppliedEnd } from "@almondusher/scheduler/apply-report";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
@@ -255,10 +256,11 @@
     };
     const syncConfiguration = (): void => {
         const configuration = operator.configuration();
-        configuration?.queues.forEach(queue => tables.queues.set(queue.name, queue));
         if (configuration !== undefined) {
-            tables.tenants.clear();
-            configuration.tenants.forEach(tenant => tables.tenants.set(tenant.name, tenant));
+            adoptConfiguration(tables, configuration);
+            failExhaustedJobs(tables);
+            writer.request();
+            requestPass();
         }
     };
     const reloadProgress = createProgressReload({
--- a/programs/dispatcher/test/connected-executor.ts
+++ b/programs/dispatcher/test/connected-executor.ts
@@ -114,6 +114,7 @@
                 steps: [STEP],
                 schedule: undefined,
                 tenant: undefined,
+                terms: undefined,
                 acceptedAtMs: 0,
             },
             progress: initialProgress,
--- a/programs/dispatcher/test/fixture.ts
+++ b/programs/dispatcher/test/fixture.ts
@@ -78,6 +78,7 @@
                 steps: [{ ...STEP, count: tasks }],
                 schedule: undefined,
                 tenant: undefined,
+                terms: undefined,
                 acceptedAtMs: 0,
             },
             progress: initialProgress,
--- a/programs/dispatcher/test/job-feed.test.ts
+++ b/programs/dispatcher/test/job-feed.test.ts
@@ -35,6 +35,7 @@
     steps: [],
     schedule: undefined,
     tenant: undefined,
+    terms: undefined,
     acceptedAtMs: 0,
 });
 
--- a/programs/dispatcher/test/large-jobs.test.ts
+++ b/programs/dispatcher/test/large-jobs.test.ts
@@ -46,6 +46,7 @@
     pool: POOL,
     ...decodeSubmission(submissionText(size)),
     tenant: undefined,
+    terms: undefined,
     acceptedAtMs: 0,
 });
 
--- a/programs/dispatcher/test/pending-count.test.ts
+++ b/programs/dispatcher/test/pending-count.test.ts
@@ -41,6 +41,7 @@
             spec: "",
             steps: [],
             schedule: undefined,
+            terms: undefined,
             acceptedAtMs: 0,
         }),
     );
--- a/programs/dispatcher/test/pool-scheduler.test.ts
+++ b/programs/dispatcher/test/pool-scheduler.test.ts
@@ -110,6 +110,7 @@
             steps: [STEP],
             schedule: undefined,
             tenant: undefined,
+            terms: undefined,
             acceptedAtMs: 0,
         }),
     };
--- a/programs/dispatcher/test/progress-writer.test.ts
+++ b/programs/dispatcher/test/progress-writer.test.ts
@@ -71,6 +71,7 @@
             steps: [{ ...STEP, count: tasks }],
             schedule: undefined,
             tenant: undefined,
+            terms: undefined,
             acceptedAtMs: 0,
         };
         admitJob(
--- a/programs/dispatcher/test/run-orders.test.ts
+++ b/programs/dispatcher/test/run-orders.test.ts
@@ -68,6 +68,7 @@
         steps: [{ ...STEP, count: 2, gang: true }],
         schedule: undefined,
         tenant: undefined,
+        terms: undefined,
         acceptedAtMs: 0,
     };
     admitJob(
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -2,9 +2,11 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { toId } from "@almondusher/fleet/ids";
+import type { Queue } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName, StepId } from "@almondusher/jobs/ids";
 import { initialProgress } from "@almondusher/jobs/progress";
+import { toTerms, type QueueTerms } from "@almondusher/jobs/queue-terms";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
 import { admitJob } from "@almondusher/scheduler/admit-job";
 import { applyRegistry } from "@almondusher/scheduler/executor-table";
@@ -25,6 +27,21 @@
 const record = (index: number): ExecutorRecord =>
     executorRecord(executorId(index), { capacity: { cpu: 1000, memoryMb: 1000, gpu: 0 } });
 
+const ADVISED_QUEUE: Queue = {
+    name: QUEUE,
+    host: "host",
+    prefix: "/q/",
+    pool: POOL,
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 2,
+    graceMs: 500,
+    timeoutMs: 3000,
+    advice: { decideMs: 20, perExecutorMs: 1, validMs: VALID_MS },
+    isPublic: false,
+};
+const PLAIN_QUEUE: Queue = { ...ADVISED_QUEUE, advice: undefined };
+
 interface AdvisedPool {
     readonly tables: PoolTables;
     readonly tickets: StepTickets;
@@ -34,8 +51,29 @@
     /** Makes the calls that are due, one after another, each of which takes the same time. */
     readonly ask: (calls: number) => Promise<void>;
     readonly pass: (ms: number) => void;
+    /** Events of the log lines. */
+    readonly logged: readonly string[];
 }
 
+const admit = (tables: PoolTables, id: string, terms: QueueTerms | undefined): void => {
+    const job = {
+        id: toId<JobId>(id),
+        queue: QUEUE,
+        pool: POOL,
+        spec: "",
+        steps: [STEP],
+        schedule: undefined,
+        tenant: undefined,
+        terms,
+        acceptedAtMs: 0,
+    };
+    admitJob(
+        tables,
+        { job, progress: initialProgress, progressVersion: 1, arrivedAtMs: 0, readAtMs: 0, inherited: false },
+        0,
+    );
+};
+
 /** A pool of executors whose policy allows those with the given indexes, with a job of one task for each id. */
 const createAdvisedPool = (
     executors: number,
@@ -43,19 +81,7 @@
     jobs: readonly string[] = ["j1"],
 ): AdvisedPool => {
     const tables = emptyTables();
-    tables.queues.set(QUEUE, {
-        name: QUEUE,
-        host: "host",
-        prefix: "/q/",
-        pool: POOL,
-        priority: 0,
-        maxAttempts: 2,
-        stretch: 2,
-        graceMs: 500,
-        timeoutMs: 3000,
-        advice: { decideMs: 20, perExecutorMs: 1, validMs: VALID_MS },
-        isPublic: false,
-    });
+    tables.queues.set(QUEUE, ADVISED_QUEUE);
     tables.isProgressCurrent = true;
     recordLeaseHeld(tables, Infinity);
     applyRegistry(
@@ -67,26 +93,11 @@
         executor.reconciled = true;
         executor.listedInLease = true;
     });
-    jobs.forEach(id => {
-        const job = {
-            id: toId<JobId>(id),
-            queue: QUEUE,
-            pool: POOL,
-            spec: "",
-            steps: [STEP],
-            schedule: undefined,
-            tenant: undefined,
-            acceptedAtMs: 0,
-        };
-        admitJob(
-            tables,
-            { job, progress: initialProgress, progressVersion: 1, arrivedAtMs: 0, readAtMs: 0, inherited: false },
-            0,
-        );
-    });
+    jobs.forEach(id => admit(tables, id, undefined));
     let nowMs = 0;
     let inFlight = 0;
     const calls: AdvisedPool["calls"][number][] = [];
+    const logged: string[] = [];
     const client: AdviceClient = {
         advise: (step, ids) => {
             inFlight++;
@@ -108,7 +119,7 @@
         context: {
             monotonicMs: () => nowMs,
             metrics: { count: () => undefined },
-            log: () => undefined,
+            log: (event: string) => logged.push(event),
         } as unknown as DispatcherContext,
         client,
         tables,
@@ -118,6 +129,7 @@
         tables,
         tickets,
         calls,
+        logged,
         nowMs: () => nowMs,
         pass: ms => void (nowMs += ms),
         ask: async count => {
@@ -262,3 +274,55 @@
     assert.equal(pool.calls.length, 2);
     assert.equal(pool.tickets.executorsFor(firstStep(pool))?.size, 1);
 });
+
+// A scheduler that had never seen the queue sent each start without a ticket, and executors rejected thousands of them.
+test("a job of a removed queue is started with tickets if the queue was advised when the job was accepted", async () => {
+    const pool = createAdvisedPool(3, index => index === 1, []);
+    pool.tables.queues.clear();
+    admit(pool.tables, "j1", toTerms(ADVISED_QUEUE));
+    assert.equal(pool.tickets.executorsFor(firstStep(pool))?.size, 0);
+    assert.deepEqual(place(pool), []);
+    await pool.ask(2);
+    assert.deepEqual(place(pool), ["i-1"]);
+});
+
+test("a job of a removed queue that was not advised needs no tickets", async () => {
+    const pool = createAdvisedPool(3, () => true, []);
+    pool.tables.queues.clear();
+    admit(pool.tables, "j1", toTerms(PLAIN_QUEUE));
+    await pool.ask(2);
+    assert.equal(pool.calls.length, 0);
+    assert.equal(place(pool).length, 1);
+});
+
+const missingAdvice = [
+    { name: "of unknown terms", terms: undefined },
+    { name: "that was accepted before its queue was advised", terms: toTerms(PLAIN_QUEUE) },
+];
+
+missingAdvice.forEach(({ name, terms }) => {
+    test(`a job of a removed queue, ${name}, waits for tickets once a start was rejected for want of one`, async () => {
+        const pool = createAdvisedPool(3, index => index === 1, []);
+        pool.tables.queues.clear();
+        admit(pool.tables, "j1", terms);
+        admit(pool.tables, "j2", terms);
+        assert.equal(pool.tickets.executorsFor(firstStep(pool)), undefined, "nothing says that the queue is advised");
+        const steps = [...pool.tables.jobs.values()].flatMap(stepsOf);
+        steps.forEach(pool.tickets.discard);
+        steps.forEach(pool.tickets.discard);
+        assert.deepEqual(pool.logged, ["tickets-required"]);
+        steps.forEach(step => assert.equal(pool.tickets.executorsFor(step)?.size, 0));
+        assert.deepEqual(place(pool), []);
+        await pool.ask(3);
+        assert.deepEqual(place(pool), ["i-1"]);
+    });
+});
+
+test("what a rejection has shown of a queue holds no longer once another configuration of the queue is in use", () => {
+    const pool = createAdvisedPool(3, () => true);
+    pool.tables.queues.clear();
+    pool.tickets.discard(firstStep(pool));
+    assert.equal(pool.tickets.executorsFor(firstStep(pool))?.size, 0);
+    pool.tables.queues.set(QUEUE, PLAIN_QUEUE);
+    assert.equal(pool.tickets.executorsFor(firstStep(pool)), undefined);
+});
--- a/programs/dispatcher/test/tenant-caps.test.ts
+++ b/programs/dispatcher/test/tenant-caps.test.ts
@@ -155,6 +155,7 @@
                         steps: [{ ...STEP, demand: cores(1), count: TASKS }],
                         schedule: undefined,
                         tenant: TENANT,
+                        terms: undefined,
                         acceptedAtMs: 0,
                     },
                     progress: initialProgress,
--- a/programs/dispatcher/test/waiting-log.test.ts
+++ b/programs/dispatcher/test/waiting-log.test.ts
@@ -57,6 +57,7 @@
         steps: [{ ...STEP, count }],
         schedule: undefined,
         tenant: undefined,
+        terms: undefined,
         acceptedAtMs: 0,
     };
     const admitted = { job, progress: initialProgress, progressVersion: 1, arrivedAtMs: 0, readAtMs: 0 };
@@ -170,6 +171,7 @@
     "job-read-unconfirmed": true,
     "give-up-unconfirmed": true,
     "inherited-start-possible": true,
+    "attempts-unknown": true,
     "tenant-cap": true,
     "no-label": true,
     "no-usable-executor": true,
--- a/stand-ins/job-platform/src/executor.ts
+++ b/stand-ins/job-platform/src/executor.ts
@@ -74,6 +74,8 @@
     readonly restartedAtMs: readonly number[];
     /** Number of run ends that no scheduler has acknowledged. */
     readonly unacknowledgedEnds: () => number;
+    /** Number of starts that were rejected for want of a valid ticket. */
+    readonly rejectedTickets: () => number;
     /** Highest CPU capacity that was in use at one time. */
     readonly peakCpu: () => number;
     /**
@@ -104,6 +106,10 @@
     readonly gangs?: GangRuns | undefined;
     /** Path that carries the requests to this executor; unlimited if undefined. */
     readonly path?: NarrowPath | undefined;
+    /** How a run that has worked for its time ends; `done` if undefined. */
+    readonly outcomeOf?: ((task: string) => "done" | "failed") | undefined;
+    /** Ticket that a start of the task must carry; none if undefined. */
+    readonly ticketOf?: ((task: string, executor: string) => string | undefined) | undefined;
 }
 
 interface ExecutorRun extends StartedRun {
@@ -127,6 +133,7 @@
     spec: z.string(),
     until_ms: z.number(),
     fence_token: z.number(),
+    ticket: z.string().optional(),
 });
 const tokenSchema = z.object({ fence_token: z.number() });
 const stopSchema = z.object({ task: z.string(), run: z.number(), fence_token: z.number() });
@@ -153,6 +160,7 @@
 /** Starts an executor, registers it in the store and keeps renewing the registration. */
 export const startExecutorStandIn = async (options: ExecutorStandInOptions): Promise<ExecutorStandIn> => {
     const { store, id, service, runMs, cpu = DEFAULT_CPU, path, vm = `vm-${id}`, gangs } = options;
+    const { outcomeOf = () => "done", ticketOf = () => undefined } = options;
     const started: ExecutorRun[] = [];
     const restartedAtMs: number[] = [];
     /** Highest run number that was started or stopped, by task. A start must name a higher one. */
@@ -171,6 +179,7 @@
     let clockStartMs = performance.now();
     let sequenceNumber = 0;
     let peakCapacity = 0;
+    let rejectedTickets = 0;
     let fault: ExecutorFault = { kind: "none" };
     let state: ExecutorStatus["state"] = "ready";
     let stateSinceMs = performance.now();
@@ -221,7 +230,10 @@
         }
         const durationMs = fault.kind === "fails" ? 1 : runMs(run.task);
         if (Number.isFinite(durationMs)) {
-            run.timer = setTimeout(() => endRun(run, fault.kind === "fails" ? "failed" : "done"), durationMs);
+            run.timer = setTimeout(
+                () => endRun(run, fault.kind === "fails" ? "failed" : outcomeOf(run.task)),
+                durationMs,
+            );
         }
     };
     const beginRun = (task: string, number: number, arrival: OrderArrival): void => {
@@ -244,7 +256,7 @@
     };
     const reject = (reason: string): JsonReply => reply(409, { ...clockFields(), reason });
     const handleStart = (body: unknown, arrival: OrderArrival): JsonReply => {
-        const { task, run, until_ms: untilMs, fence_token: fencingToken } = startSchema.parse(body);
+        const { task, run, until_ms: untilMs, fence_token: fencingToken, ticket } = startSchema.parse(body);
         if (fencingToken < highestToken) {
             return reject("fence");
         }
@@ -259,6 +271,10 @@
         if (run <= (highestRuns.get(task) ?? 0)) {
             return reject("old");
         }
+        if (ticketOf(task, id) !== undefined && ticket !== ticketOf(task, id)) {
+            rejectedTickets++;
+            return reject("ticket");
+        }
         beginRun(task, run, arrival);
         return reply(200, clockFields());
     };
@@ -452,6 +468,7 @@
         restartedAtMs,
         setFault: next => (fault = next),
         unacknowledgedEnds: () => ends.length,
+        rejectedTickets: () => rejectedTickets,
         peakCpu: () => peakCapacity,
         restart,
         drain: async (remainingMs, pauseMs) => {
--- a/stand-ins/job-platform/src/gang-runs.ts
+++ b/stand-ins/job-platform/src/gang-runs.ts
@@ -1,4 +1,4 @@
-import { gangOf } from "./task-name.js";
+import { stepOf } from "./task-name.js";
 
 /** A run as its gang knows it. */
 interface GangRun {
@@ -31,7 +31,7 @@
 
 export const createGangRuns = ({ sizeOf, runMs }: GangRunsOptions): GangRuns => {
     const gangs = new Map<string, Gang>();
-    const keyOf = ({ task, run }: GangRun): string => `${gangOf(task)} ${run}`;
+    const keyOf = ({ task, run }: GangRun): string => `${stepOf(task)} ${run}`;
     const endAll = (key: string, how: string): void => {
         const gang = gangs.get(key);
         gangs.delete(key);
--- a/stand-ins/job-platform/src/store.ts
+++ b/stand-ins/job-platform/src/store.ts
@@ -29,6 +29,11 @@
     /** Writes a row in the part "" whose value is the given text, which need not be JSON. */
     readonly putText: (table: string, key: string, text: string) => void;
     readonly remove: (table: string, key: string) => void;
+    /** Changes the value of a row as if it had been written so in the first place: its version stays, and no follower hears of it. */
+    readonly amend: (
+        row: { readonly table: string; readonly part: string; readonly key: string },
+        value: unknown,
+    ) => void;
     /** Returns the rows of a table with decoded values. */
     readonly rows: (table: string) => readonly StoredRow[];
     /** Drops the change history, so that followers get 410 and must read the table again. */
@@ -225,6 +230,12 @@
             write({ table, part: "", key }, undefined);
             wakeFollowers();
         },
+        amend: (row, value) => {
+            const found = findRow(row);
+            if (found !== undefined) {
+                rows.set(rowId(row), { ...found, value: Buffer.from(JSON.stringify(value)).toString("base64") });
+            }
+        },
         rows: table =>
             [...rows.values()]
                 .filter(row => row.table === table && !row.tombstone)
--- a/stand-ins/job-platform/src/task-name.ts
+++ b/stand-ins/job-platform/src/task-name.ts
@@ -11,5 +11,5 @@
     return { job, step: Number(step) };
 };
 
-/** Name of the gang of a task: the name without its index. */
-export const gangOf = (task: string): string => task.slice(0, task.lastIndexOf("."));
+/** Name of the step of a task, which a gang shares: the name without its index. */
+export const stepOf = (task: string): string => task.slice(0, task.lastIndexOf("."));
