--- a/bench/system/src/play-removals.ts
+++ b/bench/system/src/play-removals.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { findScheduler, jobConfiguration } from "./job-deployment.js";
+import { findScheduler } from "./job-deployment.js";
 import { startHolderFault, type FaultOptions, type PlayedFault } from "./play-fault.js";
 
 // Jobs are accepted meanwhile.
@@ -40,11 +40,13 @@
     const removedMs = draw(0, REMOVED_MAX_MS);
     await sleep(removedMs);
     write(configured.version + 2, {});
-    await Promise.all(heals.map(heal => heal()));
+    await Promise.all(heals.map(async heal => heal()));
     return {
         description: ["queue removed", ...kinds, `added again ${removedMs} ms later`].join(", "),
         kinds: ["queue-removal", ...kinds],
     };
 };
 
-type ConfigurationRow = ReturnType<typeof jobConfiguration> & { readonly version: number };
+interface ConfigurationRow {
+    readonly version: number;
+}
