Keep a job whose cancel was answered with 410 from being accepted later

Cause: the cancel of a job that is not stored wrote nothing, so nothing kept a submission under way from being stored.

Change: such a cancel stores a progress row that is marked as never accepted, on the condition that the job's rows are absent, before 410 is answered. A submission expects that row to be absent, so it conflicts whoever stores it and however late, also one of an earlier version; it gets 503. A cancellation row in the same transaction tells the pool's scheduler to remove both after the retention time.

--- a/domain/jobs/src/progress.ts
+++ b/domain/jobs/src/progress.ts
@@ -39,6 +39,8 @@
     readonly steps: readonly StepProgress[];
     /** Occurrences of a repeated job all of whose tasks are done; none if absent. */
     readonly completedOccurrences?: NumberRanges | undefined;
+    /** True for a job that was cancelled before it was accepted, so that a submission that arrives later is not accepted. */
+    readonly neverAccepted?: true | undefined;
 }
 
 /** True for the progress of a job in a final state, which never changes. */
@@ -47,3 +49,6 @@
 
 /** The progress of a job that was just accepted. */
 export const initialProgress: Progress = { state: "queued", steps: [] };
+
+/** The progress of a job that was cancelled before it was accepted. Earlier versions read it as that of a cancelled job. */
+export const neverAcceptedProgress: Progress = { state: "cancelled", steps: [], neverAccepted: true };
--- a/domain/jobs/src/stored-rows.ts
+++ b/domain/jobs/src/stored-rows.ts
@@ -110,7 +110,10 @@
     );
 
 const storedProgress = z.discriminatedUnion("format", [
-    z.object({ format: z.literal(FORMAT), progress: z.object({ state, steps }) }),
+    z.object({
+        format: z.literal(FORMAT),
+        progress: z.object({ state, steps, neverAccepted: z.literal(true).optional() }),
+    }),
     z.object({
         format: z.literal(COMPACT_FORMAT),
         progress: z.object({ state, steps: expandedSteps.pipe(steps) }),
@@ -133,7 +136,7 @@
 
 /** Encodes the progress of a job for the store; that of a large job or one with completed occurrences is compressed. */
 export const encodeProgress = (progress: Progress): string => {
-    const { state, steps, completedOccurrences = [] } = progress;
+    const { state, steps, completedOccurrences = [], neverAccepted } = progress;
     if (completedOccurrences.length > 0) {
         return JSON.stringify({
             format: OCCURRENCES_FORMAT,
@@ -142,7 +145,7 @@
     }
     return JSON.stringify(
         plainBytes(progress) <= MAX_PLAIN_PROGRESS_BYTES
-            ? { format: FORMAT, progress: { state, steps } }
+            ? { format: FORMAT, progress: { state, steps, neverAccepted } }
             : { format: COMPACT_FORMAT, progress: compactProgress(progress) },
     );
 };
--- a/programs/dispatcher/src/entry/entry-server.ts
+++ b/programs/dispatcher/src/entry/entry-server.ts
@@ -7,6 +7,7 @@
 import { createErrorReporter } from "../process/contain-errors.js";
 import { guardClients } from "../process/guard-clients.js";
 import type { DispatcherContext } from "../process/dispatcher-context.js";
+import { createCancellationMarks, type CancellationMarks } from "./cancellation-marks.js";
 import { cancelJob, readJobState, submitJob, type JobCallResult, type JobCall } from "./job-api.js";
 import type { OperatorFeed } from "../operator/operator-feed.js";
 import type { CountedJobs } from "./pending-count.js";
@@ -31,6 +32,7 @@
     const { context } = options;
     const reportError = createErrorReporter({ context, part: "entry" });
     const countTenantCall = createTenantCallCounter(context.metrics);
+    const marks = createCancellationMarks(context);
     const server = createServer();
     const guard = guardClients(server, {
         context,
@@ -41,7 +43,7 @@
         "request",
         guard.inTurn((request, response) => {
             const startedMs = context.monotonicMs();
-            handleRequest({ ...options, guard, countTenantCall }, request, response, startedMs).catch(
+            handleRequest({ ...options, guard, countTenantCall, marks }, request, response, startedMs).catch(
                 (error: unknown) => {
                     reportError(error);
                     if (!response.headersSent) {
@@ -58,6 +60,7 @@
 interface Entry extends EntryServerOptions {
     readonly guard: ServerGuard;
     readonly countTenantCall: TenantCallCounter;
+    readonly marks: CancellationMarks;
 }
 
 const handleRequest = async (
@@ -117,7 +120,7 @@
     readonly deadlineMs: number;
 }
 
-const handleMatched = async (options: EntryServerOptions, matched: MatchedRequest): Promise<void> => {
+const handleMatched = async (options: Entry, matched: MatchedRequest): Promise<void> => {
     const { request, response, match, tenant, configuration, body, deadlineMs } = matched;
     const { context } = options;
     if (match.rest === "" && request.method === "GET") {
@@ -135,7 +138,7 @@
         return;
     }
     const call: JobCall = { queue: match.queue, tenant, configuration, id: match.rest, deadlineMs };
-    const result = await dispatchCall(context, request.method ?? "", call, body);
+    const result = await dispatchCall(options, request.method ?? "", call, body);
     if (result === undefined) {
         sendJson(response, 405, { error: "use POST, GET or DELETE" });
         return;
@@ -145,7 +148,7 @@
 };
 
 const dispatchCall = (
-    context: DispatcherContext,
+    { context, marks }: Entry,
     method: string,
     call: JobCall,
     body: string,
@@ -156,7 +159,7 @@
         case "GET":
             return readJobState(context, call);
         case "DELETE":
-            return cancelJob(context, call);
+            return cancelJob(context, call, marks);
         default:
             return undefined;
     }
--- a/programs/dispatcher/src/entry/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -2,13 +2,14 @@
 import type { Queue } from "@almondusher/jobs/configuration";
 import type { JobId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState } from "@almondusher/jobs/job";
-import { initialProgress } from "@almondusher/jobs/progress";
+import { initialProgress, neverAcceptedProgress, type Progress } from "@almondusher/jobs/progress";
 import { toTerms } from "@almondusher/jobs/queue-terms";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
-import type { Row } from "@almondusher/platform-adapter/table-store";
+import type { Row, Transaction, TransactionResult } from "@almondusher/platform-adapter/table-store";
 import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import {
+    CANCELLATION_VALUE,
     cancellationRow,
     cancelledProgressRow,
     jobRow,
@@ -17,7 +18,9 @@
     progressRow,
     type JobTables,
 } from "../jobs/job-rows.js";
+import { retentionSecondsOf } from "../jobs/finished-job-rows.js";
 import { readStoredProgress } from "../jobs/read-stored-rows.js";
+import type { CancellationMarks } from "./cancellation-marks.js";
 
 /** Outcome of a client's request for a job. */
 export type JobCallResult =
@@ -45,8 +48,12 @@
 
 const RETRY_DELAY_MS = 40;
 const STORE_RETRY_AFTER_SECONDS = 1;
+const MARK_RETRY_AFTER_SECONDS = 10;
 
-/** Stores a job. It is reported as accepted only once it is durable; a job that exists already counts as accepted. */
+/**
+ * Stores a job. It is reported as accepted only once it is durable; a job that exists already counts as accepted, and one whose
+ * cancellation was answered before never runs.
+ */
 export const submitJob = async (context: DispatcherContext, call: JobCall, body: string): Promise<JobCallResult> => {
     const submission = readSubmission(body);
     if ("message" in submission) {
@@ -69,8 +76,15 @@
         const commit = await context.store.transact(transaction);
         switch (commit.kind) {
             case "committed":
-            case "conflict":
                 return { kind: "accepted" };
+            case "conflict":
+                return isNeverAccepted(context, commit.rows, { tables, id: call.id })
+                    ? {
+                          kind: "not-run",
+                          cause: CANCELLED_BEFORE,
+                          retryAfterSeconds: retentionSecondsOf(context.settings.jobStateSeconds),
+                      }
+                    : { kind: "accepted" };
             case "unknown":
                 unknown = true;
                 break;
@@ -93,45 +107,120 @@
         case "found":
             return { kind: "state", state: found.state };
         case "absent":
+        case "never-accepted":
             return { kind: "unknown-job" };
         case "failed":
             return { kind: "not-run", cause: found.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
     }
 };
 
-/** Cancels a job. It is reported as cancelled only once the cancellation is durable. */
-export const cancelJob = async (context: DispatcherContext, call: JobCall): Promise<JobCallResult> => {
-    const found = await readProgress(context, call);
-    if (found.kind === "absent") {
-        return { kind: "unknown-job" };
-    }
-    if (found.kind === "failed") {
-        return { kind: "not-run", cause: found.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
-    }
-    if (found.state !== "queued" && found.state !== "running") {
-        return { kind: "cancelled" };
+/**
+ * Cancels a job. It is reported as cancelled only once the cancellation is durable. A submission of an unknown job may still be
+ * on its way, at a process that stands still or in the store, so the answer is durable then, too.
+ */
+export const cancelJob = async (
+    context: DispatcherContext,
+    call: JobCall,
+    marks: CancellationMarks,
+): Promise<JobCallResult> => {
+    for (;;) {
+        const found = await readProgress(context, call);
+        switch (found.kind) {
+            case "never-accepted":
+                return { kind: "unknown-job" };
+            case "failed":
+                return { kind: "not-run", cause: found.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+            case "found":
+                return found.state === "queued" || found.state === "running"
+                    ? storeCancellation(context, call, found.tables)
+                    : { kind: "cancelled" };
+            case "absent": {
+                const marked = marks.take() ? await markNeverAccepted(context, call) : TOO_MANY_MARKS;
+                if (marked.kind !== "accepted-meanwhile") {
+                    return marked;
+                }
+            }
+        }
     }
-    const { tables } = found;
+};
+
+const storeCancellation = async (
+    context: DispatcherContext,
+    call: JobCall,
+    tables: JobTables,
+): Promise<JobCallResult> => {
     const rows = [cancellationRow(tables, call.id), cancelledProgressRow(tables, call.id)];
-    const transaction = {
+    const commit = await transactUntil(context, call, {
         expect: rows.map(row => ({ ...row, version: 0 })),
-        writes: rows.map(row => ({ ...row, value: "{}" })),
-    };
+        writes: rows.map(row => ({ ...row, value: CANCELLATION_VALUE })),
+    });
+    return commit.kind === "committed" || commit.kind === "conflict"
+        ? { kind: "cancelled" }
+        : { kind: "unknown", cause: commit.reason };
+};
+
+/** Keeps a submission of the job that is stored later from being accepted, and tells the pool's scheduler to remove the rows. */
+const markNeverAccepted = async (
+    context: DispatcherContext,
+    call: JobCall,
+): Promise<JobCallResult | { readonly kind: "accepted-meanwhile" }> => {
+    const tables = jobTablesOf(call.queue.pool);
+    const value = encodeProgress(neverAcceptedProgress);
+    const commit = await transactUntil(context, call, {
+        expect: [jobRow(tables, call.id), progressRow(tables, call.id)].map(row => ({ ...row, version: 0 })),
+        writes: [progressRow(tables, call.id), cancellationRow(tables, call.id)].map(row => ({ ...row, value })),
+    });
+    switch (commit.kind) {
+        case "committed":
+            return { kind: "unknown-job" };
+        case "conflict":
+            return isNeverAccepted(context, commit.rows, { tables, id: call.id })
+                ? { kind: "unknown-job" }
+                : { kind: "accepted-meanwhile" };
+        case "not-run":
+        case "rejected":
+            return { kind: "not-run", cause: commit.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+        case "unknown":
+            return { kind: "unknown", cause: commit.reason };
+    }
+};
+
+/**
+ * Repeats a transaction until it is committed or conflicts, or the response is due. Afterwards `unknown` means that one of the
+ * attempts may have been applied or may still be.
+ */
+const transactUntil = async (
+    context: DispatcherContext,
+    { deadlineMs }: JobCall,
+    transaction: Transaction,
+): Promise<TransactionResult> => {
+    let unknown = false;
     for (;;) {
         const commit = await context.store.transact(transaction);
         if (commit.kind === "committed" || commit.kind === "conflict") {
-            return { kind: "cancelled" };
+            return commit;
         }
-        if (context.monotonicMs() + RETRY_DELAY_MS >= call.deadlineMs) {
-            return { kind: "unknown", cause: commit.reason };
+        unknown ||= commit.kind === "unknown";
+        if (context.monotonicMs() + RETRY_DELAY_MS >= deadlineMs) {
+            return unknown ? { kind: "unknown", reason: commit.reason } : commit;
         }
         await sleep(RETRY_DELAY_MS);
     }
 };
 
+const CANCELLED_BEFORE = "the job was cancelled before it was accepted, and never runs";
+
+const TOO_MANY_MARKS: JobCallResult = {
+    kind: "not-run",
+    cause: "too many unknown jobs were cancelled",
+    retryAfterSeconds: MARK_RETRY_AFTER_SECONDS,
+};
+
 type FoundProgress =
     | { readonly kind: "found"; readonly state: JobState; readonly tables: JobTables }
     | { readonly kind: "absent" }
+    /** Cancelled before it was accepted. */
+    | { readonly kind: "never-accepted" }
     | { readonly kind: "failed"; readonly reason: string };
 
 const readProgress = async (context: DispatcherContext, { queue, id, deadlineMs }: JobCall): Promise<FoundProgress> => {
@@ -153,17 +242,27 @@
     readonly id: JobId;
 }
 
-const stateOfRows = (context: DispatcherContext, rows: readonly Row[], { tables, id }: JobAddress): FoundProgress => {
-    const progress = rows.find(({ key }) => key === id);
-    if (progress === undefined) {
+const stateOfRows = (context: DispatcherContext, rows: readonly Row[], address: JobAddress): FoundProgress => {
+    const stored = rows.find(({ key }) => key === address.id);
+    if (stored === undefined) {
         return { kind: "absent" };
     }
-    const state = readStoredProgress(context, progress)?.state;
-    if (state === undefined) {
+    const progress = readStoredProgress(context, stored);
+    if (progress === undefined) {
         return { kind: "failed", reason: "the stored progress cannot be read" };
     }
+    if (progress.neverAccepted === true) {
+        return { kind: "never-accepted" };
+    }
+    const { state } = progress;
     const cancelled = rows.length > 1 && (state === "queued" || state === "running");
-    return { kind: "found", state: cancelled ? "cancelled" : state, tables };
+    return { kind: "found", state: cancelled ? "cancelled" : state, tables: address.tables };
+};
+
+const isNeverAccepted = (context: DispatcherContext, rows: readonly Row[], { tables, id }: JobAddress): boolean => {
+    const stored = rows.find(({ table, key, version }) => table === tables.progress && key === id && version > 0);
+    const progress: Progress | undefined = stored === undefined ? undefined : readStoredProgress(context, stored);
+    return progress?.neverAccepted === true;
 };
 
 const readSubmission = (body: string): Submission | { readonly message: string } => {
--- a/programs/dispatcher/src/entry/withdraw-job.ts
+++ b/programs/dispatcher/src/entry/withdraw-job.ts
@@ -1,7 +1,13 @@
 import type { OpenJob } from "@almondusher/scheduler/pool-tables";
 import type { Row, RowKey } from "@almondusher/platform-adapter/table-store";
 import type { DispatcherContext } from "../process/dispatcher-context.js";
-import { cancellationRow, cancelledProgressRow, progressRow, type JobTables } from "../jobs/job-rows.js";
+import {
+    CANCELLATION_VALUE,
+    cancellationRow,
+    cancelledProgressRow,
+    progressRow,
+    type JobTables,
+} from "../jobs/job-rows.js";
 
 /** Outcome of an attempt to withdraw a job; `failed` may have been applied and can be tried again. */
 export type Withdrawal =
@@ -23,7 +29,7 @@
             { ...progressRow(tables, job.id), version: job.progressVersion },
             ...rows.map(row => ({ ...row, version: 0 })),
         ],
-        writes: rows.map(row => ({ ...row, value: "{}" })),
+        writes: rows.map(row => ({ ...row, value: CANCELLATION_VALUE })),
     });
     switch (commit.kind) {
         case "committed":
--- a/programs/dispatcher/src/jobs/finished-job-rows.ts
+++ b/programs/dispatcher/src/jobs/finished-job-rows.ts
@@ -47,7 +47,7 @@
 
 const MS_PER_SECOND = 1000;
 /** Later than any repeated submission of a job that has ended: one that came after the removal would run the job again. */
-const MIN_RETENTION_MS = 600_000;
+const MIN_RETENTION_SECONDS = 600;
 const REMOVAL_INTERVAL_MS = 1000;
 /** Pause between full transactions, which leaves most of a partition's rate of writes to others. */
 const FULL_REMOVAL_INTERVAL_MS = 100;
@@ -55,10 +55,13 @@
 const MAX_DESCRIPTIONS_PER_REMOVAL = 60;
 const MAX_STATES_PER_REMOVAL = 13;
 
+/** Time for which the progress of a finished job is kept, in seconds, given how long its state must stay readable. */
+export const retentionSecondsOf = (jobStateSeconds: number): number => Math.max(jobStateSeconds, MIN_RETENTION_SECONDS);
+
 export const createFinishedJobRows = (options: FinishedJobRowsOptions): FinishedJobRows => {
     const { context, pool, isActive, mayStore } = options;
     const tables = jobTablesOf(pool);
-    const retentionMs = Math.max(options.jobStateSeconds * MS_PER_SECOND, MIN_RETENTION_MS);
+    const retentionMs = retentionSecondsOf(options.jobStateSeconds) * MS_PER_SECOND;
     const descriptions = new Set<JobId>();
     // In the order of the ends, which is that of the times of removal.
     const states = new Map<JobId, StoredState>();
--- a/programs/dispatcher/src/jobs/job-feed.ts
+++ b/programs/dispatcher/src/jobs/job-feed.ts
@@ -6,7 +6,7 @@
 import { createErrorReporter, repeatWhileActive } from "../process/contain-errors.js";
 import { sleep, type DispatcherContext } from "../process/dispatcher-context.js";
 import type { FinishedJob } from "./finished-job-rows.js";
-import { cancelledJobId, jobTablesOf } from "./job-rows.js";
+import { CANCELLATION_VALUE, cancelledJobId, jobTablesOf } from "./job-rows.js";
 import { readStoredJob, readStoredProgress } from "./read-stored-rows.js";
 import { createRangeReading, type CompleteRange, type StorePoint } from "../store/read-all.js";
 
@@ -201,6 +201,7 @@
         return;
     }
     if (applyCancellation(options.sink, row)) {
+        reportNeverAccepted(options, row);
         return;
     }
     const job = readJob(options, row);
@@ -210,6 +211,15 @@
     }
 };
 
+// The changes of progress are not followed, so the cancellation of a job that was never accepted says so as well.
+const reportNeverAccepted = ({ context, sink }: JobFeedOptions, row: Row): void => {
+    const id = cancelledJobId(row.key);
+    const isMark = id !== undefined && row.value !== CANCELLATION_VALUE;
+    if (isMark && readStoredProgress(context, row)?.neverAccepted === true) {
+        sink.finished({ id, state: "cancelled" });
+    }
+};
+
 const applyCancellation = (sink: JobFeedSink, { key }: Row): boolean => {
     const cancelled = cancelledJobId(key);
     if (cancelled !== undefined) {
--- a/programs/dispatcher/src/jobs/job-rows.ts
+++ b/programs/dispatcher/src/jobs/job-rows.ts
@@ -20,6 +20,9 @@
 const CANCELLATION_SUFFIX = "!";
 const RANGE_END_SUFFIX = "~";
 
+/** Value of both rows of the cancellation of an accepted job. */
+export const CANCELLATION_VALUE = "{}";
+
 /** Returns the tables that hold the jobs of a pool. */
 export const jobTablesOf = (pool: PoolName): JobTables => {
     const group = createHash("sha1").update(pool).digest().readUInt32BE(0) % TABLE_GROUPS;
