Bound the cancel of a job whose progress is missing, and share the retries

Cause: a cancel that finds no progress, and whose mark conflicts with the row of the job, looked again at once and without an end. Such a row is left if only the progress of a finished job was removed.

Change: the cancel repeats at the usual interval until its response is due, then answers 503. Submission, cancellation and mark repeat their transactions by one function; a cancellation that was certainly not applied gets 503, where it got 504.

Test: a job row without progress (new).

--- a/programs/dispatcher/src/entry/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -61,43 +61,28 @@
     }
     const tables = jobTablesOf(call.queue.pool);
     const job = toJob(context, call, submission);
-    const transaction = {
-        expect: [
-            { ...jobRow(tables, call.id), version: 0 },
-            { ...progressRow(tables, call.id), version: 0 },
-        ],
+    const commit = await transactUntil(context, call, {
+        expect: [jobRow(tables, call.id), progressRow(tables, call.id)].map(row => ({ ...row, version: 0 })),
         writes: [
             { ...jobRow(tables, call.id), value: encodeJob(job) },
             { ...progressRow(tables, call.id), value: encodeProgress(initialProgress) },
         ],
-    };
-    let unknown = false;
-    for (;;) {
-        const commit = await context.store.transact(transaction);
-        switch (commit.kind) {
-            case "committed":
-                return { kind: "accepted" };
-            case "conflict":
-                return isNeverAccepted(context, commit.rows, { tables, id: call.id })
-                    ? {
-                          kind: "not-run",
-                          cause: CANCELLED_BEFORE,
-                          retryAfterSeconds: retentionSecondsOf(context.settings.jobStateSeconds),
-                      }
-                    : { kind: "accepted" };
-            case "unknown":
-                unknown = true;
-                break;
-            case "not-run":
-            case "rejected":
-                break;
-        }
-        if (context.monotonicMs() + RETRY_DELAY_MS >= call.deadlineMs) {
-            return unknown
-                ? { kind: "unknown", cause: commit.reason }
-                : { kind: "not-run", cause: commit.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
-        }
-        await sleep(RETRY_DELAY_MS);
+    });
+    switch (commit.kind) {
+        case "committed":
+            return { kind: "accepted" };
+        case "conflict":
+            return isNeverAccepted(context, commit.rows, { tables, id: call.id })
+                ? {
+                      kind: "not-run",
+                      cause: CANCELLED_BEFORE,
+                      retryAfterSeconds: retentionSecondsOf(context.settings.jobStateSeconds),
+                  }
+                : { kind: "accepted" };
+        case "unknown":
+        case "not-run":
+        case "rejected":
+            return describeFailure(commit);
     }
 };
 
@@ -139,6 +124,11 @@
                 if (marked.kind !== "accepted-meanwhile") {
                     return marked;
                 }
+                // A row of the job without its progress would be found again and again.
+                if (isResponseDue(context, call)) {
+                    return { kind: "not-run", cause: NO_PROGRESS, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+                }
+                await sleep(RETRY_DELAY_MS);
             }
         }
     }
@@ -154,9 +144,15 @@
         expect: rows.map(row => ({ ...row, version: 0 })),
         writes: rows.map(row => ({ ...row, value: CANCELLATION_VALUE })),
     });
-    return commit.kind === "committed" || commit.kind === "conflict"
-        ? { kind: "cancelled" }
-        : { kind: "unknown", cause: commit.reason };
+    switch (commit.kind) {
+        case "committed":
+        case "conflict":
+            return { kind: "cancelled" };
+        case "unknown":
+        case "not-run":
+        case "rejected":
+            return describeFailure(commit);
+    }
 };
 
 /** Keeps a submission of the job that is stored later from being accepted, and tells the pool's scheduler to remove the rows. */
@@ -177,21 +173,28 @@
             return isNeverAccepted(context, commit.rows, { tables, id: call.id })
                 ? { kind: "unknown-job" }
                 : { kind: "accepted-meanwhile" };
+        case "unknown":
         case "not-run":
         case "rejected":
-            return { kind: "not-run", cause: commit.reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
-        case "unknown":
-            return { kind: "unknown", cause: commit.reason };
+            return describeFailure(commit);
     }
 };
 
+/** A transaction that was not committed, as far as is known. */
+type FailedTransaction = Extract<TransactionResult, { readonly reason: string }>;
+
+const describeFailure = ({ kind, reason }: FailedTransaction): JobCallResult =>
+    kind === "unknown"
+        ? { kind: "unknown", cause: reason }
+        : { kind: "not-run", cause: reason, retryAfterSeconds: STORE_RETRY_AFTER_SECONDS };
+
 /**
  * Repeats a transaction until it is committed or conflicts, or the response is due. Afterwards `unknown` means that one of the
  * attempts may have been applied or may still be.
  */
 const transactUntil = async (
     context: DispatcherContext,
-    { deadlineMs }: JobCall,
+    call: JobCall,
     transaction: Transaction,
 ): Promise<TransactionResult> => {
     let unknown = false;
@@ -201,13 +204,17 @@
             return commit;
         }
         unknown ||= commit.kind === "unknown";
-        if (context.monotonicMs() + RETRY_DELAY_MS >= deadlineMs) {
+        if (isResponseDue(context, call)) {
             return unknown ? { kind: "unknown", reason: commit.reason } : commit;
         }
         await sleep(RETRY_DELAY_MS);
     }
 };
 
+const isResponseDue = ({ monotonicMs }: DispatcherContext, { deadlineMs }: JobCall): boolean =>
+    monotonicMs() + RETRY_DELAY_MS >= deadlineMs;
+
+const NO_PROGRESS = "the progress of the job is not stored";
 const CANCELLED_BEFORE = "the job was cancelled before it was accepted, and never runs";
 
 const TOO_MANY_MARKS: JobCallResult = {
@@ -223,14 +230,15 @@
     | { readonly kind: "never-accepted" }
     | { readonly kind: "failed"; readonly reason: string };
 
-const readProgress = async (context: DispatcherContext, { queue, id, deadlineMs }: JobCall): Promise<FoundProgress> => {
+const readProgress = async (context: DispatcherContext, call: JobCall): Promise<FoundProgress> => {
+    const { queue, id } = call;
     const tables = jobTablesOf(queue.pool);
     for (;;) {
         const reading = await context.store.read(progressRange(tables, id));
         if (reading.kind === "rows") {
             return stateOfRows(context, reading.rows, { tables, id });
         }
-        if (context.monotonicMs() + RETRY_DELAY_MS >= deadlineMs) {
+        if (isResponseDue(context, call)) {
             return { kind: "failed", reason: reading.kind === "failed" ? reading.reason : reading.kind };
         }
         await sleep(RETRY_DELAY_MS);
--- a/programs/dispatcher/test/cancel-unknown-job.test.ts
+++ b/programs/dispatcher/test/cancel-unknown-job.test.ts
@@ -19,7 +19,8 @@
 const TABLES = jobTablesOf(POOL);
 const BODY = JSON.stringify({ spec: "text", steps: [{ count: 2, cpu: 1000, mem_mb: 100, est_duration_ms: 100 }] });
 const DEADLINE_MS = 1500;
-const LATE_MS = 1500;
+// Longer than a submission is repeated.
+const LATE_MS = 3000;
 const TIMEOUT_MS = 5000;
 const JOB_STATE_SECONDS = 1200;
 
@@ -94,12 +95,12 @@
 test("a submission that the store carries out after its cancel was answered is not stored", async context => {
     const entry = await startEntry(context);
     entry.store.setFault({ kind: "late-writes", delayMs: LATE_MS });
-    const submission = entry.submit();
-    await sleep(LATE_MS / 3);
+    assert.equal((await entry.submit()).kind, "unknown");
     entry.store.setFault({ kind: "none" });
+    assert.deepEqual(entry.storedJobs(), [], "the writes of the submission are still to be carried out");
     assert.deepEqual(await entry.cancel(), { kind: "unknown-job" });
-    assert.notEqual((await submission).kind, "accepted");
     await sleep(LATE_MS);
+    assert.deepEqual(entry.storedJobs(), []);
     await assertNeverAccepted(entry);
 });
 
@@ -149,6 +150,17 @@
     assert.deepEqual(await entry.submit(), { kind: "accepted" }, "the job's row exists");
 });
 
+// Such a row is left if only the job's progress was removed. The cancel must not repeat its calls without an end.
+test("a cancel of a job whose progress is missing is not said to be done, and ends in time", async context => {
+    const entry = await startEntry(context);
+    const row = { table: TABLES.jobs, part: TABLES.part, key: ID };
+    await entry.context.store.transact({ expect: [], writes: [{ ...row, value: "{}" }] });
+    const before = entry.context.store.calls.writes;
+    assert.equal((await entry.cancel()).kind, "not-run");
+    const writes = entry.context.store.calls.writes - before;
+    assert.ok(writes <= DEADLINE_MS / 40, `${writes} writes`);
+});
+
 test("the scheduler of the pool learns of the rows, and removes them like those of a finished job", async context => {
     const entry = await startEntry(context);
     const finished: unknown[] = [];
