Name the failed member for which a gang of unknown terms waits

Cause: the waiting reason `attempts-unknown` looked at the task alone, though its comment says "or a member of its gang", so that the other members of such a gang were logged with another reason. Placement was right.

Change: one function finds the task or member that a gate holds, for all four gates. The tests of step tickets, pending counts and cancels share one queue, which stood three times. A type annotation that said nothing is gone.

--- a/pools/scheduler/src/waiting-reason.ts
+++ b/pools/scheduler/src/waiting-reason.ts
@@ -9,7 +9,7 @@
 import type { Executor, OpenStep, PoolTables, Run, Task } from "./pool-tables.js";
 import { demandOf, fits, freeResources, isNotOvercommitted, maxOfEach, type FreeByExecutor } from "./resources.js";
 import { hasRunNumber } from "./run-numbers.js";
-import { inheritedGateOf, jobGateOf, taskGateOf } from "./start-gates.js";
+import { inheritedGateOf, jobGateOf, taskGateOf, type TaskGate } from "./start-gates.js";
 import { createTenantRoom, limitOf } from "./tenant-room.js";
 
 /** A run that has not ended, for which a task waits. */
@@ -148,7 +148,9 @@
 // All members of a gang start together, so what holds up one of them holds up all.
 const findTaskReason = (tables: PoolTables, task: Task, nowMs: number): WaitingReason | undefined => {
     const others = task.step.step.gang ? task.step.tasks.filter(member => member !== task) : [];
-    const holder = [task, ...others].find(member => taskGateOf(tables, member) === "run-not-ended");
+    const findHeld = (gate: TaskGate): Task | undefined =>
+        [task, ...others].find(member => taskGateOf(tables, member) === gate);
+    const holder = findHeld("run-not-ended");
     const [run] = holder?.runs ?? [];
     if (run !== undefined) {
         return {
@@ -156,7 +158,7 @@
             ...describeRun(run, nowMs),
         };
     }
-    const givenUp = [task, ...others].find(member => taskGateOf(tables, member) === "give-up-unconfirmed");
+    const givenUp = findHeld("give-up-unconfirmed");
     if (givenUp !== undefined) {
         return {
             kind: "give-up-unconfirmed",
@@ -165,13 +167,14 @@
             confirmedBeforeMs: nowMs - tables.leaseHeldAtMs,
         };
     }
-    const held = [task, ...others].find(member => taskGateOf(tables, member) === "inherited-start-possible");
+    const held = findHeld("inherited-start-possible");
     if (held !== undefined) {
         return { kind: "inherited-start-possible", member: held.id };
     }
-    return taskGateOf(tables, task) === "attempts-unknown"
-        ? { kind: "attempts-unknown", member: task.id, queue: task.step.job.queue }
-        : undefined;
+    const failed = findHeld("attempts-unknown");
+    return failed === undefined
+        ? undefined
+        : { kind: "attempts-unknown", member: failed.id, queue: task.step.job.queue };
 };
 
 const describeRun = ({ task, executor, number, phase, startedAtMs }: Run, nowMs: number): HoldingRun => ({
--- a/pools/scheduler/test/job-terms.test.ts
+++ b/pools/scheduler/test/job-terms.test.ts
@@ -136,9 +136,28 @@
     const tables = createPool({ executors: [record("a")] });
     adoptConfiguration(tables, NO_QUEUES);
     addJob(tables, { id: "j1", steps: [step({ gang: true, count: 2 })] });
-    assert.equal(failAttempt(tables, 1), 2);
+    const placed = place(tables);
+    assert.equal(placed.length, 2);
+    const [failed] = placed;
+    assert.ok(failed !== undefined);
+    const members = failed.task.step.tasks;
+    receiveReport(tables, "a", {
+        ended: members.map(({ id, runs }, index) => ({
+            number: index + 1,
+            task: id,
+            run: runs[0]?.number ?? 0,
+            how: id === failed.task.id ? "failed" : "broken",
+            checkpoint: "",
+        })),
+    });
     assert.equal(place(tables, 5000).length, 0);
     assert.equal(jobOf(tables, "j1").state, "running");
+    const options = { nowMs: 5000, budget: UNLIMITED_BUDGET, executorsWithTicket: () => undefined };
+    const survey = surveyWaiting(tables, options);
+    assert.deepEqual(
+        members.map(survey.reasonOf),
+        members.map(() => ({ kind: "attempts-unknown", member: failed.task.id, queue: QUEUE })),
+    );
 });
 
 test("a long-running task of unknown terms starts again however often it has failed", () => {
--- a/programs/dispatcher/src/entry/job-api.ts
+++ b/programs/dispatcher/src/entry/job-api.ts
@@ -2,7 +2,7 @@
 import type { Queue } from "@almondusher/jobs/configuration";
 import type { JobId, TenantName } from "@almondusher/jobs/ids";
 import type { Job, JobState } from "@almondusher/jobs/job";
-import { initialProgress, neverAcceptedProgress, type Progress } from "@almondusher/jobs/progress";
+import { initialProgress, neverAcceptedProgress } from "@almondusher/jobs/progress";
 import { toTerms } from "@almondusher/jobs/queue-terms";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
 import { decodeSubmission, type Submission } from "@almondusher/platform-adapter/decode-submission";
@@ -269,8 +269,7 @@
 
 const isNeverAccepted = (context: DispatcherContext, rows: readonly Row[], { tables, id }: JobAddress): boolean => {
     const stored = rows.find(({ table, key, version }) => table === tables.progress && key === id && version > 0);
-    const progress: Progress | undefined = stored === undefined ? undefined : readStoredProgress(context, stored);
-    return progress?.neverAccepted === true;
+    return stored !== undefined && readStoredProgress(context, stored)?.neverAccepted === true;
 };
 
 const readSubmission = (body: string): Submission | { readonly message: string } => {
--- a/programs/dispatcher/test/cancel-unknown-job.test.ts
+++ b/programs/dispatcher/test/cancel-unknown-job.test.ts
@@ -3,14 +3,14 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { toId } from "@almondusher/fleet/ids";
 import { startStoreStandIn, type StoreStandIn } from "@almondusher/job-platform-stand-in/store";
-import type { JobId, QueueName } from "@almondusher/jobs/ids";
+import type { JobId } from "@almondusher/jobs/ids";
 import { createTableStore } from "@almondusher/platform-adapter/table-store";
 import { createCancellationMarks, MAX_MARKS } from "../src/entry/cancellation-marks.js";
 import { cancelJob, readJobState, submitJob, type JobCall, type JobCallResult } from "../src/entry/job-api.js";
 import { followJobs } from "../src/jobs/job-feed.js";
 import { jobTablesOf } from "../src/jobs/job-rows.js";
 import type { DispatcherContext } from "../src/process/dispatcher-context.js";
-import { POOL } from "./fixture.js";
+import { POOL, QUEUE } from "./fixture.js";
 
 // A cancel of a job that was not stored was answered with 410 and stored nothing, so that a submission that a frozen machine,
 // the store or the network held back was accepted and run later.
@@ -44,19 +44,7 @@
         store: createTableStore({ address: store.address, monotonicMs }),
     } as unknown as DispatcherContext;
     const call = (): JobCall => ({
-        queue: {
-            name: toId<QueueName>("queue-1"),
-            host: "host",
-            prefix: "/q/",
-            pool: POOL,
-            priority: 0,
-            maxAttempts: 1,
-            stretch: 1,
-            graceMs: 0,
-            timeoutMs: 3000,
-            advice: undefined,
-            isPublic: true,
-        },
+        queue: QUEUE,
         tenant: undefined,
         configuration: 1,
         id: ID,
@@ -137,7 +125,7 @@
     const result = await cancelJob(
         { ...entry.context, store: racing },
         {
-            queue: { pool: POOL } as JobCall["queue"],
+            queue: QUEUE,
             tenant: undefined,
             configuration: 1,
             id: ID,
--- a/programs/dispatcher/test/fixture.ts
+++ b/programs/dispatcher/test/fixture.ts
@@ -1,4 +1,5 @@
 import { toId, type DataCentreName, type PoolName, type VmId } from "@almondusher/fleet/ids";
+import type { Queue } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
 import type { ExecutorId, JobId, QueueName } from "@almondusher/jobs/ids";
 import type { Step } from "@almondusher/jobs/job";
@@ -18,6 +19,21 @@
 /** Length of the leases that the scheduler grants to runs, in milliseconds. */
 export const RUN_LEASE_MS = 4000;
 
+/** A queue of the pool without advice. */
+export const QUEUE: Queue = {
+    name: toId<QueueName>("queue-1"),
+    host: "host",
+    prefix: "/q/",
+    pool: POOL,
+    priority: 0,
+    maxAttempts: 2,
+    stretch: 2,
+    graceMs: 500,
+    timeoutMs: 3000,
+    advice: undefined,
+    isPublic: false,
+};
+
 /** A step of one task without requirements. */
 export const STEP: Step = {
     count: 1,
--- a/programs/dispatcher/test/pending-count.test.ts
+++ b/programs/dispatcher/test/pending-count.test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { toId, type PoolName, type ProcessId, type VmId } from "@almondusher/fleet/ids";
-import type { Queue } from "@almondusher/jobs/configuration";
+import { toId, type ProcessId, type VmId } from "@almondusher/fleet/ids";
 import type { JobId, QueueName } from "@almondusher/jobs/ids";
 import { initialProgress, type Progress } from "@almondusher/jobs/progress";
 import { encodeJob, encodeProgress } from "@almondusher/jobs/stored-rows";
@@ -9,24 +8,11 @@
 import { cancellationRow, cancelledProgressRow, jobRow, jobTablesOf, progressRow } from "../src/jobs/job-rows.js";
 import { emptyLeaseContent, type LeaseRecord } from "../src/leases/lease-rows.js";
 import { countPending, type CountedJobs } from "../src/entry/pending-count.js";
+import { POOL, QUEUE } from "./fixture.js";
 
 type Reading = Awaited<ReturnType<TableStore["read"]>>;
 
-const POOL = toId<PoolName>("pool-a");
 const TABLES = jobTablesOf(POOL);
-const QUEUE: Queue = {
-    name: toId<QueueName>("queue-1"),
-    host: "host",
-    prefix: "/q/",
-    pool: POOL,
-    priority: 0,
-    maxAttempts: 2,
-    stretch: 2,
-    graceMs: 500,
-    timeoutMs: 3000,
-    advice: undefined,
-    isPublic: false,
-};
 const NOW_MS = 10_000;
 
 const row = (key: RowKey, value: string): Row => ({ ...key, value, version: 1, deleted: false });
--- a/programs/dispatcher/test/step-tickets.test.ts
+++ b/programs/dispatcher/test/step-tickets.test.ts
@@ -4,7 +4,7 @@
 import { toId } from "@almondusher/fleet/ids";
 import type { Queue } from "@almondusher/jobs/configuration";
 import type { ExecutorRecord } from "@almondusher/jobs/executor";
-import type { ExecutorId, JobId, QueueName, StepId } from "@almondusher/jobs/ids";
+import type { ExecutorId, JobId, StepId } from "@almondusher/jobs/ids";
 import { initialProgress } from "@almondusher/jobs/progress";
 import { toTerms, type QueueTerms } from "@almondusher/jobs/queue-terms";
 import type { AdviceClient } from "@almondusher/platform-adapter/advice-client";
@@ -15,9 +15,9 @@
 import { recordLeaseHeld, stepsOf, type OpenStep, type PoolTables } from "@almondusher/scheduler/pool-tables";
 import type { DispatcherContext } from "../src/process/dispatcher-context.js";
 import { createStepTickets, type StepTickets } from "../src/executors/step-tickets.js";
-import { POOL, STEP, emptyTables, executorRecord } from "./fixture.js";
+import { POOL, QUEUE as PLAIN_QUEUE, STEP, emptyTables, executorRecord } from "./fixture.js";
 
-const QUEUE = toId<QueueName>("queue-1");
+const QUEUE = PLAIN_QUEUE.name;
 const VALID_MS = 3000;
 const CALL_MS = 120;
 const MAX_IDS = 100;
@@ -27,20 +27,7 @@
 const record = (index: number): ExecutorRecord =>
     executorRecord(executorId(index), { capacity: { cpu: 1000, memoryMb: 1000, gpu: 0 } });
 
-const ADVISED_QUEUE: Queue = {
-    name: QUEUE,
-    host: "host",
-    prefix: "/q/",
-    pool: POOL,
-    priority: 0,
-    maxAttempts: 2,
-    stretch: 2,
-    graceMs: 500,
-    timeoutMs: 3000,
-    advice: { decideMs: 20, perExecutorMs: 1, validMs: VALID_MS },
-    isPublic: false,
-};
-const PLAIN_QUEUE: Queue = { ...ADVISED_QUEUE, advice: undefined };
+const ADVISED_QUEUE: Queue = { ...PLAIN_QUEUE, advice: { decideMs: 20, perExecutorMs: 1, validMs: VALID_MS } };
 
 interface AdvisedPool {
     readonly tables: PoolTables;
